--- a/charter/charter.go
+++ b/charter/charter.go
@@ -25,6 +25,7 @@
 	Upstream = "upstream"
 	Change   = "change"
 	Recovery = "recovery"
+	Delivery = "delivery"
 )
 
 // Chart is a checked state chart; it is immutable.
@@ -83,7 +84,7 @@
 
 // Check loads every embedded chart and returns the first fault.
 func Check() error {
-	for _, n := range []string{Request, Hold, Grant, Upstream, Change, Recovery} {
+	for _, n := range []string{Request, Hold, Grant, Upstream, Change, Recovery, Delivery} {
 		if _, err := Load(n); err != nil {
 			return err
 		}
--- a/commander/commands.go
+++ b/commander/commands.go
@@ -10,7 +10,7 @@
 // commands declares the whole command line.
 func commands() []*command {
 	return []*command{
-		devCommand(), routerCommand(), sidecarCommand(), emulateCommand(), checkCommand(),
+		devCommand(), gatewayCommand(), routerCommand(), sidecarCommand(), emulateCommand(), checkCommand(),
 		contractCommand(), budgetCommand(), configCommand(), catalogCommand(), upstreamCommand(), explainCommand(),
 		keyCommand(), loadCommand(), docsCommand(), versionCommand(),
 	}
--- /dev/null
+++ b/commander/gateway.go
@@ -0,0 +1,69 @@
+package commander
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/masticway/masticway/forwarder"
+	"github.com/masticway/masticway/platform"
+	"github.com/masticway/masticway/starter"
+	"github.com/masticway/masticway/validator"
+)
+
+func gatewayCommand() *command {
+	var file string
+	return &command{
+		name: "gateway", description: "run a router on the users' platform", example: "masticway gateway settings.json",
+		flags: func(s *flaggy.Subcommand) {
+			s.AddPositionalValue(&file, "file", 1, false, "settings file; "+platform.SettingsVariable+" names it when absent")
+		},
+		run: func(ctx context.Context, e env) error {
+			if file == "" {
+				file = platform.SettingsPath()
+			}
+			settings, err := readFile[forwarder.Settings](validator.KindGateway, file)
+			if err != nil {
+				return err
+			}
+			d, err := starter.BuildGateway(settings, e.out)
+			if err != nil {
+				return err
+			}
+			stop := reloadOnHangup(func() error {
+				settings, err := readFile[forwarder.Settings](validator.KindGateway, file)
+				if err == nil {
+					d.Reload(settings)
+				}
+				return err
+			}, e)
+			defer stop()
+			return runRole(ctx, d)
+		},
+	}
+}
+
+// reloadOnHangup calls reload for each SIGHUP; settings that cannot be read change nothing.
+func reloadOnHangup(reload func() error, e env) (stop func()) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	go func() {
+		for range hangups {
+			if err := reload(); err != nil {
+				reportReload(e, err)
+			}
+		}
+	}()
+	return func() {
+		signal.Stop(hangups)
+		close(hangups)
+	}
+}
+
+// reportReload writes that a reload was refused; the process goes on with what it has.
+func reportReload(e env, err error) {
+	_, _ = e.err.Write([]byte("masticway: settings not read again: " + err.Error() + "\n"))
+}
--- a/commander/roles.go
+++ b/commander/roles.go
@@ -124,7 +124,7 @@
 		example: "masticway check examples/router-1.json",
 		flags: func(s *flaggy.Subcommand) {
 			fileArgument(s, &file, "file to check")
-			s.String(&kind, "", "kind", "router, sidecar, emulator, contract, catalog or scenario; guessed from the fields when absent")
+			s.String(&kind, "", "kind", "gateway, router, sidecar, emulator, contract, catalog or scenario; guessed from the fields when absent")
 		},
 		run: func(_ context.Context, e env) error {
 			data, err := os.ReadFile(file)
@@ -154,7 +154,7 @@
 		field string
 		kind  validator.Kind
 	}{
-		{"traffic", validator.KindScenario}, {"platform_address", validator.KindEmulator},
+		{"traffic", validator.KindScenario}, {"store_address", validator.KindGateway}, {"platform_address", validator.KindEmulator},
 		{"upstream_url", validator.KindSidecar}, {"workspace", validator.KindContract},
 	}
 	for _, m := range marks {
--- /dev/null
+++ b/follower/follower.go
@@ -0,0 +1,203 @@
+package follower
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/masticway/masticway"
+	"github.com/masticway/masticway/measurer"
+)
+
+const (
+	// followWait is how long one call may wait for changes; a silent feed is noticed after it.
+	followWait = 900 * time.Millisecond
+	// serverPause separates two calls about servers, whose rows change with every heartbeat.
+	serverPause = 150 * time.Millisecond
+	// configurationPause separates two calls about the configuration.
+	configurationPause = 20 * time.Millisecond
+	// relistAfter is how often everything is read anew, should a feed have left something out.
+	relistAfter = 2500 * time.Millisecond
+	// failurePause separates attempts while the store is away.
+	failurePause = 60 * time.Millisecond
+	// expirePause is how often lapsed servers are looked at.
+	expirePause = 100 * time.Millisecond
+)
+
+// Names of metrics.
+const (
+	metricCalls    = "follow_calls"
+	metricFailures = "follow_failures"
+	metricVersion  = "configuration_version"
+	metricServers  = "servers_ready"
+)
+
+// Follower reads the store and publishes beliefs.
+type Follower struct {
+	store   masticway.RowStore
+	decoder masticway.DeploymentDecoder
+	clock   masticway.Clock
+	log     *logrus.Entry
+	metrics *measurer.Set
+	// changed is called with each new belief.
+	changed func(Beliefs)
+
+	mu       sync.Mutex
+	register *Register
+	beliefs  atomic.Pointer[Beliefs]
+}
+
+// New returns a follower; changed is called, by one goroutine at a time, whenever the belief changes.
+func New(store masticway.RowStore, d masticway.DeploymentDecoder, clock masticway.Clock, log *logrus.Entry, metrics *measurer.Set, changed func(Beliefs)) *Follower {
+	f := &Follower{store: store, decoder: d, clock: clock, log: log, metrics: metrics, changed: changed, register: NewRegister(d)}
+	f.beliefs.Store(&Beliefs{})
+	return f
+}
+
+// Beliefs returns the newest belief.
+func (f *Follower) Beliefs() Beliefs { return *f.beliefs.Load() }
+
+// Run follows until the context ends.
+func (f *Follower) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	key := f.decoder.ConfigurationKey()
+	wg.Go(func() {
+		f.mirror(ctx, key.Table, key.Part, configurationPause, func(_ bool, reading masticway.RowReading) { f.configure(key, reading) })
+	})
+	wg.Go(func() { f.mirror(ctx, f.decoder.ServerTable(), "", serverPause, f.serve) })
+	wg.Go(func() {
+		for ctx.Err() == nil {
+			f.pause(ctx, expirePause)
+			f.update(func(now time.Time) bool { return f.register.Expire(now) })
+		}
+	})
+	wg.Wait()
+}
+
+// mirror reads a table whole and then follows its changes, again and again.
+func (f *Follower) mirror(ctx context.Context, table, part string, pause time.Duration, take func(whole bool, reading masticway.RowReading)) {
+	since := int64(0)
+	var listedAt time.Time
+	away := false
+	for ctx.Err() == nil {
+		whole := since == 0 || f.clock.Now().Sub(listedAt) > relistAfter
+		reading, err := f.read(ctx, table, part, since, whole)
+		if _, lost := errors.AsType[*masticway.HistoryLostError](err); lost {
+			since = 0
+			f.log.WithFields(logrus.Fields{"event": "history_lost", "table": table, "since": since}).Info("reading the table anew")
+			continue
+		}
+		if err != nil {
+			f.metrics.Add(metricFailures, 1)
+			if !away {
+				f.log.WithFields(logrus.Fields{"event": "store_lost", "table": table, "error": err}).Warn("store cannot be reached")
+			}
+			away = true
+			f.pause(ctx, failurePause)
+			// What a feed would say after an outage is read whole.
+			listedAt = time.Time{}
+			continue
+		}
+		if away {
+			f.log.WithFields(logrus.Fields{"event": "store_regained", "table": table}).Info("store answers again")
+			away = false
+		}
+		if whole {
+			listedAt = f.clock.Now()
+		}
+		since = max(since, reading.Version)
+		take(whole, reading)
+		f.pause(ctx, pause)
+	}
+}
+
+func (f *Follower) read(ctx context.Context, table, part string, since int64, whole bool) (masticway.RowReading, error) {
+	f.metrics.Add(metricCalls, 1)
+	if whole {
+		return f.store.Read(ctx, table, part)
+	}
+	return f.store.Follow(ctx, table, since, followWait)
+}
+
+func (f *Follower) pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-f.clock.After(d):
+	}
+}
+
+// update changes the register and publishes what follows from it.
+func (f *Follower) update(change func(now time.Time) bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !change(f.clock.Now()) {
+		return
+	}
+	b := f.register.Beliefs()
+	f.beliefs.Store(&b)
+	f.changed(b)
+}
+
+func (f *Follower) configure(key masticway.RowKey, reading masticway.RowReading) {
+	f.update(func(time.Time) bool {
+		changed := false
+		for _, row := range reading.Rows {
+			if row.RowKey != key {
+				continue
+			}
+			done, err := f.register.Configure(row)
+			if err != nil {
+				f.log.WithFields(logrus.Fields{"event": "configuration_unreadable", "row_version": row.Version, "error": err}).Error("configuration not taken")
+			}
+			changed = changed || done
+		}
+		if changed {
+			d := f.register.deployment
+			f.metrics.Gauge(metricVersion, d.Version)
+			f.log.WithFields(logrus.Fields{"event": "configuration_in_force", "version": d.Version, "routes": len(d.Routes), "workspaces": len(d.Accounts)}).Info("configuration in force")
+		}
+		return changed
+	})
+}
+
+func (f *Follower) serve(whole bool, reading masticway.RowReading) {
+	f.update(func(now time.Time) bool {
+		if f.register.Reached(now) {
+			f.log.WithFields(logrus.Fields{"event": "servers_may_return", "grace": returnGrace}).Info("store is back; lapsed servers get time")
+		}
+		var changed bool
+		var err error
+		if whole {
+			changed, err = f.register.Replace(now, reading)
+		} else {
+			changed, err = f.register.Update(now, reading.Rows)
+		}
+		if err != nil {
+			f.log.WithFields(logrus.Fields{"event": "registration_unreadable", "error": err}).Error("registration not taken")
+		}
+		if changed {
+			f.noteServers()
+		}
+		return changed
+	})
+}
+
+func (f *Follower) noteServers() {
+	ready, draining, lapsed := 0, 0, 0
+	for _, e := range f.register.entries {
+		switch {
+		case !e.lapsedAt.IsZero():
+			lapsed++
+		case e.server.State == masticway.ServerReady:
+			ready++
+		default:
+			draining++
+		}
+	}
+	f.metrics.Gauge(metricServers, int64(ready))
+	f.log.WithFields(logrus.Fields{"event": "servers_changed", "ready": ready, "draining": draining, "lapsed": lapsed}).Info("servers changed")
+}
--- /dev/null
+++ b/forwarder/attempt.go
@@ -0,0 +1,228 @@
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/masticway/masticway"
+	"github.com/masticway/masticway/chooser"
+	"github.com/masticway/masticway/sender"
+)
+
+const (
+	// answerLimit bounds an answer that is read in whole.
+	answerLimit = 8 << 20
+	// foreignAnswers bounds the answers to other requests that are skipped on one connection.
+	foreignAnswers = 2
+)
+
+// errPatience ends an attempt that goes on elsewhere because nothing came for too long.
+var errPatience = errors.New("nothing came for too long")
+
+// attempt is one request at one server.
+type attempt struct {
+	x         *exchange
+	server    masticway.Server
+	placement *chooser.Placement
+	ctx       context.Context
+	cancel    context.CancelCauseFunc
+	patience  *time.Timer
+}
+
+// try sends the request to one server and relays its answer.
+func (x *exchange) try(ctx context.Context, server masticway.Server) outcome {
+	x.f.metrics.Add(metricAttempts, 1)
+	a := &attempt{x: x, server: server}
+	a.ctx, a.cancel = context.WithCancelCause(ctx)
+	defer a.cancel(nil)
+	x.server = server.ID
+	x.f.mu.Lock()
+	a.placement = x.f.servers.Sent(x.f.clock.Now(), x.q.prompt, server.ID)
+	x.f.mu.Unlock()
+	out := a.run()
+	if ctx.Err() != nil && errors.Is(ctx.Err(), context.Canceled) {
+		out.verdict = chooser.VerdictNone
+	}
+	x.f.mu.Lock()
+	x.f.servers.Ended(x.f.clock.Now(), a.placement, out.verdict)
+	x.f.mu.Unlock()
+	return out
+}
+
+func (a *attempt) run() outcome {
+	x := a.x
+	a.expect(x.firstWait())
+	defer a.expect(0)
+	answer, err := x.f.sender.Send(a.ctx, a.server.Address, x.connections(), x.deliver(a.server))
+	if err != nil {
+		return a.unsent(err)
+	}
+	defer func() { answer.Close() }()
+	head, answer2, err := a.own(answer)
+	if err != nil {
+		return a.failed(err)
+	}
+	answer = answer2
+	answer.KeepIdle(head.KeepIdle)
+	return a.take(answer, head)
+}
+
+// expect ends the attempt when nothing has come after so long; zero waits for ever.
+func (a *attempt) expect(d time.Duration) {
+	if a.patience != nil {
+		a.patience.Stop()
+		a.patience = nil
+	}
+	if d > 0 {
+		a.patience = time.AfterFunc(d, func() { a.cancel(errPatience) })
+	}
+}
+
+// firstWait is how long the first bytes of an answer are waited for before another server is asked; zero is for ever.
+func (x *exchange) firstWait() time.Duration {
+	if x.runs+1 >= x.q.route.MaxServers {
+		return 0
+	}
+	switch x.q.route.Repeat {
+	case masticway.RepeatFreely:
+		return time.Duration(patienceShare * float64(x.q.route.Target))
+	case masticway.RepeatByResuming:
+		return time.Duration(firstPatience * float64(x.q.route.Target))
+	}
+	return 0
+}
+
+// gapWait is the same for the pause between two events.
+func (x *exchange) gapWait() time.Duration {
+	if x.runs+1 >= x.q.route.MaxServers || x.q.route.Repeat != masticway.RepeatByResuming {
+		return 0
+	}
+	return time.Duration(gapPatience * float64(x.q.route.EventGap))
+}
+
+// unsent tells what became of a request without an answer.
+func (a *attempt) unsent(err error) outcome {
+	if _, ok := errors.AsType[*sender.FullError](err); ok {
+		return outcome{fate: masticway.FateNotRun, verdict: chooser.VerdictNone, reason: err.Error(), full: true}
+	}
+	if failure, ok := errors.AsType[*sender.Error](err); ok && !failure.Sent {
+		return outcome{fate: masticway.FateNotRun, verdict: chooser.VerdictUnreached, reason: err.Error()}
+	}
+	return a.failed(err)
+}
+
+// failed is an attempt that may have run and whose answer is missing or of no use.
+func (a *attempt) failed(err error) outcome {
+	if cause := context.Cause(a.ctx); cause != nil {
+		err = fmt.Errorf("%w (%w)", cause, err)
+	}
+	return outcome{fate: masticway.FateUnknown, verdict: chooser.VerdictFailed, reason: err.Error()}
+}
+
+// own finds the answer to this request, past answers to others that a faulty server sent twice.
+func (a *attempt) own(answer *sender.Answer) (masticway.ServerAnswer, *sender.Answer, error) {
+	for range foreignAnswers {
+		head := a.x.f.dialect.Answer(answer.Status, answer.Header)
+		if head.ID == a.x.q.ID || head.ID == "" {
+			return head, answer, nil
+		}
+		next, err := answer.Next()
+		if err != nil {
+			return head, answer, err
+		}
+		answer = next
+	}
+	return masticway.ServerAnswer{}, answer, errors.New("the answers belong to other requests")
+}
+
+// take decides what an answer is worth and relays it.
+func (a *attempt) take(answer *sender.Answer, head masticway.ServerAnswer) outcome {
+	if head.NotRun {
+		_, _ = io.Copy(io.Discard, answer)
+		return a.notRun(answer.Status)
+	}
+	if head.ID == "" || !head.Signed {
+		return a.failed(fmt.Errorf("status %d without the request's id or a signature", answer.Status))
+	}
+	if a.x.q.route.Stream && answer.Status == http.StatusOK {
+		return a.relay(answer)
+	}
+	return a.pass(answer)
+}
+
+func (a *attempt) notRun(status int) outcome {
+	out := outcome{fate: masticway.FateNotRun, verdict: chooser.VerdictNone, reason: "status " + strconv.Itoa(status) + ", not run"}
+	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
+		out.full = true
+		out.verdict = chooser.VerdictFailed
+	}
+	if status == http.StatusMisdirectedRequest {
+		out.verdict = chooser.VerdictUnreached
+	}
+	return out
+}
+
+// pass reads an answer in whole and hands it to the caller.
+func (a *attempt) pass(answer *sender.Answer) outcome {
+	x := a.x
+	body, err := io.ReadAll(io.LimitReader(answer, answerLimit))
+	if err != nil {
+		return a.failed(fmt.Errorf("reading the answer: %w", err))
+	}
+	a.first()
+	bad := answer.Status >= http.StatusInternalServerError
+	if bad && x.q.route.Repeat == masticway.RepeatFreely && x.runs+1 < x.q.route.MaxServers && x.suspect(a.server) {
+		return outcome{fate: masticway.FateRan, verdict: chooser.VerdictFailed, reason: "status " + strconv.Itoa(answer.Status) + " of a suspect server"}
+	}
+	x.fate = masticway.FateRan
+	if x.begun {
+		// A stream that was to be resumed got another answer; the caller's stream cannot take it.
+		return outcome{fate: masticway.FateRan, verdict: chooser.VerdictNone, reason: "status " + strconv.Itoa(answer.Status) + " to a resumption"}
+	}
+	x.begin(answer)
+	x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	x.w.WriteHeader(answer.Status)
+	_, _ = x.w.Write(body)
+	verdict := chooser.VerdictGood
+	if bad {
+		verdict = chooser.VerdictFailed
+	}
+	return outcome{done: true, fate: masticway.FateRan, verdict: verdict}
+}
+
+// begin copies an answer's headers to the caller; from here on it has this server's head.
+func (x *exchange) begin(answer *sender.Answer) {
+	x.begun = true
+	header := x.w.Header()
+	for name, values := range x.f.dialect.Return(answer.Header) {
+		header[name] = values
+	}
+	// What the server did not say is not added.
+	for _, name := range []string{"Date", "Content-Type"} {
+		if _, ok := header[name]; !ok {
+			header[name] = nil
+		}
+	}
+}
+
+// first notes the first sign of the answer.
+func (a *attempt) first() {
+	now := a.x.f.clock.Now()
+	if a.x.firstAt.IsZero() {
+		a.x.firstAt = now
+	}
+	a.x.f.mu.Lock()
+	a.x.f.servers.First(now, a.placement)
+	a.x.f.mu.Unlock()
+}
+
+func (x *exchange) suspect(s masticway.Server) bool {
+	x.f.mu.Lock()
+	defer x.f.mu.Unlock()
+	return x.f.servers.Suspect(s.ID, x.f.beliefs().Servers[x.q.pool.Name])
+}
--- /dev/null
+++ b/forwarder/exchange.go
@@ -0,0 +1,313 @@
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/masticway/masticway"
+	"github.com/masticway/masticway/charter"
+	"github.com/masticway/masticway/chooser"
+	"github.com/masticway/masticway/sender"
+	"github.com/masticway/masticway/treasurer"
+)
+
+const (
+	// retrySoon is when a refused caller should come back: a router, a server or money is usually there by then.
+	retrySoon = 250 * time.Millisecond
+	// moneyShare is the part of a route's target that a request may wait for money; a refusal after a quarter is late.
+	moneyShare = 0.22
+	// leastMoneyWait is the wait for money on routes with a tight target, a few calls to the store.
+	leastMoneyWait = 60 * time.Millisecond
+	// connectTimeout bounds a connection to a server, a few times the way between availability zones.
+	connectTimeout = 250 * time.Millisecond
+	// freshIdle is how long a connection may have been idle for a request that must not run twice: a server that has
+	// just closed it leaves the request's fate unknown.
+	freshIdle = 400 * time.Millisecond
+	// triesMost bounds the servers that are asked for one request, including those that did not take it.
+	triesMost = 5
+	// patienceShare is the part of the target after which a repeatable request without an answer goes elsewhere too.
+	patienceShare = 0.7
+	// firstPatience and gapPatience are the multiples of target and pause after which a stream that can go on elsewhere does.
+	firstPatience = 2.0
+	gapPatience   = 3.0
+)
+
+var deliveryChart = charter.MustLoad(charter.Delivery)
+
+// Events of the delivery chart.
+const (
+	eventPaid     charter.Event = "paid"
+	eventSent     charter.Event = "sent"
+	eventNotRun   charter.Event = "not_run"
+	eventFailed   charter.Event = "failed"
+	eventAnswered charter.Event = "answered"
+	eventFinished charter.Event = "finished"
+	eventRefused  charter.Event = "refused"
+	eventLost     charter.Event = "lost"
+	eventLeft     charter.Event = "left"
+)
+
+// exchange carries one request from admission to the end of its answer.
+type exchange struct {
+	f     *Forwarder
+	w     http.ResponseWriter
+	q     request
+	state charter.State
+	// fate is the most that can be said of all attempts.
+	fate    masticway.Fate
+	hold    treasurer.HoldID
+	held    bool
+	waited  time.Duration
+	tries   int
+	runs    int
+	exclude map[string]bool
+	cause   string
+	// begun tells that the head of an answer has gone to the caller.
+	begun     bool
+	events    int
+	lastEvent string
+	firstAt   time.Time
+	server    string
+}
+
+// step follows the chart; a step that it does not allow is a defect and is logged.
+func (x *exchange) step(e charter.Event) {
+	next, err := deliveryChart.Next(x.state, e)
+	if err != nil {
+		x.f.log.WithFields(logrus.Fields{"event": "chart_fault", "request": x.q.ID, "error": err}).Error("step outside the chart")
+		return
+	}
+	x.state = next
+}
+
+// run serves the request.
+func (x *exchange) run(ctx context.Context) {
+	ctx, cancel := context.WithDeadline(ctx, x.q.deadline)
+	defer cancel()
+	x.f.mu.Lock()
+	x.f.allowance(x.q.pool.Name).Asked(x.q.received)
+	x.f.mu.Unlock()
+	if refused := x.pay(ctx); refused != nil {
+		x.step(eventRefused)
+		x.f.refuse(x.w, x, refused)
+		return
+	}
+	x.step(eventPaid)
+	refused := x.attempts(ctx)
+	x.settle()
+	x.end(ctx, refused)
+}
+
+// pay holds the most that the request may consume.
+func (x *exchange) pay(ctx context.Context) *masticway.RefusalError {
+	if !x.q.metered() {
+		return nil
+	}
+	wait := max(leastMoneyWait, time.Duration(moneyShare*float64(x.q.route.Target))-x.f.clock.Now().Sub(x.q.received))
+	began := x.f.clock.Now()
+	id, verdict := x.f.bank.Hold(ctx, x.q.account.Workspace, int64(x.q.Prompt+x.q.MaxOutput), wait)
+	x.waited = x.f.clock.Now().Sub(began)
+	switch verdict {
+	case treasurer.VerdictHeld:
+		x.hold, x.held = id, true
+		return nil
+	case treasurer.VerdictExhausted:
+		return refusal(http.StatusPaymentRequired, codeExhausted, "the prepaid budget does not cover the request at its most", 0)
+	}
+	return refusal(http.StatusServiceUnavailable, codeUnreachable, "the prepaid budget cannot be reached now", retrySoon)
+}
+
+// settle ends the hold with what was used: nothing if no server can have begun, else the prompt and what was delivered.
+func (x *exchange) settle() {
+	if !x.held {
+		return
+	}
+	x.held = false
+	x.f.bank.Settle(x.hold, x.used())
+}
+
+func (x *exchange) used() int64 {
+	if x.fate == masticway.FateNotRun {
+		return 0
+	}
+	return int64(x.q.Prompt + min(x.q.MaxOutput, x.events*max(1, x.q.pool.TokensPerEvent)))
+}
+
+// outcome is how one attempt ended.
+type outcome struct {
+	fate    masticway.Fate
+	verdict chooser.Verdict
+	// done tells that the caller has its whole answer.
+	done   bool
+	reason string
+	// full tells that the server has no room now, rather than being at fault.
+	full bool
+}
+
+// attempts tries servers until the answer is there or the rules say to stop.
+func (x *exchange) attempts(ctx context.Context) *masticway.RefusalError {
+	for {
+		server, ok := x.choose()
+		if !ok {
+			return x.giveUp(ctx, outcome{fate: masticway.FateNotRun, reason: "no server is known or left to ask"})
+		}
+		x.step(eventSent)
+		out := x.try(ctx, server)
+		if out.done {
+			x.step(eventFinished)
+			return nil
+		}
+		x.note(out)
+		x.logAttempt(server, out)
+		if out.fate == masticway.FateNotRun {
+			x.step(eventNotRun)
+		} else {
+			x.step(eventFailed)
+		}
+		x.exclude[server.ID] = true
+		if !x.again(ctx, out) {
+			return x.giveUp(ctx, out)
+		}
+	}
+}
+
+// note keeps the most that can be said of all attempts: once one may have run, "not run" is never said again.
+func (x *exchange) note(out outcome) {
+	x.cause = out.reason
+	if out.fate != masticway.FateNotRun {
+		x.runs++
+	}
+	if out.fate == masticway.FateRan || out.fate == masticway.FateUnknown && x.fate == masticway.FateNotRun {
+		x.fate = out.fate
+	}
+}
+
+// choose places the request; servers that were asked are left out.
+func (x *exchange) choose() (masticway.Server, bool) {
+	known := x.f.beliefs().Servers[x.q.pool.Name]
+	servers := make([]masticway.Server, 0, len(known))
+	for _, s := range known {
+		if !x.exclude[s.ID] {
+			servers = append(servers, s)
+		}
+	}
+	if len(servers) == 0 {
+		return masticway.Server{}, false
+	}
+	x.f.mu.Lock()
+	defer x.f.mu.Unlock()
+	i, _ := x.f.servers.Choose(x.f.clock.Now(), x.q.pool.Engine, x.q.prompt, servers)
+	return servers[i], true
+}
+
+// again decides whether another server may be asked.
+func (x *exchange) again(ctx context.Context, out outcome) bool {
+	x.tries++
+	if ctx.Err() != nil || x.tries >= triesMost {
+		return false
+	}
+	if out.fate != masticway.FateNotRun {
+		if x.runs >= x.q.route.MaxServers || !x.repeatable() {
+			return false
+		}
+	}
+	if out.verdict == chooser.VerdictUnreached {
+		// Nothing arrived, so nothing is added to what the servers get.
+		return true
+	}
+	x.f.mu.Lock()
+	allowed := x.f.allowance(x.q.pool.Name).Take(x.f.clock.Now(), x.f.bank.Members())
+	x.f.mu.Unlock()
+	if !allowed {
+		x.f.metrics.Add(metricNoAllowance, 1)
+		return false
+	}
+	x.f.metrics.Add(metricAgain, 1)
+	return true
+}
+
+// repeatable tells that a request which may have run may run again, or go on where it stopped.
+func (x *exchange) repeatable() bool {
+	switch x.q.route.Repeat {
+	case masticway.RepeatFreely:
+		return !x.begun
+	case masticway.RepeatByResuming:
+		return !x.begun || x.events == 0 || x.lastEvent != ""
+	}
+	return false
+}
+
+// giveUp turns the last failure into the caller's answer.
+func (x *exchange) giveUp(ctx context.Context, out outcome) *masticway.RefusalError {
+	expired := errors.Is(ctx.Err(), context.DeadlineExceeded)
+	switch {
+	case x.fate == masticway.FateNotRun && expired:
+		return refusal(http.StatusServiceUnavailable, codeNotInTime, "no server took the request in time: "+out.reason, retrySoon)
+	case x.fate == masticway.FateNotRun && out.full:
+		return refusal(http.StatusServiceUnavailable, codeServersFull, "the servers are full: "+out.reason, retrySoon)
+	case x.fate == masticway.FateNotRun:
+		return refusal(http.StatusServiceUnavailable, codeNoServer, "no server took the request: "+out.reason, retrySoon)
+	case expired:
+		return &masticway.RefusalError{Status: http.StatusGatewayTimeout, Code: codeTimeout, Run: x.fate, Message: "the time is over: " + out.reason}
+	case x.fate == masticway.FateUnknown:
+		return &masticway.RefusalError{Status: http.StatusBadGateway, Code: codeUnknown, Run: x.fate, Message: "it cannot be told whether the request ran: " + out.reason}
+	}
+	return &masticway.RefusalError{Status: http.StatusBadGateway, Code: codeFailed, Run: x.fate, Message: "the server did not finish the answer: " + out.reason}
+}
+
+// end answers a request that got none, or breaks off an answer that cannot be finished.
+func (x *exchange) end(ctx context.Context, refused *masticway.RefusalError) {
+	if refused == nil {
+		x.f.served(x)
+		return
+	}
+	if errors.Is(ctx.Err(), context.Canceled) {
+		x.step(eventLeft)
+		x.f.left(x)
+		return
+	}
+	if refused.Run == masticway.FateNotRun {
+		x.step(eventRefused)
+	} else {
+		x.step(eventLost)
+	}
+	if !x.begun {
+		x.f.refuse(x.w, x, refused)
+		return
+	}
+	x.f.broken(x, refused)
+	// The server library ends the connection without the mark of a whole answer.
+	panic(http.ErrAbortHandler)
+}
+
+// deliver builds what a server is sent.
+func (x *exchange) deliver(server masticway.Server) sender.Request {
+	q := x.q
+	last := q.LastEvent
+	if x.lastEvent != "" {
+		last = x.lastEvent
+	}
+	r := sender.Request{
+		Method: q.method, Target: q.target, Host: q.host, Body: q.body, Connect: connectTimeout,
+		Header: x.f.dialect.Deliver(q.header, masticway.Delivery{
+			Server: server.ID, Workspace: q.account.Workspace, TimeLeft: q.deadline.Sub(x.f.clock.Now()),
+			Urgency: q.rank(), HasRank: q.pool.Engine, LastEvent: last,
+		}),
+	}
+	if q.route.Repeat == masticway.RepeatNever {
+		r.Fresh = freshIdle
+	}
+	return r
+}
+
+// connections is this router's share of a server's connections.
+func (x *exchange) connections() int {
+	if x.q.pool.MaxConnections == 0 {
+		return 0
+	}
+	return max(2, x.q.pool.MaxConnections/max(2, x.f.bank.Members()))
+}
--- /dev/null
+++ b/forwarder/forwarder.go
@@ -0,0 +1,121 @@
+package forwarder
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/masticway/masticway"
+	"github.com/masticway/masticway/chooser"
+	"github.com/masticway/masticway/follower"
+	"github.com/masticway/masticway/measurer"
+	"github.com/masticway/masticway/retrier"
+	"github.com/masticway/masticway/sender"
+	"github.com/masticway/masticway/treasurer"
+)
+
+// Bank holds prepaid money for requests.
+type Bank interface {
+	// Hold takes money for a request, and waits for it at most so long.
+	Hold(ctx context.Context, workspace string, need int64, wait time.Duration) (treasurer.HoldID, treasurer.Verdict)
+	// Settle ends a hold with what was used of it.
+	Settle(id treasurer.HoldID, used int64)
+	// Members returns how many routers there seem to be, zero when that is not known.
+	Members() int
+}
+
+// Forwarder serves callers.
+type Forwarder struct {
+	settings Settings
+	clock    masticway.Clock
+	log      *logrus.Entry
+	metrics  *measurer.Set
+	dialect  masticway.Dialect
+	bank     Bank
+	sender   *sender.Sender
+	beliefs  func() follower.Beliefs
+
+	mu         sync.Mutex
+	servers    *chooser.Servers
+	allowances map[string]*retrier.Allowance
+
+	draining atomic.Bool
+	open     atomic.Int64
+	finished atomic.Int64
+}
+
+// Parts are what a forwarder is made of.
+type Parts struct {
+	Clock   masticway.Clock
+	Log     *logrus.Entry
+	Metrics *measurer.Set
+	Dialect masticway.Dialect
+	Bank    Bank
+	Beliefs func() follower.Beliefs
+	// Dial makes connections to servers.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// New returns a forwarder.
+func New(s Settings, p Parts) *Forwarder {
+	return &Forwarder{
+		settings: s, clock: p.Clock, log: p.Log, metrics: p.Metrics, dialect: p.Dialect, bank: p.Bank, beliefs: p.Beliefs,
+		sender: sender.New(p.Dial, p.Clock.Now), servers: chooser.NewServers(), allowances: map[string]*retrier.Allowance{},
+	}
+}
+
+// Changed takes a new belief: what is known of servers that are gone is dropped.
+func (f *Forwarder) Changed(b follower.Beliefs) {
+	ids, addresses := map[string]bool{}, map[string]bool{}
+	for _, servers := range b.Servers {
+		for _, s := range servers {
+			ids[s.ID] = true
+			addresses[s.Address] = true
+		}
+	}
+	f.mu.Lock()
+	f.servers.Keep(ids)
+	f.mu.Unlock()
+	f.sender.Forget(addresses)
+}
+
+// Ready tells whether new connections are wanted.
+func (f *Forwarder) Ready() bool { return !f.draining.Load() && f.beliefs().Ready() }
+
+// Drain makes every answer end its connection, and Ready say no.
+func (f *Forwarder) Drain() { f.draining.Store(true) }
+
+// Open returns the number of requests that are being served.
+func (f *Forwarder) Open() int64 { return f.open.Load() }
+
+// ServeHTTP serves one request.
+func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	f.open.Add(1)
+	defer f.open.Add(-1)
+	f.metrics.Add(metricRequests, 1)
+	if f.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	x, refused := f.admit(w, r)
+	if refused != nil {
+		f.refuse(w, x, refused)
+		return
+	}
+	x.run(r.Context())
+}
+
+// allowance returns the retry allowance of a pool; the caller holds the lock.
+func (f *Forwarder) allowance(pool string) *retrier.Allowance {
+	a, ok := f.allowances[pool]
+	if !ok {
+		s := f.settings.Retries
+		a = retrier.NewAllowance(s.Ratio, s.Slack, time.Duration(s.WindowSeconds*float64(time.Second)))
+		f.allowances[pool] = a
+	}
+	return a
+}
--- /dev/null
+++ b/forwarder/report.go
@@ -0,0 +1,72 @@
+package forwarder
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/masticway/masticway"
+)
+
+// refuse answers a request that is not served.
+func (f *Forwarder) refuse(w http.ResponseWriter, x *exchange, refused *masticway.RefusalError) {
+	f.metrics.Add(metricRefused+"_"+refused.Code, 1)
+	f.dialect.Refuse(w.Header(), x.q.ID, refused.RetryAfter)
+	body, err := json.Marshal(struct {
+		Error any `json:"error"`
+	}{struct {
+		Code         string         `json:"code"`
+		Message      string         `json:"message"`
+		Run          masticway.Fate `json:"run"`
+		RetryAfterMS int64          `json:"retry_after_ms,omitempty"`
+	}{refused.Code, refused.Message, refused.Run, refused.RetryAfter.Milliseconds()}})
+	if err != nil {
+		body = nil
+		f.log.WithFields(logrus.Fields{"event": "refusal_unwritten", "request": x.q.ID, "error": err}).Error("refusal without a body")
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(refused.Status)
+	_, _ = w.Write(body)
+	x.line(refused.Code).WithFields(logrus.Fields{"status": refused.Status, "run": refused.Run, "cause": x.cause}).Info("request refused")
+}
+
+// line starts the one line that ends a request.
+func (x *exchange) line(outcome string) *logrus.Entry {
+	now := x.f.clock.Now()
+	return x.f.log.WithFields(logrus.Fields{
+		"event": "request", "request": x.q.ID, "outcome": outcome, "workspace": x.q.account.Workspace, "route": x.q.route.Name,
+		"pool": x.q.pool.Name, "server": x.server, "tries": x.tries, "events": x.events, "configuration": x.q.revision,
+		"hold": x.q.Prompt + x.q.MaxOutput, "money_ms": x.waited.Milliseconds(), "ms": now.Sub(x.q.received).Milliseconds(),
+		"left_ms": x.q.deadline.Sub(now).Milliseconds(), "state": x.state,
+	})
+}
+
+// served counts a request that was served, and writes every so-manieth line.
+func (f *Forwarder) served(x *exchange) {
+	f.metrics.Add(metricServed, 1)
+	now := f.clock.Now()
+	f.metrics.Observe(histogramFirst, x.q.route.Name, x.firstAt.Sub(x.q.received))
+	f.metrics.Observe(histogramWhole, x.q.account.Workspace, now.Sub(x.q.received))
+	if f.settings.LogEvery > 0 && f.finished.Add(1)%int64(f.settings.LogEvery) == 0 {
+		x.line("served").Info("request served")
+	}
+}
+
+func (f *Forwarder) left(x *exchange) {
+	f.metrics.Add(metricLeft, 1)
+	x.line("caller_left").WithField("cause", x.cause).Info("caller left")
+}
+
+func (f *Forwarder) broken(x *exchange, refused *masticway.RefusalError) {
+	f.metrics.Add(metricBroken, 1)
+	x.line("broken_off").WithFields(logrus.Fields{"run": refused.Run, "cause": x.cause}).Info("answer broken off")
+}
+
+func (x *exchange) logAttempt(server masticway.Server, out outcome) {
+	x.f.log.WithFields(logrus.Fields{
+		"event": "attempt_failed", "request": x.q.ID, "server": server.ID, "address": server.Address, "fate": out.fate,
+		"cause": out.reason, "events": x.events, "ms": x.f.clock.Now().Sub(x.q.received) / time.Millisecond,
+	}).Info("attempt failed")
+}
--- /dev/null
+++ b/forwarder/settings.go
@@ -0,0 +1,37 @@
+package forwarder
+
+import (
+	"github.com/masticway/masticway"
+)
+
+// Settings are a gateway's settings file.
+type Settings struct {
+	Instance string `json:"instance"`
+	Zone     string `json:"zone"`
+	LogLevel string `json:"log_level"`
+	// LogEvery writes every so-manieth line on requests that were served; those that were not are all written.
+	LogEvery         int    `json:"log_every"`
+	CallerAddress    string `json:"caller_address"`
+	ReadinessAddress string `json:"readiness_address"`
+	MetricsAddress   string `json:"metrics_address"`
+	// StoreAddress is the platform's row store.
+	StoreAddress string `json:"store_address"`
+	// GraceSeconds is how long the process lives after it was told to end.
+	GraceSeconds float64         `json:"grace_seconds"`
+	Money        MoneySettings   `json:"money"`
+	Retries      RetriesSettings `json:"retries"`
+}
+
+// MoneySettings say how prepaid budgets are kept.
+type MoneySettings struct {
+	// Parts is the number of parts over which budgets are spread in the store.
+	Parts   int                `json:"parts"`
+	Reserve masticway.Duration `json:"reserve"`
+}
+
+// RetriesSettings bound the arrivals at a pool beyond the first of each request, over all routers.
+type RetriesSettings struct {
+	Ratio         float64 `json:"ratio"`
+	Slack         float64 `json:"slack"`
+	WindowSeconds float64 `json:"window_seconds"`
+}
--- /dev/null
+++ b/rows.go
@@ -0,0 +1,112 @@
+package masticway
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+)
+
+// RowKey names one row of the row store; the rows of a part can change together.
+type RowKey struct {
+	Table string
+	Part  string
+	Key   string
+}
+
+// StoredRow is a row at one version; versions come from one counter for the whole store.
+type StoredRow struct {
+	RowKey
+	Value   []byte
+	Version int64
+	// Deleted marks a row that is gone, in changes only.
+	Deleted bool
+}
+
+// RowVersion demands that a row has a version when a write commits; zero stands for an absent row.
+type RowVersion struct {
+	RowKey
+	Version int64
+}
+
+// RowPut is the new value of a row.
+type RowPut struct {
+	RowKey
+	Value []byte
+}
+
+// RowWrite is a set of changes in one part that commits as one if every expectation holds.
+type RowWrite struct {
+	Expected []RowVersion
+	Puts     []RowPut
+	Deletes  []RowKey
+}
+
+// RowReading is what a read or a followed table returned.
+type RowReading struct {
+	Rows []StoredRow
+	// Version is the store's newest version at the time of the reading.
+	Version int64
+	// At is the store's own steady clock.
+	At time.Duration
+}
+
+// RowStore is the platform's store of rows; its calls fail with the errors named here.
+type RowStore interface {
+	// Read returns the rows of one part of a table in key order; it fails with UnavailableError.
+	Read(ctx context.Context, table, part string) (RowReading, error)
+	// Write commits a write and returns its version and the store's clock. It fails with RowConflictError when an
+	// expectation does not hold, UnavailableError when nothing was done, and OutcomeUnknownError when the write may
+	// have been made or may yet be made.
+	Write(ctx context.Context, w RowWrite) (RowReading, error)
+	// Follow returns the changes of a table after a version, waiting for the first at most so long. It fails with
+	// HistoryLostError when the changes since then are not kept, and with UnavailableError.
+	Follow(ctx context.Context, table string, since int64, wait time.Duration) (RowReading, error)
+}
+
+// RowConflictError reports a write whose expectations did not hold, with the rows as they are.
+type RowConflictError struct {
+	Rows []StoredRow
+}
+
+// Error counts the rows.
+func (e *RowConflictError) Error() string {
+	return fmt.Sprintf("the expected rows have changed (%d given back)", len(e.Rows))
+}
+
+// HistoryLostError reports that a table cannot be followed from a version any more.
+type HistoryLostError struct {
+	Table string
+	Since int64
+}
+
+// Error names the table and the version.
+func (e *HistoryLostError) Error() string {
+	return fmt.Sprintf("changes of %s since version %d are no longer kept", e.Table, e.Since)
+}
+
+// DeploymentDecoder reads what operators and servers keep in the row store.
+type DeploymentDecoder interface {
+	// ConfigurationKey names the row of the newest configuration.
+	ConfigurationKey() RowKey
+	// ServerTable names the table in which servers register, with their ids as keys.
+	ServerTable() string
+	// Configuration decodes the configuration's row.
+	Configuration(value []byte) (Deployment, error)
+	// Server decodes a server's row.
+	Server(id string, value []byte) (Server, error)
+}
+
+// Dialect is how callers and servers of a deployment write what concerns the fleet into headers.
+type Dialect interface {
+	// Request reads the head of a caller's request.
+	Request(h http.Header) (OpaqueRequest, error)
+	// Deliver returns the headers for a server, without those of one connection and those that are the fleet's to set.
+	Deliver(h http.Header, d Delivery) http.Header
+	// Answer reads the head of a server's answer.
+	Answer(status int, h http.Header) ServerAnswer
+	// Return returns the headers of a server's answer that the caller gets.
+	Return(h http.Header) http.Header
+	// Refuse marks a refusal of the fleet's own for the caller's attempt; a positive wait tells when to come back.
+	Refuse(h http.Header, id string, wait time.Duration)
+}
--- /dev/null
+++ b/starter/gateway.go
@@ -0,0 +1,196 @@
+package starter
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/masticway/masticway"
+	"github.com/masticway/masticway/follower"
+	"github.com/masticway/masticway/forwarder"
+	"github.com/masticway/masticway/logger"
+	"github.com/masticway/masticway/measurer"
+	"github.com/masticway/masticway/platform"
+	"github.com/masticway/masticway/treasurer"
+)
+
+const (
+	// gatewayHeaderLimit bounds a request's head; the standard server allows a little more.
+	gatewayHeaderLimit = 16 << 10
+	// gatewayIdle is how long a caller's connection may be idle. It is longer than deployments allow, so that the
+	// callers, who know their limit, end connections and not the router, whose end could cross a request.
+	gatewayIdle = 60 * time.Second
+	// storeTimeout bounds one call to the row store.
+	storeTimeout = 1200 * time.Millisecond
+	// unreadyAtLeast is how long a router that ends still takes connections: the balancer asks once a second and
+	// takes an instance out after two misses.
+	unreadyAtLeast = 3200 * time.Millisecond
+	// closeMoneyBefore and exitBefore are how long before the end of the grace money is given back and all is ended.
+	closeMoneyBefore = 1500 * time.Millisecond
+	exitBefore       = 300 * time.Millisecond
+	// drainTick is how often a router that ends looks whether it may.
+	drainTick = 20 * time.Millisecond
+)
+
+// GatewayListeners are a gateway's open sockets.
+type GatewayListeners struct {
+	Caller    net.Listener
+	Readiness net.Listener
+	Metrics   net.Listener
+}
+
+// ListenGateway opens a gateway's sockets.
+func ListenGateway(s forwarder.Settings) (GatewayListeners, error) {
+	var l GatewayListeners
+	var err error
+	if l.Caller, err = Listen(s.CallerAddress); err != nil {
+		return l, err
+	}
+	if l.Readiness, err = Listen(s.ReadinessAddress); err != nil {
+		return l, err
+	}
+	if s.MetricsAddress != "" {
+		l.Metrics, err = Listen(s.MetricsAddress)
+	}
+	return l, err
+}
+
+// GatewayDaemon is a router that reaches servers directly and keeps everything that must last in the row store.
+type GatewayDaemon struct {
+	settings  forwarder.Settings
+	log       *logrus.Logger
+	queue     *logger.Queue
+	clock     masticway.Clock
+	forwarder *forwarder.Forwarder
+	follower  *follower.Follower
+	bank      *treasurer.Treasurer
+	servers   servers
+	listeners GatewayListeners
+	metrics   *measurer.Set
+	stop      context.CancelFunc
+	wg        sync.WaitGroup
+}
+
+// NewGateway assembles a gateway on a row store.
+func NewGateway(s forwarder.Settings, l GatewayListeners, store masticway.RowStore, decoder masticway.DeploymentDecoder, dialect masticway.Dialect, clock masticway.Clock, out io.Writer) (*GatewayDaemon, error) {
+	queue := logger.NewQueue(out)
+	log, err := logger.New(s.LogLevel, queue)
+	if err != nil {
+		return nil, err
+	}
+	metrics := measurer.New()
+	d := &GatewayDaemon{settings: s, log: log, queue: queue, clock: clock, listeners: l, metrics: metrics, servers: servers{log: log}}
+	entry := log.WithField("instance", s.Instance)
+	d.bank = treasurer.New(store, clock, entry, metrics, s.Instance, s.Money.Parts, s.Money.Reserve.Std())
+	d.follower = follower.New(store, decoder, clock, entry, metrics, d.changed)
+	dialer := &net.Dialer{KeepAlive: -1}
+	d.forwarder = forwarder.New(s, forwarder.Parts{
+		Clock: clock, Log: entry, Metrics: metrics, Dialect: dialect, Bank: d.bank, Beliefs: d.follower.Beliefs,
+		Dial: dialer.DialContext,
+	})
+	return d, nil
+}
+
+// BuildGateway builds a gateway on the users' platform from its settings; it opens the sockets.
+func BuildGateway(s forwarder.Settings, out io.Writer) (*GatewayDaemon, error) {
+	l, err := ListenGateway(s)
+	if err != nil {
+		return nil, err
+	}
+	return NewGateway(s, l, platform.NewStore(s.StoreAddress, storeTimeout), platform.Decoder{}, platform.Dialect{}, masticway.SystemClock{}, out)
+}
+
+func (d *GatewayDaemon) changed(b follower.Beliefs) {
+	d.bank.Configure(b.Deployment)
+	d.forwarder.Changed(b)
+}
+
+// Start begins to serve.
+func (d *GatewayDaemon) Start() error {
+	ctx, stop := context.WithCancel(context.Background())
+	d.stop = stop
+	d.wg.Go(func() { d.follower.Run(ctx) })
+	d.wg.Go(func() { d.bank.Run(ctx) })
+	d.servers.serveWith(d.listeners.Caller, &http.Server{
+		Handler: d.forwarder, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: gatewayHeaderLimit, IdleTimeout: gatewayIdle,
+	})
+	d.servers.serve(d.listeners.Readiness, http.HandlerFunc(d.readiness))
+	if d.listeners.Metrics != nil {
+		d.servers.serve(d.listeners.Metrics, d.metrics)
+	}
+	d.log.WithFields(logrus.Fields{
+		"event": "started", "instance": d.settings.Instance, "incarnation": d.bank.Self(), "zone": d.settings.Zone,
+		"caller_address": d.settings.CallerAddress, "store_address": d.settings.StoreAddress,
+	}).Info("gateway started")
+	return nil
+}
+
+func (d *GatewayDaemon) readiness(w http.ResponseWriter, _ *http.Request) {
+	if d.forwarder.Ready() {
+		w.WriteHeader(http.StatusOK)
+		return
+	}
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// Reload takes new settings; only what can change while serving does, the rest is named in the log.
+func (d *GatewayDaemon) Reload(s forwarder.Settings) {
+	level, err := logrus.ParseLevel(s.LogLevel)
+	if err != nil {
+		d.log.WithFields(logrus.Fields{"event": "reload_refused", "error": err}).Error("settings not taken")
+		return
+	}
+	d.log.SetLevel(level)
+	same := s
+	same.LogLevel = d.settings.LogLevel
+	d.log.WithFields(logrus.Fields{
+		"event": "reloaded", "log_level": s.LogLevel, "needs_restart": same != d.settings,
+	}).Info("settings read again")
+}
+
+// Drain ends the gateway gracefully; it returns false when a request was cut off.
+func (d *GatewayDaemon) Drain() bool {
+	began := d.clock.Now()
+	grace := time.Duration(d.settings.GraceSeconds * float64(time.Second))
+	d.forwarder.Drain()
+	d.log.WithFields(logrus.Fields{"event": "stopping", "open": d.forwarder.Open(), "grace": grace}).Info("gateway stopping")
+	d.waitIdle(began.Add(unreadyAtLeast), began.Add(grace-closeMoneyBefore))
+	ctx, cancel := context.WithTimeout(context.Background(), closeMoneyBefore-exitBefore)
+	defer cancel()
+	d.bank.Close(ctx)
+	d.waitIdle(began, began.Add(grace-exitBefore))
+	clean := d.forwarder.Open() == 0
+	d.log.WithFields(logrus.Fields{"event": "stopped", "cut_off": d.forwarder.Open(), "ms": d.clock.Now().Sub(began).Milliseconds()}).Info("gateway stopped")
+	d.Kill()
+	return clean
+}
+
+// waitIdle waits until no request is open, but not before one time and not after another.
+func (d *GatewayDaemon) waitIdle(notBefore, atMost time.Time) {
+	for {
+		now := d.clock.Now()
+		if !now.Before(atMost) || !now.Before(notBefore) && d.forwarder.Open() == 0 {
+			return
+		}
+		<-d.clock.After(drainTick)
+	}
+}
+
+// Kill ends the gateway at once, as a crash would.
+func (d *GatewayDaemon) Kill() {
+	d.stop()
+	d.servers.close()
+	d.wg.Wait()
+	d.queue.Close()
+}
+
+// Addresses returns where callers and the readiness check reach the gateway.
+func (d *GatewayDaemon) Addresses() (caller, readiness string) {
+	return fmt.Sprint(d.listeners.Caller.Addr()), fmt.Sprint(d.listeners.Readiness.Addr())
+}
--- a/starter/server.go
+++ b/starter/server.go
@@ -46,10 +46,13 @@
 }
 
 func (s *servers) serve(l net.Listener, h http.Handler) {
-	server := &http.Server{
+	s.serveWith(l, &http.Server{
 		Handler: h, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: headerLimit, IdleTimeout: idleTimeout,
 		ErrorLog: nil,
-	}
+	})
+}
+
+func (s *servers) serveWith(l net.Listener, server *http.Server) {
 	s.mu.Lock()
 	s.list = append(s.list, server)
 	s.mu.Unlock()
--- /dev/null
+++ b/treasurer/plan.go
@@ -0,0 +1,237 @@
+package treasurer
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/masticway/masticway"
+)
+
+// Step is one thing to do at the store; its outcome goes back to the purse that planned it.
+type Step struct {
+	// Part is the part of the accounts that the step changes or reads; it is empty for the book.
+	Part string
+	// Write is the change; nil asks for a reading of the part.
+	Write *masticway.RowWrite
+	// sequence is the book's, and changes are the workspaces that the write moves.
+	sequence int64
+	changes  []string
+	sentAt   time.Time
+}
+
+// Plan returns what should be done at the store now; at most one step for the book and for each part is under way.
+func (p *Purse) Plan(now time.Time) []Step {
+	if !p.began {
+		return nil
+	}
+	var steps []Step
+	for _, a := range p.accounts {
+		a.decay(now)
+	}
+	if !p.bookBusy && !now.Before(p.bookRetry) && p.bookDue(now) {
+		steps = append(steps, p.writeBook(now))
+	}
+	for _, part := range p.parts() {
+		if p.partBusy[part] || now.Before(p.partRetry[part]) {
+			continue
+		}
+		if step, ok := p.planPart(now, part); ok {
+			p.partBusy[part] = true
+			steps = append(steps, step)
+		}
+	}
+	return steps
+}
+
+func (p *Purse) parts() []string {
+	found := map[string]bool{}
+	for workspace := range p.accounts {
+		found[shard(workspace, p.settings.Parts)] = true
+	}
+	return slices.Sorted(maps.Keys(found))
+}
+
+// bookDue tells whether the book has to be written.
+func (p *Purse) bookDue(now time.Time) bool {
+	pause := idleHeartbeat
+	for _, a := range p.accounts {
+		if len(a.waiting) > 0 && a.taken+a.needed() > p.promised(now, a) {
+			return true
+		}
+		if !p.opened(a) {
+			continue
+		}
+		if a.demand > 1 {
+			pause = bookHeartbeat
+			if p.promised(now, a)-a.taken < p.burst(a)/3 && a.free() > 0 {
+				return true
+			}
+		}
+	}
+	return now.Sub(p.bookAt) >= pause
+}
+
+// promised is the most that every promise in force allows, whatever has been granted.
+func (p *Purse) promised(now time.Time, a *account) int64 {
+	if len(p.inForce) == 0 {
+		return 0
+	}
+	most := int64(1) << 62
+	for _, f := range p.inForce {
+		promise, ok := f.promises[a.workspace]
+		if !ok {
+			return 0
+		}
+		most = min(most, promise.bound(now.Sub(f.basis)))
+	}
+	return most
+}
+
+// opened tells that every book that the store may have names the workspace; only then is money drawn for it, so
+// that a successor finds every grant.
+func (p *Purse) opened(a *account) bool {
+	for _, f := range p.inForce {
+		if _, ok := f.promises[a.workspace]; !ok {
+			return false
+		}
+	}
+	return len(p.inForce) > 0
+}
+
+// burst is how much of a workspace may be taken between two writes of the book.
+func (p *Purse) burst(a *account) int64 {
+	if a.demand < 1 && len(a.waiting) == 0 {
+		return 0
+	}
+	usual := max(int64(a.demand*burstSpan.Seconds()), int64(a.typical))
+	// A thin workspace gets no more than it needs: what a dead router was promised is lost to it.
+	usual = min(usual, p.reserveOf(a))
+	return a.needed() + usual
+}
+
+func (p *Purse) reserveOf(a *account) int64 { return a.reserve(p.settings.Reserve) }
+
+func (p *Purse) writeBook(now time.Time) Step {
+	p.book.Sequence++
+	next := p.book
+	next.Promises = map[string]Promise{}
+	for workspace, a := range p.accounts {
+		if !p.wanted(a) {
+			continue
+		}
+		next.Promises[workspace] = Promise{
+			Taken: a.taken, Burst: p.burst(a), Rate: int64(a.demand * rateMargin),
+		}
+	}
+	p.inForce = append(p.inForce, inForce{sequence: next.Sequence, basis: p.bookBasis, promises: next.Promises})
+	p.book = next
+	p.bookBusy = true
+	p.bookAt = now
+	key := p.bookKey()
+	return Step{
+		sequence: next.Sequence, sentAt: now,
+		Write: &masticway.RowWrite{
+			Expected: []masticway.RowVersion{{RowKey: key, Version: p.bookVersion}},
+			Puts:     []masticway.RowPut{{RowKey: key, Value: encode(next)}},
+		},
+	}
+}
+
+// wanted tells that the book must name a workspace: it has a grant, may get one, or somebody waits for it.
+func (p *Purse) wanted(a *account) bool {
+	return a.granted > 0 || !a.settled() || len(a.waiting) > 0 || a.taken > 0 || a.demand > 1
+}
+
+func (p *Purse) bookKey() masticway.RowKey {
+	instance := p.settings.Incarnation.Instance()
+	return masticway.RowKey{Table: tableBooks, Part: shard(instance, p.settings.Parts), Key: instance}
+}
+
+func (p *Purse) accountKey(workspace string) masticway.RowKey {
+	return masticway.RowKey{Table: tableAccounts, Part: shard(workspace, p.settings.Parts), Key: workspace}
+}
+
+// planPart returns the change of all workspaces of a part that need one, or a reading if one has to be looked up.
+func (p *Purse) planPart(now time.Time, part string) (Step, bool) {
+	write := &masticway.RowWrite{}
+	var changes []string
+	look := false
+	for _, workspace := range slices.Sorted(maps.Keys(p.accounts)) {
+		a := p.accounts[workspace]
+		if shard(workspace, p.settings.Parts) != part {
+			continue
+		}
+		delta := p.change(a)
+		if !a.known && (len(a.waiting) > 0 || delta != 0) || p.doubtful(now, a) {
+			look = true
+		}
+		if delta == 0 || !a.known || len(changes) == maxChanges {
+			continue
+		}
+		p.addChange(write, a, delta)
+		changes = append(changes, workspace)
+	}
+	if len(changes) > 0 {
+		return Step{Part: part, Write: write, changes: changes, sentAt: now}, true
+	}
+	return Step{Part: part, sentAt: now}, look
+}
+
+// maxChanges bounds the workspaces of one write; the store takes 100 entries, and each needs two.
+const maxChanges = 40
+
+// doubtful tells that somebody waits for money that, by an old look, is not there.
+func (p *Purse) doubtful(now time.Time, a *account) bool {
+	return len(a.waiting) > 0 && a.known && p.beyond(a, a.waiting[0].need) && now.Sub(a.seenAt) >= freshFor
+}
+
+func (p *Purse) addChange(write *masticway.RowWrite, a *account, delta int64) {
+	a.sequence++
+	a.moving, a.returning = true, max(0, -delta)
+	next := a.newest().WithGrant(p.settings.Incarnation, Grant{Granted: a.granted + delta, Sequence: a.sequence})
+	key := p.accountKey(a.workspace)
+	write.Expected = append(write.Expected, masticway.RowVersion{RowKey: key, Version: a.rowVersion})
+	write.Puts = append(write.Puts, masticway.RowPut{RowKey: key, Value: encode(next)})
+}
+
+// newest returns the row with the newest configuration's word on what is prepaid.
+func (a *account) newest() Account {
+	row := a.row
+	if a.version > row.Version {
+		row.Prepaid, row.Version = a.prepaid, a.version
+	}
+	return row
+}
+
+// change returns by how much the grant should grow or shrink now.
+func (p *Purse) change(a *account) int64 {
+	free := a.free()
+	left := a.newest().Left()
+	if p.closing {
+		return -max(0, free)
+	}
+	if left < 0 {
+		// The budget was lowered below what is out: give back what is not taken.
+		return -max(0, min(free, -left))
+	}
+	need := a.needed()
+	reserve := p.reserveOf(a)
+	short := need > 0 && free < need
+	if !p.opened(a) {
+		return 0
+	}
+	if short && left > 0 {
+		if free+left < a.waiting[0].need {
+			return 0
+		}
+		return min(left, need-free+reserve)
+	}
+	if float64(free-need) < lowWater*float64(reserve) {
+		return min(left, reserve-(free-need))
+	}
+	if surplus := free - need - reserve; float64(free-need) > highWater*float64(reserve) && surplus > int64(a.typical/4) {
+		return -surplus
+	}
+	return 0
+}
--- /dev/null
+++ b/treasurer/purse.go
@@ -0,0 +1,337 @@
+package treasurer
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/masticway/masticway"
+)
+
+const (
+	// silentAfter is how long the store must have been silent before a promise's rate counts. It is longer than the
+	// books' heartbeat, so a router that dies in quiet times strands one burst only.
+	silentAfter = 1500 * time.Millisecond
+	// bookHeartbeat is how often the book of a router with demand is written.
+	bookHeartbeat = time.Second
+	// idleHeartbeat is how often any other book is written, so that the routers can be counted.
+	idleHeartbeat = 4 * time.Second
+	// demandWindow is the time over which a workspace's demand is averaged.
+	demandWindow = 4 * time.Second
+	// burstSpan is how much demand a burst covers; what is beyond waits for one write of the book.
+	burstSpan = time.Second
+	// rateMargin is what a promised rate is above the demand, which comes in lumps.
+	rateMargin = 1.3
+	// reserveShare is the part of what is left that all routers together keep in hand.
+	reserveShare = 0.5
+	// lowWater is the part of the reserve below which it is filled up, highWater the multiple above which it is returned.
+	lowWater  = 0.6
+	highWater = 1.6
+	// retryPause separates attempts at the store after one that failed.
+	retryPause = 60 * time.Millisecond
+	// awayAfter is how long the store must have failed before requests without money are refused at once.
+	awayAfter = 400 * time.Millisecond
+	// freshFor is how long a look at a workspace's row may serve to refuse for exhaustion.
+	freshFor = 150 * time.Millisecond
+)
+
+// Verdict answers a request for money.
+type Verdict string
+
+// The verdicts: unreachable means that there may be money, but it cannot be had now.
+const (
+	VerdictHeld        Verdict = "held"
+	VerdictExhausted   Verdict = "exhausted"
+	VerdictUnreachable Verdict = "unreachable"
+)
+
+// HoldID names a hold within one incarnation.
+type HoldID int64
+
+// Reply answers one request for money.
+type Reply struct {
+	ID      HoldID
+	Verdict Verdict
+	Waited  time.Duration
+}
+
+// Settings are what a purse is made with.
+type Settings struct {
+	Incarnation masticway.Incarnation
+	// Parts is the number of parts over which workspaces and books are spread; all routers use the same.
+	Parts int
+	// Reserve is how much demand a router keeps money for, to serve on while the store is away.
+	Reserve time.Duration
+}
+
+type waiter struct {
+	id       HoldID
+	need     int64
+	since    time.Time
+	deadline time.Time
+}
+
+// account is what a router knows of one workspace.
+type account struct {
+	workspace string
+	prepaid   int64
+	version   int64
+	row       Account
+	// rowVersion is zero while there is no row, and known tells that this has been looked up.
+	rowVersion int64
+	known      bool
+	seenAt     time.Time
+	granted    int64
+	sequence   int64
+	// moving tells that a change of the grant has been sent, which returns so much.
+	moving    bool
+	returning int64
+	// doubted tells that earlier changes got no answer; the one that returns most takes doubt out of the grant.
+	doubted bool
+	doubt   int64
+	taken   int64
+	demand     float64
+	demandAt   time.Time
+	typical    float64
+	waiting    []waiter
+}
+
+// usable is the grant less what may already have left it.
+func (a *account) usable() int64 { return a.granted - max(a.returning, a.doubt) }
+
+// settled tells that the store's view of the grant is known.
+func (a *account) settled() bool { return !a.moving && !a.doubted }
+
+func (a *account) free() int64 { return a.usable() - a.taken }
+
+func (a *account) decay(now time.Time) {
+	passed := now.Sub(a.demandAt)
+	a.demandAt = now
+	if passed > 0 {
+		a.demand *= math.Exp(-passed.Seconds() / demandWindow.Seconds())
+	}
+}
+
+// observe counts demand; what is declared at most is what has to be held.
+func (a *account) observe(now time.Time, need int64) {
+	a.decay(now)
+	a.demand += float64(need) / demandWindow.Seconds()
+	if a.typical == 0 {
+		a.typical = float64(need)
+	}
+	a.typical += (float64(need) - a.typical) / 8
+}
+
+// needed is what the requests that wait ask for.
+func (a *account) needed() int64 {
+	var sum int64
+	for _, w := range a.waiting {
+		sum += w.need
+	}
+	return sum
+}
+
+// reserve is how much the router should keep in hand beyond what it has taken.
+func (a *account) reserve(span time.Duration) int64 {
+	want := int64(a.demand * span.Seconds())
+	if a.demand*demandWindow.Seconds() > a.typical/2 {
+		// A workspace with little traffic sends whole requests all the same.
+		want = max(want, int64(2*a.typical))
+	}
+	spare := a.row.Left() + max(0, a.free())
+	share := int64(reserveShare * float64(max(0, spare)) / float64(max(1, len(a.row.Grants))))
+	if share < int64(a.typical) {
+		// Less than a request in hand serves nobody and is missing elsewhere.
+		return 0
+	}
+	return min(want, share)
+}
+
+// inForce is a promise that the store has, or may have.
+type inForce struct {
+	sequence int64
+	// basis is when this router heard of the write on which the store counts.
+	basis    time.Time
+	acked    bool
+	promises map[string]Promise
+}
+
+// Purse decides about the money of one incarnation; it is not safe for concurrent use.
+type Purse struct {
+	settings Settings
+	accounts map[string]*account
+	holds    map[HoldID]held
+	nextHold HoldID
+
+	inForce      []inForce
+	book         Book
+	bookVersion  int64
+	bookBusy     bool
+	bookBasis    time.Time
+	bookAt       time.Time
+	partBusy     map[string]bool
+	partRetry    map[string]time.Time
+	bookRetry    time.Time
+	failingSince time.Time
+	// began tells that the book carries this incarnation.
+	began bool
+	// closing tells that no money is wanted any more.
+	closing bool
+}
+
+type held struct {
+	account *account
+	amount  int64
+}
+
+// NewPurse returns a purse without money.
+func NewPurse(s Settings) *Purse {
+	return &Purse{
+		settings: s, accounts: map[string]*account{}, holds: map[HoldID]held{},
+		partBusy: map[string]bool{}, partRetry: map[string]time.Time{},
+	}
+}
+
+// Configure tells what each workspace has paid for, as of a configuration's version.
+func (p *Purse) Configure(version int64, accounts map[string]masticway.Account) {
+	for workspace, paid := range accounts {
+		if !paid.Metered {
+			continue
+		}
+		a, ok := p.accounts[workspace]
+		if !ok {
+			a = &account{workspace: workspace}
+			p.accounts[workspace] = a
+		}
+		if version >= a.version {
+			a.prepaid, a.version = paid.Prepaid, version
+		}
+	}
+}
+
+// Hold takes money for one request, or queues it until its deadline; workspaces that are not metered hold nothing.
+func (p *Purse) Hold(now time.Time, workspace string, need int64, deadline time.Time) (HoldID, []Reply) {
+	p.nextHold++
+	id := p.nextHold
+	a, ok := p.accounts[workspace]
+	if !ok {
+		return id, []Reply{{ID: id, Verdict: VerdictUnreachable}}
+	}
+	a.observe(now, need)
+	a.waiting = append(a.waiting, waiter{id: id, need: need, since: now, deadline: deadline})
+	return id, p.serve(now, a)
+}
+
+// Settle ends a hold with what was used of it; a hold that is not known has no effect.
+func (p *Purse) Settle(now time.Time, id HoldID, used int64) []Reply {
+	h, ok := p.holds[id]
+	if !ok {
+		p.abandon(id)
+		return nil
+	}
+	delete(p.holds, id)
+	h.account.taken -= h.amount - min(h.amount, max(0, used))
+	return p.serve(now, h.account)
+}
+
+// abandon drops a request that has stopped waiting.
+func (p *Purse) abandon(id HoldID) {
+	for _, a := range p.accounts {
+		a.waiting = slices.DeleteFunc(a.waiting, func(w waiter) bool { return w.id == id })
+	}
+}
+
+// allowed is the most that may be taken in all from a workspace now, by every promise that the store may have.
+func (p *Purse) allowed(now time.Time, a *account) int64 {
+	most := a.usable()
+	kept := false
+	for _, f := range p.inForce {
+		kept = kept || f.acked
+		promise, ok := f.promises[a.workspace]
+		if !ok {
+			return 0
+		}
+		most = min(most, promise.bound(now.Sub(f.basis)))
+	}
+	if !kept {
+		return 0
+	}
+	return most
+}
+
+// serve answers the requests that can be answered now, in their order.
+func (p *Purse) serve(now time.Time, a *account) []Reply {
+	var replies []Reply
+	for len(a.waiting) > 0 {
+		w := a.waiting[0]
+		verdict, ok := p.decide(now, a, w)
+		if !ok {
+			break
+		}
+		if verdict == VerdictHeld {
+			a.taken += w.need
+			p.holds[w.id] = held{account: a, amount: w.need}
+		}
+		a.waiting = a.waiting[1:]
+		replies = append(replies, Reply{ID: w.id, Verdict: verdict, Waited: now.Sub(w.since)})
+	}
+	return replies
+}
+
+func (p *Purse) decide(now time.Time, a *account, w waiter) (Verdict, bool) {
+	if a.taken+w.need <= p.allowed(now, a) {
+		return VerdictHeld, true
+	}
+	fresh := a.known && (!a.seenAt.Before(w.since) || now.Sub(a.seenAt) < freshFor)
+	if fresh && p.beyond(a, w.need) {
+		return VerdictExhausted, true
+	}
+	if p.away(now) || !now.Before(w.deadline) {
+		return VerdictUnreachable, true
+	}
+	return "", false
+}
+
+// beyond tells that a need exceeds what is left and what this router has in hand, also by its own settings' word.
+func (p *Purse) beyond(a *account, need int64) bool {
+	return need > a.row.Left()+max(0, a.free()) && a.settled()
+}
+
+// away tells that the store has failed for a while.
+func (p *Purse) away(now time.Time) bool {
+	return !p.failingSince.IsZero() && now.Sub(p.failingSince) > awayAfter
+}
+
+// Tick ends waits that are over.
+func (p *Purse) Tick(now time.Time) []Reply {
+	var replies []Reply
+	for _, workspace := range slices.Sorted(maps.Keys(p.accounts)) {
+		if a := p.accounts[workspace]; len(a.waiting) > 0 {
+			replies = append(replies, p.serve(now, a)...)
+		}
+	}
+	return replies
+}
+
+// Position is what a router has of one workspace.
+type Position struct {
+	Workspace string `json:"workspace"`
+	Prepaid   int64  `json:"prepaid"`
+	Left      int64  `json:"left"`
+	Granted   int64  `json:"granted"`
+	Taken     int64  `json:"taken"`
+	Waiting   int    `json:"waiting"`
+}
+
+// Positions lists what the router has, in the workspaces' order.
+func (p *Purse) Positions() []Position {
+	var all []Position
+	for _, workspace := range slices.Sorted(maps.Keys(p.accounts)) {
+		a := p.accounts[workspace]
+		all = append(all, Position{
+			Workspace: workspace, Prepaid: a.prepaid, Left: a.row.Left(), Granted: a.granted, Taken: a.taken, Waiting: len(a.waiting),
+		})
+	}
+	return all
+}
--- /dev/null
+++ b/treasurer/rows.go
@@ -0,0 +1,138 @@
+package treasurer
+
+import (
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"strconv"
+	"time"
+
+	"github.com/masticway/masticway"
+)
+
+// Tables of the money rows.
+const (
+	tableAccounts = "masticway_accounts"
+	tableBooks    = "masticway_books"
+)
+
+// Grant is money that one incarnation may spend.
+type Grant struct {
+	Granted int64 `json:"granted"`
+	// Sequence is the holder's last committed change of the grant.
+	Sequence int64 `json:"sequence"`
+}
+
+// Account is the row of one workspace: Closed plus all grants never exceed Prepaid when a grant grows.
+type Account struct {
+	// Prepaid and Version are the newest configuration's word that any router has brought here.
+	Prepaid int64 `json:"prepaid"`
+	Version int64 `json:"version"`
+	// Closed is what ended incarnations have spent, or may have.
+	Closed int64                           `json:"closed"`
+	Grants map[masticway.Incarnation]Grant `json:"grants,omitempty"`
+}
+
+// Left returns what is not granted to anybody; it is negative after a budget was lowered.
+func (a Account) Left() int64 {
+	left := a.Prepaid - a.Closed
+	for _, g := range a.Grants {
+		left -= g.Granted
+	}
+	return left
+}
+
+// WithGrant returns the account with one incarnation's grant replaced.
+func (a Account) WithGrant(i masticway.Incarnation, g Grant) Account {
+	grants := make(map[masticway.Incarnation]Grant, len(a.Grants)+1)
+	for k, v := range a.Grants {
+		grants[k] = v
+	}
+	grants[i] = g
+	a.Grants = grants
+	return a
+}
+
+// WithClosed returns the account without an incarnation's grant, of which so much counts as spent.
+func (a Account) WithClosed(i masticway.Incarnation, spent int64) Account {
+	grants := make(map[masticway.Incarnation]Grant, len(a.Grants))
+	for k, v := range a.Grants {
+		if k != i {
+			grants[k] = v
+		}
+	}
+	a.Closed += min(spent, a.Grants[i].Granted)
+	a.Grants = grants
+	return a
+}
+
+// Promise bounds what an incarnation takes from one workspace until its book is written again.
+type Promise struct {
+	Taken int64 `json:"taken"`
+	Burst int64 `json:"burst"`
+	// Rate is in tokens a second, and counts once the store has been silent for silentAfter.
+	Rate int64 `json:"rate"`
+}
+
+// bound returns the most that may have been taken so long after the promise's basis.
+func (p Promise) bound(passed time.Duration) int64 {
+	extra := max(0, passed-silentAfter)
+	return p.Taken + p.Burst + int64(float64(p.Rate)*extra.Seconds())
+}
+
+// Ended is a dead incarnation whose grants are not all closed yet.
+type Ended struct {
+	Incarnation masticway.Incarnation `json:"incarnation"`
+	// Spent is the most that it may have taken, by workspace.
+	Spent map[string]int64 `json:"spent"`
+}
+
+// Book is the row of one instance.
+type Book struct {
+	Incarnation masticway.Incarnation `json:"incarnation"`
+	Sequence    int64                 `json:"sequence"`
+	// Basis is the store's clock at the last write that the writer knew to be made when it sent this one.
+	Basis    time.Duration      `json:"basis_ns"`
+	Promises map[string]Promise `json:"promises,omitempty"`
+	Ended    []Ended            `json:"ended,omitempty"`
+}
+
+// succeeded returns the book of a new incarnation, which closes what the old one left.
+func (b Book) succeeded(next masticway.Incarnation, now time.Duration) Book {
+	ended := append([]Ended(nil), b.Ended...)
+	if len(b.Promises) > 0 {
+		spent := make(map[string]int64, len(b.Promises))
+		for workspace, p := range b.Promises {
+			spent[workspace] = p.bound(now - b.Basis)
+		}
+		ended = append(ended, Ended{Incarnation: b.Incarnation, Spent: spent})
+	}
+	return Book{Incarnation: next, Basis: now, Ended: ended}
+}
+
+// shard spreads keys over a number of parts.
+func shard(key string, parts int) string {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(key))
+	return strconv.Itoa(int(h.Sum32()) % parts)
+}
+
+func encode(v any) []byte {
+	data, err := json.Marshal(v)
+	if err != nil {
+		// The rows hold numbers and strings only.
+		panic(fmt.Sprintf("encoding a money row: %v", err))
+	}
+	return data
+}
+
+func decode[T any](row masticway.StoredRow) (T, error) {
+	var v T
+	if len(row.Value) == 0 || row.Deleted {
+		return v, nil
+	}
+	if err := json.Unmarshal(row.Value, &v); err != nil {
+		return v, fmt.Errorf("decoding money row %s/%s/%s: %w", row.Table, row.Part, row.Key, err)
+	}
+	return v, nil
+}
--- /dev/null
+++ b/treasurer/treasurer.go
@@ -0,0 +1,453 @@
+package treasurer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/sirupsen/logrus"
+
+	"github.com/masticway/masticway"
+	"github.com/masticway/masticway/measurer"
+)
+
+const (
+	// tick is how often waits and plans are looked at when nothing happens.
+	tick = 50 * time.Millisecond
+	// callTimeout bounds one call to the store.
+	callTimeout = 2 * time.Second
+	// beginPause separates attempts to take over the book.
+	beginPause = 100 * time.Millisecond
+	// followWait is how long one call of the accounts' feed may wait, followPause what separates two calls.
+	followWait  = 5 * time.Second
+	followPause = 200 * time.Millisecond
+	// countPause is how often the routers are counted, and aliveFor how old a counted router's book may be.
+	countPause = 5 * time.Second
+	aliveFor   = 12 * time.Second
+)
+
+// Names of metrics.
+const (
+	metricSteps       = "money_store_calls"
+	metricFailures    = "money_store_failures"
+	metricConflicts   = "money_conflicts"
+	metricExhausted   = "money_exhausted"
+	metricUnreachable = "money_unreachable"
+	metricMembers     = "routers"
+	histogramHold     = "money_wait"
+)
+
+// Treasurer carries a purse's steps out and answers requests for money.
+type Treasurer struct {
+	store   masticway.RowStore
+	clock   masticway.Clock
+	log     *logrus.Entry
+	metrics *measurer.Set
+	self    masticway.Incarnation
+	parts   int
+
+	mu      sync.Mutex
+	purse   *Purse
+	waiting map[HoldID]chan Reply
+	members int
+	sealed  bool
+
+	wake  chan struct{}
+	steps sync.WaitGroup
+}
+
+// New returns a treasurer for a new incarnation on an instance.
+func New(store masticway.RowStore, clock masticway.Clock, log *logrus.Entry, metrics *measurer.Set, instance string, parts int, reserve time.Duration) *Treasurer {
+	self := masticway.NewIncarnation(instance, uuid.NewString()[:8])
+	return &Treasurer{
+		store: store, clock: clock, log: log, metrics: metrics, self: self, parts: parts,
+		purse:   NewPurse(Settings{Incarnation: self, Parts: parts, Reserve: reserve}),
+		waiting: map[HoldID]chan Reply{}, wake: make(chan struct{}, 1), members: 1,
+	}
+}
+
+// Self names this incarnation.
+func (t *Treasurer) Self() masticway.Incarnation { return t.self }
+
+// Members returns how many routers there seem to be, at least one.
+func (t *Treasurer) Members() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.members
+}
+
+// Positions lists what this router has of each workspace.
+func (t *Treasurer) Positions() []Position {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.purse.Positions()
+}
+
+// Configure tells what each workspace has paid for.
+func (t *Treasurer) Configure(d masticway.Deployment) {
+	t.mu.Lock()
+	t.purse.Configure(d.Version, d.Accounts)
+	t.mu.Unlock()
+	t.stir()
+}
+
+// Hold takes money for a request; it waits at most so long, or until the context ends.
+func (t *Treasurer) Hold(ctx context.Context, workspace string, need int64, wait time.Duration) (HoldID, Verdict) {
+	now := t.clock.Now()
+	answer := make(chan Reply, 1)
+	t.mu.Lock()
+	id, replies := t.purse.Hold(now, workspace, need, now.Add(wait))
+	t.waiting[id] = answer
+	t.answer(replies)
+	t.mu.Unlock()
+	select {
+	case r := <-answer:
+		return id, r.Verdict
+	default:
+	}
+	t.stir()
+	select {
+	case r := <-answer:
+		t.metrics.Observe(histogramHold, workspace, r.Waited)
+		return id, r.Verdict
+	case <-ctx.Done():
+		t.Settle(id, 0)
+		return id, VerdictUnreachable
+	}
+}
+
+// Settle ends a hold with what was used of it.
+func (t *Treasurer) Settle(id HoldID, used int64) {
+	t.mu.Lock()
+	delete(t.waiting, id)
+	t.answer(t.purse.Settle(t.clock.Now(), id, used))
+	t.mu.Unlock()
+}
+
+// answer hands replies out; the caller holds the lock.
+func (t *Treasurer) answer(replies []Reply) {
+	for _, r := range replies {
+		if c, ok := t.waiting[r.ID]; ok {
+			delete(t.waiting, r.ID)
+			c <- r
+		}
+		switch r.Verdict {
+		case VerdictExhausted:
+			t.metrics.Add(metricExhausted, 1)
+		case VerdictUnreachable:
+			t.metrics.Add(metricUnreachable, 1)
+		}
+	}
+}
+
+// stir makes the loop plan at once.
+func (t *Treasurer) stir() {
+	select {
+	case t.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run takes the book over and keeps the purse going until the context ends.
+func (t *Treasurer) Run(ctx context.Context) {
+	if !t.begin(ctx) {
+		return
+	}
+	t.steps.Go(func() { t.closePredecessors(ctx) })
+	t.steps.Go(func() { t.follow(ctx) })
+	t.steps.Go(func() { t.count(ctx) })
+	for ctx.Err() == nil && !t.isSealed() {
+		t.turn(ctx)
+		select {
+		case <-ctx.Done():
+		case <-t.wake:
+		case <-t.clock.After(tick):
+		}
+	}
+	t.steps.Wait()
+}
+
+func (t *Treasurer) isSealed() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.sealed
+}
+
+// turn ends waits and starts the steps that are due.
+func (t *Treasurer) turn(ctx context.Context) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.clock.Now()
+	t.answer(t.purse.Tick(now))
+	for _, s := range t.purse.Plan(now) {
+		t.steps.Go(func() { _ = t.step(ctx, s) })
+	}
+}
+
+// step carries one step out.
+func (t *Treasurer) step(ctx context.Context, s Step) error {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
+	defer cancel()
+	t.metrics.Add(metricSteps, 1)
+	var reading masticway.RowReading
+	var err error
+	if s.Write == nil {
+		reading, err = t.store.Read(ctx, tableAccounts, s.Part)
+	} else {
+		reading, err = t.store.Write(ctx, *s.Write)
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if err != nil {
+		t.noteFailure(s, err)
+	}
+	replies, fault := t.purse.Done(t.clock.Now(), s, reading, err)
+	t.answer(replies)
+	if fault != nil {
+		t.fault(fault)
+	}
+	t.stir()
+	return err
+}
+
+func (t *Treasurer) noteFailure(s Step, err error) {
+	if _, ok := errors.AsType[*masticway.RowConflictError](err); ok {
+		t.metrics.Add(metricConflicts, 1)
+		return
+	}
+	t.metrics.Add(metricFailures, 1)
+	t.log.WithFields(logrus.Fields{"event": "money_step_failed", "part": s.Part, "workspaces": len(s.changes), "error": err}).Debug("step failed")
+}
+
+// fault ends the handing out of money; a sealed incarnation may not spend any more.
+func (t *Treasurer) fault(err error) {
+	if t.sealed {
+		return
+	}
+	t.sealed = true
+	t.log.WithFields(logrus.Fields{"event": "money_fault", "incarnation": t.self, "error": err}).Error("money is not handed out any more")
+	t.purse = NewPurse(Settings{Incarnation: t.self, Parts: t.parts})
+}
+
+// begin takes over the instance's book; it returns false when the context ended first.
+func (t *Treasurer) begin(ctx context.Context) bool {
+	for ctx.Err() == nil {
+		err := t.tryBegin(ctx)
+		if err == nil {
+			t.log.WithFields(logrus.Fields{"event": "money_begun", "incarnation": t.self, "predecessors": len(t.purse.Predecessors())}).Info("book taken over")
+			return true
+		}
+		t.log.WithFields(logrus.Fields{"event": "money_begin_failed", "incarnation": t.self, "error": err}).Debug("book not taken over")
+		select {
+		case <-ctx.Done():
+		case <-t.clock.After(beginPause):
+		}
+	}
+	return false
+}
+
+func (t *Treasurer) tryBegin(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	t.mu.Lock()
+	key := t.purse.bookKey()
+	t.mu.Unlock()
+	reading, err := t.store.Read(ctx, key.Table, key.Part)
+	if err != nil {
+		return err
+	}
+	row := masticway.StoredRow{RowKey: key}
+	for _, r := range reading.Rows {
+		if r.Key == key.Key {
+			row = r
+		}
+	}
+	t.mu.Lock()
+	write, err := t.purse.Begin(row, reading.At)
+	t.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	made, err := t.store.Write(ctx, write)
+	if err != nil {
+		return err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.purse.Began(t.clock.Now(), made.Version, made.At)
+	return nil
+}
+
+// closePredecessors ends the grants of this instance's earlier incarnations.
+func (t *Treasurer) closePredecessors(ctx context.Context) {
+	t.mu.Lock()
+	ended := t.purse.Predecessors()
+	t.mu.Unlock()
+	for _, e := range ended {
+		for workspace, spent := range e.Spent {
+			for ctx.Err() == nil {
+				err := t.closeGrant(ctx, e.Incarnation, workspace, spent)
+				if err == nil {
+					break
+				}
+				select {
+				case <-ctx.Done():
+				case <-t.clock.After(beginPause):
+				}
+			}
+		}
+	}
+	if ctx.Err() != nil || len(ended) == 0 {
+		return
+	}
+	t.mu.Lock()
+	t.purse.Closed()
+	t.mu.Unlock()
+}
+
+// closeGrant closes one grant. It writes the row even without a grant, so that a late draw of the dead incarnation
+// finds a newer version and comes to nothing.
+func (t *Treasurer) closeGrant(ctx context.Context, ended masticway.Incarnation, workspace string, spent int64) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	key := masticway.RowKey{Table: tableAccounts, Part: shard(workspace, t.parts), Key: workspace}
+	reading, err := t.store.Read(ctx, key.Table, key.Part)
+	if err != nil {
+		return err
+	}
+	row := masticway.StoredRow{RowKey: key}
+	for _, r := range reading.Rows {
+		if r.Key == workspace {
+			row = r
+		}
+	}
+	account, err := decode[Account](row)
+	if err != nil {
+		return err
+	}
+	next := account.WithClosed(ended, spent)
+	_, err = t.store.Write(ctx, masticway.RowWrite{
+		Expected: []masticway.RowVersion{{RowKey: key, Version: row.Version}},
+		Puts:     []masticway.RowPut{{RowKey: key, Value: encode(next)}},
+	})
+	if err != nil {
+		return fmt.Errorf("closing the grant of %s: %w", ended, err)
+	}
+	t.log.WithFields(logrus.Fields{
+		"event": "grant_closed", "incarnation": ended, "workspace": workspace, "granted": account.Grants[ended].Granted,
+		"presumed": min(spent, account.Grants[ended].Granted),
+	}).Info("grant of an ended incarnation closed")
+	return nil
+}
+
+// follow learns what other routers do to the workspaces, so that reserves shrink in time and money comes back.
+func (t *Treasurer) follow(ctx context.Context) {
+	since := int64(0)
+	for ctx.Err() == nil {
+		var reading masticway.RowReading
+		var err error
+		if since == 0 {
+			reading, err = t.readAccounts(ctx)
+		} else {
+			reading, err = t.store.Follow(ctx, tableAccounts, since, followWait)
+		}
+		if _, lost := errors.AsType[*masticway.HistoryLostError](err); lost {
+			since = 0
+		}
+		if err == nil {
+			since = max(since, reading.Version)
+			t.learn(reading.Rows)
+		}
+		select {
+		case <-ctx.Done():
+		case <-t.clock.After(followPause):
+		}
+	}
+}
+
+func (t *Treasurer) learn(rows []masticway.StoredRow) {
+	if len(rows) == 0 {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	replies, err := t.purse.Learn(t.clock.Now(), rows)
+	t.answer(replies)
+	if err != nil {
+		t.fault(err)
+	}
+	t.stir()
+}
+
+// readAccounts reads all parts; the version to follow from is the first part's, so that nothing is missed.
+func (t *Treasurer) readAccounts(ctx context.Context) (masticway.RowReading, error) {
+	var all masticway.RowReading
+	for i := range t.parts {
+		reading, err := t.store.Read(ctx, tableAccounts, fmt.Sprint(i))
+		if err != nil {
+			return all, err
+		}
+		all.Rows = append(all.Rows, reading.Rows...)
+		if i == 0 {
+			all.Version = reading.Version
+		}
+	}
+	return all, nil
+}
+
+// count keeps the number of routers.
+func (t *Treasurer) count(ctx context.Context) {
+	for ctx.Err() == nil {
+		if n, err := t.countOnce(ctx); err == nil {
+			t.mu.Lock()
+			t.members = max(1, n)
+			t.mu.Unlock()
+			t.metrics.Gauge(metricMembers, int64(n))
+		}
+		select {
+		case <-ctx.Done():
+		case <-t.clock.After(countPause):
+		}
+	}
+}
+
+func (t *Treasurer) countOnce(ctx context.Context) (int, error) {
+	n := 0
+	for i := range t.parts {
+		reading, err := t.store.Read(ctx, tableBooks, fmt.Sprint(i))
+		if err != nil {
+			return 0, err
+		}
+		for _, r := range reading.Rows {
+			book, err := decode[Book](r)
+			if err == nil && reading.At-book.Basis < aliveFor {
+				n++
+			}
+		}
+	}
+	return n, nil
+}
+
+// Close gives the money back and writes the last word into the book; nothing can be held any more.
+func (t *Treasurer) Close(ctx context.Context) {
+	t.mu.Lock()
+	t.purse.Close()
+	t.mu.Unlock()
+	for ctx.Err() == nil && !t.isSealed() {
+		t.mu.Lock()
+		last, ok := t.purse.Final(t.clock.Now())
+		t.mu.Unlock()
+		if ok && t.step(ctx, last) == nil {
+			t.log.WithFields(logrus.Fields{"event": "money_closed", "incarnation": t.self}).Info("money given back")
+			return
+		}
+		t.turn(ctx)
+		select {
+		case <-ctx.Done():
+		case <-t.clock.After(tick / 5):
+		}
+	}
+}
--- a/validator/validator.go
+++ b/validator/validator.go
@@ -26,10 +26,11 @@
 	KindContract Kind = "contract"
 	KindCatalog  Kind = "catalog"
 	KindScenario Kind = "scenario"
+	KindGateway  Kind = "gateway"
 )
 
 // Kinds lists all kinds in the order of the settings page.
-var Kinds = []Kind{KindRouter, KindSidecar, KindEmulator, KindContract, KindCatalog, KindScenario}
+var Kinds = []Kind{KindRouter, KindSidecar, KindEmulator, KindContract, KindCatalog, KindScenario, KindGateway}
 
 //go:embed schemas/*.json
 var files embed.FS
