Share reserves by each router's demand, and keep more in hand

A grant itself is not lost when a router dies, the promise in its book is, so large grants are cheap. Ruled out: the store itself, which answers at once outside the cuts.

--- a/treasurer/plan.go
+++ b/treasurer/plan.go
@@ -110,7 +110,7 @@
 	return a.needed() + usual
 }
 
-func (p *Purse) reserveOf(a *account) int64 { return a.reserve(p.settings.Reserve) }
+func (p *Purse) reserveOf(a *account) int64 { return a.reserve(p.settings.Incarnation, p.settings.Reserve) }
 
 func (p *Purse) writeBook(now time.Time) Step {
 	p.book.Sequence++
@@ -189,7 +189,7 @@
 func (p *Purse) addChange(write *masticway.RowWrite, a *account, delta int64) {
 	a.sequence++
 	a.moving, a.returning = true, max(0, -delta)
-	next := a.newest().WithGrant(p.settings.Incarnation, Grant{Granted: a.granted + delta, Sequence: a.sequence})
+	next := a.newest().WithGrant(p.settings.Incarnation, Grant{Granted: a.granted + delta, Sequence: a.sequence, Demand: int64(a.demand)})
 	key := p.accountKey(a.workspace)
 	write.Expected = append(write.Expected, masticway.RowVersion{RowKey: key, Version: a.rowVersion})
 	write.Puts = append(write.Puts, masticway.RowPut{RowKey: key, Value: encode(next)})
--- a/treasurer/purse.go
+++ b/treasurer/purse.go
@@ -20,11 +20,11 @@
 	// demandWindow is the time over which a workspace's demand is averaged.
 	demandWindow = 4 * time.Second
 	// burstSpan is how much demand a burst covers; what is beyond waits for one write of the book.
-	burstSpan = time.Second
+	burstSpan = 1500 * time.Millisecond
 	// rateMargin is what a promised rate is above the demand, which comes in lumps.
-	rateMargin = 1.3
+	rateMargin = 2.0
 	// reserveShare is the part of what is left that all routers together keep in hand.
-	reserveShare = 0.5
+	reserveShare = 0.8
 	// lowWater is the part of the reserve below which it is filled up, highWater the multiple above which it is returned.
 	lowWater  = 0.6
 	highWater = 1.6
@@ -133,14 +133,20 @@
 }
 
 // reserve is how much the router should keep in hand beyond what it has taken.
-func (a *account) reserve(span time.Duration) int64 {
+func (a *account) reserve(self masticway.Incarnation, span time.Duration) int64 {
 	want := int64(a.demand * span.Seconds())
 	if a.demand*demandWindow.Seconds() > a.typical/2 {
 		// A workspace with little traffic sends whole requests all the same.
 		want = max(want, int64(2*a.typical))
 	}
 	spare := a.row.Left() + max(0, a.free())
-	share := int64(reserveShare * float64(max(0, spare)) / float64(max(1, len(a.row.Grants))))
+	all := a.demand + 1
+	for i, g := range a.row.Grants {
+		if i != self {
+			all += float64(g.Demand)
+		}
+	}
+	share := int64(reserveShare * float64(max(0, spare)) * (a.demand + 1) / all)
 	if share < int64(a.typical) {
 		// Less than a request in hand serves nobody and is missing elsewhere.
 		return 0
--- a/treasurer/rows.go
+++ b/treasurer/rows.go
@@ -21,6 +21,8 @@
 	Granted int64 `json:"granted"`
 	// Sequence is the holder's last committed change of the grant.
 	Sequence int64 `json:"sequence"`
+	// Demand is the tokens a second that the holder was asked for then; what is kept in hand is shared by it.
+	Demand int64 `json:"demand,omitempty"`
 }
 
 // Account is the row of one workspace: Closed plus all grants never exceed Prepaid when a grant grows.
