Let routers lend each other money while the store is away

Cause: in a cut of all routers from the store, and near the end of a budget, one router refused for money that another had in hand. A loan is taken out of the lender's own grant and stays counted there, so no death can spend it twice. The demand's average no longer starts low. Ruled out: larger promises alone, which a dead router strands.

--- a/forwarder/settings.go
+++ b/forwarder/settings.go
@@ -14,6 +14,8 @@
 	CallerAddress    string `json:"caller_address"`
 	ReadinessAddress string `json:"readiness_address"`
 	MetricsAddress   string `json:"metrics_address"`
+	// PeerAddress is where other routers reach this one.
+	PeerAddress string `json:"peer_address"`
 	// StoreAddress is the platform's row store.
 	StoreAddress string `json:"store_address"`
 	// GraceSeconds is how long the process lives after it was told to end.
--- a/starter/gateway.go
+++ b/starter/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/masticway/masticway"
 	"github.com/masticway/masticway/follower"
 	"github.com/masticway/masticway/forwarder"
+	"github.com/masticway/masticway/lender"
 	"github.com/masticway/masticway/logger"
 	"github.com/masticway/masticway/measurer"
 	"github.com/masticway/masticway/platform"
@@ -43,6 +44,7 @@
 	Caller    net.Listener
 	Readiness net.Listener
 	Metrics   net.Listener
+	Peer      net.Listener
 }
 
 // ListenGateway opens a gateway's sockets.
@@ -56,8 +58,11 @@
 		return l, err
 	}
 	if s.MetricsAddress != "" {
-		l.Metrics, err = Listen(s.MetricsAddress)
+		if l.Metrics, err = Listen(s.MetricsAddress); err != nil {
+			return l, err
+		}
 	}
+	l.Peer, err = Listen(s.PeerAddress)
 	return l, err
 }
 
@@ -87,7 +92,9 @@
 	metrics := measurer.New()
 	d := &GatewayDaemon{settings: s, log: log, queue: queue, clock: clock, listeners: l, metrics: metrics, servers: servers{log: log}}
 	entry := log.WithField("instance", s.Instance)
-	d.bank = treasurer.New(store, clock, entry, metrics, s.Instance, s.Money.Parts, s.Money.Reserve.Std())
+	d.bank = treasurer.New(store, lender.NewClient(), clock, entry, metrics, s.Instance, treasurer.Settings{
+		Address: s.PeerAddress, Parts: s.Money.Parts, Reserve: s.Money.Reserve.Std(),
+	})
 	d.follower = follower.New(store, decoder, clock, entry, metrics, d.changed)
 	dialer := &net.Dialer{KeepAlive: -1}
 	d.forwarder = forwarder.New(s, forwarder.Parts{
@@ -121,6 +128,7 @@
 		Handler: d.forwarder, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: gatewayHeaderLimit, IdleTimeout: gatewayIdle,
 	})
 	d.servers.serve(d.listeners.Readiness, http.HandlerFunc(d.readiness))
+	d.servers.serve(d.listeners.Peer, lender.NewHandler(d.bank))
 	if d.listeners.Metrics != nil {
 		d.servers.serve(d.listeners.Metrics, d.metrics)
 	}
--- /dev/null
+++ b/treasurer/lending.go
@@ -0,0 +1,87 @@
+package treasurer
+
+import (
+	"context"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/masticway/masticway"
+)
+
+// addresses returns where routers are reached, in their order; the caller holds the lock.
+func (t *Treasurer) addresses(lenders []masticway.Incarnation) []lenderAddress {
+	var known []lenderAddress
+	for _, i := range lenders {
+		if address, ok := t.peers[i]; ok {
+			known = append(known, lenderAddress{lender: i, address: address})
+		}
+	}
+	return known
+}
+
+type lenderAddress struct {
+	lender  masticway.Incarnation
+	address string
+}
+
+// borrow asks one router after the other until there is enough.
+func (t *Treasurer) borrow(ctx context.Context, r LoanRequest, lenders []lenderAddress) {
+	var loans []Loan
+	need := r.Need
+	for _, l := range lenders {
+		if need <= 0 {
+			break
+		}
+		asking, cancel := context.WithTimeout(ctx, lendTimeout)
+		amount, err := t.lender.Borrow(asking, l.address, r.Workspace, need)
+		cancel()
+		if err != nil {
+			t.log.WithFields(logrus.Fields{"event": "borrow_failed", "lender": l.lender, "workspace": r.Workspace, "error": err}).Debug("router not reached")
+			continue
+		}
+		loans = append(loans, Loan{Lender: l.lender, Amount: amount})
+		need -= amount
+	}
+	t.metrics.Add(metricBorrowed, r.Need-need)
+	t.log.WithFields(logrus.Fields{
+		"event": "borrowed", "workspace": r.Workspace, "needed": r.Need, "amount": r.Need - need, "asked": len(lenders),
+	}).Debug("asked other routers for money")
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.answer(t.purse.Borrowed(t.clock.Now(), r.Workspace, loans))
+}
+
+// repay gives a loan back; when the lender does not answer, the money stays counted as spent there.
+func (t *Treasurer) repay(ctx context.Context, address string, r Repayment) {
+	for range repayTries {
+		sending, cancel := context.WithTimeout(ctx, repayTimeout)
+		err := t.lender.Repay(sending, address, r)
+		cancel()
+		if err == nil {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.clock.After(beginPause):
+		}
+	}
+	t.metrics.Add(metricNotRepaid, r.Amount)
+	t.log.WithFields(logrus.Fields{"event": "not_repaid", "lender": r.Lender, "workspace": r.Workspace, "amount": r.Amount}).Warn("loan not given back")
+}
+
+// Lend takes money out of this router's hands for another one.
+func (t *Treasurer) Lend(workspace string, need int64) int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	amount := t.purse.Lend(t.clock.Now(), workspace, need)
+	t.metrics.Add(metricLent, amount)
+	return amount
+}
+
+// Repaid takes back what another router has not used.
+func (t *Treasurer) Repaid(r Repayment) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.answer(t.purse.Repaid(t.clock.Now(), r))
+}
--- /dev/null
+++ b/treasurer/loans.go
@@ -0,0 +1,188 @@
+package treasurer
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/masticway/masticway"
+)
+
+const (
+	// borrowAfter is how long a request waits for the store before other routers are asked; the store answers the two
+	// calls that a request may need within 20 ms when it is well.
+	borrowAfter = 30 * time.Millisecond
+	// borrowPause separates two rounds of asking for one workspace.
+	borrowPause = 25 * time.Millisecond
+	// repayAfter is how long borrowed money may lie unused.
+	repayAfter = time.Second
+	// leastPart is the part of what is asked for below which nothing is lent.
+	leastPart = 4
+	// lendersAsked bounds the routers that are asked in one round.
+	lendersAsked = 4
+)
+
+// Loan is money that another router has taken out of its own grant for this one. It counts as taken there, so that
+// neither router's death can make it be spent twice.
+type Loan struct {
+	Lender masticway.Incarnation
+	Amount int64
+}
+
+// LoanRequest asks other routers for money of one workspace.
+type LoanRequest struct {
+	Workspace string
+	Need      int64
+	// Lenders are the routers that probably have most, best first.
+	Lenders []masticway.Incarnation
+}
+
+// Repayment gives back what was borrowed and not used; its number lets the lender count it once.
+type Repayment struct {
+	Number    int64                 `cbor:"1,keyasint"`
+	Borrower  masticway.Incarnation `cbor:"2,keyasint"`
+	Lender    masticway.Incarnation `cbor:"3,keyasint"`
+	Workspace string                `cbor:"4,keyasint"`
+	Amount    int64                 `cbor:"5,keyasint"`
+}
+
+// loaned is the borrowed money at hand.
+func (a *account) loaned() int64 {
+	var sum int64
+	for _, l := range a.loans {
+		sum += l.Amount
+	}
+	return sum
+}
+
+// takeLoans takes money out of the loans at hand and says whose it was.
+func (a *account) takeLoans(amount int64) []Loan {
+	var used []Loan
+	for amount > 0 && len(a.loans) > 0 {
+		part := min(amount, a.loans[0].Amount)
+		used = append(used, Loan{Lender: a.loans[0].Lender, Amount: part})
+		amount -= part
+		if a.loans[0].Amount -= part; a.loans[0].Amount == 0 {
+			a.loans = a.loans[1:]
+		}
+	}
+	return used
+}
+
+func (a *account) addLoan(l Loan) {
+	for i := range a.loans {
+		if a.loans[i].Lender == l.Lender {
+			a.loans[i].Amount += l.Amount
+			return
+		}
+	}
+	a.loans = append(a.loans, l)
+}
+
+// keepLoan keeps a loan, if it is any.
+func (a *account) keepLoan(l Loan) {
+	if l.Amount > 0 {
+		a.addLoan(l)
+	}
+}
+
+// Borrowing returns whom to ask for money now: somebody has waited for the store, or there is nothing left to draw.
+func (p *Purse) Borrowing(now time.Time) []LoanRequest {
+	var asks []LoanRequest
+	for _, workspace := range slices.Sorted(maps.Keys(p.accounts)) {
+		a := p.accounts[workspace]
+		if len(a.waiting) == 0 || a.borrowing || now.Sub(a.borrowedAt) < borrowPause {
+			continue
+		}
+		w := a.waiting[0]
+		if now.Sub(w.since) < borrowAfter && !(a.known && p.beyond(a, w.need)) {
+			continue
+		}
+		need := a.needed() - a.loaned() - max(0, p.allowed(now, a)-a.taken)
+		if need <= 0 {
+			continue
+		}
+		a.borrowing = true
+		asks = append(asks, LoanRequest{Workspace: workspace, Need: need, Lenders: p.lenders(a)})
+	}
+	return asks
+}
+
+// lenders are the routers with the greatest demand for a workspace, since they keep most in hand.
+func (p *Purse) lenders(a *account) []masticway.Incarnation {
+	var others []masticway.Incarnation
+	for i := range a.row.Grants {
+		if i != p.settings.Incarnation {
+			others = append(others, i)
+		}
+	}
+	slices.SortFunc(others, func(x, y masticway.Incarnation) int {
+		if d := a.row.Grants[y].Demand - a.row.Grants[x].Demand; d != 0 {
+			return int(d)
+		}
+		return int(a.row.Grants[y].Granted - a.row.Grants[x].Granted)
+	})
+	return others[:min(len(others), lendersAsked)]
+}
+
+// Borrowed takes what one round of asking brought.
+func (p *Purse) Borrowed(now time.Time, workspace string, loans []Loan) []Reply {
+	a, ok := p.accounts[workspace]
+	if !ok {
+		return nil
+	}
+	a.borrowing = false
+	a.borrowedAt = now
+	for _, l := range loans {
+		a.keepLoan(l)
+	}
+	return p.serve(now, a)
+}
+
+// Lend takes money out of what this router may still take, for another; it returns how much.
+func (p *Purse) Lend(now time.Time, workspace string, need int64) int64 {
+	a, ok := p.accounts[workspace]
+	if !ok || p.closing {
+		return 0
+	}
+	spare := p.allowed(now, a) - a.taken - a.needed()
+	amount := min(need, spare)
+	if amount <= 0 || amount < need/leastPart {
+		return 0
+	}
+	a.taken += amount
+	a.lent += amount
+	return amount
+}
+
+// Repaid takes back what another router did not use of a loan, once for each of the borrower's numbers.
+func (p *Purse) Repaid(now time.Time, r Repayment) []Reply {
+	a, ok := p.accounts[r.Workspace]
+	if !ok || r.Lender != p.settings.Incarnation || r.Number <= p.repaid[r.Borrower] {
+		return nil
+	}
+	p.repaid[r.Borrower] = r.Number
+	back := min(r.Amount, a.lent)
+	a.lent -= back
+	a.taken -= back
+	return p.serve(now, a)
+}
+
+// Repayments returns what lies unused and should go back; it has left this router's hands when it is returned.
+func (p *Purse) Repayments(now time.Time) []Repayment {
+	var due []Repayment
+	for _, workspace := range slices.Sorted(maps.Keys(p.accounts)) {
+		a := p.accounts[workspace]
+		if len(a.loans) == 0 || len(a.waiting) > 0 || !p.closing && now.Sub(a.borrowedAt) < repayAfter {
+			continue
+		}
+		for _, l := range a.loans {
+			p.nextRepayment++
+			due = append(due, Repayment{
+				Number: p.nextRepayment, Borrower: p.settings.Incarnation, Lender: l.Lender, Workspace: workspace, Amount: l.Amount,
+			})
+		}
+		a.loans = nil
+	}
+	return due
+}
--- a/treasurer/outcome.go
+++ b/treasurer/outcome.go
@@ -228,7 +228,7 @@
 	if err != nil {
 		return masticway.RowWrite{}, err
 	}
-	next := old.succeeded(p.settings.Incarnation, now)
+	next := old.succeeded(p.settings.Incarnation, p.settings.Address, now)
 	key := p.bookKey()
 	p.book = next
 	return masticway.RowWrite{
--- a/treasurer/plan.go
+++ b/treasurer/plan.go
@@ -110,7 +110,9 @@
 	return a.needed() + usual
 }
 
-func (p *Purse) reserveOf(a *account) int64 { return a.reserve(p.settings.Incarnation, p.settings.Reserve) }
+func (p *Purse) reserveOf(a *account) int64 {
+	return a.reserve(p.settings.Incarnation, p.settings.Reserve)
+}
 
 func (p *Purse) writeBook(now time.Time) Step {
 	p.book.Sequence++
--- a/treasurer/purse.go
+++ b/treasurer/purse.go
@@ -19,10 +19,12 @@
 	idleHeartbeat = 4 * time.Second
 	// demandWindow is the time over which a workspace's demand is averaged.
 	demandWindow = 4 * time.Second
+	// leastSeen is the least time that the first demand is spread over.
+	leastSeen = 1500 * time.Millisecond
 	// burstSpan is how much demand a burst covers; what is beyond waits for one write of the book.
-	burstSpan = 1500 * time.Millisecond
+	burstSpan = time.Second
 	// rateMargin is what a promised rate is above the demand, which comes in lumps.
-	rateMargin = 2.0
+	rateMargin = 1.5
 	// reserveShare is the part of what is left that all routers together keep in hand.
 	reserveShare = 0.8
 	// lowWater is the part of the reserve below which it is filled up, highWater the multiple above which it is returned.
@@ -59,6 +61,8 @@
 // Settings are what a purse is made with.
 type Settings struct {
 	Incarnation masticway.Incarnation
+	// Address is where other routers reach this one; empty when they cannot.
+	Address string
 	// Parts is the number of parts over which workspaces and books are spread; all routers use the same.
 	Parts int
 	// Reserve is how much demand a router keeps money for, to serve on while the store is away.
@@ -88,13 +92,22 @@
 	moving    bool
 	returning int64
 	// doubted tells that earlier changes got no answer; the one that returns most takes doubt out of the grant.
-	doubted bool
-	doubt   int64
-	taken   int64
-	demand     float64
-	demandAt   time.Time
-	typical    float64
-	waiting    []waiter
+	doubted  bool
+	doubt    int64
+	taken    int64
+	demand   float64
+	demandAt time.Time
+	// firstAt is when the first demand came, so that the average is not low at the beginning.
+	firstAt time.Time
+	// asked is the decaying sum of which demand is the average.
+	asked   float64
+	typical float64
+	waiting []waiter
+	// loans are borrowed and not used, lent is what others have of this router's grant.
+	loans      []Loan
+	lent       int64
+	borrowing  bool
+	borrowedAt time.Time
 }
 
 // usable is the grant less what may already have left it.
@@ -105,18 +118,24 @@
 
 func (a *account) free() int64 { return a.usable() - a.taken }
 
+// decay lets what was asked for long ago count less; at the beginning the sum covers less than the whole window.
 func (a *account) decay(now time.Time) {
 	passed := now.Sub(a.demandAt)
 	a.demandAt = now
 	if passed > 0 {
-		a.demand *= math.Exp(-passed.Seconds() / demandWindow.Seconds())
+		a.asked *= math.Exp(-passed.Seconds() / demandWindow.Seconds())
 	}
+	seen := max(leastSeen, now.Sub(a.firstAt)).Seconds()
+	a.demand = a.asked / (demandWindow.Seconds() * (1 - math.Exp(-seen/demandWindow.Seconds())))
 }
 
 // observe counts demand; what is declared at most is what has to be held.
 func (a *account) observe(now time.Time, need int64) {
+	if a.firstAt.IsZero() {
+		a.firstAt = now
+	}
+	a.asked += float64(need)
 	a.decay(now)
-	a.demand += float64(need) / demandWindow.Seconds()
 	if a.typical == 0 {
 		a.typical = float64(need)
 	}
@@ -184,18 +203,33 @@
 	began bool
 	// closing tells that no money is wanted any more.
 	closing bool
+	// repaid is the newest repayment of each borrower, nextRepayment the number of the own next one.
+	repaid        map[masticway.Incarnation]int64
+	nextRepayment int64
 }
 
+// held is the money of one request: an amount of the router's own, and loans.
 type held struct {
 	account *account
 	amount  int64
+	loans   []Loan
+}
+
+// settle gives back what was not used, borrowed money first.
+func (h held) settle(used int64) {
+	for _, l := range h.loans {
+		spent := min(used, l.Amount)
+		used -= spent
+		h.account.keepLoan(Loan{Lender: l.Lender, Amount: l.Amount - spent})
+	}
+	h.account.taken -= h.amount - min(h.amount, used)
 }
 
 // NewPurse returns a purse without money.
 func NewPurse(s Settings) *Purse {
 	return &Purse{
 		settings: s, accounts: map[string]*account{}, holds: map[HoldID]held{},
-		partBusy: map[string]bool{}, partRetry: map[string]time.Time{},
+		partBusy: map[string]bool{}, partRetry: map[string]time.Time{}, repaid: map[masticway.Incarnation]int64{},
 	}
 }
 
@@ -237,7 +271,7 @@
 		return nil
 	}
 	delete(p.holds, id)
-	h.account.taken -= h.amount - min(h.amount, max(0, used))
+	h.settle(max(0, used))
 	return p.serve(now, h.account)
 }
 
@@ -276,8 +310,9 @@
 			break
 		}
 		if verdict == VerdictHeld {
-			a.taken += w.need
-			p.holds[w.id] = held{account: a, amount: w.need}
+			own := min(w.need, max(0, p.allowed(now, a)-a.taken))
+			a.taken += own
+			p.holds[w.id] = held{account: a, amount: own, loans: a.takeLoans(w.need - own)}
 		}
 		a.waiting = a.waiting[1:]
 		replies = append(replies, Reply{ID: w.id, Verdict: verdict, Waited: now.Sub(w.since)})
@@ -286,9 +321,13 @@
 }
 
 func (p *Purse) decide(now time.Time, a *account, w waiter) (Verdict, bool) {
-	if a.taken+w.need <= p.allowed(now, a) {
+	if w.need <= max(0, p.allowed(now, a)-a.taken)+a.loaned() {
 		return VerdictHeld, true
 	}
+	if a.borrowing || a.borrowedAt.Before(w.since) && now.Before(w.deadline) {
+		// Others may have it.
+		return "", false
+	}
 	fresh := a.known && (!a.seenAt.Before(w.since) || now.Sub(a.seenAt) < freshFor)
 	if fresh && p.beyond(a, w.need) {
 		return VerdictExhausted, true
@@ -301,7 +340,7 @@
 
 // beyond tells that a need exceeds what is left and what this router has in hand, also by its own settings' word.
 func (p *Purse) beyond(a *account, need int64) bool {
-	return need > a.row.Left()+max(0, a.free()) && a.settled()
+	return need > a.row.Left()+max(0, a.free())+a.loaned() && a.settled()
 }
 
 // away tells that the store has failed for a while.
--- a/treasurer/rows.go
+++ b/treasurer/rows.go
@@ -93,6 +93,8 @@
 type Book struct {
 	Incarnation masticway.Incarnation `json:"incarnation"`
 	Sequence    int64                 `json:"sequence"`
+	// Address is where other routers reach the incarnation.
+	Address string `json:"address,omitempty"`
 	// Basis is the store's clock at the last write that the writer knew to be made when it sent this one.
 	Basis    time.Duration      `json:"basis_ns"`
 	Promises map[string]Promise `json:"promises,omitempty"`
@@ -100,7 +102,7 @@
 }
 
 // succeeded returns the book of a new incarnation, which closes what the old one left.
-func (b Book) succeeded(next masticway.Incarnation, now time.Duration) Book {
+func (b Book) succeeded(next masticway.Incarnation, address string, now time.Duration) Book {
 	ended := append([]Ended(nil), b.Ended...)
 	if len(b.Promises) > 0 {
 		spent := make(map[string]int64, len(b.Promises))
@@ -109,7 +111,7 @@
 		}
 		ended = append(ended, Ended{Incarnation: b.Incarnation, Spent: spent})
 	}
-	return Book{Incarnation: next, Basis: now, Ended: ended}
+	return Book{Incarnation: next, Address: address, Basis: now, Ended: ended}
 }
 
 // shard spreads keys over a number of parts.
--- a/treasurer/treasurer.go
+++ b/treasurer/treasurer.go
@@ -25,8 +25,13 @@
 	followWait  = 5 * time.Second
 	followPause = 200 * time.Millisecond
 	// countPause is how often the routers are counted, and aliveFor how old a counted router's book may be.
-	countPause = 5 * time.Second
+	countPause = 3 * time.Second
 	aliveFor   = 12 * time.Second
+	// lendTimeout bounds one question to another router, a few times the way between availability zones.
+	lendTimeout = 40 * time.Millisecond
+	// repayTimeout and repayTries bound the giving back of a loan.
+	repayTimeout = 500 * time.Millisecond
+	repayTries   = 5
 )
 
 // Names of metrics.
@@ -37,6 +42,9 @@
 	metricExhausted   = "money_exhausted"
 	metricUnreachable = "money_unreachable"
 	metricMembers     = "routers"
+	metricBorrowed    = "money_borrowed"
+	metricLent        = "money_lent"
+	metricNotRepaid   = "money_not_repaid"
 	histogramHold     = "money_wait"
 )
 
@@ -55,24 +63,36 @@
 	members int
 	sealed  bool
 
-	wake  chan struct{}
-	steps sync.WaitGroup
+	// peers is where the other routers are reached, by incarnation.
+	peers map[masticway.Incarnation]string
+
+	lender Lender
+	wake   chan struct{}
+	steps  sync.WaitGroup
+}
+
+// Lender asks another router for money and gives it back.
+type Lender interface {
+	// Borrow returns how much the router at an address lends, which may be nothing.
+	Borrow(ctx context.Context, address, workspace string, need int64) (int64, error)
+	// Repay fails when the lender may not have heard of it; a repayment may be sent again.
+	Repay(ctx context.Context, address string, r Repayment) error
 }
 
-// New returns a treasurer for a new incarnation on an instance.
-func New(store masticway.RowStore, clock masticway.Clock, log *logrus.Entry, metrics *measurer.Set, instance string, parts int, reserve time.Duration) *Treasurer {
-	self := masticway.NewIncarnation(instance, uuid.NewString()[:8])
+// New returns a treasurer for a new incarnation on an instance; others reach it at the settings' address.
+func New(store masticway.RowStore, lender Lender, clock masticway.Clock, log *logrus.Entry, metrics *measurer.Set, instance string, s Settings) *Treasurer {
+	s.Incarnation = masticway.NewIncarnation(instance, uuid.NewString()[:8])
 	return &Treasurer{
-		store: store, clock: clock, log: log, metrics: metrics, self: self, parts: parts,
-		purse:   NewPurse(Settings{Incarnation: self, Parts: parts, Reserve: reserve}),
-		waiting: map[HoldID]chan Reply{}, wake: make(chan struct{}, 1), members: 1,
+		store: store, lender: lender, clock: clock, log: log, metrics: metrics, self: s.Incarnation, parts: s.Parts,
+		purse: NewPurse(s), peers: map[masticway.Incarnation]string{},
+		waiting: map[HoldID]chan Reply{}, wake: make(chan struct{}, 1),
 	}
 }
 
 // Self names this incarnation.
 func (t *Treasurer) Self() masticway.Incarnation { return t.self }
 
-// Members returns how many routers there seem to be, at least one.
+// Members returns how many routers there seem to be, this one included; zero when they have not been counted.
 func (t *Treasurer) Members() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -185,6 +205,15 @@
 	for _, s := range t.purse.Plan(now) {
 		t.steps.Go(func() { _ = t.step(ctx, s) })
 	}
+	for _, r := range t.purse.Borrowing(now) {
+		addresses := t.addresses(r.Lenders)
+		t.steps.Go(func() { t.borrow(ctx, r, addresses) })
+	}
+	for _, r := range t.purse.Repayments(now) {
+		if address, ok := t.peers[r.Lender]; ok {
+			t.steps.Go(func() { t.repay(ctx, address, r) })
+		}
+	}
 }
 
 // step carries one step out.
@@ -414,8 +443,10 @@
 	}
 }
 
+// countOnce counts the routers whose book is young, and learns where they are.
 func (t *Treasurer) countOnce(ctx context.Context) (int, error) {
 	n := 0
+	peers := map[masticway.Incarnation]string{}
 	for i := range t.parts {
 		reading, err := t.store.Read(ctx, tableBooks, fmt.Sprint(i))
 		if err != nil {
@@ -423,11 +454,18 @@
 		}
 		for _, r := range reading.Rows {
 			book, err := decode[Book](r)
-			if err == nil && reading.At-book.Basis < aliveFor {
-				n++
+			if err != nil || reading.At-book.Basis >= aliveFor {
+				continue
+			}
+			n++
+			if book.Incarnation != t.self && book.Address != "" {
+				peers[book.Incarnation] = book.Address
 			}
 		}
 	}
+	t.mu.Lock()
+	t.peers = peers
+	t.mu.Unlock()
 	return n, nil
 }
 
