--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -18,6 +18,8 @@
 const (
 	// retrySoon is when a refused caller should come back: a router, a server or money is usually there by then.
 	retrySoon = 250 * time.Millisecond
+	// retryMoney is the same for money that could not be reached: a cut lasts seconds, and what may be taken grows meanwhile.
+	retryMoney = 3000 * time.Millisecond
 	// moneyShare is the part of a route's target that a request may wait for money; a refusal after a quarter is late.
 	moneyShare = 0.22
 	// leastMoneyWait is the wait for money on routes with a tight target, a few calls to the store.
@@ -118,7 +120,7 @@
 	case treasurer.VerdictExhausted:
 		return refusal(http.StatusPaymentRequired, codeExhausted, "the prepaid budget does not cover the request at its most", 0)
 	}
-	return refusal(http.StatusServiceUnavailable, codeUnreachable, "the prepaid budget cannot be reached now", retrySoon)
+	return refusal(http.StatusServiceUnavailable, codeUnreachable, "the prepaid budget cannot be reached now", retryMoney)
 }
 
 // settle ends the hold with what was used: nothing if no server can have begun, else the prompt and what was delivered.
