Write each hold into the book while its server reads the prompt

Cause: a burst promised ahead is lost to the budget when a router dies, and once more than 3% of a budget is lost every later request that would fit is refused though it is owed. Holds are now written beside the run and an answer goes out when its promise is kept; nothing is promised ahead while the store is well.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -184,6 +184,9 @@
 		// A stream that was to be resumed got another answer; the caller's stream cannot take it.
 		return outcome{fate: masticway.FateRan, verdict: chooser.VerdictNone, reason: "status " + strconv.Itoa(answer.Status) + " to a resumption"}
 	}
+	if !x.clear(a.ctx) {
+		return outcome{fate: masticway.FateRan, verdict: chooser.VerdictNone, reason: errNotCleared.Error()}
+	}
 	x.begin(answer)
 	x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	x.w.WriteHeader(answer.Status)
@@ -198,6 +201,7 @@
 // begin copies an answer's headers to the caller; from here on it has this server's head.
 func (x *exchange) begin(answer *sender.Answer) {
 	x.begun = true
+	x.charged = answer.Status < http.StatusMultipleChoices
 	header := x.w.Header()
 	for name, values := range x.f.dialect.Return(answer.Header) {
 		header[name] = values
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -60,16 +60,19 @@
 	q     request
 	state charter.State
 	// fate is the most that can be said of all attempts.
-	fate    masticway.Fate
-	hold    treasurer.HoldID
+	fate masticway.Fate
+	// money is the answer to the request for money, held tells that the hold is open.
+	money   treasurer.Reply
 	held    bool
-	waited  time.Duration
+	cleared bool
 	tries   int
 	runs    int
 	exclude map[string]bool
 	cause   string
 	// begun tells that the head of an answer has gone to the caller.
-	begun     bool
+	begun bool
+	// charged tells that the caller got at least a part of a good answer.
+	charged   bool
 	events    int
 	lastEvent string
 	firstAt   time.Time
@@ -110,12 +113,10 @@
 		return nil
 	}
 	wait := max(leastMoneyWait, time.Duration(moneyShare*float64(x.q.route.Target))-x.f.clock.Now().Sub(x.q.received))
-	began := x.f.clock.Now()
-	id, verdict := x.f.bank.Hold(ctx, x.q.account.Workspace, int64(x.q.Prompt+x.q.MaxOutput), wait)
-	x.waited = x.f.clock.Now().Sub(began)
-	switch verdict {
+	x.money = x.f.bank.Hold(ctx, x.q.account.Workspace, int64(x.q.Prompt+x.q.MaxOutput), wait)
+	switch x.money.Verdict {
 	case treasurer.VerdictHeld:
-		x.hold, x.held = id, true
+		x.held = true
 		return nil
 	case treasurer.VerdictExhausted:
 		return refusal(http.StatusPaymentRequired, codeExhausted, "the prepaid budget does not cover the request at its most", 0)
@@ -123,17 +124,18 @@
 	return refusal(http.StatusServiceUnavailable, codeUnreachable, "the prepaid budget cannot be reached now", retryMoney)
 }
 
-// settle ends the hold with what was used: nothing if no server can have begun, else the prompt and what was delivered.
+// settle ends the hold with what was used: nothing if the caller got nothing, else the prompt and what was delivered.
+// Work whose answer was lost on the way is not charged to the workspace.
 func (x *exchange) settle() {
 	if !x.held {
 		return
 	}
 	x.held = false
-	x.f.bank.Settle(x.hold, x.used())
+	x.f.bank.Settle(x.money.ID, x.used())
 }
 
 func (x *exchange) used() int64 {
-	if x.fate == masticway.FateNotRun {
+	if !x.charged {
 		return 0
 	}
 	return int64(x.q.Prompt + min(x.q.MaxOutput, x.events*max(1, x.q.pool.TokensPerEvent)))
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -22,7 +22,9 @@
 // Bank holds prepaid money for requests.
 type Bank interface {
 	// Hold takes money for a request, and waits for it at most so long.
-	Hold(ctx context.Context, workspace string, need int64, wait time.Duration) (treasurer.HoldID, treasurer.Verdict)
+	Hold(ctx context.Context, workspace string, need int64, wait time.Duration) treasurer.Reply
+	// Clear waits until a hold's answer may go to the caller, and returns false when the context ended first.
+	Clear(ctx context.Context, id treasurer.HoldID) bool
 	// Settle ends a hold with what was used of it.
 	Settle(id treasurer.HoldID, used int64)
 	// Members returns how many routers there seem to be, zero when that is not known.
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -54,6 +55,9 @@
 	x := a.x
 	a.first()
 	x.fate = masticway.FateRan
+	if !x.clear(a.ctx) {
+		return errNotCleared
+	}
 	if !x.begun {
 		x.begin(answer)
 		x.w.WriteHeader(answer.Status)
@@ -81,6 +85,18 @@
 	return nil
 }
 
+// errNotCleared ends an answer whose money could not be promised to the store before the time was over.
+var errNotCleared = errors.New("the store did not take the promise for this answer's money in time")
+
+// clear waits until the answer may go out; until then a death of this router would leave its money unaccounted for.
+func (x *exchange) clear(ctx context.Context) bool {
+	if !x.held || x.cleared {
+		return true
+	}
+	x.cleared = x.f.bank.Clear(ctx, x.money.ID)
+	return x.cleared
+}
+
 // later tells that an event id follows another; ids that are no numbers always do.
 func later(id, last string) bool {
 	a, err := strconv.ParseInt(id, 10, 64)
--- a/forwarder/report.go
+++ b/forwarder/report.go
@@ -29,7 +29,12 @@
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(refused.Status)
 	_, _ = w.Write(body)
-	x.line(refused.Code).WithFields(logrus.Fields{"status": refused.Status, "run": refused.Run, "cause": x.cause}).Info("request refused")
+	fields := logrus.Fields{"status": refused.Status, "run": refused.Run, "cause": x.cause}
+	if refused.Code == codeExhausted || refused.Code == codeUnreachable {
+		fields["prepaid"], fields["left"], fields["own"] = x.money.Prepaid, x.money.Left, x.money.Own
+		fields["row_age_ms"], fields["others_asked"] = x.money.RowAge.Milliseconds(), x.money.Asked
+	}
+	x.line(refused.Code).WithFields(fields).Info("request refused")
 }
 
 // line starts the one line that ends a request.
@@ -38,7 +43,7 @@
 	return x.f.log.WithFields(logrus.Fields{
 		"event": "request", "request": x.q.ID, "outcome": outcome, "workspace": x.q.account.Workspace, "route": x.q.route.Name,
 		"pool": x.q.pool.Name, "server": x.server, "tries": x.tries, "events": x.events, "configuration": x.q.revision,
-		"hold": x.q.Prompt + x.q.MaxOutput, "used": x.used(), "money_ms": x.waited.Milliseconds(), "ms": now.Sub(x.q.received).Milliseconds(),
+		"hold": x.q.Prompt + x.q.MaxOutput, "used": x.used(), "money_ms": x.money.Waited.Milliseconds(), "ms": now.Sub(x.q.received).Milliseconds(),
 		"left_ms": x.q.deadline.Sub(now).Milliseconds(), "state": x.state,
 	})
 }
--- a/lender/lender.go
+++ b/lender/lender.go
@@ -92,7 +92,7 @@
 // Purse is what a router lends from.
 type Purse interface {
 	// Lend takes money out for another router and returns how much.
-	Lend(workspace string, need int64) int64
+	Lend(ctx context.Context, workspace string, need int64) int64
 	// Repaid takes money back.
 	Repaid(r treasurer.Repayment)
 }
@@ -105,7 +105,7 @@
 		if !ok {
 			return
 		}
-		data, err := cbor.Marshal(borrowAnswer{Amount: p.Lend(request.Workspace, request.Need)})
+		data, err := cbor.Marshal(borrowAnswer{Amount: p.Lend(r.Context(), request.Workspace, request.Need)})
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusInternalServerError)
 			return
--- a/treasurer/lending.go
+++ b/treasurer/lending.go
@@ -70,11 +70,23 @@
 	t.log.WithFields(logrus.Fields{"event": "not_repaid", "lender": r.Lender, "workspace": r.Workspace, "amount": r.Amount}).Warn("loan not given back")
 }
 
-// Lend takes money out of this router's hands for another one.
-func (t *Treasurer) Lend(workspace string, need int64) int64 {
+// Lend takes money out of this router's hands for another one; it waits until its book says so, or the context ends.
+func (t *Treasurer) Lend(ctx context.Context, workspace string, need int64) int64 {
 	t.mu.Lock()
-	defer t.mu.Unlock()
-	amount := t.purse.Lend(t.clock.Now(), workspace, need)
+	id, amount := t.purse.Lend(t.clock.Now(), workspace, need)
+	t.mu.Unlock()
+	if amount == 0 {
+		return 0
+	}
+	waiting, cancel := context.WithTimeout(ctx, lendTimeout)
+	defer cancel()
+	if !t.Clear(waiting, id) {
+		t.Settle(id, 0)
+		return 0
+	}
+	t.mu.Lock()
+	t.purse.Lent(id)
+	t.mu.Unlock()
 	t.metrics.Add(metricLent, amount)
 	return amount
 }
--- a/treasurer/loans.go
+++ b/treasurer/loans.go
@@ -14,6 +14,8 @@
 	borrowAfter = 30 * time.Millisecond
 	// borrowPause separates two rounds of asking for one workspace.
 	borrowPause = 25 * time.Millisecond
+	// emptyFor is how long nobody is asked again after a round that brought too little.
+	emptyFor = 300 * time.Millisecond
 	// repayAfter is how long borrowed money may lie unused.
 	repayAfter = time.Second
 	// leastPart is the part of what is asked for below which nothing is lent.
@@ -95,10 +97,10 @@
 			continue
 		}
 		w := a.waiting[0]
-		if now.Sub(w.since) < borrowAfter && !(a.known && p.beyond(a, w.need)) {
+		if now.Sub(w.since) < borrowAfter && !(a.known && p.beyond(a, w.need)) || now.Sub(a.emptyAt) < emptyFor {
 			continue
 		}
-		need := a.needed() - a.loaned() - max(0, p.allowed(now, a)-a.taken)
+		need := a.needed() - a.loaned() - p.own(now, a)
 		if need <= 0 {
 			continue
 		}
@@ -136,23 +138,36 @@
 	for _, l := range loans {
 		a.keepLoan(l)
 	}
-	return p.serve(now, a)
+	replies := p.serve(now, a)
+	if len(a.waiting) > 0 {
+		a.emptyAt = now
+	}
+	return replies
 }
 
-// Lend takes money out of what this router may still take, for another; it returns how much.
-func (p *Purse) Lend(now time.Time, workspace string, need int64) int64 {
+// Lend takes money out of what this router may still take, for another. The hold has to be cleared before the money
+// is handed over, and Lent ends it then; there is none when nothing can be lent.
+func (p *Purse) Lend(now time.Time, workspace string, need int64) (HoldID, int64) {
 	a, ok := p.accounts[workspace]
 	if !ok || p.closing {
-		return 0
+		return 0, 0
 	}
-	spare := p.allowed(now, a) - a.taken - a.needed()
-	amount := min(need, spare)
+	amount := min(need, p.own(now, a)-a.needed())
 	if amount <= 0 || amount < need/leastPart {
-		return 0
+		return 0, 0
 	}
+	p.nextHold++
 	a.taken += amount
-	a.lent += amount
-	return amount
+	p.holds[p.nextHold] = &held{account: a, amount: amount}
+	return p.nextHold, amount
+}
+
+// Lent notes that a cleared hold was handed to another router.
+func (p *Purse) Lent(id HoldID) {
+	if h, ok := p.holds[id]; ok && h.cleared {
+		h.account.lent += h.amount
+		delete(p.holds, id)
+	}
 }
 
 // Repaid takes back what another router did not use of a loan, once for each of the borrower's numbers.
@@ -165,6 +180,7 @@
 	back := min(r.Amount, a.lent)
 	a.lent -= back
 	a.taken -= back
+	a.cleared -= back
 	return p.serve(now, a)
 }
 
@@ -173,7 +189,8 @@
 	var due []Repayment
 	for _, workspace := range slices.Sorted(maps.Keys(p.accounts)) {
 		a := p.accounts[workspace]
-		if len(a.loans) == 0 || len(a.waiting) > 0 || !p.closing && now.Sub(a.borrowedAt) < repayAfter {
+		empty := a.emptyAt.Equal(a.borrowedAt)
+		if len(a.loans) == 0 || !p.closing && !empty && (len(a.waiting) > 0 || now.Sub(a.borrowedAt) < repayAfter) {
 			continue
 		}
 		for _, l := range a.loans {
--- a/treasurer/outcome.go
+++ b/treasurer/outcome.go
@@ -164,6 +164,7 @@
 		return p.Tick(now), nil
 	}
 	p.reached()
+	p.bookTook += (now.Sub(s.sentAt) - p.bookTook) / 4
 	p.bookVersion = reading.Version
 	p.kept(now, s.sequence, reading.At)
 	return p.Tick(now), nil
@@ -263,7 +264,7 @@
 		return Step{}, false
 	}
 	for _, a := range p.accounts {
-		if !a.settled() || p.change(a) != 0 {
+		if !a.settled() || p.change(now, a) < 0 {
 			return Step{}, false
 		}
 	}
--- a/treasurer/plan.go
+++ b/treasurer/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -54,38 +55,45 @@
 
 // bookDue tells whether the book has to be written.
 func (p *Purse) bookDue(now time.Time) bool {
+	age := now.Sub(p.bookAt)
+	if age < bookPause+time.Duration(p.members)*bookPauseEach {
+		return false
+	}
 	pause := idleHeartbeat
 	for _, a := range p.accounts {
-		if len(a.waiting) > 0 && a.taken+a.needed() > p.promised(now, a) {
+		if len(a.waiting) > 0 && !p.opened(a) || a.taken > p.covered(a) {
 			return true
 		}
-		if !p.opened(a) {
-			continue
-		}
 		if a.demand > 1 {
 			pause = bookHeartbeat
-			if p.promised(now, a)-a.taken < p.burst(a)/3 && a.free() > 0 {
-				return true
-			}
 		}
 	}
-	return now.Sub(p.bookAt) >= pause
+	return age >= pause
 }
 
 // promised is the most that every promise in force allows, whatever has been granted.
 func (p *Purse) promised(now time.Time, a *account) int64 {
+	return p.leastPromise(a, func(f inForce, promise Promise) int64 { return promise.bound(now.Sub(f.basis)) })
+}
+
+// covered is the same without what silence adds.
+func (p *Purse) covered(a *account) int64 {
+	return p.leastPromise(a, func(_ inForce, promise Promise) int64 { return promise.bound(0) })
+}
+
+func (p *Purse) leastPromise(a *account, bound func(inForce, Promise) int64) int64 {
 	if len(p.inForce) == 0 {
 		return 0
 	}
-	most := int64(1) << 62
+	least := int64(math.MaxInt64)
 	for _, f := range p.inForce {
 		promise, ok := f.promises[a.workspace]
 		if !ok {
 			return 0
 		}
-		most = min(most, promise.bound(now.Sub(f.basis)))
+		least = min(least, bound(f, promise))
 	}
-	return most
+	return least
 }
 
 // opened tells that every book that the store may have names the workspace; only then is money drawn for it, so
@@ -99,15 +107,16 @@
 	return len(p.inForce) > 0
 }
 
-// burst is how much of a workspace may be taken between two writes of the book.
+// burst is how much of a workspace may be taken between two writes of the book, when these are slow or far apart.
 func (p *Purse) burst(a *account) int64 {
-	if a.demand < 1 && len(a.waiting) == 0 {
+	span := p.bookTook
+	if apart := time.Duration(p.members) * bookPauseEach; apart > slowAnswer {
+		span += apart
+	}
+	if span < slowAnswer {
 		return 0
 	}
-	usual := max(int64(a.demand*burstSpan.Seconds()), int64(a.typical))
-	// A thin workspace gets no more than it needs: what a dead router was promised is lost to it.
-	usual = min(usual, p.reserveOf(a))
-	return a.needed() + usual
+	return int64(a.demand * 2 * span.Seconds())
 }
 
 func (p *Purse) reserveOf(a *account) int64 {
@@ -164,7 +173,7 @@
 		if shard(workspace, p.settings.Parts) != part {
 			continue
 		}
-		delta := p.change(a)
+		delta := p.change(now, a)
 		if !a.known && (len(a.waiting) > 0 || delta != 0) || p.doubtful(now, a) {
 			look = true
 		}
@@ -207,7 +216,7 @@
 }
 
 // change returns by how much the grant should grow or shrink now.
-func (p *Purse) change(a *account) int64 {
+func (p *Purse) change(now time.Time, a *account) int64 {
 	free := a.free()
 	left := a.newest().Left()
 	if p.closing {
@@ -232,8 +241,16 @@
 	if float64(free-need) < lowWater*float64(reserve) {
 		return min(left, reserve-(free-need))
 	}
-	if surplus := free - need - reserve; float64(free-need) > highWater*float64(reserve) && surplus > int64(a.typical/4) {
-		return -surplus
+	surplus := free - need - reserve
+	if surplus <= 0 || float64(free-need) <= highWater*float64(reserve) {
+		a.surplusAt = time.Time{}
+		return 0
+	}
+	if a.surplusAt.IsZero() {
+		a.surplusAt = now
+	}
+	if now.Sub(a.surplusAt) < returnAfter {
+		return 0
 	}
-	return 0
+	return -surplus
 }
--- a/treasurer/purse.go
+++ b/treasurer/purse.go
@@ -10,26 +10,36 @@
 )
 
 const (
-	// silentAfter is how long the store must have been silent before a promise's rate counts. It is longer than the
-	// books' heartbeat, so a router that dies in quiet times strands one burst only.
-	silentAfter = 1500 * time.Millisecond
-	// bookHeartbeat is how often the book of a router with demand is written.
-	bookHeartbeat = time.Second
-	// idleHeartbeat is how often any other book is written, so that the routers can be counted.
+	// silentAfter is how long the store must have been silent before a promise's rate counts. Answers that come ready
+	// in that time wait, which makes some late; a router that dies and is back within it strands nothing.
+	silentAfter = 700 * time.Millisecond
+	// rateMargin is what a promised rate is above the demand, which comes in lumps.
+	rateMargin = 1.5
+	// bookHeartbeat is how often the book of a router with demand is written, idleHeartbeat any other one, so that the
+	// routers can be counted.
+	bookHeartbeat = 250 * time.Millisecond
 	idleHeartbeat = 4 * time.Second
+	// bookPause separates two writes of a book; bookPauseEach is added for each router, so that all of them together
+	// stay within half of the store's write rate.
+	bookPause     = 20 * time.Millisecond
+	bookPauseEach = 2 * time.Millisecond
+	// slowAnswer is the store's answer time above which a burst is promised for the demand of that time.
+	slowAnswer = 60 * time.Millisecond
+	// timelyFor is how long the store may take over a book before requests are admitted by promises only, and
+	// gateSlack how long an answer may then be expected to wait for its promise.
+	timelyFor = 400 * time.Millisecond
+	gateSlack = 400 * time.Millisecond
 	// demandWindow is the time over which a workspace's demand is averaged.
 	demandWindow = 4 * time.Second
 	// leastSeen is the least time that the first demand is spread over.
 	leastSeen = 1500 * time.Millisecond
-	// burstSpan is how much demand a burst covers; what is beyond waits for one write of the book.
-	burstSpan = time.Second
-	// rateMargin is what a promised rate is above the demand, which comes in lumps.
-	rateMargin = 1.5
 	// reserveShare is the part of what is left that all routers together keep in hand.
 	reserveShare = 0.8
 	// lowWater is the part of the reserve below which it is filled up, highWater the multiple above which it is returned.
 	lowWater  = 0.6
 	highWater = 1.6
+	// returnAfter is how long money of a workspace without a reserve may lie unused.
+	returnAfter = 250 * time.Millisecond
 	// retryPause separates attempts at the store after one that failed.
 	retryPause = 60 * time.Millisecond
 	// awayAfter is how long the store must have failed before requests without money are refused at once.
@@ -46,6 +56,8 @@
 	VerdictHeld        Verdict = "held"
 	VerdictExhausted   Verdict = "exhausted"
 	VerdictUnreachable Verdict = "unreachable"
+	// VerdictCleared answers for a hold that its answer may go to the caller.
+	VerdictCleared Verdict = "cleared"
 )
 
 // HoldID names a hold within one incarnation.
@@ -56,6 +68,13 @@
 	ID      HoldID
 	Verdict Verdict
 	Waited  time.Duration
+	// Prepaid, Left and Own are what was known of the workspace: what is paid for, what no router has been granted,
+	// and what this one had in hand; RowAge is how old that knowledge was, and Asked tells that others were asked.
+	Prepaid int64
+	Left    int64
+	Own     int64
+	RowAge  time.Duration
+	Asked   bool
 }
 
 // Settings are what a purse is made with.
@@ -92,9 +111,13 @@
 	moving    bool
 	returning int64
 	// doubted tells that earlier changes got no answer; the one that returns most takes doubt out of the grant.
-	doubted  bool
-	doubt    int64
+	doubted bool
+	doubt   int64
+	// taken is all holds and what was used, cleared the part of it whose answers may go out: only that is ever lost
+	// to the budget when this router dies, and promises bound it.
 	taken    int64
+	cleared  int64
+	gates    []HoldID
 	demand   float64
 	demandAt time.Time
 	// firstAt is when the first demand came, so that the average is not low at the beginning.
@@ -108,6 +131,10 @@
 	lent       int64
 	borrowing  bool
 	borrowedAt time.Time
+	// emptyAt is when a round of asking last brought too little.
+	emptyAt time.Time
+	// surplusAt is since when more lies unused than the reserve.
+	surplusAt time.Time
 }
 
 // usable is the grant less what may already have left it.
@@ -186,15 +213,18 @@
 type Purse struct {
 	settings Settings
 	accounts map[string]*account
-	holds    map[HoldID]held
+	holds    map[HoldID]*held
 	nextHold HoldID
 
-	inForce      []inForce
-	book         Book
-	bookVersion  int64
-	bookBusy     bool
-	bookBasis    time.Time
-	bookAt       time.Time
+	inForce     []inForce
+	book        Book
+	bookVersion int64
+	bookBusy    bool
+	bookBasis   time.Time
+	bookAt      time.Time
+	// bookTook is the moving average of the store's time for a book.
+	bookTook     time.Duration
+	members      int
 	partBusy     map[string]bool
 	partRetry    map[string]time.Time
 	bookRetry    time.Time
@@ -213,6 +243,7 @@
 	account *account
 	amount  int64
 	loans   []Loan
+	cleared bool
 }
 
 // settle gives back what was not used, borrowed money first.
@@ -222,13 +253,20 @@
 		used -= spent
 		h.account.keepLoan(Loan{Lender: l.Lender, Amount: l.Amount - spent})
 	}
-	h.account.taken -= h.amount - min(h.amount, used)
+	back := h.amount - min(h.amount, used)
+	h.account.taken -= back
+	if h.cleared {
+		h.account.cleared -= back
+	} else {
+		// Nothing can have been used of it.
+		h.account.taken -= h.amount - back
+	}
 }
 
 // NewPurse returns a purse without money.
 func NewPurse(s Settings) *Purse {
 	return &Purse{
-		settings: s, accounts: map[string]*account{}, holds: map[HoldID]held{},
+		settings: s, accounts: map[string]*account{}, holds: map[HoldID]*held{},
 		partBusy: map[string]bool{}, partRetry: map[string]time.Time{}, repaid: map[masticway.Incarnation]int64{},
 	}
 }
@@ -272,9 +310,39 @@
 	}
 	delete(p.holds, id)
 	h.settle(max(0, used))
+	h.account.gates = slices.DeleteFunc(h.account.gates, func(g HoldID) bool { return g == id })
 	return p.serve(now, h.account)
 }
 
+// Clear asks that a hold's answer may go to the caller; the reply says when. Until then nothing of it may be given.
+func (p *Purse) Clear(now time.Time, id HoldID) []Reply {
+	h, ok := p.holds[id]
+	if !ok {
+		return nil
+	}
+	h.account.gates = append(h.account.gates, id)
+	return p.openGates(now, h.account)
+}
+
+// openGates clears holds in their order as far as every promise allows.
+func (p *Purse) openGates(now time.Time, a *account) []Reply {
+	var replies []Reply
+	for len(a.gates) > 0 {
+		id := a.gates[0]
+		h := p.holds[id]
+		if !h.cleared && a.cleared+h.amount > p.promised(now, a) {
+			break
+		}
+		if !h.cleared {
+			h.cleared = true
+			a.cleared += h.amount
+		}
+		a.gates = a.gates[1:]
+		replies = append(replies, Reply{ID: id, Verdict: VerdictCleared})
+	}
+	return replies
+}
+
 // abandon drops a request that has stopped waiting.
 func (p *Purse) abandon(id HoldID) {
 	for _, a := range p.accounts {
@@ -282,27 +350,26 @@
 	}
 }
 
-// allowed is the most that may be taken in all from a workspace now, by every promise that the store may have.
-func (p *Purse) allowed(now time.Time, a *account) int64 {
-	most := a.usable()
-	kept := false
-	for _, f := range p.inForce {
-		kept = kept || f.acked
-		promise, ok := f.promises[a.workspace]
-		if !ok {
-			return 0
-		}
-		most = min(most, promise.bound(now.Sub(f.basis)))
-	}
-	if !kept {
-		return 0
+// admissible is the most that may be taken in all now. While the store answers in time the grant alone decides: the
+// promise will be there before the answer. Else promises do, as far as they reach soon.
+func (p *Purse) admissible(now time.Time, a *account) int64 {
+	if p.timely(now) {
+		return a.usable()
 	}
-	return most
+	return min(a.usable(), p.promised(now.Add(gateSlack), a))
+}
+
+// timely tells that the store can be expected to take the next book soon.
+func (p *Purse) timely(now time.Time) bool {
+	return p.failingSince.IsZero() && (!p.bookBusy || now.Sub(p.bookAt) < timelyFor)
 }
 
+// own is what the router may take now beside what it has.
+func (p *Purse) own(now time.Time, a *account) int64 { return max(0, p.admissible(now, a)-a.taken) }
+
 // serve answers the requests that can be answered now, in their order.
 func (p *Purse) serve(now time.Time, a *account) []Reply {
-	var replies []Reply
+	replies := p.openGates(now, a)
 	for len(a.waiting) > 0 {
 		w := a.waiting[0]
 		verdict, ok := p.decide(now, a, w)
@@ -310,21 +377,24 @@
 			break
 		}
 		if verdict == VerdictHeld {
-			own := min(w.need, max(0, p.allowed(now, a)-a.taken))
+			own := min(w.need, p.own(now, a))
 			a.taken += own
-			p.holds[w.id] = held{account: a, amount: own, loans: a.takeLoans(w.need - own)}
+			p.holds[w.id] = &held{account: a, amount: own, loans: a.takeLoans(w.need - own)}
 		}
 		a.waiting = a.waiting[1:]
-		replies = append(replies, Reply{ID: w.id, Verdict: verdict, Waited: now.Sub(w.since)})
+		replies = append(replies, Reply{
+			ID: w.id, Verdict: verdict, Waited: now.Sub(w.since), Prepaid: a.prepaid, Left: a.row.Left(),
+			Own: p.own(now, a) + a.loaned(), RowAge: now.Sub(a.seenAt), Asked: !a.borrowedAt.Before(w.since),
+		})
 	}
 	return replies
 }
 
 func (p *Purse) decide(now time.Time, a *account, w waiter) (Verdict, bool) {
-	if w.need <= max(0, p.allowed(now, a)-a.taken)+a.loaned() {
+	if w.need <= p.own(now, a)+a.loaned() {
 		return VerdictHeld, true
 	}
-	if a.borrowing || a.borrowedAt.Before(w.since) && now.Before(w.deadline) {
+	if now.Before(w.deadline) && (a.borrowing || a.borrowedAt.Before(w.since) && now.Sub(a.emptyAt) > emptyFor) {
 		// Others may have it.
 		return "", false
 	}
@@ -348,11 +418,14 @@
 	return !p.failingSince.IsZero() && now.Sub(p.failingSince) > awayAfter
 }
 
+// Count tells how many routers there are.
+func (p *Purse) Count(members int) { p.members = members }
+
 // Tick ends waits that are over.
 func (p *Purse) Tick(now time.Time) []Reply {
 	var replies []Reply
 	for _, workspace := range slices.Sorted(maps.Keys(p.accounts)) {
-		if a := p.accounts[workspace]; len(a.waiting) > 0 {
+		if a := p.accounts[workspace]; len(a.waiting)+len(a.gates) > 0 {
 			replies = append(replies, p.serve(now, a)...)
 		}
 	}
--- a/treasurer/treasurer.go
+++ b/treasurer/treasurer.go
@@ -28,7 +28,7 @@
 	countPause = 3 * time.Second
 	aliveFor   = 12 * time.Second
 	// lendTimeout bounds one question to another router, a few times the way between availability zones.
-	lendTimeout = 40 * time.Millisecond
+	lendTimeout = 60 * time.Millisecond
 	// repayTimeout and repayTries bound the giving back of a loan.
 	repayTimeout = 500 * time.Millisecond
 	repayTries   = 5
@@ -115,7 +115,7 @@
 }
 
 // Hold takes money for a request; it waits at most so long, or until the context ends.
-func (t *Treasurer) Hold(ctx context.Context, workspace string, need int64, wait time.Duration) (HoldID, Verdict) {
+func (t *Treasurer) Hold(ctx context.Context, workspace string, need int64, wait time.Duration) Reply {
 	now := t.clock.Now()
 	answer := make(chan Reply, 1)
 	t.mu.Lock()
@@ -125,17 +125,36 @@
 	t.mu.Unlock()
 	select {
 	case r := <-answer:
-		return id, r.Verdict
+		return r
 	default:
 	}
 	t.stir()
 	select {
 	case r := <-answer:
 		t.metrics.Observe(histogramHold, workspace, r.Waited)
-		return id, r.Verdict
+		return r
 	case <-ctx.Done():
 		t.Settle(id, 0)
-		return id, VerdictUnreachable
+		return Reply{ID: id, Verdict: VerdictUnreachable, Waited: t.clock.Now().Sub(now)}
+	}
+}
+
+// Clear waits until a hold's answer may go to the caller; it returns false when the context ended first.
+func (t *Treasurer) Clear(ctx context.Context, id HoldID) bool {
+	answer := make(chan Reply, 1)
+	t.mu.Lock()
+	t.waiting[id] = answer
+	t.answer(t.purse.Clear(t.clock.Now(), id))
+	t.mu.Unlock()
+	t.stir()
+	select {
+	case <-answer:
+		return true
+	case <-ctx.Done():
+		t.mu.Lock()
+		delete(t.waiting, id)
+		t.mu.Unlock()
+		return false
 	}
 }
 
@@ -433,6 +452,7 @@
 		if n, err := t.countOnce(ctx); err == nil {
 			t.mu.Lock()
 			t.members = max(1, n)
+			t.purse.Count(t.members)
 			t.mu.Unlock()
 			t.metrics.Gauge(metricMembers, int64(n))
 		}
