Ask any router for a loan, and let promised rates flatten

Cause: a router that had never seen a workspace before a cut knew nobody to ask, and a long cut presumed twice the demand for all its length.

--- a/forwarder/report.go
+++ b/forwarder/report.go
@@ -31,7 +31,7 @@
 	_, _ = w.Write(body)
 	fields := logrus.Fields{"status": refused.Status, "run": refused.Run, "cause": x.cause}
 	if refused.Code == codeExhausted || refused.Code == codeUnreachable {
-		fields["prepaid"], fields["left"], fields["own"] = x.money.Prepaid, x.money.Left, x.money.Own
+		fields["prepaid"], fields["left"], fields["free"], fields["own"] = x.money.Prepaid, x.money.Left, x.money.Free, x.money.Own
 		fields["row_age_ms"], fields["others_asked"] = x.money.RowAge.Milliseconds(), x.money.Asked
 	}
 	x.line(refused.Code).WithFields(fields).Info("request refused")
--- a/treasurer/loans.go
+++ b/treasurer/loans.go
@@ -110,15 +110,15 @@
 	return asks
 }
 
-// lenders are the routers with the greatest demand for a workspace, since they keep most in hand.
+// lenders are the routers with the greatest demand for a workspace, since they keep most in hand, then any others.
 func (p *Purse) lenders(a *account) []masticway.Incarnation {
-	var others []masticway.Incarnation
-	for i := range a.row.Grants {
+	others := make([]masticway.Incarnation, 0, len(p.peers))
+	for _, i := range p.peers {
 		if i != p.settings.Incarnation {
 			others = append(others, i)
 		}
 	}
-	slices.SortFunc(others, func(x, y masticway.Incarnation) int {
+	slices.SortStableFunc(others, func(x, y masticway.Incarnation) int {
 		if d := a.row.Grants[y].Demand - a.row.Grants[x].Demand; d != 0 {
 			return int(d)
 		}
--- a/treasurer/purse.go
+++ b/treasurer/purse.go
@@ -12,9 +12,11 @@
 const (
 	// silentAfter is how long the store must have been silent before a promise's rate counts. Answers that come ready
 	// in that time wait, which makes some late; a router that dies and is back within it strands nothing.
-	silentAfter = 700 * time.Millisecond
+	silentAfter = 800 * time.Millisecond
 	// rateMargin is what a promised rate is above the demand, which comes in lumps.
 	rateMargin = 1.5
+	// lumpSpan is the time for which a promised rate counts twice.
+	lumpSpan = 2 * time.Second
 	// bookHeartbeat is how often the book of a router with demand is written, idleHeartbeat any other one, so that the
 	// routers can be counted.
 	bookHeartbeat = 250 * time.Millisecond
@@ -28,13 +30,15 @@
 	// timelyFor is how long the store may take over a book before requests are admitted by promises only, and
 	// gateSlack how long an answer may then be expected to wait for its promise.
 	timelyFor = 400 * time.Millisecond
-	gateSlack = 400 * time.Millisecond
+	gateSlack = 150 * time.Millisecond
 	// demandWindow is the time over which a workspace's demand is averaged.
 	demandWindow = 4 * time.Second
 	// leastSeen is the least time that the first demand is spread over.
 	leastSeen = 1500 * time.Millisecond
 	// reserveShare is the part of what is left that all routers together keep in hand.
 	reserveShare = 0.8
+	// leastShare is the part of a usual request below which nothing is kept in hand; routers put such parts together.
+	leastShare = 3
 	// lowWater is the part of the reserve below which it is filled up, highWater the multiple above which it is returned.
 	lowWater  = 0.6
 	highWater = 1.6
@@ -69,9 +73,10 @@
 	Verdict Verdict
 	Waited  time.Duration
 	// Prepaid, Left and Own are what was known of the workspace: what is paid for, what no router has been granted,
-	// and what this one had in hand; RowAge is how old that knowledge was, and Asked tells that others were asked.
+	// what this one had in hand, and what it may have of that by its promises and loans; RowAge is how old that knowledge was, and Asked tells that others were asked.
 	Prepaid int64
 	Left    int64
+	Free    int64
 	Own     int64
 	RowAge  time.Duration
 	Asked   bool
@@ -193,8 +198,8 @@
 		}
 	}
 	share := int64(reserveShare * float64(max(0, spare)) * (a.demand + 1) / all)
-	if share < int64(a.typical) {
-		// Less than a request in hand serves nobody and is missing elsewhere.
+	if share < int64(a.typical/leastShare) {
+		// So little in hand serves nobody, also together with others, and is missing elsewhere.
 		return 0
 	}
 	return min(want, share)
@@ -225,6 +230,7 @@
 	// bookTook is the moving average of the store's time for a book.
 	bookTook     time.Duration
 	members      int
+	peers        []masticway.Incarnation
 	partBusy     map[string]bool
 	partRetry    map[string]time.Time
 	bookRetry    time.Time
@@ -383,7 +389,7 @@
 		}
 		a.waiting = a.waiting[1:]
 		replies = append(replies, Reply{
-			ID: w.id, Verdict: verdict, Waited: now.Sub(w.since), Prepaid: a.prepaid, Left: a.row.Left(),
+			ID: w.id, Verdict: verdict, Waited: now.Sub(w.since), Prepaid: a.prepaid, Left: a.row.Left(), Free: a.free(),
 			Own: p.own(now, a) + a.loaned(), RowAge: now.Sub(a.seenAt), Asked: !a.borrowedAt.Before(w.since),
 		})
 	}
@@ -418,8 +424,10 @@
 	return !p.failingSince.IsZero() && now.Sub(p.failingSince) > awayAfter
 }
 
-// Count tells how many routers there are.
-func (p *Purse) Count(members int) { p.members = members }
+// Count tells how many routers there are, and which of them can be asked for money.
+func (p *Purse) Count(members int, peers []masticway.Incarnation) {
+	p.members, p.peers = members, peers
+}
 
 // Tick ends waits that are over.
 func (p *Purse) Tick(now time.Time) []Reply {
--- a/treasurer/rows.go
+++ b/treasurer/rows.go
@@ -76,10 +76,11 @@
 	Rate int64 `json:"rate"`
 }
 
-// bound returns the most that may have been taken so long after the promise's basis.
+// bound returns the most that may have been taken so long after the promise's basis. At first the rate counts twice,
+// because requests come in lumps; over a longer time they even out.
 func (p Promise) bound(passed time.Duration) int64 {
 	extra := max(0, passed-silentAfter)
-	return p.Taken + p.Burst + int64(float64(p.Rate)*extra.Seconds())
+	return p.Taken + p.Burst + int64(float64(p.Rate)*(extra+min(extra, lumpSpan)).Seconds())
 }
 
 // Ended is a dead incarnation whose grants are not all closed yet.
--- a/treasurer/treasurer.go
+++ b/treasurer/treasurer.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -452,7 +454,7 @@
 		if n, err := t.countOnce(ctx); err == nil {
 			t.mu.Lock()
 			t.members = max(1, n)
-			t.purse.Count(t.members)
+			t.purse.Count(t.members, slices.Sorted(maps.Keys(t.peers)))
 			t.mu.Unlock()
 			t.metrics.Gauge(metricMembers, int64(n))
 		}
