--- a/treasurer/outcome.go
+++ b/treasurer/outcome.go
@@ -13,7 +13,9 @@
 	if s.Part == "" {
 		return p.bookDone(now, s, reading, err)
 	}
-	p.partBusy[s.Part] = false
+	if s.Write == nil {
+		p.looking[s.Part] = false
+	}
 	if conflict, ok := errors.AsType[*masticway.RowConflictError](err); ok {
 		p.reached()
 		p.undone(s)
@@ -37,24 +39,23 @@
 	if p.failingSince.IsZero() {
 		p.failingSince = s.sentAt
 	}
-	p.partRetry[s.Part] = now.Add(retryPause)
-	_, nothing := errors.AsType[*masticway.UnavailableError](err)
-	if nothing {
-		p.undone(s)
+	a, ok := p.accounts[s.Workspace]
+	if !ok {
 		return
 	}
-	for _, workspace := range s.changes {
-		a := p.accounts[workspace]
-		a.doubt = max(a.doubt, a.returning)
-		a.doubted, a.known = true, false
-		a.moving, a.returning = false, 0
+	a.retryAt = now.Add(retryPause)
+	if _, nothing := errors.AsType[*masticway.UnavailableError](err); nothing {
+		p.undone(s)
+		return
 	}
+	a.doubt = max(a.doubt, a.returning)
+	a.doubted, a.known = true, false
+	a.moving, a.returning = false, 0
 }
 
-// undone notes that a step certainly changed nothing and never will.
+// undone notes that a step's write is not under way any more.
 func (p *Purse) undone(s Step) {
-	for _, workspace := range s.changes {
-		a := p.accounts[workspace]
+	if a, ok := p.accounts[s.Workspace]; ok {
 		a.moving, a.returning = false, 0
 	}
 }
--- a/treasurer/plan.go
+++ b/treasurer/plan.go
@@ -11,13 +11,14 @@
 
 // Step is one thing to do at the store; its outcome goes back to the purse that planned it.
 type Step struct {
-	// Part is the part of the accounts that the step changes or reads; it is empty for the book.
+	// Part is the part of the accounts that the step reads or changes; it is empty for the book.
 	Part string
+	// Workspace is the one whose row the step changes; it is empty for a reading.
+	Workspace string
 	// Write is the change; nil asks for a reading of the part.
 	Write *masticway.RowWrite
-	// sequence is the book's, and changes are the workspaces that the write moves.
+	// sequence is the book's.
 	sequence int64
-	changes  []string
 	sentAt   time.Time
 }
 
@@ -33,24 +34,27 @@
 	if !p.bookBusy && !now.Before(p.bookRetry) && p.bookDue(now) {
 		steps = append(steps, p.writeBook(now))
 	}
-	for _, part := range p.parts() {
-		if p.partBusy[part] || now.Before(p.partRetry[part]) {
+	looks := map[string]bool{}
+	for _, workspace := range slices.Sorted(maps.Keys(p.accounts)) {
+		a := p.accounts[workspace]
+		if a.moving || now.Before(a.retryAt) {
 			continue
 		}
-		if step, ok := p.planPart(now, part); ok {
-			p.partBusy[part] = true
-			steps = append(steps, step)
+		delta := p.change(now, a)
+		if !a.known && (len(a.waiting) > 0 || delta != 0) || p.doubtful(now, a) {
+			looks[shard(workspace, p.settings.Parts)] = true
+		}
+		if delta != 0 && a.known {
+			steps = append(steps, p.moveGrant(now, a, delta))
 		}
 	}
-	return steps
-}
-
-func (p *Purse) parts() []string {
-	found := map[string]bool{}
-	for workspace := range p.accounts {
-		found[shard(workspace, p.settings.Parts)] = true
+	for _, part := range slices.Sorted(maps.Keys(looks)) {
+		if !p.looking[part] {
+			p.looking[part] = true
+			steps = append(steps, Step{Part: part, sentAt: now})
+		}
 	}
-	return slices.Sorted(maps.Keys(found))
+	return steps
 }
 
 // bookDue tells whether the book has to be written.
@@ -163,47 +167,24 @@
 	return masticway.RowKey{Table: tableAccounts, Part: shard(workspace, p.settings.Parts), Key: workspace}
 }
 
-// planPart returns the change of all workspaces of a part that need one, or a reading if one has to be looked up.
-func (p *Purse) planPart(now time.Time, part string) (Step, bool) {
-	write := &masticway.RowWrite{}
-	var changes []string
-	look := false
-	for _, workspace := range slices.Sorted(maps.Keys(p.accounts)) {
-		a := p.accounts[workspace]
-		if shard(workspace, p.settings.Parts) != part {
-			continue
-		}
-		delta := p.change(now, a)
-		if !a.known && (len(a.waiting) > 0 || delta != 0) || p.doubtful(now, a) {
-			look = true
-		}
-		if delta == 0 || !a.known || len(changes) == maxChanges {
-			continue
-		}
-		p.addChange(write, a, delta)
-		changes = append(changes, workspace)
-	}
-	if len(changes) > 0 {
-		return Step{Part: part, Write: write, changes: changes, sentAt: now}, true
-	}
-	return Step{Part: part, sentAt: now}, look
-}
-
-// maxChanges bounds the workspaces of one write; the store takes 100 entries, and each needs two.
-const maxChanges = 40
-
 // doubtful tells that somebody waits for money that, by an old look, is not there.
 func (p *Purse) doubtful(now time.Time, a *account) bool {
 	return len(a.waiting) > 0 && a.known && p.beyond(a, a.waiting[0].need) && now.Sub(a.seenAt) >= freshFor
 }
 
-func (p *Purse) addChange(write *masticway.RowWrite, a *account, delta int64) {
+// moveGrant changes one workspace's grant. Each has a write of its own, so that a busy row conflicts alone.
+func (p *Purse) moveGrant(now time.Time, a *account, delta int64) Step {
 	a.sequence++
 	a.moving, a.returning = true, max(0, -delta)
 	next := a.newest().WithGrant(p.settings.Incarnation, Grant{Granted: a.granted + delta, Sequence: a.sequence, Demand: int64(a.demand)})
 	key := p.accountKey(a.workspace)
-	write.Expected = append(write.Expected, masticway.RowVersion{RowKey: key, Version: a.rowVersion})
-	write.Puts = append(write.Puts, masticway.RowPut{RowKey: key, Value: encode(next)})
+	return Step{
+		Part: key.Part, Workspace: a.workspace, sentAt: now,
+		Write: &masticway.RowWrite{
+			Expected: []masticway.RowVersion{{RowKey: key, Version: a.rowVersion}},
+			Puts:     []masticway.RowPut{{RowKey: key, Value: encode(next)}},
+		},
+	}
 }
 
 // newest returns the row with the newest configuration's word on what is prepaid.
--- a/treasurer/purse.go
+++ b/treasurer/purse.go
@@ -24,7 +24,7 @@
 	// bookPause separates two writes of a book; bookPauseEach is added for each router, so that all of them together
 	// stay within half of the store's write rate.
 	bookPause     = 20 * time.Millisecond
-	bookPauseEach = 2 * time.Millisecond
+	bookPauseEach = time.Millisecond
 	// slowAnswer is the store's answer time above which a burst is promised for the demand of that time.
 	slowAnswer = 60 * time.Millisecond
 	// timelyFor is how long the store may take over a book before requests are admitted by promises only, and
@@ -115,6 +115,8 @@
 	// moving tells that a change of the grant has been sent, which returns so much.
 	moving    bool
 	returning int64
+	// retryAt is when the store is asked again after a failure.
+	retryAt time.Time
 	// doubted tells that earlier changes got no answer; the one that returns most takes doubt out of the grant.
 	doubted bool
 	doubt   int64
@@ -231,8 +233,7 @@
 	bookTook     time.Duration
 	members      int
 	peers        []masticway.Incarnation
-	partBusy     map[string]bool
-	partRetry    map[string]time.Time
+	looking      map[string]bool
 	bookRetry    time.Time
 	failingSince time.Time
 	// began tells that the book carries this incarnation.
@@ -273,7 +274,7 @@
 func NewPurse(s Settings) *Purse {
 	return &Purse{
 		settings: s, accounts: map[string]*account{}, holds: map[HoldID]*held{},
-		partBusy: map[string]bool{}, partRetry: map[string]time.Time{}, repaid: map[masticway.Incarnation]int64{},
+		looking: map[string]bool{}, repaid: map[masticway.Incarnation]int64{},
 	}
 }
 
--- a/treasurer/treasurer.go
+++ b/treasurer/treasurer.go
@@ -30,7 +30,7 @@
 	countPause = 3 * time.Second
 	aliveFor   = 12 * time.Second
 	// lendTimeout bounds one question to another router, a few times the way between availability zones.
-	lendTimeout = 60 * time.Millisecond
+	lendTimeout = 100 * time.Millisecond
 	// repayTimeout and repayTries bound the giving back of a loan.
 	repayTimeout = 500 * time.Millisecond
 	repayTries   = 5
@@ -269,7 +269,7 @@
 		return
 	}
 	t.metrics.Add(metricFailures, 1)
-	t.log.WithFields(logrus.Fields{"event": "money_step_failed", "part": s.Part, "workspaces": len(s.changes), "error": err}).Debug("step failed")
+	t.log.WithFields(logrus.Fields{"event": "money_step_failed", "part": s.Part, "workspace": s.Workspace, "error": err}).Debug("step failed")
 }
 
 // fault ends the handing out of money; a sealed incarnation may not spend any more.
