Leave thin workspaces to a keeper, and probe a failing store with the book only

Cause: at 26 routers half of all writes of grants met another router's, and a router cut from the store made 12000 calls that failed in 8 s.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -23,7 +23,7 @@
 	// relistAfter is how often everything is read anew, should a feed have left something out.
 	relistAfter = 2500 * time.Millisecond
 	// failurePause separates attempts while the store is away.
-	failurePause = 60 * time.Millisecond
+	failurePause = 120 * time.Millisecond
 	// expirePause is how often lapsed servers are looked at.
 	expirePause = 100 * time.Millisecond
 )
--- /dev/null
+++ b/treasurer/keeping.go
@@ -0,0 +1,74 @@
+package treasurer
+
+import (
+	"hash/fnv"
+	"time"
+
+	"github.com/masticway/masticway"
+)
+
+const (
+	// keptSpan is how much of all routers' demand the keeper of a workspace keeps in hand, and keptRequests how many
+	// usual requests at least.
+	keptSpan     = 3 * time.Second
+	keptRequests = 8
+)
+
+// keeper is the router that holds what is left of a thin workspace. All routers that know the same peers agree on it
+// without a word, and when they do not, nothing breaks: money is only ever spent from a grant or a loan.
+func (p *Purse) keeper(a *account) masticway.Incarnation {
+	best, highest := p.settings.Incarnation, weigh(a.workspace, p.settings.Incarnation)
+	for _, i := range p.peers {
+		if w := weigh(a.workspace, i); w > highest || w == highest && i > best {
+			best, highest = i, w
+		}
+	}
+	return best
+}
+
+// weigh is a rendezvous weight.
+func weigh(workspace string, i masticway.Incarnation) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(i))
+	_, _ = h.Write([]byte(workspace))
+	x := h.Sum64()
+	// The last bytes of an FNV hash move its upper bits too little.
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	return x ^ x>>29
+}
+
+// delegated tells that this router leaves the rest of a workspace to its keeper and borrows from it: so many routers
+// drawing single requests from one row would mostly meet each other's writes.
+func (p *Purse) delegated(now time.Time, a *account) bool {
+	return a.known && p.keeper(a) != p.settings.Incarnation && p.reserveOf(a) == 0 && now.Sub(a.emptyAt) > emptyFor
+}
+
+// reserveOf is how much the router should keep in hand of a workspace beyond what it has taken.
+func (p *Purse) reserveOf(a *account) int64 {
+	want := int64(a.demand * p.settings.Reserve.Seconds())
+	if a.demand*demandWindow.Seconds() > a.typical/2 {
+		// A workspace with little traffic sends whole requests all the same.
+		want = max(want, int64(2*a.typical))
+	}
+	spare := a.row.Left() + max(0, a.free())
+	if spare <= 0 {
+		return 0
+	}
+	all := a.demand + 1
+	for i, g := range a.row.Grants {
+		if i != p.settings.Incarnation {
+			all += float64(g.Demand)
+		}
+	}
+	if all > 2 && p.keeper(a) == p.settings.Incarnation {
+		want = max(want, int64(all*keptSpan.Seconds()), int64(keptRequests*a.typical))
+		return min(want, spare)
+	}
+	share := int64(reserveShare * float64(spare) * (a.demand + 1) / all)
+	if share < int64(a.typical/leastShare) {
+		// So little in hand serves nobody, also together with others, and is missing elsewhere.
+		return 0
+	}
+	return min(want, share)
+}
--- a/treasurer/loans.go
+++ b/treasurer/loans.go
@@ -1,6 +1,7 @@
 package treasurer
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -97,7 +98,8 @@
 			continue
 		}
 		w := a.waiting[0]
-		if now.Sub(w.since) < borrowAfter && !(a.known && p.beyond(a, w.need)) || now.Sub(a.emptyAt) < emptyFor {
+		early := p.delegated(now, a) || a.known && p.beyond(a, w.need)
+		if now.Sub(w.since) < borrowAfter && !early || now.Sub(a.emptyAt) < emptyFor {
 			continue
 		}
 		need := a.needed() - a.loaned() - p.own(now, a)
@@ -110,7 +112,8 @@
 	return asks
 }
 
-// lenders are the routers with the greatest demand for a workspace, since they keep most in hand, then any others.
+// lenders are the keeper of a workspace and the routers with the greatest demand for it, since they keep most in
+// hand, then any others.
 func (p *Purse) lenders(a *account) []masticway.Incarnation {
 	others := make([]masticway.Incarnation, 0, len(p.peers))
 	for _, i := range p.peers {
@@ -118,7 +121,11 @@
 			others = append(others, i)
 		}
 	}
+	keeper := p.keeper(a)
 	slices.SortStableFunc(others, func(x, y masticway.Incarnation) int {
+		if x == keeper || y == keeper {
+			return cmp.Compare(btoi(y == keeper), btoi(x == keeper))
+		}
 		if d := a.row.Grants[y].Demand - a.row.Grants[x].Demand; d != 0 {
 			return int(d)
 		}
@@ -127,6 +134,13 @@
 	return others[:min(len(others), lendersAsked)]
 }
 
+func btoi(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 // Borrowed takes what one round of asking brought.
 func (p *Purse) Borrowed(now time.Time, workspace string, loans []Loan) []Reply {
 	a, ok := p.accounts[workspace]
@@ -152,6 +166,7 @@
 	if !ok || p.closing {
 		return 0, 0
 	}
+	a.observe(now, need)
 	amount := min(need, p.own(now, a)-a.needed())
 	if amount <= 0 || amount < need/leastPart {
 		return 0, 0
--- a/treasurer/outcome.go
+++ b/treasurer/outcome.go
@@ -106,8 +106,15 @@
 }
 
 // Learn takes rows that a feed of the accounts brought.
+//
+// The rows that it did not bring have not changed, so everything known is as fresh as the feed's answer.
 func (p *Purse) Learn(now time.Time, rows []masticway.StoredRow) ([]Reply, error) {
 	var replies []Reply
+	for _, a := range p.accounts {
+		if a.known {
+			a.seenAt = now
+		}
+	}
 	for _, r := range rows {
 		a, ok := p.accounts[r.Key]
 		// A row that was never looked up is left to a look-up, which also finds a change whose outcome is unknown.
@@ -158,7 +165,7 @@
 		if p.failingSince.IsZero() {
 			p.failingSince = s.sentAt
 		}
-		p.bookRetry = now.Add(retryPause)
+		p.bookRetry = now.Add(probePause)
 		if _, nothing := errors.AsType[*masticway.UnavailableError](err); nothing {
 			p.dropPromise(s.sequence)
 		}
--- a/treasurer/plan.go
+++ b/treasurer/plan.go
@@ -31,9 +31,13 @@
 	for _, a := range p.accounts {
 		a.decay(now)
 	}
-	if !p.bookBusy && !now.Before(p.bookRetry) && p.bookDue(now) {
+	failing := !p.failingSince.IsZero()
+	if !p.bookBusy && !now.Before(p.bookRetry) && (failing || p.bookDue(now)) {
 		steps = append(steps, p.writeBook(now))
 	}
+	if failing {
+		return steps
+	}
 	looks := map[string]bool{}
 	for _, workspace := range slices.Sorted(maps.Keys(p.accounts)) {
 		a := p.accounts[workspace]
@@ -123,10 +127,6 @@
 	return int64(a.demand * 2 * span.Seconds())
 }
 
-func (p *Purse) reserveOf(a *account) int64 {
-	return a.reserve(p.settings.Incarnation, p.settings.Reserve)
-}
-
 func (p *Purse) writeBook(now time.Time) Step {
 	p.book.Sequence++
 	next := p.book
@@ -213,6 +213,9 @@
 	if !p.opened(a) {
 		return 0
 	}
+	if short && p.delegated(now, a) {
+		return 0
+	}
 	if short && left > 0 {
 		if free+left < a.waiting[0].need {
 			return 0
--- a/treasurer/purse.go
+++ b/treasurer/purse.go
@@ -46,10 +46,12 @@
 	returnAfter = 250 * time.Millisecond
 	// retryPause separates attempts at the store after one that failed.
 	retryPause = 60 * time.Millisecond
+	// probePause separates attempts while the store fails; only the book is tried then.
+	probePause = 120 * time.Millisecond
 	// awayAfter is how long the store must have failed before requests without money are refused at once.
 	awayAfter = 400 * time.Millisecond
 	// freshFor is how long a look at a workspace's row may serve to refuse for exhaustion.
-	freshFor = 150 * time.Millisecond
+	freshFor = 300 * time.Millisecond
 )
 
 // Verdict answers a request for money.
@@ -185,28 +187,6 @@
 	return sum
 }
 
-// reserve is how much the router should keep in hand beyond what it has taken.
-func (a *account) reserve(self masticway.Incarnation, span time.Duration) int64 {
-	want := int64(a.demand * span.Seconds())
-	if a.demand*demandWindow.Seconds() > a.typical/2 {
-		// A workspace with little traffic sends whole requests all the same.
-		want = max(want, int64(2*a.typical))
-	}
-	spare := a.row.Left() + max(0, a.free())
-	all := a.demand + 1
-	for i, g := range a.row.Grants {
-		if i != self {
-			all += float64(g.Demand)
-		}
-	}
-	share := int64(reserveShare * float64(max(0, spare)) * (a.demand + 1) / all)
-	if share < int64(a.typical/leastShare) {
-		// So little in hand serves nobody, also together with others, and is missing elsewhere.
-		return 0
-	}
-	return min(want, share)
-}
-
 // inForce is a promise that the store has, or may have.
 type inForce struct {
 	sequence int64
--- a/treasurer/treasurer.go
+++ b/treasurer/treasurer.go
@@ -419,9 +419,6 @@
 }
 
 func (t *Treasurer) learn(rows []masticway.StoredRow) {
-	if len(rows) == 0 {
-		return
-	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	replies, err := t.purse.Learn(t.clock.Now(), rows)
@@ -458,6 +455,7 @@
 			t.mu.Unlock()
 			t.metrics.Gauge(metricMembers, int64(n))
 		}
+		t.logStatus()
 		select {
 		case <-ctx.Done():
 		case <-t.clock.After(countPause):
@@ -465,6 +463,18 @@
 	}
 }
 
+// logStatus writes what the money cost and brought so far, in calls and tokens.
+func (t *Treasurer) logStatus() {
+	fields := logrus.Fields{"event": "money_status"}
+	for _, name := range []string{
+		metricSteps, metricFailures, metricConflicts, metricExhausted, metricUnreachable, metricMembers, metricBorrowed,
+		metricLent, metricNotRepaid,
+	} {
+		fields[name] = t.metrics.Count(name)
+	}
+	t.log.WithFields(fields).Info("money so far")
+}
+
 // countOnce counts the routers whose book is young, and learns where they are.
 func (t *Treasurer) countOnce(ctx context.Context) (int, error) {
 	n := 0
