--- a/treasurer/keeping.go
+++ b/treasurer/keeping.go
@@ -12,6 +12,8 @@
 	// usual requests at least.
 	keptSpan     = 3 * time.Second
 	keptRequests = 8
+	// keptBurst is how much of all routers' demand a keeper may lend between two writes of its book.
+	keptBurst = 300 * time.Millisecond
 )
 
 // keeper is the router that holds what is left of a thin workspace. All routers that know the same peers agree on it
@@ -44,6 +46,17 @@
 	return a.known && p.keeper(a) != p.settings.Incarnation && p.reserveOf(a) == 0 && now.Sub(a.emptyAt) > emptyFor
 }
 
+// fleetDemand is all routers' demand, of the others as of their last change of the row.
+func (a *account) fleetDemand(self masticway.Incarnation) float64 {
+	all := a.demand
+	for i, g := range a.row.Grants {
+		if i != self {
+			all += float64(g.Demand)
+		}
+	}
+	return all
+}
+
 // reserveOf is how much the router should keep in hand of a workspace beyond what it has taken.
 func (p *Purse) reserveOf(a *account) int64 {
 	want := int64(a.demand * p.settings.Reserve.Seconds())
@@ -55,12 +68,7 @@
 	if spare <= 0 {
 		return 0
 	}
-	all := a.demand + 1
-	for i, g := range a.row.Grants {
-		if i != p.settings.Incarnation {
-			all += float64(g.Demand)
-		}
-	}
+	all := a.fleetDemand(p.settings.Incarnation) + 1
 	if all > 2 && p.keeper(a) == p.settings.Incarnation {
 		want = max(want, int64(all*keptSpan.Seconds()), int64(keptRequests*a.typical))
 		return min(want, spare)
--- a/treasurer/plan.go
+++ b/treasurer/plan.go
@@ -121,10 +121,15 @@
 	if apart := time.Duration(p.members) * bookPauseEach; apart > slowAnswer {
 		span += apart
 	}
-	if span < slowAnswer {
-		return 0
+	var burst int64
+	if span >= slowAnswer {
+		burst = int64(a.demand * 2 * span.Seconds())
+	}
+	if p.keeper(a) == p.settings.Incarnation {
+		// Others wait for what a keeper lends; a loan that has to wait for the book first comes too late for many.
+		burst = max(burst, int64(a.fleetDemand(p.settings.Incarnation)*keptBurst.Seconds()))
 	}
-	return int64(a.demand * 2 * span.Seconds())
+	return min(burst, max(0, a.free()))
 }
 
 func (p *Purse) writeBook(now time.Time) Step {
--- a/treasurer/purse.go
+++ b/treasurer/purse.go
@@ -40,8 +40,8 @@
 	// leastShare is the part of a usual request below which nothing is kept in hand; routers put such parts together.
 	leastShare = 3
 	// lowWater is the part of the reserve below which it is filled up, highWater the multiple above which it is returned.
-	lowWater  = 0.6
-	highWater = 1.6
+	lowWater  = 0.4
+	highWater = 2.5
 	// returnAfter is how long money of a workspace without a reserve may lie unused.
 	returnAfter = 250 * time.Millisecond
 	// retryPause separates attempts at the store after one that failed.
--- a/treasurer/treasurer.go
+++ b/treasurer/treasurer.go
@@ -30,7 +30,7 @@
 	countPause = 3 * time.Second
 	aliveFor   = 12 * time.Second
 	// lendTimeout bounds one question to another router, a few times the way between availability zones.
-	lendTimeout = 100 * time.Millisecond
+	lendTimeout = 60 * time.Millisecond
 	// repayTimeout and repayTries bound the giving back of a loan.
 	repayTimeout = 500 * time.Millisecond
 	repayTries   = 5
