--- /dev/null
+++ b/emulator/rows.go
@@ -0,0 +1,240 @@
+package emulator
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/masticway/masticway"
+)
+
+// RowFaults are the faults of a row store.
+type RowFaults struct {
+	// Busy answers 503 to everything; nothing is done.
+	Busy bool
+	// Silent lets every call hang until its caller gives up; nothing is done.
+	Silent bool
+	// Slow delays every call.
+	Slow time.Duration
+	// LoseAnswers makes so many writes and gives no answer to them.
+	LoseAnswers int
+	// LateWrites gives no answer to so many writes and makes them after LateBy, if their expectations still hold.
+	LateWrites int
+	LateBy     time.Duration
+}
+
+// Rows is a row store in memory.
+type Rows struct {
+	mu      sync.Mutex
+	rows    map[masticway.RowKey]masticway.StoredRow
+	log     []masticway.StoredRow
+	version int64
+	// forgotten is the version up to which changes are no longer kept.
+	forgotten int64
+	faults    RowFaults
+	started   time.Time
+	now       func() time.Time
+	changed   chan struct{}
+	late      sync.WaitGroup
+}
+
+var _ masticway.RowStore = (*Rows)(nil)
+
+// NewRows returns an empty row store with a steady clock.
+func NewRows(now func() time.Time) *Rows {
+	return &Rows{rows: map[masticway.RowKey]masticway.StoredRow{}, started: now(), now: now, changed: make(chan struct{})}
+}
+
+// SetFaults replaces the store's faults.
+func (s *Rows) SetFaults(f RowFaults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+// Put writes a row as an operator or server would, whatever the faults.
+func (s *Rows) Put(key masticway.RowKey, value []byte) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.commit(masticway.RowWrite{Puts: []masticway.RowPut{{RowKey: key, Value: value}}})
+	return s.version
+}
+
+// Delete removes a row as an operator or server would.
+func (s *Rows) Delete(key masticway.RowKey) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.commit(masticway.RowWrite{Deletes: []masticway.RowKey{key}})
+}
+
+// Row returns a row, with version zero when there is none.
+func (s *Rows) Row(key masticway.RowKey) masticway.StoredRow {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if r, ok := s.rows[key]; ok {
+		return r
+	}
+	return masticway.StoredRow{RowKey: key}
+}
+
+// Compact forgets the history.
+func (s *Rows) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.forgotten = s.version
+	s.log = nil
+	s.wake()
+}
+
+// Wait returns when all late writes have been made or refused.
+func (s *Rows) Wait() { s.late.Wait() }
+
+// Read returns the rows of one part of a table.
+func (s *Rows) Read(ctx context.Context, table, part string) (masticway.RowReading, error) {
+	if err := s.fault(ctx); err != nil {
+		return masticway.RowReading{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := s.reading()
+	for _, r := range s.rows {
+		if r.Table == table && r.Part == part {
+			out.Rows = append(out.Rows, r)
+		}
+	}
+	slices.SortFunc(out.Rows, func(a, b masticway.StoredRow) int { return strings.Compare(a.Key, b.Key) })
+	return out, nil
+}
+
+// Write commits a write, or does what the faults say.
+func (s *Rows) Write(ctx context.Context, w masticway.RowWrite) (masticway.RowReading, error) {
+	if err := s.fault(ctx); err != nil {
+		return masticway.RowReading{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.LateWrites > 0 {
+		s.faults.LateWrites--
+		s.late.Add(1)
+		time.AfterFunc(s.faults.LateBy, func() {
+			defer s.late.Done()
+			_, _ = s.Apply(w)
+		})
+		return masticway.RowReading{}, &masticway.OutcomeUnknownError{Service: "rows", Reason: "late"}
+	}
+	out, err := s.apply(w)
+	if s.faults.LoseAnswers > 0 {
+		s.faults.LoseAnswers--
+		return masticway.RowReading{}, &masticway.OutcomeUnknownError{Service: "rows", Reason: "answer lost"}
+	}
+	return out, err
+}
+
+// Apply commits a write whatever the faults; tests use it to decide themselves what is answered.
+func (s *Rows) Apply(w masticway.RowWrite) (masticway.RowReading, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.apply(w)
+}
+
+func (s *Rows) apply(w masticway.RowWrite) (masticway.RowReading, error) {
+	var current []masticway.StoredRow
+	holds := true
+	for _, e := range w.Expected {
+		r := s.rows[e.RowKey]
+		r.RowKey = e.RowKey
+		holds = holds && r.Version == e.Version
+		if r.Version > 0 {
+			current = append(current, r)
+		}
+	}
+	if !holds {
+		return masticway.RowReading{}, &masticway.RowConflictError{Rows: current}
+	}
+	s.commit(w)
+	return s.reading(), nil
+}
+
+func (s *Rows) commit(w masticway.RowWrite) {
+	s.version++
+	for _, p := range w.Puts {
+		row := masticway.StoredRow{RowKey: p.RowKey, Value: p.Value, Version: s.version}
+		s.rows[p.RowKey] = row
+		s.log = append(s.log, row)
+	}
+	for _, k := range w.Deletes {
+		delete(s.rows, k)
+		s.log = append(s.log, masticway.StoredRow{RowKey: k, Version: s.version, Deleted: true})
+	}
+	s.wake()
+}
+
+func (s *Rows) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Follow returns the changes of a table after a version.
+func (s *Rows) Follow(ctx context.Context, table string, since int64, wait time.Duration) (masticway.RowReading, error) {
+	if err := s.fault(ctx); err != nil {
+		return masticway.RowReading{}, err
+	}
+	timeout := time.NewTimer(wait)
+	defer timeout.Stop()
+	for {
+		out, changed, err := s.changes(table, since)
+		if err != nil || len(out.Rows) > 0 {
+			return out, err
+		}
+		select {
+		case <-changed:
+		case <-timeout.C:
+			return out, nil
+		case <-ctx.Done():
+			return out, &masticway.UnavailableError{Service: "rows", Reason: ctx.Err().Error()}
+		}
+	}
+}
+
+func (s *Rows) changes(table string, since int64) (masticway.RowReading, <-chan struct{}, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if since < s.forgotten {
+		return masticway.RowReading{}, nil, &masticway.HistoryLostError{Table: table, Since: since}
+	}
+	out := s.reading()
+	for _, r := range s.log {
+		if r.Table == table && r.Version > since {
+			out.Rows = append(out.Rows, r)
+		}
+	}
+	return out, s.changed, nil
+}
+
+func (s *Rows) reading() masticway.RowReading {
+	return masticway.RowReading{Version: s.version, At: s.now().Sub(s.started)}
+}
+
+// fault does what the faults say of every call.
+func (s *Rows) fault(ctx context.Context) error {
+	s.mu.Lock()
+	f := s.faults
+	s.mu.Unlock()
+	if f.Busy {
+		return &masticway.UnavailableError{Service: "rows", Reason: "busy"}
+	}
+	if f.Silent {
+		<-ctx.Done()
+		return &masticway.UnavailableError{Service: "rows", Reason: "silent"}
+	}
+	if f.Slow > 0 {
+		select {
+		case <-time.After(f.Slow):
+		case <-ctx.Done():
+			return &masticway.UnavailableError{Service: "rows", Reason: "slow"}
+		}
+	}
+	return nil
+}
--- a/treasurer/outcome.go
+++ b/treasurer/outcome.go
@@ -77,7 +77,7 @@
 		found[r.Key] = true
 	}
 	for workspace, a := range p.accounts {
-		if shard(workspace, p.settings.Parts) == s.Part && !found[workspace] && a.rowVersion == 0 {
+		if PartOf(workspace, p.settings.Parts) == s.Part && !found[workspace] && a.rowVersion == 0 {
 			a.known = true
 			a.seenAt = s.sentAt
 			a.row = Account{Prepaid: a.prepaid, Version: a.version}
--- a/treasurer/plan.go
+++ b/treasurer/plan.go
@@ -46,7 +46,7 @@
 		}
 		delta := p.change(now, a)
 		if !a.known && (len(a.waiting) > 0 || delta != 0) || p.doubtful(now, a) {
-			looks[shard(workspace, p.settings.Parts)] = true
+			looks[PartOf(workspace, p.settings.Parts)] = true
 		}
 		if delta != 0 && a.known {
 			steps = append(steps, p.moveGrant(now, a, delta))
@@ -165,11 +165,11 @@
 
 func (p *Purse) bookKey() masticway.RowKey {
 	instance := p.settings.Incarnation.Instance()
-	return masticway.RowKey{Table: tableBooks, Part: shard(instance, p.settings.Parts), Key: instance}
+	return masticway.RowKey{Table: tableBooks, Part: PartOf(instance, p.settings.Parts), Key: instance}
 }
 
 func (p *Purse) accountKey(workspace string) masticway.RowKey {
-	return masticway.RowKey{Table: tableAccounts, Part: shard(workspace, p.settings.Parts), Key: workspace}
+	return masticway.RowKey{Table: tableAccounts, Part: PartOf(workspace, p.settings.Parts), Key: workspace}
 }
 
 // doubtful tells that somebody waits for money that, by an old look, is not there.
--- a/treasurer/purse.go
+++ b/treasurer/purse.go
@@ -154,15 +154,15 @@
 
 func (a *account) free() int64 { return a.usable() - a.taken }
 
-// decay lets what was asked for long ago count less; at the beginning the sum covers less than the whole window.
+// decay lets what was asked for long ago count less.
 func (a *account) decay(now time.Time) {
-	passed := now.Sub(a.demandAt)
-	a.demandAt = now
-	if passed > 0 {
+	if passed := now.Sub(a.demandAt); passed > 0 {
 		a.asked *= math.Exp(-passed.Seconds() / demandWindow.Seconds())
 	}
-	seen := max(leastSeen, now.Sub(a.firstAt)).Seconds()
-	a.demand = a.asked / (demandWindow.Seconds() * (1 - math.Exp(-seen/demandWindow.Seconds())))
+	a.demandAt = now
+	// At the beginning the sum covers less than the whole window.
+	seen := max(leastSeen, now.Sub(a.firstAt))
+	a.demand = a.asked / (demandWindow.Seconds() * (1 - math.Exp(-seen.Seconds()/demandWindow.Seconds())))
 }
 
 // observe counts demand; what is declared at most is what has to be held.
@@ -170,6 +170,7 @@
 	if a.firstAt.IsZero() {
 		a.firstAt = now
 	}
+	a.decay(now)
 	a.asked += float64(need)
 	a.decay(now)
 	if a.typical == 0 {
--- /dev/null
+++ b/treasurer/purse_test.go
@@ -0,0 +1,329 @@
+package treasurer_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/masticway/masticway"
+	"github.com/masticway/masticway/emulator"
+	"github.com/masticway/masticway/treasurer"
+)
+
+var epoch = time.Date(2026, 12, 2, 9, 0, 0, 0, time.UTC)
+
+// bench drives one purse on a row store, one step at a time.
+type bench struct {
+	t     *testing.T
+	now   time.Time
+	rows  *emulator.Rows
+	purse *treasurer.Purse
+	self  masticway.Incarnation
+	// answered collects what was replied, by hold.
+	answered map[treasurer.HoldID][]treasurer.Verdict
+}
+
+func newBench(t *testing.T, prepaid int64) *bench {
+	b := &bench{t: t, now: epoch, answered: map[treasurer.HoldID][]treasurer.Verdict{}}
+	b.rows = emulator.NewRows(func() time.Time { return b.now })
+	b.start("edge~1", prepaid)
+	return b
+}
+
+// start begins a new incarnation on the instance.
+func (b *bench) start(self masticway.Incarnation, prepaid int64) {
+	b.self = self
+	b.purse = treasurer.NewPurse(treasurer.Settings{Incarnation: self, Address: "-", Parts: 1, Reserve: 10 * time.Second})
+	b.purse.Configure(1, map[string]masticway.Account{"w": {Workspace: "w", Prepaid: prepaid, Metered: true}})
+	book := b.rows.Row(masticway.RowKey{Table: "masticway_books", Part: "0", Key: self.Instance()})
+	write, err := b.purse.Begin(book, b.now.Sub(epoch))
+	qt.Assert(b.t, err, qt.IsNil)
+	made, err := b.rows.Apply(write)
+	qt.Assert(b.t, err, qt.IsNil)
+	b.purse.Began(b.now, made.Version, made.At)
+}
+
+func (b *bench) note(replies []treasurer.Reply) {
+	for _, r := range replies {
+		b.answered[r.ID] = append(b.answered[r.ID], r.Verdict)
+	}
+}
+
+func (b *bench) hold(need int64) treasurer.HoldID {
+	id, replies := b.purse.Hold(b.now, "w", need, b.now.Add(time.Minute))
+	b.note(replies)
+	return id
+}
+
+// plan lets time pass and returns what the purse wants to do.
+func (b *bench) plan(d time.Duration) []treasurer.Step {
+	b.now = b.now.Add(d)
+	b.note(b.purse.Tick(b.now))
+	return b.purse.Plan(b.now)
+}
+
+// carryOut ends a step as the store would.
+func (b *bench) carryOut(s treasurer.Step) {
+	var reading masticway.RowReading
+	var err error
+	if s.Write == nil {
+		reading, err = b.rows.Read(b.t.Context(), "masticway_accounts", s.Part)
+	} else {
+		reading, err = b.rows.Apply(*s.Write)
+	}
+	replies, fault := b.purse.Done(b.now, s, reading, err)
+	qt.Assert(b.t, fault, qt.IsNil)
+	b.note(replies)
+}
+
+// run carries out everything that is wanted within a time.
+func (b *bench) run(d time.Duration) {
+	for ; d > 0; d -= 30 * time.Millisecond {
+		for _, s := range b.plan(30 * time.Millisecond) {
+			b.carryOut(s)
+		}
+	}
+}
+
+func (b *bench) account() treasurer.Account {
+	return treasurer.ReadAccount(b.rows.Row(masticway.RowKey{Table: "masticway_accounts", Part: "0", Key: "w"}))
+}
+
+func TestHoldIsClearedOnceTheBookSaysSo(t *testing.T) {
+	b := newBench(t, 1000)
+	id := b.hold(100)
+	b.run(150 * time.Millisecond)
+	qt.Assert(t, b.answered[id], qt.DeepEquals, []treasurer.Verdict{treasurer.VerdictHeld, treasurer.VerdictCleared}[:1])
+	b.note(b.purse.Clear(b.now, id))
+	qt.Assert(t, b.answered[id], qt.DeepEquals, []treasurer.Verdict{treasurer.VerdictHeld, treasurer.VerdictCleared})
+}
+
+func TestAnswerWaitsWhileTheBookDoesNotKnowOfIt(t *testing.T) {
+	b := newBench(t, 100000)
+	first := b.hold(100)
+	b.run(300 * time.Millisecond)
+	b.note(b.purse.Clear(b.now, first))
+	id := b.hold(100)
+	qt.Assert(t, b.answered[id], qt.DeepEquals, []treasurer.Verdict{treasurer.VerdictHeld})
+	b.note(b.purse.Clear(b.now, id))
+	qt.Assert(t, b.answered[id], qt.HasLen, 1)
+	b.run(90 * time.Millisecond)
+	qt.Assert(t, b.answered[id], qt.DeepEquals, []treasurer.Verdict{treasurer.VerdictHeld, treasurer.VerdictCleared})
+}
+
+func TestNoMoneyIsDrawnBeforeTheBookNamesTheWorkspace(t *testing.T) {
+	b := newBench(t, 1000)
+	b.hold(100)
+	for _, s := range b.plan(50 * time.Millisecond) {
+		qt.Assert(t, s.Workspace, qt.Equals, "", qt.Commentf("a draw that a successor would not look for"))
+	}
+}
+
+func TestMoneyOnItsWayBackIsNotSpent(t *testing.T) {
+	outcomes := map[string]error{
+		"not answered yet": nil,
+		"answer lost":      &masticway.OutcomeUnknownError{Service: "rows"},
+	}
+	for name, outcome := range outcomes {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, 1000)
+			id := b.hold(900)
+			b.run(150 * time.Millisecond)
+			b.note(b.purse.Settle(b.now, id, 0))
+			back := b.firstReturn()
+			if outcome != nil {
+				_, err := b.rows.Apply(*back.Write)
+				qt.Assert(t, err, qt.IsNil)
+				replies, fault := b.purse.Done(b.now, back, masticway.RowReading{}, outcome)
+				qt.Assert(t, fault, qt.IsNil)
+				b.note(replies)
+			}
+			next := b.hold(900)
+			qt.Assert(t, b.answered[next], qt.HasLen, 0, qt.Commentf("spent twice"))
+		})
+	}
+}
+
+// firstReturn waits for a change that gives money back.
+func (b *bench) firstReturn() treasurer.Step {
+	for range 3000 {
+		for _, s := range b.plan(30 * time.Millisecond) {
+			before := b.account().Grants[b.self].Granted
+			if s.Workspace == "w" && treasurer.ReadAccount(masticway.StoredRow{Value: s.Write.Puts[0].Value}).Grants[b.self].Granted < before {
+				return s
+			}
+			b.carryOut(s)
+		}
+	}
+	b.t.Fatal("nothing was given back")
+	return treasurer.Step{}
+}
+
+func TestRepaymentCountsOnce(t *testing.T) {
+	b := newBench(t, 100000)
+	b.hold(1000)
+	b.run(300 * time.Millisecond)
+	loan, amount := b.purse.Lend(b.now, "w", 500)
+	qt.Assert(t, amount, qt.Equals, int64(500))
+	b.note(b.purse.Clear(b.now, loan))
+	b.run(120 * time.Millisecond)
+	qt.Assert(t, b.answered[loan], qt.DeepEquals, []treasurer.Verdict{treasurer.VerdictCleared})
+	b.purse.Lent(loan)
+	before := b.purse.Positions()[0].Taken
+	back := treasurer.Repayment{Number: 1, Borrower: "other~1", Lender: b.self, Workspace: "w", Amount: 200}
+	b.purse.Repaid(b.now, back)
+	b.purse.Repaid(b.now, back)
+	qt.Assert(t, b.purse.Positions()[0].Taken, qt.Equals, before-200)
+}
+
+func TestSuccessorClosesWhatThePromiseAllows(t *testing.T) {
+	cases := map[string]struct {
+		down time.Duration
+		// least and most bound what counts as spent of a hold of 400 tokens that was cleared.
+		least, most int64
+	}{
+		"back at once":       {down: 200 * time.Millisecond, least: 400, most: 500},
+		"back after seconds": {down: 3 * time.Second, least: 501, most: 3000},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, 100000)
+			id := b.hold(400)
+			b.run(300 * time.Millisecond)
+			b.note(b.purse.Clear(b.now, id))
+			qt.Assert(t, b.answered[id], qt.HasLen, 2)
+			b.now = b.now.Add(tc.down)
+			b.start("edge~2", 100000)
+			ended := b.purse.Predecessors()
+			qt.Assert(t, ended, qt.HasLen, 1)
+			spent := ended[0].Spent["w"]
+			qt.Assert(t, spent >= tc.least && spent <= tc.most, qt.IsTrue, qt.Commentf("%d", spent))
+		})
+	}
+}
+
+func TestLateDrawOfADeadIncarnationComesToNothing(t *testing.T) {
+	b := newBench(t, 1000)
+	b.hold(600)
+	var draw treasurer.Step
+	for draw.Workspace == "" {
+		for _, s := range b.plan(30 * time.Millisecond) {
+			if s.Workspace != "" {
+				draw = s
+				continue
+			}
+			b.carryOut(s)
+		}
+	}
+	// The process dies while its draw is on the way; the next one closes a grant that is not there yet.
+	b.start("edge~2", 1000)
+	row := b.rows.Row(draw.Write.Puts[0].RowKey)
+	closing, grant, err := treasurer.CloseGrant(row, "edge~1", 600)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, grant.Granted, qt.Equals, int64(0))
+	_, err = b.rows.Apply(closing)
+	qt.Assert(t, err, qt.IsNil)
+	_, err = b.rows.Apply(*draw.Write)
+	var conflict *masticway.RowConflictError
+	qt.Assert(t, err, qt.ErrorAs, &conflict)
+}
+
+func TestExhaustedAndUnreachableAreToldApart(t *testing.T) {
+	cases := map[string]struct {
+		faults emulator.RowFaults
+		need   int64
+		want   treasurer.Verdict
+	}{
+		"more than is left": {need: 2000, want: treasurer.VerdictExhausted},
+		"store away":        {need: 500, faults: emulator.RowFaults{Busy: true}, want: treasurer.VerdictUnreachable},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, 1000)
+			b.rows.SetFaults(tc.faults)
+			id := b.hold(tc.need)
+			for range 60 {
+				for _, s := range b.plan(30 * time.Millisecond) {
+					if tc.faults.Busy {
+						replies, _ := b.purse.Done(b.now, s, masticway.RowReading{}, &masticway.UnavailableError{Service: "rows"})
+						b.note(replies)
+						continue
+					}
+					b.carryOut(s)
+				}
+				for _, r := range b.purse.Borrowing(b.now) {
+					b.note(b.purse.Borrowed(b.now, r.Workspace, nil))
+				}
+			}
+			qt.Assert(t, b.answered[id], qt.DeepEquals, []treasurer.Verdict{tc.want})
+		})
+	}
+}
+
+func TestFailingStoreIsProbedByTheBookOnly(t *testing.T) {
+	b := newBench(t, 1000)
+	b.hold(100)
+	calls := 0
+	for range 100 {
+		for _, s := range b.plan(30 * time.Millisecond) {
+			calls++
+			replies, _ := b.purse.Done(b.now, s, masticway.RowReading{}, &masticway.UnavailableError{Service: "rows"})
+			b.note(replies)
+		}
+	}
+	qt.Assert(t, calls < 40, qt.IsTrue, qt.Commentf("%d calls in 3 s", calls))
+}
+
+func TestReplacedIncarnationIsSealed(t *testing.T) {
+	b := newBench(t, 1000)
+	old := b.purse
+	b.start("edge~2", 1000)
+	var sealed *masticway.SealedError
+	for range 200 {
+		b.now = b.now.Add(50 * time.Millisecond)
+		for _, s := range old.Plan(b.now) {
+			reading, err := b.rows.Apply(*s.Write)
+			if _, fault := old.Done(b.now, s, reading, err); fault != nil {
+				qt.Assert(t, fault, qt.ErrorAs, &sealed)
+				return
+			}
+		}
+	}
+	t.Fatal("the old incarnation never noticed")
+}
+
+func TestLoweredBudgetTakesBackWhatIsNotUsed(t *testing.T) {
+	b := newBench(t, 100000)
+	b.hold(1000)
+	b.run(300 * time.Millisecond)
+	qt.Assert(t, b.account().Grants[b.self].Granted > 1000, qt.IsTrue)
+	b.purse.Configure(2, map[string]masticway.Account{"w": {Workspace: "w", Prepaid: 1500, Metered: true}})
+	b.run(time.Second)
+	qt.Assert(t, b.account().Grants[b.self].Granted <= 1500, qt.IsTrue, qt.Commentf("%d", b.account().Grants[b.self].Granted))
+}
+
+func TestShutdownLeavesOnlyWhatWasUsed(t *testing.T) {
+	b := newBench(t, 100000)
+	id := b.hold(1000)
+	b.run(300 * time.Millisecond)
+	b.note(b.purse.Settle(b.now, id, 0))
+	second := b.hold(700)
+	b.note(b.purse.Clear(b.now, second))
+	b.run(300 * time.Millisecond)
+	b.note(b.purse.Settle(b.now, second, 350))
+	b.purse.Close()
+	for range 100 {
+		if last, ok := b.purse.Final(b.now); ok {
+			b.carryOut(last)
+			break
+		}
+		b.run(30 * time.Millisecond)
+	}
+	b.now = b.now.Add(20 * time.Second)
+	b.start("edge~2", 100000)
+	ended := b.purse.Predecessors()
+	qt.Assert(t, ended, qt.HasLen, 1)
+	qt.Assert(t, ended[0].Spent["w"], qt.Equals, int64(350))
+	qt.Assert(t, b.account().Grants["edge~1"].Granted, qt.Equals, int64(350))
+}
--- a/treasurer/rows.go
+++ b/treasurer/rows.go
@@ -115,8 +115,21 @@
 	return Book{Incarnation: next, Address: address, Basis: now, Ended: ended}
 }
 
-// shard spreads keys over a number of parts.
-func shard(key string, parts int) string {
+// CloseGrant returns the write that ends an incarnation's grant in a workspace's row, and what the grant was. It writes
+// the row even without a grant, so that a late draw of the dead incarnation finds a newer version and comes to nothing.
+func CloseGrant(row masticway.StoredRow, ended masticway.Incarnation, spent int64) (masticway.RowWrite, Grant, error) {
+	account, err := decode[Account](row)
+	if err != nil {
+		return masticway.RowWrite{}, Grant{}, err
+	}
+	return masticway.RowWrite{
+		Expected: []masticway.RowVersion{{RowKey: row.RowKey, Version: row.Version}},
+		Puts:     []masticway.RowPut{{RowKey: row.RowKey, Value: encode(account.WithClosed(ended, spent))}},
+	}, account.Grants[ended], nil
+}
+
+// PartOf is the part of the store in which a workspace's or an instance's row is kept.
+func PartOf(key string, parts int) string {
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(key))
 	return strconv.Itoa(int(h.Sum32()) % parts)
@@ -141,3 +154,12 @@
 	}
 	return v, nil
 }
+
+// ReadAccount decodes a workspace's row for operators and tests; a row that cannot be read is empty.
+func ReadAccount(row masticway.StoredRow) Account {
+	a, err := decode[Account](row)
+	if err != nil {
+		return Account{}
+	}
+	return a
+}
--- a/treasurer/treasurer.go
+++ b/treasurer/treasurer.go
@@ -358,12 +358,11 @@
 	t.mu.Unlock()
 }
 
-// closeGrant closes one grant. It writes the row even without a grant, so that a late draw of the dead incarnation
-// finds a newer version and comes to nothing.
+// closeGrant closes one grant.
 func (t *Treasurer) closeGrant(ctx context.Context, ended masticway.Incarnation, workspace string, spent int64) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	key := masticway.RowKey{Table: tableAccounts, Part: shard(workspace, t.parts), Key: workspace}
+	key := masticway.RowKey{Table: tableAccounts, Part: PartOf(workspace, t.parts), Key: workspace}
 	reading, err := t.store.Read(ctx, key.Table, key.Part)
 	if err != nil {
 		return err
@@ -374,21 +373,17 @@
 			row = r
 		}
 	}
-	account, err := decode[Account](row)
+	write, grant, err := CloseGrant(row, ended, spent)
 	if err != nil {
 		return err
 	}
-	next := account.WithClosed(ended, spent)
-	_, err = t.store.Write(ctx, masticway.RowWrite{
-		Expected: []masticway.RowVersion{{RowKey: key, Version: row.Version}},
-		Puts:     []masticway.RowPut{{RowKey: key, Value: encode(next)}},
-	})
+	_, err = t.store.Write(ctx, write)
 	if err != nil {
 		return fmt.Errorf("closing the grant of %s: %w", ended, err)
 	}
 	t.log.WithFields(logrus.Fields{
-		"event": "grant_closed", "incarnation": ended, "workspace": workspace, "granted": account.Grants[ended].Granted,
-		"presumed": min(spent, account.Grants[ended].Granted),
+		"event": "grant_closed", "incarnation": ended, "workspace": workspace, "granted": grant.Granted,
+		"presumed": min(spent, grant.Granted),
 	}).Info("grant of an ended incarnation closed")
 	return nil
 }
