--- /dev/null
+++ b/emulator/opaque.go
@@ -0,0 +1,244 @@
+package emulator
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// OpaqueFault is how an opaque server treats a request.
+type OpaqueFault string
+
+// The faults of an opaque server; the last word of each says what was run.
+const (
+	// OpaqueGood answers as it should.
+	OpaqueGood OpaqueFault = ""
+	// OpaqueFull refuses without running.
+	OpaqueFull OpaqueFault = "full"
+	// OpaqueOther answers that it is another server, without running.
+	OpaqueOther OpaqueFault = "other"
+	// OpaqueError runs and fails with a 500 of its own.
+	OpaqueError OpaqueFault = "error"
+	// OpaqueReset runs and resets the connection without an answer.
+	OpaqueReset OpaqueFault = "reset"
+	// OpaqueCut runs and breaks off in the middle.
+	OpaqueCut OpaqueFault = "cut"
+	// OpaqueHang runs and never answers.
+	OpaqueHang OpaqueFault = "hang"
+	// OpaqueForged runs and answers without its signature.
+	OpaqueForged OpaqueFault = "forged"
+	// OpaqueForeign runs and answers for another request.
+	OpaqueForeign OpaqueFault = "foreign"
+	// OpaqueExtra runs and sends another request's answer first.
+	OpaqueExtra OpaqueFault = "extra"
+)
+
+// OpaqueRun is one request that a server has run.
+type OpaqueRun struct {
+	ID, Server, Workspace, LastEvent, Path string
+	TimeLeft                               time.Duration
+	Key                                    bool
+	Body                                   string
+	// Left tells that the caller's connection ended before the answer was whole.
+	Left bool
+}
+
+// OpaqueLedger counts what all servers ran, over their lives.
+type OpaqueLedger struct {
+	mu   sync.Mutex
+	runs []OpaqueRun
+}
+
+// Runs returns what was run, in order.
+func (l *OpaqueLedger) Runs() []OpaqueRun {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]OpaqueRun(nil), l.runs...)
+}
+
+func (l *OpaqueLedger) add(r OpaqueRun) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.runs = append(l.runs, r)
+	return len(l.runs) - 1
+}
+
+func (l *OpaqueLedger) left(i int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.runs[i].Left = true
+}
+
+// OpaqueServer speaks the protocol of the users' servers, with every fault that they show.
+type OpaqueServer struct {
+	ID     string
+	ledger *OpaqueLedger
+	l      net.Listener
+
+	mu     sync.Mutex
+	faults []OpaqueFault
+	// Events is the number of events of a stream, Pause what separates them.
+	events int
+	pause  time.Duration
+	conns  map[net.Conn]bool
+}
+
+// StartOpaqueServer starts a server on a loopback port.
+func StartOpaqueServer(id string, ledger *OpaqueLedger) (*OpaqueServer, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("listening for %s: %w", id, err)
+	}
+	s := &OpaqueServer{ID: id, ledger: ledger, l: l, events: 5, pause: time.Millisecond, conns: map[net.Conn]bool{}}
+	go s.accept()
+	return s, nil
+}
+
+// Address is where the server listens.
+func (s *OpaqueServer) Address() string { return s.l.Addr().String() }
+
+// Fail sets how the next requests are treated, one entry each; after them all is well.
+func (s *OpaqueServer) Fail(faults ...OpaqueFault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = faults
+}
+
+// Stream sets how streams are answered.
+func (s *OpaqueServer) Stream(events int, pause time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.events, s.pause = events, pause
+}
+
+// Close ends the server and its connections.
+func (s *OpaqueServer) Close() {
+	_ = s.l.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		_ = c.Close()
+	}
+}
+
+func (s *OpaqueServer) accept() {
+	for {
+		c, err := s.l.Accept()
+		if err != nil {
+			return
+		}
+		s.mu.Lock()
+		s.conns[c] = true
+		s.mu.Unlock()
+		go s.talk(c)
+	}
+}
+
+func (s *OpaqueServer) talk(c net.Conn) {
+	defer func() {
+		s.mu.Lock()
+		delete(s.conns, c)
+		s.mu.Unlock()
+		_ = c.Close()
+	}()
+	reader := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil || !s.answer(c, r, string(body)) {
+			return
+		}
+	}
+}
+
+func (s *OpaqueServer) next() (fault OpaqueFault, events int, pause time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.faults) > 0 {
+		fault = s.faults[0]
+		s.faults = s.faults[1:]
+	}
+	return fault, s.events, s.pause
+}
+
+// answer serves one request and tells whether the connection goes on.
+func (s *OpaqueServer) answer(c net.Conn, r *http.Request, body string) bool {
+	fault, events, pause := s.next()
+	id := r.Header.Get("X-Attempt-Id")
+	switch {
+	case fault == OpaqueFull:
+		return s.write(c, "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+	case fault == OpaqueOther || r.Header.Get("X-Expect-Instance") != s.ID:
+		return s.write(c, "HTTP/1.1 421 Misdirected Request\r\nX-Instance-Id: "+s.ID+"\r\nContent-Length: 0\r\n\r\n")
+	}
+	left, _ := strconv.ParseInt(r.Header.Get("X-Deadline-Ms"), 10, 64)
+	run := s.ledger.add(OpaqueRun{
+		ID: id, Server: s.ID, Workspace: r.Header.Get("X-Tenant"), LastEvent: r.Header.Get("Last-Event-Id"), Path: r.RequestURI,
+		TimeLeft: time.Duration(left) * time.Millisecond, Key: r.Header.Get("Authorization") != "", Body: body,
+	})
+	head := "X-Attempt-Id: " + id + "\r\nX-Server-Signature: signed-by-" + s.ID + "\r\n"
+	switch fault {
+	case OpaqueReset:
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		return false
+	case OpaqueHang:
+		// Until the caller leaves.
+		_, _ = c.Read(make([]byte, 1))
+		s.ledger.left(run)
+		return false
+	case OpaqueError:
+		return s.write(c, "HTTP/1.1 500 Internal Server Error\r\n"+head+"Content-Length: 4\r\n\r\noops")
+	case OpaqueForged:
+		return s.write(c, "HTTP/1.1 200 OK\r\nX-Attempt-Id: "+id+"\r\nContent-Length: 4\r\n\r\nfake")
+	case OpaqueForeign, OpaqueExtra:
+		s.write(c, "HTTP/1.1 200 OK\r\nX-Attempt-Id: another\r\nX-Server-Signature: s\r\nContent-Length: 7\r\n\r\nforeign")
+		if fault == OpaqueForeign {
+			return false
+		}
+	}
+	if r.Header.Get("X-Token-Count") != "" {
+		return s.stream(c, run, head, r.Header.Get("Last-Event-Id"), events, pause, fault == OpaqueCut)
+	}
+	if fault == OpaqueCut {
+		s.write(c, "HTTP/1.1 200 OK\r\n"+head+"Content-Length: 100\r\n\r\nhalf")
+		return false
+	}
+	return s.write(c, "HTTP/1.1 200 OK\r\n"+head+"Content-Length: 2\r\n\r\nok")
+}
+
+// stream sends events after the last one that the caller has; a cut one ends in the middle of an event.
+func (s *OpaqueServer) stream(c net.Conn, run int, head, last string, events int, pause time.Duration, cut bool) bool {
+	if !s.write(c, "HTTP/1.1 200 OK\r\n"+head+"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n") {
+		return false
+	}
+	first, _ := strconv.Atoi(last)
+	for i := first + 1; i <= events; i++ {
+		time.Sleep(pause)
+		event := fmt.Sprintf("id: %d\ndata: piece %d\n\n", i, i)
+		if cut && i == first+(events-first+1)/2+1 {
+			event = event[:len(event)/2]
+			s.write(c, fmt.Sprintf("%x\r\n%s\r\n", len(event), event))
+			return false
+		}
+		if !s.write(c, fmt.Sprintf("%x\r\n%s\r\n", len(event), event)) {
+			s.ledger.left(run)
+			return false
+		}
+	}
+	return s.write(c, "0\r\n\r\n")
+}
+
+func (s *OpaqueServer) write(c net.Conn, text string) bool {
+	_, err := io.WriteString(c, text)
+	return err == nil
+}
--- a/emulator/rows.go
+++ b/emulator/rows.go
@@ -37,7 +37,8 @@
 	started   time.Time
 	now       func() time.Time
 	changed   chan struct{}
-	late      sync.WaitGroup
+	// late is the number of writes that are still to be made.
+	late int
 }
 
 var _ masticway.RowStore = (*Rows)(nil)
@@ -89,7 +90,17 @@
 }
 
 // Wait returns when all late writes have been made or refused.
-func (s *Rows) Wait() { s.late.Wait() }
+func (s *Rows) Wait() {
+	for s.lateWrites() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func (s *Rows) lateWrites() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.late
+}
 
 // Read returns the rows of one part of a table.
 func (s *Rows) Read(ctx context.Context, table, part string) (masticway.RowReading, error) {
@@ -117,10 +128,13 @@
 	defer s.mu.Unlock()
 	if s.faults.LateWrites > 0 {
 		s.faults.LateWrites--
-		s.late.Add(1)
+		s.late++
 		time.AfterFunc(s.faults.LateBy, func() {
-			defer s.late.Done()
-			_, _ = s.Apply(w)
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.late--
+			// Nobody waits for the outcome of a late write.
+			_, _ = s.apply(w)
 		})
 		return masticway.RowReading{}, &masticway.OutcomeUnknownError{Service: "rows", Reason: "late"}
 	}
--- /dev/null
+++ b/emulator/rowserver.go
@@ -0,0 +1,120 @@
+package emulator
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/masticway/masticway"
+)
+
+// rowJSON is a row on the wire.
+type rowJSON struct {
+	Table   string `json:"table"`
+	Part    string `json:"part"`
+	Key     string `json:"key"`
+	Value   []byte `json:"value,omitempty"`
+	Version int64  `json:"row_version"`
+	Deleted bool   `json:"deleted,omitempty"`
+}
+
+func (r rowJSON) key() masticway.RowKey {
+	return masticway.RowKey{Table: r.Table, Part: r.Part, Key: r.Key}
+}
+
+// pageRows bounds the rows of one page, small enough that tests see more than one.
+const pageRows = 500
+
+// Handler serves the row store's protocol.
+func (s *Rows) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /-/rows-get", s.serveRead)
+	mux.HandleFunc("GET /-/rows-feed", s.serveFollow)
+	mux.HandleFunc("POST /-/rows-tx", s.serveWrite)
+	return mux
+}
+
+func (s *Rows) serveRead(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	out, err := s.Read(r.Context(), query.Get("table"), query.Get("part"))
+	more := false
+	if from := query.Get("from"); from != "" {
+		for len(out.Rows) > 0 && out.Rows[0].Key < from {
+			out.Rows = out.Rows[1:]
+		}
+	}
+	if len(out.Rows) > pageRows {
+		out.Rows, more = out.Rows[:pageRows], true
+	}
+	answerRows(w, out, more, err)
+}
+
+func (s *Rows) serveFollow(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	since, _ := strconv.ParseInt(query.Get("since_rev"), 10, 64)
+	wait, _ := strconv.ParseInt(query.Get("wait_ms"), 10, 64)
+	out, err := s.Follow(r.Context(), query.Get("table"), since, time.Duration(wait)*time.Millisecond)
+	answerRows(w, out, false, err)
+}
+
+func (s *Rows) serveWrite(w http.ResponseWriter, r *http.Request) {
+	var in struct {
+		Expected []rowJSON `json:"expected_rev"`
+		Puts     []rowJSON `json:"puts"`
+		Deletes  []rowJSON `json:"delete"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&in); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	var write masticway.RowWrite
+	parts := map[string]bool{}
+	for _, e := range in.Expected {
+		write.Expected = append(write.Expected, masticway.RowVersion{RowKey: e.key(), Version: e.Version})
+		parts[e.Part] = true
+	}
+	for _, p := range in.Puts {
+		write.Puts = append(write.Puts, masticway.RowPut{RowKey: p.key(), Value: p.Value})
+		parts[p.Part] = true
+	}
+	for _, d := range in.Deletes {
+		write.Deletes = append(write.Deletes, d.key())
+		parts[d.Part] = true
+	}
+	if len(parts) > 1 {
+		http.Error(w, "more than one part", http.StatusBadRequest)
+		return
+	}
+	out, err := s.Write(r.Context(), write)
+	answerRows(w, out, false, err)
+}
+
+func answerRows(w http.ResponseWriter, out masticway.RowReading, more bool, err error) {
+	status := http.StatusOK
+	conflict, ok := errors.AsType[*masticway.RowConflictError](err)
+	if ok {
+		status, out.Rows = http.StatusPreconditionFailed, conflict.Rows
+	} else if _, lost := errors.AsType[*masticway.HistoryLostError](err); lost {
+		status = http.StatusGone
+	} else if _, unknown := errors.AsType[*masticway.OutcomeUnknownError](err); unknown {
+		// The answer is lost: the connection ends without one.
+		panic(http.ErrAbortHandler)
+	} else if err != nil {
+		status = http.StatusServiceUnavailable
+	}
+	body := struct {
+		Rows    []rowJSON `json:"rows"`
+		More    bool      `json:"has_more"`
+		Version int64     `json:"row_version"`
+		NowMS   int64     `json:"now_ms"`
+	}{More: more, Version: out.Version, NowMS: out.At.Milliseconds()}
+	for _, r := range out.Rows {
+		body.Rows = append(body.Rows, rowJSON{Table: r.Table, Part: r.Part, Key: r.Key, Value: r.Value, Version: r.Version, Deleted: r.Deleted})
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// A reader that has left gets nothing.
+	_ = json.NewEncoder(w).Encode(body)
+}
--- /dev/null
+++ b/follower/follower_test.go
@@ -0,0 +1,66 @@
+package follower_test
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/masticway/masticway"
+	"github.com/masticway/masticway/emulator"
+	"github.com/masticway/masticway/follower"
+	"github.com/masticway/masticway/logger"
+	"github.com/masticway/masticway/measurer"
+)
+
+func put(rows *emulator.Rows, version int64) {
+	value, _ := json.Marshal(masticway.Deployment{Version: version})
+	rows.Put(decoder{}.ConfigurationKey(), value)
+}
+
+// eventually waits for a condition on the newest belief.
+func eventually(t *testing.T, f *follower.Follower, what string, holds func(follower.Beliefs) bool) {
+	t.Helper()
+	for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline); time.Sleep(5 * time.Millisecond) {
+		if holds(f.Beliefs()) {
+			return
+		}
+	}
+	t.Fatalf("%s: still %+v", what, f.Beliefs())
+}
+
+func TestFollowsThroughOutagesAndForgottenHistory(t *testing.T) {
+	rows := emulator.NewRows(time.Now)
+	var mu sync.Mutex
+	heard := 0
+	f := follower.New(rows, decoder{}, masticway.SystemClock{}, logger.Discard().WithField("", ""), measurer.New(), func(follower.Beliefs) {
+		mu.Lock()
+		heard++
+		mu.Unlock()
+	})
+	ctx, stop := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	wg.Go(func() { f.Run(ctx) })
+	defer wg.Wait()
+	defer stop()
+
+	eventually(t, f, "no configuration yet", func(b follower.Beliefs) bool { return b.Listed && !b.Ready() })
+	put(rows, 1)
+	eventually(t, f, "first configuration", func(b follower.Beliefs) bool { return b.Ready() && b.Deployment.Version == 1 })
+	put(rows, 2)
+	rows.Compact()
+	put(rows, 3)
+	eventually(t, f, "after forgotten history", func(b follower.Beliefs) bool { return b.Deployment.Version == 3 })
+	rows.SetFaults(emulator.RowFaults{Busy: true})
+	put(rows, 4)
+	time.Sleep(300 * time.Millisecond)
+	qt.Assert(t, f.Beliefs().Deployment.Version, qt.Equals, int64(3))
+	rows.SetFaults(emulator.RowFaults{})
+	eventually(t, f, "after an outage", func(b follower.Beliefs) bool { return b.Deployment.Version == 4 })
+	mu.Lock()
+	defer mu.Unlock()
+	qt.Assert(t, heard > 3, qt.IsTrue)
+}
--- /dev/null
+++ b/forwarder/forwarder_test.go
@@ -0,0 +1,388 @@
+package forwarder_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/masticway/masticway"
+	"github.com/masticway/masticway/emulator"
+	"github.com/masticway/masticway/follower"
+	"github.com/masticway/masticway/forwarder"
+	"github.com/masticway/masticway/logger"
+	"github.com/masticway/masticway/measurer"
+	"github.com/masticway/masticway/platform"
+	"github.com/masticway/masticway/treasurer"
+)
+
+// bank gives the verdict that a test wants and notes what is settled.
+type bank struct {
+	mu      sync.Mutex
+	verdict treasurer.Verdict
+	settled []int64
+	blocked bool
+}
+
+func (b *bank) Hold(_ context.Context, _ string, _ int64, _ time.Duration) treasurer.Reply {
+	return treasurer.Reply{ID: 1, Verdict: b.verdict}
+}
+
+func (b *bank) Clear(ctx context.Context, _ treasurer.HoldID) bool {
+	if b.blocked {
+		<-ctx.Done()
+		return false
+	}
+	return true
+}
+
+func (b *bank) Settle(_ treasurer.HoldID, used int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.settled = append(b.settled, used)
+}
+
+func (b *bank) Members() int { return 1 }
+
+func (b *bank) spent() []int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return append([]int64(nil), b.settled...)
+}
+
+// fleet is one router in front of opaque servers.
+type fleet struct {
+	t       *testing.T
+	ledger  *emulator.OpaqueLedger
+	servers []*emulator.OpaqueServer
+	bank    *bank
+	beliefs follower.Beliefs
+	router  *forwarder.Forwarder
+	front   *httptest.Server
+}
+
+const (
+	prompt = 100
+	most   = 40
+)
+
+func newFleet(t *testing.T, servers int) *fleet {
+	f := &fleet{t: t, ledger: &emulator.OpaqueLedger{}, bank: &bank{verdict: treasurer.VerdictHeld}}
+	d := masticway.Deployment{
+		Version: 1,
+		Pools:   map[string]masticway.Pool{"p": {Name: "p", MaxConnections: 100}, "llm": {Name: "llm", Engine: true, TokensPerEvent: 3, MaxConnections: 100}},
+		Accounts: map[string]masticway.Account{
+			"w": {Workspace: "w", Keys: []string{"k"}, Metered: true, Prepaid: 1 << 40},
+		},
+		Limits: masticway.CallerLimits{BodyBytes: 1000},
+	}
+	for _, r := range []masticway.Route{
+		{Name: "freely", Prefix: "/freely/", Repeat: masticway.RepeatFreely, MaxServers: 2, Target: 300 * time.Millisecond},
+		{Name: "never", Prefix: "/never/", Repeat: masticway.RepeatNever, MaxServers: 1, Target: 300 * time.Millisecond},
+		{Name: "open", Prefix: "/open/", Repeat: masticway.RepeatFreely, MaxServers: 2, Anonymous: true},
+		{Name: "brief", Prefix: "/brief/", Repeat: masticway.RepeatNever, MaxServers: 1, Timeout: 150 * time.Millisecond},
+	} {
+		r.Host, r.Shares = "h.example", []masticway.Share{{Pool: "p", Weight: 1}}
+		d.Routes = append(d.Routes, r)
+	}
+	for _, r := range []masticway.Route{
+		{Name: "stream", Prefix: "/stream/", Repeat: masticway.RepeatNever, MaxServers: 1, Stream: true, Target: 300 * time.Millisecond, EventGap: 100 * time.Millisecond},
+		{Name: "resume", Prefix: "/resume/", Repeat: masticway.RepeatByResuming, MaxServers: 2, Stream: true, Target: 300 * time.Millisecond, EventGap: 100 * time.Millisecond},
+	} {
+		r.Host, r.Shares = "h.example", []masticway.Share{{Pool: "llm", Weight: 1}}
+		d.Routes = append(d.Routes, r)
+	}
+	f.beliefs = follower.Beliefs{Known: true, Listed: true, Deployment: d.WithIndex(), Servers: map[string][]masticway.Server{}}
+	for i := range servers {
+		s, err := emulator.StartOpaqueServer(fmt.Sprintf("i-%d", i), f.ledger)
+		qt.Assert(t, err, qt.IsNil)
+		t.Cleanup(s.Close)
+		f.servers = append(f.servers, s)
+		for _, pool := range []string{"p", "llm"} {
+			f.beliefs.Servers[pool] = append(f.beliefs.Servers[pool], masticway.Server{ID: s.ID, Pool: pool, Address: s.Address(), State: masticway.ServerReady})
+		}
+	}
+	f.router = forwarder.New(forwarder.Settings{Retries: forwarder.RetriesSettings{Ratio: 0.2, Slack: 50, WindowSeconds: 10}}, forwarder.Parts{
+		Clock: masticway.SystemClock{}, Log: logger.Discard().WithField("", ""), Metrics: measurer.New(), Dialect: platform.Dialect{},
+		Bank: f.bank, Beliefs: func() follower.Beliefs { return f.beliefs }, Dial: (&net.Dialer{}).DialContext,
+	})
+	f.front = httptest.NewServer(f.router)
+	t.Cleanup(f.front.Close)
+	return f
+}
+
+// answer is what a caller got; err is set when it was not whole.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+func (f *fleet) ask(ctx context.Context, method, path string, extra ...string) answer {
+	request, err := http.NewRequestWithContext(ctx, method, f.front.URL+path, strings.NewReader("body"))
+	qt.Assert(f.t, err, qt.IsNil)
+	request.Host = "h.example"
+	request.Header.Set("X-Attempt-Id", "a1")
+	request.Header.Set("Authorization", "Token k")
+	request.Header.Set("X-Deadline-Ms", "3000")
+	if strings.HasPrefix(path, "/stream") || strings.HasPrefix(path, "/resume") {
+		request.Header.Set("X-Token-Count", fmt.Sprintf("%d,%d", prompt, most))
+	}
+	for i := 0; i < len(extra); i += 2 {
+		request.Header.Set(extra[i], extra[i+1])
+	}
+	response, err := http.DefaultTransport.RoundTrip(request)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return answer{status: response.StatusCode, header: response.Header, body: string(body), err: err}
+}
+
+func events(from, to int) string {
+	var b strings.Builder
+	for i := from; i <= to; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: piece %d\n\n", i, i)
+	}
+	return b.String()
+}
+
+func TestAnswersAndFatesOfFailures(t *testing.T) {
+	const (
+		good, full, other, failing = emulator.OpaqueGood, emulator.OpaqueFull, emulator.OpaqueOther, emulator.OpaqueError
+		reset, cut, forged         = emulator.OpaqueReset, emulator.OpaqueCut, emulator.OpaqueForged
+		foreign, extra             = emulator.OpaqueForeign, emulator.OpaqueExtra
+	)
+	cases := map[string]struct {
+		path string
+		// first is how the first server that is asked behaves, second the other one.
+		first, second emulator.OpaqueFault
+		status        int
+		body          string
+		// broken tells that the caller's answer ends without its end.
+		broken bool
+		runs   int
+		spent  []int64
+		retry  bool
+	}{
+		"good":                                {path: "/freely/x", status: 200, body: "ok", runs: 1},
+		"full, then good":                     {path: "/never/x", first: full, status: 200, body: "ok", runs: 1},
+		"another server there, then good":     {path: "/never/x", first: other, status: 200, body: "ok", runs: 1},
+		"all full":                            {path: "/never/x", first: full, second: full, status: 503, retry: true},
+		"own failure is passed on":            {path: "/freely/x", first: failing, status: 500, body: "oops", runs: 1},
+		"reset, may run again":                {path: "/freely/x", first: reset, status: 200, body: "ok", runs: 2},
+		"reset, must not run again":           {path: "/never/x", first: reset, status: 502, runs: 1},
+		"cut, may run again":                  {path: "/freely/x", first: cut, status: 200, body: "ok", runs: 2},
+		"cut, must not run again":             {path: "/never/x", first: cut, status: 502, runs: 1},
+		"unsigned, may run again":             {path: "/freely/x", first: forged, status: 200, body: "ok", runs: 2},
+		"unsigned, must not run again":        {path: "/never/x", first: forged, status: 502, runs: 1},
+		"another request's answer":            {path: "/never/x", first: foreign, status: 502, runs: 1},
+		"another request's answer first":      {path: "/never/x", first: extra, status: 200, body: "ok", runs: 1},
+		"twice reset, no third server":        {path: "/freely/x", first: reset, second: reset, status: 502, runs: 2},
+		"reset after a refusal stays unknown": {path: "/never/x", first: full, second: reset, status: 502, runs: 1},
+		"stream":                              {path: "/stream/x", status: 200, body: events(1, 5), runs: 1, spent: []int64{prompt + 15}},
+		"stream cut":                          {path: "/stream/x", first: cut, status: 200, body: events(1, 3), broken: true, runs: 1, spent: []int64{prompt + 9}},
+		"stream cut, resumed":                 {path: "/resume/x", first: cut, status: 200, body: events(1, 5), runs: 2, spent: []int64{prompt + 15}},
+		"stream reset before it began":        {path: "/stream/x", first: reset, status: 502, runs: 1, spent: []int64{0}},
+		"stream refused by all":               {path: "/stream/x", first: full, second: full, status: 503, spent: []int64{0}, retry: true},
+		"stream that fails":                   {path: "/stream/x", first: failing, status: 500, body: "oops", runs: 1, spent: []int64{0}},
+		"stream reset, run again":             {path: "/resume/x", first: reset, status: 200, body: events(1, 5), runs: 2, spent: []int64{prompt + 15}},
+		"resumed stream fails":                {path: "/resume/x", first: cut, second: failing, status: 200, body: events(1, 3), broken: true, runs: 2, spent: []int64{prompt + 9}},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 2)
+			f.faults(tc.first, tc.second)
+			got := f.ask(t.Context(), "POST", tc.path)
+			if tc.broken {
+				qt.Assert(t, got.err, qt.IsNotNil)
+			} else {
+				qt.Assert(t, got.err, qt.IsNil)
+			}
+			qt.Assert(t, got.status, qt.Equals, tc.status)
+			if tc.body != "" {
+				qt.Assert(t, got.body, qt.Equals, tc.body)
+			}
+			qt.Assert(t, f.ledger.Runs(), qt.HasLen, tc.runs)
+			qt.Assert(t, f.bank.spent(), qt.DeepEquals, tc.spent)
+			qt.Assert(t, got.header.Get("Retry-After") != "", qt.Equals, tc.retry)
+			if got.status >= 502 {
+				qt.Assert(t, got.header.Get("X-Server-Signature"), qt.Equals, "", qt.Commentf("a refusal of the router's own bears a signature"))
+			}
+		})
+	}
+}
+
+// faults gives the server that will be asked first one fault, and the other one another.
+func (f *fleet) faults(first, second emulator.OpaqueFault) {
+	// The chooser takes servers with equal cost in turns, beginning with the second.
+	f.servers[1].Fail(first)
+	f.servers[0].Fail(second)
+}
+
+func TestWhatServersGet(t *testing.T) {
+	f := newFleet(t, 1)
+	got := f.ask(t.Context(), "POST", "/never/x?q=1", "X-Tenant", "forged", "X-Deadline-Ms", "1000")
+	qt.Assert(t, got.status, qt.Equals, 200)
+	runs := f.ledger.Runs()
+	qt.Assert(t, runs, qt.HasLen, 1)
+	qt.Assert(t, runs[0].Workspace, qt.Equals, "w")
+	qt.Assert(t, runs[0].Key, qt.IsFalse, qt.Commentf("the caller's key reached a server"))
+	qt.Assert(t, runs[0].Path, qt.Equals, "/never/x?q=1")
+	qt.Assert(t, runs[0].Body, qt.Equals, "body")
+	qt.Assert(t, runs[0].TimeLeft <= time.Second && runs[0].TimeLeft > 800*time.Millisecond, qt.IsTrue)
+}
+
+func TestRefusalsBeforeAnyServer(t *testing.T) {
+	cases := map[string]struct {
+		path    string
+		extra   []string
+		verdict treasurer.Verdict
+		ready   bool
+		status  int
+		retry   bool
+	}{
+		"no such route":           {path: "/nowhere/", status: 404, ready: true},
+		"unknown key":             {path: "/never/x", extra: []string{"Authorization", "Token no"}, status: 401, ready: true},
+		"no key":                  {path: "/never/x", extra: []string{"Authorization", ""}, status: 401, ready: true},
+		"anonymous route":         {path: "/open/x", extra: []string{"Authorization", ""}, status: 200, ready: true},
+		"malformed head":          {path: "/never/x", extra: []string{"X-Deadline-Ms", "soon"}, status: 400, ready: true},
+		"no configuration":        {path: "/never/x", status: 503, retry: true},
+		"budget exhausted":        {path: "/stream/x", verdict: treasurer.VerdictExhausted, status: 402, ready: true},
+		"budget not reached":      {path: "/stream/x", verdict: treasurer.VerdictUnreachable, status: 503, ready: true, retry: true},
+		"a plain call needs none": {path: "/never/x", verdict: treasurer.VerdictExhausted, status: 200, ready: true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 1)
+			f.beliefs.Known = tc.ready
+			f.bank.verdict = tc.verdict
+			got := f.ask(t.Context(), "POST", tc.path, tc.extra...)
+			qt.Assert(t, got.err, qt.IsNil)
+			qt.Assert(t, got.status, qt.Equals, tc.status)
+			qt.Assert(t, got.header.Get("Retry-After") != "", qt.Equals, tc.retry)
+			if tc.status != 200 {
+				qt.Assert(t, f.ledger.Runs(), qt.HasLen, 0)
+			}
+		})
+	}
+}
+
+func TestBodiesOverTheLimitAreRefused(t *testing.T) {
+	f := newFleet(t, 1)
+	for name, chunked := range map[string]bool{"with a length": false, "in chunks": true} {
+		t.Run(name, func(t *testing.T) {
+			var body io.Reader = strings.NewReader(strings.Repeat("x", 2000))
+			if chunked {
+				body = io.MultiReader(body)
+			}
+			request, err := http.NewRequestWithContext(t.Context(), "POST", f.front.URL+"/never/x", body)
+			qt.Assert(t, err, qt.IsNil)
+			request.Host = "h.example"
+			request.Header.Set("X-Attempt-Id", "a1")
+			request.Header.Set("Authorization", "Token k")
+			response, err := http.DefaultTransport.RoundTrip(request)
+			qt.Assert(t, err, qt.IsNil)
+			response.Body.Close()
+			qt.Assert(t, response.StatusCode, qt.Equals, http.StatusRequestEntityTooLarge)
+		})
+	}
+	qt.Assert(t, f.ledger.Runs(), qt.HasLen, 0)
+}
+
+func TestTimeIsKept(t *testing.T) {
+	cases := map[string]struct {
+		path   string
+		left   string
+		within time.Duration
+	}{
+		"the caller's": {path: "/never/x", left: "200", within: 600 * time.Millisecond},
+		"the route's":  {path: "/brief/x", left: "5000", within: 600 * time.Millisecond},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 1)
+			f.servers[0].Fail(emulator.OpaqueHang)
+			began := time.Now()
+			got := f.ask(t.Context(), "POST", tc.path, "X-Deadline-Ms", tc.left)
+			qt.Assert(t, got.status, qt.Equals, http.StatusGatewayTimeout)
+			qt.Assert(t, time.Since(began) < tc.within, qt.IsTrue)
+			f.eventually("the server still works", func() bool { return f.ledger.Runs()[0].Left })
+		})
+	}
+}
+
+func (f *fleet) eventually(what string, holds func() bool) {
+	f.t.Helper()
+	for deadline := time.Now().Add(3 * time.Second); time.Now().Before(deadline); time.Sleep(5 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	f.t.Fatal(what)
+}
+
+func TestHungServerIsLeftForAnotherWhereARequestMayRunAgain(t *testing.T) {
+	for _, path := range []string{"/freely/x", "/resume/x"} {
+		t.Run(path, func(t *testing.T) {
+			f := newFleet(t, 2)
+			f.faults(emulator.OpaqueHang, emulator.OpaqueGood)
+			got := f.ask(t.Context(), "POST", path)
+			qt.Assert(t, got.status, qt.Equals, 200)
+			f.eventually("the first server still works", func() bool { return f.ledger.Runs()[0].Left })
+		})
+	}
+}
+
+func TestServerIsLeftWhenTheCallerLeaves(t *testing.T) {
+	f := newFleet(t, 1)
+	f.servers[0].Stream(1000, 10*time.Millisecond)
+	ctx, leave := context.WithTimeout(t.Context(), 150*time.Millisecond)
+	defer leave()
+	f.ask(ctx, "POST", "/stream/x")
+	f.eventually("the server still works", func() bool { return f.ledger.Runs()[0].Left })
+	f.eventually("the money is still held", func() bool { return len(f.bank.spent()) == 1 })
+	qt.Assert(t, f.bank.spent()[0] >= prompt, qt.IsTrue)
+}
+
+func TestNothingIsDeliveredBeforeItsMoneyIsPromised(t *testing.T) {
+	f := newFleet(t, 1)
+	f.bank.blocked = true
+	got := f.ask(t.Context(), "POST", "/stream/x", "X-Deadline-Ms", "200")
+	qt.Assert(t, got.status, qt.Equals, http.StatusGatewayTimeout)
+	qt.Assert(t, got.body, qt.Not(qt.Contains), "piece")
+	qt.Assert(t, f.bank.spent(), qt.DeepEquals, []int64{0})
+}
+
+func TestUnreachableServerIsNotARun(t *testing.T) {
+	f := newFleet(t, 2)
+	f.servers[1].Close()
+	got := f.ask(t.Context(), "POST", "/never/x")
+	qt.Assert(t, got.status, qt.Equals, 200)
+}
+
+func TestDrainEndsConnectionsWithTheirAnswers(t *testing.T) {
+	f := newFleet(t, 1)
+	qt.Assert(t, f.router.Ready(), qt.IsTrue)
+	f.router.Drain()
+	qt.Assert(t, f.router.Ready(), qt.IsFalse)
+	c, err := net.Dial("tcp", strings.TrimPrefix(f.front.URL, "http://"))
+	qt.Assert(t, err, qt.IsNil)
+	defer c.Close()
+	fmt.Fprintf(c, "GET /open/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: a1\r\n\r\n")
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, response.StatusCode, qt.Equals, 200)
+	qt.Assert(t, response.Close, qt.IsTrue)
+}
--- /dev/null
+++ b/sender/sender_test.go
@@ -0,0 +1,211 @@
+package sender_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/masticway/masticway/sender"
+)
+
+// script answers each connection's requests with the given bytes, one entry a request; a hook may act in between.
+type script struct {
+	t       *testing.T
+	l       net.Listener
+	answers []string
+	// closeAfter ends the connection after its last answer.
+	closeAfter bool
+	// stray is sent a while after the last answer.
+	stray string
+	// unread leaves the requests' bodies unread.
+	unread   bool
+	accepted chan net.Conn
+}
+
+func (s *script) serve() {
+	for {
+		c, err := s.l.Accept()
+		if err != nil {
+			return
+		}
+		s.accepted <- c
+		go s.talk(c)
+	}
+}
+
+func (s *script) talk(c net.Conn) {
+	r := bufio.NewReader(c)
+	for _, answer := range s.answers {
+		request, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		if !s.unread {
+			_, _ = io.Copy(io.Discard, request.Body)
+		}
+		_, _ = io.WriteString(c, answer)
+	}
+	if s.stray != "" {
+		time.Sleep(30 * time.Millisecond)
+		_, _ = io.WriteString(c, s.stray)
+	}
+	if s.closeAfter {
+		_ = c.Close()
+	}
+}
+
+func start(t *testing.T, s *script) (*sender.Sender, string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	s.t, s.l, s.accepted = t, l, make(chan net.Conn, 16)
+	go s.serve()
+	t.Cleanup(func() {
+		_ = l.Close()
+		close(s.accepted)
+		for c := range s.accepted {
+			_ = c.Close()
+		}
+	})
+	return sender.New((&net.Dialer{}).DialContext, time.Now), l.Addr().String()
+}
+
+func get(ctx context.Context, s *sender.Sender, address string) (status int, body string, err error) {
+	a, err := s.Send(ctx, address, 0, sender.Request{Method: "GET", Target: "/", Host: "h", Connect: time.Second})
+	if err != nil {
+		return 0, "", err
+	}
+	defer a.Close()
+	data, err := io.ReadAll(a)
+	return a.Status, string(data), err
+}
+
+const whole = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+func TestConnectionsAreKeptOnlyWhenAllWasInOrder(t *testing.T) {
+	cases := map[string]struct {
+		script script
+		pause  time.Duration
+		// made is how many connections two requests take.
+		made int64
+	}{
+		"in order":                   {script: script{answers: []string{whole, whole}}, made: 1},
+		"chunked":                    {script: script{answers: []string{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", whole}}, made: 1},
+		"the server says close":      {script: script{answers: []string{"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok", whole}}, made: 2},
+		"more bytes at once":         {script: script{answers: []string{whole + whole, whole}}, made: 2},
+		"more bytes later":           {script: script{answers: []string{whole}, stray: whole}, pause: 100 * time.Millisecond, made: 2},
+		"closed while idle":          {script: script{answers: []string{whole}, closeAfter: true}, pause: 50 * time.Millisecond, made: 2},
+		"no length, ended by server": {script: script{answers: []string{"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nok"}, closeAfter: true}, made: 2},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			s, address := start(t, &tc.script)
+			for range 2 {
+				status, body, err := get(t.Context(), s, address)
+				qt.Assert(t, err, qt.IsNil)
+				qt.Assert(t, status, qt.Equals, 200)
+				qt.Assert(t, body, qt.Equals, "ok")
+				time.Sleep(tc.pause)
+			}
+			qt.Assert(t, s.Made(), qt.Equals, tc.made)
+		})
+	}
+}
+
+func TestFailuresSayWhetherTheRequestCanHaveArrived(t *testing.T) {
+	cases := map[string]struct {
+		script script
+		down   bool
+		sent   bool
+	}{
+		"nobody listens":      {down: true},
+		"closed, no answer":   {script: script{answers: []string{""}, closeAfter: true}, sent: true},
+		"no answer at all":    {script: script{answers: []string{"", ""}}, sent: true},
+		"half of a head":      {script: script{answers: []string{"HTTP/1.1 20"}, closeAfter: true}, sent: true},
+		"bytes of no answer":  {script: script{answers: []string{"\x00\x01garbage\r\n\r\n"}, closeAfter: true}, sent: true},
+		"only informational":  {script: script{answers: []string{"HTTP/1.1 103 Early Hints\r\n\r\n"}, closeAfter: true}, sent: true},
+		"an unfinished chunk": {script: script{answers: []string{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab"}, closeAfter: true}, sent: true},
+		"less than its size":  {script: script{answers: []string{"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok"}, closeAfter: true}, sent: true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			s, address := start(t, &tc.script)
+			if tc.down {
+				_ = tc.script.l.Close()
+			}
+			ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+			defer cancel()
+			_, _, err := get(ctx, s, address)
+			qt.Assert(t, err, qt.IsNotNil)
+			var failure *sender.Error
+			if errors.As(err, &failure) {
+				qt.Assert(t, failure.Sent, qt.Equals, tc.sent)
+			}
+		})
+	}
+}
+
+func TestAnswersToOtherRequestsAreSkipped(t *testing.T) {
+	foreign := "HTTP/1.1 200 OK\r\nX-For: other\r\nContent-Length: 5\r\n\r\nother"
+	s, address := start(t, &script{answers: []string{foreign + whole, whole}})
+	a, err := s.Send(t.Context(), address, 0, sender.Request{Method: "GET", Target: "/", Host: "h", Connect: time.Second})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, a.Header.Get("X-For"), qt.Equals, "other")
+	a, err = a.Next()
+	qt.Assert(t, err, qt.IsNil)
+	body, err := io.ReadAll(a)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, string(body), qt.Equals, "ok")
+	a.Close()
+	_, _, err = get(t.Context(), s, address)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, s.Made(), qt.Equals, int64(2), qt.Commentf("a connection on which an answer was skipped was used again"))
+}
+
+func TestAnswerBeforeTheBodyWasReadEndsTheConnection(t *testing.T) {
+	s, address := start(t, &script{answers: []string{whole, whole}, unread: true})
+	for range 2 {
+		a, err := s.Send(t.Context(), address, 0, sender.Request{
+			Method: "POST", Target: "/", Host: "h", Connect: time.Second, Body: []byte(strings.Repeat("x", 8<<20)),
+		})
+		qt.Assert(t, err, qt.IsNil)
+		_, err = io.ReadAll(a)
+		qt.Assert(t, err, qt.IsNil)
+		a.Close()
+	}
+	qt.Assert(t, s.Made(), qt.Equals, int64(2))
+}
+
+func TestConnectionsStayWithinTheLimit(t *testing.T) {
+	s, address := start(t, &script{answers: []string{whole, whole}})
+	a, err := s.Send(t.Context(), address, 1, sender.Request{Method: "GET", Target: "/", Host: "h", Connect: time.Second})
+	qt.Assert(t, err, qt.IsNil)
+	_, err = s.Send(t.Context(), address, 1, sender.Request{Method: "GET", Target: "/", Host: "h", Connect: time.Second})
+	var full *sender.FullError
+	qt.Assert(t, err, qt.ErrorAs, &full)
+	_, err = io.ReadAll(a)
+	qt.Assert(t, err, qt.IsNil)
+	a.Close()
+	_, _, err = get(t.Context(), s, address)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, s.Made(), qt.Equals, int64(1))
+}
+
+func TestFreshRequestsTakeNoOldConnection(t *testing.T) {
+	s, address := start(t, &script{answers: []string{whole, whole}})
+	_, _, err := get(t.Context(), s, address)
+	qt.Assert(t, err, qt.IsNil)
+	time.Sleep(30 * time.Millisecond)
+	a, err := s.Send(t.Context(), address, 0, sender.Request{Method: "GET", Target: "/", Host: "h", Connect: time.Second, Fresh: 5 * time.Millisecond})
+	qt.Assert(t, err, qt.IsNil)
+	a.Close()
+	qt.Assert(t, s.Made(), qt.Equals, int64(2))
+}
