--- a/forwarder/admit.go
+++ b/forwarder/admit.go
@@ -16,6 +16,8 @@
 )
 
 const (
+	// retryElsewhere is when a caller of a router that ends should come back: the next connection reaches another one.
+	retryElsewhere = 50 * time.Millisecond
 	// defaultBody bounds a body when the configuration does not.
 	defaultBody = 4 << 20
 	// defaultTimeout is how long a request may take when neither caller nor route says.
@@ -95,6 +97,9 @@
 	if refused := x.find(b, r); refused != nil {
 		return x, refused
 	}
+	if f.draining.Load().cuts(now, x.q.deadline) {
+		return x, refusal(http.StatusServiceUnavailable, codeShuttingDown, "this router ends before the answer would", retryElsewhere)
+	}
 	return x, x.read(w, r, b.Deployment.Limits)
 }
 
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -31,6 +31,10 @@
 	Members() int
 }
 
+// takeFor is how long a router that ends takes any request: the balancer needs two misses, a second apart, to send new
+// connections elsewhere.
+const takeFor = 2500 * time.Millisecond
+
 // Forwarder serves callers.
 type Forwarder struct {
 	settings Settings
@@ -46,7 +50,8 @@
 	servers    *chooser.Servers
 	allowances map[string]*retrier.Allowance
 
-	draining atomic.Bool
+	// draining is when the router was told to end, and until when it serves; nothing before.
+	draining atomic.Pointer[drain]
 	open     atomic.Int64
 	finished atomic.Int64
 }
@@ -87,10 +92,24 @@
 }
 
 // Ready tells whether new connections are wanted.
-func (f *Forwarder) Ready() bool { return !f.draining.Load() && f.beliefs().Ready() }
+func (f *Forwarder) Ready() bool { return f.draining.Load() == nil && f.beliefs().Ready() }
+
+// drain is an end that was asked for.
+type drain struct {
+	since time.Time
+	until time.Time
+}
 
-// Drain makes every answer end its connection, and Ready say no.
-func (f *Forwarder) Drain() { f.draining.Store(true) }
+// cuts tells that a request would probably be cut off: it may last longer than the router, and its caller has had
+// time to go elsewhere.
+func (d *drain) cuts(now, deadline time.Time) bool {
+	return d != nil && now.Sub(d.since) > takeFor && deadline.After(d.until)
+}
+
+// Drain makes every answer end its connection, and Ready say no; at the given time the router will be gone.
+func (f *Forwarder) Drain(until time.Time) {
+	f.draining.Store(&drain{since: f.clock.Now(), until: until})
+}
 
 // Open returns the number of requests that are being served.
 func (f *Forwarder) Open() int64 { return f.open.Load() }
@@ -100,7 +119,7 @@
 	f.open.Add(1)
 	defer f.open.Add(-1)
 	f.metrics.Add(metricRequests, 1)
-	if f.draining.Load() {
+	if f.draining.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
 	x, refused := f.admit(w, r)
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -25,6 +25,48 @@
 	"github.com/masticway/masticway/treasurer"
 )
 
+// drainClock is a clock that a test moves on.
+type drainClock struct {
+	masticway.SystemClock
+	mu    sync.Mutex
+	ahead time.Duration
+}
+
+func (c *drainClock) Now() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return time.Now().Add(c.ahead)
+}
+
+func (c *drainClock) advance(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ahead += d
+}
+
+func TestRequestsThatARouterWouldCutOffAreRefused(t *testing.T) {
+	cases := map[string]struct {
+		after  time.Duration
+		left   string
+		status int
+	}{
+		"long, at once":       {left: "15000", status: 200},
+		"long, after seconds": {after: 4 * time.Second, left: "15000", status: 503},
+		"short, after them":   {after: 4 * time.Second, left: "1500", status: 200},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 1)
+			f.router.Drain(f.clock.Now().Add(7500 * time.Millisecond))
+			f.clock.advance(tc.after)
+			got := f.ask(t.Context(), "POST", "/stream/x", "X-Deadline-Ms", tc.left)
+			qt.Assert(t, got.err, qt.IsNil)
+			qt.Assert(t, got.status, qt.Equals, tc.status)
+			qt.Assert(t, got.header.Get("Retry-After") != "", qt.Equals, tc.status == 503)
+		})
+	}
+}
+
 // bank gives the verdict that a test wants and notes what is settled.
 type bank struct {
 	mu      sync.Mutex
@@ -65,6 +107,7 @@
 	ledger  *emulator.OpaqueLedger
 	servers []*emulator.OpaqueServer
 	bank    *bank
+	clock   *drainClock
 	beliefs follower.Beliefs
 	router  *forwarder.Forwarder
 	front   *httptest.Server
@@ -76,7 +119,7 @@
 )
 
 func newFleet(t *testing.T, servers int) *fleet {
-	f := &fleet{t: t, ledger: &emulator.OpaqueLedger{}, bank: &bank{verdict: treasurer.VerdictHeld}}
+	f := &fleet{t: t, ledger: &emulator.OpaqueLedger{}, bank: &bank{verdict: treasurer.VerdictHeld}, clock: &drainClock{}}
 	d := masticway.Deployment{
 		Version: 1,
 		Pools:   map[string]masticway.Pool{"p": {Name: "p", MaxConnections: 100}, "llm": {Name: "llm", Engine: true, TokensPerEvent: 3, MaxConnections: 100}},
@@ -112,7 +155,7 @@
 		}
 	}
 	f.router = forwarder.New(forwarder.Settings{Retries: forwarder.RetriesSettings{Ratio: 0.2, Slack: 50, WindowSeconds: 10}}, forwarder.Parts{
-		Clock: masticway.SystemClock{}, Log: logger.Discard().WithField("", ""), Metrics: measurer.New(), Dialect: platform.Dialect{},
+		Clock: f.clock, Log: logger.Discard().WithField("", ""), Metrics: measurer.New(), Dialect: platform.Dialect{},
 		Bank: f.bank, Beliefs: func() follower.Beliefs { return f.beliefs }, Dial: (&net.Dialer{}).DialContext,
 	})
 	f.front = httptest.NewServer(f.router)
@@ -375,7 +418,7 @@
 func TestDrainEndsConnectionsWithTheirAnswers(t *testing.T) {
 	f := newFleet(t, 1)
 	qt.Assert(t, f.router.Ready(), qt.IsTrue)
-	f.router.Drain()
+	f.router.Drain(time.Now().Add(time.Minute))
 	qt.Assert(t, f.router.Ready(), qt.IsFalse)
 	c, err := net.Dial("tcp", strings.TrimPrefix(f.front.URL, "http://"))
 	qt.Assert(t, err, qt.IsNil)
--- a/starter/gateway.go
+++ b/starter/gateway.go
@@ -75,6 +75,7 @@
 	forwarder *forwarder.Forwarder
 	follower  *follower.Follower
 	bank      *treasurer.Treasurer
+	caller    *http.Server
 	servers   servers
 	listeners GatewayListeners
 	metrics   *measurer.Set
@@ -101,6 +102,9 @@
 		Clock: clock, Log: entry, Metrics: metrics, Dialect: dialect, Bank: d.bank, Beliefs: d.follower.Beliefs,
 		Dial: dialer.DialContext,
 	})
+	d.caller = &http.Server{
+		Handler: d.forwarder, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: gatewayHeaderLimit, IdleTimeout: gatewayIdle,
+	}
 	return d, nil
 }
 
@@ -124,9 +128,7 @@
 	d.stop = stop
 	d.wg.Go(func() { d.follower.Run(ctx) })
 	d.wg.Go(func() { d.bank.Run(ctx) })
-	d.servers.serveWith(d.listeners.Caller, &http.Server{
-		Handler: d.forwarder, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: gatewayHeaderLimit, IdleTimeout: gatewayIdle,
-	})
+	d.servers.serveWith(d.listeners.Caller, d.caller)
 	d.servers.serve(d.listeners.Readiness, http.HandlerFunc(d.readiness))
 	d.servers.serve(d.listeners.Peer, lender.NewHandler(d.bank))
 	if d.listeners.Metrics != nil {
@@ -166,9 +168,12 @@
 func (d *GatewayDaemon) Drain() bool {
 	began := d.clock.Now()
 	grace := time.Duration(d.settings.GraceSeconds * float64(time.Second))
-	d.forwarder.Drain()
+	d.forwarder.Drain(began.Add(grace - exitBefore))
 	d.log.WithFields(logrus.Fields{"event": "stopping", "open": d.forwarder.Open(), "grace": grace}).Info("gateway stopping")
-	d.waitIdle(began.Add(unreadyAtLeast), began.Add(grace-closeMoneyBefore))
+	d.waitIdle(began.Add(unreadyAtLeast), began.Add(unreadyAtLeast))
+	// What is idle now would only carry requests that the end cuts off; their callers connect elsewhere.
+	d.caller.SetKeepAlivesEnabled(false)
+	d.waitIdle(began, began.Add(grace-closeMoneyBefore))
 	ctx, cancel := context.WithTimeout(context.Background(), closeMoneyBefore-exitBefore)
 	defer cancel()
 	d.bank.Close(ctx)
--- a/treasurer/world_test.go
+++ b/treasurer/world_test.go
@@ -322,12 +322,14 @@
 		w := newWorld(t)
 		router := func(t *rapid.T) *worldRouter { return rapid.SampledFrom(w.routers).Draw(t, "router") }
 		t.Repeat(map[string]func(*rapid.T){
-			"time":    func(t *rapid.T) { w.now = w.now.Add(time.Duration(rapid.SampledFrom([]int{1, 5, 30, 30, 60, 120, 900, 3000}).Draw(t, "ms")) * time.Millisecond) },
-			"begin":   func(t *rapid.T) { w.begin(t, router(t)) },
-			"close":   func(t *rapid.T) { w.closePredecessors(t, router(t)) },
-			"ask":     func(t *rapid.T) { w.ask(t, router(t)) },
-			"plan":    func(t *rapid.T) { w.plan(router(t)) },
-			"finish":  func(t *rapid.T) { w.finish(t, router(t)) },
+			"time": func(t *rapid.T) {
+				w.now = w.now.Add(time.Duration(rapid.SampledFrom([]int{1, 5, 30, 30, 60, 120, 900, 3000}).Draw(t, "ms")) * time.Millisecond)
+			},
+			"begin":  func(t *rapid.T) { w.begin(t, router(t)) },
+			"close":  func(t *rapid.T) { w.closePredecessors(t, router(t)) },
+			"ask":    func(t *rapid.T) { w.ask(t, router(t)) },
+			"plan":   func(t *rapid.T) { w.plan(router(t)) },
+			"finish": func(t *rapid.T) { w.finish(t, router(t)) },
 			"turn": func(t *rapid.T) {
 				// One router does all that it wants, so that requests get anywhere.
 				r := router(t)
