Close a predecessor's grants at once, and call nothing exhausted meanwhile

Cause: after all routers lost power, each closed two dozen grants one after the other against the writes of all others; budgets seemed exhausted for seconds.

--- a/treasurer/outcome.go
+++ b/treasurer/outcome.go
@@ -248,7 +248,7 @@
 
 // Began notes that the store has this incarnation's first book.
 func (p *Purse) Began(now time.Time, version int64, at time.Duration) {
-	p.began = true
+	p.began, p.beganAt = true, now
 	p.bookVersion = version
 	p.book.Basis = at
 	p.bookBasis = now
--- a/treasurer/purse.go
+++ b/treasurer/purse.go
@@ -50,6 +50,9 @@
 	probePause = 120 * time.Millisecond
 	// awayAfter is how long the store must have failed before requests without money are refused at once.
 	awayAfter = 400 * time.Millisecond
+	// settleSpan is how long after its start a router takes no budget for exhausted: where many start together, the
+	// grants of their predecessors are still being closed.
+	settleSpan = 2 * time.Second
 	// freshFor is how long a look at a workspace's row may serve to refuse for exhaustion.
 	freshFor = 300 * time.Millisecond
 )
@@ -218,7 +221,8 @@
 	bookRetry    time.Time
 	failingSince time.Time
 	// began tells that the book carries this incarnation.
-	began bool
+	began   bool
+	beganAt time.Time
 	// closing tells that no money is wanted any more.
 	closing bool
 	// repaid is the newest repayment of each borrower, nextRepayment the number of the own next one.
@@ -387,7 +391,7 @@
 		return "", false
 	}
 	fresh := a.known && (!a.seenAt.Before(w.since) || now.Sub(a.seenAt) < freshFor)
-	if fresh && p.beyond(a, w.need) {
+	if fresh && p.beyond(a, w.need) && now.Sub(p.beganAt) > settleSpan {
 		return VerdictExhausted, true
 	}
 	if p.away(now) || !now.Before(w.deadline) {
--- a/treasurer/purse_test.go
+++ b/treasurer/purse_test.go
@@ -259,6 +259,7 @@
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
 			b := newBench(t, 1000)
+			b.run(3 * time.Second)
 			b.rows.SetFaults(tc.faults)
 			id := b.hold(tc.need)
 			for range 60 {
@@ -279,6 +280,19 @@
 	}
 }
 
+func TestNothingIsExhaustedWhilePredecessorsMayBeOpen(t *testing.T) {
+	b := newBench(t, 1000)
+	id, replies := b.purse.Hold(b.now, "w", 2000, b.now.Add(150*time.Millisecond))
+	b.note(replies)
+	for range 10 {
+		b.run(30 * time.Millisecond)
+		for _, r := range b.purse.Borrowing(b.now) {
+			b.note(b.purse.Borrowed(b.now, r.Workspace, nil))
+		}
+	}
+	qt.Assert(t, b.answered[id], qt.DeepEquals, []treasurer.Verdict{treasurer.VerdictUnreachable})
+}
+
 func TestFailingStoreIsProbedByTheBookOnly(t *testing.T) {
 	b := newBench(t, 1000)
 	b.hold(100)
--- a/treasurer/treasurer.go
+++ b/treasurer/treasurer.go
@@ -23,6 +23,8 @@
 	callTimeout = 2 * time.Second
 	// beginPause separates attempts to take over the book.
 	beginPause = 100 * time.Millisecond
+	// closingsAtOnce bounds the grants of a predecessor that are closed at the same time.
+	closingsAtOnce = 6
 	// followWait is how long one call of the accounts' feed may wait, followPause what separates two calls.
 	followWait  = 5 * time.Second
 	followPause = 200 * time.Millisecond
@@ -336,20 +338,18 @@
 	t.mu.Lock()
 	ended := t.purse.Predecessors()
 	t.mu.Unlock()
+	var closing sync.WaitGroup
+	places := make(chan struct{}, closingsAtOnce)
 	for _, e := range ended {
 		for workspace, spent := range e.Spent {
-			for ctx.Err() == nil {
-				err := t.closeGrant(ctx, e.Incarnation, workspace, spent)
-				if err == nil {
-					break
-				}
-				select {
-				case <-ctx.Done():
-				case <-t.clock.After(beginPause):
-				}
-			}
+			closing.Go(func() {
+				places <- struct{}{}
+				defer func() { <-places }()
+				t.closeGrant(ctx, e.Incarnation, workspace, spent)
+			})
 		}
 	}
+	closing.Wait()
 	if ctx.Err() != nil || len(ended) == 0 {
 		return
 	}
@@ -358,27 +358,54 @@
 	t.mu.Unlock()
 }
 
-// closeGrant closes one grant.
-func (t *Treasurer) closeGrant(ctx context.Context, ended masticway.Incarnation, workspace string, spent int64) error {
+// closeGrant closes one grant, however often other routers change the row meanwhile.
+func (t *Treasurer) closeGrant(ctx context.Context, ended masticway.Incarnation, workspace string, spent int64) {
+	key := masticway.RowKey{Table: tableAccounts, Part: PartOf(workspace, t.parts), Key: workspace}
+	row, known := masticway.StoredRow{RowKey: key}, false
+	for ctx.Err() == nil {
+		var err error
+		if !known {
+			row, err = t.readRow(ctx, key)
+			known = err == nil
+		}
+		if known {
+			err = t.tryClose(ctx, row, ended, workspace, spent)
+		}
+		if err == nil {
+			return
+		}
+		if conflict, ok := errors.AsType[*masticway.RowConflictError](err); ok && len(conflict.Rows) == 1 {
+			row = conflict.Rows[0]
+			continue
+		}
+		known = false
+		select {
+		case <-ctx.Done():
+		case <-t.clock.After(beginPause):
+		}
+	}
+}
+
+func (t *Treasurer) readRow(ctx context.Context, key masticway.RowKey) (masticway.StoredRow, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	key := masticway.RowKey{Table: tableAccounts, Part: PartOf(workspace, t.parts), Key: workspace}
 	reading, err := t.store.Read(ctx, key.Table, key.Part)
-	if err != nil {
-		return err
-	}
-	row := masticway.StoredRow{RowKey: key}
 	for _, r := range reading.Rows {
-		if r.Key == workspace {
-			row = r
+		if r.Key == key.Key {
+			return r, err
 		}
 	}
+	return masticway.StoredRow{RowKey: key}, err
+}
+
+func (t *Treasurer) tryClose(ctx context.Context, row masticway.StoredRow, ended masticway.Incarnation, workspace string, spent int64) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
 	write, grant, err := CloseGrant(row, ended, spent)
 	if err != nil {
 		return err
 	}
-	_, err = t.store.Write(ctx, write)
-	if err != nil {
+	if _, err = t.store.Write(ctx, write); err != nil {
 		return fmt.Errorf("closing the grant of %s: %w", ended, err)
 	}
 	t.log.WithFields(logrus.Fields{
