--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -231,6 +231,9 @@
 		return false
 	}
 	x.f.metrics.Add(metricAgain, 1)
+	if x.begun {
+		x.f.metrics.Add(metricResumed, 1)
+	}
 	return true
 }
 
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -214,27 +214,27 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := s.peer(address)
-	now := s.now()
-	for len(p.idle) > 0 {
-		c := p.idle[len(p.idle)-1]
-		age := now.Sub(c.idleAt)
-		if age > c.usableFor() {
-			// The others have been idle for longer.
-			p.drop(p.idle)
-			p.idle = nil
-			break
-		}
-		if fresh > 0 && age > fresh {
-			break
-		}
-		p.idle = p.idle[:len(p.idle)-1]
-		return c, p.open
+	if len(p.idle) == 0 {
+		return nil, p.open
 	}
+	now := s.now()
 	if len(p.idle) > sweepAbove && now.Sub(p.idle[0].idleAt) > p.idle[0].usableFor() {
 		p.drop(p.idle[:1])
 		p.idle = p.idle[1:]
 	}
-	return nil, p.open
+	c := p.idle[len(p.idle)-1]
+	age := now.Sub(c.idleAt)
+	if age > c.usableFor() {
+		// The others have been idle for longer.
+		p.drop(p.idle)
+		p.idle = nil
+		return nil, p.open
+	}
+	if fresh > 0 && age > fresh {
+		return nil, p.open
+	}
+	p.idle = p.idle[:len(p.idle)-1]
+	return c, p.open
 }
 
 func (p *peer) drop(conns []*conn) {
--- a/treasurer/keeping.go
+++ b/treasurer/keeping.go
@@ -12,6 +12,8 @@
 	// usual requests at least.
 	keptSpan     = 3 * time.Second
 	keptRequests = 8
+	// keptBelow is the number of usual requests that each router could keep in hand below which the keeper takes all.
+	keptBelow = 1.0
 	// keptBurst is how much of all routers' demand a keeper may lend between two writes of its book.
 	keptBurst = 300 * time.Millisecond
 )
@@ -69,7 +71,9 @@
 		return 0
 	}
 	all := a.fleetDemand(p.settings.Incarnation) + 1
-	if all > 2 && p.keeper(a) == p.settings.Incarnation {
+	usual := reserveShare * float64(spare) / float64(max(1, p.members))
+	if all > 2 && usual < keptBelow*a.typical && p.keeper(a) == p.settings.Incarnation {
+		// The others cannot keep anything of use in hand.
 		want = max(want, int64(all*keptSpan.Seconds()), int64(keptRequests*a.typical))
 		return min(want, spare)
 	}
--- a/treasurer/world_test.go
+++ b/treasurer/world_test.go
@@ -1,6 +1,7 @@
 package treasurer_test
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"testing"
@@ -134,7 +135,7 @@
 
 func (w *world) read(table, key string) worldReading {
 	out := worldReading{row: masticway.StoredRow{RowKey: masticway.RowKey{Table: table, Part: treasurer.PartOf(key, 2), Key: key}}}
-	all, err := w.rows.Read(nil, table, out.row.Part) //nolint:staticcheck // The stand-in without faults looks at no context.
+	all, err := w.rows.Read(context.Background(), table, out.row.Part)
 	if err != nil {
 		return out
 	}
@@ -197,7 +198,7 @@
 	case how == "never":
 		err = unknown
 	case s.Write == nil:
-		reading, err = w.rows.Read(nil, "masticway_accounts", s.Part) //nolint:staticcheck // As above.
+		reading, err = w.rows.Read(t.Context(), "masticway_accounts", s.Part)
 	case how == "late":
 		w.late = append(w.late, *s.Write)
 		err = unknown
