--- a/forwarder/report.go
+++ b/forwarder/report.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"net/http"
-	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -72,6 +71,6 @@
 func (x *exchange) logAttempt(server masticway.Server, out outcome) {
 	x.f.log.WithFields(logrus.Fields{
 		"event": "attempt_failed", "request": x.q.ID, "server": server.ID, "address": server.Address, "fate": out.fate,
-		"cause": out.reason, "events": x.events, "ms": x.f.clock.Now().Sub(x.q.received) / time.Millisecond,
+		"cause": out.reason, "events": x.events, "ms": x.f.clock.Now().Sub(x.q.received).Milliseconds(),
 	}).Info("attempt failed")
 }
--- /dev/null
+++ b/treasurer/begin.go
@@ -0,0 +1,143 @@
+package treasurer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/masticway/masticway"
+)
+
+// begin takes over the instance's book; it returns false when the context ended first.
+func (t *Treasurer) begin(ctx context.Context) bool {
+	for ctx.Err() == nil {
+		err := t.tryBegin(ctx)
+		if err == nil {
+			t.log.WithFields(logrus.Fields{"event": "money_begun", "incarnation": t.self, "predecessors": len(t.purse.Predecessors())}).Info("book taken over")
+			return true
+		}
+		t.log.WithFields(logrus.Fields{"event": "money_begin_failed", "incarnation": t.self, "error": err}).Debug("book not taken over")
+		select {
+		case <-ctx.Done():
+		case <-t.clock.After(beginPause):
+		}
+	}
+	return false
+}
+
+func (t *Treasurer) tryBegin(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	t.mu.Lock()
+	key := t.purse.bookKey()
+	t.mu.Unlock()
+	reading, err := t.store.Read(ctx, key.Table, key.Part)
+	if err != nil {
+		return err
+	}
+	row := masticway.StoredRow{RowKey: key}
+	for _, r := range reading.Rows {
+		if r.Key == key.Key {
+			row = r
+		}
+	}
+	t.mu.Lock()
+	write, err := t.purse.Begin(row, reading.At)
+	t.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	made, err := t.store.Write(ctx, write)
+	if err != nil {
+		return err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.purse.Began(t.clock.Now(), made.Version, made.At)
+	return nil
+}
+
+// closePredecessors ends the grants of this instance's earlier incarnations.
+func (t *Treasurer) closePredecessors(ctx context.Context) {
+	t.mu.Lock()
+	ended := t.purse.Predecessors()
+	t.mu.Unlock()
+	var closing sync.WaitGroup
+	places := make(chan struct{}, closingsAtOnce)
+	for _, e := range ended {
+		for workspace, spent := range e.Spent {
+			closing.Go(func() {
+				places <- struct{}{}
+				defer func() { <-places }()
+				t.closeGrant(ctx, e.Incarnation, workspace, spent)
+			})
+		}
+	}
+	closing.Wait()
+	if ctx.Err() != nil || len(ended) == 0 {
+		return
+	}
+	t.mu.Lock()
+	t.purse.Closed()
+	t.mu.Unlock()
+}
+
+// closeGrant closes one grant, however often other routers change the row meanwhile.
+func (t *Treasurer) closeGrant(ctx context.Context, ended masticway.Incarnation, workspace string, spent int64) {
+	key := masticway.RowKey{Table: tableAccounts, Part: PartOf(workspace, t.parts), Key: workspace}
+	row, known := masticway.StoredRow{RowKey: key}, false
+	for ctx.Err() == nil {
+		var err error
+		if !known {
+			row, err = t.readRow(ctx, key)
+			known = err == nil
+		}
+		if known {
+			err = t.tryClose(ctx, row, ended, workspace, spent)
+		}
+		if err == nil {
+			return
+		}
+		if conflict, ok := errors.AsType[*masticway.RowConflictError](err); ok && len(conflict.Rows) == 1 {
+			row = conflict.Rows[0]
+			continue
+		}
+		known = false
+		select {
+		case <-ctx.Done():
+		case <-t.clock.After(beginPause):
+		}
+	}
+}
+
+func (t *Treasurer) readRow(ctx context.Context, key masticway.RowKey) (masticway.StoredRow, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	reading, err := t.store.Read(ctx, key.Table, key.Part)
+	for _, r := range reading.Rows {
+		if r.Key == key.Key {
+			return r, err
+		}
+	}
+	return masticway.StoredRow{RowKey: key}, err
+}
+
+func (t *Treasurer) tryClose(ctx context.Context, row masticway.StoredRow, ended masticway.Incarnation, workspace string, spent int64) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	write, grant, err := CloseGrant(row, ended, spent)
+	if err != nil {
+		return err
+	}
+	if _, err = t.store.Write(ctx, write); err != nil {
+		return fmt.Errorf("closing the grant of %s: %w", ended, err)
+	}
+	t.log.WithFields(logrus.Fields{
+		"event": "grant_closed", "incarnation": ended, "workspace": workspace, "granted": grant.Granted,
+		"presumed": min(spent, grant.Granted),
+	}).Info("grant of an ended incarnation closed")
+	return nil
+}
--- /dev/null
+++ b/treasurer/watch.go
@@ -0,0 +1,121 @@
+package treasurer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/masticway/masticway"
+)
+
+// follow learns what other routers do to the workspaces, so that reserves shrink in time and money comes back.
+func (t *Treasurer) follow(ctx context.Context) {
+	since := int64(0)
+	for ctx.Err() == nil {
+		var reading masticway.RowReading
+		var err error
+		if since == 0 {
+			reading, err = t.readAccounts(ctx)
+		} else {
+			reading, err = t.store.Follow(ctx, tableAccounts, since, followWait)
+		}
+		if _, lost := errors.AsType[*masticway.HistoryLostError](err); lost {
+			since = 0
+		}
+		if err == nil {
+			since = max(since, reading.Version)
+			t.learn(reading.Rows)
+		}
+		select {
+		case <-ctx.Done():
+		case <-t.clock.After(followPause):
+		}
+	}
+}
+
+func (t *Treasurer) learn(rows []masticway.StoredRow) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	replies, err := t.purse.Learn(t.clock.Now(), rows)
+	t.answer(replies)
+	if err != nil {
+		t.fault(err)
+	}
+	t.stir()
+}
+
+// readAccounts reads all parts; the version to follow from is the first part's, so that nothing is missed.
+func (t *Treasurer) readAccounts(ctx context.Context) (masticway.RowReading, error) {
+	var all masticway.RowReading
+	for i := range t.parts {
+		reading, err := t.store.Read(ctx, tableAccounts, fmt.Sprint(i))
+		if err != nil {
+			return all, err
+		}
+		all.Rows = append(all.Rows, reading.Rows...)
+		if i == 0 {
+			all.Version = reading.Version
+		}
+	}
+	return all, nil
+}
+
+// count keeps the number of routers.
+func (t *Treasurer) count(ctx context.Context) {
+	for ctx.Err() == nil {
+		if n, err := t.countOnce(ctx); err == nil {
+			t.mu.Lock()
+			t.members = max(1, n)
+			t.purse.Count(t.members, slices.Sorted(maps.Keys(t.peers)))
+			t.mu.Unlock()
+			t.metrics.Gauge(metricMembers, int64(n))
+		}
+		t.logStatus()
+		select {
+		case <-ctx.Done():
+		case <-t.clock.After(countPause):
+		}
+	}
+}
+
+// logStatus writes what the money cost and brought so far, in calls and tokens.
+func (t *Treasurer) logStatus() {
+	fields := logrus.Fields{"event": "money_status"}
+	for _, name := range []string{
+		metricSteps, metricFailures, metricConflicts, metricExhausted, metricUnreachable, metricMembers, metricBorrowed,
+		metricLent, metricNotRepaid,
+	} {
+		fields[name] = t.metrics.Count(name)
+	}
+	t.log.WithFields(fields).Info("money so far")
+}
+
+// countOnce counts the routers whose book is young, and learns where they are.
+func (t *Treasurer) countOnce(ctx context.Context) (int, error) {
+	n := 0
+	peers := map[masticway.Incarnation]string{}
+	for i := range t.parts {
+		reading, err := t.store.Read(ctx, tableBooks, fmt.Sprint(i))
+		if err != nil {
+			return 0, err
+		}
+		for _, r := range reading.Rows {
+			book, err := decode[Book](r)
+			if err != nil || reading.At-book.Basis >= aliveFor {
+				continue
+			}
+			n++
+			if book.Incarnation != t.self && book.Address != "" {
+				peers[book.Incarnation] = book.Address
+			}
+		}
+	}
+	t.mu.Lock()
+	t.peers = peers
+	t.mu.Unlock()
+	return n, nil
+}
