--- a/bookkeeper/bookkeeper.go
+++ b/bookkeeper/bookkeeper.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
+	"time"
 
 	"github.com/masticway/masticway"
 	"github.com/masticway/masticway/keeper"
@@ -12,7 +14,11 @@
 
 const (
 	// commitTries bounds the attempts of one operation against racing writers.
-	commitTries = 20
+	commitTries = 40
+	// commitPause and longestPause bound the pause after a conflict; a random part of it keeps writers that met from
+	// meeting again, where tries without a pause gave up in 8 of 200 runs of eight writers.
+	commitPause  = 200 * time.Microsecond
+	longestPause = 20 * time.Millisecond
 	// drawShare is the part of what is left that a draw may take beyond its need.
 	drawShare = 0.5
 )
@@ -33,7 +39,10 @@
 // change sees every fresh read, so after a lost answer it recognises its own write and returns errDone.
 func update[T any](ctx context.Context, t masticway.Table, key, id string, change func(v T, version int64) ([]masticway.Condition, []masticway.Put, error)) error {
 	var last error
-	for range commitTries {
+	for try := range commitTries {
+		if try > 0 {
+			backOff(ctx, try)
+		}
 		row, err := t.Get(ctx, key)
 		if err != nil {
 			return unsure(last, err, id)
@@ -67,6 +76,17 @@
 	return fmt.Errorf("updating %s, %d tries: %w", key, commitTries, last)
 }
 
+// backOff pauses after a conflict, for a random time that grows with the tries, or until the context ends.
+func backOff(ctx context.Context, try int) {
+	longest := min(longestPause, commitPause<<min(try, 10))
+	pause := time.NewTimer(time.Duration(rand.Int64N(int64(longest))))
+	defer pause.Stop()
+	select {
+	case <-ctx.Done():
+	case <-pause.C:
+	}
+}
+
 // unsure keeps an unknown outcome unknown when the read-back fails too.
 func unsure(last, err error, id string) error {
 	unknown, ok := errors.AsType[*masticway.OutcomeUnknownError](last)
