--- a/starter/failure_test.go
+++ b/starter/failure_test.go
@@ -197,7 +197,8 @@
 func TestPausedRouterIsSealedAndRejoins(t *testing.T) {
 	t.Parallel()
 	b := newBench(t)
-	qt.Assert(t, b.chat(0, "", "warm [tokens=3]", false).done, qt.IsTrue)
+	warm := b.chat(0, "", "warm [tokens=3]", false)
+	qt.Assert(t, warm.done, qt.IsTrue, qt.Commentf("%d %s", warm.status, warm.body))
 	paused := b.Routers()[0]
 	was := paused.Daemon.Incarnation()
 	b.Network.Cut(paused.Name, "*")
