--- a/treasurer/purse_test.go
+++ b/treasurer/purse_test.go
@@ -359,3 +359,17 @@
 	qt.Assert(t, ended[0].Spent["w"], qt.Equals, int64(350))
 	qt.Assert(t, b.account().Grants["edge~1"].Granted, qt.Equals, int64(350))
 }
+
+func TestOlderRowTellsNothing(t *testing.T) {
+	b := newBench(t, 100000)
+	b.hold(1000)
+	b.run(300 * time.Millisecond)
+	before := b.purse.Positions()
+	old := b.rows.Row(masticway.RowKey{Table: "masticway_accounts", Part: "0", Key: "w"})
+	old.Version--
+	old.Value = []byte(`{"prepaid":100000,"version":1,"grants":{"edge~1":{"granted":90000,"sequence":1}}}`)
+	replies, err := b.purse.Learn(b.now, []masticway.StoredRow{old})
+	qt.Assert(t, err, qt.IsNil)
+	b.note(replies)
+	qt.Assert(t, b.purse.Positions(), qt.DeepEquals, before)
+}
