--- a/chooser/chooser.go
+++ b/chooser/chooser.go
@@ -155,13 +155,18 @@
 	if len(w.Prefixes) == 0 {
 		return -1
 	}
-	home, highest := -1, uint64(0)
-	for i, k := range candidates {
-		if weight := xxhash.Sum64String(k.Instance) ^ w.Prefixes[0]; home < 0 || mix(weight) > highest {
-			home, highest = i, mix(weight)
+	return heaviest(len(candidates), w.Prefixes[0], func(i int) string { return candidates[i].Instance })
+}
+
+// heaviest returns which of n names has the highest rendezvous weight for a hash, or -1 without any.
+func heaviest(n int, hash uint64, name func(i int) string) int {
+	best, highest := -1, uint64(0)
+	for i := range n {
+		if weight := mix(xxhash.Sum64String(name(i)) ^ hash); best < 0 || weight > highest {
+			best, highest = i, weight
 		}
 	}
-	return home
+	return best
 }
 
 // mix spreads the bits of a weight, because both parts of it are hashes joined by one operation only.
--- a/chooser/servers.go
+++ b/chooser/servers.go
@@ -140,14 +140,7 @@
 
 // homeServer is the server with the highest rendezvous weight for a part, so that all routers agree without a word.
 func homeServer(part string, servers []masticway.Server) int {
-	home, highest := -1, uint64(0)
-	hash := xxhash.Sum64String(part)
-	for i, server := range servers {
-		if weight := mix(xxhash.Sum64String(server.ID) ^ hash); home < 0 || weight > highest {
-			home, highest = i, weight
-		}
-	}
-	return home
+	return heaviest(len(servers), xxhash.Sum64String(part), func(i int) string { return servers[i].ID })
 }
 
 // Placement is one request at one server; it is given back to Servers as the request goes on.
--- a/commander/gateway.go
+++ b/commander/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
@@ -53,7 +54,7 @@
 	go func() {
 		for range hangups {
 			if err := reload(); err != nil {
-				reportReload(e, err)
+				fmt.Fprintf(e.err, "masticway: settings not read again, the old ones stay: %v\n", err)
 			}
 		}
 	}()
@@ -62,8 +63,3 @@
 		close(hangups)
 	}
 }
-
-// reportReload writes that a reload was refused; the process goes on with what it has.
-func reportReload(e env, err error) {
-	_, _ = e.err.Write([]byte("masticway: settings not read again: " + err.Error() + "\n"))
-}
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -87,8 +87,8 @@
 		whole := since == 0 || f.clock.Now().Sub(listedAt) > relistAfter
 		reading, err := f.read(ctx, table, part, since, whole)
 		if _, lost := errors.AsType[*masticway.HistoryLostError](err); lost {
-			since = 0
 			f.log.WithFields(logrus.Fields{"event": "history_lost", "table": table, "since": since}).Info("reading the table anew")
+			since = 0
 			continue
 		}
 		if err != nil {
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -45,7 +45,7 @@
 	a.placement = x.f.servers.Sent(x.f.clock.Now(), x.q.prompt, server.ID)
 	x.f.mu.Unlock()
 	out := a.run()
-	if ctx.Err() != nil && errors.Is(ctx.Err(), context.Canceled) {
+	if errors.Is(ctx.Err(), context.Canceled) {
 		out.verdict = chooser.VerdictNone
 	}
 	x.f.mu.Lock()
@@ -63,11 +63,11 @@
 		return a.unsent(err)
 	}
 	defer func() { answer.Close() }()
-	head, answer2, err := a.own(answer)
+	head, own, err := a.own(answer)
 	if err != nil {
 		return a.failed(err)
 	}
-	answer = answer2
+	answer = own
 	answer.KeepIdle(head.KeepIdle)
 	return a.take(answer, head)
 }
--- a/treasurer/begin.go
+++ b/treasurer/begin.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -16,14 +17,10 @@
 	for ctx.Err() == nil {
 		err := t.tryBegin(ctx)
 		if err == nil {
-			t.log.WithFields(logrus.Fields{"event": "money_begun", "incarnation": t.self, "predecessors": len(t.purse.Predecessors())}).Info("book taken over")
 			return true
 		}
 		t.log.WithFields(logrus.Fields{"event": "money_begin_failed", "incarnation": t.self, "error": err}).Debug("book not taken over")
-		select {
-		case <-ctx.Done():
-		case <-t.clock.After(beginPause):
-		}
+		t.pause(ctx, beginPause)
 	}
 	return false
 }
@@ -34,18 +31,12 @@
 	t.mu.Lock()
 	key := t.purse.bookKey()
 	t.mu.Unlock()
-	reading, err := t.store.Read(ctx, key.Table, key.Part)
+	row, at, err := t.readRow(ctx, key)
 	if err != nil {
 		return err
 	}
-	row := masticway.StoredRow{RowKey: key}
-	for _, r := range reading.Rows {
-		if r.Key == key.Key {
-			row = r
-		}
-	}
 	t.mu.Lock()
-	write, err := t.purse.Begin(row, reading.At)
+	write, err := t.purse.Begin(row, at)
 	t.mu.Unlock()
 	if err != nil {
 		return err
@@ -57,6 +48,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.purse.Began(t.clock.Now(), made.Version, made.At)
+	t.log.WithFields(logrus.Fields{
+		"event": "money_begun", "incarnation": t.self, "predecessors": len(t.purse.Predecessors()),
+	}).Info("book taken over")
 	return nil
 }
 
@@ -92,7 +86,7 @@
 	for ctx.Err() == nil {
 		var err error
 		if !known {
-			row, err = t.readRow(ctx, key)
+			row, _, err = t.readRow(ctx, key)
 			known = err == nil
 		}
 		if known {
@@ -106,23 +100,21 @@
 			continue
 		}
 		known = false
-		select {
-		case <-ctx.Done():
-		case <-t.clock.After(beginPause):
-		}
+		t.pause(ctx, beginPause)
 	}
 }
 
-func (t *Treasurer) readRow(ctx context.Context, key masticway.RowKey) (masticway.StoredRow, error) {
+// readRow reads one row, with version zero when there is none, and the store's clock.
+func (t *Treasurer) readRow(ctx context.Context, key masticway.RowKey) (masticway.StoredRow, time.Duration, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	reading, err := t.store.Read(ctx, key.Table, key.Part)
 	for _, r := range reading.Rows {
 		if r.Key == key.Key {
-			return r, err
+			return r, reading.At, err
 		}
 	}
-	return masticway.StoredRow{RowKey: key}, err
+	return masticway.StoredRow{RowKey: key}, reading.At, err
 }
 
 func (t *Treasurer) tryClose(ctx context.Context, row masticway.StoredRow, ended masticway.Incarnation, workspace string, spent int64) error {
--- a/treasurer/holds.go
+++ b/treasurer/holds.go
@@ -13,8 +13,11 @@
 	cleared bool
 }
 
-// settle gives back what was not used, borrowed money first.
+// settle gives back what was not used, borrowed money first; nothing can have been used of a hold that is not cleared.
 func (h held) settle(used int64) {
+	if !h.cleared {
+		used = 0
+	}
 	for _, l := range h.loans {
 		spent := min(used, l.Amount)
 		used -= spent
@@ -24,9 +27,6 @@
 	h.account.taken -= back
 	if h.cleared {
 		h.account.cleared -= back
-	} else {
-		// Nothing can have been used of it.
-		h.account.taken -= h.amount - back
 	}
 }
 
@@ -133,7 +133,7 @@
 	return "", false
 }
 
-// beyond tells that a need exceeds what is left and what this router has in hand, also by its own settings' word.
+// beyond tells that a need certainly exceeds what is left and what this router has in hand.
 func (p *Purse) beyond(a *account, need int64) bool {
 	return need > a.row.Left()+max(0, a.free())+a.loaned() && a.settled()
 }
--- a/treasurer/keeping.go
+++ b/treasurer/keeping.go
@@ -1,9 +1,12 @@
 package treasurer
 
 import (
-	"hash/fnv"
+	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+	"github.com/dgryski/go-rendezvous"
+
 	"github.com/masticway/masticway"
 )
 
@@ -21,25 +24,19 @@
 // keeper is the router that holds what is left of a thin workspace. All routers that know the same peers agree on it
 // without a word, and when they do not, nothing breaks: money is only ever spent from a grant or a loan.
 func (p *Purse) keeper(a *account) masticway.Incarnation {
-	best, highest := p.settings.Incarnation, weigh(a.workspace, p.settings.Incarnation)
+	return masticway.Incarnation(p.ring.Lookup(a.workspace))
+}
+
+// newRing spreads workspaces over this router and those that it can ask.
+func (p *Purse) newRing() *rendezvous.Rendezvous {
+	names := []string{string(p.settings.Incarnation)}
 	for _, i := range p.peers {
-		if w := weigh(a.workspace, i); w > highest || w == highest && i > best {
-			best, highest = i, w
+		if i != p.settings.Incarnation {
+			names = append(names, string(i))
 		}
 	}
-	return best
-}
-
-// weigh is a rendezvous weight.
-func weigh(workspace string, i masticway.Incarnation) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(i))
-	_, _ = h.Write([]byte(workspace))
-	x := h.Sum64()
-	// The last bytes of an FNV hash move its upper bits too little.
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	return x ^ x>>29
+	slices.Sort(names)
+	return rendezvous.New(names, xxhash.Sum64String)
 }
 
 // delegated tells that this router leaves the rest of a workspace to its keeper and borrows from it: so many routers
--- a/treasurer/lending.go
+++ b/treasurer/lending.go
@@ -60,10 +60,9 @@
 		if err == nil {
 			return
 		}
-		select {
-		case <-ctx.Done():
+		t.pause(ctx, beginPause)
+		if ctx.Err() != nil {
 			return
-		case <-t.clock.After(beginPause):
 		}
 	}
 	t.metrics.Add(metricNotRepaid, r.Amount)
--- a/treasurer/loans.go
+++ b/treasurer/loans.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -72,7 +73,11 @@
 	return used
 }
 
-func (a *account) addLoan(l Loan) {
+// keepLoan adds a loan to those at hand, if it is any.
+func (a *account) keepLoan(l Loan) {
+	if l.Amount <= 0 {
+		return
+	}
 	for i := range a.loans {
 		if a.loans[i].Lender == l.Lender {
 			a.loans[i].Amount += l.Amount
@@ -82,13 +87,6 @@
 	a.loans = append(a.loans, l)
 }
 
-// keepLoan keeps a loan, if it is any.
-func (a *account) keepLoan(l Loan) {
-	if l.Amount > 0 {
-		a.addLoan(l)
-	}
-}
-
 // Borrowing returns whom to ask for money now: somebody has waited for the store, or there is nothing left to draw.
 func (p *Purse) Borrowing(now time.Time) []LoanRequest {
 	var asks []LoanRequest
@@ -122,25 +120,18 @@
 		}
 	}
 	keeper := p.keeper(a)
-	slices.SortStableFunc(others, func(x, y masticway.Incarnation) int {
-		if x == keeper || y == keeper {
-			return cmp.Compare(btoi(y == keeper), btoi(x == keeper))
+	demand := func(i masticway.Incarnation) int64 {
+		if i == keeper {
+			return math.MaxInt64
 		}
-		if d := a.row.Grants[y].Demand - a.row.Grants[x].Demand; d != 0 {
-			return int(d)
-		}
-		return int(a.row.Grants[y].Granted - a.row.Grants[x].Granted)
+		return a.row.Grants[i].Demand
+	}
+	slices.SortStableFunc(others, func(x, y masticway.Incarnation) int {
+		return cmp.Or(cmp.Compare(demand(y), demand(x)), cmp.Compare(a.row.Grants[y].Granted, a.row.Grants[x].Granted))
 	})
 	return others[:min(len(others), lendersAsked)]
 }
 
-func btoi(b bool) int {
-	if b {
-		return 1
-	}
-	return 0
-}
-
 // Borrowed takes what one round of asking brought.
 func (p *Purse) Borrowed(now time.Time, workspace string, loans []Loan) []Reply {
 	a, ok := p.accounts[workspace]
--- a/treasurer/outcome.go
+++ b/treasurer/outcome.go
@@ -34,11 +34,16 @@
 
 func (p *Purse) reached() { p.failingSince = time.Time{} }
 
-// failed notes a step that brought nothing; a change whose outcome is unknown stays pending until the row is seen.
-func (p *Purse) failed(now time.Time, s Step, err error) {
+// unreached notes that the store failed a call that was sent at a time.
+func (p *Purse) unreached(sentAt time.Time) {
 	if p.failingSince.IsZero() {
-		p.failingSince = s.sentAt
+		p.failingSince = sentAt
 	}
+}
+
+// failed notes a step that brought nothing; a change whose outcome is unknown stays pending until the row is seen.
+func (p *Purse) failed(now time.Time, s Step, err error) {
+	p.unreached(s.sentAt)
 	a, ok := p.accounts[s.Workspace]
 	if !ok {
 		return
@@ -162,9 +167,7 @@
 		return p.bookConflict(now, conflict.Rows)
 	}
 	if err != nil {
-		if p.failingSince.IsZero() {
-			p.failingSince = s.sentAt
-		}
+		p.unreached(s.sentAt)
 		p.bookRetry = now.Add(probePause)
 		if _, nothing := errors.AsType[*masticway.UnavailableError](err); nothing {
 			p.dropPromise(s.sequence)
@@ -174,21 +177,20 @@
 	p.reached()
 	p.bookTook += (now.Sub(s.sentAt) - p.bookTook) / 4
 	p.bookVersion = reading.Version
-	p.kept(now, s.sequence, reading.At)
+	p.kept(s.sequence)
+	p.book.Basis = reading.At
+	p.bookBasis = now
 	return p.Tick(now), nil
 }
 
 // kept makes one promise the only one in force.
-func (p *Purse) kept(now time.Time, sequence int64, at time.Duration) {
+func (p *Purse) kept(sequence int64) {
 	for _, f := range p.inForce {
 		if f.sequence == sequence {
-			f.acked = true
 			p.inForce = []inForce{f}
-			break
+			return
 		}
 	}
-	p.book.Basis = at
-	p.bookBasis = now
 }
 
 // dropPromise forgets a promise that the store certainly does not have.
@@ -216,21 +218,11 @@
 		}
 		p.bookVersion = r.Version
 		// The store's clock at that write is not known; the older basis is the safe one.
-		p.keptUnanswered(book.Sequence)
+		p.kept(book.Sequence)
 	}
 	return p.Tick(now), nil
 }
 
-func (p *Purse) keptUnanswered(sequence int64) {
-	for _, f := range p.inForce {
-		if f.sequence == sequence {
-			f.acked = true
-			p.inForce = []inForce{f}
-			return
-		}
-	}
-}
-
 // Begin returns the book of a new incarnation from its predecessor's row; the caller writes it, then tells Began.
 func (p *Purse) Begin(row masticway.StoredRow, now time.Duration) (masticway.RowWrite, error) {
 	old, err := decode[Book](row)
@@ -253,7 +245,7 @@
 	p.book.Basis = at
 	p.bookBasis = now
 	p.bookAt = now
-	p.inForce = []inForce{{basis: now, acked: true, promises: map[string]Promise{}}}
+	p.inForce = []inForce{{basis: now, promises: map[string]Promise{}}}
 }
 
 // Predecessors lists the ended incarnations whose grants are still open.
--- a/treasurer/plan.go
+++ b/treasurer/plan.go
@@ -22,7 +22,8 @@
 	sentAt   time.Time
 }
 
-// Plan returns what should be done at the store now; at most one step for the book and for each part is under way.
+// Plan returns what should be done at the store now. At most one write of the book, one change of each workspace and
+// one reading of each part are under way.
 func (p *Purse) Plan(now time.Time) []Step {
 	if !p.began {
 		return nil
@@ -179,9 +180,8 @@
 
 // moveGrant changes one workspace's grant. Each has a write of its own, so that a busy row conflicts alone.
 func (p *Purse) moveGrant(now time.Time, a *account, delta int64) Step {
-	a.sequence++
 	a.moving, a.returning = true, max(0, -delta)
-	next := a.newest().WithGrant(p.settings.Incarnation, Grant{Granted: a.granted + delta, Sequence: a.sequence, Demand: int64(a.demand)})
+	next := a.newest().WithGrant(p.settings.Incarnation, Grant{Granted: a.granted + delta, Demand: int64(a.demand)})
 	key := p.accountKey(a.workspace)
 	return Step{
 		Part: key.Part, Workspace: a.workspace, sentAt: now,
--- a/treasurer/purse.go
+++ b/treasurer/purse.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"github.com/dgryski/go-rendezvous"
+
 	"github.com/masticway/masticway"
 )
 
@@ -22,7 +24,7 @@
 	bookHeartbeat = 250 * time.Millisecond
 	idleHeartbeat = 4 * time.Second
 	// bookPause separates two writes of a book; bookPauseEach is added for each router, so that all of them together
-	// stay within half of the store's write rate.
+	// write less than a thousand books a second.
 	bookPause     = 20 * time.Millisecond
 	bookPauseEach = time.Millisecond
 	// slowAnswer is the store's answer time above which a burst is promised for the demand of that time.
@@ -77,8 +79,9 @@
 	ID      HoldID
 	Verdict Verdict
 	Waited  time.Duration
-	// Prepaid, Left and Own are what was known of the workspace: what is paid for, what no router has been granted,
-	// what this one had in hand, and what it may have of that by its promises and loans; RowAge is how old that knowledge was, and Asked tells that others were asked.
+	// Prepaid, Left, Free and Own are what was known of the workspace: what is paid for, what no router has been granted,
+	// what this one had in hand, and what of that its promises allowed, with loans. RowAge is how old that knowledge
+	// was, and Asked tells that other routers were asked.
 	Prepaid int64
 	Left    int64
 	Free    int64
@@ -116,7 +119,6 @@
 	known      bool
 	seenAt     time.Time
 	granted    int64
-	sequence   int64
 	// moving tells that a change of the grant has been sent, which returns so much.
 	moving    bool
 	returning int64
@@ -196,7 +198,6 @@
 	sequence int64
 	// basis is when this router heard of the write on which the store counts.
 	basis    time.Time
-	acked    bool
 	promises map[string]Promise
 }
 
@@ -214,9 +215,11 @@
 	bookBasis   time.Time
 	bookAt      time.Time
 	// bookTook is the moving average of the store's time for a book.
-	bookTook     time.Duration
-	members      int
-	peers        []masticway.Incarnation
+	bookTook time.Duration
+	members  int
+	peers    []masticway.Incarnation
+	// ring chooses the keeper of a workspace among the router and its peers.
+	ring         *rendezvous.Rendezvous
 	looking      map[string]bool
 	bookRetry    time.Time
 	failingSince time.Time
@@ -232,10 +235,12 @@
 
 // NewPurse returns a purse without money.
 func NewPurse(s Settings) *Purse {
-	return &Purse{
+	p := &Purse{
 		settings: s, accounts: map[string]*account{}, holds: map[HoldID]*held{},
 		looking: map[string]bool{}, repaid: map[masticway.Incarnation]int64{},
 	}
+	p.ring = p.newRing()
+	return p
 }
 
 // Configure tells what each workspace has paid for, as of a configuration's version.
@@ -275,6 +280,7 @@
 // Count tells how many routers there are, and which of them can be asked for money.
 func (p *Purse) Count(members int, peers []masticway.Incarnation) {
 	p.members, p.peers = members, peers
+	p.ring = p.newRing()
 }
 
 // Tick ends waits that are over.
--- a/treasurer/rows.go
+++ b/treasurer/rows.go
@@ -19,8 +19,6 @@
 // Grant is money that one incarnation may spend.
 type Grant struct {
 	Granted int64 `json:"granted"`
-	// Sequence is the holder's last committed change of the grant.
-	Sequence int64 `json:"sequence"`
 	// Demand is the tokens a second that the holder was asked for then; what is kept in hand is shared by it.
 	Demand int64 `json:"demand,omitempty"`
 }
--- a/treasurer/treasurer.go
+++ b/treasurer/treasurer.go
@@ -100,13 +100,6 @@
 	return t.members
 }
 
-// Positions lists what this router has of each workspace.
-func (t *Treasurer) Positions() []Position {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.purse.Positions()
-}
-
 // Configure tells what each workspace has paid for.
 func (t *Treasurer) Configure(d masticway.Deployment) {
 	t.mu.Lock()
@@ -210,6 +203,14 @@
 	t.steps.Wait()
 }
 
+// pause waits, at most until the context ends.
+func (t *Treasurer) pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-t.clock.After(d):
+	}
+}
+
 func (t *Treasurer) isSealed() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -295,9 +296,6 @@
 			return
 		}
 		t.turn(ctx)
-		select {
-		case <-ctx.Done():
-		case <-t.clock.After(tick / 5):
-		}
+		t.pause(ctx, tick/5)
 	}
 }
--- a/treasurer/watch.go
+++ b/treasurer/watch.go
@@ -30,10 +30,7 @@
 			since = max(since, reading.Version)
 			t.learn(reading.Rows)
 		}
-		select {
-		case <-ctx.Done():
-		case <-t.clock.After(followPause):
-		}
+		t.pause(ctx, followPause)
 	}
 }
 
@@ -75,10 +72,7 @@
 			t.metrics.Gauge(metricMembers, int64(n))
 		}
 		t.logStatus()
-		select {
-		case <-ctx.Done():
-		case <-t.clock.After(countPause):
-		}
+		t.pause(ctx, countPause)
 	}
 }
 
