--- a/forwarder/settings.go
+++ b/forwarder/settings.go
@@ -16,6 +16,8 @@
 	MetricsAddress   string `json:"metrics_address"`
 	// PeerAddress is where other routers reach this one.
 	PeerAddress string `json:"peer_address"`
+	// PeerSeeds are addresses of some routers, which a new one asks before it knows of others; they may be stale.
+	PeerSeeds []string `json:"peer_seeds,omitempty"`
 	// StoreAddress is the platform's row store.
 	StoreAddress string `json:"store_address"`
 	// GraceSeconds is how long the process lives after it was told to end.
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -21,6 +21,9 @@
 	relayAfter = 60 * time.Millisecond
 	// followAfter is the same for a followed table, beyond the wait that was asked for.
 	followAfter = 250 * time.Millisecond
+	// awayAfter is how long every direct call must have failed before others are asked at once: a store that is over its
+	// rate refuses single calls, and asking others about these would make it worse.
+	awayAfter = 100 * time.Millisecond
 	// probePause separates two direct calls while the store turns this router away.
 	probePause = 100 * time.Millisecond
 	// relayTimeout bounds one call through another router, a store's answer and two ways between availability zones.
@@ -52,7 +55,10 @@
 	mu sync.Mutex
 	// peers names the addresses of other routers.
 	peers func() []string
-	// away tells that the direct way failed when it was last tried; probing that it is being tried.
+	// workedAt is when a direct call last had a definite end, failingSince since when none had, zero while they do.
+	workedAt     time.Time
+	failingSince time.Time
+	// away tells that direct calls have failed for a while; probing that one is under way to find out.
 	away     bool
 	probing  bool
 	probedAt time.Time
@@ -148,12 +154,11 @@
 		var r result
 		select {
 		case r = <-straight:
-			if !r.definite() && patience != nil {
+			if !r.definite() && patience != nil && s.isAway() {
 				relay()
 			}
 		case r = <-relayed:
 		case <-patience:
-			s.turnedAway(errSlow)
 			relay()
 			continue
 		case <-ctx.Done():
@@ -168,9 +173,6 @@
 	return worst.reading, worst.err
 }
 
-// errSlow is why other routers are asked about a store that has not failed.
-var errSlow = errors.New("no answer yet")
-
 // worse keeps an unknown outcome unknown, whatever the other way said.
 func worse(a, b result) result {
 	if _, ok := errors.AsType[*masticway.OutcomeUnknownError](a.err); ok {
@@ -197,6 +199,7 @@
 // goStraight makes a direct call. It outlives its caller: when another router was faster, its end still tells whether
 // the store answers this one.
 func (s *Store) goStraight(o order) result {
+	sentAt := s.clock.Now()
 	r := o.carryOut(s.own, s.direct)
 	s.mu.Lock()
 	s.probing = false
@@ -204,7 +207,7 @@
 	if r.definite() {
 		s.regained()
 	} else {
-		s.turnedAway(r.err)
+		s.turnedAway(sentAt, r.err)
 	}
 	return r
 }
@@ -215,10 +218,18 @@
 	return s.away
 }
 
-func (s *Store) turnedAway(cause error) {
+// turnedAway notes a direct call that was sent at a time and failed.
+func (s *Store) turnedAway(sentAt time.Time, cause error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.away {
+	if s.failingSince.IsZero() {
+		s.failingSince = sentAt
+	}
+	if s.failingSince.Before(s.workedAt) {
+		// A feed that broke off says nothing of the time in which other calls worked.
+		s.failingSince = s.workedAt
+	}
+	if s.away || s.clock.Now().Sub(s.failingSince) < awayAfter {
 		return
 	}
 	s.away = true
@@ -228,6 +239,7 @@
 func (s *Store) regained() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.workedAt, s.failingSince = s.clock.Now(), time.Time{}
 	if !s.away {
 		return
 	}
--- a/starter/gateway.go
+++ b/starter/gateway.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"net/http"
+	"reflect"
+	"slices"
 	"sync"
 	"time"
 
@@ -102,7 +104,7 @@
 	d.bank = treasurer.New(d.store, lender.NewClient(messages), clock, entry, metrics, s.Instance, treasurer.Settings{
 		Address: s.PeerAddress, Parts: s.Money.Parts, Reserve: s.Money.Reserve.Std(),
 	})
-	d.store.Ask(d.bank.Peers)
+	d.store.Ask(d.peers)
 	d.follower = follower.New(d.store, decoder, clock, entry, metrics, d.changed)
 	dialer := &net.Dialer{KeepAlive: -1}
 	d.forwarder = forwarder.New(s, forwarder.Parts{
@@ -148,6 +150,15 @@
 	return nil
 }
 
+// peers names the addresses of other routers: those that are known, before that the seeds.
+func (d *GatewayDaemon) peers() []string {
+	known := d.bank.Peers()
+	if len(known) > 0 {
+		return known
+	}
+	return slices.DeleteFunc(slices.Clone(d.settings.PeerSeeds), func(a string) bool { return a == d.settings.PeerAddress })
+}
+
 // peerHandler answers the other routers.
 func (d *GatewayDaemon) peerHandler() http.Handler {
 	mux := http.NewServeMux()
@@ -175,7 +186,7 @@
 	same := s
 	same.LogLevel = d.settings.LogLevel
 	d.log.WithFields(logrus.Fields{
-		"event": "reloaded", "log_level": s.LogLevel, "needs_restart": same != d.settings,
+		"event": "reloaded", "log_level": s.LogLevel, "needs_restart": !reflect.DeepEqual(same, d.settings),
 	}).Info("settings read again")
 }
 
--- a/treasurer/begin.go
+++ b/treasurer/begin.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -81,6 +82,7 @@
 
 // closeGrant closes one grant, however often other routers change the row meanwhile.
 func (t *Treasurer) closeGrant(ctx context.Context, ended masticway.Incarnation, workspace string, spent int64) {
+	t.pauseForOthers(ctx)
 	key := masticway.RowKey{Table: tableAccounts, Part: PartOf(workspace, t.parts), Key: workspace}
 	row, known := masticway.StoredRow{RowKey: key}, false
 	for ctx.Err() == nil {
@@ -97,6 +99,9 @@
 		}
 		if conflict, ok := errors.AsType[*masticway.RowConflictError](err); ok && len(conflict.Rows) == 1 {
 			row = conflict.Rows[0]
+			t.pauseForOthers(ctx)
+			// The row has changed again by the time that others need for theirs.
+			known = t.Members() < fewRouters
 			continue
 		}
 		known = false
@@ -104,6 +109,14 @@
 	}
 }
 
+// pauseForOthers waits for a random part of the time that all routers need for one write each to the same row: where
+// all of them close grants at once, writes that meet would use up the store's rate.
+func (t *Treasurer) pauseForOthers(ctx context.Context) {
+	if longest := time.Duration(t.Members()) * closingPause; longest > 0 {
+		t.pause(ctx, time.Duration(rand.Int64N(int64(longest))))
+	}
+}
+
 // readRow reads one row, with version zero when there is none, and the store's clock.
 func (t *Treasurer) readRow(ctx context.Context, key masticway.RowKey) (masticway.StoredRow, time.Duration, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
--- a/treasurer/outcome.go
+++ b/treasurer/outcome.go
@@ -270,8 +270,9 @@
 	}
 	step := p.writeBook(now)
 	last := p.inForce[len(p.inForce)-1].promises
-	for workspace, promise := range last {
-		last[workspace] = Promise{Taken: promise.Taken}
+	for workspace := range last {
+		// What is still under way may be answered after this book.
+		last[workspace] = Promise{Taken: p.accounts[workspace].taken}
 	}
 	step.Write.Puts[0].Value = encode(p.book)
 	return step, true
--- a/treasurer/treasurer.go
+++ b/treasurer/treasurer.go
@@ -24,6 +24,11 @@
 	beginPause = 100 * time.Millisecond
 	// closingsAtOnce bounds the grants of a predecessor that are closed at the same time.
 	closingsAtOnce = 6
+	// closingPause is a router's part of the time over which closings of one grant each are spread, the store's time for
+	// two writes of one part.
+	closingPause = 10 * time.Millisecond
+	// fewRouters is the number below which a row that was given back with a conflict is probably the newest yet.
+	fewRouters = 8
 	// followWait is how long one call of the accounts' feed may wait, followPause what separates two calls.
 	followWait  = 5 * time.Second
 	followPause = 200 * time.Millisecond
