Keep more in hand, find a store that is back sooner, and wait for longer losses of power

Changes: a reserve that aims at four times what is left for all routers together; up to four probes 120 ms apart, store calls end after 0.6 s; silence 2.2 s.

--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -24,8 +24,10 @@
 	// awayAfter is how long every direct call must have failed before others are asked at once: a store that is over its
 	// rate refuses single calls, and asking others about these would make it worse.
 	awayAfter = 100 * time.Millisecond
-	// probePause separates two direct calls while the store turns this router away.
-	probePause = 100 * time.Millisecond
+	// probePause separates two direct calls while the store turns this router away, and probesMost bounds those under
+	// way: one that a cut has swallowed does not keep the next from finding the store back.
+	probePause = 120 * time.Millisecond
+	probesMost = 4
 	// relayTimeout bounds one call through another router, a store's answer and two ways between availability zones.
 	relayTimeout = 400 * time.Millisecond
 	// routersAsked bounds the routers that are asked for one call.
@@ -58,9 +60,9 @@
 	// workedAt is when a direct call last had a definite end, failingSince since when none had, zero while they do.
 	workedAt     time.Time
 	failingSince time.Time
-	// away tells that direct calls have failed for a while; probing that one is under way to find out.
+	// away tells that direct calls have failed for a while; straight counts those under way.
 	away     bool
-	probing  bool
+	straight int
 	probedAt time.Time
 	// first is where the list of routers begins; it moves on when none of those asked could help.
 	first int
@@ -185,14 +187,12 @@
 func (s *Store) mayGoStraight(o order) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.away {
-		return true
-	}
 	now := s.clock.Now()
-	if o.Follow || s.probing || now.Sub(s.probedAt) < probePause {
+	if s.away && (o.Follow || s.straight >= probesMost || now.Sub(s.probedAt) < probePause) {
 		return false
 	}
-	s.probing, s.probedAt = true, now
+	s.probedAt = now
+	s.straight++
 	return true
 }
 
@@ -202,7 +202,7 @@
 	sentAt := s.clock.Now()
 	r := o.carryOut(s.own, s.direct)
 	s.mu.Lock()
-	s.probing = false
+	s.straight--
 	s.mu.Unlock()
 	if r.definite() {
 		s.regained()
--- a/starter/gateway.go
+++ b/starter/gateway.go
@@ -31,9 +31,9 @@
 	// gatewayIdle is how long a caller's connection may be idle. It is longer than deployments allow, so that the
 	// callers, who know their limit, end connections and not the router, whose end could cross a request.
 	gatewayIdle = 60 * time.Second
-	// storeTimeout bounds one call to the row store: more than a slow store takes, less than a connection that a cut
-	// has stalled needs to come back to life.
-	storeTimeout = 900 * time.Millisecond
+	// storeTimeout bounds one call to the row store: twice what a store that is 60 times slower than usual takes, less
+	// than a connection that a cut has stalled needs to come back to life.
+	storeTimeout = 600 * time.Millisecond
 	// unreadyAtLeast is how long a router that ends still takes connections: the balancer asks once a second and
 	// takes an instance out after two misses.
 	unreadyAtLeast = 3200 * time.Millisecond
--- a/treasurer/keeping.go
+++ b/treasurer/keeping.go
@@ -54,6 +54,11 @@
 	return all
 }
 
+// handShare is the part of what is left and its own that a router with a part of all demand keeps in hand, so that all
+// routers together have handTimes as much in hand as is left in the store. A router does not know what the others have
+// unspent: with d of the demand it aims at handTimes times d of what is left, which is this part of both.
+func handShare(d float64) float64 { return handTimes * d / (1 + handTimes*d) }
+
 // reserveOf is how much the router should keep in hand of a workspace beyond what it has taken.
 func (p *Purse) reserveOf(a *account) int64 {
 	want := int64(a.demand * p.settings.Reserve.Seconds())
@@ -72,7 +77,7 @@
 		want = max(want, int64(all*keptSpan.Seconds()), int64(keptRequests*a.typical))
 		return min(want, spare)
 	}
-	share := int64(reserveShare * float64(spare) * (a.demand + 1) / all)
+	share := int64(float64(spare) * handShare((a.demand+1)/all))
 	if share < int64(a.typical/leastShare) {
 		// So little in hand serves nobody, also together with others, and is missing elsewhere.
 		return 0
--- a/treasurer/purse.go
+++ b/treasurer/purse.go
@@ -15,7 +15,7 @@
 	// silentAfter is how long the store must have been silent before a promise's rate counts. Answers that come ready
 	// in that time wait, which makes some late; a router that dies and is back within it strands nothing. All routers
 	// of a deployment that lose power together are back within 0.6 to 1.7 s, and then no witness is left.
-	silentAfter = 1800 * time.Millisecond
+	silentAfter = 2200 * time.Millisecond
 	// rateMargin is what a promised rate is above the demand, which comes in lumps: a request takes what a router gets
 	// of a workspace in seconds. It is only ever lost when a router dies and its witnesses cannot be asked. With 1.5
 	// instead of 4, 4.5% were refused on bsti-fit's days with trouble instead of 3.7%.
@@ -39,7 +39,10 @@
 	demandWindow = 4 * time.Second
 	// leastSeen is the least time that the first demand is spread over.
 	leastSeen = 1500 * time.Millisecond
-	// reserveShare is the part of what is left that all routers together keep in hand; the rest is out of reach in a cut.
+	// handTimes is how many times what is left in the store all routers together keep in hand; the rest is out of reach
+	// in a cut.
+	handTimes = 4.0
+	// reserveShare is the part of what is left by which a router tells whether all could keep something of use.
 	reserveShare = 0.9
 	// leastShare is the part of a usual request below which nothing is kept in hand; routers put such parts together.
 	leastShare = 3
