--- a/logger/queue.go
+++ b/logger/queue.go
@@ -20,12 +20,14 @@
 	out     io.Writer
 	lines   chan []byte
 	dropped atomic.Int64
+	// closing ends the writing once what waits is written, done tells that it has ended.
+	closing chan struct{}
 	done    chan struct{}
 }
 
 // NewQueue returns a queue in front of a writer.
 func NewQueue(out io.Writer) *Queue {
-	q := &Queue{out: out, lines: make(chan []byte, queueLines), done: make(chan struct{})}
+	q := &Queue{out: out, lines: make(chan []byte, queueLines), closing: make(chan struct{}), done: make(chan struct{})}
 	go q.run()
 	return q
 }
@@ -43,16 +45,20 @@
 // Dropped returns how many lines have not been reported as lost yet.
 func (q *Queue) Dropped() int64 { return q.dropped.Load() }
 
-// Close writes what waits and ends the queue; nothing may be written afterwards.
+// Close writes what waits and ends the queue; what a handler that is still under way writes afterwards is dropped.
 func (q *Queue) Close() {
-	close(q.lines)
+	close(q.closing)
 	<-q.done
 }
 
 func (q *Queue) run() {
 	defer close(q.done)
 	var reported time.Time
-	for line := range q.lines {
+	for {
+		line, ok := q.next()
+		if !ok {
+			return
+		}
 		// A log that cannot be written has nowhere to say so.
 		_, _ = q.out.Write(line)
 		if n := q.dropped.Load(); n > 0 && time.Since(reported) > dropReport {
@@ -62,3 +68,18 @@
 		}
 	}
 }
+
+// next waits for a line; there is none when the queue is closed and all that waited has been given out.
+func (q *Queue) next() ([]byte, bool) {
+	select {
+	case line := <-q.lines:
+		return line, true
+	case <-q.closing:
+	}
+	select {
+	case line := <-q.lines:
+		return line, true
+	default:
+		return nil, false
+	}
+}
--- a/logger/queue_test.go
+++ b/logger/queue_test.go
@@ -42,3 +42,14 @@
 	qt.Assert(t, strings.Count(w.out.String(), "line\n"), qt.Equals, 10000-int(dropped))
 	qt.Assert(t, w.out.String(), qt.Contains, "event=log_lines_dropped")
 }
+
+func TestLinesAfterTheEndAreDropped(t *testing.T) {
+	var out bytes.Buffer
+	q := logger.NewQueue(&out)
+	_, _ = q.Write([]byte("before\n"))
+	q.Close()
+	// A request that outlived the shutdown still logs its end.
+	_, err := q.Write([]byte("after\n"))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, out.String(), qt.Equals, "before\n")
+}
--- a/starter/gateway_test.go
+++ b/starter/gateway_test.go
@@ -82,12 +82,20 @@
 }
 
 func (u *users) gateway(instance string) *starter.GatewayDaemon {
-	s := forwarder.Settings{
+	return u.start(u.settings(instance))
+}
+
+func (u *users) settings(instance string) forwarder.Settings {
+	return forwarder.Settings{
 		Instance: instance, Zone: "z", LogLevel: "info", LogEvery: 1, CallerAddress: free(u.t), ReadinessAddress: free(u.t),
 		PeerAddress: free(u.t), MetricsAddress: free(u.t), StoreAddress: u.store, GraceSeconds: 5,
 		Money:   forwarder.MoneySettings{Parts: 2, Reserve: masticway.Duration(5 * time.Second)},
 		Retries: forwarder.RetriesSettings{Ratio: 0.2, Slack: 50, WindowSeconds: 10},
 	}
+}
+
+// start runs a gateway and waits until it is ready.
+func (u *users) start(s forwarder.Settings) *starter.GatewayDaemon {
 	data, err := json.Marshal(s)
 	qt.Assert(u.t, err, qt.IsNil)
 	qt.Assert(u.t, validator.Check(validator.KindGateway, data), qt.IsNil)
@@ -104,7 +112,7 @@
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
-	u.t.Fatalf("%s never got ready:\n%s", instance, u.log)
+	u.t.Fatalf("%s never got ready:\n%s", s.Instance, u.log)
 	return nil
 }
 
@@ -215,3 +223,31 @@
 	}
 	qt.Assert(t, served > 0, qt.IsTrue, qt.Commentf("%s", u.log))
 }
+
+func TestRouterThatTheStoreTurnsAwayServesThroughAnother(t *testing.T) {
+	u := newUsers(t, 100000)
+	first := u.settings("edge-1")
+	a := u.start(first)
+	defer a.Kill()
+	second := u.settings("edge-2")
+	// Nothing answers there, from its first call on.
+	second.StoreAddress = free(t)
+	second.PeerSeeds = []string{second.PeerAddress, first.PeerAddress}
+	b := u.start(second)
+	defer b.Kill()
+	for i := range 5 {
+		status, body := u.ask(b, fmt.Sprintf("%016x", i+1), "/draft/x", "100,30")
+		qt.Assert(t, status, qt.Equals, 200, qt.Commentf("%s\n%s", body, u.log))
+	}
+	_, granted := u.closed()
+	qt.Assert(t, granted > 0, qt.IsTrue)
+	u.configure(2, 100000)
+	u.rows.Delete(masticway.RowKey{Table: "servers", Key: "i-llm"})
+	for range 300 {
+		if strings.Contains(u.log.String(), `draining=0 event=servers_changed instance=edge-2 lapsed=0 ready=1`) {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatalf("a change never came through the other router:\n%s", u.log)
+}
