--- a/errors.go
+++ b/errors.go
@@ -17,6 +17,8 @@
 type UnavailableError struct {
 	Service string
 	Reason  string
+	// Busy tells that the call was one too many for the service's rate: it is well, and should be asked less.
+	Busy bool
 }
 
 // Error describes the outage.
--- a/relayer/relay.go
+++ b/relayer/relay.go
@@ -22,14 +22,6 @@
 	Wait   time.Duration       `cbor:"6,keyasint,omitempty"`
 }
 
-// patience is how long the direct way may take alone.
-func (o order) patience() time.Duration {
-	if o.Follow {
-		return o.Wait + followAfter
-	}
-	return relayAfter
-}
-
 func (o order) carryOut(ctx context.Context, store masticway.RowStore) result {
 	var r result
 	switch {
@@ -52,6 +44,7 @@
 	endingConflict    ending = "conflict"
 	endingHistoryLost ending = "history_lost"
 	endingUnavailable ending = "unavailable"
+	endingBusy        ending = "busy"
 	endingUnknown     ending = "unknown"
 )
 
@@ -70,8 +63,8 @@
 		return result{err: &masticway.RowConflictError{Rows: a.Reading.Rows}}
 	case endingHistoryLost:
 		return result{err: &masticway.HistoryLostError{Table: o.Table, Since: o.Since}}
-	case endingUnavailable:
-		return result{err: &masticway.UnavailableError{Service: serviceName, Reason: a.Reason}}
+	case endingUnavailable, endingBusy:
+		return result{err: &masticway.UnavailableError{Service: serviceName, Reason: a.Reason, Busy: a.Ending == endingBusy}}
 	}
 	return result{err: &masticway.OutcomeUnknownError{Service: serviceName, Reason: a.Reason}}
 }
@@ -135,6 +128,9 @@
 	if _, ok := errors.AsType[*masticway.HistoryLostError](r.err); ok {
 		return account{Ending: endingHistoryLost}
 	}
+	if r.busy() {
+		return account{Ending: endingBusy, Reason: r.err.Error()}
+	}
 	if _, ok := errors.AsType[*masticway.UnavailableError](r.err); ok {
 		return account{Ending: endingUnavailable, Reason: r.err.Error()}
 	}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -16,14 +16,22 @@
 const (
 	serviceName = "row store"
 
-	// relayAfter is how long the store may take before another router is asked as well: many times its usual 4 ms, a
-	// fraction of what a caller waits for money.
-	relayAfter = 60 * time.Millisecond
+	// relayLeast and relayMost bound how long the store may take before another router is asked as well: many times its
+	// usual 4 ms, a fraction of what a caller waits for money. In between it is relayTimes the time that direct calls
+	// take at present: where the store is slow for everybody, asking others only makes it slower.
+	relayLeast = 60 * time.Millisecond
+	relayMost  = 400 * time.Millisecond
+	relayTimes = 3
 	// followAfter is the same for a followed table, beyond the wait that was asked for.
 	followAfter = 250 * time.Millisecond
 	// awayAfter is how long every direct call must have failed before others are asked at once: a store that is over its
 	// rate refuses single calls, and asking others about these would make it worse.
 	awayAfter = 100 * time.Millisecond
+	// busyAfter and busyCalls are how long, and in how many calls, the store must have refused everything for its rate
+	// before this counts as being turned away. A store that refuses every second call refuses so many in a row once in
+	// 250 times; asking others for a store over its rate doubles its load.
+	busyAfter = 400 * time.Millisecond
+	busyCalls = 8
 	// probePause separates two direct calls while the store turns this router away, and probesMost bounds those under
 	// way: one that a cut has swallowed does not keep the next from finding the store back.
 	probePause = 120 * time.Millisecond
@@ -41,6 +49,7 @@
 	metricRelayed  = "store_calls_relayed"
 	metricUnhelped = "store_calls_not_relayed"
 	metricHelped   = "store_calls_for_others"
+	metricBusy     = "store_calls_over_rate"
 )
 
 // Store is a row store that is reached directly, or through another router.
@@ -63,6 +72,11 @@
 	// workedAt is when a direct call last had a definite end, failingSince since when none had, zero while they do.
 	workedAt     time.Time
 	failingSince time.Time
+	// busySince and busy are since when and how often the store has refused for its rate and done nothing else.
+	busySince time.Time
+	busy      int
+	// usual is the moving average of what a direct call with a definite end takes.
+	usual time.Duration
 	// away tells that direct calls have failed for a while; straight counts those under way.
 	away     bool
 	straight int
@@ -141,6 +155,12 @@
 	return ok
 }
 
+// busy tells that the store refused for its rate.
+func (r result) busy() bool {
+	refused, ok := errors.AsType[*masticway.UnavailableError](r.err)
+	return ok && refused.Busy
+}
+
 // call carries an order out directly and, when that fails or takes long, through another router.
 func (s *Store) call(ctx context.Context, o order) (masticway.RowReading, error) {
 	ways := 0
@@ -160,7 +180,7 @@
 	if away {
 		relay()
 	} else {
-		patience = s.clock.After(o.patience())
+		patience = s.clock.After(s.patience(o))
 	}
 	var worst result
 	for ended := 0; ended < ways; {
@@ -217,14 +237,53 @@
 	s.count(1)
 	r := o.carryOut(s.own, s.direct)
 	s.count(-1)
-	if r.definite() {
+	switch {
+	case r.definite():
+		s.took(o, sentAt)
 		s.regained()
-	} else {
+	case r.busy():
+		s.refused(sentAt, r.err)
+	default:
 		s.turnedAway(sentAt, r.err)
 	}
 	return r
 }
 
+// took notes how long a direct call took.
+func (s *Store) took(o order, sentAt time.Time) {
+	if o.Follow {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.usual += (s.clock.Now().Sub(sentAt) - s.usual) / 8
+}
+
+// patience is how long the direct way may take alone.
+func (s *Store) patience(o order) time.Duration {
+	if o.Follow {
+		return o.Wait + followAfter
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return min(relayMost, max(relayLeast, relayTimes*s.usual))
+}
+
+// refused notes a call that the store refused for its rate.
+func (s *Store) refused(sentAt time.Time, cause error) {
+	s.metrics.Add(metricBusy, 1)
+	s.mu.Lock()
+	if s.busy == 0 {
+		s.busySince = sentAt
+	}
+	s.busy++
+	turnedAway := s.busy >= busyCalls && s.clock.Now().Sub(s.busySince) >= busyAfter
+	s.mu.Unlock()
+	if turnedAway {
+		s.turnedAway(sentAt, cause)
+	}
+}
+
 // count notes that a direct call has begun or ended.
 func (s *Store) count(change int) {
 	s.mu.Lock()
@@ -260,6 +319,7 @@
 	s.mu.Lock()
 	was, back := s.away, s.back
 	s.away = false
+	s.busy = 0
 	s.workedAt, s.failingSince = s.clock.Now(), time.Time{}
 	s.mu.Unlock()
 	if !was {
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -27,8 +27,16 @@
 	busy
 	silent
 	losing
+	// overRate refuses for the store's rate, mostlyOver six calls of seven.
+	overRate
+	mostlyOver
+	// slow answers late.
+	slow
 )
 
+// slowAnswer is longer than a direct way may usually take alone.
+const slowAnswer = 110 * time.Millisecond
+
 // way is one router's way to the store.
 type way struct {
 	rows *emulator.Rows
@@ -37,11 +45,15 @@
 }
 
 func (w *way) pass(ctx context.Context) error {
-	w.used.Add(1)
-	switch w.how.Load() {
-	case busy:
+	used := w.used.Add(1)
+	switch how := w.how.Load(); {
+	case how == overRate, how == mostlyOver && used%7 != 0:
+		return &masticway.UnavailableError{Service: "rows", Reason: "over its rate", Busy: true}
+	case how == slow:
+		time.Sleep(slowAnswer)
+	case how == busy:
 		return &masticway.UnavailableError{Service: "rows", Reason: "busy"}
-	case silent:
+	case how == silent:
 		select {
 		case <-ctx.Done():
 		case <-time.After(700 * time.Millisecond):
@@ -132,6 +144,41 @@
 	qt.Assert(t, f.other.used.Load(), qt.Equals, int32(0), qt.Commentf("a store over its rate was asked twice"))
 }
 
+// TestStoreOverItsRateIsNoPartition has a store that refuses six calls of seven, as one does that thirty routers ask more
+// than it takes: each call made through another router as well would double what is too much already.
+func TestStoreOverItsRateIsNoPartition(t *testing.T) {
+	f := newFleet(t)
+	f.own.how.Store(mostlyOver)
+	for range 42 {
+		_, _ = f.store.Read(t.Context(), "t", "0")
+		time.Sleep(25 * time.Millisecond)
+	}
+	qt.Assert(t, f.other.used.Load(), qt.Equals, int32(0))
+}
+
+// TestRouterThatIsOnlyEverRefusedIsHelped has a store that turns one router away by its rate, without end.
+func TestRouterThatIsOnlyEverRefusedIsHelped(t *testing.T) {
+	f := newFleet(t)
+	f.own.how.Store(overRate)
+	f.turnAway(t)
+}
+
+// TestSlowStoreIsNotAskedTwice has a store that is slow for everybody: once that is known, calls are made once.
+func TestSlowStoreIsNotAskedTwice(t *testing.T) {
+	f := newFleet(t)
+	f.own.how.Store(slow)
+	f.other.how.Store(slow)
+	for range 12 {
+		_, _ = f.store.Read(t.Context(), "t", "0")
+	}
+	asked := f.other.used.Load()
+	for range 8 {
+		_, err := f.store.Read(t.Context(), "t", "0")
+		qt.Assert(t, err, qt.IsNil)
+	}
+	qt.Assert(t, f.other.used.Load(), qt.Equals, asked)
+}
+
 var key = masticway.RowKey{Table: "t", Part: "0", Key: "k"}
 
 func put(version int64, value string) masticway.RowWrite {
--- a/treasurer/outcome.go
+++ b/treasurer/outcome.go
@@ -32,7 +32,13 @@
 	return p.changed(now, s, reading)
 }
 
-func (p *Purse) reached() { p.failingSince = time.Time{} }
+func (p *Purse) reached() {
+	p.failingSince = time.Time{}
+	p.pace -= min(p.pace, paceStep)
+}
+
+// slowDown spaces the changes of grants out further: the store has refused one for its rate.
+func (p *Purse) slowDown() { p.pace = min(paceMost, max(paceFirst, 2*p.pace)) }
 
 // StoreIsBack lets the book be written at once: until the store has it, the death of this router costs its workspaces
 // what the promised rate allowed for the whole outage.
@@ -47,13 +53,18 @@
 
 // failed notes a step that brought nothing; a change whose outcome is unknown stays pending until the row is seen.
 func (p *Purse) failed(now time.Time, s Step, err error) {
-	p.unreached(s.sentAt)
+	unavailable, nothing := errors.AsType[*masticway.UnavailableError](err)
+	if nothing && unavailable.Busy {
+		p.slowDown()
+	} else {
+		p.unreached(s.sentAt)
+	}
 	a, ok := p.accounts[s.Workspace]
 	if !ok {
 		return
 	}
-	a.retryAt = now.Add(retryPause)
-	if _, nothing := errors.AsType[*masticway.UnavailableError](err); nothing {
+	a.retryAt = now.Add(max(retryPause, p.pace))
+	if nothing {
 		p.undone(s)
 		return
 	}
@@ -171,11 +182,17 @@
 		return p.bookConflict(now, conflict.Rows)
 	}
 	if err != nil {
-		p.unreached(s.sentAt)
-		p.bookRetry = now.Add(probePause)
-		if _, nothing := errors.AsType[*masticway.UnavailableError](err); nothing {
+		unavailable, nothing := errors.AsType[*masticway.UnavailableError](err)
+		if nothing {
 			p.dropPromise(s.sequence)
 		}
+		if nothing && unavailable.Busy {
+			p.slowDown()
+			p.bookRetry = now.Add(p.pace)
+			return p.Tick(now), nil
+		}
+		p.unreached(s.sentAt)
+		p.bookRetry = now.Add(probePause)
 		return p.Tick(now), nil
 	}
 	p.reached()
@@ -233,7 +250,7 @@
 	if err != nil {
 		return masticway.RowWrite{}, err
 	}
-	next := old.succeeded(p.settings.Incarnation, p.settings.Address, now)
+	next := old.succeeded(p.settings.Incarnation, now)
 	key := p.bookKey()
 	p.book = next
 	return masticway.RowWrite{
--- a/treasurer/plan.go
+++ b/treasurer/plan.go
@@ -1,6 +1,7 @@
 package treasurer
 
 import (
+	"cmp"
 	"maps"
 	"math"
 	"slices"
@@ -40,16 +41,16 @@
 		return steps
 	}
 	looks := map[string]bool{}
-	for _, workspace := range slices.Sorted(maps.Keys(p.accounts)) {
-		a := p.accounts[workspace]
+	for _, a := range p.byNeed() {
 		if a.moving || now.Before(a.retryAt) {
 			continue
 		}
 		delta := p.change(now, a)
 		if !a.known && (len(a.waiting) > 0 || delta != 0) || p.doubtful(now, a) {
-			looks[PartOf(workspace, p.settings.Parts)] = true
+			looks[PartOf(a.workspace, p.settings.Parts)] = true
 		}
-		if delta != 0 && a.known {
+		if delta != 0 && a.known && now.Sub(p.movedAt) >= p.pace {
+			p.movedAt = now
 			steps = append(steps, p.moveGrant(now, a, delta))
 		}
 	}
@@ -62,6 +63,16 @@
 	return steps
 }
 
+// byNeed lists the accounts, first those for which somebody waits: a change may have to wait for the next one's turn.
+func (p *Purse) byNeed() []*account {
+	all := make([]*account, 0, len(p.accounts))
+	for _, workspace := range slices.Sorted(maps.Keys(p.accounts)) {
+		all = append(all, p.accounts[workspace])
+	}
+	slices.SortStableFunc(all, func(x, y *account) int { return cmp.Compare(len(y.waiting), len(x.waiting)) })
+	return all
+}
+
 // bookDue tells whether the book has to be written.
 func (p *Purse) bookDue(now time.Time) bool {
 	age := now.Sub(p.bookAt)
@@ -183,6 +194,15 @@
 	return masticway.RowKey{Table: tableBooks, Part: PartOf(instance, p.settings.Parts), Key: instance}
 }
 
+// parts lists the parts of the store in which the accounts are.
+func (p *Purse) parts() []string {
+	known := map[string]bool{}
+	for workspace := range p.accounts {
+		known[PartOf(workspace, p.settings.Parts)] = true
+	}
+	return slices.Sorted(maps.Keys(known))
+}
+
 func (p *Purse) accountKey(workspace string) masticway.RowKey {
 	return masticway.RowKey{Table: tableAccounts, Part: PartOf(workspace, p.settings.Parts), Key: workspace}
 }
--- /dev/null
+++ b/treasurer/presence.go
@@ -0,0 +1,78 @@
+package treasurer
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/masticway/masticway"
+)
+
+const (
+	// countFirst is the pause before routers are counted again after a start, when most of them may be starting too; it
+	// doubles up to countPause, at which each writes its presence and reads that of all: two calls in that time.
+	countFirst = 300 * time.Millisecond
+	countPause = 3 * time.Second
+	// aliveFor is how old the presence of a router may be that counts.
+	aliveFor = 12 * time.Second
+)
+
+// count keeps the number of routers, and tells them of this one.
+func (t *Treasurer) count(ctx context.Context) {
+	pause := countFirst
+	for ctx.Err() == nil {
+		if n, err := t.countOnce(ctx); err == nil {
+			t.mu.Lock()
+			t.members = n
+			t.purse.Count(t.members, t.witnesses())
+			t.mu.Unlock()
+			t.metrics.Gauge(metricMembers, int64(n))
+		}
+		t.logStatus()
+		t.pause(ctx, pause)
+		pause = min(countPause, 2*pause)
+	}
+}
+
+// countOnce writes this router's presence and counts those that are young, itself included.
+func (t *Treasurer) countOnce(ctx context.Context) (int, error) {
+	reading, err := t.store.Read(ctx, tableRouters, partRouters)
+	if err != nil {
+		return 0, err
+	}
+	key := masticway.RowKey{Table: tableRouters, Part: partRouters, Key: t.self.Instance()}
+	own := masticway.StoredRow{RowKey: key}
+	peers := map[masticway.Incarnation]string{}
+	n := 1
+	for _, r := range reading.Rows {
+		if r.Key == key.Key {
+			own = r
+			continue
+		}
+		p, err := decode[Presence](r)
+		if err != nil || reading.At-p.At >= aliveFor {
+			continue
+		}
+		n++
+		if p.Address != "" {
+			peers[p.Incarnation] = p.Address
+		}
+	}
+	t.mu.Lock()
+	t.peers = peers
+	t.mu.Unlock()
+	return n, t.announce(ctx, own, reading.At)
+}
+
+// announce writes this router's presence over a row.
+func (t *Treasurer) announce(ctx context.Context, row masticway.StoredRow, now time.Duration) error {
+	_, err := t.store.Write(ctx, masticway.RowWrite{
+		Expected: []masticway.RowVersion{{RowKey: row.RowKey, Version: row.Version}},
+		Puts:     []masticway.RowPut{{RowKey: row.RowKey, Value: encode(Presence{Incarnation: t.self, Address: t.address, At: now})}},
+	})
+	if _, ok := errors.AsType[*masticway.RowConflictError](err); ok {
+		// A write without an answer was made after all, or a successor has come; the next reading tells.
+		return nil
+	}
+	return err
+}
--- a/treasurer/purse.go
+++ b/treasurer/purse.go
@@ -55,6 +55,12 @@
 	retryPause = 60 * time.Millisecond
 	// probePause separates attempts while the store fails; only the book is tried then.
 	probePause = 120 * time.Millisecond
+	// paceFirst and paceMost bound the pause between two changes of grants by one router once the store has refused a call
+	// for its rate: it doubles with each refusal and shrinks by paceStep with each call that is served, so that routers
+	// which know nothing of each other share the rate.
+	paceFirst = 20 * time.Millisecond
+	paceMost  = 640 * time.Millisecond
+	paceStep  = 5 * time.Millisecond
 	// awayAfter is how long the store must have failed before requests without money are refused at once.
 	awayAfter = 400 * time.Millisecond
 	// settleSpan is how long after its start a router takes no budget for exhausted: where many start together, the
@@ -100,7 +106,8 @@
 	Incarnation masticway.Incarnation
 	// Address is where other routers reach this one; empty when they cannot.
 	Address string
-	// Parts is the number of parts over which workspaces and books are spread; all routers use the same.
+	// Parts is the number of parts over which workspaces and books are spread; all routers use the same, and it stays
+	// the same as long as there are rows.
 	Parts int
 	// Reserve is how much demand a router keeps money for, to serve on while the store is away.
 	Reserve time.Duration
@@ -231,6 +238,9 @@
 	looking      map[string]bool
 	bookRetry    time.Time
 	failingSince time.Time
+	// pace is the least pause between two changes of grants, movedAt when the last one was sent.
+	pace    time.Duration
+	movedAt time.Time
 	// began tells that the book carries this incarnation.
 	began   bool
 	beganAt time.Time
--- a/treasurer/purse_test.go
+++ b/treasurer/purse_test.go
@@ -362,6 +362,33 @@
 	qt.Assert(t, b.answered[id], qt.DeepEquals, []treasurer.Verdict{treasurer.VerdictUnreachable})
 }
 
+// TestStoreOverItsRateIsAskedLess has a store that refuses every change of a grant for its rate, while it takes books. The
+// router spaces its changes out instead of taking the store for lost, and is back to its pace soon after.
+func TestStoreOverItsRateIsAskedLess(t *testing.T) {
+	b := newBench(t, 1000000)
+	b.run(300 * time.Millisecond)
+	b.hold(1000)
+	changes, refused := 0, true
+	for range 100 {
+		for _, s := range b.plan(30 * time.Millisecond) {
+			if s.Workspace == "" || !refused {
+				b.carryOut(s)
+				continue
+			}
+			changes++
+			replies, err := b.purse.Done(b.now, s, masticway.RowReading{}, &masticway.UnavailableError{Service: "rows", Busy: true})
+			qt.Assert(t, err, qt.IsNil)
+			b.note(replies)
+		}
+	}
+	qt.Assert(t, changes > 2 && changes < 15, qt.IsTrue, qt.Commentf("%d changes in 3 s, 30 ms apart they would be 100", changes))
+	refused = false
+	b.run(time.Second)
+	id := b.hold(2000)
+	b.run(300 * time.Millisecond)
+	qt.Assert(t, b.answered[id], qt.DeepEquals, []treasurer.Verdict{treasurer.VerdictHeld})
+}
+
 func TestFailingStoreIsProbedByTheBookOnly(t *testing.T) {
 	b := newBench(t, 1000)
 	b.hold(100)
--- a/treasurer/rows.go
+++ b/treasurer/rows.go
@@ -14,8 +14,20 @@
 const (
 	tableAccounts = "masticway_accounts"
 	tableBooks    = "masticway_books"
+	tableRouters  = "masticway_routers"
 )
 
+// partRouters is the one part that tells of all routers, so that they are counted with one call.
+const partRouters = "routers"
+
+// Presence is the row of a running router; At is the store's clock when it was written.
+type Presence struct {
+	Incarnation masticway.Incarnation `json:"incarnation"`
+	// Address is where other routers reach it; empty when they cannot.
+	Address string        `json:"address,omitempty"`
+	At      time.Duration `json:"at_ns"`
+}
+
 // Grant is money that one incarnation may spend.
 type Grant struct {
 	Granted int64 `json:"granted"`
@@ -100,8 +112,6 @@
 type Book struct {
 	Incarnation masticway.Incarnation `json:"incarnation"`
 	Sequence    int64                 `json:"sequence"`
-	// Address is where other routers reach the incarnation.
-	Address string `json:"address,omitempty"`
 	// Basis is the store's clock at the last write that the writer knew to be made when it sent this one.
 	Basis    time.Duration      `json:"basis_ns"`
 	Promises map[string]Promise `json:"promises,omitempty"`
@@ -111,7 +121,7 @@
 }
 
 // succeeded returns the book of a new incarnation, which closes what the old one left.
-func (b Book) succeeded(next masticway.Incarnation, address string, now time.Duration) Book {
+func (b Book) succeeded(next masticway.Incarnation, now time.Duration) Book {
 	ended := append([]Ended(nil), b.Ended...)
 	if len(b.Promises) > 0 {
 		spent := make(map[string]int64, len(b.Promises))
@@ -124,7 +134,7 @@
 			Incarnation: b.Incarnation, Spent: spent, Written: written, Witnesses: b.Witnesses, Sequence: b.Sequence,
 		})
 	}
-	return Book{Incarnation: next, Address: address, Basis: now, Ended: ended}
+	return Book{Incarnation: next, Basis: now, Ended: ended}
 }
 
 // CloseGrant returns the write that ends an incarnation's grant in a workspace's row, and what the grant was. It writes
--- a/treasurer/treasurer.go
+++ b/treasurer/treasurer.go
@@ -32,9 +32,6 @@
 	// followWait is how long one call of the accounts' feed may wait, followPause what separates two calls.
 	followWait  = 5 * time.Second
 	followPause = 200 * time.Millisecond
-	// countPause is how often the routers are counted, and aliveFor how old a counted router's book may be.
-	countPause = 3 * time.Second
-	aliveFor   = 12 * time.Second
 	// lendTimeout bounds one question to another router, a few times the way between availability zones and the wait for
 	// its book, which clearTimeout bounds: what it lends should arrive in time.
 	lendTimeout  = 60 * time.Millisecond
@@ -69,6 +66,8 @@
 	metrics *measurer.Set
 	self    masticway.Incarnation
 	parts   int
+	// address is where other routers reach this one.
+	address string
 
 	mu      sync.Mutex
 	purse   *Purse
@@ -100,7 +99,7 @@
 func New(store masticway.RowStore, lender Lender, clock masticway.Clock, log *logrus.Entry, metrics *measurer.Set, instance string, s Settings) *Treasurer {
 	s.Incarnation = masticway.NewIncarnation(instance, uuid.NewString()[:8])
 	return &Treasurer{
-		store: store, lender: lender, clock: clock, log: log, metrics: metrics, self: s.Incarnation, parts: s.Parts,
+		store: store, lender: lender, clock: clock, log: log, metrics: metrics, self: s.Incarnation, parts: s.Parts, address: s.Address,
 		purse: NewPurse(s), peers: map[masticway.Incarnation]string{},
 		waiting: map[HoldID]chan Reply{}, wake: make(chan struct{}, 1),
 	}
--- a/treasurer/watch.go
+++ b/treasurer/watch.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"maps"
 	"slices"
 
@@ -45,11 +44,15 @@
 	t.stir()
 }
 
-// readAccounts reads all parts; the version to follow from is the first part's, so that nothing is missed.
+// readAccounts reads the parts of all known workspaces; the version to follow from is that of the first reading, so that
+// nothing is missed.
 func (t *Treasurer) readAccounts(ctx context.Context) (masticway.RowReading, error) {
+	t.mu.Lock()
+	parts := t.purse.parts()
+	t.mu.Unlock()
 	var all masticway.RowReading
-	for i := range t.parts {
-		reading, err := t.store.Read(ctx, tableAccounts, fmt.Sprint(i))
+	for i, part := range parts {
+		reading, err := t.store.Read(ctx, tableAccounts, part)
 		if err != nil {
 			return all, err
 		}
@@ -61,21 +64,6 @@
 	return all, nil
 }
 
-// count keeps the number of routers.
-func (t *Treasurer) count(ctx context.Context) {
-	for ctx.Err() == nil {
-		if n, err := t.countOnce(ctx); err == nil {
-			t.mu.Lock()
-			t.members = max(1, n)
-			t.purse.Count(t.members, t.witnesses())
-			t.mu.Unlock()
-			t.metrics.Gauge(metricMembers, int64(n))
-		}
-		t.logStatus()
-		t.pause(ctx, countPause)
-	}
-}
-
 // witnesses lists the other routers in their order; the caller holds the lock.
 func (t *Treasurer) witnesses() []Witness {
 	var all []Witness
@@ -96,29 +84,3 @@
 	}
 	t.log.WithFields(fields).Info("money so far")
 }
-
-// countOnce counts the routers whose book is young, and learns where they are.
-func (t *Treasurer) countOnce(ctx context.Context) (int, error) {
-	n := 0
-	peers := map[masticway.Incarnation]string{}
-	for i := range t.parts {
-		reading, err := t.store.Read(ctx, tableBooks, fmt.Sprint(i))
-		if err != nil {
-			return 0, err
-		}
-		for _, r := range reading.Rows {
-			book, err := decode[Book](r)
-			if err != nil || reading.At-book.Basis >= aliveFor {
-				continue
-			}
-			n++
-			if book.Incarnation != t.self && book.Address != "" {
-				peers[book.Incarnation] = book.Address
-			}
-		}
-	}
-	t.mu.Lock()
-	t.peers = peers
-	t.mu.Unlock()
-	return n, nil
-}
