--- a/chooser/servers_test.go
+++ b/chooser/servers_test.go
@@ -73,7 +73,7 @@
 	qt.Assert(t, own > ranked, qt.IsTrue, qt.Commentf("%d engines read the parts, %d without ranks", ranked, own))
 }
 
-// TestLongAnswersToShortPromptsAreMadeNearby has two kinds of requests whose bytes between zones cost alike: one with two
+// TestLongAnswersToShortPromptsAreMadeNearby has two kinds of requests whose bytes between zones cost alike: one with a
 // hundred tokens to share, one with five thousand.
 func TestLongAnswersToShortPromptsAreMadeNearby(t *testing.T) {
 	const output = 300
@@ -81,7 +81,7 @@
 		shared int
 		nearby bool
 	}{
-		"little to share": {shared: 200, nearby: true},
+		"little to share": {shared: 100, nearby: true},
 		"much to share":   {shared: 5000},
 	}
 	for name, tc := range cases {
