Wait for money without another run, and leave machines that acknowledge nothing

Change: no limit on the server runs once it has answered; a request that may be repeated goes elsewhere when the far kernel leaves it unacknowledged for 0.7 s. Others are left alone: nobody can tell whether they ran.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -185,7 +185,7 @@
 		// A stream that was to be resumed got another answer; the caller's stream cannot take it.
 		return outcome{fate: masticway.FateRan, verdict: chooser.VerdictNone, reason: "status " + strconv.Itoa(answer.Status) + " to a resumption"}
 	}
-	if !x.clear(a.ctx) {
+	if !a.clear() {
 		return outcome{fate: masticway.FateRan, verdict: chooser.VerdictNone, reason: errNotCleared.Error()}
 	}
 	x.begin(answer)
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -29,6 +29,10 @@
 	// freshIdle is how long a connection may have been idle for a request that must not run twice: a server that has
 	// just closed it leaves the request's fate unknown.
 	freshIdle = 400 * time.Millisecond
+	// acknowledgedWithin is how long a server's kernel may take to acknowledge a request that may be repeated: three
+	// retransmissions, so that a link which loses 3% of its packets breaks off three requests in 100,000. A machine
+	// without power is left after it, instead of after most of the time that a caller waits.
+	acknowledgedWithin = 700 * time.Millisecond
 	// triesMost bounds the servers that are asked for one request, including those that did not take it.
 	triesMost = 5
 	// patienceShare is the part of the target after which a repeatable request without an answer goes elsewhere too.
@@ -307,6 +311,8 @@
 	}
 	if q.route.Repeat == masticway.RepeatNever {
 		r.Fresh = freshIdle
+	} else {
+		r.Acknowledged = acknowledgedWithin
 	}
 	return r
 }
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -74,6 +74,8 @@
 	verdict treasurer.Verdict
 	settled []int64
 	blocked bool
+	// after is how long a promise takes.
+	after time.Duration
 }
 
 func (b *bank) Hold(_ context.Context, _ string, _ int64, _ time.Duration) treasurer.Reply {
@@ -85,7 +87,12 @@
 		<-ctx.Done()
 		return false
 	}
-	return true
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(b.after):
+		return true
+	}
 }
 
 func (b *bank) Settle(_ treasurer.HoldID, used int64) {
@@ -417,6 +424,20 @@
 	qt.Assert(t, f.bank.spent(), qt.DeepEquals, []int64{0})
 }
 
+// TestAnswerThatWaitsForItsMoneyIsNotAskedForAgain has a cut of the store: a server's answer is there, and waits for its
+// promise for longer than a server without an answer is waited for. Another server would only read the prompt again.
+func TestAnswerThatWaitsForItsMoneyIsNotAskedForAgain(t *testing.T) {
+	for _, path := range []string{"/freely/x", "/resume/x"} {
+		t.Run(path, func(t *testing.T) {
+			f := newFleet(t, 2)
+			f.bank.after = 800 * time.Millisecond
+			got := f.ask(t.Context(), "POST", path)
+			qt.Assert(t, got.status, qt.Equals, 200)
+			qt.Assert(t, f.ledger.Runs(), qt.HasLen, 1)
+		})
+	}
+}
+
 func TestUnreachableServerIsNotARun(t *testing.T) {
 	f := newFleet(t, 2)
 	f.servers[1].Close()
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -55,7 +55,7 @@
 	x := a.x
 	a.first()
 	x.fate = masticway.FateRan
-	if !x.clear(a.ctx) {
+	if !a.clear() {
 		return errNotCleared
 	}
 	if !x.begun {
@@ -88,6 +88,13 @@
 // errNotCleared ends an answer whose money could not be promised to the store before the time was over.
 var errNotCleared = errors.New("the store did not take the promise for this answer's money in time")
 
+// clear is the exchange's clear without the server's time limit: the server has answered, and another one's answer would
+// wait for the same money.
+func (a *attempt) clear() bool {
+	a.expect(0)
+	return a.x.clear(a.ctx)
+}
+
 // clear waits until the answer may go out; until then a death of this router would leave its money unaccounted for.
 func (x *exchange) clear(ctx context.Context) bool {
 	if !x.held || x.cleared {
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -12,6 +12,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -39,6 +41,9 @@
 	Fresh time.Duration
 	// Connect bounds the making of a connection.
 	Connect time.Duration
+	// Acknowledged is how long the server's kernel may leave bytes without an acknowledgement before the connection
+	// counts as broken; zero leaves it to the system, which takes minutes.
+	Acknowledged time.Duration
 }
 
 // Error reports a request that got no answer.
@@ -152,8 +157,10 @@
 	used     int
 	idleAt   time.Time
 	keepIdle time.Duration
-	stop     func() bool
-	method   string
+	// acknowledged is the limit that is set on the connection.
+	acknowledged time.Duration
+	stop         func() bool
+	method       string
 	// closes tells that the server will close the connection, odd that something on it was not as it should be.
 	closes bool
 	odd    bool
@@ -181,6 +188,7 @@
 	c.used++
 	c.method = r.Method
 	c.stop = context.AfterFunc(ctx, func() { _ = c.net.Close() })
+	c.demandAcknowledgement(r.Acknowledged)
 	if err := c.write(r); err != nil {
 		c.release(false)
 		return nil, &Error{Sent: true, Reused: c.used > 1, Cause: errOr(ctx.Err(), err)}
@@ -317,6 +325,24 @@
 	return err == nil && quiet
 }
 
+// demandAcknowledgement sets how long sent bytes may stay unacknowledged. A kernel acknowledges them however busy its
+// server is, so this tells a machine without power, or a connection that has gone silent, from a server that works.
+func (c *conn) demandAcknowledgement(within time.Duration) {
+	tcp, ok := c.net.(*net.TCPConn)
+	if !ok || within == c.acknowledged {
+		return
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return
+	}
+	c.acknowledged = within
+	// Without it the request's own time limits hold.
+	_ = raw.Control(func(fd uintptr) {
+		_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(within.Milliseconds()))
+	})
+}
+
 // write sends the request; a long body goes on beside the reading of the answer.
 func (c *conn) write(r Request) error {
 	head := make([]byte, 0, 1024)
--- a/sender/sender_test.go
+++ b/sender/sender_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"golang.org/x/sys/unix"
 
 	"github.com/masticway/masticway/sender"
 )
@@ -209,3 +210,32 @@
 	a.Close()
 	qt.Assert(t, s.Made(), qt.Equals, int64(2))
 }
+
+// TestLimitOnAcknowledgementsFollowsTheRequest reads from the kernel what is set on the one connection that both requests
+// use: only a request that may be repeated is given up when the far kernel is silent.
+func TestLimitOnAcknowledgementsFollowsTheRequest(t *testing.T) {
+	_, address := start(t, &script{answers: []string{whole, whole}})
+	var made *net.TCPConn
+	d := sender.New(func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		made, _ = c.(*net.TCPConn)
+		return c, err
+	}, time.Now)
+	for _, within := range []time.Duration{700 * time.Millisecond, 0} {
+		a, err := d.Send(t.Context(), address, 0, sender.Request{
+			Method: "GET", Target: "/", Host: "h", Connect: time.Second, Acknowledged: within,
+		})
+		qt.Assert(t, err, qt.IsNil)
+		_, err = io.Copy(io.Discard, a)
+		qt.Assert(t, err, qt.IsNil)
+		a.Close()
+		raw, err := made.SyscallConn()
+		qt.Assert(t, err, qt.IsNil)
+		got := 0
+		qt.Assert(t, raw.Control(func(fd uintptr) {
+			got, err = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT)
+		}), qt.IsNil)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, got, qt.Equals, int(within.Milliseconds()))
+	}
+}
