--- a/treasurer/purse_test.go
+++ b/treasurer/purse_test.go
@@ -22,6 +22,8 @@
 	self  masticway.Incarnation
 	// answered collects what was replied, by hold.
 	answered map[treasurer.HoldID][]treasurer.Verdict
+	// burst is the part of what is in hand that books promise ahead.
+	burst float64
 }
 
 func newBench(t *testing.T, prepaid int64) *bench {
@@ -39,7 +41,7 @@
 // startAt begins one that has listened at an address for a while.
 func (b *bench) startAt(self masticway.Incarnation, address string, listening time.Time, prepaid int64) {
 	b.self = self
-	b.purse = treasurer.NewPurse(treasurer.Settings{Incarnation: self, Address: address, Parts: 1, Reserve: 10 * time.Second})
+	b.purse = treasurer.NewPurse(treasurer.Settings{Incarnation: self, Address: address, Parts: 1, Reserve: 10 * time.Second, BurstShare: b.burst})
 	b.purse.Configure(1, map[string]masticway.Account{"w": {Workspace: "w", Prepaid: prepaid, Metered: true}})
 	book := b.rows.Row(masticway.RowKey{Table: "masticway_books", Part: "0", Key: self.Instance()})
 	write, err := b.purse.Begin(book, b.now.Sub(epoch), listening.Sub(epoch))
@@ -199,15 +201,9 @@
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
-			b := newBench(t, 100000)
-			b.purse = treasurer.NewPurse(treasurer.Settings{Incarnation: "edge~1", Address: "-", Parts: 1, Reserve: 30 * time.Second, BurstShare: tc.share})
-			b.purse.Configure(1, map[string]masticway.Account{"w": {Workspace: "w", Prepaid: 100000, Metered: true}})
-			row := b.rows.Row(masticway.RowKey{Table: "masticway_books", Part: "0", Key: "edge"})
-			write, err := b.purse.Begin(row, 0, 0)
-			qt.Assert(t, err, qt.IsNil)
-			made, err := b.rows.Apply(write)
-			qt.Assert(t, err, qt.IsNil)
-			b.purse.Began(b.now, made.Version, made.At)
+			b := &bench{t: t, now: epoch, answered: map[treasurer.HoldID][]treasurer.Verdict{}, burst: tc.share}
+			b.rows = emulator.NewRows(func() time.Time { return b.now })
+			b.start("edge~1", 100000)
 			for range 10 {
 				id := b.hold(400)
 				b.run(150 * time.Millisecond)
