Take no router for gone because of an outage

Cause, found by reading: routers are counted by presences that each writes every 3 s, and a cut of 9 s makes all of them 12 s old, so whoever counts first after it is alone by its own count for up to 3 s and uses the retries meant for all. Before, the books served for this and were written at once. Change: a presence may be older by the time for which the reader has not counted.

--- a/treasurer/presence.go
+++ b/treasurer/presence.go
@@ -15,7 +15,9 @@
 	// doubles up to countPause, at which each writes its presence and reads that of all: two calls in that time.
 	countFirst = 300 * time.Millisecond
 	countPause = 3 * time.Second
-	// aliveFor is how old the presence of a router may be that counts.
+	// aliveFor is how old the presence of a router may be that counts, beyond the time for which this router has not
+	// counted itself: after an outage all are old, and routers that took themselves for alone would each use the retries
+	// that are meant for all.
 	aliveFor = 12 * time.Second
 )
 
@@ -45,6 +47,7 @@
 	key := masticway.RowKey{Table: tableRouters, Part: partRouters, Key: t.self.Instance()}
 	own := masticway.StoredRow{RowKey: key}
 	peers := map[masticway.Incarnation]string{}
+	silence := t.uncounted()
 	n := 1
 	for _, r := range reading.Rows {
 		if r.Key == key.Key {
@@ -56,7 +59,7 @@
 			t.log.WithFields(logrus.Fields{"event": "presence_unreadable", "instance_of": r.Key, "error": err}).Warn("router not counted")
 			continue
 		}
-		if reading.At-p.At >= aliveFor {
+		if reading.At-p.At >= aliveFor+silence {
 			continue
 		}
 		n++
@@ -66,10 +69,21 @@
 	}
 	t.mu.Lock()
 	t.peers = peers
+	t.countedAt = t.clock.Now()
 	t.mu.Unlock()
 	return n, t.announce(ctx, own, reading.At)
 }
 
+// uncounted is for how long this router has not counted the others, zero before it has for the first time.
+func (t *Treasurer) uncounted() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.countedAt.IsZero() {
+		return 0
+	}
+	return t.clock.Now().Sub(t.countedAt)
+}
+
 // announce writes this router's presence over a row.
 func (t *Treasurer) announce(ctx context.Context, row masticway.StoredRow, now time.Duration) error {
 	_, err := t.store.Write(ctx, masticway.RowWrite{
--- a/treasurer/treasurer.go
+++ b/treasurer/treasurer.go
@@ -76,6 +76,9 @@
 	members int
 	sealed  bool
 
+	// countedAt is when the routers were last counted.
+	countedAt time.Time
+
 	// peers is where the other routers are reached, by incarnation.
 	peers map[masticway.Incarnation]string
 
