Read the configuration patiently while the usual readings fail

Ruled out: the store's rate (its other readers had the version within 0.3 s). Change: while the usual readings of the configuration fail, it is also read with 2 s of time, every 0.4 s. The test has a link on which every call takes longer than the usual limit.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -24,6 +24,8 @@
 	relistAfter = 2500 * time.Millisecond
 	// failurePause separates attempts while the store is away.
 	failurePause = 120 * time.Millisecond
+	// patientPause separates patient readings of the configuration while the usual ones fail.
+	patientPause = 400 * time.Millisecond
 	// expirePause is how often lapsed servers are looked at.
 	expirePause = 100 * time.Millisecond
 )
@@ -38,7 +40,10 @@
 
 // Follower reads the store and publishes beliefs.
 type Follower struct {
-	store   masticway.RowStore
+	store masticway.RowStore
+	// patient waits longer for an answer than store does, lost tells that the configuration cannot be read otherwise.
+	patient masticway.RowStore
+	lost    atomic.Bool
 	decoder masticway.DeploymentDecoder
 	clock   masticway.Clock
 	log     *logrus.Entry
@@ -51,9 +56,11 @@
 	beliefs  atomic.Pointer[Beliefs]
 }
 
-// New returns a follower; changed is called, by one goroutine at a time, whenever the belief changes.
-func New(store masticway.RowStore, d masticway.DeploymentDecoder, clock masticway.Clock, log *logrus.Entry, metrics *measurer.Set, changed func(Beliefs)) *Follower {
-	f := &Follower{store: store, decoder: d, clock: clock, log: log, metrics: metrics, changed: changed, register: NewRegister(d)}
+// New returns a follower; changed is called, by one goroutine at a time, whenever the belief changes. The patient store
+// is the same one with a longer time limit: where a router's link is so full that a call takes longer than money can
+// wait, a change of the configuration still has to be in force in time.
+func New(store, patient masticway.RowStore, d masticway.DeploymentDecoder, clock masticway.Clock, log *logrus.Entry, metrics *measurer.Set, changed func(Beliefs)) *Follower {
+	f := &Follower{store: store, patient: patient, decoder: d, clock: clock, log: log, metrics: metrics, changed: changed, register: NewRegister(d)}
 	f.beliefs.Store(&Beliefs{})
 	return f
 }
@@ -66,9 +73,10 @@
 	var wg sync.WaitGroup
 	key := f.decoder.ConfigurationKey()
 	wg.Go(func() {
-		f.mirror(ctx, key.Table, key.Part, configurationPause, func(_ bool, reading masticway.RowReading) { f.configure(key, reading) })
+		f.mirror(ctx, key.Table, key.Part, configurationPause, &f.lost, func(_ bool, reading masticway.RowReading) { f.configure(key, reading) })
 	})
-	wg.Go(func() { f.mirror(ctx, f.decoder.ServerTable(), "", serverPause, f.serve) })
+	wg.Go(func() { f.readPatiently(ctx, key) })
+	wg.Go(func() { f.mirror(ctx, f.decoder.ServerTable(), "", serverPause, &atomic.Bool{}, f.serve) })
 	wg.Go(func() {
 		for ctx.Err() == nil {
 			f.pause(ctx, expirePause)
@@ -78,8 +86,26 @@
 	wg.Wait()
 }
 
-// mirror reads a table whole and then follows its changes, again and again.
-func (f *Follower) mirror(ctx context.Context, table, part string, pause time.Duration, take func(whole bool, reading masticway.RowReading)) {
+// readPatiently reads the configuration while it cannot be read otherwise.
+func (f *Follower) readPatiently(ctx context.Context, key masticway.RowKey) {
+	for ctx.Err() == nil {
+		f.pause(ctx, patientPause)
+		if !f.lost.Load() {
+			continue
+		}
+		f.metrics.Add(metricCalls, 1)
+		reading, err := f.patient.Read(ctx, key.Table, key.Part)
+		if err != nil {
+			// The usual readings log that the store is lost.
+			f.metrics.Add(metricFailures, 1)
+			continue
+		}
+		f.configure(key, reading)
+	}
+}
+
+// mirror reads a table whole and then follows its changes, again and again; lost tells whether that fails.
+func (f *Follower) mirror(ctx context.Context, table, part string, pause time.Duration, lost *atomic.Bool, take func(whole bool, reading masticway.RowReading)) {
 	since := int64(0)
 	var listedAt time.Time
 	away := false
@@ -97,6 +123,7 @@
 				f.log.WithFields(logrus.Fields{"event": "store_lost", "table": table, "error": err}).Warn("store cannot be reached")
 			}
 			away = true
+			lost.Store(true)
 			f.pause(ctx, failurePause)
 			// What a feed would say after an outage is read whole.
 			listedAt = time.Time{}
@@ -105,6 +132,7 @@
 		if away {
 			f.log.WithFields(logrus.Fields{"event": "store_regained", "table": table}).Info("store answers again")
 			away = false
+			lost.Store(false)
 		}
 		if whole {
 			listedAt = f.clock.Now()
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -36,7 +36,7 @@
 	rows := emulator.NewRows(time.Now)
 	var mu sync.Mutex
 	heard := 0
-	f := follower.New(rows, decoder{}, masticway.SystemClock{}, logger.Discard().WithField("", ""), measurer.New(), func(follower.Beliefs) {
+	f := follower.New(rows, rows, decoder{}, masticway.SystemClock{}, logger.Discard().WithField("", ""), measurer.New(), func(follower.Beliefs) {
 		mu.Lock()
 		heard++
 		mu.Unlock()
@@ -64,3 +64,41 @@
 	defer mu.Unlock()
 	qt.Assert(t, heard > 3, qt.IsTrue)
 }
+
+// hasty gives a call up that takes longer than its limit.
+type hasty struct {
+	masticway.RowStore
+	limit time.Duration
+}
+
+func (h hasty) Read(ctx context.Context, table, part string) (masticway.RowReading, error) {
+	ctx, cancel := context.WithTimeout(ctx, h.limit)
+	defer cancel()
+	return h.RowStore.Read(ctx, table, part)
+}
+
+func (h hasty) Follow(ctx context.Context, table string, since int64, wait time.Duration) (masticway.RowReading, error) {
+	ctx, cancel := context.WithTimeout(ctx, h.limit)
+	defer cancel()
+	return h.RowStore.Follow(ctx, table, since, wait)
+}
+
+// TestConfigurationComesThroughAFullLink has a router whose link of 10 Mbit/s a workspace fills: each call takes longer
+// than the usual time limit, for as long as the load lasts, and a change has to be in force within 3 s.
+func TestConfigurationComesThroughAFullLink(t *testing.T) {
+	const limit, full, inForce = 100 * time.Millisecond, 400 * time.Millisecond, 3 * time.Second
+	rows := emulator.NewRows(time.Now)
+	f := follower.New(hasty{rows, limit}, hasty{rows, 10 * full}, decoder{}, masticway.SystemClock{}, logger.Discard().WithField("", ""), measurer.New(), func(follower.Beliefs) {})
+	ctx, stop := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	wg.Go(func() { f.Run(ctx) })
+	defer wg.Wait()
+	defer stop()
+	put(rows, 1)
+	eventually(t, f, "first configuration", func(b follower.Beliefs) bool { return b.Deployment.Version == 1 })
+	rows.SetFaults(emulator.RowFaults{Slow: full})
+	changed := time.Now()
+	put(rows, 2)
+	eventually(t, f, "changed configuration", func(b follower.Beliefs) bool { return b.Deployment.Version == 2 })
+	qt.Assert(t, time.Since(changed) < inForce, qt.IsTrue)
+}
--- a/starter/gateway.go
+++ b/starter/gateway.go
@@ -34,6 +34,9 @@
 	// storeTimeout bounds one call to the row store: twice what a store that is 60 times slower than usual takes, less
 	// than a connection that a cut has stalled needs to come back to life.
 	storeTimeout = 600 * time.Millisecond
+	// patientTimeout bounds a reading of the configuration while shorter ones fail: a full link, on which packets wait for
+	// up to half a second each way, beside the store's own time.
+	patientTimeout = 2 * time.Second
 	// unreadyAtLeast is how long a router that ends still takes connections: the balancer asks once a second and
 	// takes an instance out after two misses.
 	unreadyAtLeast = 3200 * time.Millisecond
@@ -89,8 +92,8 @@
 	wg        sync.WaitGroup
 }
 
-// NewGateway assembles a gateway on a row store.
-func NewGateway(s forwarder.Settings, l GatewayListeners, store masticway.RowStore, decoder masticway.DeploymentDecoder, dialect masticway.Dialect, clock masticway.Clock, out io.Writer) (*GatewayDaemon, error) {
+// NewGateway assembles a gateway on a row store; patient is the same store with a longer time limit.
+func NewGateway(s forwarder.Settings, l GatewayListeners, store, patient masticway.RowStore, decoder masticway.DeploymentDecoder, dialect masticway.Dialect, clock masticway.Clock, out io.Writer) (*GatewayDaemon, error) {
 	queue := logger.NewQueue(out)
 	log, err := logger.New(s.LogLevel, queue)
 	if err != nil {
@@ -106,7 +109,7 @@
 	})
 	d.store.Ask(d.peers)
 	d.store.WhenBack(d.bank.StoreIsBack)
-	d.follower = follower.New(d.store, decoder, clock, entry, metrics, d.changed)
+	d.follower = follower.New(d.store, patient, decoder, clock, entry, metrics, d.changed)
 	dialer := &net.Dialer{KeepAlive: -1}
 	d.forwarder = forwarder.New(s, forwarder.Parts{
 		Clock: clock, Log: entry, Metrics: metrics, Dialect: dialect, Bank: d.bank, Beliefs: d.follower.Beliefs,
@@ -124,7 +127,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return NewGateway(s, l, platform.NewStore(s.StoreAddress, storeTimeout), platform.Decoder{}, platform.Dialect{}, masticway.SystemClock{}, out)
+	return NewGateway(s, l, platform.NewStore(s.StoreAddress, storeTimeout), platform.NewStore(s.StoreAddress, patientTimeout), platform.Decoder{}, platform.Dialect{}, masticway.SystemClock{}, out)
 }
 
 func (d *GatewayDaemon) changed(b follower.Beliefs) {
