--- a/follower/follower.go
+++ b/follower/follower.go
@@ -24,7 +24,7 @@
 	relistAfter = 2500 * time.Millisecond
 	// failurePause separates attempts while the store is away.
 	failurePause = 120 * time.Millisecond
-	// patientPause separates patient readings of the configuration while the usual ones fail.
+	// patientPause separates patient readings of a table while the usual ones fail.
 	patientPause = 400 * time.Millisecond
 	// expirePause is how often lapsed servers are looked at.
 	expirePause = 100 * time.Millisecond
@@ -41,9 +41,8 @@
 // Follower reads the store and publishes beliefs.
 type Follower struct {
 	store masticway.RowStore
-	// patient waits longer for an answer than store does, lost tells that the configuration cannot be read otherwise.
+	// patient waits longer for an answer than store does.
 	patient masticway.RowStore
-	lost    atomic.Bool
 	decoder masticway.DeploymentDecoder
 	clock   masticway.Clock
 	log     *logrus.Entry
@@ -58,7 +57,7 @@
 
 // New returns a follower; changed is called, by one goroutine at a time, whenever the belief changes. The patient store
 // is the same one with a longer time limit: where a router's link is so full that a call takes longer than money can
-// wait, a change of the configuration still has to be in force in time.
+// wait, a change of the configuration still has to be in force in time, and a server that leaves to be left.
 func New(store, patient masticway.RowStore, d masticway.DeploymentDecoder, clock masticway.Clock, log *logrus.Entry, metrics *measurer.Set, changed func(Beliefs)) *Follower {
 	f := &Follower{store: store, patient: patient, decoder: d, clock: clock, log: log, metrics: metrics, changed: changed, register: NewRegister(d)}
 	f.beliefs.Store(&Beliefs{})
@@ -73,10 +72,9 @@
 	var wg sync.WaitGroup
 	key := f.decoder.ConfigurationKey()
 	wg.Go(func() {
-		f.mirror(ctx, key.Table, key.Part, configurationPause, &f.lost, func(_ bool, reading masticway.RowReading) { f.configure(key, reading) })
+		f.mirror(ctx, key.Table, key.Part, configurationPause, func(_ bool, reading masticway.RowReading) { f.configure(key, reading) })
 	})
-	wg.Go(func() { f.readPatiently(ctx, key) })
-	wg.Go(func() { f.mirror(ctx, f.decoder.ServerTable(), "", serverPause, &atomic.Bool{}, f.serve) })
+	wg.Go(func() { f.mirror(ctx, f.decoder.ServerTable(), "", serverPause, f.serve) })
 	wg.Go(func() {
 		for ctx.Err() == nil {
 			f.pause(ctx, expirePause)
@@ -86,26 +84,30 @@
 	wg.Wait()
 }
 
-// readPatiently reads the configuration while it cannot be read otherwise.
-func (f *Follower) readPatiently(ctx context.Context, key masticway.RowKey) {
+// readPatiently reads a table while it cannot be read otherwise.
+func (f *Follower) readPatiently(ctx context.Context, table, part string, lost *atomic.Bool, take func(whole bool, reading masticway.RowReading)) {
 	for ctx.Err() == nil {
 		f.pause(ctx, patientPause)
-		if !f.lost.Load() {
+		if !lost.Load() {
 			continue
 		}
 		f.metrics.Add(metricCalls, 1)
-		reading, err := f.patient.Read(ctx, key.Table, key.Part)
+		reading, err := f.patient.Read(ctx, table, part)
 		if err != nil {
 			// The usual readings log that the store is lost.
 			f.metrics.Add(metricFailures, 1)
 			continue
 		}
-		f.configure(key, reading)
+		take(true, reading)
 	}
 }
 
-// mirror reads a table whole and then follows its changes, again and again; lost tells whether that fails.
-func (f *Follower) mirror(ctx context.Context, table, part string, pause time.Duration, lost *atomic.Bool, take func(whole bool, reading masticway.RowReading)) {
+// mirror reads a table whole and then follows its changes, again and again.
+func (f *Follower) mirror(ctx context.Context, table, part string, pause time.Duration, take func(whole bool, reading masticway.RowReading)) {
+	var lost atomic.Bool
+	var patient sync.WaitGroup
+	patient.Go(func() { f.readPatiently(ctx, table, part, &lost, take) })
+	defer patient.Wait()
 	since := int64(0)
 	var listedAt time.Time
 	away := false
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -83,9 +83,9 @@
 	return h.RowStore.Follow(ctx, table, since, wait)
 }
 
-// TestConfigurationComesThroughAFullLink has a router whose link of 10 Mbit/s a workspace fills: each call takes longer
-// than the usual time limit, for as long as the load lasts, and a change has to be in force within 3 s.
-func TestConfigurationComesThroughAFullLink(t *testing.T) {
+// TestChangesComeThroughAFullLink has a router whose link of 10 Mbit/s a workspace fills: each call takes longer than the
+// usual time limit, for as long as the load lasts. A change has to be in force, and a server that leaves to be left, in 3 s.
+func TestChangesComeThroughAFullLink(t *testing.T) {
 	const limit, full, inForce = 100 * time.Millisecond, 400 * time.Millisecond, 3 * time.Second
 	rows := emulator.NewRows(time.Now)
 	f := follower.New(hasty{rows, limit}, hasty{rows, 10 * full}, decoder{}, masticway.SystemClock{}, logger.Discard().WithField("", ""), measurer.New(), func(follower.Beliefs) {})
@@ -94,11 +94,17 @@
 	wg.Go(func() { f.Run(ctx) })
 	defer wg.Wait()
 	defer stop()
+	register := func(state masticway.ServerState) {
+		row := server("i-1", 0, state)
+		rows.Put(row.RowKey, row.Value)
+	}
 	put(rows, 1)
-	eventually(t, f, "first configuration", func(b follower.Beliefs) bool { return b.Deployment.Version == 1 })
+	register(masticway.ServerReady)
+	eventually(t, f, "first beliefs", func(b follower.Beliefs) bool { return b.Deployment.Version == 1 && len(b.Servers["p"]) == 1 })
 	rows.SetFaults(emulator.RowFaults{Slow: full})
 	changed := time.Now()
 	put(rows, 2)
-	eventually(t, f, "changed configuration", func(b follower.Beliefs) bool { return b.Deployment.Version == 2 })
+	register(masticway.ServerDraining)
+	eventually(t, f, "changed beliefs", func(b follower.Beliefs) bool { return b.Deployment.Version == 2 && len(b.Servers["p"]) == 0 })
 	qt.Assert(t, time.Since(changed) < inForce, qt.IsTrue)
 }
--- a/forwarder/admit.go
+++ b/forwarder/admit.go
@@ -43,7 +43,6 @@
 	codeTimeout      = "timeout"
 	codeNotInTime    = "not_in_time"
 	codeShuttingDown = "shutting_down"
-	codeLinkFull     = "link_full"
 )
 
 // request is one caller's request, checked; it does not change.
@@ -101,13 +100,7 @@
 	if f.draining.Load().cuts(now, x.q.deadline) {
 		return x, refusal(http.StatusServiceUnavailable, codeShuttingDown, "this router ends before the answer would", retryElsewhere)
 	}
-	if refused := x.read(w, r, b.Deployment.Limits); refused != nil {
-		return x, refused
-	}
-	if f.settings.Policy.Shed && f.link.sheds() {
-		return x, refusal(http.StatusServiceUnavailable, codeLinkFull, "this router's link is full", retryElsewhere)
-	}
-	return x, nil
+	return x, x.read(w, r, b.Deployment.Limits)
 }
 
 // find looks up route, workspace and pool.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -44,7 +44,6 @@
 	dialect  masticway.Dialect
 	bank     Bank
 	sender   *sender.Sender
-	link     *shedder
 	beliefs  func() follower.Beliefs
 
 	mu         sync.Mutex
@@ -71,11 +70,9 @@
 
 // New returns a forwarder.
 func New(s Settings, p Parts) *Forwarder {
-	link := newShedder(p.Clock, p.Log, p.Dial)
 	return &Forwarder{
-		link:     link,
 		settings: s, clock: p.Clock, log: p.Log, metrics: p.Metrics, dialect: p.Dialect, bank: p.Bank, beliefs: p.Beliefs,
-		sender: sender.New(link.connect, p.Clock.Now), servers: chooser.NewServers(s.Policy.placement()), allowances: map[string]*retrier.Allowance{},
+		sender: sender.New(p.Dial, p.Clock.Now), servers: chooser.NewServers(s.Policy.placement()), allowances: map[string]*retrier.Allowance{},
 	}
 }
 
--- a/forwarder/settings.go
+++ b/forwarder/settings.go
@@ -36,8 +36,6 @@
 	RankShare float64 `json:"rank_share"`
 	// ZoneTokenCost is the milliseconds that each token of an answer from another zone may cost.
 	ZoneTokenCost float64 `json:"zone_token_cost"`
-	// Shed lets a router whose link is full send requests elsewhere.
-	Shed bool `json:"shed"`
 }
 
 // MoneySettings say how prepaid budgets are kept.
