Pass nothing on once idle connections are being closed

A process that stood still for 0.1 s read several requests at the moment at which it closed its idle connections, 3.2 s after SIGTERM; a connection looks idle until its request is read, so these were passed on and cut off. Change: before connections are closed, requests are refused as not run, to be sent to another router.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -98,12 +98,14 @@
 type drain struct {
 	since time.Time
 	until time.Time
+	// closed tells that connections are being closed.
+	closed atomic.Bool
 }
 
 // cuts tells that a request would probably be cut off: it may last longer than the router, and its caller has had
 // time to go elsewhere.
 func (d *drain) cuts(now, deadline time.Time) bool {
-	return d != nil && now.Sub(d.since) > takeFor && deadline.After(d.until)
+	return d != nil && (d.closed.Load() || now.Sub(d.since) > takeFor && deadline.After(d.until))
 }
 
 // Drain makes every answer end its connection, and Ready say no; at the given time the router will be gone.
@@ -111,6 +113,14 @@
 	f.draining.Store(&drain{since: f.clock.Now(), until: until})
 }
 
+// Refuse lets no request be passed on from now on. It goes before the closing of idle connections: one on which a request
+// has just come looks idle until it is read, and the request would be passed on and lose its answer.
+func (f *Forwarder) Refuse() {
+	if d := f.draining.Load(); d != nil {
+		d.closed.Store(true)
+	}
+}
+
 // Open returns the number of requests that are being served.
 func (f *Forwarder) Open() int64 { return f.open.Load() }
 
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -445,6 +445,19 @@
 	qt.Assert(t, got.status, qt.Equals, 200)
 }
 
+// TestNothingIsPassedOnOnceConnectionsAreClosed has a router that stood still for a tenth of a second when it began to
+// close idle connections: requests that had come meanwhile were passed on and their connections closed.
+func TestNothingIsPassedOnOnceConnectionsAreClosed(t *testing.T) {
+	f := newFleet(t, 1)
+	f.router.Drain(f.clock.Now().Add(time.Minute))
+	qt.Assert(t, f.ask(t.Context(), "POST", "/never/x").status, qt.Equals, 200)
+	f.router.Refuse()
+	got := f.ask(t.Context(), "POST", "/never/x")
+	qt.Assert(t, got.status, qt.Equals, 503)
+	qt.Assert(t, got.header.Get("Retry-After") != "", qt.IsTrue)
+	qt.Assert(t, f.ledger.Runs(), qt.HasLen, 1)
+}
+
 func TestDrainEndsConnectionsWithTheirAnswers(t *testing.T) {
 	f := newFleet(t, 1)
 	qt.Assert(t, f.router.Ready(), qt.IsTrue)
--- a/starter/gateway.go
+++ b/starter/gateway.go
@@ -202,6 +202,7 @@
 	d.log.WithFields(logrus.Fields{"event": "stopping", "open": d.forwarder.Open(), "grace": grace}).Info("gateway stopping")
 	d.waitIdle(began.Add(unreadyAtLeast), began.Add(unreadyAtLeast))
 	// What is idle now would only carry requests that the end cuts off; their callers connect elsewhere.
+	d.forwarder.Refuse()
 	d.caller.SetKeepAlivesEnabled(false)
 	d.waitIdle(began, began.Add(grace-closeMoneyBefore))
 	ctx, cancel := context.WithTimeout(context.Background(), closeMoneyBefore-exitBefore)
