Reproduce the incident: a large configuration doesn't reach a slow link

Cause: not mended yet. The test puts a router behind a link of 10 Mbit/s and lets the configuration grow to 4250 routes. The emulator has a link whose connections share a rate; the assembly on open sockets has a function of its own, behaviour as it was.

--- /dev/null
+++ b/starter/configuration_test.go
@@ -0,0 +1,129 @@
+package starter_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/masticway/masticway"
+	"github.com/masticway/masticway/emulator"
+	"github.com/masticway/masticway/forwarder"
+	"github.com/masticway/masticway/starter"
+)
+
+const (
+	// slowLink is the slowest link of a router on the users' deployments, 10 Mbit/s.
+	slowLink = 10_000_000 / 8
+	// manyRoutes make a configuration of 1.2 MB on the wire, which such a link carries in about a second.
+	manyRoutes = 4250
+	// inForceWithin is how long a change may take to be in force after the store has acknowledged it.
+	inForceWithin = 3 * time.Second
+)
+
+// configureRoutes writes a configuration with so many routes.
+func (u *users) configureRoutes(version int64, routes int) {
+	var b bytes.Buffer
+	fmt.Fprintf(&b, `{"version":%d,"services":[{"name":"ledger","max_conns":50}],"limits":{"max_body_bytes":4096},`+
+		`"tenants":[{"name":"w","api_keys":["k"],"prepaid":100000}],"routes":[`, version)
+	for i := range routes {
+		if i > 0 {
+			b.WriteString(",")
+		}
+		fmt.Fprintf(&b, `{"name":"r%d","host":"h.example","path_prefix":"/book/%d/","route_kind":"non_idempotent","service":"ledger",`+
+			`"max_attempts":1,"target_latency_ms":300,"timeout_ms":1500,"priority":1}`, i, i)
+	}
+	b.WriteString("]}")
+	u.rows.Put(masticway.RowKey{Table: "op", Key: "config"}, b.Bytes())
+}
+
+// gatewayBehind starts a gateway that reaches the store through a link.
+func (u *users) gatewayBehind(link *emulator.Link, instance string) (*starter.GatewayDaemon, forwarder.Settings) {
+	s := u.settings(instance)
+	var err error
+	s.StoreAddress, err = link.To(u.store)
+	qt.Assert(u.t, err, qt.IsNil)
+	return u.start(s), s
+}
+
+// peerBehind starts a gateway that others reach through a link, and the store without one.
+func (u *users) peerBehind(link *emulator.Link, instance string) *starter.GatewayDaemon {
+	s := u.settings(instance)
+	l, err := starter.ListenGateway(s)
+	qt.Assert(u.t, err, qt.IsNil)
+	s.PeerAddress, err = link.To(s.PeerAddress)
+	qt.Assert(u.t, err, qt.IsNil)
+	d, err := starter.NewPlatformGateway(s, l, u.log)
+	qt.Assert(u.t, err, qt.IsNil)
+	return u.run(d, s)
+}
+
+// version returns the configuration that a gateway has in force, by its metrics.
+func (u *users) version(s forwarder.Settings) int64 {
+	response, err := http.Get("http://" + s.MetricsAddress + "/debug/vars")
+	qt.Assert(u.t, err, qt.IsNil)
+	defer response.Body.Close()
+	var metrics struct {
+		Counters struct {
+			Version int64 `json:"configuration_version"`
+		} `json:"masticway"`
+	}
+	qt.Assert(u.t, json.NewDecoder(response.Body).Decode(&metrics), qt.IsNil)
+	return metrics.Counters.Version
+}
+
+// TestLargeConfigurationReachesASlowLink tells of a fleet whose configuration grew to thousands of routes. Routers with
+// links of 10 Mbit/s ran requests by versions that had been replaced 7 to 14 s before, and their links were full until
+// the end, while the store answered every call. The configuration had outgrown what such a link carries within the time
+// limit of a call: each reading was given up in the middle, its bytes thrown away, and begun anew, through another router
+// as well. What proved it: only slow links, from the size on at which the time limit is exceeded, full of store answers
+// that no line of the router's log had taken.
+func TestLargeConfigurationReachesASlowLink(t *testing.T) {
+	const small = 49
+	cases := map[string]struct {
+		// before is the number of routes when the router starts.
+		before int
+		// peer tells whether there is another router, with a fast link, that can be asked.
+		peer bool
+	}{
+		"it grows":                                 {before: small},
+		"it grows, another router can be asked":    {before: small, peer: true},
+		"it is large already":                      {before: manyRoutes},
+		"it is large, another router can be asked": {before: manyRoutes, peer: true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			u := newUsers(t, 100000)
+			link := emulator.NewLink(slowLink)
+			t.Cleanup(link.Close)
+			u.configureRoutes(2, tc.before)
+			if tc.peer {
+				t.Cleanup(u.peerBehind(link, "edge-2").Kill)
+				// It announces itself before the other one looks for routers.
+				time.Sleep(500 * time.Millisecond)
+			}
+			d, s := u.gatewayBehind(link, "edge-1")
+			t.Cleanup(d.Kill)
+			for change := range 3 {
+				version := int64(3 + change)
+				u.configureRoutes(version, manyRoutes+change)
+				acknowledged := time.Now()
+				for u.version(s) < version && time.Since(acknowledged) < inForceWithin {
+					time.Sleep(10 * time.Millisecond)
+				}
+				qt.Check(t, u.version(s), qt.Equals, version, qt.Commentf("change %d, %v after it was acknowledged", change+1, inForceWithin))
+			}
+			// The link is the callers' while nothing changes.
+			const idle = 4 * time.Second
+			before := link.Carried()
+			time.Sleep(idle)
+			carried := link.Carried() - before
+			qt.Check(t, carried < slowLink*int64(idle/time.Second)/10, qt.IsTrue, qt.Commentf("%d bytes in %v without a change", carried, idle))
+		})
+	}
+}
--- a/starter/gateway.go
+++ b/starter/gateway.go
@@ -127,6 +127,11 @@
 	if err != nil {
 		return nil, err
 	}
+	return NewPlatformGateway(s, l, out)
+}
+
+// NewPlatformGateway assembles a gateway on the users' platform that listens on open sockets.
+func NewPlatformGateway(s forwarder.Settings, l GatewayListeners, out io.Writer) (*GatewayDaemon, error) {
 	return NewGateway(s, l, platform.NewStore(s.StoreAddress, storeTimeout), platform.NewStore(s.StoreAddress, patientTimeout), platform.Decoder{}, platform.Dialect{}, masticway.SystemClock{}, out)
 }
 
--- a/starter/gateway_test.go
+++ b/starter/gateway_test.go
@@ -101,6 +101,11 @@
 	qt.Assert(u.t, validator.Check(validator.KindGateway, data), qt.IsNil)
 	d, err := starter.BuildGateway(s, u.log)
 	qt.Assert(u.t, err, qt.IsNil)
+	return u.run(d, s)
+}
+
+// run starts a gateway that is built and waits until it is ready.
+func (u *users) run(d *starter.GatewayDaemon, s forwarder.Settings) *starter.GatewayDaemon {
 	qt.Assert(u.t, d.Start(), qt.IsNil)
 	_, readiness := d.Addresses()
 	for range 400 {
