Let readings go on for as long as they arrive, and read tables anew by their size

Cause: a reading of the configuration was bounded as a whole (0.6 s, 0.4 s through another router, 2 s for patient ones). From about 750 KB on a link of 10 Mbit/s doesn't carry it in time: the reading is given up in the middle, begun anew, and another router is asked for the same bytes after 60 ms. Routers with such links were full of bytes that nobody took, and stayed at old versions; also what had not changed was read whole every 2.5 s, on every router. Class: a fixed limit on the whole of a transfer whose size grows, with begin-anew.

Change: receiver bounds how long an answer takes to begin and how long it pauses; it serves the store's calls and those between routers. Another router is not asked, and one that is asked is left, once the direct answer begins. A table's whole readings take at most 4 KB a second of a link; after an outage the configuration is followed on, not read whole. Changes that don't fit one answer count as forgotten history. Errors tell how many bytes had come, the line of a new configuration its size.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -20,8 +19,6 @@
 	serverPause = 150 * time.Millisecond
 	// configurationPause separates two calls about the configuration.
 	configurationPause = 20 * time.Millisecond
-	// relistAfter is how often everything is read anew, should a feed have left something out.
-	relistAfter = 2500 * time.Millisecond
 	// failurePause separates attempts while the store is away.
 	failurePause = 120 * time.Millisecond
 	// patientPause separates patient readings of a table while the usual ones fail.
@@ -34,6 +31,7 @@
 const (
 	metricCalls    = "follow_calls"
 	metricFailures = "follow_failures"
+	metricBytes    = "follow_bytes"
 	metricVersion  = "configuration_version"
 	metricServers  = "servers_ready"
 )
@@ -71,10 +69,16 @@
 func (f *Follower) Run(ctx context.Context) {
 	var wg sync.WaitGroup
 	key := f.decoder.ConfigurationKey()
-	wg.Go(func() {
-		f.mirror(ctx, key.Table, key.Part, configurationPause, func(_ bool, reading masticway.RowReading) { f.configure(key, reading) })
-	})
-	wg.Go(func() { f.mirror(ctx, f.decoder.ServerTable(), "", serverPause, f.serve) })
+	configuration := &mirror{
+		Follower: f, table: key.Table, part: key.Part, between: configurationPause,
+		take: func(_ bool, reading masticway.RowReading) { f.configure(key, reading) },
+	}
+	// Registrations lapse while the store is away, and what is missing afterwards is gone.
+	servers := &mirror{Follower: f, table: f.decoder.ServerTable(), between: serverPause, lapses: true, take: f.serve}
+	for _, m := range []*mirror{configuration, servers} {
+		wg.Go(func() { m.run(ctx) })
+		wg.Go(func() { m.runPatiently(ctx) })
+	}
 	wg.Go(func() {
 		for ctx.Err() == nil {
 			f.pause(ctx, expirePause)
@@ -84,70 +88,6 @@
 	wg.Wait()
 }
 
-// readPatiently reads a table while it cannot be read otherwise.
-func (f *Follower) readPatiently(ctx context.Context, table, part string, lost *atomic.Bool, take func(whole bool, reading masticway.RowReading)) {
-	for ctx.Err() == nil {
-		f.pause(ctx, patientPause)
-		if !lost.Load() {
-			continue
-		}
-		f.metrics.Add(metricCalls, 1)
-		reading, err := f.patient.Read(ctx, table, part)
-		if err != nil {
-			// The usual readings log that the store is lost.
-			f.metrics.Add(metricFailures, 1)
-			continue
-		}
-		take(true, reading)
-	}
-}
-
-// mirror reads a table whole and then follows its changes, again and again.
-func (f *Follower) mirror(ctx context.Context, table, part string, pause time.Duration, take func(whole bool, reading masticway.RowReading)) {
-	var lost atomic.Bool
-	var patient sync.WaitGroup
-	patient.Go(func() { f.readPatiently(ctx, table, part, &lost, take) })
-	defer patient.Wait()
-	since := int64(0)
-	var listedAt time.Time
-	for ctx.Err() == nil {
-		whole := since == 0 || f.clock.Now().Sub(listedAt) > relistAfter
-		reading, err := f.read(ctx, table, part, since, whole)
-		if _, forgotten := errors.AsType[*masticway.HistoryLostError](err); forgotten {
-			f.log.WithFields(logrus.Fields{"event": "history_lost", "table": table, "since": since}).Info("reading the table anew")
-			since = 0
-			continue
-		}
-		if err != nil {
-			f.metrics.Add(metricFailures, 1)
-			if !lost.Swap(true) {
-				f.log.WithFields(logrus.Fields{"event": "store_lost", "table": table, "error": err}).Warn("store cannot be reached")
-			}
-			f.pause(ctx, failurePause)
-			// What a feed would say after an outage is read whole.
-			listedAt = time.Time{}
-			continue
-		}
-		if lost.Swap(false) {
-			f.log.WithFields(logrus.Fields{"event": "store_regained", "table": table}).Info("store answers again")
-		}
-		if whole {
-			listedAt = f.clock.Now()
-		}
-		since = max(since, reading.Version)
-		take(whole, reading)
-		f.pause(ctx, pause)
-	}
-}
-
-func (f *Follower) read(ctx context.Context, table, part string, since int64, whole bool) (masticway.RowReading, error) {
-	f.metrics.Add(metricCalls, 1)
-	if whole {
-		return f.store.Read(ctx, table, part)
-	}
-	return f.store.Follow(ctx, table, since, followWait)
-}
-
 func (f *Follower) pause(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
@@ -183,7 +123,7 @@
 		if changed {
 			d := f.register.deployment
 			f.metrics.Gauge(metricVersion, d.Version)
-			f.log.WithFields(logrus.Fields{"event": "configuration_in_force", "version": d.Version, "routes": len(d.Routes), "workspaces": len(d.Accounts)}).Info("configuration in force")
+			f.log.WithFields(logrus.Fields{"event": "configuration_in_force", "version": d.Version, "routes": len(d.Routes), "workspaces": len(d.Accounts), "bytes": reading.Bytes(), "rows": len(reading.Rows)}).Info("configuration in force")
 		}
 		return changed
 	})
--- /dev/null
+++ b/follower/mirror_test.go
@@ -0,0 +1,80 @@
+package follower_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/masticway/masticway"
+	"github.com/masticway/masticway/emulator"
+	"github.com/masticway/masticway/follower"
+	"github.com/masticway/masticway/logger"
+	"github.com/masticway/masticway/measurer"
+)
+
+// counting counts the whole readings of each table that succeed.
+type counting struct {
+	masticway.RowStore
+	mu    sync.Mutex
+	whole map[string]int
+}
+
+func (c *counting) Read(ctx context.Context, table, part string) (masticway.RowReading, error) {
+	reading, err := c.RowStore.Read(ctx, table, part)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err == nil {
+		c.whole[table]++
+	}
+	return reading, err
+}
+
+func (c *counting) count(table string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.whole[table]
+}
+
+// TestLargeTablesAreNotReadAgainForNothing has a configuration of 100 KB, which at 4 KB a second is not read whole again
+// for 25 s, and small registrations, which are every 2.5 s.
+func TestLargeTablesAreNotReadAgainForNothing(t *testing.T) {
+	const large = 100_000
+	rows := emulator.NewRows(time.Now)
+	store := &counting{RowStore: rows, whole: map[string]int{}}
+	f := follower.New(store, store, decoder{}, masticway.SystemClock{}, logger.Discard().WithField("", ""), measurer.New(), func(follower.Beliefs) {})
+	// The decoder reads JSON, in which blanks say nothing.
+	padded := func(version int64) {
+		row := configuration(version, 0)
+		value := row.Value
+		for len(value) < large {
+			value = append(value, ' ')
+		}
+		rows.Put(row.RowKey, value)
+	}
+	padded(1)
+	row := server("i-1", 0, masticway.ServerReady)
+	rows.Put(row.RowKey, row.Value)
+	ctx, stop := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	wg.Go(func() { f.Run(ctx) })
+	defer wg.Wait()
+	defer stop()
+	eventually(t, f, "first beliefs", func(b follower.Beliefs) bool { return b.Ready() })
+	qt.Assert(t, store.count("operator"), qt.Equals, 1)
+
+	rows.SetFaults(emulator.RowFaults{Busy: true})
+	time.Sleep(500 * time.Millisecond)
+	padded(2)
+	rows.SetFaults(emulator.RowFaults{})
+	eventually(t, f, "after an outage", func(b follower.Beliefs) bool { return b.Deployment.Version == 2 })
+	time.Sleep(3 * time.Second)
+	qt.Check(t, store.count("operator"), qt.Equals, 1)
+	qt.Check(t, store.count("upstreams") >= 2, qt.IsTrue, qt.Commentf("registrations were read whole %d times", store.count("upstreams")))
+
+	rows.Compact()
+	padded(3)
+	eventually(t, f, "after forgotten history", func(b follower.Beliefs) bool { return b.Deployment.Version == 3 })
+}
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -10,11 +10,21 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+
+	"github.com/masticway/masticway/receiver"
 )
 
 const (
-	// bodyLimit bounds a message: the greatest is a page of the row store, 1 MB of rows and their keys.
-	bodyLimit = 4 << 20
+	// messageLimit bounds a message: the greatest is a write to the row store, 1 MB of rows and their keys.
+	messageLimit = 4 << 20
+	// answerLimit bounds an answer: the greatest is the row store's, whose rows may be the operator's.
+	answerLimit = 16 << 20
+	// beginLimit is how long an answer may take to begin if its caller's context doesn't end before, a multiple of what
+	// any caller waits.
+	beginLimit = 10 * time.Second
+	// pauseLimit is how long an answer that has begun may pause: packets wait for up to half a second on a full link, each
+	// way, and one of them may be lost.
+	pauseLimit = 2 * time.Second
 	// idleTimeout ends connections between routers that have had nothing to say for a while.
 	idleTimeout = 20 * time.Second
 	// idleEach bounds the kept connections to one router: a few calls at once.
@@ -53,6 +63,11 @@
 // Call sends a message to the router at an address and decodes its answer; it fails with a StatusError when the router
 // did not take the message, and with the transport's errors.
 func Call[A any](ctx context.Context, c *Client, address, path string, message any) (A, error) {
+	return Fetch[A](ctx, c, address, path, beginLimit, message)
+}
+
+// Fetch is Call for an answer that may be large: it bounds how long the answer takes to begin, not how long it arrives.
+func Fetch[A any](ctx context.Context, c *Client, address, path string, begin time.Duration, message any) (A, error) {
 	var answer A
 	data, err := cbor.Marshal(message)
 	if err != nil {
@@ -63,19 +78,14 @@
 		return answer, fmt.Errorf("asking %s: %w", address, err)
 	}
 	request.Header.Set("Content-Type", contentType)
-	response, err := c.http.Do(request)
-	if err != nil {
-		return answer, fmt.Errorf("asking %s: %w", address, err)
-	}
-	defer response.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(response.Body, bodyLimit))
+	arrived, err := receiver.Do(c.http, request, receiver.Limits{Begin: begin, Pause: pauseLimit, Bytes: answerLimit})
 	if err != nil {
 		return answer, fmt.Errorf("asking %s: %w", address, err)
 	}
-	if response.StatusCode != http.StatusOK {
-		return answer, &StatusError{Address: address, Path: path, Status: response.StatusCode}
+	if arrived.Status != http.StatusOK {
+		return answer, &StatusError{Address: address, Path: path, Status: arrived.Status}
 	}
-	if err := cbor.Unmarshal(body, &answer); err != nil {
+	if err := cbor.Unmarshal(arrived.Body, &answer); err != nil {
 		return answer, fmt.Errorf("decoding the answer of %s to %s: %w", address, path, err)
 	}
 	return answer, nil
@@ -85,7 +95,7 @@
 func Handle[M, A any](mux *http.ServeMux, path string, serve func(ctx context.Context, message M) A) {
 	mux.HandleFunc("POST "+path, func(w http.ResponseWriter, r *http.Request) {
 		var message M
-		data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, bodyLimit))
+		data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, messageLimit))
 		if err == nil {
 			err = cbor.Unmarshal(data, &message)
 		}
--- a/relayer/relay.go
+++ b/relayer/relay.go
@@ -73,9 +73,7 @@
 func (s *Store) relay(ctx context.Context, o order) result {
 	worst := result{err: &masticway.UnavailableError{Service: serviceName, Reason: "no other router is known"}}
 	for _, address := range s.helpers() {
-		asking, cancel := context.WithTimeout(ctx, relayTimeout+o.Wait)
-		a, err := messenger.Call[account](asking, s.messages, address, pathStore, o)
-		cancel()
+		a, err := messenger.Fetch[account](ctx, s.messages, address, pathStore, relayTimeout+o.Wait, o)
 		if err != nil {
 			// It may have carried the order out.
 			a = account{Ending: endingUnknown, Reason: err.Error()}
@@ -86,6 +84,10 @@
 			return r
 		}
 		worst = worse(worst, r)
+		if ctx.Err() != nil {
+			// Nobody waits for this way any more.
+			return worst
+		}
 	}
 	s.metrics.Add(metricUnhelped, 1)
 	s.mu.Lock()
@@ -113,7 +115,7 @@
 			return account{Ending: endingUnavailable, Reason: "the store turns this router away as well"}
 		}
 		s.metrics.Add(metricHelped, 1)
-		return tell(s.goStraight(o))
+		return tell(s.goStraight(o, func() {}))
 	})
 }
 
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -11,6 +11,7 @@
 	"github.com/masticway/masticway"
 	"github.com/masticway/masticway/measurer"
 	"github.com/masticway/masticway/messenger"
+	"github.com/masticway/masticway/receiver"
 )
 
 const (
@@ -36,7 +37,8 @@
 	// way: one that a cut has swallowed does not keep the next from finding the store back.
 	probePause = 120 * time.Millisecond
 	probesMost = 4
-	// relayTimeout bounds one call through another router, a store's answer and two ways between availability zones.
+	// relayTimeout is how long the answer to one call through another router may take to begin: a store's answer and two
+	// ways between availability zones.
 	relayTimeout = 400 * time.Millisecond
 	// graceAfter is how long the direct way may still take once no other router could help.
 	graceAfter = 200 * time.Millisecond
@@ -166,32 +168,44 @@
 	ways := 0
 	straight := make(chan result, 1)
 	relayed := make(chan result, 1)
+	begun, begin := signal()
+	asking, stopAsking := context.WithCancel(ctx)
+	defer stopAsking()
 	var patience, grace <-chan time.Time
+	asked := false
 	relay := func() {
-		patience = nil
+		asked, patience = true, nil
 		ways++
-		go func() { relayed <- s.relay(ctx, o) }()
+		go func() { relayed <- s.relay(asking, o) }()
 	}
 	direct, away := s.choose(o)
 	if direct {
 		ways++
-		s.calls.Go(func() { straight <- s.goStraight(o) })
+		s.calls.Go(func() { straight <- s.goStraight(o, begin) })
 	}
 	if away {
 		relay()
 	} else {
 		patience = s.clock.After(s.patience(o))
 	}
+	arriving := false
 	var worst result
 	for ended := 0; ended < ways; {
 		var r result
 		select {
+		case <-begun:
+			// A large answer takes a slow link for seconds: asking others for it as well would only halve its share.
+			begun, patience, grace, arriving = nil, nil, nil, true
+			stopAsking()
+			continue
 		case r = <-straight:
-			if !r.definite() && patience != nil && s.isAway() {
+			if !r.definite() && !asked && s.isAway() {
 				relay()
 			}
 		case r = <-relayed:
-			grace = s.clock.After(graceAfter)
+			if !arriving {
+				grace = s.clock.After(graceAfter)
+			}
 		case <-patience:
 			relay()
 			continue
@@ -209,6 +223,12 @@
 	return worst.reading, worst.err
 }
 
+// signal returns a channel and a function that closes it, however often it is called.
+func signal() (<-chan struct{}, func()) {
+	c := make(chan struct{})
+	return c, sync.OnceFunc(func() { close(c) })
+}
+
 // worse keeps an unknown outcome unknown, whatever the other way said.
 func worse(a, b result) result {
 	if _, ok := errors.AsType[*masticway.OutcomeUnknownError](a.err); ok {
@@ -231,11 +251,11 @@
 }
 
 // goStraight makes a direct call. It outlives its caller: when another router was faster, its end still tells whether
-// the store answers this one.
-func (s *Store) goStraight(o order) result {
+// the store answers this one. It calls begun when a successful answer begins to arrive.
+func (s *Store) goStraight(o order, begun func()) result {
 	sentAt := s.clock.Now()
 	s.count(1)
-	r := o.carryOut(s.own, s.direct)
+	r := o.carryOut(receiver.WithBegun(s.own, begun), s.direct)
 	s.count(-1)
 	switch {
 	case r.definite():
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -95,27 +95,32 @@
 	other  *way
 	store  *relayer.Store
 	helper *relayer.Store
+	// address is where the other router is reached.
+	address string
 }
 
 func newFleet(t *testing.T) *fleet {
 	f := &fleet{rows: emulator.NewRows(time.Now)}
 	f.own, f.other = &way{rows: f.rows}, &way{rows: f.rows}
-	log := logrus.New()
-	log.SetOutput(io.Discard)
-	router := func(w *way) *relayer.Store {
-		s := relayer.New(w, messenger.NewClient(), masticway.SystemClock{}, logrus.NewEntry(log), measurer.New())
-		t.Cleanup(s.Close)
-		return s
-	}
-	f.store, f.helper = router(f.own), router(f.other)
+	f.store, f.helper = f.router(t, f.own), f.router(t, f.other)
 	mux := http.NewServeMux()
 	f.helper.Serve(mux)
 	server := httptest.NewServer(mux)
 	t.Cleanup(server.Close)
-	f.store.Ask(func() []string { return []string{strings.TrimPrefix(server.URL, "http://")} })
+	f.address = strings.TrimPrefix(server.URL, "http://")
 	return f
 }
 
+// router returns a router with a way to the store, which asks the other one.
+func (f *fleet) router(t *testing.T, w masticway.RowStore) *relayer.Store {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	s := relayer.New(w, messenger.NewClient(), masticway.SystemClock{}, logrus.NewEntry(log), measurer.New())
+	t.Cleanup(s.Close)
+	s.Ask(func() []string { return []string{f.address} })
+	return s
+}
+
 // turnAway lets direct calls fail until the router is sure that it is turned away.
 func (f *fleet) turnAway(t *testing.T) {
 	for range 100 {
--- a/rows.go
+++ b/rows.go
@@ -51,6 +51,15 @@
 	At time.Duration
 }
 
+// Bytes returns the size of the rows' keys and values.
+func (r RowReading) Bytes() int64 {
+	n := 0
+	for _, row := range r.Rows {
+		n += len(row.Table) + len(row.Part) + len(row.Key) + len(row.Value)
+	}
+	return int64(n)
+}
+
 // RowStore is the platform's store of rows; its calls fail with the errors named here.
 type RowStore interface {
 	// Read returns the rows of one part of a table in key order; it fails with UnavailableError.
--- a/starter/configuration_test.go
+++ b/starter/configuration_test.go
@@ -116,7 +116,7 @@
 				for u.version(s) < version && time.Since(acknowledged) < inForceWithin {
 					time.Sleep(10 * time.Millisecond)
 				}
-				qt.Check(t, u.version(s), qt.Equals, version, qt.Commentf("change %d, %v after it was acknowledged", change+1, inForceWithin))
+				qt.Check(t, u.version(s), qt.Equals, version, qt.Commentf("change %d, %v after it was acknowledged:\n%s", change+1, inForceWithin, u.log))
 			}
 			// The link is the callers' while nothing changes.
 			const idle = 4 * time.Second
