Account for requests and tokens from the logs of a fleet

Cause: with twenty routers, an operator who asks where requests went joins thousands of lines by hand; a line by itself tells one end, not how many had its cause, at which routers, or what these believed just then.

Change: package accountant reads key=value lines one by one, after any prefix, and sums up ends by cause, route, workspace, router and time, money, failed attempts, versions in force, store outages and changes of belief; or it follows one request.

--- /dev/null
+++ b/accountant/cause.go
@@ -0,0 +1,106 @@
+package accountant
+
+import (
+	"math"
+	"strings"
+	"time"
+)
+
+// Families of ends that are told apart further.
+const (
+	familyServed      = "served"
+	familyExhausted   = "money_exhausted"
+	familyUnreachable = "money_unreachable"
+	familyOther       = "other"
+)
+
+// families tells by a request line's outcome what an operator would look at.
+var families = map[string]string{
+	"served": familyServed, "budget_exhausted": familyExhausted, "budget_unreachable": familyUnreachable,
+	"servers_full": "servers_full", "no_server": "no_server", "not_in_time": "not_in_time", "timeout": "deadline",
+	"server_failed": "server_failed", "outcome_unknown": "server_failed", "broken_off": "cut_off", "caller_left": "caller_left",
+	"no_route": "not_allowed", "bad_key": "not_allowed", "malformed": "not_allowed", "body_too_large": "not_allowed",
+	"body_unreadable": "not_allowed", "not_ready": "router_not_serving", "shutting_down": "router_not_serving",
+}
+
+// FamilyOf returns the family of a request line's outcome.
+func FamilyOf(outcome string) string {
+	if f, ok := families[outcome]; ok {
+		return f
+	}
+	return familyOther
+}
+
+// reasons tells the reason of a failure by a part of its cause; the first that fits counts.
+var reasons = []struct{ part, reason string }{
+	{"connections to ", "connections_in_use"},
+	{"nothing came for too long", "silent"},
+	{"the store did not take the promise", "promise_not_taken"},
+	{"writing to the caller", "caller_unreachable"},
+	{"no server is known", "no_server_left"},
+	{", not run", "rejected"},
+	{"of a suspect server", "suspect_server"},
+	{"to a resumption", "not_resumed"},
+	{"another request", "foreign_answer"},
+	{"other requests", "foreign_answer"},
+	{"without the request's id", "unsigned_answer"},
+	{"operation was canceled", "caller_left"},
+	{"context canceled", "caller_left"},
+	{"context deadline exceeded", "deadline"},
+	{"stream broke off", "stream_broke_off"},
+	{"connection refused", "connection_refused"},
+	{"i/o timeout", "connect_timeout"},
+	{"connecting: ", "not_connected"},
+	{"connection timed out", "unacknowledged"},
+	{"connection reset", "connection_lost"},
+	{"broken pipe", "connection_lost"},
+	{"EOF", "connection_lost"},
+}
+
+// reasonOf sorts the cause of a failure.
+func reasonOf(cause string) string {
+	for _, r := range reasons {
+		if strings.Contains(cause, r.part) {
+			return r.reason
+		}
+	}
+	if cause == "" {
+		return ""
+	}
+	return "other"
+}
+
+// neverRead is the age in milliseconds of a row that was never read, the longest time there is.
+const neverRead = int64(math.MaxInt64 / time.Millisecond)
+
+// Reasons of money refusals, by what the router knew was left.
+const (
+	reasonUnread  = "row_never_read"
+	reasonEnough  = "enough_left"
+	reasonLess    = "less_left_than_needed"
+	reasonNothing = "nothing_left"
+)
+
+// moneyReason tells what was left when a request was refused for money.
+func moneyReason(l Line) string {
+	left := l.Number("left") + max(l.Number("free"), l.Number("own"))
+	switch {
+	case l.Number("row_age_ms") >= neverRead:
+		return reasonUnread
+	case left >= l.Number("hold"):
+		return reasonEnough
+	case left > 0:
+		return reasonLess
+	}
+	return reasonNothing
+}
+
+// causeOf tells the cause of a request's end; the state of the store at the router goes with money only.
+func causeOf(l Line, store string) Key {
+	outcome := l.Text("outcome")
+	k := Key{Family: FamilyOf(outcome), Outcome: outcome, Reason: reasonOf(l.Text("cause"))}
+	if k.Family == familyExhausted || k.Family == familyUnreachable {
+		k.Reason, k.Store = moneyReason(l), store
+	}
+	return k
+}
--- /dev/null
+++ b/accountant/line.go
@@ -0,0 +1,93 @@
+package accountant
+
+import (
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Field is one key=value pair.
+type Field struct {
+	Name  string `json:"name"`
+	Value string `json:"value"`
+}
+
+// Line is one event of one router; its time is zero when it was written without one.
+type Line struct {
+	Time   time.Time `json:"time"`
+	Event  string    `json:"event"`
+	Router string    `json:"router"`
+	Fields []Field   `json:"fields"`
+}
+
+// ParseLine reads one line and tells whether it is an event; what stands before its first field is left out.
+func ParseLine(text string) (Line, bool) {
+	rest := withoutPrefix(strings.TrimSpace(text))
+	l := Line{Fields: make([]Field, 0, 24)}
+	for rest != "" {
+		f, after, ok := nextField(rest)
+		if !ok {
+			return Line{}, false
+		}
+		l.Fields = append(l.Fields, f)
+		rest = strings.TrimLeft(after, " ")
+	}
+	l.Event, l.Router = l.Text("event"), l.Text("instance")
+	at := l.Text("time")
+	if at == "" {
+		return l, l.Event != ""
+	}
+	var err error
+	l.Time, err = time.Parse(time.RFC3339Nano, at)
+	return l, l.Event != "" && err == nil
+}
+
+// Text returns a field's value, empty when there is none.
+func (l Line) Text(name string) string {
+	for _, f := range l.Fields {
+		if f.Name == name {
+			return f.Value
+		}
+	}
+	return ""
+}
+
+// Number returns a field's value as a whole number, zero when it is none.
+func (l Line) Number(name string) int64 {
+	n, err := strconv.ParseInt(l.Text(name), 10, 64)
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
+// withoutPrefix starts at the first field that a log line begins with.
+func withoutPrefix(text string) string {
+	for _, start := range []string{"time=", "level="} {
+		if strings.HasPrefix(text, start) {
+			return text
+		}
+		if i := strings.Index(text, " "+start); i >= 0 {
+			return text[i+1:]
+		}
+	}
+	return text
+}
+
+// nextField takes the first pair off.
+func nextField(text string) (Field, string, bool) {
+	name, rest, ok := strings.Cut(text, "=")
+	if !ok || name == "" || strings.ContainsAny(name, ` "`) {
+		return Field{}, "", false
+	}
+	if !strings.HasPrefix(rest, `"`) {
+		value, rest, _ := strings.Cut(rest, " ")
+		return Field{Name: name, Value: value}, rest, true
+	}
+	quoted, err := strconv.QuotedPrefix(rest)
+	if err != nil {
+		return Field{}, "", false
+	}
+	value, err := strconv.Unquote(quoted)
+	return Field{Name: name, Value: value}, rest[len(quoted):], err == nil
+}
--- /dev/null
+++ b/accountant/money.go
@@ -0,0 +1,58 @@
+package accountant
+
+// counterNames are the counters of money_status that are tokens, refusals or failures.
+var counterNames = []string{
+	"money_store_calls", "money_store_failures", "money_conflicts", "money_exhausted", "money_unreachable", "money_borrowed",
+	"money_lent", "money_not_repaid", "money_asks_unanswered", "money_statements", "money_recalled",
+}
+
+// money sums up what the lines tell of prepaid tokens; a workspace's row counts its refusals.
+type money struct {
+	workspaces rows
+	routers    rows
+	// last are the counters of each router's process.
+	last map[string]Counts
+}
+
+// refused notes a refusal for money.
+func (m money) refused(l Line, k Key) {
+	kinds := m.workspaces.add(Key{Name: l.Text("workspace")}, l, l.Number("ms"), k.Outcome+"/"+k.Reason).Kinds
+	kinds["prepaid_most"] = max(kinds["prepaid_most"], l.Number("prepaid"))
+	kinds["left_most"] = max(kinds["left_most"], l.Number("left"))
+}
+
+// note takes an event that is about money outside requests.
+func (m money) note(l Line) {
+	workspace, router := Key{Name: l.Text("workspace")}, Key{Name: l.Router}
+	switch l.Event {
+	case "grant_closed":
+		kinds := m.workspaces.at(workspace).Kinds
+		kinds["grants_closed"]++
+		kinds["granted"] += l.Number("granted")
+		kinds["presumed"] += l.Number("presumed")
+	case "not_repaid":
+		m.workspaces.at(workspace).Kinds["not_repaid"] += l.Number("amount")
+	case "predecessor_recalled":
+		kinds := m.routers.at(router).Kinds
+		kinds["presumed"] += l.Number("presumed")
+		kinds["spared"] += l.Number("spared")
+	case "started":
+		m.routers.add(router, l, 0)
+		delete(m.last, l.Router)
+	case "money_status":
+		m.status(l, m.routers.at(router).Kinds)
+	}
+}
+
+// status takes new counters; one that has fallen belongs to a new process.
+func (m money) status(l Line, kinds Counts) {
+	now := Counts{}
+	for _, name := range counterNames {
+		now[name] = l.Number(name)
+		kinds[name] += now[name]
+		if before := m.last[l.Router][name]; before <= now[name] {
+			kinds[name] -= before
+		}
+	}
+	m.last[l.Router] = now
+}
--- /dev/null
+++ b/accountant/report.go
@@ -0,0 +1,106 @@
+package accountant
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+	"time"
+)
+
+// NotFoundError reports that no line is what was looked for.
+type NotFoundError struct {
+	What  string
+	Lines int64
+}
+
+func (e *NotFoundError) Error() string { return fmt.Sprintf("none of %d lines is %s", e.Lines, e.What) }
+
+// Table is a list of rows; a table in the order of time is printed whole.
+type Table struct {
+	Name  string `json:"name"`
+	Rows  []Row  `json:"rows"`
+	whole bool
+}
+
+// Report is what the lines of a fleet tell; all requests that were not served have a line.
+type Report struct {
+	Input  Input   `json:"input"`
+	Tables []Table `json:"tables"`
+}
+
+// Print writes the report as text; of tables that are not in the order of time so many rows, all when it is zero.
+func (r Report) Print(w io.Writer, most int) error {
+	fmt.Fprintf(w, "%s\nserved requests are told of in samples only (log_every): no total of them is known\n", r.Input)
+	for _, t := range r.Tables {
+		shown := t.Rows
+		if most > 0 && !t.whole {
+			shown = shown[:min(most, len(shown))]
+		}
+		fmt.Fprintf(w, "\n%s: %d of %d rows\n", t.Name, len(shown), len(t.Rows))
+		if err := printRows(w, shown); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// columns are the heads of a table and what stands below them.
+var columns = []struct {
+	head string
+	cell func(r Row) string
+}{
+	{"at", func(r Row) string { return clock(r.At) }},
+	{"name", func(r Row) string { return r.Name }},
+	{"detail", func(r Row) string { return r.Detail }},
+	{"family", func(r Row) string { return r.Family }},
+	{"outcome", func(r Row) string { return r.Outcome }},
+	{"reason", func(r Row) string { return r.Reason }},
+	{"store", func(r Row) string { return r.Store }},
+	{"count", func(r Row) string { return number(r.Count) }},
+	{"share", func(r Row) string { return strings.TrimPrefix(fmt.Sprintf("%.1f%%", 100*r.Share), "0.0%") }},
+	{"tokens_asked", func(r Row) string { return number(r.Asked) }},
+	{"tokens_used", func(r Row) string { return number(r.Used) }},
+	{"mean_ms", func(r Row) string { return number(r.MeanMS) }},
+	{"most_ms", func(r Row) string { return number(r.MostMS) }},
+	{"money_ms", func(r Row) string { return number(r.MoneyMS) }},
+	{"kinds", func(r Row) string { return r.Kinds.String() }},
+	{"routers", func(r Row) string { return number(int64(len(r.Routers))) }},
+	{"first", func(r Row) string { return clock(r.First) }},
+	{"last", func(r Row) string { return clock(r.Last) }},
+	{"example", func(r Row) string { return r.Example }},
+}
+
+func number(n int64) string { return strings.TrimPrefix(strconv.FormatInt(n, 10), "0") }
+
+func clock(t time.Time) string {
+	if t.IsZero() {
+		return ""
+	}
+	return t.Format("15:04:05.000")
+}
+
+// printRows leaves out the columns in which no row has a value.
+func printRows(w io.Writer, rows []Row) error {
+	lines := make([][]string, len(rows)+1)
+	for _, c := range columns {
+		cells, used := []string{c.head}, false
+		for _, r := range rows {
+			cell := c.cell(r)
+			used = used || cell != ""
+			cells = append(cells, cmp.Or(cell, "-"))
+		}
+		for i := range cells {
+			if used {
+				lines[i] = append(lines[i], cells[i])
+			}
+		}
+	}
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	for _, line := range lines {
+		fmt.Fprintln(table, "  "+strings.Join(line, "\t"))
+	}
+	return table.Flush()
+}
--- /dev/null
+++ b/accountant/rows.go
@@ -0,0 +1,103 @@
+package accountant
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Key names a row; what does not apply is empty.
+type Key struct {
+	At      time.Time `json:"at,omitzero"`
+	Name    string    `json:"name,omitempty"`
+	Detail  string    `json:"detail,omitempty"`
+	Family  string    `json:"family,omitempty"`
+	Outcome string    `json:"outcome,omitempty"`
+	Reason  string    `json:"reason,omitempty"`
+	Store   string    `json:"store,omitempty"`
+}
+
+// Counts counts by name.
+type Counts map[string]int64
+
+// String lists the counts, the largest first.
+func (c Counts) String() string {
+	names := slices.SortedFunc(maps.Keys(c), func(a, b string) int { return cmp.Or(cmp.Compare(c[b], c[a]), cmp.Compare(a, b)) })
+	parts := make([]string, 0, len(c))
+	for _, name := range names {
+		parts = append(parts, fmt.Sprintf("%s=%d", name, c[name]))
+	}
+	return strings.Join(parts, " ")
+}
+
+// Row sums up lines that have a key in common; Share is its part of all rows' lines.
+type Row struct {
+	Key
+	Count   int64     `json:"count"`
+	Share   float64   `json:"share"`
+	Asked   int64     `json:"tokens_asked,omitempty"`
+	Used    int64     `json:"tokens_used,omitempty"`
+	TotalMS int64     `json:"total_ms,omitempty"`
+	MeanMS  int64     `json:"mean_ms,omitempty"`
+	MostMS  int64     `json:"most_ms,omitempty"`
+	MoneyMS int64     `json:"mean_money_ms,omitempty"`
+	Kinds   Counts    `json:"kinds,omitempty"`
+	Routers Counts    `json:"routers,omitempty"`
+	First   time.Time `json:"first,omitzero"`
+	Last    time.Time `json:"last,omitzero"`
+	Example string    `json:"example,omitempty"`
+}
+
+// rows sums lines up by key.
+type rows map[Key]*Row
+
+func (r rows) at(k Key) *Row {
+	if _, ok := r[k]; !ok {
+		r[k] = &Row{Key: k, Kinds: Counts{}, Routers: Counts{}}
+	}
+	return r[k]
+}
+
+// add counts a line that took so long, and how often it was of each kind.
+func (r rows) add(k Key, l Line, took int64, kinds ...string) *Row {
+	row := r.at(k)
+	row.Count++
+	row.Routers[l.Router]++
+	for _, kind := range kinds {
+		row.Kinds[kind]++
+	}
+	row.Asked += l.Number("hold")
+	row.Used += l.Number("used")
+	row.TotalMS += took
+	row.MostMS = max(row.MostMS, took)
+	row.MoneyMS += l.Number("money_ms")
+	if row.Example == "" {
+		row.Example = strings.Clone(l.Text("request"))
+	}
+	row.First, row.Last = widen(row.First, row.Last, l.Time)
+	return row
+}
+
+// list returns the rows in the order of time, and where they have none with the most lines first.
+func (r rows) list() []Row {
+	all, whole := make([]Row, 0, len(r)), int64(0)
+	for _, row := range r {
+		whole += row.Count
+	}
+	for _, row := range r {
+		done, count := *row, max(1, row.Count)
+		done.Share = float64(row.Count) / float64(max(1, whole))
+		done.MeanMS, done.MoneyMS = row.TotalMS/count, row.MoneyMS/count
+		all = append(all, done)
+	}
+	slices.SortFunc(all, func(a, b Row) int {
+		if !a.At.IsZero() {
+			return cmp.Or(a.At.Compare(b.At), a.First.Compare(b.First), cmp.Compare(a.Name+a.Detail, b.Name+b.Detail))
+		}
+		return cmp.Or(cmp.Compare(b.Count, a.Count), cmp.Compare(fmt.Sprint(a.Key), fmt.Sprint(b.Key)))
+	})
+	return all
+}
