Give operators the command account

Cause: the package accountant has no command line.

A command may take any number of values, and flags may be switches. A flag at the end of the line without its value is now reported as such, where the parser's panic text was shown; exit code 2 as before.

--- a/commander/commander.go
+++ b/commander/commander.go
@@ -44,8 +44,11 @@
 	example     string
 	// flags declares flags and positional values.
 	flags func(s *flaggy.Subcommand)
-	run   func(ctx context.Context, e env) error
-	subs  []*command
+	// values takes the values of a command that needs one or more of them, and valuesHelp says what they are.
+	values     *[]string
+	valuesHelp string
+	run        func(ctx context.Context, e env) error
+	subs       []*command
 }
 
 // Main runs a command line and returns the exit code.
@@ -140,6 +143,12 @@
 	if c.flags != nil {
 		c.flags(&p.Subcommand)
 	}
+	if c.values != nil {
+		*c.values, args = splitValues(p, args)
+		if len(*c.values) == 0 {
+			return &usageError{reason: fmt.Sprintf("%s: a value is missing (%s)", path, c.valuesHelp)}
+		}
+	}
 	if err := precheck(p, path, args); err != nil {
 		return err
 	}
@@ -155,6 +164,36 @@
 	return nil
 }
 
+// splitValues takes the values out from among the flags.
+func splitValues(p *flaggy.Parser, args []string) (values, flags []string) {
+	for i := 0; i < len(args); i++ {
+		name, isFlag := strings.CutPrefix(args[i], "--")
+		if !isFlag {
+			values = append(values, args[i])
+			continue
+		}
+		flags = append(flags, args[i])
+		if takesNext(p, name) && i+1 < len(args) {
+			i++
+			flags = append(flags, args[i])
+		}
+	}
+	return values, flags
+}
+
+// takesNext tells that a flag's value is the next argument.
+func takesNext(p *flaggy.Parser, name string) bool {
+	if strings.Contains(name, "=") {
+		return false
+	}
+	for _, f := range p.Flags {
+		if _, isSwitch := f.AssignmentVar.(*bool); isSwitch && f.LongName == name {
+			return false
+		}
+	}
+	return true
+}
+
 // precheck finds unknown flags and missing or surplus values, which the parser would answer with its own exit.
 func precheck(p *flaggy.Parser, path string, args []string) error {
 	values := 0
@@ -164,14 +203,16 @@
 			values++
 			continue
 		}
-		name, _, joined := strings.Cut(name, "=")
-		if !declares(p, name) {
-			return &usageError{reason: fmt.Sprintf("%s: unknown flag --%s", path, name)}
+		bare, _, _ := strings.Cut(name, "=")
+		if !declares(p, bare) {
+			return &usageError{reason: fmt.Sprintf("%s: unknown flag --%s", path, bare)}
 		}
-		if !joined {
-			// No command has a flag without a value.
+		if takesNext(p, name) {
 			i++
 		}
+		if i == len(args) {
+			return &usageError{reason: fmt.Sprintf("%s: --%s needs a value", path, bare)}
+		}
 	}
 	for _, v := range p.PositionalFlags {
 		if v.Required && v.Position > values {
@@ -206,6 +247,9 @@
 	for _, s := range c.subs {
 		fmt.Fprintf(out, "  %-10s %s\n", s.name, s.description)
 	}
+	if c.values != nil {
+		fmt.Fprintf(out, "  %-18s %s\n", "VALUE...", c.valuesHelp)
+	}
 	if c.flags != nil {
 		p := flaggy.NewParser(path)
 		c.flags(&p.Subcommand)
--- a/commander/commander_test.go
+++ b/commander/commander_test.go
@@ -15,6 +15,8 @@
 	directory := t.TempDir()
 	bad := filepath.Join(directory, "bad.json")
 	qt.Assert(t, os.WriteFile(bad, []byte(`{"workspace":"w","colour":"red"}`), 0o600), qt.IsNil)
+	log := filepath.Join(directory, "edge-1.log")
+	qt.Assert(t, os.WriteFile(log, []byte(`  0.1 edge-1 time="2026-01-02T03:04:05Z" event=request outcome=timeout instance=edge-1 request=a1`+"\n"), 0o600), qt.IsNil)
 	cases := map[string]struct {
 		args []string
 		code int
@@ -36,6 +38,19 @@
 		"settings with faults": {[]string{"router", bad}, 1, `(?s).*caller_address.*`},
 		"key":                  {[]string{"key"}, 0, `(?s)key   mw_[0-9a-f]+\nhash  [0-9a-f]{64}\n`},
 		"load needs a file":    {[]string{"load"}, 2, `(?s).*--scenario.*`},
+		"account":              {[]string{"account", log, log, "--rows", "5"}, 0, `(?s)2 sources, 2 lines.*not_served_by_cause: 1 of 1 rows.*`},
+		"account as JSON":      {[]string{"account", "--json", log}, 0, `(?s)\{.*"outcome": "timeout".*\}\n`},
+		"account's buckets":    {[]string{"account", "--bucket=1m", log, "--json=false"}, 0, `(?s).*03:04:00.000.*`},
+		"story of a request":   {[]string{"account", "--request", "a1", log}, 0, `(?s).*ended: deadline timeout.*`},
+		"story as JSON":        {[]string{"account", log, "--json", "--request", "a1"}, 0, `(?s)\{.*"ends": .*"family": "deadline".*\}\n`},
+		"no such request":      {[]string{"account", "--request", "a2", log}, 1, `(?s).*none of 1 lines is about request a2.*`},
+		"account needs a log":  {[]string{"account", "--json"}, 2, `(?s).*a value is missing.*`},
+		"account's flags":      {[]string{"account", log, "--loud", "x"}, 2, `(?s).*unknown flag --loud.*`},
+		"no time in a bucket":  {[]string{"account", "--bucket", "0s", log}, 2, `(?s).*--bucket.*`},
+		"log that is not":      {[]string{"account", log, filepath.Join(directory, "none")}, 1, `(?s).*none.*`},
+		"log without events":   {[]string{"account", bad}, 1, `(?s).*none of 1 lines is an event.*`},
+		"help of account":      {[]string{"account", "--help"}, 0, `(?s).*VALUE\.\.\..*--json.*example:.*`},
+		"flag with no value":   {[]string{"account", log, "--rows"}, 2, `(?s).*--rows needs a value.*`},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
