Show by which configurations ends were decided, and shorter lists

Cause: on a sample of twenty routers' lines, a cause did not tell by which configuration it was decided, counters that stayed zero filled the rows, and changes had a share, though they are parts of no whole.

Ruled out: marking ends that were decided by an older configuration than another router had in force: it needs a second pass over the lines, and clocks that agree.

Change: causes count configurations; text shows the eight largest counts and none that are zero, JSON all; no share for changes.

--- a/accountant/account.go
+++ b/accountant/account.go
@@ -78,7 +78,7 @@
 	if key.Store != "" {
 		a.money.refused(l, key)
 	}
-	a.causes.add(key, l, ms)
+	a.causes.add(key, l, ms, "configuration_"+l.Text("configuration"))
 	a.routes.add(route, l, ms, key.Family)
 	a.workspaces.add(Key{Name: cmp.Or(l.Text("workspace"), "-")}, l, ms, key.Family)
 	a.routers.add(Key{Name: l.Router}, l, ms, key.Family)
--- a/accountant/account_test.go
+++ b/accountant/account_test.go
@@ -52,9 +52,9 @@
 }
 
 const (
-	exhausted   = "event=request outcome=budget_exhausted route=draft workspace=w1 hold=100 prepaid=5000 left=0 free=0 own=0 row_age_ms=30 ms=90 money_ms=80 request="
-	unreachable = "event=request outcome=budget_unreachable route=draft workspace=w1 hold=100 prepaid=5000 left=900 free=0 own=0 row_age_ms=400 ms=150 money_ms=150 request="
-	timeout     = `event=request outcome=timeout route=stock workspace=w2 hold=0 tries=1 ms=400 cause="context deadline exceeded" request=`
+	exhausted   = "event=request configuration=7 outcome=budget_exhausted route=draft workspace=w1 hold=100 prepaid=5000 left=0 free=0 own=0 row_age_ms=30 ms=90 money_ms=80 request="
+	unreachable = "event=request configuration=8 outcome=budget_unreachable route=draft workspace=w1 hold=100 prepaid=5000 left=900 free=0 own=0 row_age_ms=400 ms=150 money_ms=150 request="
+	timeout     = `event=request configuration=8 outcome=timeout route=stock workspace=w2 hold=0 tries=1 ms=400 cause="context deadline exceeded" request=`
 	served      = "event=request outcome=served route=draft workspace=w1 hold=100 used=70 tries=0 ms=1200 request="
 	failed      = `event=attempt_failed server=s1 address=10.0.0.1:80 fate=unknown cause="nothing came for too long" ms=210 request=`
 )
@@ -68,8 +68,9 @@
 		line("edge-1", 2080, unreachable+"a5"), line("edge-1", 2090, served+"a6"),
 	}, []string{line("edge-2", 1000, timeout+"b1")})
 	qt.Assert(t, summary(t, r, "not_served_by_cause"), qt.DeepEquals, []string{
-		"money_unreachable enough_left direct 2", "deadline deadline 1", "money_exhausted nothing_left direct 1",
-		"money_unreachable enough_left lost:op 1", "money_unreachable enough_left through_others 1",
+		"money_unreachable enough_left direct 2 configuration_8=2", "deadline deadline 1 configuration_8=1",
+		"money_exhausted nothing_left direct 1 configuration_7=1", "money_unreachable enough_left lost:op 1 configuration_8=1",
+		"money_unreachable enough_left through_others 1 configuration_8=1",
 	})
 	qt.Assert(t, summary(t, r, "not_served_by_route"), qt.DeepEquals, []string{
 		"draft 5 money_unreachable=4 money_exhausted=1", "stock 1 deadline=1",
@@ -87,6 +88,7 @@
 	qt.Assert(t, row.Share, qt.Equals, 2.0/6)
 	qt.Assert(t, row.Asked, qt.Equals, int64(200))
 	qt.Assert(t, row.MeanMS, qt.Equals, int64(150))
+	qt.Assert(t, row.MoneyMS, qt.Equals, int64(150))
 	qt.Assert(t, row.Example, qt.Equals, "a2")
 	qt.Assert(t, row.Last.Sub(row.First), qt.Equals, 2070*time.Millisecond)
 }
@@ -108,8 +110,21 @@
 	})
 	qt.Assert(t, summary(t, r, "other_events"), qt.DeepEquals, []string{})
 	byRouter := summary(t, r, "money_starts_and_counters_by_router")
-	qt.Assert(t, byRouter[0], qt.Matches, "edge-1 2 money_borrowed=150 presumed=30 spared=20 .*")
-	qt.Assert(t, byRouter[1], qt.Matches, "edge-2 0 money_borrowed=100 .*")
+	qt.Assert(t, byRouter, qt.DeepEquals, []string{"edge-1 2 money_borrowed=150 presumed=30 spared=20", "edge-2 0 money_borrowed=100"})
+}
+
+func TestLargestCountsAreShown(t *testing.T) {
+	cases := map[string]struct {
+		counts accountant.Counts
+		text   string
+	}{
+		"none":       {nil, ""},
+		"by size":    {accountant.Counts{"b": 2, "a": 2, "c": 9, "d": 0}, "c=9 a=2 b=2"},
+		"a few only": {accountant.Counts{"a": 1, "b": 1, "c": 1, "d": 1, "e": 1, "f": 1, "g": 1, "h": 1, "i": 1, "j": 1}, "a=1 b=1 c=1 d=1 e=1 f=1 g=1 h=1 (2 more)"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) { qt.Assert(t, tc.counts.String(), qt.Equals, tc.text) })
+	}
 }
 
 func TestAttemptsAreJoinedWithEnds(t *testing.T) {
@@ -135,10 +150,12 @@
 		[]string{line("edge-1", 0, "event=started"), version("edge-1", 10, 3), version("edge-1", 1000, 4), version("edge-1", 3000, 6), version("edge-1", 3500, 4)},
 		[]string{line("edge-2", 0, "event=started"), version("edge-2", 20, 3), version("edge-2", 1900, 5)},
 		[]string{line("edge-3", 5000, "event=started"), version("edge-3", 5100, 5)},
+		// A new process is in no lag, whatever the one before it had.
+		[]string{version("edge-4", 30, 3), line("edge-4", 6000, "event=started"), version("edge-4", 6100, 4)},
 	)
 	qt.Assert(t, summary(t, r, "configuration_versions_by_routers"), qt.DeepEquals, []string{
-		"3 missing= 3 at_start=3", "4 missing= last=edge-2 3 at_start=1 reverted=1",
-		"5 missing= last=edge-1 3 at_start=1", "6 missing=edge-2,edge-3 last=edge-1 1",
+		"3 missing= 4 at_start=4", "4 missing= last=edge-2 4 at_start=2 reverted=1",
+		"5 missing=edge-4 last=edge-1 3 at_start=1", "6 missing=edge-2,edge-3,edge-4 last=edge-1 1",
 	})
 	for _, table := range r.Tables {
 		if table.Name == "configuration_versions_by_routers" {
@@ -150,7 +167,7 @@
 
 func TestOutagesAndChanges(t *testing.T) {
 	r := account(t, []string{
-		line("edge-1", 0, "event=store_lost table=op"), line("edge-1", 400, "event=store_regained table=op"),
+		line("edge-1", 0, "event=store_lost table=op"), line("edge-1", 100, "event=store_lost table=op"), line("edge-1", 400, "event=store_regained table=op"),
 		line("edge-1", 1000, "event=store_turned_away"), line("edge-1", 1300, "event=store_direct"),
 		line("edge-1", 1400, "event=store_direct"), line("edge-1", 1500, "event=store_lost table=op"),
 		line("edge-1", 1700, "event=started"), line("edge-1", 1800, "event=store_lost table=servers"),
@@ -160,7 +177,7 @@
 		"edge-1 store_lost op 2 ended=1 process_ended=1", "edge-1 store_lost servers 1 still_open=1", "edge-1 store_turned_away 1 ended=1",
 	})
 	qt.Assert(t, summary(t, r, "changes"), qt.DeepEquals, []string{
-		"store_lost table=op 1", "store_regained table=op 1", "store_turned_away 1", "store_direct 2", "store_lost table=op 1",
+		"store_lost table=op 2", "store_regained table=op 1", "store_turned_away 1", "store_direct 2", "store_lost table=op 1",
 		"started 1", "store_lost table=servers 1", "servers_changed ready=2 draining=1 lapsed=0 2",
 	})
 	qt.Assert(t, summary(t, r, "other_events"), qt.DeepEquals, []string{"new_event 1"})
@@ -175,18 +192,24 @@
 func TestWhatIsNoEventIsCounted(t *testing.T) {
 	a := accountant.New(time.Second, "")
 	text := "a banner\n" + "  0.1 edge-1 " + line("edge-1", 2000, timeout+"a1") + "level=warning event=log_lines_dropped lines=12\n" +
-		line("edge-1", 500, timeout+"a2") + "event=request outcome=served\n" + strings.TrimSuffix(line("edge-1", 2100, timeout+"a3"), "\n")
+		line("edge-1", 500, timeout+"a2") + line("edge-1", 1500, timeout+"a4") + "event=request outcome=served\n" + strings.TrimSuffix(line("edge-1", 2100, timeout+"a3"), "\n")
 	qt.Assert(t, a.Read("x", strings.NewReader(text)), qt.IsNil)
 	r, err := a.Report()
 	qt.Assert(t, err, qt.IsNil)
-	qt.Assert(t, r.Input.Lines, qt.Equals, int64(6))
-	qt.Assert(t, r.Input.Events, qt.Equals, int64(4))
+	qt.Assert(t, r.Input.Lines, qt.Equals, int64(7))
+	qt.Assert(t, r.Input.Events, qt.Equals, int64(5))
 	qt.Assert(t, r.Input.Skipped, qt.Equals, int64(2))
 	qt.Assert(t, r.Input.Dropped, qt.Equals, int64(12))
 	qt.Assert(t, r.Input.OutOfOrder, qt.Equals, int64(1))
 	qt.Assert(t, r.Input.Last.Sub(r.Input.First), qt.Equals, 1600*time.Millisecond)
 }
 
+func TestLinesWithoutARouter(t *testing.T) {
+	bare := strings.ReplaceAll(line("x", 0, timeout+"a1"), "instance=x ", "")
+	r := account(t, []string{bare, line("edge-1", 10, timeout+"a2"), bare})
+	qt.Assert(t, summary(t, r, "not_served_by_router"), qt.DeepEquals, []string{"edge-1 2 deadline=2", "source-0 1 deadline=1"})
+}
+
 func TestSourcesThatCannotBeRead(t *testing.T) {
 	cause := errors.New("disk")
 	err := accountant.New(time.Second, "").Read("x", iotest.ErrReader(cause))
--- a/accountant/report.go
+++ b/accountant/report.go
@@ -60,7 +60,7 @@
 	{"reason", func(r Row) string { return r.Reason }},
 	{"store", func(r Row) string { return r.Store }},
 	{"count", func(r Row) string { return number(r.Count) }},
-	{"share", func(r Row) string { return strings.TrimPrefix(fmt.Sprintf("%.1f%%", 100*r.Share), "0.0%") }},
+	{"share", share},
 	{"tokens_asked", func(r Row) string { return number(r.Asked) }},
 	{"tokens_used", func(r Row) string { return number(r.Used) }},
 	{"mean_ms", func(r Row) string { return number(r.MeanMS) }},
@@ -73,6 +73,14 @@
 	{"example", func(r Row) string { return r.Example }},
 }
 
+// share is left out of changes, which are not parts of a whole.
+func share(r Row) string {
+	if r.Share == 0 || !r.At.IsZero() && r.Name != "" {
+		return ""
+	}
+	return fmt.Sprintf("%.1f%%", 100*r.Share)
+}
+
 func number(n int64) string { return strings.TrimPrefix(strconv.FormatInt(n, 10), "0") }
 
 func clock(t time.Time) string {
--- a/accountant/rows.go
+++ b/accountant/rows.go
@@ -23,13 +23,20 @@
 // Counts counts by name.
 type Counts map[string]int64
 
-// String lists the counts, the largest first.
+// countsShown bounds the counts that are listed as text.
+const countsShown = 8
+
+// String lists the largest counts, and none that are zero.
 func (c Counts) String() string {
 	names := slices.SortedFunc(maps.Keys(c), func(a, b string) int { return cmp.Or(cmp.Compare(c[b], c[a]), cmp.Compare(a, b)) })
+	names = slices.DeleteFunc(names, func(name string) bool { return c[name] == 0 })
 	parts := make([]string, 0, len(c))
-	for _, name := range names {
+	for _, name := range names[:min(len(names), countsShown)] {
 		parts = append(parts, fmt.Sprintf("%s=%d", name, c[name]))
 	}
+	if more := len(names) - countsShown; more > 0 {
+		parts = append(parts, fmt.Sprintf("(%d more)", more))
+	}
 	return strings.Join(parts, " ")
 }
 
--- a/accountant/story.go
+++ b/accountant/story.go
@@ -83,7 +83,7 @@
 		fmt.Fprintln(w)
 	}
 	for _, k := range s.Ends {
-		fmt.Fprintln(w, "ended:", strings.Join([]string{k.Family, k.Outcome, k.Reason, k.Store}, " "))
+		fmt.Fprintln(w, strings.TrimSpace(fmt.Sprintln("ended:", k.Family, k.Outcome, k.Reason, k.Store)))
 	}
 	return nil
 }
