--- a/starter/configuration_test.go
+++ b/starter/configuration_test.go
@@ -76,6 +76,13 @@
 	return metrics.Counters.Version
 }
 
+// waitForVersion waits until a gateway has a configuration in force, for as long as that may take.
+func (u *users) waitForVersion(s forwarder.Settings, version int64) {
+	for began := time.Now(); u.version(s) < version && time.Since(began) < inForceWithin; {
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
 // TestLargeConfigurationReachesASlowLink tells of a fleet whose configuration grew to thousands of routes. Routers with
 // links of 10 Mbit/s ran requests by versions that had been replaced 7 to 14 s before, and their links were full until
 // the end, while the store answered every call. The configuration had outgrown what such a link carries within the time
@@ -112,10 +119,7 @@
 			for change := range 3 {
 				version := int64(3 + change)
 				u.configureRoutes(version, manyRoutes+change)
-				acknowledged := time.Now()
-				for u.version(s) < version && time.Since(acknowledged) < inForceWithin {
-					time.Sleep(10 * time.Millisecond)
-				}
+				u.waitForVersion(s, version)
 				qt.Check(t, u.version(s), qt.Equals, version, qt.Commentf("change %d, %v after it was acknowledged:\n%s", change+1, inForceWithin, u.log))
 			}
 			// The link is the callers' while nothing changes.
@@ -127,3 +131,30 @@
 		})
 	}
 }
+
+// TestNewestOfManyConfigurationsReachesASlowLink tells of changes in quick succession. A router with a link of 10 Mbit/s
+// refused requests by versions that had been replaced 3 to 6 s before: the followed table had all versions since the last
+// reading, each as large as the configuration, and while they arrived more were made. What proved it: lines of a new
+// configuration whose reading held three and four rows of one key.
+func TestNewestOfManyConfigurationsReachesASlowLink(t *testing.T) {
+	t.Parallel()
+	const (
+		changes = 8
+		gap     = 150 * time.Millisecond
+	)
+	u := newUsers(t, 100000)
+	link := emulator.NewLink(slowLink)
+	t.Cleanup(link.Close)
+	u.configureRoutes(2, manyRoutes)
+	d, s := u.gatewayBehind(link, "edge-1")
+	t.Cleanup(d.Kill)
+	newest := int64(2)
+	for range changes {
+		newest++
+		u.configureRoutes(newest, manyRoutes)
+		time.Sleep(gap)
+	}
+	acknowledged := time.Now()
+	u.waitForVersion(s, newest)
+	qt.Check(t, u.version(s), qt.Equals, newest, qt.Commentf("%v after the last change:\n%s", time.Since(acknowledged), u.log))
+}
