Read a table anew where its changes are larger than it

Cause: a followed table has every version of a row. A router that was behind by several versions of a large configuration read them all, which took longer than the next ones took to come. Ruled out: the time limits (no reading was given up), decoding. Change: Follow takes how large changes may be; what is larger counts as forgotten history, and the table is read, in which each row stands once. A body is taken in small pieces, since the transport fills what it is given before it returns: a link that carried 2 MB in more than the pause limit would have looked silent.

--- a/emulator/rows.go
+++ b/emulator/rows.go
@@ -190,15 +190,15 @@
 	s.changed = make(chan struct{})
 }
 
-// Follow returns the changes of a table after a version.
-func (s *Rows) Follow(ctx context.Context, table string, since int64, wait time.Duration) (masticway.RowReading, error) {
+// Follow returns the changes of a table.
+func (s *Rows) Follow(ctx context.Context, f masticway.Following) (masticway.RowReading, error) {
 	if err := s.fault(ctx); err != nil {
 		return masticway.RowReading{}, err
 	}
-	timeout := time.NewTimer(wait)
+	timeout := time.NewTimer(f.Wait)
 	defer timeout.Stop()
 	for {
-		out, changed, err := s.changes(table, since)
+		out, changed, err := s.changes(f)
 		if err != nil || len(out.Rows) > 0 {
 			return out, err
 		}
@@ -212,18 +212,22 @@
 	}
 }
 
-func (s *Rows) changes(table string, since int64) (masticway.RowReading, <-chan struct{}, error) {
+func (s *Rows) changes(f masticway.Following) (masticway.RowReading, <-chan struct{}, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if since < s.forgotten {
-		return masticway.RowReading{}, nil, &masticway.HistoryLostError{Table: table, Since: since}
+	lost := &masticway.HistoryLostError{Table: f.Table, Since: f.Since}
+	if f.Since < s.forgotten {
+		return masticway.RowReading{}, nil, lost
 	}
 	out := s.reading()
 	for _, r := range s.log {
-		if r.Table == table && r.Version > since {
+		if r.Table == f.Table && r.Version > f.Since {
 			out.Rows = append(out.Rows, r)
 		}
 	}
+	if f.AtMost > 0 && out.Bytes() > f.AtMost {
+		return masticway.RowReading{}, nil, lost
+	}
 	return out, s.changed, nil
 }
 
--- a/emulator/rowserver.go
+++ b/emulator/rowserver.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"errors"
+	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -55,7 +57,7 @@
 	query := r.URL.Query()
 	since, _ := strconv.ParseInt(query.Get("since_rev"), 10, 64)
 	wait, _ := strconv.ParseInt(query.Get("wait_ms"), 10, 64)
-	out, err := s.Follow(r.Context(), query.Get("table"), since, time.Duration(wait)*time.Millisecond)
+	out, err := s.Follow(r.Context(), masticway.Following{Table: query.Get("table"), Since: since, Wait: time.Duration(wait) * time.Millisecond})
 	answerRows(w, out, false, err)
 }
 
@@ -104,17 +106,23 @@
 	} else if err != nil {
 		status = http.StatusServiceUnavailable
 	}
-	body := struct {
-		Rows    []rowJSON `json:"rows"`
-		More    bool      `json:"has_more"`
-		Version int64     `json:"row_version"`
-		NowMS   int64     `json:"now_ms"`
-	}{More: more, Version: out.Version, NowMS: out.At.Milliseconds()}
-	for _, r := range out.Rows {
-		body.Rows = append(body.Rows, rowJSON{Table: r.Table, Part: r.Part, Key: r.Key, Value: r.Value, Version: r.Version, Deleted: r.Deleted})
-	}
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
-	// A reader that has left gets nothing.
-	_ = json.NewEncoder(w).Encode(body)
+	// A reader that has left gets nothing, and of many large rows only those until then are made ready.
+	if _, err := io.WriteString(w, `{"rows":[`); err != nil {
+		return
+	}
+	for i, r := range out.Rows {
+		row, err := json.Marshal(rowJSON{Table: r.Table, Part: r.Part, Key: r.Key, Value: r.Value, Version: r.Version, Deleted: r.Deleted})
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		if i > 0 {
+			row = append([]byte{','}, row...)
+		}
+		if _, err := w.Write(row); err != nil {
+			return
+		}
+	}
+	fmt.Fprintf(w, `],"has_more":%t,"row_version":%d,"now_ms":%d}`, more, out.Version, out.At.Milliseconds())
 }
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -77,10 +77,10 @@
 	return h.RowStore.Read(ctx, table, part)
 }
 
-func (h hasty) Follow(ctx context.Context, table string, since int64, wait time.Duration) (masticway.RowReading, error) {
+func (h hasty) Follow(ctx context.Context, f masticway.Following) (masticway.RowReading, error) {
 	ctx, cancel := context.WithTimeout(ctx, h.limit)
 	defer cancel()
-	return h.RowStore.Follow(ctx, table, since, wait)
+	return h.RowStore.Follow(ctx, f)
 }
 
 // TestChangesComeThroughAFullLink has a router whose link of 10 Mbit/s a workspace fills: each call takes longer than the
--- a/follower/mirror.go
+++ b/follower/mirror.go
@@ -20,6 +20,11 @@
 	relistRate = 4 << 10
 )
 
+// followSlack is how much larger than the table changes may be. Changes have each version of a row: a router that was
+// behind by four versions of a configuration of 0.3 MB took 3 s for them on a link of 10 Mbit/s, in which others came. The
+// table itself has the newest alone.
+const followSlack = 4 << 10
+
 // mirror follows one table of the store: it reads the table whole and then its changes.
 type mirror struct {
 	*Follower
@@ -33,6 +38,8 @@
 
 	// since is the version up to which changes have been taken, zero before the first reading.
 	since atomic.Int64
+	// size is that of the table's newest rows, as far as it is known.
+	size atomic.Int64
 	// lost tells that the usual readings fail.
 	lost atomic.Bool
 	// relistAt is when the table is read anew; it belongs to run.
@@ -92,7 +99,7 @@
 	if whole {
 		reading, err = store.Read(ctx, m.table, m.part)
 	} else {
-		reading, err = store.Follow(ctx, m.table, since, followWait)
+		reading, err = store.Follow(ctx, masticway.Following{Table: m.table, Since: since, Wait: followWait, AtMost: m.size.Load() + followSlack})
 	}
 	if _, forgotten := errors.AsType[*masticway.HistoryLostError](err); forgotten {
 		m.log.WithFields(logrus.Fields{"event": "history_lost", "table": m.table, "since": since}).Info("reading the table anew")
@@ -103,10 +110,19 @@
 		return reading, err
 	}
 	m.metrics.Add(metricBytes, reading.Bytes())
+	m.measure(whole, reading)
 	m.advance(reading.Version)
 	return reading, nil
 }
 
+// measure notes how large the table is.
+func (m *mirror) measure(whole bool, reading masticway.RowReading) {
+	size := reading.Newest().Bytes()
+	if whole || size > m.size.Load() {
+		m.size.Store(size)
+	}
+}
+
 // advance notes that changes are known up to a version; an older one takes nothing back.
 func (m *mirror) advance(version int64) {
 	for {
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -6,10 +6,12 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 )
 
-// pieceBytes is how much of a body is read at once, 32 KB.
+// pieceBytes is how much of a body is read at once, 32 KB, a quarter of a second on a link of 1 Mbit/s: the transport fills
+// what it is given before it returns, and a pause is only seen between two pieces.
 const pieceBytes = 32 << 10
 
 // errLate is the cause of a call that was ended because nothing came in time.
@@ -78,6 +80,9 @@
 	if begun, ok := ctx.Value(begunKey{}).(func()); ok && response.StatusCode == http.StatusOK {
 		begun()
 	}
+	if response.ContentLength > l.Bytes {
+		return Answer{}, &Error{Took: time.Since(began), Err: &TooLargeError{Limit: l.Bytes}}
+	}
 	body, err := readAll(response, l, late)
 	if err != nil {
 		return Answer{}, &Error{Bytes: len(body), Took: time.Since(began), Err: cause(ctx, err)}
@@ -87,13 +92,11 @@
 
 // readAll reads a body; each piece that comes puts the end of the call off.
 func readAll(response *http.Response, l Limits, late *time.Timer) ([]byte, error) {
-	body := make([]byte, 0, max(pieceBytes, min(response.ContentLength, l.Bytes)))
+	body := make([]byte, 0, max(pieceBytes, response.ContentLength))
 	for {
 		late.Reset(l.Pause)
-		if len(body) == cap(body) {
-			body = append(body, make([]byte, max(pieceBytes, len(body)))...)[:len(body)]
-		}
-		n, err := response.Body.Read(body[len(body):cap(body)])
+		body = slices.Grow(body, pieceBytes)
+		n, err := response.Body.Read(body[len(body) : len(body)+pieceBytes])
 		body = body[:len(body)+n]
 		if int64(len(body)) > l.Bytes {
 			return body, &TooLargeError{Limit: l.Bytes}
--- a/receiver/receiver_test.go
+++ b/receiver/receiver_test.go
@@ -53,6 +53,11 @@
 	for i := range steady {
 		steady[i] = piece{after: 50 * time.Millisecond, bytes: 1000}
 	}
+	// Pieces that the transport may well collect before it hands them over.
+	large := make([]piece, 16)
+	for i := range large {
+		large[i] = piece{after: 50 * time.Millisecond, bytes: limit / 16}
+	}
 	cases := map[string]struct {
 		status int
 		pieces []piece
@@ -62,13 +67,14 @@
 		tooLarge bool
 		begun    bool
 	}{
-		"at once":                        {status: 200, pieces: []piece{{bytes: 5}}, want: 5, begun: true},
-		"longer than any limit on it":    {status: 200, pieces: steady, want: 12000, begun: true},
-		"as large as it may be":          {status: 200, pieces: []piece{{bytes: limit}}, want: limit, begun: true},
-		"larger":                         {status: 200, pieces: []piece{{bytes: limit + 1}}, tooLarge: true, begun: true, arrived: limit + 1},
-		"begins late":                    {status: 200, pieces: []piece{{after: 2 * begin, bytes: 5}}},
-		"pauses":                         {status: 200, pieces: []piece{{bytes: 7}, {after: 2 * pause, bytes: 5}}, begun: true, arrived: 7},
-		"a failure is no success coming": {status: 503, pieces: []piece{{bytes: 5}}, want: 5},
+		"at once":                            {status: 200, pieces: []piece{{bytes: 5}}, want: 5, begun: true},
+		"longer than any limit on it":        {status: 200, pieces: steady, want: 12000, begun: true},
+		"large, longer than any limit on it": {status: 200, pieces: large, want: limit, begun: true},
+		"as large as it may be":              {status: 200, pieces: []piece{{bytes: limit}}, want: limit, begun: true},
+		"larger":                             {status: 200, pieces: []piece{{bytes: limit + 1}}, tooLarge: true, begun: true, arrived: limit + 1},
+		"begins late":                        {status: 200, pieces: []piece{{after: 2 * begin, bytes: 5}}},
+		"pauses":                             {status: 200, pieces: []piece{{bytes: 7}, {after: 2 * pause, bytes: 5}}, begun: true, arrived: 7},
+		"a failure is no success coming":     {status: 503, pieces: []piece{{bytes: 5}}, want: 5},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/relayer/large_test.go
+++ b/relayer/large_test.go
@@ -23,7 +23,7 @@
 	}{
 		"a reading": {read: func(s masticway.RowStore) (masticway.RowReading, error) { return s.Read(t.Context(), "op", "") }},
 		"changes": {read: func(s masticway.RowStore) (masticway.RowReading, error) {
-			return s.Follow(t.Context(), "op", 0, 100*time.Millisecond)
+			return s.Follow(t.Context(), masticway.Following{Table: "op", Wait: 100 * time.Millisecond})
 		}},
 		"a reading, through another router": {
 			read: func(s masticway.RowStore) (masticway.RowReading, error) { return s.Read(t.Context(), "op", "") }, away: true,
--- a/relayer/relay.go
+++ b/relayer/relay.go
@@ -20,6 +20,7 @@
 	Follow bool                `cbor:"4,keyasint,omitempty"`
 	Since  int64               `cbor:"5,keyasint,omitempty"`
 	Wait   time.Duration       `cbor:"6,keyasint,omitempty"`
+	AtMost int64               `cbor:"7,keyasint,omitempty"`
 }
 
 func (o order) carryOut(ctx context.Context, store masticway.RowStore) result {
@@ -28,7 +29,7 @@
 	case o.Write != nil:
 		r.reading, r.err = store.Write(ctx, *o.Write)
 	case o.Follow:
-		r.reading, r.err = store.Follow(ctx, o.Table, o.Since, o.Wait)
+		r.reading, r.err = store.Follow(ctx, masticway.Following{Table: o.Table, Since: o.Since, Wait: o.Wait, AtMost: o.AtMost})
 	default:
 		r.reading, r.err = store.Read(ctx, o.Table, o.Part)
 	}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -126,9 +126,9 @@
 	return s.call(ctx, order{Write: &w})
 }
 
-// Follow returns the changes of a table after a version.
-func (s *Store) Follow(ctx context.Context, table string, since int64, wait time.Duration) (masticway.RowReading, error) {
-	return onlyRead(s.call(ctx, order{Table: table, Follow: true, Since: since, Wait: wait}))
+// Follow returns the changes of a table.
+func (s *Store) Follow(ctx context.Context, f masticway.Following) (masticway.RowReading, error) {
+	return onlyRead(s.call(ctx, order{Table: f.Table, Follow: true, Since: f.Since, Wait: f.Wait, AtMost: f.AtMost}))
 }
 
 // onlyRead turns an unknown outcome into the certainty that a reading changes nothing.
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -81,11 +81,11 @@
 	return made, err
 }
 
-func (w *way) Follow(ctx context.Context, table string, since int64, wait time.Duration) (masticway.RowReading, error) {
+func (w *way) Follow(ctx context.Context, f masticway.Following) (masticway.RowReading, error) {
 	if err := w.pass(ctx); err != nil {
 		return masticway.RowReading{}, err
 	}
-	return w.rows.Follow(ctx, table, since, wait)
+	return w.rows.Follow(ctx, f)
 }
 
 // fleet is two routers on one store.
@@ -216,7 +216,7 @@
 			qt.Assert(t, string(reading.Rows[0].Value), qt.Equals, "a")
 			qt.Assert(t, reading.Rows[0].Version, qt.Equals, made.Version)
 			done = soon(600 * time.Millisecond)
-			reading, err = f.store.Follow(t.Context(), "t", made.Version-1, 50*time.Millisecond)
+			reading, err = f.store.Follow(t.Context(), masticway.Following{Table: "t", Since: made.Version - 1, Wait: 50 * time.Millisecond})
 			done()
 			qt.Assert(t, err, qt.IsNil)
 			qt.Assert(t, reading.Rows, qt.HasLen, 1)
@@ -226,7 +226,7 @@
 			qt.Assert(t, string(conflict.Rows[0].Value), qt.Equals, "a")
 			f.rows.Compact()
 			var lost *masticway.HistoryLostError
-			_, err = f.store.Follow(t.Context(), "t", made.Version-1, 50*time.Millisecond)
+			_, err = f.store.Follow(t.Context(), masticway.Following{Table: "t", Since: made.Version - 1, Wait: 50 * time.Millisecond})
 			qt.Assert(t, err, qt.ErrorAs, &lost)
 			qt.Assert(t, f.other.used.Load() > 0, qt.Equals, how != works)
 		})
--- a/rows.go
+++ b/rows.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net/http"
+	"slices"
 	"time"
 )
 
@@ -60,6 +62,29 @@
 	return int64(n)
 }
 
+// Newest returns the reading with only the newest version of each row.
+func (r RowReading) Newest() RowReading {
+	newest := map[RowKey]StoredRow{}
+	for _, row := range r.Rows {
+		if row.Version >= newest[row.RowKey].Version {
+			newest[row.RowKey] = row
+		}
+	}
+	r.Rows = slices.Collect(maps.Values(newest))
+	return r
+}
+
+// Following asks for the changes of a table.
+type Following struct {
+	Table string
+	// Since is the version after which changes are wanted.
+	Since int64
+	// Wait is how long the first change may take to come.
+	Wait time.Duration
+	// AtMost is how large the changes may be, as RowReading.Bytes counts; zero is any size.
+	AtMost int64
+}
+
 // RowStore is the platform's store of rows; its calls fail with the errors named here.
 type RowStore interface {
 	// Read returns the rows of one part of a table in key order; it fails with UnavailableError.
@@ -68,9 +93,9 @@
 	// expectation does not hold, UnavailableError when nothing was done, and OutcomeUnknownError when the write may
 	// have been made or may yet be made.
 	Write(ctx context.Context, w RowWrite) (RowReading, error)
-	// Follow returns the changes of a table after a version, waiting for the first at most so long. It fails with
-	// HistoryLostError when the changes since then are not kept, and with UnavailableError.
-	Follow(ctx context.Context, table string, since int64, wait time.Duration) (RowReading, error)
+	// Follow returns the changes of a table, all versions of each row. It fails with HistoryLostError when they are not
+	// kept or larger than asked for, and with UnavailableError.
+	Follow(ctx context.Context, f Following) (RowReading, error)
 }
 
 // RowConflictError reports a write whose expectations did not hold, with the rows as they are.
@@ -83,7 +108,8 @@
 	return fmt.Sprintf("the expected rows have changed (%d given back)", len(e.Rows))
 }
 
-// HistoryLostError reports that a table cannot be followed from a version any more.
+// HistoryLostError reports that a table cannot be followed from a version any more: its changes are no longer kept, or
+// are larger than asked for. The table is to be read anew.
 type HistoryLostError struct {
 	Table string
 	Since int64
@@ -91,7 +117,7 @@
 
 // Error names the table and the version.
 func (e *HistoryLostError) Error() string {
-	return fmt.Sprintf("changes of %s since version %d are no longer kept", e.Table, e.Since)
+	return fmt.Sprintf("changes of %s since version %d are not to be had", e.Table, e.Since)
 }
 
 // DeploymentDecoder reads what operators and servers keep in the row store.
--- a/treasurer/watch.go
+++ b/treasurer/watch.go
@@ -20,7 +20,7 @@
 		if since == 0 {
 			reading, err = t.readAccounts(ctx)
 		} else {
-			reading, err = t.store.Follow(ctx, tableAccounts, since, followWait)
+			reading, err = t.store.Follow(ctx, masticway.Following{Table: tableAccounts, Since: since, Wait: followWait})
 		}
 		if _, lost := errors.AsType[*masticway.HistoryLostError](err); lost {
 			since = 0
