Close no caller's connection on which a request was read

Connections are ended by their time limit for reading, and a request counts as open from its first byte to the last write of its answer. Answers say that their connection ends when their head is written, not when their request came.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -207,6 +207,7 @@
 	for name, values := range x.f.dialect.Return(answer.Header) {
 		header[name] = values
 	}
+	x.f.keep(header)
 	// What the server did not say is not added.
 	for _, name := range []string{"Date", "Content-Type"} {
 		if _, ok := header[name]; !ok {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -52,7 +52,6 @@
 
 	// draining is when the router was told to end, and until when it serves; nothing before.
 	draining atomic.Pointer[drain]
-	open     atomic.Int64
 	finished atomic.Int64
 }
 
@@ -121,17 +120,9 @@
 	}
 }
 
-// Open returns the number of requests that are being served.
-func (f *Forwarder) Open() int64 { return f.open.Load() }
-
 // ServeHTTP serves one request.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	f.open.Add(1)
-	defer f.open.Add(-1)
 	f.metrics.Add(metricRequests, 1)
-	if f.draining.Load() != nil {
-		w.Header().Set("Connection", "close")
-	}
 	x, refused := f.admit(w, r)
 	if refused != nil {
 		f.refuse(w, x, refused)
@@ -140,6 +131,14 @@
 	x.run(r.Context())
 }
 
+// keep tells an answer's caller whether its connection can be used again. It is asked when the head is written: a request
+// that came before the end was asked for may be answered after it.
+func (f *Forwarder) keep(h http.Header) {
+	if f.draining.Load() != nil {
+		h.Set("Connection", "close")
+	}
+}
+
 // allowance returns the retry allowance of a pool; the caller holds the lock.
 func (f *Forwarder) allowance(pool string) *retrier.Allowance {
 	a, ok := f.allowances[pool]
--- a/forwarder/report.go
+++ b/forwarder/report.go
@@ -25,6 +25,7 @@
 		body = nil
 		f.log.WithFields(logrus.Fields{"event": "refusal_unwritten", "request": x.q.ID, "error": err}).Error("refusal without a body")
 	}
+	f.keep(w.Header())
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(refused.Status)
 	_, _ = w.Write(body)
--- a/starter/gateway.go
+++ b/starter/gateway.go
@@ -85,6 +85,7 @@
 	bank      *treasurer.Treasurer
 	store     *relayer.Store
 	caller    *http.Server
+	callers   *callers
 	servers   servers
 	listeners GatewayListeners
 	metrics   *measurer.Set
@@ -115,8 +116,10 @@
 		Clock: clock, Log: entry, Metrics: metrics, Dialect: dialect, Bank: d.bank, Beliefs: d.follower.Beliefs,
 		Dial: dialer.DialContext,
 	})
+	d.callers = newCallers(l.Caller)
 	d.caller = &http.Server{
 		Handler: d.forwarder, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: gatewayHeaderLimit, IdleTimeout: gatewayIdle,
+		ConnState: d.callers.changed,
 	}
 	return d, nil
 }
@@ -146,7 +149,7 @@
 	d.stop = stop
 	d.wg.Go(func() { d.follower.Run(ctx) })
 	d.wg.Go(func() { d.bank.Run(ctx) })
-	d.servers.serveWith(d.listeners.Caller, d.caller)
+	d.servers.serveWith(d.callers, d.caller)
 	d.servers.serve(d.listeners.Readiness, http.HandlerFunc(d.readiness))
 	d.servers.serve(d.listeners.Peer, d.peerHandler())
 	if d.listeners.Metrics != nil {
@@ -204,27 +207,33 @@
 	began := d.clock.Now()
 	grace := time.Duration(d.settings.GraceSeconds * float64(time.Second))
 	d.forwarder.Drain(began.Add(grace - exitBefore))
-	d.log.WithFields(logrus.Fields{"event": "stopping", "open": d.forwarder.Open(), "grace": grace}).Info("gateway stopping")
-	d.waitIdle(began.Add(unreadyAtLeast), began.Add(unreadyAtLeast))
+	d.log.WithFields(logrus.Fields{"event": "stopping", "open": d.callers.Open(), "grace": grace}).Info("gateway stopping")
+	d.wait(began.Add(unreadyAtLeast), began.Add(unreadyAtLeast), d.idle)
 	// What is idle now would only carry requests that the end cuts off; their callers connect elsewhere.
 	d.forwarder.Refuse()
-	d.caller.SetKeepAlivesEnabled(false)
-	d.waitIdle(began, began.Add(grace-closeMoneyBefore))
+	d.callers.end()
+	d.wait(began, began.Add(grace-closeMoneyBefore), d.idle)
 	ctx, cancel := context.WithTimeout(context.Background(), closeMoneyBefore-exitBefore)
 	defer cancel()
 	d.bank.Close(ctx)
-	d.waitIdle(began, began.Add(grace-exitBefore))
-	clean := d.forwarder.Open() == 0
-	d.log.WithFields(logrus.Fields{"event": "stopped", "cut_off": d.forwarder.Open(), "ms": d.clock.Now().Sub(began).Milliseconds()}).Info("gateway stopped")
+	d.wait(began, began.Add(grace-exitBefore), d.idle)
+	// A request may be read while nothing seems open; its connection lasts until it is answered.
+	d.callers.close()
+	d.wait(began, began.Add(grace-exitBefore), d.callers.gone)
+	clean := d.callers.Open() == 0
+	d.log.WithFields(logrus.Fields{"event": "stopped", "cut_off": d.callers.Open(), "ms": d.clock.Now().Sub(began).Milliseconds()}).Info("gateway stopped")
 	d.Kill()
 	return clean
 }
 
-// waitIdle waits until no request is open, but not before one time and not after another.
-func (d *GatewayDaemon) waitIdle(notBefore, atMost time.Time) {
+// idle tells that no request is open.
+func (d *GatewayDaemon) idle() bool { return d.callers.Open() == 0 }
+
+// wait waits until something is done, but not before one time and not after another.
+func (d *GatewayDaemon) wait(notBefore, atMost time.Time, done func() bool) {
 	for {
 		now := d.clock.Now()
-		if !now.Before(atMost) || !now.Before(notBefore) && d.forwarder.Open() == 0 {
+		if !now.Before(atMost) || !now.Before(notBefore) && done() {
 			return
 		}
 		<-d.clock.After(drainTick)
