--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -404,6 +404,30 @@
 	}
 }
 
+// TestSilentServerIsNotLeftWhileTheRouterEnds has streams whose server pauses for longer than one is waited for, and no
+// other server with room.
+//
+// Seen: the router broke the stream off, though the server went on and would have finished it. How: the pause ended the
+// attempt, and the other server refused. Cause: a server is left before another one has taken the stream. Proof: the
+// ledger's server notes that it was left, and the same stream is whole where nothing limits the pause.
+func TestSilentServerIsNotLeftWhileTheRouterEnds(t *testing.T) {
+	for name, after := range map[string]time.Duration{"from the start on": 0, "in the middle": 550 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 2)
+			f.faults(emulator.OpaqueGood, emulator.OpaqueFull)
+			for _, s := range f.servers {
+				s.Stream(3, 400*time.Millisecond)
+			}
+			end := time.AfterFunc(after, func() { f.router.Drain(f.clock.Now().Add(time.Minute)) })
+			defer end.Stop()
+			got := f.ask(t.Context(), "POST", "/resume/x")
+			qt.Assert(t, got.err, qt.IsNil)
+			qt.Assert(t, got.body, qt.Equals, events(1, 3))
+			qt.Assert(t, f.ledger.Runs(), qt.HasLen, 1)
+		})
+	}
+}
+
 func TestServerIsLeftWhenTheCallerLeaves(t *testing.T) {
 	f := newFleet(t, 1)
 	f.servers[0].Stream(1000, 10*time.Millisecond)
