--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -78,9 +78,18 @@
 		a.patience.Stop()
 		a.patience = nil
 	}
-	if d > 0 {
-		a.patience = time.AfterFunc(d, func() { a.cancel(errPatience) })
-	}
+	if d <= 0 {
+		return
+	}
+	begun := a.x.begun
+	a.patience = time.AfterFunc(d, func() {
+		// Another server may refuse, and the caller would lose a stream that its server goes on with. A router that ends
+		// keeps what it has; the request's own time limit holds.
+		if begun && a.x.f.draining.Load() != nil {
+			return
+		}
+		a.cancel(errPatience)
+	})
 }
 
 // firstWait is how long the first bytes of an answer are waited for before another server is asked; zero is for ever.
