--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -68,6 +68,35 @@
 	}
 }
 
+// TestRequestIsJudgedWhenItsBodyIsThere has a body that comes after the router has begun to refuse.
+//
+// Seen: the request was passed on, though it may outlast the router. How: its head had come in time. Cause: a request was
+// judged before its body was read, and not again. Proof: the server's ledger has it.
+func TestRequestIsJudgedWhenItsBodyIsThere(t *testing.T) {
+	for name, refuse := range map[string]func(f *fleet){
+		"the time for long requests is over": func(f *fleet) { f.clock.advance(4 * time.Second) },
+		"connections are being closed":       func(f *fleet) { f.router.Refuse() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 1)
+			f.router.Drain(f.clock.Now().Add(7500 * time.Millisecond))
+			c, err := net.Dial("tcp", strings.TrimPrefix(f.front.URL, "http://"))
+			qt.Assert(t, err, qt.IsNil)
+			defer c.Close()
+			fmt.Fprintf(c, "POST /never/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: a1\r\nAuthorization: Token k\r\nX-Deadline-Ms: 15000\r\nContent-Length: 4\r\n\r\nbo")
+			// The head is read by then.
+			time.Sleep(100 * time.Millisecond)
+			refuse(f)
+			fmt.Fprint(c, "dy")
+			response, err := http.ReadResponse(bufio.NewReader(c), nil)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, response.StatusCode, qt.Equals, 503)
+			qt.Assert(t, response.Header.Get("Retry-After") != "", qt.IsTrue)
+			qt.Assert(t, f.ledger.Runs(), qt.HasLen, 0)
+		})
+	}
+}
+
 // bank gives the verdict that a test wants and notes what is settled.
 type bank struct {
 	mu      sync.Mutex
