--- a/forwarder/admit.go
+++ b/forwarder/admit.go
@@ -97,10 +97,22 @@
 	if refused := x.find(b, r); refused != nil {
 		return x, refused
 	}
-	if f.draining.Load().cuts(now, x.q.deadline) {
-		return x, refusal(http.StatusServiceUnavailable, codeShuttingDown, "this router ends before the answer would", retryElsewhere)
+	if refused := x.outlasting(); refused != nil {
+		return x, refused
+	}
+	if refused := x.read(w, r, b.Deployment.Limits); refused != nil {
+		return x, refused
+	}
+	// The body may have taken long.
+	return x, x.outlasting()
+}
+
+// outlasting refuses a request that may last longer than this router.
+func (x *exchange) outlasting() *masticway.RefusalError {
+	if !x.f.draining.Load().cuts(x.f.clock.Now(), x.q.deadline) {
+		return nil
 	}
-	return x, x.read(w, r, b.Deployment.Limits)
+	return refusal(http.StatusServiceUnavailable, codeShuttingDown, "this router ends before the answer would", retryElsewhere)
 }
 
 // find looks up route, workspace and pool.
