--- a/follower/beliefs.go
+++ b/follower/beliefs.go
@@ -35,8 +35,9 @@
 type entry struct {
 	server  masticway.Server
 	version int64
-	// lapsedAt is when its row was found missing after an outage; zero while it is there.
-	lapsedAt time.Time
+	// lapsedAt is when its row was found missing after an outage, and lapsedVersion of which version; zero while it is there.
+	lapsedAt      time.Time
+	lapsedVersion int64
 }
 
 // Register derives beliefs from rows; it is not safe for concurrent use.
@@ -125,7 +126,7 @@
 
 func (r *Register) put(row masticway.StoredRow) (changed bool, err error) {
 	known, ok := r.entries[row.Key]
-	if ok && row.Version <= known.version && known.lapsedAt.IsZero() || row.Version <= r.gone[row.Key] {
+	if ok && row.Version <= max(known.version, known.lapsedVersion) || row.Version <= r.gone[row.Key] {
 		return false, nil
 	}
 	s, err := r.decoder.Server(row.Key, row.Value)
@@ -148,7 +149,7 @@
 	}
 	if e.server.State == masticway.ServerReady && !r.returned.IsZero() && now.Sub(r.returned) < returnGrace {
 		if e.lapsedAt.IsZero() {
-			e.lapsedAt = now
+			e.lapsedAt, e.lapsedVersion = now, version
 			r.entries[id] = e
 		}
 		return false
--- a/follower/beliefs_test.go
+++ b/follower/beliefs_test.go
@@ -133,6 +133,14 @@
 			},
 			want: []string{a},
 		},
+		"lapsed in an outage, and a reading from before": {
+			events: []event{
+				{rows: []masticway.StoredRow{server(a, 1, ready)}, whole: 1},
+				{at: 8 * time.Second, rows: nil, whole: 5},
+				{at: 8500 * time.Millisecond, rows: []masticway.StoredRow{server(a, 1, ready)}, whole: 3},
+				{at: 10100 * time.Millisecond, silent: true},
+			},
+		},
 		"drained before an outage": {
 			events: []event{
 				{rows: []masticway.StoredRow{server(a, 1, draining)}, whole: 1},
--- a/follower/mirror_test.go
+++ b/follower/mirror_test.go
@@ -1,6 +1,7 @@
 package follower_test
 
 import (
+	"bytes"
 	"context"
 	"sync"
 	"testing"
@@ -55,11 +56,19 @@
 		rows.Put(row.RowKey, value)
 	}
 	padded(1)
+	// A server's row changes with every heartbeat, here more often than any does.
 	row := server("i-1", 0, masticway.ServerReady)
+	row.Value = append(row.Value, bytes.Repeat([]byte(" "), 1000)...)
 	rows.Put(row.RowKey, row.Value)
 	ctx, stop := context.WithCancel(t.Context())
 	var wg sync.WaitGroup
 	wg.Go(func() { f.Run(ctx) })
+	wg.Go(func() {
+		for ctx.Err() == nil {
+			time.Sleep(50 * time.Millisecond)
+			rows.Put(row.RowKey, row.Value)
+		}
+	})
 	defer wg.Wait()
 	defer stop()
 	eventually(t, f, "first beliefs", func(b follower.Beliefs) bool { return b.Ready() })
@@ -78,3 +87,46 @@
 	padded(3)
 	eventually(t, f, "after forgotten history", func(b follower.Beliefs) bool { return b.Deployment.Version == 3 })
 }
+
+// held gives one whole reading of a table only when it is told to.
+type held struct {
+	masticway.RowStore
+	hold    chan struct{}
+	holding chan struct{}
+	once    sync.Once
+}
+
+func (h *held) Read(ctx context.Context, table, part string) (masticway.RowReading, error) {
+	reading, err := h.RowStore.Read(ctx, table, part)
+	if table == "upstreams" && err == nil && len(reading.Rows) > 0 {
+		h.once.Do(func() {
+			close(h.holding)
+			<-h.hold
+		})
+	}
+	return reading, err
+}
+
+// TestReadingThatIsOvertakenBringsNothingBack has a whole reading that arrives after a newer one, which the other of the two
+// readers made: what had gone in between must stay gone, and the configuration must go on.
+func TestReadingThatIsOvertakenBringsNothingBack(t *testing.T) {
+	rows := emulator.NewRows(time.Now)
+	for _, id := range []string{"i-1", "i-2"} {
+		row := server(id, 0, masticway.ServerReady)
+		rows.Put(row.RowKey, row.Value)
+	}
+	put(rows, 1)
+	slow := &held{RowStore: rows, hold: make(chan struct{}), holding: make(chan struct{})}
+	f := follower.New(slow, rows, decoder{}, masticway.SystemClock{}, logger.Discard().WithField("", ""), measurer.New(), func(follower.Beliefs) {})
+	ctx, stop := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	wg.Go(func() { f.Run(ctx) })
+	defer wg.Wait()
+	defer stop()
+	<-slow.holding
+	rows.Delete(masticway.RowKey{Table: "upstreams", Key: "i-2"})
+	put(rows, 2)
+	eventually(t, f, "the other table", func(b follower.Beliefs) bool { return b.Deployment.Version == 2 })
+	close(slow.hold)
+	eventually(t, f, "the servers", func(b follower.Beliefs) bool { return b.Listed && len(b.Servers["p"]) == 1 })
+}
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -10,9 +10,13 @@
 	"time"
 )
 
-// pieceBytes is how much of a body is read at once, 32 KB, a quarter of a second on a link of 1 Mbit/s: the transport fills
+// pieceBytes is how much of a body is read at once, 16 KB, an eighth of a second on a link of 1 Mbit/s: the transport fills
 // what it is given before it returns, and a pause is only seen between two pieces.
-const pieceBytes = 32 << 10
+const pieceBytes = 16 << 10
+
+// leastRate is how fast an answer has to arrive on the whole, in bytes a second: an eightieth of the slowest link of a
+// router. One that is slower is as good as silent.
+const leastRate = 16 << 10
 
 // errLate is the cause of a call that was ended because nothing came in time.
 var errLate = errors.New("nothing came in time")
@@ -56,12 +60,13 @@
 // Error names the limit.
 func (e *TooLargeError) Error() string { return fmt.Sprintf("the answer has over %d bytes", e.Limit) }
 
-// begunKey is the context's key for the function of WithBegun.
-type begunKey struct{}
+// progressKey is the context's key for the function of WithProgress.
+type progressKey struct{}
 
-// WithBegun returns a context for requests, with a function that is called whenever a successful answer begins to arrive.
-func WithBegun(ctx context.Context, begun func()) context.Context {
-	return context.WithValue(ctx, begunKey{}, begun)
+// WithProgress returns a context for requests, with a function that is called whenever more of a successful answer has
+// arrived that has over 16 KB. Smaller ones are there as soon as they begin.
+func WithProgress(ctx context.Context, progress func()) context.Context {
+	return context.WithValue(ctx, progressKey{}, progress)
 }
 
 // Do sends a request and returns its whole answer; it fails with Error, which wraps TooLargeError or what the transport
@@ -77,24 +82,34 @@
 		return Answer{}, &Error{Took: time.Since(began), Err: cause(ctx, err)}
 	}
 	defer response.Body.Close()
-	if begun, ok := ctx.Value(begunKey{}).(func()); ok && response.StatusCode == http.StatusOK {
-		begun()
-	}
 	if response.ContentLength > l.Bytes {
 		return Answer{}, &Error{Took: time.Since(began), Err: &TooLargeError{Limit: l.Bytes}}
 	}
-	body, err := readAll(response, l, late)
+	body, err := readAll(ctx, response, l, late)
 	if err != nil {
 		return Answer{}, &Error{Bytes: len(body), Took: time.Since(began), Err: cause(ctx, err)}
 	}
 	return Answer{Status: response.StatusCode, Body: body}, nil
 }
 
+// Progress calls the function of WithProgress, if the context has one, for an answer that arrives under another context.
+func Progress(ctx context.Context) {
+	if progress, ok := ctx.Value(progressKey{}).(func()); ok {
+		progress()
+	}
+}
+
 // readAll reads a body; each piece that comes puts the end of the call off.
-func readAll(response *http.Response, l Limits, late *time.Timer) ([]byte, error) {
+func readAll(ctx context.Context, response *http.Response, l Limits, late *time.Timer) ([]byte, error) {
+	began := time.Now()
 	body := make([]byte, 0, max(pieceBytes, response.ContentLength))
 	for {
-		late.Reset(l.Pause)
+		if response.StatusCode == http.StatusOK && max(int64(len(body)), response.ContentLength) > pieceBytes {
+			Progress(ctx)
+		}
+		// What a link that is only just fast enough would have taken less than this, beyond a pause.
+		spared := time.Duration(len(body))*time.Second/leastRate - time.Since(began)
+		late.Reset(min(l.Pause, l.Pause+spared))
 		body = slices.Grow(body, pieceBytes)
 		n, err := response.Body.Read(body[len(body) : len(body)+pieceBytes])
 		body = body[:len(body)+n]
--- a/relayer/relay.go
+++ b/relayer/relay.go
@@ -111,12 +111,21 @@
 
 // Serve makes calls at the store for other routers, directly only: an order never goes further than one router.
 func (s *Store) Serve(mux *http.ServeMux) {
-	messenger.Handle(mux, pathStore, func(_ context.Context, o order) account {
+	messenger.Handle(mux, pathStore, func(asked context.Context, o order) account {
 		if s.isAway() {
 			return account{Ending: endingUnavailable, Reason: "the store turns this router away as well"}
 		}
 		s.metrics.Add(metricHelped, 1)
-		return tell(s.goStraight(o, func() {}))
+		ctx, stop := s.own, func() bool { return true }
+		if o.Write == nil {
+			// A large answer must not fill this router's link for one that has left.
+			var cancel context.CancelFunc
+			ctx, cancel = context.WithCancel(asked)
+			defer cancel()
+			stop = context.AfterFunc(s.own, cancel)
+		}
+		defer stop()
+		return tell(s.goStraight(ctx, o, func() {}))
 	})
 }
 
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -165,68 +165,9 @@
 
 // call carries an order out directly and, when that fails or takes long, through another router.
 func (s *Store) call(ctx context.Context, o order) (masticway.RowReading, error) {
-	ways := 0
-	straight := make(chan result, 1)
-	relayed := make(chan result, 1)
-	begun, begin := signal()
-	asking, stopAsking := context.WithCancel(ctx)
-	defer stopAsking()
-	var patience, grace <-chan time.Time
-	asked := false
-	relay := func() {
-		asked, patience = true, nil
-		ways++
-		go func() { relayed <- s.relay(asking, o) }()
-	}
-	direct, away := s.choose(o)
-	if direct {
-		ways++
-		s.calls.Go(func() { straight <- s.goStraight(o, begin) })
-	}
-	if away {
-		relay()
-	} else {
-		patience = s.clock.After(s.patience(o))
-	}
-	arriving := false
-	var worst result
-	for ended := 0; ended < ways; {
-		var r result
-		select {
-		case <-begun:
-			// A large answer takes a slow link for seconds: asking others for it as well would only halve its share.
-			begun, patience, grace, arriving = nil, nil, nil, true
-			stopAsking()
-			continue
-		case r = <-straight:
-			if !r.definite() && !asked && s.isAway() {
-				relay()
-			}
-		case r = <-relayed:
-			if !arriving {
-				grace = s.clock.After(graceAfter)
-			}
-		case <-patience:
-			relay()
-			continue
-		case <-grace:
-			return masticway.RowReading{}, &masticway.OutcomeUnknownError{Service: serviceName, Reason: "no answer in time"}
-		case <-ctx.Done():
-			return masticway.RowReading{}, &masticway.OutcomeUnknownError{Service: serviceName, Reason: ctx.Err().Error()}
-		}
-		ended++
-		if r.definite() {
-			return r.reading, r.err
-		}
-		worst = worse(worst, r)
-	}
-	return worst.reading, worst.err
-}
-
-// signal returns a channel and a function that closes it, however often it is called.
-func signal() (<-chan struct{}, func()) {
-	c := make(chan struct{})
-	return c, sync.OnceFunc(func() { close(c) })
+	w := newWays(ctx, s, o)
+	defer w.leave()
+	return w.end()
 }
 
 // worse keeps an unknown outcome unknown, whatever the other way said.
@@ -251,16 +192,25 @@
 }
 
 // goStraight makes a direct call. It outlives its caller: when another router was faster, its end still tells whether
-// the store answers this one. It calls begun when a successful answer begins to arrive.
-func (s *Store) goStraight(o order, begun func()) result {
+// the store answers this one; it ends with the context alone. It calls progress whenever more of a large answer arrives.
+func (s *Store) goStraight(ctx context.Context, o order, progress func()) result {
 	sentAt := s.clock.Now()
 	s.count(1)
-	r := o.carryOut(receiver.WithBegun(s.own, begun), s.direct)
+	large := false
+	r := o.carryOut(receiver.WithProgress(ctx, func() {
+		large = true
+		progress()
+	}), s.direct)
 	s.count(-1)
 	switch {
 	case r.definite():
-		s.took(o, sentAt)
+		if !large {
+			// What a large answer takes says nothing of when the next one should begin.
+			s.took(o, sentAt)
+		}
 		s.regained()
+	case ctx.Err() != nil:
+		// It was not the store that ended it.
 	case r.busy():
 		s.refused(sentAt, r.err)
 	default:
