--- a/follower/follower.go
+++ b/follower/follower.go
@@ -123,7 +123,7 @@
 		if changed {
 			d := f.register.deployment
 			f.metrics.Gauge(metricVersion, d.Version)
-			f.log.WithFields(logrus.Fields{"event": "configuration_in_force", "version": d.Version, "routes": len(d.Routes), "workspaces": len(d.Accounts), "bytes": reading.Bytes(), "rows": len(reading.Rows)}).Info("configuration in force")
+			f.log.WithFields(logrus.Fields{"event": "configuration_in_force", "version": d.Version, "routes": len(d.Routes), "workspaces": len(d.Accounts), "bytes": reading.Bytes(), "rows": len(reading.Rows), "row_version": f.register.rowVersion}).Info("configuration in force")
 		}
 		return changed
 	})
