Leave a silent server only once another try is allowed

Cause: a repeatable request, or a stream that may be resumed, left its server when nothing had come for a part of the target, and only then asked for the allowance that all routers share; without one it was answered 502, or broken off, while a sound server worked on it. Ruled out: the server (it had not failed), the caller's time. Change: the allowance is taken when the patience is over; without it the server is waited for.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -88,7 +88,10 @@
 		if begun && a.x.f.draining.Load() != nil {
 			return
 		}
-		a.cancel(errPatience)
+		// Without a try elsewhere the caller would lose an answer that is being made.
+		if a.x.reserve() {
+			a.cancel(errPatience)
+		}
 	})
 }
 
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -69,10 +70,12 @@
 	money   treasurer.Reply
 	held    bool
 	cleared bool
-	tries   int
-	runs    int
-	exclude map[string]bool
-	cause   string
+	// reserved tells that another try is allowed, for which the present one is left.
+	reserved atomic.Bool
+	tries    int
+	runs     int
+	exclude  map[string]bool
+	cause    string
 	// begun tells that the head of an answer has gone to the caller.
 	begun bool
 	// charged tells that the caller got at least a part of a good answer.
@@ -227,11 +230,7 @@
 		// Nothing arrived, so nothing is added to what the servers get.
 		return true
 	}
-	x.f.mu.Lock()
-	allowed := x.f.allowance(x.q.pool.Name).Take(x.f.clock.Now(), x.f.bank.Members())
-	x.f.mu.Unlock()
-	if !allowed {
-		x.f.metrics.Add(metricNoAllowance, 1)
+	if !x.reserved.Swap(false) && !x.allowed() {
 		return false
 	}
 	x.f.metrics.Add(metricAgain, 1)
@@ -241,6 +240,26 @@
 	return true
 }
 
+// reserve takes the allowance for another try before the present one is left; it is called beside the exchange.
+func (x *exchange) reserve() bool {
+	if !x.allowed() {
+		return false
+	}
+	x.reserved.Store(true)
+	return true
+}
+
+// allowed takes one try from the allowance that all routers share.
+func (x *exchange) allowed() bool {
+	x.f.mu.Lock()
+	defer x.f.mu.Unlock()
+	if x.f.allowance(x.q.pool.Name).Take(x.f.clock.Now(), x.f.bank.Members()) {
+		return true
+	}
+	x.f.metrics.Add(metricNoAllowance, 1)
+	return false
+}
+
 // repeatable tells that a request which may have run may run again, or go on where it stopped.
 func (x *exchange) repeatable() bool {
 	switch x.q.route.Repeat {
