Walk one token from prepaid to settled, and set policy constants apart

doc.go at treasurer's head grows from 16 to 115 lines: the way of one token with the functions and rows that it passes. In purse.go, treasurer.go, loans.go and presence.go the constants that are policy and those that are mechanical stand in a block each; no value changes.

--- a/treasurer/doc.go
+++ b/treasurer/doc.go
@@ -13,4 +13,103 @@
 //
 // Purse decides and Treasurer carries out: the first reads no clock and opens no
 // connection, so that a whole fleet is tested in one goroutine.
+//
+// # From prepaid to settled
+//
+// This is the way of one token, with the functions and rows that it passes. The
+// rows are in rows.go: an Account for each workspace in masticway_accounts, a
+// Book for each instance in masticway_books, and a Presence for each router in
+// masticway_routers.
+//
+// Start. Treasurer.Run first takes over the instance's book (begin.go): tryBegin
+// reads the row, Purse.Begin makes the new one with Book.succeeded, and
+// Purse.Began notes that it is written. Purse.Plan asks nothing of the store
+// before that, so there is no grant without a book.
+//
+// Prepaid. The configuration says what a workspace has paid for.
+// Treasurer.Configure gives it to Purse.Configure, which keeps the amount and the
+// configuration's version for a metered workspace. Nothing is written yet: the
+// next change of a grant brings a newer version's amount into the Account
+// (account.newest).
+//
+// Asked for. A request calls Treasurer.Hold with the most that it may use.
+// Purse.Hold (holds.go) counts it as demand (account.observe), queues it, and
+// calls serve, whose decide answers it at once if the router's own money and its
+// loans cover it. How much of its own money the router may take is
+// Purse.admissible: its grant while the store answers in time, else also what
+// the promises allow. If there is too little, Treasurer.turn does what the purse
+// wants done: steps at the store (Plan), loans, and statements to witnesses.
+//
+// Promised. Somebody waits for a workspace that the book does not name, so the
+// book is due (bookDue in plan.go). writeBook puts in a Promise: Taken, Burst and
+// Rate. Treasurer.step sends the write, and Purse.Done takes its outcome
+// (outcome.go): with bookDone, kept makes this promise the only one in force. A
+// write whose outcome is unknown leaves both its own promise and the earlier one
+// in force, and the lower one counts (leastPromise). Purse.opened now holds for
+// the workspace; until then its grant does not grow, so that a successor finds
+// every grant.
+//
+// Granted. Plan has the workspace's part read if its row is not known
+// (Purse.looked takes the answer). Purse.change says by how much the grant should
+// grow, for the requests that wait and for the reserve of reserveOf (keeping.go),
+// and moveGrant writes the Account.WithGrant, expecting the version that was
+// seen. On success Purse.changed takes the new row, on a conflict Done takes the
+// row that came with it; either way learn sets what this incarnation is granted.
+// A write without an answer leaves the account in doubt (failed) until learn sees
+// a newer row; what it would have returned is not spent meanwhile
+// (account.usable). What other routers do to the rows comes by Treasurer.follow
+// (watch.go) to Purse.Learn.
+//
+// Held. serve adds the token to the account's taken and answers VerdictHeld. It
+// answers VerdictExhausted if a fresh look at the row shows that the need exceeds
+// what is left and in hand, though not in a router's first settleSpan, when
+// grants of predecessors may still be open; and VerdictUnreachable if there may
+// be money that cannot be had in time.
+//
+// Lent, for some. The token may come from another router instead (loans.go and
+// lending.go). Purse.Borrowing asks for it when somebody has waited for the store
+// for a while, when the row has too little left (beyond), or when this router
+// leaves a thin workspace to its keeper: the one router, chosen by Purse.keeper,
+// that then holds what is left (delegated). Treasurer.borrow asks one lender
+// after the other. There Treasurer.Lend holds the token (Purse.Lend), waits until
+// it is cleared, and hands it over (Purse.Lent): it stays taken and cleared in
+// the lender's grant. Here Borrowed keeps it as a Loan, and serve takes it.
+// Unused, it goes back by Repayments, Treasurer.repay and, at the lender,
+// Purse.Repaid; where the lender's answer did not arrive, Treasurer.giveUp has it
+// take back whatever it lent (borrowers.go).
+//
+// Cleared. The upstream has answered, and before any of the answer goes to the
+// caller, Treasurer.Clear waits for Purse.openGates: what is cleared of the
+// router's own money may not exceed Purse.promised. A book is due when more is
+// taken than the promises cover, so usually the next write opens the gate. While
+// the store is silent the promise's rate does, after silentAfter (Promise.bound),
+// and where the book names witnesses, as far as most of them have been told
+// (witness.go): Purse.Statements says what to tell, Treasurer.testify sends it to
+// other routers, whose Purse.Testified remembers it, and Purse.Witnessed counts
+// who has heard.
+//
+// Used. Treasurer.Settle ends the hold with what was used of it. held.settle
+// counts loans as used first and gives the rest back. The used token stays in
+// taken and cleared, and so in the grant, or in the lender's; no row changes for
+// it, and the book's next Promise counts it in Taken. A grant that shrinks
+// (change is negative) returns free money only.
+//
+// Closed. A router that ends calls Treasurer.Close: free money and loans go back,
+// and the book of Purse.Final promises no more than what is taken. One that dies
+// leaves the promises that it had. In both cases the instance's next incarnation
+// finds them: Book.succeeded lists an Ended with the most that may have been
+// spent, and with the witnesses if it may have lived for silentAfter beyond its
+// book's basis: only then they may know of more than is written.
+// closePredecessors then settles: Treasurer.recall (testimony.go) has Ended.Known
+// combine what was written with what the witnesses remember, or take the
+// promise's bound if too few of them answer, and closeGrant writes CloseGrant's
+// row, in which Account.WithClosed ends the grant, adds what counts as spent to
+// Closed, and leaves the rest to Account.Left, for anybody. The token is settled:
+// it is in Closed. Purse.Closed drops the Ended from the next book. A dead
+// incarnation's late write meets a newer version and comes to nothing; one that
+// was only frozen learns from the conflict at its book that it has a successor
+// (bookConflict), and Treasurer.fault ends its handing out of money.
+//
+// Each file's constants that are policy, which trade refusals, lateness and
+// losses against each other, stand apart from those that are mechanical.
 package treasurer
--- a/treasurer/loans.go
+++ b/treasurer/loans.go
@@ -10,12 +10,11 @@
 	"github.com/masticway/masticway"
 )
 
+// The policy of loans: when and whom to ask, what to lend, and when to give back.
 const (
 	// borrowAfter is how long a request waits for the store before other routers are asked; the store answers the two
 	// calls that a request may need within 20 ms when it is well.
 	borrowAfter = 30 * time.Millisecond
-	// borrowPause separates two rounds of asking for one workspace.
-	borrowPause = 25 * time.Millisecond
 	// emptyFor is how long nobody is asked again after a round that brought too little.
 	emptyFor = 300 * time.Millisecond
 	// repayAfter is how long borrowed money may lie unused.
@@ -26,6 +25,12 @@
 	lendersAsked = 4
 )
 
+// The mechanics of loans: the pace of asking.
+const (
+	// borrowPause separates two rounds of asking for one workspace.
+	borrowPause = 25 * time.Millisecond
+)
+
 // Loan is money that another router has taken out of its own grant for this one. It counts as taken there, so that
 // neither router's death can make it be spent twice.
 type Loan struct {
--- a/treasurer/presence.go
+++ b/treasurer/presence.go
@@ -10,17 +10,22 @@
 	"github.com/masticway/masticway"
 )
 
+// The policy of counting: which routers share the money and the retries.
 const (
-	// countFirst is the pause before routers are counted again after a start, when most of them may be starting too; it
-	// doubles up to countPause, at which each writes its presence and reads that of all: two calls in that time.
-	countFirst = 300 * time.Millisecond
-	countPause = 3 * time.Second
 	// aliveFor is how old the presence of a router may be that counts, beyond the time for which this router has not
 	// counted itself: after an outage all are old, and routers that took themselves for alone would each use the retries
 	// that are meant for all.
 	aliveFor = 12 * time.Second
 )
 
+// The mechanics of counting: the pace of its calls.
+const (
+	// countFirst is the pause before routers are counted again after a start, when most of them may be starting too; it
+	// doubles up to countPause, at which each writes its presence and reads that of all: two calls in that time.
+	countFirst = 300 * time.Millisecond
+	countPause = 3 * time.Second
+)
+
 // count keeps the number of routers, and tells them of this one.
 func (t *Treasurer) count(ctx context.Context) {
 	pause := countFirst
--- a/treasurer/purse.go
+++ b/treasurer/purse.go
@@ -11,6 +11,7 @@
 	"github.com/masticway/masticway"
 )
 
+// The policy of a purse: how money is spread over routers, what a death may cost, and when a request is refused or waits.
 const (
 	// silentAfter is how long the store must have been silent before a promise's rate counts. Answers that come ready
 	// in that time wait, which makes some late; a router that dies and is back within it strands nothing. All routers
@@ -20,14 +21,6 @@
 	// of a workspace in seconds. It is only ever lost when a router dies and its witnesses cannot be asked. With 1.5
 	// instead of 4, 4.5% were refused on bsti-fit's days with trouble instead of 3.7%.
 	rateMargin = 4
-	// bookHeartbeat is how often the book of a router with demand is written, idleHeartbeat any other one, so that the
-	// routers can be counted.
-	bookHeartbeat = 250 * time.Millisecond
-	idleHeartbeat = 4 * time.Second
-	// bookPause separates two writes of a book; bookPauseEach is added for each router, so that all of them together
-	// write less than a thousand books a second.
-	bookPause     = 20 * time.Millisecond
-	bookPauseEach = time.Millisecond
 	// slowAnswer is the store's answer time above which a burst is promised for the demand of that time.
 	slowAnswer = 60 * time.Millisecond
 	// timelyFor is how long the store may take over a book before requests are admitted by promises only, and
@@ -51,6 +44,25 @@
 	highWater = 2.5
 	// returnAfter is how long money of a workspace without a reserve may lie unused.
 	returnAfter = 250 * time.Millisecond
+	// awayAfter is how long the store must have failed before requests without money are refused at once.
+	awayAfter = 400 * time.Millisecond
+	// settleSpan is how long after its start a router takes no budget for exhausted: where many start together, the
+	// grants of their predecessors are still being closed.
+	settleSpan = 2 * time.Second
+	// freshFor is how long a look at a workspace's row may serve to refuse for exhaustion.
+	freshFor = 300 * time.Millisecond
+)
+
+// The mechanics of a purse: how often the store is called, as its rate and its failures allow.
+const (
+	// bookHeartbeat is how often the book of a router with demand is written, idleHeartbeat any other one, so that the
+	// routers can be counted.
+	bookHeartbeat = 250 * time.Millisecond
+	idleHeartbeat = 4 * time.Second
+	// bookPause separates two writes of a book; bookPauseEach is added for each router, so that all of them together
+	// write less than a thousand books a second.
+	bookPause     = 20 * time.Millisecond
+	bookPauseEach = time.Millisecond
 	// retryPause separates attempts at the store after one that failed.
 	retryPause = 60 * time.Millisecond
 	// probePause separates attempts while the store fails; only the book is tried then.
@@ -61,13 +73,6 @@
 	paceFirst = 20 * time.Millisecond
 	paceMost  = 640 * time.Millisecond
 	paceStep  = 5 * time.Millisecond
-	// awayAfter is how long the store must have failed before requests without money are refused at once.
-	awayAfter = 400 * time.Millisecond
-	// settleSpan is how long after its start a router takes no budget for exhausted: where many start together, the
-	// grants of their predecessors are still being closed.
-	settleSpan = 2 * time.Second
-	// freshFor is how long a look at a workspace's row may serve to refuse for exhaustion.
-	freshFor = 300 * time.Millisecond
 )
 
 // Verdict answers a request for money.
--- a/treasurer/treasurer.go
+++ b/treasurer/treasurer.go
@@ -15,6 +15,15 @@
 	"github.com/masticway/masticway/measurer"
 )
 
+// The policy of a treasurer: how long a request may wait for what other routers lend.
+const (
+	// lendTimeout bounds one question to another router, a few times the way between availability zones and the wait for
+	// its book, which clearTimeout bounds: what it lends should arrive in time.
+	lendTimeout  = 60 * time.Millisecond
+	clearTimeout = 45 * time.Millisecond
+)
+
+// The mechanics of a treasurer: timeouts, pauses and bounds of its calls.
 const (
 	// tick is how often waits and plans are looked at when nothing happens.
 	tick = 50 * time.Millisecond
@@ -32,10 +41,6 @@
 	// followWait is how long one call of the accounts' feed may wait, followPause what separates two calls.
 	followWait  = 5 * time.Second
 	followPause = 200 * time.Millisecond
-	// lendTimeout bounds one question to another router, a few times the way between availability zones and the wait for
-	// its book, which clearTimeout bounds: what it lends should arrive in time.
-	lendTimeout  = 60 * time.Millisecond
-	clearTimeout = 45 * time.Millisecond
 	// repayTimeout and repayTries bound the giving back of a loan.
 	repayTimeout = 500 * time.Millisecond
 	repayTries   = 5
