--- /dev/null
+++ b/router/peer_money.go
@@ -0,0 +1,160 @@
+package router
+
+import (
+	"context"
+	"time"
+
+	"github.com/masticway/masticway"
+	"github.com/masticway/masticway/keeper"
+	"github.com/masticway/masticway/linker"
+)
+
+const (
+	// settleRetry separates attempts to report a settlement to its keeper.
+	settleRetry = 100 * time.Millisecond
+	// holdGrace is how long beyond a request's own wait a remote keeper may take.
+	holdGrace = 700 * time.Millisecond
+)
+
+type pendingSettle struct {
+	payer  masticway.Incarnation
+	settle linker.Settle
+}
+
+// hold asks a budget's keeper for money, or this router's own when the keeper cannot be reached.
+func (p *peers) hold(ctx context.Context, request keeper.HoldRequest, c masticway.Contract) (linker.HoldIs, masticway.HoldID) {
+	target := p.keeperFor(request.Budget)
+	if conn := p.conn(target); conn != nil {
+		asking, cancel := context.WithTimeout(ctx, request.Wait+holdGrace)
+		defer cancel()
+		answer, err := conn.Ask(asking, linker.Message{Hold: &request})
+		if err == nil && answer.HoldIs != nil && answer.HoldIs.Verdict != keeper.VerdictElsewhere {
+			return *answer.HoldIs, request.ID
+		}
+		if err != nil {
+			// The keeper may have taken the hold: it is released there when it can be reached.
+			p.settle(target, linker.Settle{Hold: request.ID})
+		}
+		request.ID += "-own"
+	}
+	if target != p.router.self {
+		p.router.metrics.Add(metricFallbackHolds, 1)
+	}
+	reply := make(chan linker.HoldIs, 1)
+	p.router.bank.hold(request, c, func(h linker.HoldIs) { reply <- h })
+	var h linker.HoldIs
+	select {
+	case h = <-reply:
+	case <-p.router.ctx.Done():
+		return linker.HoldIs{Verdict: keeper.VerdictUnreachable}, request.ID
+	}
+	h.Sure = h.Sure && target == p.router.self
+	return h, request.ID
+}
+
+// resize passes a smaller bound to the hold's payer.
+func (p *peers) resize(payer masticway.Incarnation, id masticway.HoldID, amount masticway.Amount) {
+	if payer == p.router.self {
+		p.router.bank.resize(id, amount)
+		return
+	}
+	if c := p.conn(payer); c != nil {
+		_ = c.Send(linker.Message{Resize: &linker.Resize{Hold: id, Amount: amount}})
+	}
+}
+
+// settle reports a hold's charges to its payer, and stays with it until the payer has them or is sealed.
+func (p *peers) settle(payer masticway.Incarnation, s linker.Settle) {
+	if payer == p.router.self {
+		p.router.bank.settle(s)
+		return
+	}
+	p.mu.Lock()
+	p.unsettled[s.Hold] = pendingSettle{payer: payer, settle: s}
+	p.mu.Unlock()
+	p.router.wg.Go(func() { p.keepSettling(payer, s) })
+}
+
+func (p *peers) keepSettling(payer masticway.Incarnation, s linker.Settle) {
+	for p.router.ctx.Err() == nil {
+		if p.trySettle(payer, s) || p.router.recovery.isRecovered(payer) {
+			p.mu.Lock()
+			delete(p.unsettled, s.Hold)
+			p.mu.Unlock()
+			return
+		}
+		p.router.bank.pause(settleRetry)
+	}
+}
+
+func (p *peers) trySettle(payer masticway.Incarnation, s linker.Settle) bool {
+	c := p.conn(payer)
+	if c == nil {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(p.router.ctx, askTimeout)
+	defer cancel()
+	_, err := c.Ask(ctx, linker.Message{Settle: &s})
+	return err == nil
+}
+
+// flushSettlements waits until all settlements have been acknowledged.
+func (p *peers) flushSettlements(ctx context.Context) {
+	for {
+		p.mu.Lock()
+		left := len(p.unsettled)
+		p.mu.Unlock()
+		if left == 0 {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-p.router.clock.After(bankTick):
+		}
+	}
+}
+
+// askBack asks those who have open grants of a budget to return idle money, in whatever region they are.
+func (p *peers) askBack(budget string, payers []masticway.Incarnation) {
+	m := linker.Message{GiveBack: &linker.GiveBack{Budget: budget}}
+	for _, payer := range payers {
+		if c := p.conn(payer); c != nil {
+			_ = c.Send(m)
+			continue
+		}
+		p.router.wg.Go(func() { p.askFar(payer, m) })
+	}
+}
+
+// askFar asks a router that this one keeps no link to.
+func (p *peers) askFar(payer masticway.Incarnation, m linker.Message) {
+	ctx, cancel := context.WithTimeout(p.router.ctx, platformTimeout)
+	defer cancel()
+	row, err := p.router.book.Daemon(ctx, payer)
+	if err != nil {
+		return
+	}
+	c, err := p.router.dialOnce(ctx, row.Address)
+	if err != nil {
+		return
+	}
+	defer c.Close()
+	if c.Peer().Incarnation == payer {
+		_, _ = c.Ask(ctx, m)
+	}
+}
+
+func (p *peers) answerHold(c *linker.Conn, m linker.Message) {
+	contract, ok := p.router.snapshot.Load().Contract(m.Hold.Identity.Workspace())
+	if !ok {
+		contract = masticway.Contract{Workspace: m.Hold.Identity.Workspace()}
+	}
+	if p.router.draining.Load() || p.router.isSealed() {
+		_ = c.Answer(m, linker.Message{HoldIs: &linker.HoldIs{Verdict: keeper.VerdictElsewhere}})
+		return
+	}
+	p.router.bank.hold(*m.Hold, contract, func(h linker.HoldIs) {
+		_ = c.Answer(m, linker.Message{HoldIs: &h})
+	})
+}
--- a/router/peers.go
+++ b/router/peers.go
@@ -12,18 +12,11 @@
 
 	"github.com/masticway/masticway"
 	"github.com/masticway/masticway/configurer"
-	"github.com/masticway/masticway/keeper"
 	"github.com/masticway/masticway/linker"
 )
 
-const (
-	// settleRetry separates attempts to report a settlement to its keeper.
-	settleRetry = 100 * time.Millisecond
-	// reachTimeout bounds one request to a peer to record a sidecar.
-	reachTimeout = 5 * time.Second
-	// holdGrace is how long beyond a request's own wait a remote keeper may take.
-	holdGrace = 700 * time.Millisecond
-)
+// reachTimeout bounds one request to a peer to record a sidecar.
+const reachTimeout = 5 * time.Second
 
 // peers is the set of other routers: who keeps which budget, and the links to them.
 type peers struct {
@@ -44,11 +37,6 @@
 	unsettled map[masticway.HoldID]pendingSettle
 }
 
-type pendingSettle struct {
-	payer  masticway.Incarnation
-	settle linker.Settle
-}
-
 func newPeers(r *Router) *peers {
 	p := &peers{
 		router: r, conns: map[masticway.Incarnation]*linker.Conn{}, stops: map[string]context.CancelFunc{},
@@ -120,68 +108,6 @@
 	}
 }
 
-// reachMissing asks a peer to record the sidecars that its money may be used at and that it is not known to have.
-func (p *peers) reachMissing(c *linker.Conn) bool {
-	missing := []masticway.Incarnation{}
-	for _, s := range p.router.upstreams.linked() {
-		if sidecar := s.Peer().Incarnation; !p.covers(c.Peer().Incarnation, sidecar) {
-			missing = append(missing, sidecar)
-		}
-	}
-	return p.askReach(c, missing)
-}
-
-// reachAll brings all peers up to date; it is repeated, so that a sidecar that came meanwhile is not missed.
-func (p *peers) reachAll() {
-	sidecars := p.router.upstreams.linked()
-	for _, c := range p.lacking(sidecars) {
-		p.router.wg.Go(func() { p.reachMissing(c) })
-	}
-}
-
-// lacking lists the peers that are not known to have recorded every one of the sidecars.
-func (p *peers) lacking(sidecars []*linker.Conn) []*linker.Conn {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	var lacking []*linker.Conn
-	for inc, c := range p.conns {
-		reached := p.reached[inc]
-		if slices.ContainsFunc(sidecars, func(s *linker.Conn) bool { return !reached[s.Peer().Incarnation] }) {
-			lacking = append(lacking, c)
-		}
-	}
-	return lacking
-}
-
-func (p *peers) askReach(c *linker.Conn, sidecars []masticway.Incarnation) bool {
-	ctx, cancel := context.WithTimeout(p.router.ctx, reachTimeout)
-	defer cancel()
-	if _, err := c.Ask(ctx, linker.Message{Reach: &linker.Reach{Sidecars: sidecars}}); err != nil {
-		return false
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	set, ok := p.reached[c.Peer().Incarnation]
-	if !ok {
-		set = map[masticway.Incarnation]bool{}
-		p.reached[c.Peer().Incarnation] = set
-	}
-	for _, s := range sidecars {
-		set[s] = true
-	}
-	return true
-}
-
-// covers tells whether a payer's durable set is known to hold a sidecar.
-func (p *peers) covers(payer, sidecar masticway.Incarnation) bool {
-	if payer == p.router.self {
-		return p.router.bank.linked(sidecar)
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.reached[payer][sidecar]
-}
-
 // linked returns the links to peers that this router dialed.
 func (p *peers) linked() []*linker.Conn {
 	p.mu.Lock()
@@ -265,130 +191,6 @@
 	return n
 }
 
-// hold asks a budget's keeper for money, or this router's own when the keeper cannot be reached.
-func (p *peers) hold(ctx context.Context, request keeper.HoldRequest, c masticway.Contract) (linker.HoldIs, masticway.HoldID) {
-	target := p.keeperFor(request.Budget)
-	if conn := p.conn(target); conn != nil {
-		asking, cancel := context.WithTimeout(ctx, request.Wait+holdGrace)
-		defer cancel()
-		answer, err := conn.Ask(asking, linker.Message{Hold: &request})
-		if err == nil && answer.HoldIs != nil && answer.HoldIs.Verdict != keeper.VerdictElsewhere {
-			return *answer.HoldIs, request.ID
-		}
-		if err != nil {
-			// The keeper may have taken the hold: it is released there when it can be reached.
-			p.settle(target, linker.Settle{Hold: request.ID})
-		}
-		request.ID += "-own"
-	}
-	if target != p.router.self {
-		p.router.metrics.Add(metricFallbackHolds, 1)
-	}
-	reply := make(chan linker.HoldIs, 1)
-	p.router.bank.hold(request, c, func(h linker.HoldIs) { reply <- h })
-	var h linker.HoldIs
-	select {
-	case h = <-reply:
-	case <-p.router.ctx.Done():
-		return linker.HoldIs{Verdict: keeper.VerdictUnreachable}, request.ID
-	}
-	h.Sure = h.Sure && target == p.router.self
-	return h, request.ID
-}
-
-// resize passes a smaller bound to the hold's payer.
-func (p *peers) resize(payer masticway.Incarnation, id masticway.HoldID, amount masticway.Amount) {
-	if payer == p.router.self {
-		p.router.bank.resize(id, amount)
-		return
-	}
-	if c := p.conn(payer); c != nil {
-		_ = c.Send(linker.Message{Resize: &linker.Resize{Hold: id, Amount: amount}})
-	}
-}
-
-// settle reports a hold's charges to its payer, and stays with it until the payer has them or is sealed.
-func (p *peers) settle(payer masticway.Incarnation, s linker.Settle) {
-	if payer == p.router.self {
-		p.router.bank.settle(s)
-		return
-	}
-	p.mu.Lock()
-	p.unsettled[s.Hold] = pendingSettle{payer: payer, settle: s}
-	p.mu.Unlock()
-	p.router.wg.Go(func() { p.keepSettling(payer, s) })
-}
-
-func (p *peers) keepSettling(payer masticway.Incarnation, s linker.Settle) {
-	for p.router.ctx.Err() == nil {
-		if p.trySettle(payer, s) || p.router.recovery.isRecovered(payer) {
-			p.mu.Lock()
-			delete(p.unsettled, s.Hold)
-			p.mu.Unlock()
-			return
-		}
-		p.router.bank.pause(settleRetry)
-	}
-}
-
-func (p *peers) trySettle(payer masticway.Incarnation, s linker.Settle) bool {
-	c := p.conn(payer)
-	if c == nil {
-		return false
-	}
-	ctx, cancel := context.WithTimeout(p.router.ctx, askTimeout)
-	defer cancel()
-	_, err := c.Ask(ctx, linker.Message{Settle: &s})
-	return err == nil
-}
-
-// flushSettlements waits until all settlements have been acknowledged.
-func (p *peers) flushSettlements(ctx context.Context) {
-	for {
-		p.mu.Lock()
-		left := len(p.unsettled)
-		p.mu.Unlock()
-		if left == 0 {
-			return
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-p.router.clock.After(bankTick):
-		}
-	}
-}
-
-// askBack asks those who have open grants of a budget to return idle money, in whatever region they are.
-func (p *peers) askBack(budget string, payers []masticway.Incarnation) {
-	m := linker.Message{GiveBack: &linker.GiveBack{Budget: budget}}
-	for _, payer := range payers {
-		if c := p.conn(payer); c != nil {
-			_ = c.Send(m)
-			continue
-		}
-		p.router.wg.Go(func() { p.askFar(payer, m) })
-	}
-}
-
-// askFar asks a router that this one keeps no link to.
-func (p *peers) askFar(payer masticway.Incarnation, m linker.Message) {
-	ctx, cancel := context.WithTimeout(p.router.ctx, platformTimeout)
-	defer cancel()
-	row, err := p.router.book.Daemon(ctx, payer)
-	if err != nil {
-		return
-	}
-	c, err := p.router.dialOnce(ctx, row.Address)
-	if err != nil {
-		return
-	}
-	defer c.Close()
-	if c.Peer().Incarnation == payer {
-		_, _ = c.Ask(ctx, m)
-	}
-}
-
 // config asks peers for their configuration; a draining or starting peer has none to give.
 func (p *peers) config(ctx context.Context) (configurer.Full, bool) {
 	for _, c := range p.linked() {
@@ -452,28 +254,6 @@
 	p.router.wantFrom(c, b.Revision)
 }
 
-func (p *peers) answerHold(c *linker.Conn, m linker.Message) {
-	contract, ok := p.router.snapshot.Load().Contract(m.Hold.Identity.Workspace())
-	if !ok {
-		contract = masticway.Contract{Workspace: m.Hold.Identity.Workspace()}
-	}
-	if p.router.draining.Load() || p.router.isSealed() {
-		_ = c.Answer(m, linker.Message{HoldIs: &linker.HoldIs{Verdict: keeper.VerdictElsewhere}})
-		return
-	}
-	p.router.bank.hold(*m.Hold, contract, func(h linker.HoldIs) {
-		_ = c.Answer(m, linker.Message{HoldIs: &h})
-	})
-}
-
-func (p *peers) answerReach(c *linker.Conn, m linker.Message) {
-	ctx, cancel := c.Bind(p.router.ctx)
-	defer cancel()
-	if p.router.bank.link(ctx, m.Reach.Sidecars...) {
-		_ = c.Answer(m, linker.Message{Reached: &linker.Reached{}})
-	}
-}
-
 func (p *peers) answerExplain(c *linker.Conn, m linker.Message) {
 	var data []byte
 	if t, ok := p.router.traces.Get(m.Explain.Request); ok {
