--- /dev/null
+++ b/sidecar/runs.go
@@ -0,0 +1,102 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+
+	"github.com/masticway/masticway"
+	"github.com/masticway/masticway/linker"
+	"github.com/masticway/masticway/sealer"
+)
+
+// apply carries out the sealer's effects; the caller holds the lock, so that messages keep their order.
+func (c *Sidecar) apply(effects []sealer.Effect) {
+	for _, e := range effects {
+		switch e := e.(type) {
+		case sealer.Send:
+			c.send(e)
+		case sealer.Start:
+			c.start(e)
+		case sealer.Stop:
+			if cancel, ok := c.cancel[e.Run]; ok {
+				cancel()
+			}
+		case sealer.Verify:
+			c.wg.Go(func() { c.verify(e.Incarnation) })
+		}
+	}
+}
+
+func (c *Sidecar) send(e sealer.Send) {
+	conn := c.listener.Get(e.To)
+	if conn == nil {
+		return
+	}
+	var m linker.Message
+	switch body := e.Message.(type) {
+	case sealer.Accepted:
+		m.Accepted = &body
+	case sealer.Refused:
+		c.metrics.Add(metricRefused+"_"+string(body.Reason), 1)
+		m.Refused = &body
+	case sealer.Counted:
+		m.Counted = &body
+	case sealer.Frame:
+		m.Frame = &body
+	case sealer.Final:
+		m.Final = &body
+	case sealer.Status:
+		m.Status = &body
+	}
+	_ = conn.Send(m)
+}
+
+func (c *Sidecar) start(e sealer.Start) {
+	ctx, cancel := context.WithCancel(c.ctx)
+	c.cancel[e.Run] = cancel
+	c.metrics.Add(metricRuns, 1)
+	c.wg.Go(func() {
+		defer cancel()
+		c.run(ctx, e)
+	})
+}
+
+func (c *Sidecar) run(ctx context.Context, e sealer.Start) {
+	began := c.clock.Now()
+	outcome, err := c.upstream.Run(ctx, e.Call, sink{sidecar: c, run: e.Run})
+	if c.ctx.Err() != nil {
+		// The process is ending: whoever asks learns nothing rather than a guess.
+		return
+	}
+	var failure *masticway.UpstreamError
+	if err != nil && !errors.As(err, &failure) {
+		failure = &masticway.UpstreamError{Reason: err.Error(), Started: true}
+	}
+	now := c.clock.Now()
+	c.metrics.Observe(metricRunSeconds, e.Call.Model+e.Call.Service, now.Sub(began))
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.cancel, e.Run)
+	c.apply(c.core.Finished(now, e.Run, outcome, failure))
+}
+
+// sink passes an upstream's answer to the sealer.
+type sink struct {
+	sidecar *Sidecar
+	run     masticway.RunKey
+}
+
+// Counted passes the prompt's token count.
+func (s sink) Counted(prompt, cached int) {
+	s.sidecar.mu.Lock()
+	defer s.sidecar.mu.Unlock()
+	s.sidecar.apply(s.sidecar.core.Counted(s.run, prompt, cached))
+}
+
+// Chunk passes a piece of the answer.
+func (s sink) Chunk(c masticway.Chunk) {
+	s.sidecar.metrics.Add(metricTokens, int64(c.Tokens))
+	s.sidecar.mu.Lock()
+	defer s.sidecar.mu.Unlock()
+	s.sidecar.apply(s.sidecar.core.Chunk(s.run, c))
+}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -2,10 +2,7 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
 	"net/http"
-	"reflect"
 	"sync"
 	"time"
 
@@ -44,9 +41,6 @@
 // wantPause separates two questions for configuration changes.
 const wantPause = 200 * time.Millisecond
 
-// reportTries bounds the attempts to leave the totals at shutdown.
-const reportTries = 20
-
 // Sidecar is one running sidecar.
 type Sidecar struct {
 	settings Settings
@@ -118,62 +112,6 @@
 	c.wg.Go(c.watchLoad)
 }
 
-// Drain refuses new work, lets what runs finish, and leaves the totals in the table.
-//
-// It returns false when the context ended before all runs had finished.
-func (c *Sidecar) Drain(ctx context.Context) bool {
-	c.mu.Lock()
-	c.core.Leave()
-	c.mu.Unlock()
-	c.sendBeats()
-	finished := c.awaitRuns(ctx)
-	if !finished {
-		c.mu.Lock()
-		cut := c.core.Running()
-		c.mu.Unlock()
-		c.metrics.Add(metricDrainCut, int64(cut))
-		c.log.WithFields(logrus.Fields{"event": "drain_expired", "running": cut}).Warn("drain expired")
-		return false
-	}
-	c.leaveReport(ctx)
-	return true
-}
-
-func (c *Sidecar) awaitRuns(ctx context.Context) bool {
-	for {
-		c.mu.Lock()
-		running := c.core.Running()
-		c.mu.Unlock()
-		if running == 0 {
-			return true
-		}
-		select {
-		case <-ctx.Done():
-			return false
-		case <-c.clock.After(20 * time.Millisecond):
-		}
-	}
-}
-
-func (c *Sidecar) leaveReport(ctx context.Context) {
-	c.mu.Lock()
-	report := bookkeeper.Report{Sidecar: c.self, Totals: c.core.Totals("")}
-	c.mu.Unlock()
-	for range reportTries {
-		err := c.book.PutReport(ctx, report)
-		if err == nil {
-			c.log.WithFields(logrus.Fields{"event": "totals_left", "grants": len(report.Totals)}).Info("totals left")
-			return
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-c.clock.After(200 * time.Millisecond):
-		}
-	}
-	c.log.WithField("event", "totals_not_left").Warn("totals not left")
-}
-
 // Close ends everything at once, as a crash would.
 func (c *Sidecar) Close() {
 	c.stop()
@@ -250,98 +188,6 @@
 	}
 }
 
-// apply carries out the sealer's effects; the caller holds the lock, so that messages keep their order.
-func (c *Sidecar) apply(effects []sealer.Effect) {
-	for _, e := range effects {
-		switch e := e.(type) {
-		case sealer.Send:
-			c.send(e)
-		case sealer.Start:
-			c.start(e)
-		case sealer.Stop:
-			if cancel, ok := c.cancel[e.Run]; ok {
-				cancel()
-			}
-		case sealer.Verify:
-			c.wg.Go(func() { c.verify(e.Incarnation) })
-		}
-	}
-}
-
-func (c *Sidecar) send(e sealer.Send) {
-	conn := c.listener.Get(e.To)
-	if conn == nil {
-		return
-	}
-	var m linker.Message
-	switch body := e.Message.(type) {
-	case sealer.Accepted:
-		m.Accepted = &body
-	case sealer.Refused:
-		c.metrics.Add(metricRefused+"_"+string(body.Reason), 1)
-		m.Refused = &body
-	case sealer.Counted:
-		m.Counted = &body
-	case sealer.Frame:
-		m.Frame = &body
-	case sealer.Final:
-		m.Final = &body
-	case sealer.Status:
-		m.Status = &body
-	}
-	_ = conn.Send(m)
-}
-
-func (c *Sidecar) start(e sealer.Start) {
-	ctx, cancel := context.WithCancel(c.ctx)
-	c.cancel[e.Run] = cancel
-	c.metrics.Add(metricRuns, 1)
-	c.wg.Go(func() {
-		defer cancel()
-		c.run(ctx, e)
-	})
-}
-
-func (c *Sidecar) run(ctx context.Context, e sealer.Start) {
-	began := c.clock.Now()
-	outcome, err := c.upstream.Run(ctx, e.Call, sink{sidecar: c, run: e.Run})
-	if c.ctx.Err() != nil {
-		// The process is ending: whoever asks learns nothing rather than a guess.
-		return
-	}
-	var failure *masticway.UpstreamError
-	if err != nil && !errors.As(err, &failure) {
-		failure = &masticway.UpstreamError{Reason: err.Error(), Started: true}
-	}
-	now := c.clock.Now()
-	c.metrics.Observe(metricRunSeconds, e.Call.Model+e.Call.Service, now.Sub(began))
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	delete(c.cancel, e.Run)
-	c.apply(c.core.Finished(now, e.Run, outcome, failure))
-}
-
-// sink passes an upstream's answer to the sealer.
-type sink struct {
-	sidecar *Sidecar
-	run     masticway.RunKey
-}
-
-// Counted passes the prompt's token count.
-func (s sink) Counted(prompt, cached int) {
-	s.sidecar.mu.Lock()
-	defer s.sidecar.mu.Unlock()
-	s.sidecar.apply(s.sidecar.core.Counted(s.run, prompt, cached))
-}
-
-// Chunk passes a piece of the answer.
-func (s sink) Chunk(c masticway.Chunk) {
-	s.sidecar.metrics.Add(metricTokens, int64(c.Tokens))
-	s.sidecar.mu.Lock()
-	defer s.sidecar.mu.Unlock()
-	s.sidecar.apply(s.sidecar.core.Chunk(s.run, c))
-}
-
 // verify reads what the table says of an incarnation.
 func (c *Sidecar) verify(inc masticway.Incarnation) {
 	standing := sealer.StandingUnknown
@@ -368,97 +214,3 @@
 	}
 	_ = conn.Answer(m, linker.Message{CountIs: &linker.CountIs{Tokens: tokens}})
 }
-
-// order passes an order to the upstream, unless its fencing number is not the newest in the table.
-func (c *Sidecar) order(conn *linker.Conn, m linker.Message) {
-	err := c.carryOut(*m.Order)
-	answer := linker.OrderIs{Done: err == nil}
-	if err != nil {
-		answer.Reason = err.Error()
-	}
-	_ = conn.Answer(m, linker.Message{OrderIs: &answer})
-}
-
-// FenceError reports an order with an old fencing number.
-type FenceError struct {
-	Fence  int64
-	Newest int64
-}
-
-// Error names both numbers.
-func (e *FenceError) Error() string {
-	return fmt.Sprintf("fencing number %d is older than %d", e.Fence, e.Newest)
-}
-
-func (c *Sidecar) carryOut(o masticway.Order) error {
-	newest, err := bookkeeper.Fence(c.ctx, c.fences, c.settings.Instance)
-	if err != nil {
-		return fmt.Errorf("reading the fence: %w", err)
-	}
-	c.mu.Lock()
-	newest = max(newest, c.fence)
-	c.fence = newest
-	c.mu.Unlock()
-	if o.Fence < newest {
-		return &FenceError{Fence: o.Fence, Newest: newest}
-	}
-	return c.upstream.Order(c.ctx, o)
-}
-
-func (c *Sidecar) beat() {
-	for {
-		select {
-		case <-c.ctx.Done():
-			return
-		case <-c.clock.After(c.settings.Beat.Std()):
-		}
-		c.mu.Lock()
-		c.apply(c.core.Tick(c.clock.Now()))
-		c.metrics.Gauge(metricRunning, int64(c.core.Running()))
-		c.mu.Unlock()
-		c.sendBeats()
-	}
-}
-
-// sendBeats reports load only when it has changed, because there are many links.
-func (c *Sidecar) sendBeats() {
-	m := c.beatMessage()
-	c.mu.Lock()
-	if c.told != nil && m.Beat.Load != nil && sameLoad(*c.told, *m.Beat.Load) {
-		m.Beat.Load = nil
-	} else {
-		c.told = m.Beat.Load
-	}
-	c.mu.Unlock()
-	for _, conn := range c.listener.All() {
-		_ = conn.Send(m)
-	}
-}
-
-// sameLoad tells whether two reports differ in their time only.
-func sameLoad(a, b masticway.LoadReport) bool {
-	a.At, b.At = time.Time{}, time.Time{}
-	return reflect.DeepEqual(a, b)
-}
-
-func (c *Sidecar) beatMessage() linker.Message {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return linker.Message{Beat: &linker.Beat{Revision: c.core.Revision(), Leaving: c.core.Leaving(), Load: c.load}}
-}
-
-func (c *Sidecar) watchLoad() {
-	for {
-		report, err := c.upstream.Load(c.ctx)
-		if err == nil {
-			c.mu.Lock()
-			c.load = &report
-			c.mu.Unlock()
-		}
-		select {
-		case <-c.ctx.Done():
-			return
-		case <-c.clock.After(c.settings.Beat.Std()):
-		}
-	}
-}
