--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/masticway/masticway"
-	"github.com/masticway/masticway/charter"
 )
 
 // Policy chooses how much a draw takes.
@@ -18,23 +17,8 @@
 	PolicySlice    Policy = "slice"
 )
 
-const (
-	// defaultHorizon makes a busy budget draw about once a minute; see docs/MEASUREMENTS.md.
-	defaultHorizon = 60 * time.Second
-	// lowWater is the part of the horizon's demand below which the next draw starts early.
-	lowWater = 0.25
-	// surplus is the multiple of the horizon's demand above which money goes back.
-	surplus = 3
-	// rateWindow is the time constant of the demand forecast.
-	rateWindow = 10 * time.Second
-	// retryPause separates attempts to draw after a refusal or an outage.
-	retryPause = 100 * time.Millisecond
-	// yieldAfter is how long a budget that another router keeps must be quiet here before it is handed over,
-	// so that a keeper that is briefly out of reach does not cost a move for each request.
-	yieldAfter = 2 * time.Second
-	// recentLimit bounds the identities remembered after they were settled.
-	recentLimit = 50_000
-)
+// recentLimit bounds the identities remembered after they were settled.
+const recentLimit = 50_000
 
 // Settings are the tunables of a keeper.
 type Settings struct {
@@ -84,111 +68,6 @@
 	Presumed bool `cbor:"3,keyasint,omitempty"`
 }
 
-// Effect is something that the shell must do; it is one of the types below.
-type Effect interface{ effect() }
-
-// Reply answers a hold request.
-type Reply struct {
-	ID      masticway.HoldID
-	Verdict Verdict
-	Grant   masticway.GrantKey
-	Amount  masticway.Amount
-	Sender  masticway.Incarnation
-	// Open tells of a duplicate that the first request is still under way.
-	Open bool
-	// Waited is how long the request waited for money.
-	Waited time.Duration
-}
-
-// Move asks the shell to change the grant in the table; its result comes back by Moved.
-type Move struct {
-	Grant masticway.GrantKey
-	// Spent is the cumulative true cost of the grant so far.
-	Spent masticway.Amount
-	// Presumed is the part of it that vanished sidecars may have run.
-	Presumed masticway.Amount
-	// Need and Want bound the draw; both zero asks for none.
-	Need masticway.Amount
-	Want masticway.Amount
-	// Fixed draws this part of the prepaid sum, for the baseline policy.
-	Fixed int
-	// Return goes back to the budget, and Close ends the grant.
-	Return masticway.Amount
-	Close  bool
-	Seq    int64
-	// DrawnBefore is what the grant had drawn before, from which a lost answer is worked out.
-	DrawnBefore masticway.Amount
-}
-
-// AskPeers asks the daemons that have open grants of a budget to return idle money.
-type AskPeers struct {
-	Budget string
-	Payers []masticway.Incarnation
-}
-
-func (Reply) effect()    {}
-func (Move) effect()     {}
-func (AskPeers) effect() {}
-
-// MoveResult is what became of a move.
-type MoveResult struct {
-	Move Move
-	// Drawn is the amount moved to the grant.
-	Drawn masticway.Amount
-	// Left is what the budget could still give, and Elsewhere what other grants have open.
-	Left      masticway.Amount
-	Elsewhere masticway.Amount
-	// Others are the payers of those grants.
-	Others []masticway.Incarnation
-	// Failed says that nothing was moved because the table could not be reached.
-	Failed bool
-	// Missing says that the budget does not exist.
-	Missing bool
-}
-
-type waiter struct {
-	request  HoldRequest
-	since    time.Time
-	deadline time.Time
-}
-
-type hold struct {
-	request HoldRequest
-	amount  masticway.Amount
-	account *account
-	opened  time.Time
-	state   charter.State
-}
-
-type account struct {
-	budget    string
-	grant     masticway.GrantKey
-	drawn     masticway.Amount
-	spent     masticway.Amount
-	presumed  masticway.Amount
-	returned  masticway.Amount
-	held      masticway.Amount
-	holds     int
-	waiting   []waiter
-	state     charter.State
-	seq       int64
-	rate      float64
-	rateAt    time.Time
-	lastHold  time.Time
-	horizon   time.Duration
-	retryAt   time.Time
-	known     bool
-	startedAt time.Time
-	askedAt   time.Time
-	left      masticway.Amount
-	elsewhere masticway.Amount
-	others    []masticway.Incarnation
-	failed    bool
-	bySidecar map[masticway.Incarnation]masticway.Amount
-}
-
-func (a *account) free() masticway.Amount { return a.drawn - a.spent - a.returned - a.held }
-
 // Keeper holds the money of one incarnation; it is not safe for concurrent use.
 type Keeper struct {
 	settings Settings
@@ -275,29 +154,6 @@
 	return a
 }
 
-func (a *account) observe(now time.Time, r HoldRequest) {
-	a.decay(now)
-	a.rate += float64(r.Most) / rateWindow.Seconds()
-	a.lastHold = now
-	a.horizon = r.Horizon
-	if a.horizon == 0 {
-		a.horizon = defaultHorizon
-	}
-}
-
-func (a *account) decay(now time.Time) {
-	passed := now.Sub(a.rateAt)
-	a.rateAt = now
-	if passed <= 0 {
-		return
-	}
-	a.rate *= max(0, 1-passed.Seconds()/rateWindow.Seconds())
-}
-
-func (a *account) forecast() masticway.Amount {
-	return masticway.Amount(a.rate * a.horizon.Seconds())
-}
-
 // Resize shrinks a hold once its true bound is known; a hold never grows.
 func (k *Keeper) Resize(now time.Time, id masticway.HoldID, amount masticway.Amount) []Effect {
 	h, ok := k.holds[id]
@@ -416,105 +272,6 @@
 	return Reply{ID: w.request.ID, Verdict: v, Waited: now.Sub(w.since)}
 }
 
-// draw starts a move when money is short or will soon be.
-func (k *Keeper) draw(now time.Time, a *account) []Effect {
-	if a.moving() || now.Before(a.retryAt) {
-		return nil
-	}
-	var need, want masticway.Amount
-	for _, w := range a.waiting {
-		need += w.request.Least
-		want += w.request.Most
-	}
-	forecast := a.forecast()
-	short := len(a.waiting) > 0
-	early := k.settings.Policy != PolicySlice && a.grant.Number != 0 && a.left > 0 &&
-		float64(a.free()) < lowWater*float64(forecast)
-	if !short && !early {
-		return nil
-	}
-	var effects []Effect
-	if short && a.known && a.left == 0 && a.elsewhere > 0 {
-		effects = append(effects, AskPeers{Budget: a.budget, Payers: a.others})
-	}
-	m := Move{Need: max(0, need-a.free()), Want: max(0, want+forecast-a.free())}
-	if k.settings.Policy == PolicySlice {
-		m.Fixed = k.settings.Slices
-	}
-	return append(effects, k.start(now, a, m))
-}
-
-func (k *Keeper) start(now time.Time, a *account, m Move) Move {
-	if a.grant.Number == 0 {
-		k.number++
-		a.grant = masticway.GrantKey{Budget: a.budget, Payer: k.settings.Incarnation, Number: k.number}
-	}
-	event := eventMove
-	if m.Close {
-		event = eventClose
-	}
-	k.stepGrant(a, event)
-	a.startedAt = now
-	a.seq++
-	a.retryAt = now.Add(retryPause)
-	// What is on its way back must not be held meanwhile.
-	a.returned += m.Return
-	m.Grant = a.grant
-	m.Spent = a.spent
-	m.Presumed = a.presumed
-	m.DrawnBefore = a.drawn
-	m.Seq = a.seq
-	return m
-}
-
-// Moved takes the result of a move and serves those who waited for it.
-func (k *Keeper) Moved(now time.Time, r MoveResult) []Effect {
-	a, ok := k.accounts[r.Move.Grant.Budget]
-	if !ok || a.grant != r.Move.Grant {
-		return nil
-	}
-	k.stepGrant(a, answerTo(r))
-	a.failed = r.Failed
-	if r.Failed {
-		a.returned -= r.Move.Return
-		return k.serve(now, a)
-	}
-	a.known = true
-	a.askedAt = a.startedAt
-	a.drawn += r.Drawn
-	a.left = r.Left
-	a.elsewhere = r.Elsewhere
-	a.others = r.Others
-	if k.settings.Policy == PolicySlice {
-		a.left = 0
-		a.elsewhere = 0
-	}
-	if r.Drawn > 0 {
-		a.retryAt = now
-	}
-	if r.Move.Close {
-		return k.closed(now, a)
-	}
-	return k.serve(now, a)
-}
-
-// closed forgets a grant that the table has ended; waiting requests open a new one.
-func (k *Keeper) closed(now time.Time, a *account) []Effect {
-	fresh := &account{
-		budget: a.budget, state: grantChart.Initial(), waiting: a.waiting, rate: a.rate, rateAt: a.rateAt, lastHold: a.lastHold,
-		horizon: a.horizon, bySidecar: map[masticway.Incarnation]masticway.Amount{},
-	}
-	delete(k.accounts, a.budget)
-	if len(fresh.waiting) == 0 {
-		return nil
-	}
-	k.accounts[a.budget] = fresh
-	for _, w := range fresh.waiting {
-		k.waits[w.request.ID] = fresh
-	}
-	return k.serve(now, fresh)
-}
-
 // Tick ends waits that are over and draws for those that go on; its cost follows the requests that wait.
 func (k *Keeper) Tick(now time.Time) []Effect {
 	if len(k.waits) == 0 {
--- a/keeper/return.go
+++ b/keeper/return.go
@@ -4,6 +4,14 @@
 	"time"
 )
 
+const (
+	// surplus is the multiple of the horizon's demand above which money goes back.
+	surplus = 3
+	// yieldAfter is how long a budget that another router keeps must be quiet here before it is handed over,
+	// so that a keeper that is briefly out of reach does not cost a move for each request.
+	yieldAfter = 2 * time.Second
+)
+
 // Tidy returns idle money and drops quiet budgets; it looks at every budget, so it is called seldom.
 func (k *Keeper) Tidy(now time.Time) []Effect {
 	var effects []Effect
