--- /dev/null
+++ b/commander/budgets.go
@@ -0,0 +1,97 @@
+package commander
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/masticway/masticway"
+	"github.com/masticway/masticway/router"
+)
+
+func budgetCommand() *command {
+	return &command{name: "budget", description: "show and top up budgets", subs: []*command{budgetShow(), budgetTopUp()}}
+}
+
+func budgetShow() *command {
+	c, budget := &client{}, ""
+	return &command{
+		name: "show", description: "show what is prepaid, settled, granted and stranded",
+		example: "masticway budget show tailoring --router http://127.0.0.1:8101 --token-file examples/admin.token",
+		flags: func(s *flaggy.Subcommand) {
+			c.flags(s)
+			s.AddPositionalValue(&budget, "budget", 1, true, "name of the budget")
+		},
+		run: func(ctx context.Context, e env) error {
+			data, err := c.call(ctx, http.MethodGet, "/admin/v1/budgets/"+budget, nil)
+			if err != nil {
+				return err
+			}
+			return show(c, e, data, printBudget)
+		},
+	}
+}
+
+func printBudget(w io.Writer, v router.BudgetStatus) {
+	rows := []struct {
+		name   string
+		amount masticway.Amount
+	}{
+		{"prepaid", v.Prepaid}, {"settled", v.Settled}, {"presumed", v.Presumed}, {"given back", v.GivenBack},
+		{"granted", v.Granted}, {"stranded", v.Stranded}, {"left", v.Left},
+	}
+	fmt.Fprintf(w, "budget %s, in tokens at weight one\n", v.Budget)
+	for _, r := range rows {
+		fmt.Fprintf(w, "  %-10s %s\n", r.name, tokens(r.amount))
+	}
+	for _, g := range v.Grants {
+		state := "in use"
+		if g.Stranded {
+			state = "stranded: " + g.Why
+		}
+		fmt.Fprintf(w, "  grant to %s: %s (%s)\n", g.Payer, tokens(g.Open), state)
+	}
+	if v.Here != nil {
+		fmt.Fprintf(w, "  at this router: drawn %s spent %s held %s in %d holds\n", tokens(v.Here.Drawn), tokens(v.Here.Spent), tokens(v.Here.Held), v.Here.Holds)
+	}
+}
+
+func budgetTopUp() *command {
+	c, f, budget, amount := &client{}, &changeFlags{}, "", ""
+	return &command{
+		name: "top-up", description: "add prepaid tokens to a budget, or make it",
+		example: "masticway budget top-up tailoring 1000000 --change-id order-17 --router http://127.0.0.1:8101 --token-file examples/admin.token",
+		flags: func(s *flaggy.Subcommand) {
+			c.flags(s)
+			f.flags(s, false)
+			s.AddPositionalValue(&budget, "budget", 1, true, "name of the budget")
+			s.AddPositionalValue(&amount, "tokens", 2, true, "tokens at weight one to add")
+		},
+		run: func(ctx context.Context, e env) error {
+			n, err := strconv.ParseInt(amount, 10, 64)
+			if err != nil || n <= 0 {
+				return &usageError{reason: "tokens must be a positive whole number"}
+			}
+			body, err := json.Marshal(struct {
+				Amount masticway.Amount `json:"amount"`
+			}{masticway.Amount(n) * masticway.PerToken})
+			if err != nil {
+				return fmt.Errorf("encoding the amount: %w", err)
+			}
+			data, err := c.call(ctx, http.MethodPost, "/admin/v1/budgets/"+budget+"/top-ups", body, f.headers()...)
+			if err != nil {
+				return err
+			}
+			return show(c, e, data, func(w io.Writer, v struct {
+				Prepaid masticway.Amount `json:"prepaid"`
+			}) {
+				fmt.Fprintf(w, "prepaid is now %s tokens\n", tokens(v.Prepaid))
+			})
+		},
+	}
+}
--- /dev/null
+++ b/commander/configuration.go
@@ -0,0 +1,148 @@
+package commander
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/masticway/masticway"
+	"github.com/masticway/masticway/router"
+	"github.com/masticway/masticway/validator"
+)
+
+func catalogCommand() *command {
+	return &command{
+		name: "catalog", description: "put and get the catalog of models and services",
+		subs: []*command{catalogPut(), catalogGet()},
+	}
+}
+
+func catalogPut() *command {
+	c, f, file := &client{}, &changeFlags{}, ""
+	return &command{
+		name: "put", description: "put the catalog",
+		example: "masticway catalog put examples/catalog.json --router http://127.0.0.1:8101 --token-file examples/admin.token",
+		flags: func(s *flaggy.Subcommand) {
+			c.flags(s)
+			f.flags(s, true)
+			fileArgument(s, &file, "catalog file")
+		},
+		run: func(ctx context.Context, e env) error {
+			if _, err := readFile[masticway.Catalog](validator.KindCatalog, file); err != nil {
+				return err
+			}
+			body, err := os.ReadFile(file)
+			if err != nil {
+				return fmt.Errorf("reading %s: %w", file, err)
+			}
+			data, err := c.call(ctx, http.MethodPut, "/admin/v1/catalog", body, f.headers()...)
+			if err != nil {
+				return err
+			}
+			return show(c, e, data, printChange)
+		},
+	}
+}
+
+func catalogGet() *command {
+	c := &client{}
+	return &command{
+		name: "get", description: "show the catalog",
+		example: "masticway catalog get --router http://127.0.0.1:8101 --token-file examples/admin.token",
+		flags:   c.flags,
+		run: func(ctx context.Context, e env) error {
+			data, err := c.call(ctx, http.MethodGet, "/admin/v1/catalog", nil)
+			if err != nil {
+				return err
+			}
+			return show(c, e, data, func(w io.Writer, v struct {
+				Revision masticway.Revision `json:"revision"`
+				Catalog  masticway.Catalog  `json:"catalog"`
+			}) {
+				fmt.Fprintf(w, "revision %d\n", v.Revision)
+				for _, m := range v.Catalog.Models {
+					fmt.Fprintf(w, "model   %-20s prompt %s completion %s tokens a token\n", m.Name, tokens(m.PromptWeight), tokens(m.CompletionWeight))
+				}
+				for _, s := range v.Catalog.Services {
+					fmt.Fprintf(w, "service %-20s %s tokens a call\n", s.Name, tokens(s.Price))
+				}
+			})
+		},
+	}
+}
+
+func configCommand() *command {
+	return &command{
+		name: "config", description: "history of the configuration, and where it is in force",
+		subs: []*command{configPut(), configGet(), configHistory(), configStatus()},
+	}
+}
+
+func configPut() *command {
+	put := catalogPut()
+	put.example = "masticway config put examples/catalog.json --router http://127.0.0.1:8101 --token-file examples/admin.token"
+	return put
+}
+
+func configGet() *command {
+	get := catalogGet()
+	get.example = "masticway config get --router http://127.0.0.1:8101 --token-file examples/admin.token"
+	return get
+}
+
+func configHistory() *command {
+	c := &client{}
+	return &command{
+		name: "history", description: "list the newest accepted changes",
+		example: "masticway config history --router http://127.0.0.1:8101 --token-file examples/admin.token",
+		flags:   c.flags,
+		run: func(ctx context.Context, e env) error {
+			data, err := c.call(ctx, http.MethodGet, "/admin/v1/config/history", nil)
+			if err != nil {
+				return err
+			}
+			return show(c, e, data, func(w io.Writer, v struct {
+				Changes []masticway.Change `json:"changes"`
+			}) {
+				for _, k := range v.Changes {
+					fmt.Fprintf(w, "%6d  %s  %s\n", k.Revision, k.ID, subject(k))
+				}
+			})
+		},
+	}
+}
+
+func subject(c masticway.Change) string {
+	switch {
+	case c.Contract != nil:
+		return "contract " + c.Contract.Workspace
+	case c.Removed != "":
+		return "removed " + c.Removed
+	}
+	return "catalog"
+}
+
+func configStatus() *command {
+	c := &client{}
+	return &command{
+		name: "status", description: "tell where the newest revision is in force, and who is behind",
+		example: "masticway config status --router http://127.0.0.1:8101 --token-file examples/admin.token",
+		flags:   c.flags,
+		run: func(ctx context.Context, e env) error {
+			data, err := c.call(ctx, http.MethodGet, "/admin/v1/config/status", nil)
+			if err != nil {
+				return err
+			}
+			return show(c, e, data, func(w io.Writer, v router.ConfigStatus) {
+				fmt.Fprintf(w, "head %d, in force everywhere: %t\n", v.Head, v.InForce)
+				for _, d := range v.Daemons {
+					fmt.Fprintf(w, "  %-40s applied %d  %s  lease to %s\n", d.Incarnation, d.Applied, d.State, d.Lease.Format("15:04:05.000"))
+				}
+			})
+		},
+	}
+}
