Make one function serve every command that calls a router

Thirteen commands each called, passed an error on and showed the answer: perform does it, and apiCall names what a call takes.

--- a/commander/budgets.go
+++ b/commander/budgets.go
@@ -28,11 +28,7 @@
 			s.AddPositionalValue(&budget, "budget", 1, true, "name of the budget")
 		},
 		run: func(ctx context.Context, e env) error {
-			data, err := c.call(ctx, http.MethodGet, "/admin/v1/budgets/"+budget, nil)
-			if err != nil {
-				return err
-			}
-			return show(c, e, data, printBudget)
+			return perform(ctx, c, e, apiCall{method: http.MethodGet, path: "/admin/v1/budgets/" + budget}, printBudget)
 		},
 	}
 }
@@ -83,11 +79,8 @@
 			if err != nil {
 				return fmt.Errorf("encoding the amount: %w", err)
 			}
-			data, err := c.call(ctx, http.MethodPost, "/admin/v1/budgets/"+budget+"/top-ups", body, f.headers()...)
-			if err != nil {
-				return err
-			}
-			return show(c, e, data, func(w io.Writer, v struct {
+			call := apiCall{method: http.MethodPost, path: "/admin/v1/budgets/" + budget + "/top-ups", body: body, headers: f.headers()}
+			return perform(ctx, c, e, call, func(w io.Writer, v struct {
 				Prepaid masticway.Amount `json:"prepaid"`
 			}) {
 				fmt.Fprintf(w, "prepaid is now %s tokens\n", tokens(v.Prepaid))
--- a/commander/client.go
+++ b/commander/client.go
@@ -47,7 +47,24 @@
 	value string
 }
 
-func (c *client) call(ctx context.Context, method, path string, body []byte, headers ...header) ([]byte, error) {
+// apiCall is one request to the operators' API.
+type apiCall struct {
+	method  string
+	path    string
+	body    []byte
+	headers []header
+}
+
+// perform makes a call and shows its answer.
+func perform[T any](ctx context.Context, c *client, e env, call apiCall, text func(w io.Writer, v T)) error {
+	data, err := c.call(ctx, call)
+	if err != nil {
+		return err
+	}
+	return show(c, e, data, text)
+}
+
+func (c *client) call(ctx context.Context, call apiCall) ([]byte, error) {
 	if c.router == "" || c.tokenFile == "" {
 		return nil, &usageError{reason: "--router and --token-file are needed"}
 	}
@@ -60,12 +77,12 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, clientTimeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, method, strings.TrimSuffix(c.router, "/")+path, bytes.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, call.method, strings.TrimSuffix(c.router, "/")+call.path, bytes.NewReader(call.body))
 	if err != nil {
 		return nil, fmt.Errorf("building request: %w", err)
 	}
 	request.Header.Set("Authorization", "Bearer "+token)
-	for _, h := range headers {
+	for _, h := range call.headers {
 		request.Header.Set(h.name, h.value)
 	}
 	response, err := http.DefaultClient.Do(request)
--- a/commander/configuration.go
+++ b/commander/configuration.go
@@ -39,11 +39,8 @@
 			if err != nil {
 				return fmt.Errorf("reading %s: %w", file, err)
 			}
-			data, err := c.call(ctx, http.MethodPut, "/admin/v1/catalog", body, f.headers()...)
-			if err != nil {
-				return err
-			}
-			return show(c, e, data, printChange)
+			call := apiCall{method: http.MethodPut, path: "/admin/v1/catalog", body: body, headers: f.headers()}
+			return perform(ctx, c, e, call, printChange)
 		},
 	}
 }
@@ -55,11 +52,7 @@
 		example: "masticway catalog get --router http://127.0.0.1:8101 --token-file examples/admin.token",
 		flags:   c.flags,
 		run: func(ctx context.Context, e env) error {
-			data, err := c.call(ctx, http.MethodGet, "/admin/v1/catalog", nil)
-			if err != nil {
-				return err
-			}
-			return show(c, e, data, func(w io.Writer, v struct {
+			return perform(ctx, c, e, apiCall{method: http.MethodGet, path: "/admin/v1/catalog"}, func(w io.Writer, v struct {
 				Revision masticway.Revision `json:"revision"`
 				Catalog  masticway.Catalog  `json:"catalog"`
 			}) {
@@ -101,11 +94,7 @@
 		example: "masticway config history --router http://127.0.0.1:8101 --token-file examples/admin.token",
 		flags:   c.flags,
 		run: func(ctx context.Context, e env) error {
-			data, err := c.call(ctx, http.MethodGet, "/admin/v1/config/history", nil)
-			if err != nil {
-				return err
-			}
-			return show(c, e, data, func(w io.Writer, v struct {
+			return perform(ctx, c, e, apiCall{method: http.MethodGet, path: "/admin/v1/config/history"}, func(w io.Writer, v struct {
 				Changes []masticway.Change `json:"changes"`
 			}) {
 				for _, k := range v.Changes {
@@ -133,11 +122,7 @@
 		example: "masticway config status --router http://127.0.0.1:8101 --token-file examples/admin.token",
 		flags:   c.flags,
 		run: func(ctx context.Context, e env) error {
-			data, err := c.call(ctx, http.MethodGet, "/admin/v1/config/status", nil)
-			if err != nil {
-				return err
-			}
-			return show(c, e, data, func(w io.Writer, v router.ConfigStatus) {
+			return perform(ctx, c, e, apiCall{method: http.MethodGet, path: "/admin/v1/config/status"}, func(w io.Writer, v router.ConfigStatus) {
 				fmt.Fprintf(w, "head %d, in force everywhere: %t\n", v.Head, v.InForce)
 				for _, d := range v.Daemons {
 					fmt.Fprintf(w, "  %-40s applied %d  %s  lease to %s\n", d.Incarnation, d.Applied, d.State, d.Lease.Format("15:04:05.000"))
--- a/commander/contracts.go
+++ b/commander/contracts.go
@@ -40,11 +40,8 @@
 			if err != nil {
 				return fmt.Errorf("encoding the contract: %w", err)
 			}
-			data, err := c.call(ctx, http.MethodPut, "/admin/v1/contracts/"+contract.Workspace, body, f.headers()...)
-			if err != nil {
-				return err
-			}
-			return show(c, e, data, printChange)
+			call := apiCall{method: http.MethodPut, path: "/admin/v1/contracts/" + contract.Workspace, body: body, headers: f.headers()}
+			return perform(ctx, c, e, call, printChange)
 		},
 	}
 }
@@ -59,11 +56,7 @@
 			s.AddPositionalValue(&workspace, "workspace", 1, true, "workspace of the contract")
 		},
 		run: func(ctx context.Context, e env) error {
-			data, err := c.call(ctx, http.MethodGet, "/admin/v1/contracts/"+workspace, nil)
-			if err != nil {
-				return err
-			}
-			return show(c, e, data, func(w io.Writer, v router.ContractAnswer) {
+			return perform(ctx, c, e, apiCall{method: http.MethodGet, path: "/admin/v1/contracts/" + workspace}, func(w io.Writer, v router.ContractAnswer) {
 				fmt.Fprintf(w, "revision   %d\nworkspace  %s\nbudget     %s\nclass      %s\npriority   %d\n", v.Revision, v.Contract.Workspace, v.Contract.Budget, v.Contract.Class, v.Contract.Priority)
 				for _, m := range v.Contract.Models {
 					fmt.Fprintf(w, "model      %s\n", m.Name)
@@ -83,11 +76,7 @@
 		example: "masticway contract list --router http://127.0.0.1:8101 --token-file examples/admin.token",
 		flags:   c.flags,
 		run: func(ctx context.Context, e env) error {
-			data, err := c.call(ctx, http.MethodGet, "/admin/v1/contracts", nil)
-			if err != nil {
-				return err
-			}
-			return show(c, e, data, func(w io.Writer, v router.ContractsAnswer) {
+			return perform(ctx, c, e, apiCall{method: http.MethodGet, path: "/admin/v1/contracts"}, func(w io.Writer, v router.ContractsAnswer) {
 				for _, k := range v.Contracts {
 					fmt.Fprintf(w, "%-20s budget %-20s models %d services %d keys %d\n", k.Workspace, k.Budget, len(k.Models), len(k.Services), len(k.KeyHashes))
 				}
@@ -107,11 +96,8 @@
 			s.AddPositionalValue(&workspace, "workspace", 1, true, "workspace of the contract")
 		},
 		run: func(ctx context.Context, e env) error {
-			data, err := c.call(ctx, http.MethodDelete, "/admin/v1/contracts/"+workspace, nil, f.headers()...)
-			if err != nil {
-				return err
-			}
-			return show(c, e, data, printChange)
+			call := apiCall{method: http.MethodDelete, path: "/admin/v1/contracts/" + workspace, headers: f.headers()}
+			return perform(ctx, c, e, call, printChange)
 		},
 	}
 }
--- a/commander/operators.go
+++ b/commander/operators.go
@@ -60,11 +60,7 @@
 			s.AddPositionalValue(&id, "request", 1, true, "Masticway-Request-Id of the request")
 		},
 		run: func(ctx context.Context, e env) error {
-			data, err := c.call(ctx, http.MethodGet, "/admin/v1/requests/"+id, nil)
-			if err != nil {
-				return err
-			}
-			return show(c, e, data, printTrace)
+			return perform(ctx, c, e, apiCall{method: http.MethodGet, path: "/admin/v1/requests/" + id}, printTrace)
 		},
 	}
 }
--- a/commander/upstreams.go
+++ b/commander/upstreams.go
@@ -23,11 +23,7 @@
 		example: "masticway upstream list --router http://127.0.0.1:8101 --token-file examples/admin.token",
 		flags:   c.flags,
 		run: func(ctx context.Context, e env) error {
-			data, err := c.call(ctx, http.MethodGet, "/admin/v1/upstreams", nil)
-			if err != nil {
-				return err
-			}
-			return show(c, e, data, func(w io.Writer, v struct {
+			return perform(ctx, c, e, apiCall{method: http.MethodGet, path: "/admin/v1/upstreams"}, func(w io.Writer, v struct {
 				Upstreams []struct {
 					Instance string   `json:"instance"`
 					State    string   `json:"state"`
@@ -61,11 +57,8 @@
 			if err != nil {
 				return fmt.Errorf("encoding the order: %w", err)
 			}
-			data, err := c.call(ctx, http.MethodPost, "/admin/v1/upstreams/"+instance+"/orders", body, f.headers()...)
-			if err != nil {
-				return err
-			}
-			return show(c, e, data, func(w io.Writer, o masticway.Order) {
+			call := apiCall{method: http.MethodPost, path: "/admin/v1/upstreams/" + instance + "/orders", body: body, headers: f.headers()}
+			return perform(ctx, c, e, call, func(w io.Writer, o masticway.Order) {
 				fmt.Fprintf(w, "done: %s %s with fencing number %d\n", o.Action, o.Target, o.Fence)
 			})
 		},
