--- a/router/peers.go
+++ b/router/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -112,11 +113,7 @@
 func (p *peers) linked() []*linker.Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	all := make([]*linker.Conn, 0, len(p.conns))
-	for _, c := range p.conns {
-		all = append(all, c)
-	}
-	return all
+	return slices.AppendSeq(make([]*linker.Conn, 0, len(p.conns)), maps.Values(p.conns))
 }
 
 // tick marks the peers that have been silent, whose budgets others keep until they speak again.
--- a/router/upstreams.go
+++ b/router/upstreams.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -163,11 +164,7 @@
 func (u *upstreams) linked() []*linker.Conn {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	all := make([]*linker.Conn, 0, len(u.conns))
-	for _, c := range u.conns {
-		all = append(all, c)
-	}
-	return all
+	return slices.AppendSeq(make([]*linker.Conn, 0, len(u.conns)), maps.Values(u.conns))
 }
 
 // handle takes one message from a sidecar.
