--- a/commander/commands.go
+++ b/commander/commands.go
@@ -12,7 +12,7 @@
 	return []*command{
 		devCommand(), gatewayCommand(), routerCommand(), sidecarCommand(), emulateCommand(), checkCommand(),
 		contractCommand(), budgetCommand(), configCommand(), catalogCommand(), upstreamCommand(), explainCommand(),
-		accountCommand(), keyCommand(), loadCommand(), docsCommand(), versionCommand(),
+		accountCommand(), keyCommand(), loadCommand(), soakCommand(), docsCommand(), versionCommand(),
 	}
 }
 
--- a/emulator/opaque.go
+++ b/emulator/opaque.go
@@ -44,6 +44,9 @@
 	TimeLeft                               time.Duration
 	Key                                    bool
 	Body                                   string
+	// At is when the server began to work on it, Fault how it treated it.
+	At    time.Time
+	Fault OpaqueFault
 	// Left tells that the caller's connection ended before the answer was whole.
 	Left bool
 }
@@ -85,7 +88,10 @@
 	// Events is the number of events of a stream, Pause what separates them.
 	events int
 	pause  time.Duration
-	conns  map[net.Conn]bool
+	// echo makes answers repeat the request, after the time that the work takes.
+	echo  bool
+	work  time.Duration
+	conns map[net.Conn]bool
 }
 
 // StartOpaqueServer starts a server on a loopback port.
@@ -116,6 +122,20 @@
 	s.events, s.pause = events, pause
 }
 
+// Echo makes plain answers repeat the request's id and body, after the time that the work takes, and events repeat its id,
+// so that an answer which is not the request's own shows in its body.
+func (s *OpaqueServer) Echo(work time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.echo, s.work = true, work
+}
+
+func (s *OpaqueServer) echoes() (bool, time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.echo, s.work
+}
+
 // Close ends the server and its connections.
 func (s *OpaqueServer) Close() {
 	_ = s.l.Close()
@@ -183,6 +203,7 @@
 	run := s.ledger.add(OpaqueRun{
 		ID: id, Server: s.ID, Workspace: r.Header.Get("X-Tenant"), LastEvent: r.Header.Get("Last-Event-Id"), Path: r.RequestURI,
 		TimeLeft: time.Duration(left) * time.Millisecond, Key: r.Header.Get("Authorization") != "", Body: body,
+		At: time.Now(), Fault: fault,
 	})
 	head := "X-Attempt-Id: " + id + "\r\nX-Server-Signature: signed-by-" + s.ID + "\r\n"
 	switch fault {
@@ -207,24 +228,33 @@
 		}
 	}
 	if r.Header.Get("X-Token-Count") != "" {
-		return s.stream(c, run, head, r.Header.Get("Last-Event-Id"), events, pause, fault == OpaqueCut)
+		return s.stream(c, run, id, head, r.Header.Get("Last-Event-Id"), events, pause, fault == OpaqueCut)
 	}
 	if fault == OpaqueCut {
 		s.write(c, "HTTP/1.1 200 OK\r\n"+head+"Content-Length: 100\r\n\r\nhalf")
 		return false
 	}
-	return s.write(c, "HTTP/1.1 200 OK\r\n"+head+"Content-Length: 2\r\n\r\nok")
+	text := "ok"
+	if echo, work := s.echoes(); echo {
+		time.Sleep(work)
+		text = "ok " + id + " " + body
+	}
+	return s.write(c, fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", head, len(text), text))
 }
 
 // stream sends events after the last one that the caller has; a cut one ends in the middle of an event.
-func (s *OpaqueServer) stream(c net.Conn, run int, head, last string, events int, pause time.Duration, cut bool) bool {
+func (s *OpaqueServer) stream(c net.Conn, run int, id, head, last string, events int, pause time.Duration, cut bool) bool {
 	if !s.write(c, "HTTP/1.1 200 OK\r\n"+head+"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n") {
 		return false
 	}
+	suffix := ""
+	if echo, _ := s.echoes(); echo {
+		suffix = " of " + id
+	}
 	first, _ := strconv.Atoi(last)
 	for i := first + 1; i <= events; i++ {
 		time.Sleep(pause)
-		event := fmt.Sprintf("id: %d\ndata: piece %d\n\n", i, i)
+		event := fmt.Sprintf("id: %d\ndata: piece %d%s\n\n", i, i, suffix)
 		if cut && i == first+(events-first+1)/2+1 {
 			event = event[:len(event)/2]
 			s.write(c, fmt.Sprintf("%x\r\n%s\r\n", len(event), event))
