--- a/commander/soak.go
+++ b/commander/soak.go
@@ -41,10 +41,14 @@
 			if err != nil {
 				return err
 			}
-			fmt.Fprintf(e.out, "seed %d: ", seed)
-			report.Print(e.out)
-			if n := len(report.Violations); n > 0 {
-				return &promiseError{failures: []string{fmt.Sprintf("%d violations, see %s", n, directory)}}
+			fmt.Fprintf(e.out, "seed %d: %d requests, %d served, %d versions, %d faults\n", seed, report.Requests, report.Served, report.Versions, report.Faults)
+			var failures []string
+			for _, v := range report.Violations {
+				fmt.Fprintf(e.out, "  %s: %s\n", v.Promise, v.Text)
+				failures = append(failures, v.Promise)
+			}
+			if len(failures) > 0 {
+				return &promiseError{failures: failures}
 			}
 			return nil
 		},
--- a/soaker/caller.go
+++ b/soaker/caller.go
@@ -1,131 +1,216 @@
 package soaker
 
 import (
-	"bufio"
+	"context"
 	"errors"
 	"fmt"
+	"io"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"os"
+	"net/http/httptrace"
+	"strconv"
+	"strings"
+	"sync/atomic"
 	"time"
 )
 
+// Outcomes of a request for its caller.
 const (
+	outcomeUnsent   = "unsent"   // there was no connection, or it broke before all was written
+	outcomeAnswered = "answered" // an answer that is complete by the protocol
+	outcomeBroken   = "broken"   // the connection ended before a complete answer
+	outcomeSilent   = "silent"   // nothing more came while the caller waited
+)
+
+const (
+	// answerSlack is how much longer than the request's time a caller waits: twice what the rules of time allow.
+	answerSlack = time.Second
+	// leaving is the part of the requests whose callers leave early, within leavesWithin.
+	leaving, leavesWithin = 0.03, 300 * time.Millisecond
+	// promptMost and spareOutput are the most tokens of a prompt, and those that are declared beyond what a stream has.
+	promptMost, spareOutput = 1500, 30
+	// limitLeast and limitMost bound the time that a caller gives.
+	limitLeast, limitMost = time.Second, 8 * time.Second
+	// largestBody is the most bytes that a body has; most have far fewer.
+	largestBody = 40 << 10
 	// thinkMost bounds a caller's usual pause, idleMost the longer one of idleShare of them, in which a router may end.
-	thinkMost = 120 * time.Millisecond
-	idleMost  = 5 * time.Second
-	idleShare = 0.03
-	// connectTimeout is how long callers let a new connection take, unreachedPause the pause after one that failed.
+	thinkMost, idleMost, idleShare = 120 * time.Millisecond, 8 * time.Second, 0.04
+	// connectTimeout is how long callers let a new connection take.
 	connectTimeout = time.Second
-	unreachedPause = 100 * time.Millisecond
+	// statusForeign stands for a success whose body is not the request's own answer.
+	statusForeign = -http.StatusOK
 )
 
+// request is one request of a caller and what came of it.
+type request struct {
+	route
+	id, path, workspace, body string
+	prompt, declared, router  int
+	// limit is the time that the caller gives, patience how long it waits: longer, unless it leaves early.
+	limit, patience time.Duration
+	// kept tells that the connection had carried a request before, written that this one was sent whole.
+	kept    bool
+	written atomic.Bool
+
+	sentAt, endedAt             time.Time
+	outcome, answerID, signedBy string
+	status, events              int
+	fault                       error
+}
+
+// String describes the request and what came of it.
+func (q *request) String() string {
+	return fmt.Sprintf("%s at router-%d, sent %s (kept %t), limit %s, %s with status %d and %d events after %s: %v", q.path, q.router,
+		q.sentAt.UTC().Format(clockFormat), q.kept, q.limit, q.outcome, q.status, q.events, q.endedAt.Sub(q.sentAt).Round(time.Millisecond), q.fault)
+}
+
+// whole is the whole answer of a sound server.
+func (q *request) whole(events int) (text string) {
+	if !q.metered {
+		return "ok " + q.id + " " + q.body
+	}
+	for i := range events {
+		text += fmt.Sprintf("id: %d\ndata: piece %d of %s\n\n", i+1, i+1, q.id)
+	}
+	return text
+}
+
 // caller sends requests one after the other on a connection that it keeps for as long as it is open.
 type caller struct {
-	soak   *run
-	random *rand.Rand
-	name   string
-	sent   int
-	conn   net.Conn
-	reader *bufio.Reader
-	router int
-	// used tells that the connection has carried a request.
-	used bool
+	soak      *run
+	random    *rand.Rand
+	name      string
+	sent      int
+	transport http.Transport
+}
+
+// newCaller returns a caller whose new connections go to one of the addresses.
+func (s *run) newCaller(name string, stream int, addresses ...string) *caller {
+	c := &caller{soak: s, name: fmt.Sprintf("%s%d", name, stream), random: rand.New(rand.NewPCG(s.Seed, uint64(stream)))}
+	c.transport.DialContext = func(ctx context.Context, network, _ string) (net.Conn, error) {
+		return (&net.Dialer{Timeout: connectTimeout}).DialContext(ctx, network, addresses[rand.IntN(len(addresses))])
+	}
+	return c
 }
 
 // call sends requests until the soak ends.
 func (c *caller) call(done <-chan struct{}) {
-	defer c.drop()
+	defer c.transport.CloseIdleConnections()
 	for {
-		pause := time.Duration(c.random.Int64N(int64(thinkMost)))
+		pause := below(c.random, thinkMost)
 		if c.random.Float64() < idleShare {
-			pause = time.Duration(c.random.Int64N(int64(idleMost)))
+			pause = below(c.random, idleMost)
 		}
 		select {
 		case <-done:
 			return
 		case <-time.After(pause):
 		}
-		i := c.random.IntN(len(c.soak.processes))
-		if !c.connected() && !c.connect(i, c.soak.processes[i].callers.Addr().String()) {
-			time.Sleep(unreachedPause)
-			continue
-		}
 		c.ask(routes[c.random.IntN(len(routes))])
 	}
 }
 
-// ask sends a request for a route.
-func (c *caller) ask(r route) *request {
-	c.sent++
-	q := draw(c.random, r, fmt.Sprintf("%s-%d", c.name, c.sent), c.soak.park.events)
-	c.send(q)
-	return q
+func below(random *rand.Rand, most time.Duration) time.Duration {
+	return 1 + time.Duration(random.Int64N(int64(most)))
 }
 
-// send sends a request on the present connection.
-func (c *caller) send(q *request) {
-	q.router, q.kept, c.used = c.router, c.used, true
-	c.soak.record.begin(q)
-	q.exchange(c.conn, c.reader)
-	c.soak.finish(q)
-	if q.outcome != outcomeAnswered || q.last {
-		c.drop()
+// ask sends a request for a route and returns its status.
+func (c *caller) ask(r route) int {
+	random := c.random
+	q := &request{
+		route: r, prompt: random.IntN(promptMost), declared: c.soak.events*tokensPerEvent + random.IntN(spareOutput),
+		// Routers are told whole milliseconds.
+		limit: (limitLeast + below(random, limitMost-limitLeast)).Truncate(time.Millisecond), body: strings.Repeat("x", int(math.Pow(largestBody, random.Float64()))),
 	}
-}
-
-// connected tells whether the kept connection is still open, and leaves it when the router has ended it.
-func (c *caller) connected() bool {
-	if c.conn == nil {
-		return false
+	if !r.anonymous {
+		q.workspace = workspaces[random.IntN(len(workspaces))]
 	}
-	_ = c.conn.SetReadDeadline(time.Now().Add(time.Millisecond))
-	_, err := c.reader.Peek(1)
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		return true
+	q.patience = min(q.limit, routeTimeout) + answerSlack
+	if random.Float64() < leaving {
+		q.patience = below(random, leavesWithin)
 	}
-	if err == nil {
-		c.soak.record.violate(promiseWhole, "%s got bytes from router-%d with no request waiting", c.name, c.router)
+	c.send(q, r.name)
+	return q.status
+}
+
+// askUntil asks until a request of a route is served.
+func (c *caller) askUntil(ctx context.Context, r route, until time.Time) {
+	defer c.transport.CloseIdleConnections()
+	for c.ask(r) != http.StatusOK && ctx.Err() == nil {
+		if time.Now().After(until) {
+			c.soak.violate(promiseRecovered, "%s served no %q within %s after all faults", c.name, r.name, recoveryBound)
+			return
+		}
+		time.Sleep(probePause)
 	}
-	c.drop()
-	return false
 }
 
-func (c *caller) connect(router int, address string) bool {
-	conn, err := net.DialTimeout("tcp", address, connectTimeout)
-	if err != nil {
-		return false
+// send sends a request to a path and judges what can be judged at once.
+func (c *caller) send(q *request, path string) {
+	c.sent++
+	q.id = fmt.Sprintf("%s-%d", c.name, c.sent)
+	q.path, q.body = "/"+path+"/"+q.id, q.id+q.body
+	c.soak.keep(q)
+	q.sentAt, q.outcome = time.Now(), outcomeAnswered
+	q.fault = c.exchange(q)
+	q.endedAt = time.Now()
+	switch {
+	case !q.written.Load():
+		q.outcome = outcomeUnsent
+	case errors.Is(q.fault, context.DeadlineExceeded):
+		q.outcome = outcomeSilent
+	case q.fault != nil:
+		q.outcome = outcomeBroken
 	}
-	c.router, c.conn, c.reader, c.used = router, conn, bufio.NewReader(conn), false
-	return true
+	c.soak.judgeNow(q)
 }
 
-func (c *caller) drop() {
-	if c.conn != nil {
-		_ = c.conn.Close()
+// exchange sends a request and reads its answer.
+func (c *caller) exchange(q *request) error {
+	ctx, cancel := context.WithTimeout(context.Background(), q.patience)
+	defer cancel()
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(i httptrace.GotConnInfo) {
+			q.kept, q.router = i.Reused, c.soak.routers[i.Conn.RemoteAddr().String()]
+		},
+		WroteRequest: func(i httptrace.WroteRequestInfo) { q.written.Store(i.Err == nil) },
+	})
+	out, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+callerHost+q.path, strings.NewReader(q.body))
+	if err != nil {
+		return err
 	}
-	c.conn, c.reader = nil, nil
+	// Without this the transport may send the body once more by itself.
+	out.GetBody = nil
+	out.Header.Set("X-Attempt-Id", q.id)
+	out.Header.Set("X-Deadline-Ms", strconv.FormatInt(q.limit.Milliseconds(), 10))
+	if q.workspace != "" {
+		out.Header.Set("Authorization", "Token "+keyPrefix+q.workspace)
+	}
+	if q.metered {
+		out.Header.Set("X-Token-Count", fmt.Sprintf("%d,%d", q.prompt, q.declared))
+	}
+	in, err := c.transport.RoundTrip(out)
+	if err != nil {
+		return err
+	}
+	defer in.Body.Close()
+	q.status, q.answerID, q.signedBy = in.StatusCode, in.Header.Get("X-Attempt-Id"), strings.TrimPrefix(in.Header.Get("X-Server-Signature"), "signed-by-")
+	body, err := io.ReadAll(in.Body)
+	return q.take(string(body), q.whole(c.soak.events), err)
 }
 
-// finish judges what can be judged at once.
-func (s *run) finish(q *request) {
-	got := s.record.deliver(q.workspace, q.tokens())
-	// What was paid is read after the delivery, so a top-up under way counts for the product.
-	if paid := s.operator.paid(q.workspace); q.tokens() > 0 && got > paid {
-		s.record.violate(promiseBudget, "%s got %d tokens of %d prepaid, with %s", q.workspace, got, paid, q)
-	}
-	switch q.status {
-	case statusForeign:
-		s.record.violate(promiseWhole, "not its answer: %s", q)
-	case http.StatusBadRequest, http.StatusUnauthorized, http.StatusForbidden, http.StatusNotFound, http.StatusRequestEntityTooLarge:
-		// Every configuration has these routes and keys, and a router that knows none answers 503.
-		if q.route.name != "" {
-			s.record.violate(promiseInForce, "refused what every configuration allows: %s", q)
-		}
-	case http.StatusPaymentRequired:
-		if !q.route.metered {
-			s.record.violate(promiseBudget, "402 for what costs nothing: %s", q)
-		}
+// take holds what a success brought against the whole: an answer that ends early is a beginning of it.
+func (q *request) take(body, whole string, err error) error {
+	if q.status != http.StatusOK {
+		return err
+	}
+	if q.metered {
+		q.events = strings.Count(body, "\n\n")
+	}
+	if !strings.HasPrefix(whole, body) || err == nil && body != whole {
+		q.status, err = statusForeign, fmt.Errorf("got %.200q for %.200q", body, whole)
 	}
+	return err
 }
--- a/soaker/faults.go
+++ b/soaker/faults.go
@@ -7,174 +7,179 @@
 	"github.com/masticway/masticway/emulator"
 )
 
-// event is one fault as drawn.
+// event is one fault as drawn: when it begins, how long it lasts, what it meets and, between 0 and 1, how bad it is.
 type event struct {
-	at     time.Duration
-	kind   string
-	target int
-	// size is between 0 and 1, length how long the fault lasts.
-	size   float64
-	length time.Duration
+	at, length time.Duration
+	kind       string
+	target     int
+	size       float64
 }
 
+// part returns a part of the most by the event's size, never nothing.
+func (e event) part(most int) int { return 1 + int(e.size*float64(most)) }
+
 // fault is a kind of fault: its weight in the draw, how long it lasts at most, and what it does until it is over.
 type fault struct {
 	weight int
 	most   time.Duration
-	do     func(s *run, e event) error
+	do     func(s *run, e event)
 }
 
 const (
 	// gapMost is the longest time between the beginnings of two faults, shortest the least length of one.
-	gapMost  = 1400 * time.Millisecond
-	shortest = 150 * time.Millisecond
-	// restartPause is the longest pause before a process that has ended is started again.
-	restartPause = time.Second
-	// delayMost and slowRate are the worst of a slow link: so long for each chunk, and so many bytes a second.
-	delayMost = 300 * time.Millisecond
-	slowRate  = 64 << 10
-	// storeDelay is the worst of a slow store, lateBy of late writes.
-	storeDelay = 400 * time.Millisecond
-	lateBy     = 3 * time.Second
-	// writesMost bounds the writes of one fault whose answers are lost or which come late, failuresMost the requests that
-	// one makes a server fail.
-	writesMost   = 30
+	gapMost, shortest = 1400 * time.Millisecond, 150 * time.Millisecond
+	// restartPause is the longest pause in milliseconds before a process that has ended is started again.
+	restartPause = 1000
+	// failuresMost bounds the requests that one fault makes a server fail.
 	failuresMost = 20
-	// fillersMost is by how many routes a configuration grows at most at once, topUpMost by how many tokens a budget.
-	fillersMost = 2000
-	topUpMost   = 60_000
+	// routesMost is by how many routes a configuration grows at most at once, topUpMost by how many tokens a budget.
+	routesMost, topUpMost = 4000, 30_000
 	// allTargets is the size from which on a fault of a router's link meets all of them.
 	allTargets = 0.8
+	// silentShare is the part of the leaving servers whose row goes without a word.
+	silentShare = 0.3
 )
 
+// slow is a bad link, cut one that holds everything back; a reset puts it into no condition.
+var slow, cut, reset = condition{delay: 200 * time.Millisecond, rate: 256 << 10}, condition{cut: true}, condition{}
+
 // kinds are all kinds of faults by name.
 var kinds = map[string]fault{
-	"term":              {10, 0, func(s *run, e event) error { return s.restart(e, plannedTarget, (*process).stop) }},
-	"kill":              {4, 0, func(s *run, e event) error { return s.restart(e, routerTarget, (*process).kill) }},
+	"term":              {10, 0, func(s *run, e event) { s.restart(e, plannedTarget, (*process).stop) }},
+	"kill":              {4, 0, func(s *run, e event) { s.restart(e, routerTarget, (*process).kill) }},
 	"kill_all":          {1, 0, (*run).killAll},
 	"freeze":            {3, 4 * time.Second, (*run).freeze},
 	"hangup":            {3, 0, (*run).hangup},
-	"callers_cut":       {2, 3 * time.Second, linkFault(callersLink, cutLink)},
-	"callers_slow":      {2, 3 * time.Second, linkFault(callersLink, slowLink)},
-	"callers_reset":     {2, 0, linkFault(callersLink, resetLink)},
-	"store_cut":         {3, 6 * time.Second, linkFault(storeLink, cutLink)},
-	"store_link_slow":   {3, 5 * time.Second, linkFault(storeLink, slowLink)},
-	"store_link_reset":  {2, 0, linkFault(storeLink, resetLink)},
-	"store_busy":        {2, 5 * time.Second, storeFault(func(event) emulator.RowFaults { return emulator.RowFaults{Busy: true} })},
-	"store_silent":      {2, 5 * time.Second, storeFault(func(event) emulator.RowFaults { return emulator.RowFaults{Silent: true} })},
-	"store_slow":        {2, 5 * time.Second, storeFault(slowStore)},
-	"answers_lost":      {2, 3 * time.Second, storeFault(func(e event) emulator.RowFaults { return emulator.RowFaults{LoseAnswers: e.part(writesMost)} })},
-	"writes_late":       {2, 3 * time.Second, storeFault(lateWrites)},
-	"history_forgotten": {2, 0, func(s *run, _ event) error { s.rows.Compact(); return nil }},
-	"server_drains":     {4, 0, func(s *run, e event) error { return s.park.drain(e.target%len(pools), e.size < 0.3) }},
-	"server_crashes":    {3, 0, func(s *run, e event) error { return s.park.crash(e.target % len(pools)) }},
+	"callers_cut":       {2, 3 * time.Second, linkFault(callersLink, cut)},
+	"callers_slow":      {2, 3 * time.Second, linkFault(callersLink, slow)},
+	"callers_reset":     {2, 0, linkFault(callersLink, reset)},
+	"store_cut":         {3, 6 * time.Second, linkFault(storeLink, cut)},
+	"store_link_slow":   {3, 5 * time.Second, linkFault(storeLink, slow)},
+	"store_link_reset":  {2, 0, linkFault(storeLink, reset)},
+	"store_busy":        {2, 5 * time.Second, storeFault(emulator.RowFaults{Busy: true})},
+	"store_silent":      {2, 5 * time.Second, storeFault(emulator.RowFaults{Silent: true})},
+	"store_slow":        {2, 5 * time.Second, storeFault(emulator.RowFaults{Slow: 250 * time.Millisecond})},
+	"answers_lost":      {2, 3 * time.Second, storeFault(emulator.RowFaults{LoseAnswers: 20})},
+	"writes_late":       {2, 3 * time.Second, storeFault(emulator.RowFaults{LateWrites: 20, LateBy: 1500 * time.Millisecond})},
+	"history_forgotten": {2, 0, func(s *run, _ event) { s.rows.Compact() }},
+	"server_drains":     {4, 0, (*run).drain},
+	"server_crashes":    {3, 0, (*run).crash},
 	"server_fails":      {5, 0, (*run).failServer},
-	"configure":         {5, 0, func(s *run, _ event) error { return s.configure(0, 0) }},
-	"grow":              {2, 0, func(s *run, e event) error { return s.configure(e.part(fillersMost), 0) }},
-	"top_up":            {4, 0, func(s *run, e event) error { return s.configure(0, int64(e.part(topUpMost)), workspaces[e.target%2]) }},
+	"configure":         {5, 0, func(s *run, _ event) { s.configure(0, 0) }},
+	"grow":              {4, 0, func(s *run, e event) { s.configure(e.part(routesMost), 0) }},
+	"top_up":            {4, 0, func(s *run, e event) { s.configure(0, e.part(topUpMost), workspaces[e.target%2]) }},
 }
 
-// part returns a part of the most, by the event's size.
-func (e event) part(most int) int { return 1 + int(e.size*float64(most)) }
-
-func (e event) partOf(most time.Duration) time.Duration { return time.Duration(e.size * float64(most)) }
-
 // restart ends a router and starts it again; one that another fault ends already is left alone.
-func (s *run) restart(e event, target func(int) string, end func(*process)) error {
-	i := e.target % len(s.processes)
+func (s *run) restart(e event, target func(int) string, end func(*process)) {
+	i := e.target % s.Routers
 	p := s.processes[i]
 	if !p.operating.TryLock() {
-		return nil
+		return
 	}
 	defer p.operating.Unlock()
-	defer s.record.disturb(e.kind, target(i))()
+	defer s.disturb(e.kind, target(i))()
 	end(p)
-	time.Sleep(e.partOf(restartPause))
+	time.Sleep(time.Duration(e.part(restartPause)) * time.Millisecond)
 	if err := p.start(); err != nil {
-		return err
+		s.violate(promiseAlive, "%v", err)
 	}
 	p.awaitReady()
-	return nil
 }
 
-func (s *run) killAll(e event) error {
+func (s *run) killAll(e event) {
 	for i := range s.processes {
-		s.do(func() error {
-			return s.restart(event{kind: e.kind, target: i, size: e.size}, routerTarget, (*process).kill)
-		})
+		s.faults.Go(func() { s.restart(event{kind: e.kind, target: i, size: e.size}, routerTarget, (*process).kill) })
 	}
-	return nil
 }
 
 // freeze pauses a router's process.
-func (s *run) freeze(e event) error {
-	i := e.target % len(s.processes)
-	defer s.record.disturb(e.kind, routerTarget(i))()
+func (s *run) freeze(e event) {
+	i := e.target % s.Routers
+	defer s.disturb(e.kind, routerTarget(i))()
 	s.processes[i].signal(syscall.SIGSTOP)
 	time.Sleep(e.length)
 	s.processes[i].signal(syscall.SIGCONT)
-	return nil
 }
 
 // hangup has a router read its settings again, which differ in the least level of its log.
-func (s *run) hangup(e event) error {
-	p := s.processes[e.target%len(s.processes)]
+func (s *run) hangup(e event) {
+	p := s.processes[e.target%s.Routers]
 	if !p.operating.TryLock() {
-		return nil
+		return
 	}
 	defer p.operating.Unlock()
-	p.settings.LogLevel = []string{"info", "debug"}[int(2*e.size)]
-	if err := p.write(); err != nil {
-		return err
+	p.settings.LogLevel = []string{"info", "debug"}[e.target%2]
+	if p.configure() == nil {
+		p.signal(syscall.SIGHUP)
 	}
-	p.signal(syscall.SIGHUP)
-	return nil
 }
 
 func callersLink(p *process) *link { return p.callers }
 func storeLink(p *process) *link   { return p.store }
 
-func cutLink(l *link, e event) { l.apply(condition{cut: true}, e.length) }
-func slowLink(l *link, e event) {
-	l.apply(condition{delay: e.partOf(delayMost), rate: slowRate}, e.length)
-}
-func resetLink(l *link, _ event) { l.reset() }
-
-// linkFault disturbs a link of one router, or of all at once.
-func linkFault(which func(*process) *link, how func(*link, event)) func(s *run, e event) error {
-	return func(s *run, e event) error {
+// linkFault disturbs a link of one router, or of all at once; where two meet, the condition is that of the later end.
+func linkFault(which func(*process) *link, c condition) func(s *run, e event) {
+	return func(s *run, e event) {
 		for i, p := range s.processes {
-			if i == e.target%len(s.processes) || e.size > allTargets {
-				s.do(func() error {
-					defer s.record.disturb(e.kind, routerTarget(i))()
-					how(which(p), e)
-					return nil
-				})
+			if i == e.target%s.Routers || e.size > allTargets {
+				s.faults.Go(func() { s.disturbLink(e, routerTarget(i), which(p), c) })
 			}
 		}
-		return nil
 	}
 }
 
-func slowStore(e event) emulator.RowFaults { return emulator.RowFaults{Slow: e.partOf(storeDelay)} }
-
-func lateWrites(e event) emulator.RowFaults {
-	return emulator.RowFaults{LateWrites: e.part(writesMost), LateBy: e.partOf(lateBy)}
+func (s *run) disturbLink(e event, target string, l *link, c condition) {
+	defer s.disturb(e.kind, target)()
+	if c == reset {
+		l.reset()
+		return
+	}
+	l.set(c)
+	time.Sleep(e.length)
+	l.set(l.base)
 }
 
 // storeFault disturbs the store; a later fault takes an earlier one's place.
-func storeFault(f func(e event) emulator.RowFaults) func(s *run, e event) error {
-	return func(s *run, e event) error {
-		defer s.record.disturb(e.kind, storeTarget)()
-		s.rows.SetFaults(f(e))
+func storeFault(f emulator.RowFaults) func(s *run, e event) {
+	return func(s *run, e event) {
+		defer s.disturb(e.kind, storeTarget)()
+		s.rows.SetFaults(f)
 		time.Sleep(e.length)
 		s.rows.SetFaults(emulator.RowFaults{})
-		return nil
 	}
 }
 
+// drain lets a server leave, by its word or by the absence of its row, and starts its next life.
+func (s *run) drain(e event) {
+	old, slot := s.serverOf(e)
+	s.startServer(slot)
+	if e.size < silentShare {
+		s.rows.Delete(serverKey(old))
+	} else {
+		s.register(old, "draining")
+	}
+	s.mu.Lock()
+	s.leftAt[old.ID] = time.Now()
+	s.mu.Unlock()
+	time.Sleep(drainBound + servesOn)
+	s.disturb(e.kind, old.ID)
+	old.Close()
+	s.rows.Delete(serverKey(old))
+}
+
+// crash ends a server at once; its row stays until its silence is noticed.
+func (s *run) crash(e event) {
+	old, slot := s.serverOf(e)
+	s.disturb(e.kind, old.ID)
+	old.Close()
+	time.Sleep(silentAfter)
+	s.rows.Delete(serverKey(old))
+	s.startServer(slot)
+}
+
 // failServer makes a server fail its next requests, in each way that there is.
-func (s *run) failServer(e event) error {
+func (s *run) failServer(e event) {
 	all := []emulator.OpaqueFault{
 		emulator.OpaqueReset, emulator.OpaqueFull, emulator.OpaqueCut, emulator.OpaqueOther, emulator.OpaqueError, emulator.OpaqueGood,
 		emulator.OpaqueHang, emulator.OpaqueForged, emulator.OpaqueForeign, emulator.OpaqueExtra,
@@ -183,13 +188,6 @@
 	for i := range e.part(failuresMost) {
 		faults = append(faults, all[(e.target+i)%len(all)])
 	}
-	s.park.at(e.target % len(pools)).Fail(faults...)
-	return nil
-}
-
-// configure writes the next version.
-func (s *run) configure(fillers int, paid int64, to ...string) error {
-	number, bytes := s.operator.write(fillers, paid, to...)
-	s.record.note("version %d accepted, %d bytes, %d routes more, %d paid to %v", number, bytes, fillers, paid, to)
-	return nil
+	server, _ := s.serverOf(e)
+	server.Fail(faults...)
 }
--- a/soaker/link.go
+++ b/soaker/link.go
@@ -1,7 +1,6 @@
 package soaker
 
 import (
-	"errors"
 	"io"
 	"net"
 	"sync"
@@ -15,13 +14,12 @@
 	cutPause = 5 * time.Millisecond
 )
 
-// condition is what is wrong with a link; the zero value is a good one.
+// condition is what is wrong with a link: a cut holds all bytes back, delay each chunk of them, and rate bounds the bytes
+// a second in each direction unless it is zero.
 type condition struct {
-	// cut holds all bytes back until the link is whole again, delay each chunk of them.
 	cut   bool
 	delay time.Duration
-	// rate bounds the bytes a second in each direction; zero is no bound.
-	rate float64
+	rate  float64
 }
 
 // link is a TCP proxy between a loopback listener and one target.
@@ -32,26 +30,18 @@
 
 	mu    sync.Mutex
 	now   condition
-	conns map[*net.TCPConn]bool
+	conns []*net.TCPConn
 	// free is when each direction has sent what it was given.
 	free [2]time.Time
 }
 
-func newLink(target string, base condition) (*link, error) {
+func newLink(target string, c condition) (*link, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, err
+	l := &link{Listener: listener, target: target, base: c, now: c}
+	if err == nil {
+		go l.accept()
 	}
-	l := &link{Listener: listener, target: target, base: base, now: base, conns: map[*net.TCPConn]bool{}}
-	go l.accept()
-	return l, nil
-}
-
-// apply puts the link into a condition for a time; a later one takes its place.
-func (l *link) apply(c condition, d time.Duration) {
-	l.set(c)
-	time.Sleep(d)
-	l.set(l.base)
+	return l, err
 }
 
 func (l *link) set(c condition) {
@@ -64,87 +54,75 @@
 func (l *link) reset() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for c := range l.conns {
-		abort(c)
+	for _, c := range l.conns {
+		_ = c.SetLinger(0)
+		_ = c.Close()
 	}
-}
-
-// abort resets a connection.
-func abort(c *net.TCPConn) {
-	_ = c.SetLinger(0)
-	_ = c.Close()
+	l.conns = nil
 }
 
 func (l *link) accept() {
 	for {
-		c, err := l.Accept()
+		near, err := l.Accept()
 		if err != nil {
 			return
 		}
-		go l.connect(c.(*net.TCPConn))
+		far, err := net.Dial("tcp", l.target)
+		if err != nil {
+			_ = near.Close()
+			continue
+		}
+		go l.connect(near.(*net.TCPConn), far.(*net.TCPConn))
 	}
 }
 
-func (l *link) connect(near *net.TCPConn) {
-	conn, err := net.Dial("tcp", l.target)
-	if err != nil {
-		abort(near)
-		return
-	}
-	far := conn.(*net.TCPConn)
+// connect passes bytes both ways until both have ended.
+func (l *link) connect(near, far *net.TCPConn) {
 	l.mu.Lock()
-	l.conns[near], l.conns[far] = true, true
+	l.conns = append(l.conns, near, far)
 	l.mu.Unlock()
 	var wg sync.WaitGroup
-	wg.Go(func() { l.forward(0, far, near) })
-	wg.Go(func() { l.forward(1, near, far) })
-	wg.Wait()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for _, c := range []*net.TCPConn{near, far} {
-		_ = c.Close()
-		delete(l.conns, c)
+	for direction, ends := range [][2]*net.TCPConn{{near, far}, {far, near}} {
+		wg.Go(func() {
+			// However one end has ended, the other one sees that no more comes.
+			_, _ = io.Copy(ends[1], held{l, direction, ends[0]})
+			_ = ends[1].CloseWrite()
+		})
 	}
+	wg.Wait()
+	_, _ = near.Close(), far.Close()
 }
 
-// forward passes one direction on until it ends, and then the kind of its end.
-func (l *link) forward(direction int, to, from *net.TCPConn) {
-	buffer := make([]byte, chunkBytes)
-	for {
-		n, err := from.Read(buffer)
-		l.hold(direction, n)
-		if _, failed := to.Write(buffer[:n]); failed != nil {
-			abort(from)
-			return
-		}
-		if errors.Is(err, io.EOF) {
-			_ = to.CloseWrite()
-			return
-		}
-		if err != nil {
-			abort(to)
-			return
-		}
-	}
+// held reads one direction of a connection as fast as the link lets it.
+type held struct {
+	link      *link
+	direction int
+	from      io.Reader
 }
 
-// hold returns when the link lets so many bytes through.
-func (l *link) hold(direction, bytes int) {
-	due := time.Now()
+// Read returns bytes when the link lets them through.
+func (h held) Read(p []byte) (int, error) {
+	n, err := h.from.Read(p[:min(len(p), chunkBytes)])
+	time.Sleep(time.Until(h.link.due(h.direction, n)))
+	return n, err
+}
+
+// due waits for the end of a cut and returns when so many bytes of a direction may pass.
+func (l *link) due(direction, n int) time.Time {
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	for l.now.cut {
 		l.mu.Unlock()
 		time.Sleep(cutPause)
 		l.mu.Lock()
 	}
+	due := time.Now()
 	if l.now.rate > 0 {
 		if l.free[direction].After(due) {
 			due = l.free[direction]
 		}
-		due = due.Add(time.Duration(float64(bytes) / l.now.rate * float64(time.Second)))
+		due = due.Add(time.Duration(float64(n) / l.now.rate * float64(time.Second)))
 		l.free[direction] = due
 	}
-	due = due.Add(l.now.delay)
-	l.mu.Unlock()
-	time.Sleep(time.Until(due))
+	return due.Add(l.now.delay)
 }
--- a/soaker/process.go
+++ b/soaker/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"os"
@@ -18,22 +19,18 @@
 
 const (
 	zoneName = "zone"
-	// grace is how long a router has to end after SIGTERM, the least of the sheets.
-	grace = 5 * time.Second
-	// readyPause separates two looks at a router that starts, each of which readyTimeout bounds.
-	readyPause   = 50 * time.Millisecond
-	readyTimeout = 500 * time.Millisecond
+	// startBound is how long a router may take to be ready, longer than any fault; readyPause separates two looks.
+	startBound, readyPause = 20 * time.Second, 50 * time.Millisecond
 	// Ports of a router; its address is its own, so that no connection of another program has them.
 	callerPort, readinessPort, peerPort = 7101, 7102, 7103
 )
 
 // process is a router over all its lives.
 type process struct {
-	record   *record
-	program  string
+	soak     *run
 	settings forwarder.Settings
-	file     string
-	log      *os.File
+	// files is the path of its files without their endings.
+	files string
 	// callers and store are the links from its callers and to the store.
 	callers, store *link
 
@@ -42,69 +39,70 @@
 	mu        sync.Mutex
 	command   *exec.Cmd
 	ended     chan struct{}
-	// asked tells that the present life was told to end.
+	// asked tells that the present life was told to end, life counts the starts.
 	asked bool
-	// life counts the starts, over tells that nothing waits for the router any longer.
-	life atomic.Int64
-	over atomic.Bool
+	life  atomic.Int64
 }
 
-func newProcess(s *run, i int, ip string, seeds []string, store *link) (*process, error) {
+// addRouter makes a router on an address of its own and starts it.
+func (s *run) addRouter(ip, store string, seeds []string, c condition) error {
 	address := func(port int) string { return fmt.Sprintf("%s:%d", ip, port) }
-	name := routerTarget(i)
-	p := &process{record: s.record, program: s.Program, file: filepath.Join(s.Directory, name+".json"), store: store}
-	p.settings = forwarder.Settings{
-		Instance: name, Zone: zoneName, LogLevel: "info", LogEvery: 1, CallerAddress: address(callerPort), ReadinessAddress: address(readinessPort),
-		PeerAddress: address(peerPort), PeerSeeds: seeds, StoreAddress: store.Addr().String(),
-		GraceSeconds: grace.Seconds(), Money: forwarder.MoneySettings{Parts: 4, Reserve: masticway.Duration(5 * time.Second)},
-		Retries: forwarder.RetriesSettings{Ratio: 0.2, Slack: 50, WindowSeconds: 10},
-	}
-	var err error
-	if p.callers, err = newLink(p.settings.CallerAddress, condition{}); err != nil {
-		return nil, err
+	callers, err := newLink(address(callerPort), condition{})
+	if err != nil {
+		return err
 	}
-	if p.log, err = os.Create(filepath.Join(s.Directory, name+".log")); err != nil {
-		return nil, err
+	l, err := newLink(store, c)
+	if err != nil {
+		return err
 	}
-	return p, p.write()
+	name := routerTarget(len(s.processes))
+	s.routers[address(callerPort)], s.routers[callers.Addr().String()] = len(s.processes), len(s.processes)
+	p := &process{soak: s, files: filepath.Join(s.Directory, name), callers: callers, store: l, settings: forwarder.Settings{
+		Instance: name, Zone: zoneName, LogLevel: "info", LogEvery: 1, CallerAddress: address(callerPort), ReadinessAddress: address(readinessPort),
+		PeerAddress: address(peerPort), PeerSeeds: seeds, StoreAddress: l.Addr().String(), GraceSeconds: s.grace.Seconds(),
+		Money:   forwarder.MoneySettings{Parts: 4, Reserve: masticway.Duration(5 * time.Second)},
+		Retries: forwarder.RetriesSettings{Ratio: 0.2, Slack: 50, WindowSeconds: 10},
+	}}
+	s.processes = append(s.processes, p)
+	return p.start()
 }
 
-// write writes the settings file.
-func (p *process) write() error {
+// configure writes the settings file.
+func (p *process) configure() error {
 	data, err := json.Marshal(p.settings)
-	if err != nil {
-		return err
-	}
-	return os.WriteFile(p.file, data, 0o644)
+	return errors.Join(err, os.WriteFile(p.files+".json", data, 0o644))
 }
 
 // start starts the next life.
 func (p *process) start() error {
+	log, err := os.OpenFile(p.files+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return err
+	}
+	defer log.Close()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	c := exec.Command(p.program, "gateway", p.file)
-	c.Stdout, c.Stderr = p.log, p.log
+	c, ended := exec.Command(p.soak.Program, "gateway", p.files+".json"), make(chan struct{})
 	// A machine of the sheets has one core.
-	c.Env = append(os.Environ(), "GOMAXPROCS=1")
-	if err := c.Start(); err != nil {
-		return fmt.Errorf("starting %s: %w", p.settings.Instance, err)
+	c.Stdout, c.Stderr, c.Env = log, log, append(os.Environ(), "GOMAXPROCS=1")
+	if err := errors.Join(p.configure(), c.Start()); err != nil {
+		return err
 	}
+	p.command, p.ended, p.asked = c, ended, false
 	p.life.Add(1)
-	p.command, p.ended, p.asked = c, make(chan struct{}), false
-	go p.wait(c, p.ended)
+	go p.wait(c, ended)
 	return nil
 }
 
 func (p *process) wait(c *exec.Cmd, ended chan struct{}) {
-	err := c.Wait()
+	defer close(ended)
+	_ = c.Wait()
 	p.mu.Lock()
-	asked := p.asked
-	p.mu.Unlock()
-	p.record.note("%s ended: %v", p.settings.Instance, c.ProcessState)
-	if !asked {
-		p.record.violate(promiseAlive, "%s ended by itself: %v", p.settings.Instance, err)
+	defer p.mu.Unlock()
+	p.soak.note("%s ended: %v", p.settings.Instance, c.ProcessState)
+	if !p.asked {
+		p.soak.violate(promiseAlive, "%s ended by itself: %v", p.settings.Instance, c.ProcessState)
 	}
-	close(ended)
 }
 
 // signal sends a signal to the present life; one that has just ended takes none.
@@ -120,7 +118,7 @@
 	p.signal(syscall.SIGTERM)
 	select {
 	case <-p.ended:
-	case <-time.After(grace):
+	case <-time.After(p.soak.grace):
 		p.kill()
 	}
 }
@@ -130,26 +128,23 @@
 	<-p.ended
 }
 
-// awaitReady returns when the router says that it is ready, or when nothing waits for it any longer.
-func (p *process) awaitReady() {
-	client := &http.Client{Timeout: readyTimeout}
-	defer client.CloseIdleConnections()
-	for !p.over.Load() {
-		response, err := client.Get("http://" + p.settings.ReadinessAddress + "/")
-		if err == nil {
-			_ = response.Body.Close()
-			if response.StatusCode == http.StatusOK {
-				return
-			}
+// awaitReady returns when the router says that it is ready, or false when it does not in time.
+func (p *process) awaitReady() bool {
+	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	for until := time.Now().Add(startBound); time.Now().Before(until); time.Sleep(readyPause) {
+		response, err := client.Get("http://" + p.settings.ReadinessAddress)
+		if err != nil {
+			continue
+		}
+		_ = response.Body.Close()
+		if response.StatusCode == http.StatusOK {
+			return true
 		}
-		time.Sleep(readyPause)
 	}
+	return false
 }
 
 func (p *process) close() {
-	p.over.Store(true)
-	p.operating.Lock()
-	defer p.operating.Unlock()
 	if p.command != nil {
 		p.kill()
 	}
@@ -158,5 +153,4 @@
 		l.set(condition{})
 		l.reset()
 	}
-	_ = p.log.Close()
 }
--- a/soaker/soak.go
+++ b/soaker/soak.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"maps"
@@ -20,18 +19,19 @@
 
 const (
 	// callersEach is the number of callers for each router.
-	callersEach = 8
-	// startBound is how long the routers may take to be ready at first.
-	startBound = 20 * time.Second
+	callersEach = 12
 	// recoveryBound is how long after all faults requests are served again (recovery_s of the sheets), after each workspace
 	// got recoveryPaid tokens more.
-	recoveryBound = 12 * time.Second
-	recoveryPaid  = 5_000_000
+	recoveryBound, recoveryPaid = 12 * time.Second, 5_000_000
 	// narrowLink is a machine's link where it is narrow: 10 Mbit/s, in bytes a second; one soak in narrowEvery has it.
-	narrowLink  = 10e6 / 8
-	narrowEvery = 4
+	narrowLink, narrowEvery = 10e6 / 8, 3
+	// eventsMost, pauseMost and workMost bound what answers take, to a few seconds.
+	eventsMost, pauseMost, workMost = 10, 250 * time.Millisecond, 1500 * time.Millisecond
 )
 
+// graces are how long routers have to end after SIGTERM, the least and the usual of the sheets.
+var graces = []time.Duration{5 * time.Second, 8 * time.Second}
+
 // Soak is a run as asked for.
 type Soak struct {
 	Seed     uint64
@@ -45,25 +45,39 @@
 
 // Report is what a soak saw.
 type Report struct {
-	Requests, Served, Versions int
-	Faults                     map[string]int
-	Violations                 []Violation
+	Requests, Served, Versions, Faults int
+	Violations                         []Violation
 }
 
 // run is a soak that is under way.
 type run struct {
 	Soak
 	random    *rand.Rand
-	record    *record
+	log       io.Writer
 	rows      *emulator.Rows
 	store     *http.Server
-	park      *park
-	operator  *operator
+	ledger    *emulator.OpaqueLedger
 	processes []*process
-
+	// routers finds a process by the addresses that callers connect to.
+	routers map[string]int
 	faults  sync.WaitGroup
-	mu      sync.Mutex
-	failure error
+	// events and pause are how streams are answered, work is the time that other answers take.
+	events      int
+	pause, work time.Duration
+	// grace is how long a router has to end after SIGTERM.
+	grace time.Duration
+
+	mu sync.Mutex
+	// servers are the present lives of all servers, lives counts all, leftAt is when the store accepted that one ends.
+	servers    []*emulator.OpaqueServer
+	lives      int
+	leftAt     map[string]time.Time
+	versions   []version
+	prepaid    map[string]int64
+	delivered  map[string]int64
+	requests   map[string]*request
+	spans      map[string][]span
+	violations []Violation
 }
 
 // Run runs the soak; the error says that it could not be carried out, the report what it saw.
@@ -73,18 +87,19 @@
 		return Report{}, err
 	}
 	defer log.Close()
-	s := &run{Soak: o, random: rand.New(rand.NewPCG(o.Seed, 1)), record: newRecord(log), rows: emulator.NewRows(time.Now)}
-	s.operator = newOperator(s.rows, rand.New(rand.NewPCG(o.Seed, 2)))
-	s.park = &park{
-		rows: s.rows, record: s.record, ledger: &emulator.OpaqueLedger{}, slots: make([]*emulator.OpaqueServer, len(pools)), leftAt: map[string]time.Time{},
-		events: 3 + s.random.IntN(8), pause: time.Duration(2+s.random.IntN(120)) * time.Millisecond, work: time.Duration(s.random.IntN(150)) * time.Millisecond,
+	random, rows := rand.New(rand.NewPCG(o.Seed, 0)), emulator.NewRows(time.Now)
+	s := &run{
+		Soak: o, random: random, log: log, rows: rows, store: &http.Server{Handler: rows.Handler()}, ledger: &emulator.OpaqueLedger{},
+		events: 2 + random.IntN(eventsMost-1), pause: below(random, pauseMost), work: below(random, workMost),
+		grace:   graces[random.IntN(len(graces))],
+		servers: make([]*emulator.OpaqueServer, len(pools)), leftAt: map[string]time.Time{}, delivered: map[string]int64{},
+		prepaid: map[string]int64{"thin": 4_000, "middle": 40_000, "wide": 50_000_000}, requests: map[string]*request{}, routers: map[string]int{}, spans: map[string][]span{},
 	}
 	defer s.close()
 	if err := s.start(); err != nil {
 		return Report{}, err
 	}
-	events := s.schedule()
-	done := make(chan struct{})
+	events, done := s.schedule(), make(chan struct{})
 	var load sync.WaitGroup
 	s.offer(&load, done)
 	s.play(ctx, events)
@@ -93,7 +108,13 @@
 	close(done)
 	load.Wait()
 	s.judge()
-	return s.report(events), errors.Join(s.failure, ctx.Err())
+	report := Report{Requests: len(s.requests), Versions: len(s.versions), Faults: len(events), Violations: s.violations}
+	for _, q := range s.requests {
+		if q.outcome == outcomeAnswered && q.status == http.StatusOK {
+			report.Served++
+		}
+	}
+	return report, ctx.Err()
 }
 
 // start starts store, servers and routers.
@@ -102,45 +123,31 @@
 	if err != nil {
 		return err
 	}
-	s.store = &http.Server{Handler: s.rows.Handler()}
 	go func() { _ = s.store.Serve(listener) }()
 	for slot := range pools {
-		if err := s.park.start(slot); err != nil {
-			return err
-		}
+		s.startServer(slot)
 	}
-	_ = s.configure(0, 0)
-	var base condition
+	s.configure(0, 0)
+	var c condition
 	if s.random.IntN(narrowEvery) == 0 {
-		base.rate = narrowLink
+		c.rate = narrowLink
 	}
-	s.record.note("links of %.0f bytes a second, %d events each %s, work of %s", base.rate, s.park.events, s.park.pause, s.park.work)
-	// Each router has an address of its own, drawn without the seed, so that soaks at the same time share none.
-	var ips, seeds []string
+	s.note("links of %.0f bytes a second, %d events each %s, work of %s, grace of %s", c.rate, s.events, s.pause, s.work, s.grace)
+	// Addresses are drawn without the seed, so that soaks at the same time share none.
+	subnet := fmt.Sprintf("127.%d.%d.", 1+rand.IntN(254), rand.IntN(256))
+	var seeds []string
 	for i := range s.Routers {
-		ips = append(ips, fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(254), rand.IntN(256), 1+i))
-		seeds = append(seeds, fmt.Sprintf("%s:%d", ips[i], peerPort))
+		seeds = append(seeds, fmt.Sprintf("%s%d:%d", subnet, 1+i, peerPort))
 	}
-	for i, ip := range ips {
-		store, err := newLink(listener.Addr().String(), base)
-		if err != nil {
-			return err
-		}
-		p, err := newProcess(s, i, ip, seeds, store)
-		if err != nil {
-			return err
-		}
-		s.processes = append(s.processes, p)
-		if err := p.start(); err != nil {
+	for i := range s.Routers {
+		if err := s.addRouter(fmt.Sprint(subnet, 1+i), listener.Addr().String(), seeds, c); err != nil {
 			return err
 		}
 	}
-	overdue := time.AfterFunc(startBound, s.release)
 	for _, p := range s.processes {
-		p.awaitReady()
-	}
-	if !overdue.Stop() {
-		return fmt.Errorf("the routers were not ready within %s", startBound)
+		if !p.awaitReady() {
+			return fmt.Errorf("%s was not ready within %s", p.settings.Instance, startBound)
+		}
 	}
 	return nil
 }
@@ -166,12 +173,14 @@
 
 // offer starts callers and probers.
 func (s *run) offer(load *sync.WaitGroup, done <-chan struct{}) {
-	for i := range s.processes {
-		p := &prober{caller: caller{soak: s, name: fmt.Sprintf("p%d", i), router: i}}
-		load.Go(func() { p.probe(done) })
+	var addresses []string
+	for i, p := range s.processes {
+		addresses = append(addresses, p.callers.Addr().String())
+		probes := s.newProber(i, p)
+		load.Go(func() { probes.probe(done) })
 	}
 	for i := range callersEach * s.Routers {
-		c := &caller{soak: s, name: fmt.Sprintf("c%d", i), random: rand.New(rand.NewPCG(s.Seed, uint64(100+i)))}
+		c := s.newCaller("c", i, addresses...)
 		load.Go(func() { c.call(done) })
 	}
 }
@@ -180,97 +189,36 @@
 func (s *run) play(ctx context.Context, events []event) {
 	began := time.Now()
 	for _, e := range events {
-		if !wait(ctx, time.Until(began.Add(e.at))) {
+		select {
+		case <-ctx.Done():
 			return
+		case <-time.After(time.Until(began.Add(e.at))):
 		}
-		s.record.note("%s target %d size %.2f length %s", e.kind, e.target, e.size, e.length.Round(time.Millisecond))
-		s.do(func() error { return kinds[e.kind].do(s, e) })
+		s.note("%s target %d size %.2f length %s", e.kind, e.target, e.size, e.length)
+		s.faults.Go(func() { kinds[e.kind].do(s, e) })
 	}
-	wait(ctx, time.Until(began.Add(s.Duration)))
-}
-
-// wait returns after a time, or false when the context ended before.
-func wait(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
-
-// do carries a part of a fault out beside the others.
-func (s *run) do(f func() error) {
-	s.faults.Go(func() {
-		err := f()
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		s.failure = errors.Join(s.failure, err)
-	})
 }
 
 // recover checks that each router serves each kind of request again; what is paid for is enough.
 func (s *run) recover(ctx context.Context) {
-	_ = s.configure(0, recoveryPaid, workspaces...)
-	began := time.Now()
+	s.configure(0, recoveryPaid, workspaces...)
+	var wg sync.WaitGroup
+	until := time.Now().Add(recoveryBound)
 	for i, p := range s.processes {
-		for _, r := range routes {
-			c := &caller{soak: s, name: fmt.Sprintf("r%d-%s", i, r.name), random: s.random}
-			for status := 0; status != http.StatusOK && ctx.Err() == nil; {
-				if time.Since(began) > recoveryBound {
-					s.record.violate(promiseRecovered, "router-%d served no %q within %s after all faults", i, r.name, recoveryBound)
-					break
-				}
-				if c.connect(i, p.callers.Addr().String()) {
-					status = c.ask(r).status
-					c.drop()
-				}
-				wait(ctx, unreachedPause)
-			}
+		for j, r := range routes {
+			c := s.newCaller("r", i*len(routes)+j, p.callers.Addr().String())
+			wg.Go(func() { c.askUntil(ctx, r, until) })
 		}
 	}
-	s.record.note("recovered after %s", time.Since(began).Round(time.Millisecond))
-}
-
-func (s *run) report(events []event) Report {
-	r := Report{Requests: len(s.record.requests), Versions: len(s.operator.versions), Faults: map[string]int{}, Violations: s.record.violations}
-	for _, q := range s.record.requests {
-		if q.outcome == outcomeAnswered && q.status == http.StatusOK {
-			r.Served++
-		}
-	}
-	for _, e := range events {
-		r.Faults[e.kind]++
-	}
-	return r
-}
-
-// Print writes the report.
-func (r Report) Print(out io.Writer) {
-	fmt.Fprintf(out, "%d requests, %d served, %d versions, faults %v, %d violation(s)\n", r.Requests, r.Served, r.Versions, r.Faults, len(r.Violations))
-	for _, v := range r.Violations {
-		fmt.Fprintln(out, "  ", v)
-	}
-}
-
-// release lets nothing wait for routers any longer.
-func (s *run) release() {
-	for _, p := range s.processes {
-		p.over.Store(true)
-	}
+	wg.Wait()
 }
 
 func (s *run) close() {
-	s.release()
 	for _, p := range s.processes {
 		p.close()
 	}
-	if s.store != nil {
-		_ = s.store.Close()
-	}
-	for _, server := range s.park.slots {
-		if server != nil {
-			server.Close()
-		}
+	for _, server := range s.servers {
+		server.Close()
 	}
+	_ = s.store.Close()
 }
--- /dev/null
+++ b/soaker/soaker_test.go
@@ -0,0 +1,154 @@
+package soaker_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/masticway/masticway/soaker"
+)
+
+// building lets one build run at a time; each uses all processors that it may.
+var building sync.Mutex
+
+// build builds the program, with files of its source replaced, and returns its path.
+func build(t *testing.T, replaced map[string]string) string {
+	building.Lock()
+	defer building.Unlock()
+	directory := t.TempDir()
+	overlay, err := json.Marshal(struct{ Replace map[string]string }{replaced})
+	qt.Assert(t, err, qt.IsNil)
+	list := filepath.Join(directory, "overlay.json")
+	qt.Assert(t, os.WriteFile(list, overlay, 0o644), qt.IsNil)
+	program := filepath.Join(directory, "masticway")
+	c := exec.Command("go", "build", "-overlay", list, "-o", program, "./cmd/masticway")
+	c.Dir = ".."
+	out, err := c.CombinedOutput()
+	qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", out))
+	return program
+}
+
+// program is the product, built once.
+var program = sync.OnceValues(func() (string, error) {
+	path := filepath.Join(os.TempDir(), fmt.Sprintf("masticway-soaker-%d", os.Getpid()))
+	c := exec.Command("go", "build", "-o", path, "./cmd/masticway")
+	c.Dir = ".."
+	out, err := c.CombinedOutput()
+	if err != nil {
+		return "", fmt.Errorf("%w: %s", err, out)
+	}
+	return path, nil
+})
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	if path, err := program(); err == nil {
+		_ = os.Remove(path)
+	}
+	os.Exit(code)
+}
+
+// soak runs a soak, no longer than the limit, and returns its report.
+func soak(t *testing.T, s soaker.Soak, limit time.Duration) soaker.Report {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	report, err := s.Run(ctx)
+	if ctx.Err() == nil {
+		qt.Assert(t, err, qt.IsNil)
+	}
+	return report
+}
+
+// keepPromises runs a soak in which nothing may be violated; the logs of one that failed stay.
+func keepPromises(t *testing.T, s soaker.Soak) {
+	var err error
+	s.Program, err = program()
+	qt.Assert(t, err, qt.IsNil)
+	s.Directory, err = os.MkdirTemp("", "masticway-soak-")
+	qt.Assert(t, err, qt.IsNil)
+	report := soak(t, s, time.Minute)
+	qt.Assert(t, report.Violations, qt.HasLen, 0, qt.Commentf("logs in %s", s.Directory))
+	qt.Assert(t, report.Served > report.Requests/4, qt.IsTrue, qt.Commentf("%d of %d served", report.Served, report.Requests))
+	qt.Assert(t, report.Faults > 0, qt.IsTrue)
+	qt.Assert(t, os.RemoveAll(s.Directory), qt.IsNil)
+}
+
+func TestPromisesAreKeptUnderFaults(t *testing.T) {
+	t.Parallel()
+	for _, seed := range []uint64{101, 102, 103} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			keepPromises(t, soaker.Soak{Seed: seed, Duration: 6 * time.Second, Routers: 2})
+		})
+	}
+}
+
+// TestBrokenProgramsFail checks that a soak notices each promise that a program breaks.
+func TestBrokenProgramsFail(t *testing.T) {
+	t.Parallel()
+	cases := map[string]struct {
+		// file is where the text is replaced by the other one.
+		file, text, by string
+		kinds          []string
+		promise        string
+	}{
+		"repeats what must not run twice": {
+			"forwarder/exchange.go", "\t}\n\treturn false\n}\n\n// giveUp", "\t}\n\treturn true\n}\n\n// giveUp",
+			[]string{"server_fails"}, "once",
+		},
+		"calls not run what may have run": {
+			"forwarder/exchange.go", "{Status: http.StatusBadGateway, Code: codeUnknown", "{Status: http.StatusServiceUnavailable, Code: codeUnknown",
+			[]string{"server_fails"}, "not_run",
+		},
+		"counts nothing": {
+			"forwarder/exchange.go", "return int64(x.q.Prompt + ", "return 0 * int64(x.q.Prompt + ",
+			[]string{"hangup"}, "budget",
+		},
+		"ends at once when told to end": {
+			"starter/gateway.go", "d.forwarder.Drain(began.Add(grace - exitBefore))", "d.Kill()",
+			[]string{"term"}, "answered",
+		},
+		"keeps its first configuration": {
+			"follower/beliefs.go", "if r.known && d.Version <= r.deployment.Version {", "if r.known {",
+			[]string{"configure"}, "in_force",
+		},
+		"uses servers that leave": {
+			"platform/deployment.go", `if w.State != "ready" {`, `if w.State == "" {`,
+			[]string{"server_drains"}, "drained",
+		},
+		"passes a broken stream off as complete": {
+			"forwarder/relay.go", "if errors.Is(err, io.EOF) && len(bytes.TrimSpace(pending)) == 0 && x.begun {", "if errors.Is(err, io.ErrUnexpectedEOF) && x.begun || errors.Is(err, io.EOF) && len(bytes.TrimSpace(pending)) == 0 && x.begun {",
+			[]string{"server_crashes"}, "whole",
+		},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			file, err := filepath.Abs(filepath.Join("..", tc.file))
+			qt.Assert(t, err, qt.IsNil)
+			source, err := os.ReadFile(file)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, strings.Count(string(source), tc.text), qt.Equals, 1, qt.Commentf("%s has changed", tc.file))
+			broken := filepath.Join(t.TempDir(), "broken.go")
+			qt.Assert(t, os.WriteFile(broken, []byte(strings.Replace(string(source), tc.text, tc.by, 1)), 0o644), qt.IsNil)
+			path := build(t, map[string]string{file: broken})
+			found := map[string]bool{}
+			for seed := uint64(1); seed <= 3 && !found[tc.promise]; seed++ {
+				report := soak(t, soaker.Soak{Seed: seed, Duration: 5 * time.Second, Routers: 2, Program: path, Directory: t.TempDir(), Kinds: tc.kinds}, 5*time.Second)
+				for _, v := range report.Violations {
+					found[v.Promise] = true
+				}
+			}
+			qt.Assert(t, found[tc.promise], qt.IsTrue, qt.Commentf("only %v", found))
+		})
+	}
+}
