--- a/commander/soak.go
+++ b/commander/soak.go
@@ -18,23 +18,17 @@
 		name: "soak", description: "run gateways as processes on loopback under faults drawn from a seed, and check every promise from outside",
 		example: "masticway soak --seed 7 --seconds 60 --routers 4 --out out",
 		flags: func(s *flaggy.Subcommand) {
-			s.Int(&seed, "", "seed", "what all faults and requests are drawn from")
+			s.Int(&seed, "", "seed", "what faults and requests are drawn from")
 			s.Int(&seconds, "", "seconds", "how long faults go on")
 			s.Int(&routers, "", "routers", "number of routers")
 			s.String(&out, "", "out", "directory for settings and logs")
 		},
 		run: func(ctx context.Context, e env) error {
-			if seed < 0 || seconds < 1 || routers < 1 {
-				return &usageError{reason: "--seed is 0 or more, --seconds and --routers are 1 or more"}
-			}
 			program, err := os.Executable()
-			if err != nil {
-				return err
+			if err != nil || seed < 0 || seconds < 1 || routers < 1 || routers > soaker.MostRouters {
+				return &usageError{reason: fmt.Sprintf("--seed is 0 or more, --seconds 1 or more, --routers 1 to %d", soaker.MostRouters)}
 			}
 			directory := filepath.Join(out, fmt.Sprintf("soak-%d", seed))
-			if err := os.MkdirAll(directory, 0o755); err != nil {
-				return err
-			}
 			report, err := soaker.Soak{
 				Seed: uint64(seed), Duration: time.Duration(seconds) * time.Second, Routers: routers, Program: program, Directory: directory,
 			}.Run(ctx)
--- a/soaker/caller.go
+++ b/soaker/caller.go
@@ -25,22 +25,15 @@
 )
 
 const (
-	// answerSlack is how much longer than the request's time a caller waits: twice what the rules of time allow.
-	answerSlack = time.Second
-	// leaving is the part of the requests whose callers leave early, within leavesWithin.
-	leaving, leavesWithin = 0.03, 300 * time.Millisecond
-	// promptMost and spareOutput are the most tokens of a prompt, and those that are declared beyond what a stream has.
-	promptMost, spareOutput = 1500, 30
-	// limitLeast and limitMost bound the time that a caller gives.
-	limitLeast, limitMost = time.Second, 8 * time.Second
-	// largestBody is the most bytes that a body has; most have far fewer.
-	largestBody = 40 << 10
-	// thinkMost bounds a caller's usual pause, idleMost the longer one of idleShare of them, in which a router may end.
-	thinkMost, idleMost, idleShare = 120 * time.Millisecond, 8 * time.Second, 0.04
-	// connectTimeout is how long callers let a new connection take.
-	connectTimeout = time.Second
-	// statusForeign stands for a success whose body is not the request's own answer.
-	statusForeign = -http.StatusOK
+	answerSlack             = time.Second                             // a caller waits so long beyond the request's time, twice what the rules allow
+	leaving, leavesWithin   = 0.03, 300 * time.Millisecond            // so many callers leave early, and so early
+	promptMost, spareOutput = 1500, 30                                // tokens of a prompt, and those declared beyond what a stream has
+	limitLeast, limitMost   = time.Second, 8 * time.Second            // the time that a caller gives
+	largestBody             = 40 << 10                                // bytes; most bodies have far fewer
+	thinkMost, idleMost     = 120 * time.Millisecond, 8 * time.Second // a caller's usual pause, and one in which a router may end
+	idleShare               = 0.04                                    // the part of the longer pauses
+	connectTimeout          = time.Second                             // callers let a new connection take so long
+	statusForeign           = -http.StatusOK                          // a success whose body is not the request's own answer
 )
 
 // request is one request of a caller and what came of it.
@@ -48,11 +41,9 @@
 	route
 	id, path, workspace, body string
 	prompt, declared, router  int
-	// limit is the time that the caller gives, patience how long it waits: longer, unless it leaves early.
-	limit, patience time.Duration
-	// kept tells that the connection had carried a request before, written that this one was sent whole.
-	kept    bool
-	written atomic.Bool
+	limit, patience           time.Duration // what the caller gives, and how long it waits: longer, unless it leaves early
+	kept                      bool          // the connection had carried a request before
+	written                   atomic.Bool   // the request was sent whole
 
 	sentAt, endedAt             time.Time
 	outcome, answerID, signedBy string
@@ -66,17 +57,6 @@
 		q.sentAt.UTC().Format(clockFormat), q.kept, q.limit, q.outcome, q.status, q.events, q.endedAt.Sub(q.sentAt).Round(time.Millisecond), q.fault)
 }
 
-// whole is the whole answer of a sound server.
-func (q *request) whole(events int) (text string) {
-	if !q.metered {
-		return "ok " + q.id + " " + q.body
-	}
-	for i := range events {
-		text += fmt.Sprintf("id: %d\ndata: piece %d of %s\n\n", i+1, i+1, q.id)
-	}
-	return text
-}
-
 // caller sends requests one after the other on a connection that it keeps for as long as it is open.
 type caller struct {
 	soak      *run
@@ -118,18 +98,16 @@
 
 // ask sends a request for a route and returns its status.
 func (c *caller) ask(r route) int {
-	random := c.random
-	q := &request{
-		route: r, prompt: random.IntN(promptMost), declared: c.soak.events*tokensPerEvent + random.IntN(spareOutput),
-		// Routers are told whole milliseconds.
-		limit: (limitLeast + below(random, limitMost-limitLeast)).Truncate(time.Millisecond), body: strings.Repeat("x", int(math.Pow(largestBody, random.Float64()))),
+	q := &request{route: r, prompt: c.random.IntN(promptMost), declared: c.soak.events*tokensPerEvent + c.random.IntN(spareOutput)}
+	q.body = strings.Repeat("x", int(math.Pow(largestBody, c.random.Float64())))
+	// Routers are told whole milliseconds.
+	q.limit = (limitLeast + below(c.random, limitMost-limitLeast)).Truncate(time.Millisecond)
+	q.patience = min(q.limit, routeTimeout) + answerSlack
+	if c.random.Float64() < leaving {
+		q.patience = below(c.random, leavesWithin)
 	}
 	if !r.anonymous {
-		q.workspace = workspaces[random.IntN(len(workspaces))]
-	}
-	q.patience = min(q.limit, routeTimeout) + answerSlack
-	if random.Float64() < leaving {
-		q.patience = below(random, leavesWithin)
+		q.workspace = workspaces[c.random.IntN(len(workspaces))]
 	}
 	c.send(q, r.name)
 	return q.status
@@ -198,16 +176,20 @@
 	defer in.Body.Close()
 	q.status, q.answerID, q.signedBy = in.StatusCode, in.Header.Get("X-Attempt-Id"), strings.TrimPrefix(in.Header.Get("X-Server-Signature"), "signed-by-")
 	body, err := io.ReadAll(in.Body)
-	return q.take(string(body), q.whole(c.soak.events), err)
+	if q.status == http.StatusOK {
+		err = q.take(string(body), c.soak.events, err)
+	}
+	return err
 }
 
-// take holds what a success brought against the whole: an answer that ends early is a beginning of it.
-func (q *request) take(body, whole string, err error) error {
-	if q.status != http.StatusOK {
-		return err
-	}
+// take holds what a success brought against a sound server's whole answer: one that ends early is a beginning of it.
+func (q *request) take(body string, events int, err error) error {
+	whole := "ok " + q.id + " " + q.body
 	if q.metered {
-		q.events = strings.Count(body, "\n\n")
+		whole, q.events = "", strings.Count(body, "\n\n")
+		for i := range events {
+			whole += fmt.Sprintf("id: %d\ndata: piece %d of %s\n\n", i+1, i+1, q.id)
+		}
 	}
 	if !strings.HasPrefix(whole, body) || err == nil && body != whole {
 		q.status, err = statusForeign, fmt.Errorf("got %.200q for %.200q", body, whole)
--- a/soaker/checks.go
+++ b/soaker/checks.go
@@ -14,11 +14,10 @@
 	// server is told, and on the 200 ms that a connection may be open after a request that is not read (loss_slack_ms).
 	busySlack   = 500 * time.Millisecond
 	storeTarget = "store"
-	// lateSent and lateShare are the requests that a router which ends may cut off: those sent no later after SIGTERM that
-	// are still worked at in the last sixth of its grace.
+	clockFormat = "15:04:05.000" // to be found in the routers' logs
+	// A router that ends may cut off requests that were sent no later after SIGTERM and are still worked at in the last sixth
+	// of its grace.
 	lateSent, lateShare = 3 * time.Second, 6
-	// clockFormat is how times are written, to be found in the routers' logs.
-	clockFormat = "15:04:05.000"
 )
 
 // Names of the promises that are checked.
@@ -103,6 +102,9 @@
 func (s *run) deliver(q *request) (got, paid int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if q.outcome == outcomeAnswered && q.status == http.StatusOK {
+		s.served++
+	}
 	if q.events > 0 {
 		s.delivered[q.workspace] += int64(q.prompt + q.events*tokensPerEvent)
 	}
@@ -145,16 +147,9 @@
 
 // judgeRun checks one run by itself.
 func (s *run) judgeRun(r emulator.OpaqueRun, q *request) {
-	pool := poolOf(r.Server)
-	if r.Path != q.path || r.Body != q.body || r.Workspace != q.workspace || r.Key || r.TimeLeft > q.limit+busySlack || q.pool != "" && pool != q.pool {
+	if r.Path != q.path || r.Body != q.body || r.Workspace != q.workspace || r.Key || r.TimeLeft > q.limit+busySlack || poolOf(r.Server) != q.pool {
 		s.violate(promiseUnchanged, "%s ran %s for %q with %s left, %d bytes, key %t: %s", r.Server, r.Path, r.Workspace, r.TimeLeft, len(r.Body), r.Key, q)
 	}
-	// Versions that are due at a router in touch leave older ones out; another router may have any.
-	if q.name == "moved" && s.calm(q.sentAt.Add(-stable), r.At, inTouch(q.router)...) {
-		if due := s.newest(q.sentAt.Add(-applyBound)).Number; !s.mayMoveTo(pool, due) {
-			s.violate(promiseInForce, "%s ran what goes elsewhere since version %d: %s", r.Server, due, q)
-		}
-	}
 	// An acceptance binds routers that are in touch from then on.
 	left := s.leftAt[r.Server]
 	if !left.IsZero() && r.At.Sub(left) > drainBound+busySlack && s.calm(left.Add(-stable), r.At, inTouch(q.router)...) {
--- a/soaker/deployment.go
+++ b/soaker/deployment.go
@@ -4,7 +4,6 @@
 	"bytes"
 	_ "embed" // for the configuration's template
 	"fmt"
-	"slices"
 	"strings"
 	"text/template"
 	"time"
@@ -18,20 +17,12 @@
 
 var configuration = template.Must(template.New("configuration").Parse(templateText))
 
-// What the configuration's template says, as far as callers need it.
 const (
-	callerHost     = "soak.example"
-	routeTimeout   = 6 * time.Second
-	tokensPerEvent = 3
-	keyPrefix      = "key-"
-)
-
-const (
-	// drainBound is how long after its leaving was accepted a server may still get requests (drain_ms of the sheets), and
-	// servesOn how much longer it serves.
-	drainBound, servesOn = 2 * time.Second, 1500 * time.Millisecond
-	// silentAfter is when the row of a crashed server goes: three heartbeats, less than a second apart.
-	silentAfter = 2 * time.Second
+	callerHost, keyPrefix = "soak.example", "key-" // these four are what the configuration's template says
+	routeTimeout          = 6 * time.Second
+	tokensPerEvent        = 3
+	drainBound, servesOn  = 2 * time.Second, 1500 * time.Millisecond // for work after a server's leaving was accepted (drain_ms of the sheets); how much longer it serves
+	silentAfter           = 2 * time.Second                          // the row of a crashed server goes, after three heartbeats of less than a second
 )
 
 // route is a route that every configuration has; answers to metered requests are streams, which cost prepaid tokens.
@@ -40,27 +31,24 @@
 	metered, repeatable, anonymous bool
 }
 
-// routes are what callers ask for; the pool of "moved" changes with each version.
+// routes are what callers ask for.
 var routes = []route{
 	{name: "draft", pool: "engine", metered: true},
 	{name: "chat", pool: "engine", metered: true, repeatable: true},
 	{name: "look", pool: "plain", repeatable: true, anonymous: true},
 	{name: "book", pool: "plain"},
-	{name: "moved", repeatable: true},
 }
 
-// pools are the pools, one name for each server; versions move a route between the last two pools.
-var pools = []string{"engine", "engine", "engine", "plain", "plain", "plain", "even", "even", "odd", "odd"}
+// pools are the pools, one name for each server.
+var pools = []string{"engine", "engine", "engine", "engine", "plain", "plain", "plain", "plain"}
 
 // workspaces are those that pay: the first has a budget that is at its end within seconds, the last one that never is.
 var workspaces = []string{"thin", "middle", "wide"}
 
 // version is one accepted configuration, as the template has it.
 type version struct {
-	Number int64
-	Moved  string
-	// Paths are those of all versions up to this one, and of routes that nobody asks for.
-	Paths   []string
+	Number  int64
+	Paths   []string // of all versions up to this one, and of routes that nobody asks for
 	Prepaid map[string]int64
 	ack     time.Time
 }
@@ -72,7 +60,7 @@
 func (s *run) configure(more, paid int, to ...string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	v := version{Number: 1, Moved: []string{"even", "odd"}[len(s.versions)%2], Prepaid: s.prepaid}
+	v := version{Number: 1, Prepaid: s.prepaid}
 	if n := len(s.versions); n > 0 {
 		v.Number, v.Paths = s.versions[n-1].Number+int64(1+n%3), s.versions[n-1].Paths
 	}
@@ -105,11 +93,6 @@
 	return found
 }
 
-// mayMoveTo tells that a version from this one on sends the moved route to a pool.
-func (s *run) mayMoveTo(pool string, since int64) bool {
-	return slices.ContainsFunc(s.versions, func(v version) bool { return v.Number >= since && v.Moved == pool })
-}
-
 // startServer starts the next life of the server in a slot.
 func (s *run) startServer(slot int) {
 	s.mu.Lock()
--- a/soaker/faults.go
+++ b/soaker/faults.go
@@ -7,12 +7,12 @@
 	"github.com/masticway/masticway/emulator"
 )
 
-// event is one fault as drawn: when it begins, how long it lasts, what it meets and, between 0 and 1, how bad it is.
+// event is one fault as drawn: what it meets, between 0 and 1 how bad it is, and how long it lasts.
 type event struct {
-	at, length time.Duration
-	kind       string
-	target     int
-	size       float64
+	kind   string
+	target int
+	size   float64
+	length time.Duration
 }
 
 // part returns a part of the most by the event's size, never nothing.
@@ -26,28 +26,21 @@
 }
 
 const (
-	// gapMost is the longest time between the beginnings of two faults, shortest the least length of one.
-	gapMost, shortest = 1400 * time.Millisecond, 150 * time.Millisecond
-	// restartPause is the longest pause in milliseconds before a process that has ended is started again.
-	restartPause = 1000
-	// failuresMost bounds the requests that one fault makes a server fail.
-	failuresMost = 20
-	// routesMost is by how many routes a configuration grows at most at once, topUpMost by how many tokens a budget.
-	routesMost, topUpMost = 4000, 30_000
-	// allTargets is the size from which on a fault of a router's link meets all of them.
-	allTargets = 0.8
-	// silentShare is the part of the leaving servers whose row goes without a word.
-	silentShare = 0.3
+	gapMost, shortest     = 1400 * time.Millisecond, 150 * time.Millisecond // between the beginnings of two faults; the least length
+	restartPause          = 1000                                            // milliseconds, the longest before a process is started again
+	failuresMost          = 20                                              // requests that one fault makes a server fail
+	routesMost, topUpMost = 4000, 30_000                                    // routes, and tokens, by which a configuration grows at once
+	allTargets            = 0.8                                             // from this size on a fault of a router meets all
+	silentShare           = 0.3                                             // the part of the leaving servers whose row goes without a word
 )
 
-// slow is a bad link, cut one that holds everything back; a reset puts it into no condition.
+// Conditions of a link: slow and cut, and the one that stands for a reset of its connections.
 var slow, cut, reset = condition{delay: 200 * time.Millisecond, rate: 256 << 10}, condition{cut: true}, condition{}
 
 // kinds are all kinds of faults by name.
 var kinds = map[string]fault{
 	"term":              {10, 0, func(s *run, e event) { s.restart(e, plannedTarget, (*process).stop) }},
-	"kill":              {4, 0, func(s *run, e event) { s.restart(e, routerTarget, (*process).kill) }},
-	"kill_all":          {1, 0, (*run).killAll},
+	"kill":              {5, 0, func(s *run, e event) { s.restart(e, routerTarget, (*process).kill) }},
 	"freeze":            {3, 4 * time.Second, (*run).freeze},
 	"hangup":            {3, 0, (*run).hangup},
 	"callers_cut":       {2, 3 * time.Second, linkFault(callersLink, cut)},
@@ -70,74 +63,74 @@
 	"top_up":            {4, 0, func(s *run, e event) { s.configure(0, e.part(topUpMost), workspaces[e.target%2]) }},
 }
 
-// restart ends a router and starts it again; one that another fault ends already is left alone.
-func (s *run) restart(e event, target func(int) string, end func(*process)) {
-	i := e.target % s.Routers
-	p := s.processes[i]
-	if !p.operating.TryLock() {
-		return
-	}
-	defer p.operating.Unlock()
-	defer s.disturb(e.kind, target(i))()
-	end(p)
-	time.Sleep(time.Duration(e.part(restartPause)) * time.Millisecond)
-	if err := p.start(); err != nil {
-		s.violate(promiseAlive, "%v", err)
+// meets carries a fault out at the router that it meets, or at all at once.
+func (s *run) meets(e event, do func(i int, p *process)) {
+	for i, p := range s.processes {
+		if i == e.target%s.Routers || e.size > allTargets {
+			s.faults.Go(func() { do(i, p) })
+		}
 	}
-	p.awaitReady()
 }
 
-func (s *run) killAll(e event) {
-	for i := range s.processes {
-		s.faults.Go(func() { s.restart(event{kind: e.kind, target: i, size: e.size}, routerTarget, (*process).kill) })
-	}
+// restart ends a router and starts it again; one that another fault ends already is left alone.
+func (s *run) restart(e event, target func(int) string, end func(*process)) {
+	s.meets(e, func(i int, p *process) {
+		if !p.operating.TryLock() {
+			return
+		}
+		defer p.operating.Unlock()
+		defer s.disturb(e.kind, target(i))()
+		end(p)
+		time.Sleep(time.Duration(e.part(restartPause)) * time.Millisecond)
+		if err := p.start(); err != nil {
+			s.violate(promiseAlive, "%s cannot be started: %v", routerTarget(i), err)
+		}
+		p.awaitReady()
+	})
 }
 
 // freeze pauses a router's process.
 func (s *run) freeze(e event) {
-	i := e.target % s.Routers
-	defer s.disturb(e.kind, routerTarget(i))()
-	s.processes[i].signal(syscall.SIGSTOP)
-	time.Sleep(e.length)
-	s.processes[i].signal(syscall.SIGCONT)
+	s.meets(e, func(i int, p *process) {
+		defer s.disturb(e.kind, routerTarget(i))()
+		p.signal(syscall.SIGSTOP)
+		time.Sleep(e.length)
+		p.signal(syscall.SIGCONT)
+	})
 }
 
 // hangup has a router read its settings again, which differ in the least level of its log.
 func (s *run) hangup(e event) {
-	p := s.processes[e.target%s.Routers]
-	if !p.operating.TryLock() {
-		return
-	}
-	defer p.operating.Unlock()
-	p.settings.LogLevel = []string{"info", "debug"}[e.target%2]
-	if p.configure() == nil {
-		p.signal(syscall.SIGHUP)
-	}
+	s.meets(e, func(_ int, p *process) {
+		if !p.operating.TryLock() {
+			return
+		}
+		defer p.operating.Unlock()
+		p.settings.LogLevel = []string{"info", "debug"}[e.target%2]
+		if p.configure() == nil {
+			p.signal(syscall.SIGHUP)
+		}
+	})
 }
 
 func callersLink(p *process) *link { return p.callers }
 func storeLink(p *process) *link   { return p.store }
 
-// linkFault disturbs a link of one router, or of all at once; where two meet, the condition is that of the later end.
+// linkFault disturbs a router's link; a later fault takes an earlier one's place.
 func linkFault(which func(*process) *link, c condition) func(s *run, e event) {
 	return func(s *run, e event) {
-		for i, p := range s.processes {
-			if i == e.target%s.Routers || e.size > allTargets {
-				s.faults.Go(func() { s.disturbLink(e, routerTarget(i), which(p), c) })
+		s.meets(e, func(i int, p *process) {
+			defer s.disturb(e.kind, routerTarget(i))()
+			l := which(p)
+			if c == reset {
+				l.reset()
+				return
 			}
-		}
-	}
-}
-
-func (s *run) disturbLink(e event, target string, l *link, c condition) {
-	defer s.disturb(e.kind, target)()
-	if c == reset {
-		l.reset()
-		return
+			l.set(c)
+			time.Sleep(e.length)
+			l.set(l.base)
+		})
 	}
-	l.set(c)
-	time.Sleep(e.length)
-	l.set(l.base)
 }
 
 // storeFault disturbs the store; a later fault takes an earlier one's place.
--- a/soaker/link.go
+++ b/soaker/link.go
@@ -1,7 +1,6 @@
 package soaker
 
 import (
-	"io"
 	"net"
 	"sync"
 	"time"
@@ -37,11 +36,12 @@
 
 func newLink(target string, c condition) (*link, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	l := &link{Listener: listener, target: target, base: c, now: c}
-	if err == nil {
-		go l.accept()
+	if err != nil {
+		return nil, err
 	}
-	return l, err
+	l := &link{Listener: listener, target: target, base: c, now: c}
+	go l.accept()
+	return l, nil
 }
 
 func (l *link) set(c condition) {
@@ -82,29 +82,23 @@
 	l.conns = append(l.conns, near, far)
 	l.mu.Unlock()
 	var wg sync.WaitGroup
-	for direction, ends := range [][2]*net.TCPConn{{near, far}, {far, near}} {
-		wg.Go(func() {
-			// However one end has ended, the other one sees that no more comes.
-			_, _ = io.Copy(ends[1], held{l, direction, ends[0]})
-			_ = ends[1].CloseWrite()
-		})
-	}
+	wg.Go(func() { l.forward(0, far, near) })
+	wg.Go(func() { l.forward(1, near, far) })
 	wg.Wait()
 	_, _ = near.Close(), far.Close()
 }
 
-// held reads one direction of a connection as fast as the link lets it.
-type held struct {
-	link      *link
-	direction int
-	from      io.Reader
-}
-
-// Read returns bytes when the link lets them through.
-func (h held) Read(p []byte) (int, error) {
-	n, err := h.from.Read(p[:min(len(p), chunkBytes)])
-	time.Sleep(time.Until(h.link.due(h.direction, n)))
-	return n, err
+// forward passes one direction on; however one end has ended, the other one sees that no more comes.
+func (l *link) forward(direction int, to, from *net.TCPConn) {
+	defer to.CloseWrite()
+	buffer := make([]byte, chunkBytes)
+	for {
+		n, err := from.Read(buffer)
+		time.Sleep(time.Until(l.due(direction, n)))
+		if _, failed := to.Write(buffer[:n]); err != nil || failed != nil {
+			return
+		}
+	}
 }
 
 // due waits for the end of a cut and returns when so many bytes of a direction may pass.
--- a/soaker/prober.go
+++ b/soaker/prober.go
@@ -8,19 +8,16 @@
 const (
 	// applyBound is how long after its acceptance a configuration is in force at routers in touch (config_apply_ms of the
 	// sheets), with half a second for what a busy machine adds.
-	applyBound = 2*time.Second + 500*time.Millisecond
-	// stable is for how long a router and the store must have been undisturbed to count as in touch (stable_ms).
-	stable = 3 * time.Second
-	// probePause separates two probes of a router, probeTimeout bounds one.
-	probePause, probeTimeout = 100 * time.Millisecond, time.Second
+	applyBound               = 2*time.Second + 500*time.Millisecond
+	stable                   = 3 * time.Second                     // what was undisturbed for so long is in touch (stable_ms)
+	probePause, probeTimeout = 100 * time.Millisecond, time.Second // between two probes of a router, and for one
 )
 
 // prober asks one router, past its link, for the path of the newest version and of the newest that is due.
 type prober struct {
 	*caller
-	process *process
-	// seen is the newest version that the present life of the router has served.
-	seen, life int64
+	process    *process
+	seen, life int64 // the newest version that the present life of the router has served
 }
 
 func (s *run) newProber(i int, p *process) *prober {
@@ -46,7 +43,7 @@
 	if life := p.process.life.Load(); life != p.life {
 		p.life, p.seen = life, 0
 	}
-	q := &request{limit: probeTimeout, patience: probeTimeout + answerSlack, route: route{repeatable: true}}
+	q := &request{limit: probeTimeout, patience: probeTimeout + answerSlack, route: route{pool: "plain", repeatable: true}}
 	if v.Number > 0 {
 		p.send(q, versionPath(v.Number))
 	}
--- a/soaker/process.go
+++ b/soaker/process.go
@@ -18,30 +18,25 @@
 )
 
 const (
-	zoneName = "zone"
-	// startBound is how long a router may take to be ready, longer than any fault; readyPause separates two looks.
-	startBound, readyPause = 20 * time.Second, 50 * time.Millisecond
+	zoneName               = "zone"
+	startBound, readyPause = 20 * time.Second, 50 * time.Millisecond // a router is ready within it, longer than any fault; between two looks
 	// Ports of a router; its address is its own, so that no connection of another program has them.
 	callerPort, readinessPort, peerPort = 7101, 7102, 7103
 )
 
 // process is a router over all its lives.
 type process struct {
-	soak     *run
-	settings forwarder.Settings
-	// files is the path of its files without their endings.
-	files string
-	// callers and store are the links from its callers and to the store.
-	callers, store *link
+	soak           *run
+	settings       forwarder.Settings
+	files          string     // the path of its files without their endings
+	callers, store *link      // from its callers and to the store
+	operating      sync.Mutex // serializes ends and starts
 
-	// operating serializes ends and starts.
-	operating sync.Mutex
-	mu        sync.Mutex
-	command   *exec.Cmd
-	ended     chan struct{}
-	// asked tells that the present life was told to end, life counts the starts.
-	asked bool
-	life  atomic.Int64
+	mu      sync.Mutex
+	command *exec.Cmd
+	ended   chan struct{}
+	asked   bool         // the present life was told to end
+	life    atomic.Int64 // the number of starts
 }
 
 // addRouter makes a router on an address of its own and starts it.
@@ -55,10 +50,10 @@
 	if err != nil {
 		return err
 	}
-	name := routerTarget(len(s.processes))
-	s.routers[address(callerPort)], s.routers[callers.Addr().String()] = len(s.processes), len(s.processes)
-	p := &process{soak: s, files: filepath.Join(s.Directory, name), callers: callers, store: l, settings: forwarder.Settings{
-		Instance: name, Zone: zoneName, LogLevel: "info", LogEvery: 1, CallerAddress: address(callerPort), ReadinessAddress: address(readinessPort),
+	i := len(s.processes)
+	s.routers[address(callerPort)], s.routers[callers.Addr().String()] = i, i
+	p := &process{soak: s, files: filepath.Join(s.Directory, routerTarget(i)), callers: callers, store: l, settings: forwarder.Settings{
+		Instance: routerTarget(i), Zone: zoneName, LogLevel: "info", LogEvery: 1, CallerAddress: address(callerPort), ReadinessAddress: address(readinessPort),
 		PeerAddress: address(peerPort), PeerSeeds: seeds, StoreAddress: l.Addr().String(), GraceSeconds: s.grace.Seconds(),
 		Money:   forwarder.MoneySettings{Parts: 4, Reserve: masticway.Duration(5 * time.Second)},
 		Retries: forwarder.RetriesSettings{Ratio: 0.2, Slack: 50, WindowSeconds: 10},
@@ -82,15 +77,16 @@
 	defer log.Close()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	c, ended := exec.Command(p.soak.Program, "gateway", p.files+".json"), make(chan struct{})
+	p.command, p.ended, p.asked = exec.Command(p.soak.Program, "gateway", p.files+".json"), make(chan struct{}), false
+	p.command.Stdout, p.command.Stderr = log, log
 	// A machine of the sheets has one core.
-	c.Stdout, c.Stderr, c.Env = log, log, append(os.Environ(), "GOMAXPROCS=1")
-	if err := errors.Join(p.configure(), c.Start()); err != nil {
+	p.command.Env = append(os.Environ(), "GOMAXPROCS=1")
+	if err := errors.Join(p.configure(), p.command.Start()); err != nil {
+		close(p.ended)
 		return err
 	}
-	p.command, p.ended, p.asked = c, ended, false
 	p.life.Add(1)
-	go p.wait(c, ended)
+	go p.wait(p.command, p.ended)
 	return nil
 }
 
@@ -110,7 +106,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.asked = p.asked || s == syscall.SIGTERM || s == syscall.SIGKILL
-	_ = p.command.Process.Signal(s)
+	if p.command.Process != nil {
+		_ = p.command.Process.Signal(s)
+	}
 }
 
 // stop ends the present life with SIGTERM, and with SIGKILL when its grace is over.
@@ -145,9 +143,7 @@
 }
 
 func (p *process) close() {
-	if p.command != nil {
-		p.kill()
-	}
+	p.kill()
 	for _, l := range []*link{p.callers, p.store} {
 		_ = l.Close()
 		l.set(condition{})
