--- a/soaker/deployment.go
+++ b/soaker/deployment.go
@@ -65,7 +65,7 @@
 		v.Number, v.Paths = s.versions[n-1].Number+int64(1+n%3), s.versions[n-1].Paths
 	}
 	v.Paths = append(v.Paths, versionPath(v.Number))
-	for range more {
+	for range min(more, routesMost-len(v.Paths)) {
 		v.Paths = append(v.Paths, fmt.Sprintf("unused-%d", len(v.Paths)))
 	}
 	for _, workspace := range to {
--- a/soaker/faults.go
+++ b/soaker/faults.go
@@ -29,7 +29,7 @@
 	gapMost, shortest     = 1400 * time.Millisecond, 150 * time.Millisecond // between the beginnings of two faults; the least length
 	restartPause          = 1000                                            // milliseconds, the longest before a process is started again
 	failuresMost          = 20                                              // requests that one fault makes a server fail
-	routesMost, topUpMost = 4000, 30_000                                    // routes, and tokens, by which a configuration grows at once
+	routesMost, topUpMost = 4000, 30_000                                    // routes of a configuration, one that a call to the store bears; tokens at once
 	allTargets            = 0.8                                             // from this size on a fault of a router meets all
 	silentShare           = 0.3                                             // the part of the leaving servers whose row goes without a word
 )
