--- a/soaker/prober.go
+++ b/soaker/prober.go
@@ -18,6 +18,7 @@
 	*caller
 	process    *process
 	seen, life int64 // the newest version that the present life of the router has served
+	missed     int64 // the newest version of which it was noted that the router did not know it in time
 }
 
 func (s *run) newProber(i int, p *process) *prober {
@@ -58,7 +59,8 @@
 	}
 	// A version is due only where router and store were in touch all the while.
 	age := q.sentAt.Sub(v.ack)
-	if q.status == http.StatusNotFound && age > applyBound && p.soak.calm(q.sentAt.Add(-stable), q.endedAt, inTouch(q.router)...) {
+	if q.status == http.StatusNotFound && age > applyBound && v.Number > p.missed && p.soak.calm(q.sentAt.Add(-stable), q.endedAt, inTouch(q.router)...) {
 		p.soak.violate(promiseInForce, "router-%d does not know version %d %s after it was accepted (newest seen %d)", q.router, v.Number, age, p.seen)
+		p.missed = v.Number
 	}
 }
--- a/soaker/soaker_test.go
+++ b/soaker/soaker_test.go
@@ -92,6 +92,24 @@
 	}
 }
 
+// failedSeeds are soaks that failed for a fault of the product, by its cause; they stay as cases when it is mended.
+var failedSeeds = map[string]soaker.Soak{
+	// A row of 0.9 MB takes as long on a link of 10 Mbit/s as a call to the store may, and a feed carries all versions.
+	"grown configuration over a narrow link": {Seed: 2, Duration: 8 * time.Second, Routers: 2, Kinds: []string{"grow", "configure"}},
+	// Requests that may be repeated are left after 0.7 of the route's target also when no allowance is left for another try.
+	"servers slower than the target": {Seed: 12, Duration: 8 * time.Second, Routers: 2, Kinds: []string{"configure"}},
+}
+
+func TestGrownConfigurationOverANarrowLink(t *testing.T) {
+	t.Parallel()
+	keepPromises(t, failedSeeds["grown configuration over a narrow link"])
+}
+
+func TestServersSlowerThanTheTarget(t *testing.T) {
+	t.Parallel()
+	keepPromises(t, failedSeeds["servers slower than the target"])
+}
+
 // TestBrokenProgramsFail checks that a soak notices each promise that a program breaks.
 func TestBrokenProgramsFail(t *testing.T) {
 	t.Parallel()
