--- a/commander/soak.go
+++ b/commander/soak.go
@@ -24,10 +24,13 @@
 			s.String(&out, "", "out", "directory for settings and logs")
 		},
 		run: func(ctx context.Context, e env) error {
-			program, err := os.Executable()
-			if err != nil || seed < 0 || seconds < 1 || routers < 1 || routers > soaker.MostRouters {
+			if seed < 0 || seconds < 1 || routers < 1 || routers > soaker.MostRouters {
 				return &usageError{reason: fmt.Sprintf("--seed is 0 or more, --seconds 1 or more, --routers 1 to %d", soaker.MostRouters)}
 			}
+			program, err := os.Executable()
+			if err != nil {
+				return err
+			}
 			directory := filepath.Join(out, fmt.Sprintf("soak-%d", seed))
 			report, err := soaker.Soak{
 				Seed: uint64(seed), Duration: time.Duration(seconds) * time.Second, Routers: routers, Program: program, Directory: directory,
--- a/soaker/caller.go
+++ b/soaker/caller.go
@@ -130,7 +130,9 @@
 	c.sent++
 	q.id = fmt.Sprintf("%s-%d", c.name, c.sent)
 	q.path, q.body = "/"+path+"/"+q.id, q.id+q.body
-	c.soak.keep(q)
+	c.soak.mu.Lock()
+	c.soak.requests[q.id] = q
+	c.soak.mu.Unlock()
 	q.sentAt, q.outcome = time.Now(), outcomeAnswered
 	q.fault = c.exchange(q)
 	q.endedAt = time.Now()
--- a/soaker/checks.go
+++ b/soaker/checks.go
@@ -91,13 +91,6 @@
 	return []string{routerTarget(router), plannedTarget(router), storeTarget}
 }
 
-// keep keeps a request, before it is sent.
-func (s *run) keep(q *request) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.requests[q.id] = q
-}
-
 // deliver counts what a workspace got by a request: the prompt once there is an event, and the events.
 func (s *run) deliver(q *request) (got, paid int64) {
 	s.mu.Lock()
--- a/soaker/faults.go
+++ b/soaker/faults.go
@@ -43,12 +43,12 @@
 	"kill":              {5, 0, func(s *run, e event) { s.restart(e, routerTarget, (*process).kill) }},
 	"freeze":            {3, 4 * time.Second, (*run).freeze},
 	"hangup":            {3, 0, (*run).hangup},
-	"callers_cut":       {2, 3 * time.Second, linkFault(callersLink, cut)},
-	"callers_slow":      {2, 3 * time.Second, linkFault(callersLink, slow)},
-	"callers_reset":     {2, 0, linkFault(callersLink, reset)},
-	"store_cut":         {3, 6 * time.Second, linkFault(storeLink, cut)},
-	"store_link_slow":   {3, 5 * time.Second, linkFault(storeLink, slow)},
-	"store_link_reset":  {2, 0, linkFault(storeLink, reset)},
+	"callers_cut":       {2, 3 * time.Second, linkFault(toCallers, cut)},
+	"callers_slow":      {2, 3 * time.Second, linkFault(toCallers, slow)},
+	"callers_reset":     {2, 0, linkFault(toCallers, reset)},
+	"store_cut":         {3, 6 * time.Second, linkFault(toStore, cut)},
+	"store_link_slow":   {3, 5 * time.Second, linkFault(toStore, slow)},
+	"store_link_reset":  {2, 0, linkFault(toStore, reset)},
 	"store_busy":        {2, 5 * time.Second, storeFault(emulator.RowFaults{Busy: true})},
 	"store_silent":      {2, 5 * time.Second, storeFault(emulator.RowFaults{Silent: true})},
 	"store_slow":        {2, 5 * time.Second, storeFault(emulator.RowFaults{Slow: 250 * time.Millisecond})},
@@ -99,29 +99,22 @@
 	})
 }
 
-// hangup has a router read its settings again, which differ in the least level of its log.
+// hangup has a router read its settings again, unless it is just being started.
 func (s *run) hangup(e event) {
 	s.meets(e, func(_ int, p *process) {
-		if !p.operating.TryLock() {
-			return
-		}
-		defer p.operating.Unlock()
-		p.settings.LogLevel = []string{"info", "debug"}[e.target%2]
-		if p.configure() == nil {
+		if p.operating.TryLock() {
+			defer p.operating.Unlock()
 			p.signal(syscall.SIGHUP)
 		}
 	})
 }
 
-func callersLink(p *process) *link { return p.callers }
-func storeLink(p *process) *link   { return p.store }
-
-// linkFault disturbs a router's link; a later fault takes an earlier one's place.
-func linkFault(which func(*process) *link, c condition) func(s *run, e event) {
+// linkFault disturbs one of a router's links; a later fault takes an earlier one's place.
+func linkFault(which int, c condition) func(s *run, e event) {
 	return func(s *run, e event) {
 		s.meets(e, func(i int, p *process) {
 			defer s.disturb(e.kind, routerTarget(i))()
-			l := which(p)
+			l := p.links[which]
 			if c == reset {
 				l.reset()
 				return
--- a/soaker/process.go
+++ b/soaker/process.go
@@ -22,15 +22,16 @@
 	startBound, readyPause = 20 * time.Second, 50 * time.Millisecond // a router is ready within it, longer than any fault; between two looks
 	// Ports of a router; its address is its own, so that no connection of another program has them.
 	callerPort, readinessPort, peerPort = 7101, 7102, 7103
+	toCallers, toStore                  = 0, 1 // the links of a router
 )
 
 // process is a router over all its lives.
 type process struct {
-	soak           *run
-	settings       forwarder.Settings
-	files          string     // the path of its files without their endings
-	callers, store *link      // from its callers and to the store
-	operating      sync.Mutex // serializes ends and starts
+	soak      *run
+	settings  forwarder.Settings
+	files     string     // the path of its files without their endings
+	links     [2]*link   // from its callers and to the store
+	operating sync.Mutex // serializes ends and starts
 
 	mu      sync.Mutex
 	command *exec.Cmd
@@ -52,7 +53,7 @@
 	}
 	i := len(s.processes)
 	s.routers[address(callerPort)], s.routers[callers.Addr().String()] = i, i
-	p := &process{soak: s, files: filepath.Join(s.Directory, routerTarget(i)), callers: callers, store: l, settings: forwarder.Settings{
+	p := &process{soak: s, files: filepath.Join(s.Directory, routerTarget(i)), links: [2]*link{callers, l}, settings: forwarder.Settings{
 		Instance: routerTarget(i), Zone: zoneName, LogLevel: "info", LogEvery: 1, CallerAddress: address(callerPort), ReadinessAddress: address(readinessPort),
 		PeerAddress: address(peerPort), PeerSeeds: seeds, StoreAddress: l.Addr().String(), GraceSeconds: s.grace.Seconds(),
 		Money:   forwarder.MoneySettings{Parts: 4, Reserve: masticway.Duration(5 * time.Second)},
@@ -62,14 +63,12 @@
 	return p.start()
 }
 
-// configure writes the settings file.
-func (p *process) configure() error {
-	data, err := json.Marshal(p.settings)
-	return errors.Join(err, os.WriteFile(p.files+".json", data, 0o644))
-}
-
 // start starts the next life.
 func (p *process) start() error {
+	settings, err := json.Marshal(p.settings)
+	if err != nil {
+		return err
+	}
 	log, err := os.OpenFile(p.files+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
 		return err
@@ -77,16 +76,15 @@
 	defer log.Close()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.command, p.ended, p.asked = exec.Command(p.soak.Program, "gateway", p.files+".json"), make(chan struct{}), false
-	p.command.Stdout, p.command.Stderr = log, log
+	c, ended := exec.Command(p.soak.Program, "gateway", p.files+".json"), make(chan struct{})
 	// A machine of the sheets has one core.
-	p.command.Env = append(os.Environ(), "GOMAXPROCS=1")
-	if err := errors.Join(p.configure(), p.command.Start()); err != nil {
-		close(p.ended)
+	c.Stdout, c.Stderr, c.Env = log, log, append(os.Environ(), "GOMAXPROCS=1")
+	if err := errors.Join(os.WriteFile(p.files+".json", settings, 0o644), c.Start()); err != nil {
 		return err
 	}
+	p.command, p.ended, p.asked = c, ended, false
 	p.life.Add(1)
-	go p.wait(p.command, p.ended)
+	go p.wait(c, ended)
 	return nil
 }
 
@@ -106,9 +104,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.asked = p.asked || s == syscall.SIGTERM || s == syscall.SIGKILL
-	if p.command.Process != nil {
-		_ = p.command.Process.Signal(s)
-	}
+	_ = p.command.Process.Signal(s)
 }
 
 // stop ends the present life with SIGTERM, and with SIGKILL when its grace is over.
@@ -143,10 +139,8 @@
 }
 
 func (p *process) close() {
-	p.kill()
-	for _, l := range []*link{p.callers, p.store} {
-		_ = l.Close()
-		l.set(condition{})
-		l.reset()
+	if p.command != nil {
+		p.kill()
 	}
+	_, _ = p.links[toCallers].Close(), p.links[toStore].Close()
 }
