--- a/soaker/checks.go
+++ b/soaker/checks.go
@@ -86,9 +86,12 @@
 func routerTarget(i int) string  { return fmt.Sprintf("router-%d", i) }
 func plannedTarget(i int) string { return "planned-" + routerTarget(i) }
 
+// starvedTarget is disturbed while the machine holds a router up, or the soak itself.
+func starvedTarget(i int) string { return "starved-" + routerTarget(i) }
+
 // inTouch names what must be undisturbed for a router to be in touch.
 func inTouch(router int) []string {
-	return []string{routerTarget(router), plannedTarget(router), storeTarget}
+	return []string{routerTarget(router), plannedTarget(router), starvedTarget(router), storeTarget}
 }
 
 // judgeNow judges what can be judged at once.
@@ -172,6 +175,10 @@
 	if !s.calm(from, q.endedAt, routerTarget(q.router)) || q.metered && !s.calm(from, q.endedAt, storeTarget) {
 		return
 	}
+	// Where the machine held the router up at the time of the request, what is late or missing is not the router's.
+	if !s.calm(q.sentAt.Add(-busySlack), q.endedAt, starvedTarget(q.router)) {
+		return
+	}
 	took := q.endedAt.Sub(q.sentAt)
 	// A server that failed, left or crashed may be why there is no answer, and so may the end of the request's time.
 	sound := len(runs) > 0 && took < min(q.limit, routeTimeout) && !slices.ContainsFunc(runs, func(r emulator.OpaqueRun) bool {
--- a/soaker/starvation.go
+++ b/soaker/starvation.go
@@ -19,9 +19,10 @@
 	w := waits{}
 	for {
 		own := w.longest(os.Getpid())
-		s.starved(own, storeTarget)
 		for i, p := range s.processes {
-			s.starved(max(own, w.longest(int(p.pid.Load()))), routerTarget(i))
+			if d := max(own, w.longest(int(p.pid.Load()))); d > starvedMost {
+				s.disturb("starvation", starvedTarget(i), d)()
+			}
 		}
 		select {
 		case <-done:
@@ -31,12 +32,6 @@
 	}
 }
 
-func (s *run) starved(d time.Duration, target string) {
-	if d > starvedMost {
-		s.disturb("starvation", target, d)()
-	}
-}
-
 // waits is how long each thread has been ready and not running until the last look, by the file in which the kernel counts.
 type waits map[string]time.Duration
 
