--- a/soaker/soaker_test.go
+++ b/soaker/soaker_test.go
@@ -37,23 +37,23 @@
 	return program
 }
 
+// programPath is where the product is built.
+var programPath = filepath.Join(os.TempDir(), fmt.Sprintf("masticway-soaker-%d", os.Getpid()))
+
 // program is the product, built once.
 var program = sync.OnceValues(func() (string, error) {
-	path := filepath.Join(os.TempDir(), fmt.Sprintf("masticway-soaker-%d", os.Getpid()))
-	c := exec.Command("go", "build", "-o", path, "./cmd/masticway")
+	c := exec.Command("go", "build", "-o", programPath, "./cmd/masticway")
 	c.Dir = ".."
 	out, err := c.CombinedOutput()
 	if err != nil {
 		return "", fmt.Errorf("%w: %s", err, out)
 	}
-	return path, nil
+	return programPath, nil
 })
 
 func TestMain(m *testing.M) {
 	code := m.Run()
-	if path, err := program(); err == nil {
-		_ = os.Remove(path)
-	}
+	_ = os.Remove(programPath)
 	os.Exit(code)
 }
 
