Read changes of over 16 KB from the table

Cause: a followed change of a configuration of 0.9 MB took a slow link for 1 s, and where others came meanwhile the next answer was received up to the table's size before it was left: 3.2 s and more. Change: what is larger than 16 KB is left as soon as that is known and read from the table, which brings the newest of all. Two readings of 0.93 s each are the most that a change waits.

--- a/emulator/rows.go
+++ b/emulator/rows.go
@@ -226,6 +226,7 @@
 		}
 	}
 	if f.AtMost > 0 && out.Bytes() > f.AtMost {
+		lost.Large = true
 		return masticway.RowReading{}, nil, lost
 	}
 	return out, s.changed, nil
--- a/follower/mirror.go
+++ b/follower/mirror.go
@@ -19,10 +19,10 @@
 	// take at the size to design for. A configuration of 0.8 MB that was read anew every 2.5 s took a third of a link of
 	// 10 Mbit/s from callers, and what was given up and begun again all of it.
 	relistRate = 4 << 10
-	// followSlack is how much larger than the table its changes may be, 4 KB. Changes have each version of a row: a router
-	// that was behind by four versions of a configuration of 0.3 MB took 3 s for them on a link of 10 Mbit/s, in which
-	// others came. The table itself has the newest alone.
-	followSlack = 4 << 10
+	// followMost is how large changes may be that are read as such, 16 KB, some tens of servers. Changes have each version
+	// of a row: a router that was behind by four versions of a configuration of 0.3 MB took 3 s for them on a link of
+	// 10 Mbit/s, in which others came. The table itself has the newest alone, so that of two readings the second brings it.
+	followMost = 16 << 10
 )
 
 // mirror follows one table of the store: it reads the table whole and then its changes.
@@ -44,10 +44,9 @@
 	mu sync.Mutex
 	// since is the version up to which changes have been taken, zero before the first reading.
 	since int64
-	// size is that of the table's newest rows, as far as it is known, in bytes.
-	size int64
-	// listedAt is when the table was last read whole.
+	// listedAt is when the table was last read whole, and size what it had then, in bytes.
 	listedAt time.Time
+	size     int64
 }
 
 // run follows the table with the usual time limits until the context ends.
@@ -97,7 +96,7 @@
 	defer end()
 	whole = due()
 	m.mu.Lock()
-	f := masticway.Following{Table: m.table, Since: m.since, Wait: followWait, AtMost: m.size + followSlack}
+	f := masticway.Following{Table: m.table, Since: m.since, Wait: followWait, AtMost: followMost}
 	m.mu.Unlock()
 	m.metrics.Add(metricCalls, 1)
 	var reading masticway.RowReading
@@ -106,8 +105,8 @@
 	} else {
 		reading, err = store.Follow(ctx, f)
 	}
-	if _, forgotten := errors.AsType[*masticway.HistoryLostError](err); forgotten {
-		m.forget(f.Since)
+	if lost, ok := errors.AsType[*masticway.HistoryLostError](err); ok {
+		m.forget(lost)
 	}
 	if err != nil {
 		m.metrics.Add(metricFailures, 1)
@@ -129,21 +128,18 @@
 	m.take(whole, reading)
 	m.since = max(m.since, reading.Version)
 	if whole {
-		m.listedAt = m.clock.Now()
-	}
-	if size := reading.Newest().Bytes(); whole || size > m.size {
-		m.size = size
+		m.listedAt, m.size = m.clock.Now(), reading.Bytes()
 	}
 }
 
 // forget begins anew, unless another reading has gone on meanwhile.
-func (m *mirror) forget(since int64) {
+func (m *mirror) forget(lost *masticway.HistoryLostError) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.since == since {
+	if m.since == lost.Since {
 		m.since = 0
 	}
-	m.log.WithFields(logrus.Fields{"event": "history_lost", "table": m.table, "since": since}).Info("reading the table anew")
+	m.log.WithFields(logrus.Fields{"event": "history_lost", "table": m.table, "since": lost.Since, "large": lost.Large}).Info("reading the table anew")
 }
 
 // fail notes that a reading failed and waits for the next.
--- a/rows.go
+++ b/rows.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"fmt"
-	"maps"
 	"net/http"
-	"slices"
 	"time"
 )
 
@@ -62,18 +60,6 @@
 	return int64(n)
 }
 
-// Newest returns the reading with only the newest version of each row.
-func (r RowReading) Newest() RowReading {
-	newest := map[RowKey]StoredRow{}
-	for _, row := range r.Rows {
-		if row.Version >= newest[row.RowKey].Version {
-			newest[row.RowKey] = row
-		}
-	}
-	r.Rows = slices.Collect(maps.Values(newest))
-	return r
-}
-
 // Following asks for the changes of a table.
 type Following struct {
 	Table string
@@ -113,6 +99,8 @@
 type HistoryLostError struct {
 	Table string
 	Since int64
+	// Large tells that the changes are kept, but larger than asked for.
+	Large bool
 }
 
 // Error names the table and the version.
