Ask a router that has not met the others

TestSameKeyAtTwoRoutersRunsOnce ran its key twice beside a heavy load: one of its routers was asked before it had linked to the other, and kept the budget alone, as the other did. The new test holds their links back; it fails, since the new router says that it is ready.

--- /dev/null
+++ b/starter/meeting_test.go
@@ -0,0 +1,70 @@
+package starter_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/masticway/masticway"
+	"github.com/masticway/masticway/bookkeeper"
+	"github.com/masticway/masticway/starter"
+)
+
+// TestNewRouterServesOnceItHasMetTheOthers starts a router that cannot reach the other one. While both keep the budget
+// alone, a key that both are asked for could run twice.
+func TestNewRouterServesOnceItHasMetTheOthers(t *testing.T) {
+	t.Parallel()
+	cases := map[string]struct {
+		// wait is how long the new router looks for the other one.
+		wait string
+		// heals tells that the other one can be reached in the end.
+		heals bool
+	}{
+		"it serves as soon as it has met them":       {wait: "10m", heals: true},
+		"one that cannot be reached holds it up not": {wait: "500ms"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b := newBench(t, func(s *starter.FleetSpec, _ *masticway.Contract) {
+				s.Regions[0].Routers = 1
+				s.Router = json.RawMessage(fmt.Sprintf(`{"poll":"50ms","lost_after":%q,"lease":"10m"}`, tc.wait))
+			})
+			// The fleet numbers its processes.
+			second := fmt.Sprintf("router-local-%d", len(b.Sidecars())+len(b.Routers())+1)
+			b.Network.Cut(b.Routers()[0].Name, second)
+			r, err := b.AddRouter("local", "b")
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, r.Name, qt.Equals, second)
+			if tc.heals {
+				book := bookkeeper.New(b.Platform.Table)
+				b.eventually("it has its configuration", func() bool {
+					row, err := book.Daemon(context.Background(), r.Daemon.Incarnation())
+					return err == nil && row.Applied > 0
+				})
+				qt.Assert(t, r.Daemon.Ready(), qt.IsFalse)
+				b.Network.Heal(b.Routers()[0].Name, second)
+			}
+			b.eventually("it serves", r.Daemon.Ready)
+			if !tc.heals {
+				return
+			}
+			content := "twice [tokens=60]"
+			replies := make([]reply, 6)
+			var wg sync.WaitGroup
+			for i := range replies {
+				wg.Go(func() { replies[i] = b.chat(i%2, "same", content, false) })
+			}
+			wg.Wait()
+			for _, r := range replies {
+				qt.Assert(t, r.text, qt.Equals, wanted(content), qt.Commentf("%d %s", r.status, r.body))
+			}
+			qt.Assert(t, b.runs(), qt.Equals, int64(1))
+			qt.Assert(t, b.settled("b-100000").Settled, qt.Equals, cost(content))
+		})
+	}
+}
