Serve once the region's other routers count this one among the keepers

A router was ready as soon as it had its configuration. Until its links stood, it and each other router kept every budget alone, and a key that two were asked for at once ran twice. It waits now until each side has counted the other, told by the heartbeat that follows the record of its sidecars, and at most lost_after.

--- a/router/peer_reach.go
+++ b/router/peer_reach.go
@@ -74,6 +74,16 @@
 	ctx, cancel := c.Bind(p.router.ctx)
 	defer cancel()
 	if p.router.bank.link(ctx, m.Reach.Sidecars...) {
+		p.recorded(ctx, c)
 		_ = c.Answer(m, linker.Message{Reached: &linker.Reached{}})
 	}
 }
+
+// recorded notes that this router may be counted among the keepers at the other end of a link.
+func (p *peers) recorded(ctx context.Context, c *linker.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if _, again := p.counted[c]; !again && ctx.Err() == nil {
+		p.counted[c] = false
+	}
+}
--- a/router/peers.go
+++ b/router/peers.go
@@ -29,6 +29,11 @@
 	stops   map[string]context.CancelFunc
 	reached map[masticway.Incarnation]map[masticway.Incarnation]bool
 	leaving map[masticway.Incarnation]bool
+	// listed tells that the instance list has been read.
+	listed bool
+	// counted are the links that peers dialed and on which this router has recorded their sidecars; true ones have
+	// brought a heartbeat since, which a peer sends once it counts this router among the keepers.
+	counted map[*linker.Conn]bool
 	// heard is when each peer last said something, and silent those that have not for too long.
 	heard  map[masticway.Incarnation]time.Time
 	silent map[masticway.Incarnation]bool
@@ -43,11 +48,12 @@
 		router: r, conns: map[masticway.Incarnation]*linker.Conn{}, stops: map[string]context.CancelFunc{},
 		reached:   map[masticway.Incarnation]map[masticway.Incarnation]bool{},
 		leaving:   map[masticway.Incarnation]bool{},
+		counted:   map[*linker.Conn]bool{},
 		heard:     map[masticway.Incarnation]time.Time{},
 		silent:    map[masticway.Incarnation]bool{},
 		unsettled: map[masticway.HoldID]pendingSettle{},
 	}
-	p.listener = linker.NewListener(r.identity(), p.handle, func(*linker.Conn) {}, func(*linker.Conn) {})
+	p.listener = linker.NewListener(r.identity(), p.handle, func(*linker.Conn) {}, p.discount)
 	return p
 }
 
@@ -57,6 +63,7 @@
 func (p *peers) list(instances []masticway.Instance) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.listed = true
 	for _, i := range instances {
 		own := i.ID == p.router.settings.Instance || i.Region != p.router.settings.Region
 		if i.Role != masticway.RoleRouter || own {
@@ -81,7 +88,7 @@
 }
 
 func (p *peers) up(c *linker.Conn) {
-	_ = c.Send(linker.Message{Beat: &linker.Beat{Revision: p.router.snapshot.Load().Revision(), Unseen: p.router.unseen()}})
+	_ = c.Send(p.beatMessage())
 	p.router.wg.Go(func() {
 		if !p.reachMissing(c) {
 			// Without it nothing of the peer's money could be used; the next dial asks again.
@@ -89,14 +96,52 @@
 			return
 		}
 		p.router.recovery.note(c.Peer())
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		p.conns[c.Peer().Incarnation] = c
-		p.heard[c.Peer().Incarnation] = p.router.clock.Now()
-		p.ring = nil
+		p.count(c)
+		// With this beat the peer knows that it is counted.
+		_ = c.Send(p.beatMessage())
 	})
 }
 
+// count takes a peer among the keepers.
+func (p *peers) count(c *linker.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.conns[c.Peer().Incarnation] = c
+	p.heard[c.Peer().Incarnation] = p.router.clock.Now()
+	p.ring = nil
+}
+
+// discount forgets a link that a peer dialed.
+func (p *peers) discount(c *linker.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.counted, c)
+}
+
+// met tells whether this router and every listed router of its region count each other among the keepers.
+func (p *peers) met() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	both := map[string]bool{}
+	for c, counted := range p.counted {
+		if counted && p.conns[c.Peer().Incarnation] != nil {
+			both[c.Peer().Instance] = true
+		}
+	}
+	for instance := range p.stops {
+		if !both[instance] {
+			return false
+		}
+	}
+	return p.listed
+}
+
+// beatMessage is the heartbeat to a peer.
+func (p *peers) beatMessage() linker.Message {
+	r := p.router
+	return linker.Message{Beat: &linker.Beat{Revision: r.snapshot.Load().Revision(), Leaving: r.draining.Load(), Unseen: r.unseen()}}
+}
+
 func (p *peers) down(c *linker.Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -239,12 +284,15 @@
 }
 
 func (p *peers) beat(c *linker.Conn, b linker.Beat) {
+	p.mu.Lock()
+	if _, recorded := p.counted[c]; recorded {
+		p.counted[c] = true
+	}
 	if b.Leaving {
-		p.mu.Lock()
 		p.leaving[c.Peer().Incarnation] = true
 		p.ring = nil
-		p.mu.Unlock()
 	}
+	p.mu.Unlock()
 	if b.Revision == p.router.snapshot.Load().Revision() {
 		p.router.confirm(p.router.clock.Now().Add(-b.Unseen))
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -88,7 +88,9 @@
 	toldUpto int64
 	beats    int
 
-	draining   atomic.Bool
+	draining atomic.Bool
+	// met tells that the other routers of the region count this one among the keepers, or were waited for long enough.
+	met        atomic.Bool
 	open       atomic.Int64
 	serial     atomic.Uint64
 	challenged atomic.Int64
@@ -171,6 +173,7 @@
 	r.wg.Go(func() { r.loop(r.settings.Beat.Std(), r.sendBeats) })
 	r.wg.Go(func() { r.loop(r.settings.Poll.Std(), r.pollConfig) })
 	r.wg.Go(r.keepLease)
+	r.wg.Go(r.meet)
 	r.wg.Go(func() { r.loop(challengeRead, r.answerChallenge) })
 	r.wg.Go(func() { r.loop(flushEvery, r.flush) })
 	r.wg.Go(func() { r.loop(auditEvery, r.audit) })
@@ -211,9 +214,20 @@
 	}
 }
 
+// meet waits for the other routers of the region before this one serves: until they count each other among the keepers,
+// each keeps every budget alone, and a key that two are asked for at once would run twice. One that cannot be reached
+// holds this router up no longer than a silent sidecar holds up a request.
+func (r *Router) meet() {
+	deadline := r.clock.Now().Add(r.settings.LostAfter.Std())
+	for !r.peers.met() && r.clock.Now().Before(deadline) && r.ctx.Err() == nil {
+		r.bank.pause(bankTick)
+	}
+	r.met.Store(true)
+}
+
 // Ready tells whether requests are served.
 func (r *Router) Ready() bool {
-	return r.snapshot.Load().Revision() > 0 && !r.draining.Load() && !r.isSealed() && !r.isStale()
+	return r.met.Load() && r.snapshot.Load().Revision() > 0 && !r.draining.Load() && !r.isSealed() && !r.isStale()
 }
 
 // Drain stops taking requests, lets those in progress finish and returns all money.
@@ -355,7 +369,7 @@
 	for _, c := range r.upstreams.linked() {
 		_ = c.Send(m)
 	}
-	peer := linker.Message{Beat: &linker.Beat{Revision: beat.Revision, Leaving: beat.Leaving, Unseen: r.unseen()}}
+	peer := r.peers.beatMessage()
 	for _, c := range r.peers.linked() {
 		_ = c.Send(peer)
 	}
--- a/router/upstreams.go
+++ b/router/upstreams.go
@@ -304,13 +304,14 @@
 	return -1
 }
 
-// Linked tells whether at least so many sidecars may get work from this router, paid by any live keeper.
+// Linked tells whether at least so many sidecars may get work from this router, paid by any live keeper, and whether
+// it and the region's other routers know each other.
 func (r *Router) Linked(n int) bool {
 	u := r.upstreams
 	u.mu.Lock()
 	usable := u.tracker.Usable(r.clock.Now())
 	u.mu.Unlock()
-	if len(usable) < n {
+	if len(usable) < n || !r.peers.met() {
 		return false
 	}
 	for _, c := range r.peers.linked() {
