--- a/router/recovery.go
+++ b/router/recovery.go
@@ -210,6 +210,9 @@
 	v.watch.Challenged(v.router.clock.Now(), inc, err == nil)
 }
 
+// watchChallenges looks for challenges to this router until it ends.
+func (r *Router) watchChallenges() { r.loop(challengeRead, r.answerChallenge) }
+
 // answerChallenge renews the lease at once when somebody takes this router for dead.
 func (r *Router) answerChallenge() {
 	ctx, cancel := r.background()
--- /dev/null
+++ b/router/recovery_test.go
@@ -0,0 +1,76 @@
+package router
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/masticway/masticway"
+	"github.com/masticway/masticway/bookkeeper"
+	"github.com/masticway/masticway/emulator"
+	"github.com/masticway/masticway/linker"
+	"github.com/masticway/masticway/logger"
+	"github.com/masticway/masticway/measurer"
+)
+
+// pausing is one wait for the clock.
+type pausing struct {
+	due  time.Time
+	over chan time.Time
+}
+
+// loopClock is the clock of a single loop; it moves only while that loop waits for it.
+type loopClock struct {
+	now   time.Time
+	waits chan pausing
+}
+
+func (c *loopClock) Now() time.Time { return c.now }
+
+func (c *loopClock) After(d time.Duration) <-chan time.Time {
+	w := pausing{due: c.now.Add(d), over: make(chan time.Time, 1)}
+	c.waits <- w
+	return w.over
+}
+
+// run moves the clock, and returns once the loop has done what is due until then.
+func (c *loopClock) run(until time.Time) {
+	for w := range c.waits {
+		if w.due.After(until) {
+			return
+		}
+		c.now = w.due
+		w.over <- w.due
+	}
+}
+
+// TestChallengeIsAnsweredInTime challenges a router that lives. Its lease is read again half a lease after the challenge,
+// so it must be renewed within half of that, and the rest is for the table.
+func TestChallengeIsAnsweredInTime(t *testing.T) {
+	cases := map[string]time.Duration{
+		"lease of the settings": 4 * time.Second, "short lease": 2 * time.Second, "very short lease": 200 * time.Millisecond,
+	}
+	for name, lease := range cases {
+		t.Run(name, func(t *testing.T) {
+			table := emulator.NewTable()
+			book := bookkeeper.New(table)
+			c := &loopClock{now: time.Unix(1_800_000_000, 0), waits: make(chan pausing)}
+			var dial linker.DialFunc
+			r := New(Settings{Lease: masticway.Duration(lease), Heartbeat: masticway.Duration(15 * time.Second)}, Secrets{}, c,
+				logger.Discard(), Platform{Table: table}, dial, measurer.New())
+			defer r.Close()
+			ctx := context.Background()
+			qt.Assert(t, r.heartbeat(ctx), qt.IsNil)
+			before, err := book.Daemon(ctx, r.self)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, book.Challenge(ctx, r.self, "r~2"), qt.IsNil)
+			r.wg.Go(r.watchChallenges)
+			c.run(c.now.Add(lease / 4))
+			after, err := book.Daemon(ctx, r.self)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, after.Lease.After(before.Lease), qt.IsTrue)
+		})
+	}
+}
--- a/router/router.go
+++ b/router/router.go
@@ -174,7 +174,7 @@
 	r.wg.Go(func() { r.loop(r.settings.Poll.Std(), r.pollConfig) })
 	r.wg.Go(r.keepLease)
 	r.wg.Go(r.meet)
-	r.wg.Go(func() { r.loop(challengeRead, r.answerChallenge) })
+	r.wg.Go(r.watchChallenges)
 	r.wg.Go(func() { r.loop(flushEvery, r.flush) })
 	r.wg.Go(func() { r.loop(auditEvery, r.audit) })
 	r.wg.Go(func() { r.loop(recoveryTick, r.recovery.tick) })
