Look for challenges four times in a lease, and let nobody wait at a sealed router

A sealed incarnation answers those who wait for its money, and who ask later, that it keeps none: a peer takes its own then, and a caller is refused as not run.

--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -56,7 +56,7 @@
 	VerdictDuplicate   Verdict = "duplicate"
 	VerdictExhausted   Verdict = "exhausted"
 	VerdictUnreachable Verdict = "unreachable"
-	// VerdictElsewhere comes from a router that is leaving and keeps no budget any more.
+	// VerdictElsewhere comes from a router that is leaving or sealed and keeps no budget any more.
 	VerdictElsewhere Verdict = "elsewhere"
 )
 
--- a/router/bank.go
+++ b/router/bank.go
@@ -48,6 +48,8 @@
 	waiting map[masticway.HoldID]func(keeper.Reply)
 	// counted are the holds that the contract limits count as open.
 	counted map[masticway.HoldID]string
+	// refuses tells that this incarnation is sealed, so that no money can come.
+	refuses bool
 	// faulted tells that a step outside a chart has been logged.
 	faulted bool
 
@@ -92,6 +94,10 @@
 	now := b.clock.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.refuses {
+		reply(linker.HoldIs{Verdict: keeper.VerdictElsewhere})
+		return
+	}
 	limit, retry := b.limits.Admit(now, c)
 	if limit != limiter.LimitNone {
 		reply(linker.HoldIs{Limit: string(limit), Retry: retry})
@@ -108,6 +114,18 @@
 	b.apply(b.keeper.Hold(now, r))
 }
 
+// refuseAll answers those who wait for money, and from now on all who ask, because this incarnation is sealed.
+func (b *bank) refuseAll() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.refuses = true
+	for id, reply := range b.waiting {
+		delete(b.waiting, id)
+		reply(keeper.Reply{ID: id, Verdict: keeper.VerdictElsewhere})
+		b.apply(b.keeper.Settle(b.clock.Now(), id, nil))
+	}
+}
+
 func (b *bank) resize(id masticway.HoldID, amount masticway.Amount) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/router/recovery.go
+++ b/router/recovery.go
@@ -211,7 +211,9 @@
 }
 
 // watchChallenges looks for challenges to this router until it ends.
-func (r *Router) watchChallenges() { r.loop(challengeRead, r.answerChallenge) }
+func (r *Router) watchChallenges() {
+	r.loop(max(bankTick, r.settings.Lease.Std()/challengeReads), r.answerChallenge)
+}
 
 // answerChallenge renews the lease at once when somebody takes this router for dead.
 func (r *Router) answerChallenge() {
--- a/router/router.go
+++ b/router/router.go
@@ -31,8 +31,8 @@
 	auditEvery = 5 * time.Second
 	// quietBeats is how many heartbeats pass between two on links that the peer dialed.
 	quietBeats = 4
-	// challengeRead is the pause between two looks for a challenge to this router.
-	challengeRead = time.Second
+	// challengeReads is how often in a lease a router looks for a challenge to it, which it must answer within half of it.
+	challengeReads = 4
 	// startRetry is the pause between two attempts to start.
 	startRetry = 100 * time.Millisecond
 	// platformTimeout bounds one background call to the platform.
@@ -145,6 +145,7 @@
 	r.sealedOnce.Do(func() {
 		r.log.WithField("event", "sealed").Warn("this incarnation is sealed")
 		close(r.sealed)
+		r.bank.refuseAll()
 	})
 }
 
