--- a/router/exchange.go
+++ b/router/exchange.go
@@ -128,6 +128,8 @@
 	ran masticway.Fate
 	// endedEarly tells that the identity's last run left no whole answer to attach to.
 	endedEarly bool
+	// unanswered tells that a sidecar did not say whether it has a run of the identity.
+	unanswered bool
 	// join is the run that another request with this identity started.
 	join *joinPoint
 }
--- a/router/join.go
+++ b/router/join.go
@@ -17,7 +17,8 @@
 
 // found looks for a run of the same identity at the sidecars.
 func (x *exchange) found(ctx context.Context) bool {
-	status, conn := x.r.upstreams.find(ctx, x.q.identity)
+	status, conn, all := x.r.upstreams.find(ctx, x.q.identity)
+	x.unanswered = !all
 	if conn == nil {
 		return false
 	}
--- a/router/money.go
+++ b/router/money.go
@@ -70,7 +70,7 @@
 			if x.found(ctx) || x.recorded(ctx) {
 				return nil
 			}
-			over := !h.Open && !x.endedEarly
+			over := !h.Open && !x.endedEarly && !x.unanswered
 			if over || x.r.clock.Now().After(deadline) || x.callerGone() {
 				return &masticway.RefusalError{
 					Status: http.StatusConflict, Code: "answer_not_available", Run: masticway.FateUnknown,
--- a/router/peer_money.go
+++ b/router/peer_money.go
@@ -27,7 +27,9 @@
 	if conn := p.conn(target); conn != nil {
 		asking, cancel := context.WithTimeout(ctx, request.Wait+holdGrace)
 		defer cancel()
-		answer, err := conn.Ask(asking, linker.Message{Hold: &request})
+		// The link may still write it when the wait is over.
+		asked := request
+		answer, err := conn.Ask(asking, linker.Message{Hold: &asked})
 		if err == nil && answer.HoldIs != nil && answer.HoldIs.Verdict != keeper.VerdictElsewhere {
 			return *answer.HoldIs, request.ID
 		}
--- a/router/upstreams.go
+++ b/router/upstreams.go
@@ -254,15 +254,17 @@
 	u.pump()
 }
 
-// find asks all linked sidecars for a run of an identity.
-func (u *upstreams) find(ctx context.Context, identity masticway.Identity) (sealer.Status, *linker.Conn) {
+// find asks all linked sidecars for a run of an identity; all tells that each of them has answered.
+//
+// It waits for a slow one as long as a silent one still gets work: the run may be there.
+func (u *upstreams) find(ctx context.Context, identity masticway.Identity) (status sealer.Status, at *linker.Conn, all bool) {
 	conns := u.linked()
 	type finding struct {
 		status sealer.Status
 		conn   *linker.Conn
 	}
 	found := make(chan finding, len(conns))
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	ctx, cancel := context.WithTimeout(ctx, max(askTimeout, u.router.settings.SuspectAfter.Std()))
 	defer cancel()
 	for _, c := range conns {
 		go func() {
@@ -275,13 +277,15 @@
 		}()
 	}
 	var best finding
+	all = true
 	for range conns {
 		f := <-found
+		all = all && f.conn != nil
 		if f.status.Known && (best.conn == nil || f.status.Run.Attempt > best.status.Run.Attempt) {
 			best = f
 		}
 	}
-	return best.status, best.conn
+	return best.status, best.conn, all
 }
 
 // count asks a usable engine for a prompt's true token count; it returns -1 when none answers.
