Let a link end where nothing passes, not where a message is large

The deadlines of 5 s are for a piece of 16 KB of a message, read or written, not for the whole; what waits together is packed into messages of at most 1 MB, unless one alone is larger.

--- a/linker/conn.go
+++ b/linker/conn.go
@@ -1,8 +1,11 @@
 package linker
 
 import (
+	"bytes"
 	"context"
+	"errors"
 	"fmt"
+	"io"
 	"net"
 	"slices"
 	"sync"
@@ -22,9 +25,15 @@
 	batchMost = 128
 	// readLimit bounds one WebSocket message in bytes.
 	readLimit = 16 << 20
-	// writeTimeout ends a link whose peer does not take bytes.
+	// batchBytes bounds what is packed into one WebSocket message, 1 MB, unless one message alone is larger: many large
+	// ones together are over the reader's limit.
+	batchBytes = 1 << 20
+	// pieceBytes is what has to pass within a timeout, 16 KB: the time that a whole message takes grows with its size, and
+	// a link that is ended in the middle of one begins it again.
+	pieceBytes = 16 << 10
+	// writeTimeout ends a link whose peer does not take the next piece.
 	writeTimeout = 5 * time.Second
-	// readTimeout ends a link that has been silent over several heartbeats.
+	// readTimeout ends a link that has been silent over several heartbeats, or on which the next piece doesn't come.
 	readTimeout = 5 * time.Second
 )
 
@@ -157,8 +166,7 @@
 	var writer sync.WaitGroup
 	writer.Go(c.write)
 	for {
-		_ = c.socket.SetReadDeadline(time.Now().Add(readTimeout))
-		_, data, err := c.socket.ReadMessage()
+		data, err := c.readMessage()
 		if err != nil {
 			break
 		}
@@ -175,6 +183,28 @@
 	writer.Wait()
 }
 
+// readMessage reads one WebSocket message; each piece has its own deadline.
+func (c *Conn) readMessage() ([]byte, error) {
+	c.expectPiece()
+	_, message, err := c.socket.NextReader()
+	if err != nil {
+		return nil, err
+	}
+	var data bytes.Buffer
+	for {
+		c.expectPiece()
+		_, err := io.CopyN(&data, message, pieceBytes)
+		if errors.Is(err, io.EOF) {
+			return data.Bytes(), nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
+
+func (c *Conn) expectPiece() { _ = c.socket.SetReadDeadline(time.Now().Add(readTimeout)) }
+
 func (c *Conn) deliver(m Message, h Handler) {
 	if m.Reply == 0 {
 		h(c, m)
@@ -208,15 +238,39 @@
 	}
 }
 
-// writeBatch packs messages into one WebSocket message.
+// writeBatch packs messages into one WebSocket message, or into several when they are large.
 func (c *Conn) writeBatch(batch []Message) error {
 	data, err := cbor.Marshal(batch)
 	if err != nil {
 		return fmt.Errorf("encoding %d messages: %w", len(batch), err)
 	}
+	if half := len(batch) / 2; half > 0 && len(data) > batchBytes {
+		if err := c.writeBatch(batch[:half]); err != nil {
+			return err
+		}
+		return c.writeBatch(batch[half:])
+	}
 	c.self.count(CounterSent, len(data))
-	_ = c.socket.SetWriteDeadline(time.Now().Add(writeTimeout))
-	return c.socket.WriteMessage(websocket.BinaryMessage, data)
+	return c.writeMessage(data)
+}
+
+// writeMessage writes one WebSocket message; each piece has its own deadline.
+func (c *Conn) writeMessage(data []byte) error {
+	if len(data) <= pieceBytes {
+		_ = c.socket.SetWriteDeadline(time.Now().Add(writeTimeout))
+		return c.socket.WriteMessage(websocket.BinaryMessage, data)
+	}
+	message, err := c.socket.NextWriter(websocket.BinaryMessage)
+	if err != nil {
+		return err
+	}
+	for piece := range slices.Chunk(data, pieceBytes) {
+		_ = c.socket.SetWriteDeadline(time.Now().Add(writeTimeout))
+		if _, err := message.Write(piece); err != nil {
+			return err
+		}
+	}
+	return message.Close()
 }
 
 // Decode reads a batch of messages as a link does; it is exported for fuzzing.
