Wait for a peer's configuration while it comes, and keep its link up

A question for a large answer ends where nothing large has come for 5 s, not 5 s after it was asked; heartbeats go out meanwhile.

--- a/linker/conn.go
+++ b/linker/conn.go
@@ -46,6 +46,25 @@
 // Error names the peer.
 func (e *DownError) Error() string { return fmt.Sprintf("link to %s is down: %s", e.Peer, e.Reason) }
 
+// LateError reports a question on which nothing came within its pause, neither the answer nor parts of large messages.
+type LateError struct {
+	Peer  string
+	Pause time.Duration
+}
+
+// Error names the peer.
+func (e *LateError) Error() string {
+	return fmt.Sprintf("nothing came from %s for %s", e.Peer, e.Pause)
+}
+
+// question is one that waits for its answer.
+type question struct {
+	answer chan Message
+	// late ends the wait after a pause; it is nil where the context alone does.
+	late  *time.Timer
+	pause time.Duration
+}
+
 // Handler takes a message from a link, in order; it must not block.
 type Handler func(c *Conn, m Message)
 
@@ -59,7 +78,7 @@
 	calls  atomic.Uint64
 
 	mu      sync.Mutex
-	answers map[uint64]chan Message
+	answers map[uint64]question
 	// queue grows with what waits, because most of many links are idle.
 	queue []Message
 	wake  chan struct{}
@@ -73,7 +92,7 @@
 		socket: socket, peer: peer, self: self,
 		wake:    make(chan struct{}, 1),
 		done:    make(chan struct{}),
-		answers: map[uint64]chan Message{},
+		answers: map[uint64]question{},
 	}
 }
 
@@ -132,10 +151,25 @@
 //
 // When it fails after sending, the peer may have acted on the question.
 func (c *Conn) Ask(ctx context.Context, m Message) (Message, error) {
+	return c.ask(ctx, m, question{})
+}
+
+// AskLarge is Ask for an answer of any size: it fails with LateError once nothing large has come for a pause.
+//
+// The time that a large answer takes grows with its size, and so does that of others that come before it on the link.
+func (c *Conn) AskLarge(ctx context.Context, m Message, pause time.Duration) (Message, error) {
+	asking, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	late := time.AfterFunc(pause, func() { cancel(&LateError{Peer: c.peer.Instance, Pause: pause}) })
+	defer late.Stop()
+	return c.ask(asking, m, question{late: late, pause: pause})
+}
+
+func (c *Conn) ask(ctx context.Context, m Message, q question) (Message, error) {
 	m.Call = c.calls.Add(1)
-	answer := make(chan Message, 1)
+	q.answer = make(chan Message, 1)
 	c.mu.Lock()
-	c.answers[m.Call] = answer
+	c.answers[m.Call] = q
 	c.mu.Unlock()
 	defer func() {
 		c.mu.Lock()
@@ -146,12 +180,23 @@
 		return Message{}, err
 	}
 	select {
-	case a := <-answer:
+	case a := <-q.answer:
 		return a, nil
 	case <-c.done:
 		return Message{}, &DownError{Peer: c.peer.Instance, Reason: "closed while asking"}
 	case <-ctx.Done():
-		return Message{}, fmt.Errorf("asking %s: %w", c.peer.Instance, ctx.Err())
+		return Message{}, fmt.Errorf("asking %s: %w", c.peer.Instance, context.Cause(ctx))
+	}
+}
+
+// progress puts off the end of the questions that may have large answers.
+func (c *Conn) progress() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, q := range c.answers {
+		if q.late != nil {
+			q.late.Reset(q.pause)
+		}
 	}
 }
 
@@ -200,6 +245,7 @@
 		if err != nil {
 			return nil, err
 		}
+		c.progress()
 	}
 }
 
@@ -211,10 +257,10 @@
 		return
 	}
 	c.mu.Lock()
-	answer, ok := c.answers[m.Reply]
+	q, ok := c.answers[m.Reply]
 	c.mu.Unlock()
 	if ok {
-		answer <- m
+		q.answer <- m
 	}
 }
 
--- a/linker/slow_test.go
+++ b/linker/slow_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/masticway/masticway/emulator"
 	"github.com/masticway/masticway/linker"
+	"github.com/masticway/masticway/sealer"
 )
 
 const (
@@ -195,3 +196,31 @@
 	qt.Assert(t, c.Send(linker.Message{Explain: &linker.Explain{}}), qt.IsNil)
 	return c
 }
+
+func TestLargeQuestionsLastWhileSomethingComes(t *testing.T) {
+	const pause = 500 * time.Millisecond
+	cases := map[string]struct {
+		question linker.Message
+		late     bool
+	}{
+		"an answer that takes longer than the pause": {question: linker.Message{Explain: &linker.Explain{}}},
+		"no answer": {question: linker.Message{Find: &sealer.Find{}}, late: true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := behindLink(t, slowLink, 2<<20)
+			ctx, cancel := context.WithTimeout(t.Context(), slowAnswerLimit)
+			defer cancel()
+			a, err := c.AskLarge(ctx, tc.question, pause)
+			if tc.late {
+				var late *linker.LateError
+				qt.Assert(t, err, qt.ErrorAs, &late)
+				qt.Assert(t, late.Pause, qt.Equals, pause)
+				return
+			}
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, a.Explained.Trace, qt.HasLen, 2<<20)
+		})
+	}
+}
--- a/router/peers.go
+++ b/router/peers.go
@@ -16,8 +16,13 @@
 	"github.com/masticway/masticway/linker"
 )
 
-// reachTimeout bounds one request to a peer to record a sidecar.
-const reachTimeout = 5 * time.Second
+const (
+	// reachTimeout bounds one request to a peer to record a sidecar.
+	reachTimeout = 5 * time.Second
+	// configPause is how long a peer that was asked for its configuration may say nothing large; the whole is not bounded,
+	// because the next peer would send the same bytes over the same link.
+	configPause = 5 * time.Second
+)
 
 // peers is the set of other routers: who keeps which budget, and the links to them.
 type peers struct {
@@ -236,16 +241,36 @@
 // config asks peers for their configuration; a draining or starting peer has none to give.
 func (p *peers) config(ctx context.Context) (configurer.Full, bool) {
 	for _, c := range p.linked() {
-		asking, cancel := context.WithTimeout(ctx, reachTimeout)
-		a, err := c.Ask(asking, linker.Message{WantConfig: &linker.WantConfig{}})
-		cancel()
-		if err == nil && a.Config != nil && a.Config.Revision > 0 {
-			return *a.Config, true
+		if full, ok := p.askConfig(ctx, c); ok {
+			return full, true
 		}
 	}
 	return configurer.Full{}, false
 }
 
+func (p *peers) askConfig(ctx context.Context, c *linker.Conn) (configurer.Full, bool) {
+	asking, cancel := context.WithCancel(ctx)
+	defer cancel()
+	p.router.wg.Go(func() { p.keepUp(asking, c) })
+	a, err := c.AskLarge(asking, linker.Message{WantConfig: &linker.WantConfig{}}, configPause)
+	if err != nil || a.Config == nil || a.Config.Revision == 0 {
+		return configurer.Full{}, false
+	}
+	return *a.Config, true
+}
+
+// keepUp sends heartbeats to one peer, which ends a silent link; the usual ones begin once there is a configuration.
+func (p *peers) keepUp(ctx context.Context, c *linker.Conn) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-p.router.clock.After(p.router.settings.Beat.Std()):
+			_ = c.Send(p.beatMessage())
+		}
+	}
+}
+
 // handle takes one message from another router, on links of either direction.
 func (p *peers) handle(c *linker.Conn, m linker.Message) {
 	r := p.router
