Bound answers by their beginning and pauses, and refuse cut ones

The platform's client reads with the receiver; a service's answer may be silent between pieces, as a stream may, rather than take that long in all. Over 64 MB is an error that says so. Counts, loads and orders of upstreams stay bounded by their caller alone.

--- a/connector/client.go
+++ b/connector/client.go
@@ -6,16 +6,22 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"time"
 
 	"github.com/masticway/masticway"
+	"github.com/masticway/masticway/receiver"
 )
 
-// bodyLimit bounds an answer read into memory, in bytes.
-const bodyLimit = 64 << 20
+const (
+	// bodyLimit bounds an answer read into memory, in bytes; a larger one is an error, since its first part can pass for
+	// the whole.
+	bodyLimit = 64 << 20
+	// pauseLimit is how long an answer that has begun may pause: packets wait for up to half a second on a full link, each
+	// way, and one of them may be lost.
+	pauseLimit = 2 * time.Second
+)
 
 // DialFunc opens a connection to an address.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
@@ -52,7 +58,9 @@
 func (e *statusError) Error() string { return fmt.Sprintf("status %d: %s", e.status, e.body) }
 
 // post sends a JSON body and reads a JSON answer; sent tells whether the server may have acted.
-func post(ctx context.Context, client *http.Client, url string, body, answer any) (sent bool, err error) {
+//
+// Limits are on the beginning of an answer and its pauses, since the time that all of it takes grows with its size.
+func post(ctx context.Context, client *http.Client, url string, l receiver.Limits, body, answer any) (sent bool, err error) {
 	data, err := json.Marshal(body)
 	if err != nil {
 		return false, fmt.Errorf("encoding body for %s: %w", url, err)
@@ -62,22 +70,17 @@
 		return false, fmt.Errorf("building request for %s: %w", url, err)
 	}
 	request.Header.Set("Content-Type", "application/json")
-	response, err := client.Do(request)
+	arrived, err := receiver.Do(client, request, l)
 	if err != nil {
 		return !dialFailed(err), fmt.Errorf("posting to %s: %w", url, err)
 	}
-	defer response.Body.Close()
-	content, err := io.ReadAll(io.LimitReader(response.Body, bodyLimit))
-	if err != nil {
-		return true, fmt.Errorf("reading answer of %s: %w", url, err)
-	}
-	if response.StatusCode != http.StatusOK {
-		return true, &statusError{status: response.StatusCode, body: content}
+	if arrived.Status != http.StatusOK {
+		return true, &statusError{status: arrived.Status, body: arrived.Body}
 	}
 	if answer == nil {
 		return true, nil
 	}
-	if err := json.Unmarshal(content, answer); err != nil {
+	if err := json.Unmarshal(arrived.Body, answer); err != nil {
 		return true, fmt.Errorf("decoding answer of %s: %w", url, err)
 	}
 	return true, nil
@@ -102,15 +105,14 @@
 	_ masticway.InstanceList = Platform{}
 )
 
-// NewPlatform returns a client of the platform at a base URL; each call takes at most timeout.
+// NewPlatform returns a client of the platform at a base URL; the answer to each call begins within timeout.
 func NewPlatform(base string, client *http.Client, timeout time.Duration) Platform {
 	return Platform{base: base, client: client, timeout: timeout}
 }
 
 func (p Platform) call(ctx context.Context, path string, body, answer any) (sent bool, err error) {
-	ctx, cancel := context.WithTimeout(ctx, p.timeout)
-	defer cancel()
-	return post(ctx, p.client, p.base+path, body, answer)
+	limits := receiver.Limits{Begin: p.timeout, Pause: pauseLimit, Bytes: bodyLimit}
+	return post(ctx, p.client, p.base+path, limits, body, answer)
 }
 
 // Get reads a row.
--- a/connector/upstream.go
+++ b/connector/upstream.go
@@ -13,10 +13,18 @@
 	"time"
 
 	"github.com/masticway/masticway"
+	"github.com/masticway/masticway/receiver"
 )
 
-// lineLimit bounds one line of an event stream, in bytes.
-const lineLimit = 1 << 20
+const (
+	// lineLimit bounds one line of an event stream, in bytes.
+	lineLimit = 1 << 20
+	// unbounded is longer than a process lives: an order may take as long as loading a model does.
+	unbounded = 100 * 365 * 24 * time.Hour
+)
+
+// untilDone are the limits of an upstream's answers that only the caller's context bounds.
+var untilDone = receiver.Limits{Begin: unbounded, Pause: unbounded, Bytes: bodyLimit}
 
 // Upstream reaches a model engine or a plain service over HTTP.
 type Upstream struct {
@@ -146,7 +154,7 @@
 }
 
 func (u Upstream) runService(ctx context.Context, c masticway.Call, s masticway.Sink) (masticway.Outcome, error) {
-	watched, _, stop := u.watch(ctx)
+	watched, reset, stop := u.watch(ctx)
 	defer stop()
 	request, err := http.NewRequestWithContext(watched, c.Method, u.base+c.Path, bytes.NewReader(c.Body))
 	if err != nil {
@@ -161,7 +169,7 @@
 		return masticway.Outcome{}, failure(err)
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(response.Body, bodyLimit))
+	body, err := readWhole(response.Body, reset)
 	if err != nil {
 		return masticway.Outcome{}, &masticway.UpstreamError{Reason: err.Error(), Started: true}
 	}
@@ -169,12 +177,33 @@
 	return masticway.Outcome{Status: response.StatusCode, ContentType: response.Header.Get("Content-Type")}, nil
 }
 
+// readWhole reads a body, and calls reset for each piece of it; it fails with TooLargeError rather than leave some out.
+func readWhole(body io.Reader, reset func()) ([]byte, error) {
+	content, err := io.ReadAll(io.LimitReader(resettingReader{Reader: body, reset: reset}, bodyLimit+1))
+	if err == nil && len(content) > bodyLimit {
+		err = &receiver.TooLargeError{Limit: bodyLimit}
+	}
+	return content, err
+}
+
+// resettingReader calls reset after each read.
+type resettingReader struct {
+	io.Reader
+	reset func()
+}
+
+func (r resettingReader) Read(data []byte) (int, error) {
+	n, err := r.Reader.Read(data)
+	r.reset()
+	return n, err
+}
+
 // Count asks the engine for a prompt's true token count.
 func (u Upstream) Count(ctx context.Context, prompt []byte) (int, error) {
 	var answer struct {
 		Count int `json:"count"`
 	}
-	_, err := post(ctx, u.client, u.base+"/tokenize", struct {
+	_, err := post(ctx, u.client, u.base+"/tokenize", untilDone, struct {
 		Messages json.RawMessage `json:"messages"`
 	}{prompt}, &answer)
 	if err != nil {
@@ -186,7 +215,7 @@
 // Load asks the upstream for its load report.
 func (u Upstream) Load(ctx context.Context) (masticway.LoadReport, error) {
 	var report masticway.LoadReport
-	if _, err := post(ctx, u.client, u.base+"/load", struct{}{}, &report); err != nil {
+	if _, err := post(ctx, u.client, u.base+"/load", untilDone, struct{}{}, &report); err != nil {
 		return report, fmt.Errorf("asking for load: %w", err)
 	}
 	return report, nil
@@ -194,7 +223,7 @@
 
 // Order passes an order on; an upstream that checks fencing numbers may refuse it.
 func (u Upstream) Order(ctx context.Context, o masticway.Order) error {
-	_, err := post(ctx, u.client, u.base+"/orders", o, nil)
+	_, err := post(ctx, u.client, u.base+"/orders", untilDone, o, nil)
 	if status, ok := errors.AsType[*statusError](err); ok {
 		return &masticway.UpstreamError{Reason: string(status.body), Status: status.status}
 	}
