Reproduce: many changes never come from a slow table

A look at the table has 3 s; ten changes at half a second each take 5.5 s with the head, and what came is thrown away.

--- /dev/null
+++ b/router/configuration_test.go
@@ -0,0 +1,51 @@
+package router
+
+import (
+	"fmt"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/masticway/masticway"
+	"github.com/masticway/masticway/configurer"
+	"github.com/masticway/masticway/connector"
+	"github.com/masticway/masticway/emulator"
+	"github.com/masticway/masticway/logger"
+	"github.com/masticway/masticway/measurer"
+)
+
+// TestManyChangesAreReadFromASlowTable has more changes than one look at the table has time for.
+func TestManyChangesAreReadFromASlowTable(t *testing.T) {
+	const (
+		changes = 10
+		// slowness of each call in milliseconds: all changes take longer than platformTimeout.
+		slowness = 500
+		looks    = 3
+	)
+	platform := emulator.NewPlatform(0)
+	server := httptest.NewServer(platform.Handler())
+	defer server.Close()
+	client := connector.NewHTTP(nil)
+	defer client.CloseIdleConnections()
+	table := connector.NewPlatform(server.URL, client, 2*time.Second)
+	r := New(Settings{}, Secrets{}, masticway.SystemClock{}, logger.Discard(), Platform{Table: table}, nil, measurer.New())
+	defer r.Close()
+	putChange := func(n int) {
+		c := masticway.Change{ID: fmt.Sprint(n), Contract: &masticway.Contract{Workspace: fmt.Sprint(n)}}
+		_, err := r.store.Put(t.Context(), c, configurer.AnyRevision)
+		qt.Assert(t, err, qt.IsNil)
+	}
+	putChange(0)
+	qt.Assert(t, r.loadConfig(t.Context()), qt.IsNil)
+	loaded := r.snapshot.Load().Revision()
+	for n := range changes {
+		putChange(n + 1)
+	}
+	platform.Table.SetFaults(emulator.TableFaults{Slow: slowness})
+	for range looks {
+		r.pollConfig()
+	}
+	qt.Assert(t, r.snapshot.Load().Revision(), qt.Equals, loaded+changes)
+}
