--- a/router/configuration.go
+++ b/router/configuration.go
@@ -120,8 +120,8 @@
 	}
 	changes, err := r.store.Changes(ctx, current+1, head)
 	if err != nil {
-		r.log.WithFields(logrus.Fields{"event": "config_not_read", "error": err}).Warn("cannot read changes")
-		return
+		r.log.WithFields(logrus.Fields{"event": "config_not_read", "read": len(changes), "error": err}).Warn("cannot read changes")
 	}
+	// What came is applied although the rest did not: the next look goes on after it instead of reading it again.
 	r.learn(changes)
 }
