--- /dev/null
+++ b/commander/slow_test.go
@@ -0,0 +1,36 @@
+package commander
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestLongAnswersAreReadWhole has an answer that takes longer than one may take to begin, as a long list on a slow link.
+func TestLongAnswersAreReadWhole(t *testing.T) {
+	const (
+		pieces    = 24
+		piece     = 64 << 10
+		pieceTime = clientTimeout / 20
+	)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		for range pieces {
+			_, _ = w.Write([]byte(strings.Repeat("x", piece)))
+			w.(http.Flusher).Flush()
+			time.Sleep(pieceTime)
+		}
+	}))
+	defer server.Close()
+	token := filepath.Join(t.TempDir(), "token")
+	qt.Assert(t, os.WriteFile(token, []byte("0123456789abcdef0123456789abcdef"), 0o600), qt.IsNil)
+	c := client{router: server.URL, tokenFile: token, output: "json"}
+	answer, err := c.call(t.Context(), http.MethodGet, "/admin/v1/contracts", nil)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, answer, qt.HasLen, pieces*piece)
+}
