--- a/commander/slow_test.go
+++ b/commander/slow_test.go
@@ -30,7 +30,7 @@
 	token := filepath.Join(t.TempDir(), "token")
 	qt.Assert(t, os.WriteFile(token, []byte("0123456789abcdef0123456789abcdef"), 0o600), qt.IsNil)
 	c := client{router: server.URL, tokenFile: token, output: "json"}
-	answer, err := c.call(t.Context(), http.MethodGet, "/admin/v1/contracts", nil)
+	answer, err := c.call(t.Context(), apiCall{method: http.MethodGet, path: "/admin/v1/contracts"})
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, answer, qt.HasLen, pieces*piece)
 }
