Count all waits for a processor against a late configuration

The kernel's count of waits since the version was accepted is added to its bound; without load it is nothing.

--- a/soaker/prober.go
+++ b/soaker/prober.go
@@ -68,6 +68,9 @@
 	}
 	// A version is due only where router and store were in touch all the while; that they starved is seen after the next look.
 	time.Sleep(2 * starvedPause)
+	if age <= p.soak.applyBound()+p.soak.heldSince(q.router, v.ack) {
+		return
+	}
 	if p.soak.calm(q.sentAt.Add(-stable), q.endedAt, inTouch(q.router)...) {
 		p.soak.violate(promiseInForce, "router-%d does not know version %d %s after it was accepted (newest seen %d)", q.router, v.Number, age, p.seen)
 		p.missed = v.Number
--- a/soaker/soak.go
+++ b/soaker/soak.go
@@ -67,6 +67,7 @@
 	delivered  map[string]int64
 	requests   map[string]*request
 	spans      map[string][]span
+	held       map[int][]heldUp
 	violations []Violation
 	served     int
 	drawn      int // faults
@@ -86,7 +87,7 @@
 		Soak: o, random: random, log: log, rows: rows, store: &http.Server{Handler: rows.Handler()}, ledger: &emulator.OpaqueLedger{},
 		events: 2 + random.IntN(eventsMost-1), pause: below(random, pauseMost), work: below(random, workMost), grace: graceLeast + time.Duration(random.IntN(2))*graceMore,
 		servers: make([]*emulator.OpaqueServer, len(pools)), leftAt: map[string]time.Time{}, delivered: map[string]int64{},
-		prepaid: map[string]int64{"thin": 4_000, "middle": 40_000, "wide": 50_000_000}, requests: map[string]*request{}, routers: map[string]int{}, spans: map[string][]span{},
+		prepaid: map[string]int64{"thin": 4_000, "middle": 40_000, "wide": 50_000_000}, requests: map[string]*request{}, routers: map[string]int{}, spans: map[string][]span{}, held: map[int][]heldUp{},
 	}
 	defer s.close()
 	if err := s.start(); err != nil {
--- a/soaker/starvation.go
+++ b/soaker/starvation.go
@@ -20,9 +20,11 @@
 	for {
 		own := w.longest(os.Getpid())
 		for i, p := range s.processes {
-			if d := max(own, w.longest(int(p.pid.Load()))); d > starvedMost {
+			router := w.longest(int(p.pid.Load()))
+			if d := max(own, router); d > starvedMost {
 				s.disturb("starvation", starvedTarget(i), d)()
 			}
+			s.hold(i, own+router)
 		}
 		select {
 		case <-done:
@@ -32,6 +34,31 @@
 	}
 }
 
+// heldUp is how long a router and the soak waited for a processor, one after the other, until a moment.
+type heldUp struct {
+	at    time.Time
+	waits time.Duration
+}
+
+// hold notes what a look has found of a router.
+func (s *run) hold(router int, waits time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.held[router] = append(s.held[router], heldUp{at: time.Now(), waits: waits})
+}
+
+// heldSince returns how long the machine has held a router up since a moment; many short waits delay as one long one does.
+func (s *run) heldSince(router int, from time.Time) (d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, h := range s.held[router] {
+		if h.at.After(from) {
+			d += h.waits
+		}
+	}
+	return d
+}
+
 // waits is how long each thread has been ready and not running until the last look, by the file in which the kernel counts.
 type waits map[string]time.Duration
 
