Wait for a slow sidecar's word for less time than a silent one gets work

Cause: the wait for a sidecar that may have a key's run was as long as the time after which a silent one gets no more work, so a request at a sidecar that a cut had silenced was dispatched or not by a race: TestLinkCutBeforeAcceptIsNotRun heard not_run for unknown in 4 of 16 runs (0 of 40 before).

--- a/router/upstreams.go
+++ b/router/upstreams.go
@@ -256,7 +256,8 @@
 
 // find asks all linked sidecars for a run of an identity; all tells that each of them has answered.
 //
-// It waits for a slow one as long as a silent one still gets work: the run may be there.
+// It waits for a slow one, at which the run may be, for two thirds of the time in which a silent one still gets work: a request
+// that is then dispatched to one that a cut has silenced has to learn that its fate is unknown.
 func (u *upstreams) find(ctx context.Context, identity masticway.Identity) (status sealer.Status, at *linker.Conn, all bool) {
 	conns := u.linked()
 	type finding struct {
@@ -264,7 +265,7 @@
 		conn   *linker.Conn
 	}
 	found := make(chan finding, len(conns))
-	ctx, cancel := context.WithTimeout(ctx, max(askTimeout, u.router.settings.SuspectAfter.Std()))
+	ctx, cancel := context.WithTimeout(ctx, max(askTimeout, u.router.settings.SuspectAfter.Std()*2/3))
 	defer cancel()
 	for _, c := range conns {
 		go func() {
