Keep the names of callers' heads in the stand-ins

The soak spoke the users' headers itself; the stand-ins, which speak them already, now build and read them.

--- a/emulator/opaque.go
+++ b/emulator/opaque.go
@@ -11,6 +11,9 @@
 	"time"
 )
 
+// signaturePrefix stands before a server's id in its signature.
+const signaturePrefix = "signed-by-"
+
 // OpaqueFault is how an opaque server treats a request.
 type OpaqueFault string
 
@@ -205,7 +208,7 @@
 		TimeLeft: time.Duration(left) * time.Millisecond, Key: r.Header.Get("Authorization") != "", Body: body,
 		At: time.Now(), Fault: fault,
 	})
-	head := "X-Attempt-Id: " + id + "\r\nX-Server-Signature: signed-by-" + s.ID + "\r\n"
+	head := "X-Attempt-Id: " + id + "\r\nX-Server-Signature: " + signaturePrefix + s.ID + "\r\n"
 	switch fault {
 	case OpaqueReset:
 		if tcp, ok := c.(*net.TCPConn); ok {
--- a/soaker/caller.go
+++ b/soaker/caller.go
@@ -11,10 +11,11 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
-	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"github.com/masticway/masticway/emulator"
 )
 
 // Outcomes of a request for its caller.
@@ -159,19 +160,18 @@
 	// Without a way to read the body anew, the transport sends nothing once more by itself.
 	out := &http.Request{Method: http.MethodPost, URL: &url.URL{Scheme: "http", Host: callerHost, Path: q.path}, ContentLength: int64(len(q.body))}
 	out.Body = io.NopCloser(strings.NewReader(q.body))
-	out.Header = http.Header{"X-Attempt-Id": {q.id}, "X-Deadline-Ms": {strconv.FormatInt(q.limit.Milliseconds(), 10)}}
+	call := emulator.OpaqueCall{ID: q.id, TimeLeft: q.limit, Metered: q.metered, Prompt: q.prompt, MaxOutput: q.declared}
 	if q.workspace != "" {
-		out.Header.Set("Authorization", "Token "+keyPrefix+q.workspace)
-	}
-	if q.metered {
-		out.Header.Set("X-Token-Count", fmt.Sprintf("%d,%d", q.prompt, q.declared))
+		call.Key = keyPrefix + q.workspace
 	}
+	out.Header = call.Header()
 	in, err := c.transport.RoundTrip(out.WithContext(ctx))
 	if err != nil {
 		return err
 	}
 	defer in.Body.Close()
-	q.status, q.answerID, q.signedBy = in.StatusCode, in.Header.Get("X-Attempt-Id"), strings.TrimPrefix(in.Header.Get("X-Server-Signature"), "signed-by-")
+	q.status = in.StatusCode
+	q.answerID, q.signedBy = emulator.AnswerOrigin(in.Header)
 	body, err := io.ReadAll(in.Body)
 	if q.status == http.StatusOK {
 		err = q.take(string(body), c.soak.events, err)
--- a/soaker/deployment.go
+++ b/soaker/deployment.go
@@ -21,7 +21,7 @@
 	callerHost, keyPrefix = "soak.example", "key-" // these four are what the configuration's template says
 	routeTimeout          = 6 * time.Second
 	tokensPerEvent        = 3
-	drainBound, servesOn  = 2 * time.Second, 1500 * time.Millisecond // for work after a server's leaving was accepted (drain_ms of the sheets); how much longer it serves
+	drainBound, servesOn  = 2 * time.Second, 1500 * time.Millisecond // for work after a server's leaving was accepted (as the users' deployments have it); how much longer it serves
 	silentAfter           = 2 * time.Second                          // the row of a crashed server goes, after three heartbeats of less than a second
 )
 
--- a/soaker/prober.go
+++ b/soaker/prober.go
@@ -7,11 +7,11 @@
 
 const (
 	// applyWithin and narrowApplyWithin are how long after its acceptance a configuration is in force at routers in touch:
-	// config_apply_ms of the sheets, where all links are fast and where some have 10 Mbit/s, which carry the largest
+	// as the users' deployments have it, where all links are fast and where some have 10 Mbit/s, which carry the largest
 	// configuration in 0.93 s, and twice where it has changed meanwhile. applySlack is what a busy machine adds.
 	applyWithin, narrowApplyWithin = 2 * time.Second, 3 * time.Second
 	applySlack                     = 500 * time.Millisecond
-	stable                         = 3 * time.Second                     // what was undisturbed for so long is in touch (stable_ms)
+	stable                         = 3 * time.Second                     // what was undisturbed for so long is in touch
 	probePause, probeTimeout       = 100 * time.Millisecond, time.Second // between two probes of a router, and for one
 )
 
--- a/soaker/process.go
+++ b/soaker/process.go
@@ -68,7 +68,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	c, ended := exec.Command(p.soak.Program, "gateway", p.files+".json"), make(chan struct{})
-	// A machine of the sheets has one core.
+	// A machine of the users' deployments has one core.
 	c.Stdout, c.Stderr, c.Env = log, log, append(os.Environ(), "GOMAXPROCS=1")
 	if err := c.Start(); err != nil {
 		return err
--- a/soaker/soak.go
+++ b/soaker/soak.go
@@ -20,7 +20,7 @@
 	// MostRouters is the most routers of a soak, a few hundred processes.
 	MostRouters                 = 200
 	callersEach                 = 12                               // callers for each router
-	recoveryBound, recoveryPaid = 12 * time.Second, 5_000_000      // requests are served so long after all faults (recovery_s of the sheets) and a top-up
+	recoveryBound, recoveryPaid = 12 * time.Second, 5_000_000      // requests are served so long after all faults (as the users' deployments have it) and a top-up
 	narrowLink, narrowEvery     = 10e6 / 8, 3                      // a machine's narrow link of 10 Mbit/s in bytes a second, in one soak of so many
 	eventsMost, pauseMost       = 10, 250 * time.Millisecond       // of a stream, and between two
 	graceLeast, graceMore       = 5 * time.Second, 3 * time.Second // routers have so long to end after SIGTERM, or so much more as is usual
