--- a/soaker/caller.go
+++ b/soaker/caller.go
@@ -99,11 +99,11 @@
 
 // ask sends a request for a route and returns its status.
 func (c *caller) ask(r route) int {
-	q := &request{route: r, prompt: c.random.IntN(promptMost), declared: c.soak.events*tokensPerEvent + c.random.IntN(spareOutput)}
+	q := &request{route: r, prompt: c.random.IntN(promptMost), declared: c.soak.events*emulator.DeploymentTokensPerEvent + c.random.IntN(spareOutput)}
 	q.body = strings.Repeat("x", int(math.Pow(largestBody, c.random.Float64())))
 	// Routers are told whole milliseconds.
 	q.limit = (limitLeast + below(c.random, limitMost-limitLeast)).Truncate(time.Millisecond)
-	q.patience = min(q.limit, routeTimeout) + answerSlack
+	q.patience = min(q.limit, emulator.DeploymentTimeout) + answerSlack
 	if c.random.Float64() < leaving {
 		q.patience = below(c.random, leavesWithin)
 	}
@@ -158,11 +158,11 @@
 		WroteRequest: func(i httptrace.WroteRequestInfo) { q.written.Store(i.Err == nil) },
 	})
 	// Without a way to read the body anew, the transport sends nothing once more by itself.
-	out := &http.Request{Method: http.MethodPost, URL: &url.URL{Scheme: "http", Host: callerHost, Path: q.path}, ContentLength: int64(len(q.body))}
+	out := &http.Request{Method: http.MethodPost, URL: &url.URL{Scheme: "http", Host: emulator.DeploymentHost, Path: q.path}, ContentLength: int64(len(q.body))}
 	out.Body = io.NopCloser(strings.NewReader(q.body))
 	call := emulator.OpaqueCall{ID: q.id, TimeLeft: q.limit, Metered: q.metered, Prompt: q.prompt, MaxOutput: q.declared}
 	if q.workspace != "" {
-		call.Key = keyPrefix + q.workspace
+		call.Key = emulator.DeploymentKey + q.workspace
 	}
 	out.Header = call.Header()
 	in, err := c.transport.RoundTrip(out.WithContext(ctx))
--- a/soaker/checks.go
+++ b/soaker/checks.go
@@ -102,7 +102,7 @@
 	}
 	if q.events > 0 {
 		// A workspace got the prompt once there is an event, and the events.
-		s.delivered[q.workspace] += int64(q.prompt + q.events*tokensPerEvent)
+		s.delivered[q.workspace] += int64(q.prompt + q.events*emulator.DeploymentTokensPerEvent)
 	}
 	got, paid := s.delivered[q.workspace], s.prepaid[q.workspace]
 	s.mu.Unlock()
@@ -181,7 +181,7 @@
 	}
 	took := q.endedAt.Sub(q.sentAt)
 	// A server that failed, left or crashed may be why there is no answer, and so may the end of the request's time.
-	sound := len(runs) > 0 && took < min(q.limit, routeTimeout) && !slices.ContainsFunc(runs, func(r emulator.OpaqueRun) bool {
+	sound := len(runs) > 0 && took < min(q.limit, emulator.DeploymentTimeout) && !slices.ContainsFunc(runs, func(r emulator.OpaqueRun) bool {
 		return r.Fault != emulator.OpaqueGood || !s.calm(from, q.endedAt, r.Server)
 	})
 	switch {
--- a/soaker/deployment.go
+++ b/soaker/deployment.go
@@ -1,28 +1,16 @@
 package soaker
 
 import (
-	"bytes"
-	_ "embed" // for the configuration's template
 	"fmt"
 	"strings"
-	"text/template"
 	"time"
 
-	"github.com/masticway/masticway"
 	"github.com/masticway/masticway/emulator"
 )
 
-//go:embed deployment.json.tmpl
-var templateText string
-
-var configuration = template.Must(template.New("configuration").Parse(templateText))
-
 const (
-	callerHost, keyPrefix = "soak.example", "key-" // these four are what the configuration's template says
-	routeTimeout          = 6 * time.Second
-	tokensPerEvent        = 3
-	drainBound, servesOn  = 2 * time.Second, 1500 * time.Millisecond // for work after a server's leaving was accepted (as the users' deployments have it); how much longer it serves
-	silentAfter           = 2 * time.Second                          // the row of a crashed server goes, after three heartbeats of less than a second
+	drainBound, servesOn = 2 * time.Second, 1500 * time.Millisecond // for work after a server's leaving was accepted (as the users' deployments have it); how much longer it serves
+	silentAfter          = 2 * time.Second                          // the row of a crashed server goes, after three heartbeats of less than a second
 )
 
 // route is a route that every configuration has; answers to metered requests are streams, which cost prepaid tokens.
@@ -47,10 +35,8 @@
 
 // version is one accepted configuration, as the template has it.
 type version struct {
-	Number  int64
-	Paths   []string // of all versions up to this one, and of routes that nobody asks for
-	Prepaid map[string]int64
-	ack     time.Time
+	emulator.Deployment // its paths are of all versions up to this one, and of routes that nobody asks for
+	ack                 time.Time
 }
 
 // versionPath is a path that this version and all later ones serve.
@@ -60,7 +46,7 @@
 func (s *run) configure(more, paid int, to ...string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	v := version{Number: 1, Prepaid: s.prepaid}
+	v := version{Deployment: emulator.Deployment{Number: 1, Prepaid: s.prepaid}}
 	if n := len(s.versions); n > 0 {
 		v.Number, v.Paths = s.versions[n-1].Number+int64(1+n%3), s.versions[n-1].Paths
 	}
@@ -71,14 +57,13 @@
 	for _, workspace := range to {
 		s.prepaid[workspace] += int64(paid)
 	}
-	var document bytes.Buffer
-	if err := configuration.Execute(&document, v); err != nil {
+	size, err := v.Put(s.rows)
+	if err != nil {
 		panic(err)
 	}
-	s.rows.Put(masticway.RowKey{Table: "op", Key: "config"}, document.Bytes())
 	v.ack = time.Now()
 	s.versions = append(s.versions, v)
-	s.note("version %d accepted, %d bytes, %d routes more, %d paid to %v", v.Number, document.Len(), more, paid, to)
+	s.note("version %d accepted, %d bytes, %d routes more, %d paid to %v", v.Number, size, more, paid, to)
 }
 
 // newest returns the newest version that was accepted before a time; its number is zero when there is none.
@@ -105,15 +90,11 @@
 	server.Stream(s.events, s.pause)
 	server.Echo(s.work)
 	s.servers[slot] = server
-	s.register(server, "ready")
-}
-
-func (s *run) register(server *emulator.OpaqueServer, state string) {
-	s.rows.Put(serverKey(server), fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":%q,"slots":32,"state":%q}`, poolOf(server.ID), server.Address(), zoneName, state))
+	s.register(server, false)
 }
 
-func serverKey(s *emulator.OpaqueServer) masticway.RowKey {
-	return masticway.RowKey{Table: "servers", Key: s.ID}
+func (s *run) register(server *emulator.OpaqueServer, leaving bool) {
+	server.Register(s.rows, poolOf(server.ID), zoneName, leaving)
 }
 
 // poolOf returns the pool of a server's id.
--- a/soaker/faults.go
+++ b/soaker/faults.go
@@ -142,9 +142,9 @@
 	old, slot := s.serverOf(e)
 	s.startServer(slot)
 	if e.size < silentShare {
-		s.rows.Delete(serverKey(old))
+		old.Deregister(s.rows)
 	} else {
-		s.register(old, "draining")
+		s.register(old, true)
 	}
 	s.mu.Lock()
 	s.leftAt[old.ID] = time.Now()
@@ -152,7 +152,7 @@
 	time.Sleep(drainBound + servesOn)
 	s.disturb(e.kind, old.ID, 0)
 	old.Close()
-	s.rows.Delete(serverKey(old))
+	old.Deregister(s.rows)
 }
 
 // crash ends a server at once; its row stays until its silence is noticed.
@@ -161,7 +161,7 @@
 	s.disturb(e.kind, old.ID, 0)
 	old.Close()
 	time.Sleep(silentAfter)
-	s.rows.Delete(serverKey(old))
+	old.Deregister(s.rows)
 	s.startServer(slot)
 }
 
