Say once how long an answer may pause

A mirror asks for its version by the function that it has. Behaviour as it was; the packages' tests pass.

--- a/connector/client.go
+++ b/connector/client.go
@@ -14,14 +14,9 @@
 	"github.com/masticway/masticway/receiver"
 )
 
-const (
-	// bodyLimit bounds an answer read into memory, in bytes; a larger one is an error, since its first part can pass for
-	// the whole.
-	bodyLimit = 64 << 20
-	// pauseLimit is how long an answer that has begun may pause: packets wait for up to half a second on a full link, each
-	// way, and one of them may be lost.
-	pauseLimit = 2 * time.Second
-)
+// bodyLimit bounds an answer read into memory, in bytes; a larger one is an error, since its first part can pass for the
+// whole.
+const bodyLimit = 64 << 20
 
 // DialFunc opens a connection to an address.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
@@ -111,7 +106,7 @@
 }
 
 func (p Platform) call(ctx context.Context, path string, body, answer any) (sent bool, err error) {
-	limits := receiver.Limits{Begin: p.timeout, Pause: pauseLimit, Bytes: bodyLimit}
+	limits := receiver.Limits{Begin: p.timeout, Pause: receiver.PauseLimit, Bytes: bodyLimit}
 	return post(ctx, p.client, p.base+path, limits, body, answer)
 }
 
--- a/follower/mirror.go
+++ b/follower/mirror.go
@@ -95,9 +95,7 @@
 	ctx, end := m.turns.begin(ctx, m.pause)
 	defer end()
 	whole = due()
-	m.mu.Lock()
-	f := masticway.Following{Table: m.table, Since: m.since, Wait: followWait, AtMost: followMost}
-	m.mu.Unlock()
+	f := masticway.Following{Table: m.table, Since: m.known(), Wait: followWait, AtMost: followMost}
 	m.metrics.Add(metricCalls, 1)
 	var reading masticway.RowReading
 	if whole {
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -22,9 +22,6 @@
 	// beginLimit is how long an answer may take to begin if its caller's context doesn't end before, a multiple of what
 	// any caller waits.
 	beginLimit = 10 * time.Second
-	// pauseLimit is how long an answer that has begun may pause: packets wait for up to half a second on a full link, each
-	// way, and one of them may be lost.
-	pauseLimit = 2 * time.Second
 	// idleTimeout ends connections between routers that have had nothing to say for a while.
 	idleTimeout = 20 * time.Second
 	// idleEach bounds the kept connections to one router: a few calls at once.
@@ -78,7 +75,7 @@
 		return answer, fmt.Errorf("asking %s: %w", address, err)
 	}
 	request.Header.Set("Content-Type", contentType)
-	arrived, err := receiver.Do(c.http, request, receiver.Limits{Begin: begin, Pause: pauseLimit, Bytes: answerLimit})
+	arrived, err := receiver.Do(c.http, request, receiver.Limits{Begin: begin, Pause: receiver.PauseLimit, Bytes: answerLimit})
 	if err != nil {
 		return answer, fmt.Errorf("asking %s: %w", address, err)
 	}
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -14,6 +14,10 @@
 // what it is given before it returns, and a pause is only seen between two pieces.
 const pieceBytes = 16 << 10
 
+// PauseLimit is how long an answer between the machines of a deployment may pause once it has begun, 2 s: packets wait for
+// up to half a second on a full link, each way, and one of them may be lost.
+const PauseLimit = 2 * time.Second
+
 // leastRate is how fast an answer has to arrive on the whole, in bytes a second: an eightieth of the slowest link of a
 // router. One that is slower is as good as silent.
 const leastRate = 16 << 10
