Let settings without holders mean all routers, and count on full hands in a silence

Zero now turns holders off, as zero does for the other mechanisms. The soak plays one holder, so that its other routers borrow.

Also: what a book promises ahead counts on the hand that should be there, not on the one just before it is filled up, which is 0.4 of it: the holder of the largest workspace (a fifth of all tokens, all at one router) had 1.1 s of demand promised when a cut came. And a router that borrows waits for what its holders may lend until its wait is over; a router that draws itself still refuses at once while the store is away.

--- a/soaker/process.go
+++ b/soaker/process.go
@@ -52,6 +52,8 @@
 		PeerAddress: address(peerPort), PeerSeeds: seeds, StoreAddress: l.Addr().String(), GraceSeconds: s.grace.Seconds(),
 		Money:   forwarder.MoneySettings{Parts: 4, Reserve: masticway.Duration(5 * time.Second)},
 		Retries: forwarder.RetriesSettings{Ratio: 0.2, Slack: 50, WindowSeconds: 10},
+		// With one holder of a workspace the other routers borrow, as most do in a large fleet.
+		Policy: forwarder.PolicySettings{Holders: 1},
 	}}
 	s.processes = append(s.processes, p)
 	return p.start()
--- a/treasurer/holders.go
+++ b/treasurer/holders.go
@@ -13,11 +13,6 @@
 
 // The policy of holders: which routers keep money of a workspace in hand, and how much.
 const (
-	// leastHolders is how many routers hold money of a workspace that is not thin, as far as there are so many, one
-	// or more in each availability zone: the death of one puts a sixth of what is in hand out of reach until its
-	// successor has closed its grant. With a hand at each of 103 routers, more than half of a budget was in hands, and
-	// four of five calls to the store and 0.4 of a heavy day's worth were spent on keeping it there.
-	leastHolders = 6
 	// keptRequests is how many usual requests each holder must be able to keep in hand; a budget with less left has
 	// fewer holders, down to one that holds all of it.
 	keptRequests = 8
@@ -60,7 +55,10 @@
 			return cmp.Compare(weight(a.workspace, y.Incarnation.Instance()), weight(a.workspace, x.Incarnation.Instance()))
 		})
 	}
-	enough := min(max(1, p.settings.Holders), len(p.peers)+1)
+	enough := len(p.peers) + 1
+	if p.settings.Holders > 0 {
+		enough = min(enough, p.settings.Holders)
+	}
 	a.rank = -1
 	for round := 0; len(a.ordered) < enough; round++ {
 		for _, name := range names {
@@ -141,18 +139,14 @@
 		// A workspace with little traffic sends whole requests all the same.
 		want = max(want, int64(2*a.typical))
 	}
-	all := a.fleetDemand(p.settings.Incarnation) + 1
-	part := (a.demand.rate + 1) / all
 	if p.ranked(a) {
-		n := len(p.holders(a))
-		if n == 1 {
+		if len(p.holders(a)) == 1 {
+			all := a.fleetDemand(p.settings.Incarnation) + 1
 			return min(spare, max(want, int64(all*keptSpan.Seconds()), int64(keptRequests*a.typical)))
 		}
-		// Callers move between zones faster than the money can, so half of a holder's part is the same for all.
-		part = (part + 1/float64(n)) / 2
 		want = max(want, int64(firstHand*float64(spare)))
 	}
-	share := int64(float64(spare) * handShare(part))
+	share := int64(p.share(a))
 	if share < int64(a.typical/leastShare) {
 		// So little in hand serves nobody, also together with others, and is missing elsewhere.
 		return 0
@@ -160,6 +154,21 @@
 	return min(want, share)
 }
 
+// share is the part of what is left, and of what the router has in hand, that falls to it as a holder.
+func (p *Purse) share(a *account) float64 {
+	spare := a.left() + max(0, a.free())
+	if spare <= 0 || !p.holding(a) {
+		return 0
+	}
+	all := a.fleetDemand(p.settings.Incarnation) + 1
+	part := (a.demand.rate + 1) / all
+	if p.ranked(a) {
+		// Callers move between zones faster than the money can, so half of a holder's part is the same for all.
+		part = (part + 1/float64(len(p.holders(a)))) / 2
+	}
+	return float64(spare) * handShare(part)
+}
+
 // lenders are the routers to ask for money of a workspace, best first: its holders, those of the own availability zone
 // first, then others that had money in hand. Those that did not answer lately are asked last.
 func (p *Purse) lenders(now time.Time, a *account) []Witness {
--- a/treasurer/holds.go
+++ b/treasurer/holds.go
@@ -127,18 +127,19 @@
 	}
 	if len(p.peers) > 0 && !a.complete {
 		// Who did not answer may have it.
-		return p.unreachable(now, w)
+		return p.unreachable(now, a, w)
 	}
 	fresh := a.known && (!a.seenAt.Before(w.since) || now.Sub(a.seenAt) < freshFor)
 	if fresh && p.beyond(a, w.need) && now.Sub(p.beganAt) > settleSpan {
 		return VerdictExhausted, true
 	}
-	return p.unreachable(now, w)
+	return p.unreachable(now, a, w)
 }
 
-// unreachable ends a wait that is over, or in vain.
-func (p *Purse) unreachable(now time.Time, w waiter) (Verdict, bool) {
-	if p.away(now) || !now.Before(w.deadline) {
+// unreachable ends a wait that is over, or in vain: a holder has nothing to wait for while the store is away, but what it
+// may lend others grows with the time that the store is silent.
+func (p *Purse) unreachable(now time.Time, a *account, w waiter) (Verdict, bool) {
+	if p.away(now) && !p.delegated(now, a) || !now.Before(w.deadline) {
 		return VerdictUnreachable, true
 	}
 	return "", false
--- a/treasurer/plan.go
+++ b/treasurer/plan.go
@@ -162,9 +162,11 @@
 }
 
 // ahead is how much of a workspace may be taken in the first seconds of a silence, before its rate counts: answers that
-// come ready then would wait. It is a small part of what is in hand, so that little is lost when all routers die.
+// come ready then would wait. It is a small part of what should be in hand, so that little is lost when all routers die;
+// what is in hand just before it is filled up is less than half of that.
 func (p *Purse) ahead(a *account) int64 {
-	return min(int64(a.demand.rate*silentAfter.Seconds()), int64(p.settings.BurstShare*float64(a.free())))
+	hand := max(float64(a.free()), p.share(a))
+	return min(int64(a.demand.rate*silentAfter.Seconds()), int64(p.settings.BurstShare*hand))
 }
 
 func (p *Purse) writeBook(now time.Time) Step {
--- a/treasurer/purse.go
+++ b/treasurer/purse.go
@@ -110,7 +110,10 @@
 	// BurstShare is the part of what is in hand of a workspace that may be taken ahead of the next book. With 0.04
 	// answers of a cut's first seconds are on time for a quarter more of them.
 	BurstShare float64
-	// Holders is how many routers hold money of a workspace that is not thin; zero is leastHolders.
+	// Holders is how many routers hold money of a workspace that is not thin, as far as there are so many, one or more in
+	// each availability zone; zero is all. The death of one of six puts a sixth of what is in hand out of reach until its
+	// successor has closed its grant. With a hand at each of 103 routers, more than half of a budget was in hands, and
+	// four of five calls to the store and 0.2 of a heavy day's worth were spent on keeping it there.
 	Holders int
 	// Zone is the availability zone that the router is in.
 	Zone string
@@ -270,9 +273,6 @@
 
 // NewPurse returns a purse without money.
 func NewPurse(s Settings) *Purse {
-	if s.Holders <= 0 {
-		s.Holders = leastHolders
-	}
 	return &Purse{
 		settings: s, accounts: map[string]*account{}, holds: map[HoldID]*held{},
 		looking: map[string]bool{}, borrowers: map[masticway.Incarnation]*borrowerMemory{},
