Name what a row commits and consumes, and drop state that nothing reads

From reading the change again: the sums of a row are called committed and consumed; the walk of a token says at whom a loan is held; settings say that zero holders are all; a placement does not name its server and the simulated fleet does not count bytes, presumed and used tokens, which nothing read. Behaviour, bounds and assertions are as they were.

--- a/chooser/observations.go
+++ b/chooser/observations.go
@@ -66,7 +66,6 @@
 
 // Placement is one request at one server; it is given back to Servers as the request goes on.
 type Placement struct {
-	Server string
 	// load is what was known of the server in the life that it was sent to.
 	load   *serverLoad
 	sentAt time.Time
@@ -87,7 +86,7 @@
 	for _, part := range p.Parts {
 		l.parts[part.ID] = now
 	}
-	return &Placement{Server: server, load: l, sentAt: now, unread: unread}
+	return &Placement{load: l, sentAt: now, unread: unread}
 }
 
 func (l *serverLoad) forget(now time.Time) {
--- a/forwarder/handover.go
+++ b/forwarder/handover.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"sync"
 	"time"
 
@@ -176,9 +177,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	asked := map[string]bool{a.server.ID: true}
-	for id := range a.excluded {
-		asked[id] = true
-	}
+	maps.Copy(asked, a.excluded)
 	for _, id := range p.refused {
 		asked[id] = true
 	}
--- a/forwarder/settings.go
+++ b/forwarder/settings.go
@@ -34,7 +34,7 @@
 type PolicySettings struct {
 	// BurstShare is the part of what is in hand of a budget that a book lets its router take ahead.
 	BurstShare float64 `json:"burst_share"`
-	// Holders is how many routers hold money of a workspace that is not thin.
+	// Holders is how many routers hold money of a workspace that is not thin; zero is all.
 	Holders int `json:"holders"`
 	// RankShare is the part of the time for reading a prompt's shared parts that a rank costs.
 	RankShare float64 `json:"rank_share"`
--- a/treasurer/doc.go
+++ b/treasurer/doc.go
@@ -57,8 +57,9 @@
 // not known (Purse.looked takes the answer). Purse.change says by how much the
 // grant should grow, for the requests that wait and for the reserve of reserveOf
 // (holders.go), and moveGrant writes the Account.WithGrant, expecting the version
-// that was seen. On success Purse.changed takes the new row, on a conflict Done takes the
-// row that came with it; either way learn sets what this incarnation is granted.
+// that was seen. On success Purse.changed takes the new row, on a conflict Done
+// takes the row that came with it; either way learn sets what this incarnation is
+// granted.
 // A write without an answer leaves the account in doubt (failed) until learn sees
 // a newer row; what it would have returned is not spent meanwhile
 // (account.usable). What other routers do to the rows comes by Treasurer.follow
@@ -74,10 +75,11 @@
 // lending.go). Purse.Borrowing asks for it at once where this router is no holder
 // (delegated); a holder asks when somebody has waited for the store for a while,
 // or when the row has too little left (beyond). Purse.lenders names the holders of
-// the own availability zone first. Treasurer.borrow asks one after the other. Where
-// nobody answers, a router draws from the store itself for a moment. There Treasurer.Lend holds the token (Purse.Lend), waits until
-// it is cleared, and hands it over (Purse.Lent): it stays taken and cleared in
-// the lender's grant. Here Borrowed keeps it as a Loan, and serve takes it.
+// the own availability zone first. Treasurer.borrow asks one after the other; where
+// nobody answers, this router draws from the store itself for a moment. At the
+// lender, Treasurer.Lend holds the token (Purse.Lend), waits until it is cleared,
+// and hands it over (Purse.Lent): it stays taken and cleared in the lender's
+// grant. Here Borrowed keeps it as a Loan, and serve takes it.
 // Unused, it goes back by Repayments, Treasurer.repay and, at the lender,
 // Purse.Repaid; where the lender's answer did not arrive, Treasurer.giveUp has it
 // take back whatever it lent (borrowers.go).
--- a/treasurer/fleet_test.go
+++ b/treasurer/fleet_test.go
@@ -89,16 +89,15 @@
 	zone  []float64
 	// away tells that the store is silent for everybody.
 	away bool
-	// calls counts the calls to the store, and bytes what is written and fed.
-	calls, bytes int
-	kinds        map[string]int
-	got          map[string]int64
-	seconds      []fleetSecond
-	waits        []time.Duration
-	closings     int
-	presumed     int64
-	used         int64
-	serial       int
+	// calls counts the calls to the store, kinds those of purses by what they are for.
+	calls int
+	kinds map[string]int
+	// got is what callers of each workspace received.
+	got      map[string]int64
+	seconds  []fleetSecond
+	waits    []time.Duration
+	closings int
+	serial   int
 }
 
 // fleetSecond counts the requests that came in one second by what became of them.
@@ -260,11 +259,10 @@
 func (f *fleet) closeGrant(ended masticway.Incarnation, workspace string, spent int64) {
 	f.calls += 2
 	key := masticway.RowKey{Table: "masticway_accounts", Part: treasurer.PartOf(workspace, fleetParts), Key: workspace}
-	write, grant, err := treasurer.CloseGrant(f.rows.Row(key), ended, spent)
+	write, _, err := treasurer.CloseGrant(f.rows.Row(key), ended, spent)
 	if err != nil {
 		panic(err)
 	}
-	f.presumed += min(spent, grant.Granted)
 	f.apply(write)
 }
 
@@ -275,7 +273,6 @@
 		return made, err
 	}
 	for _, put := range write.Puts {
-		f.bytes += len(put.Value)
 		if put.Table == "masticway_accounts" {
 			f.changed = append(f.changed, f.rows.Row(put.RowKey))
 		}
@@ -322,9 +319,6 @@
 		rows[row.Key] = row
 	}
 	r.seen = len(f.changed)
-	for _, row := range rows {
-		f.bytes += len(row.Value)
-	}
 	replies, err := r.purse.Learn(f.now, slices.Collect(maps.Values(rows)))
 	if err != nil {
 		panic(err)
@@ -533,7 +527,6 @@
 func (f *fleet) deliver(r *fleetRouter, life int, id treasurer.HoldID, h *fleetHold) {
 	used := h.need * 7 / 10
 	f.got[h.workspace] += used
-	f.used += used
 	if r.life == life && r.alive {
 		delete(r.holds, id)
 		f.take(r, r.purse.Settle(f.now, id, used))
--- a/treasurer/purse.go
+++ b/treasurer/purse.go
@@ -137,9 +137,10 @@
 	prepaid   int64
 	version   int64
 	row       Account
-	// spoken is what the row's closed part and all its grants come to, gone the same of what holders had taken of them.
-	spoken int64
-	gone   int64
+	// committed is what the row's closed part and all its grants come to, consumed what that part and all that holders had
+	// taken come to.
+	committed int64
+	consumed  int64
 	// rowVersion is zero while there is no row, and known tells that this has been looked up.
 	rowVersion int64
 	known      bool
@@ -184,18 +185,18 @@
 // setRow takes the row as the store has it, or as it will be once a newer configuration's word is in it.
 func (a *account) setRow(row Account) {
 	a.row = row
-	a.spoken, a.gone = row.Closed, row.Closed
+	a.committed, a.consumed = row.Closed, row.Closed
 	for _, g := range row.Grants {
-		a.spoken += g.Granted
-		a.gone += min(g.Taken, g.Granted)
+		a.committed += g.Granted
+		a.consumed += min(g.Taken, g.Granted)
 	}
 }
 
 // left is what is not granted to anybody, by the newest configuration's word on what is prepaid.
-func (a *account) left() int64 { return a.newestPrepaid() - a.spoken }
+func (a *account) left() int64 { return a.newestPrepaid() - a.committed }
 
 // unspent is what is left and what all had in hand when they last changed their grants.
-func (a *account) unspent() int64 { return a.newestPrepaid() - a.gone }
+func (a *account) unspent() int64 { return a.newestPrepaid() - a.consumed }
 
 func (a *account) newestPrepaid() int64 {
 	if a.version > a.row.Version {
