--- a/accountant/account.go
+++ b/accountant/account.go
@@ -15,7 +15,7 @@
 	"store_lost": {"table"}, "store_regained": {"table"}, "store_turned_away": nil, "store_direct": nil,
 	"money_begun": {"predecessors"}, "money_closed": nil, "money_fault": nil, "not_repaid": {"lender", "workspace"},
 	"predecessor_recalled": {"incarnation", "presumed", "spared", "answered", "witnesses"},
-	"grant_closed":         {"incarnation", "workspace", "granted", "presumed"}, "chart_fault": nil, "refusal_unwritten": nil,
+	"grant_closed":         {"incarnation", "workspace", "granted", "presumed", "taken", "written", "silent_ms"}, "chart_fault": nil, "refusal_unwritten": nil,
 }
 
 // Account sums up the lines of a fleet.
--- a/accountant/account_test.go
+++ b/accountant/account_test.go
@@ -100,6 +100,7 @@
 		line("edge-1", 3, "event=started"), line("edge-1", 4, fmt.Sprintf(status, 80)),
 		line("edge-1", 5, "event=predecessor_recalled incarnation=edge-1~1 presumed=30 spared=20 answered=2 witnesses=3"),
 		line("edge-1", 6, "event=grant_closed incarnation=edge-1~1 workspace=w1 granted=500 presumed=30"),
+		line("edge-1", 6, "event=grant_closed incarnation=edge-1~1 workspace=w2 granted=500 presumed=90 taken=20 written=50 silent_ms=5900"),
 		line("edge-1", 7, "event=not_repaid lender=edge-2~1 workspace=w1 amount=7"),
 	}, []string{
 		// The line about the restart was lost.
@@ -107,6 +108,7 @@
 	})
 	qt.Assert(t, summary(t, r, "money_refused_by_workspace"), qt.DeepEquals, []string{
 		"w1 0 granted=500 presumed=30 not_repaid=7 grants_closed=1",
+		"w2 0 granted=500 presumed=90 presumed_silent=40 presumed_ahead=30 grants_closed=1",
 	})
 	qt.Assert(t, summary(t, r, "other_events"), qt.DeepEquals, []string{})
 	byRouter := summary(t, r, "money_starts_and_counters_by_router")
--- a/accountant/money.go
+++ b/accountant/money.go
@@ -30,6 +30,10 @@
 		kinds["grants_closed"]++
 		kinds["granted"] += l.Number("granted")
 		kinds["presumed"] += l.Number("presumed")
+		if l.Text("written") != "" {
+			kinds["presumed_ahead"] += max(0, min(l.Number("presumed"), l.Number("written"))-l.Number("taken"))
+			kinds["presumed_silent"] += max(0, l.Number("presumed")-l.Number("written"))
+		}
 	case "not_repaid":
 		m.workspaces.at(workspace).Kinds["not_repaid"] += l.Number("amount")
 	case "predecessor_recalled":
--- a/treasurer/begin.go
+++ b/treasurer/begin.go
@@ -69,7 +69,7 @@
 			closing.Go(func() {
 				places <- struct{}{}
 				defer func() { <-places }()
-				t.closeGrant(ctx, e.Incarnation, workspace, spent)
+				t.closeGrant(ctx, e, workspace, spent)
 			})
 		}
 	}
@@ -83,7 +83,7 @@
 }
 
 // closeGrant closes one grant, however often other routers change the row meanwhile.
-func (t *Treasurer) closeGrant(ctx context.Context, ended masticway.Incarnation, workspace string, spent int64) {
+func (t *Treasurer) closeGrant(ctx context.Context, ended Ended, workspace string, spent int64) {
 	key := accountKey(workspace, t.parts)
 	row, known := masticway.StoredRow{RowKey: key}, false
 	waited := false
@@ -139,19 +139,20 @@
 	return masticway.StoredRow{RowKey: key}, reading.At, err
 }
 
-func (t *Treasurer) tryClose(ctx context.Context, row masticway.StoredRow, ended masticway.Incarnation, workspace string, spent int64) error {
+func (t *Treasurer) tryClose(ctx context.Context, row masticway.StoredRow, ended Ended, workspace string, spent int64) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	write, grant, err := CloseGrant(row, ended, spent)
+	write, grant, err := CloseGrant(row, ended.Incarnation, spent)
 	if err != nil {
 		return err
 	}
 	if _, err = t.store.Write(ctx, write); err != nil {
-		return fmt.Errorf("closing the grant of %s: %w", ended, err)
+		return fmt.Errorf("closing the grant of %s: %w", ended.Incarnation, err)
 	}
 	t.log.WithFields(logrus.Fields{
-		"event": "grant_closed", "incarnation": ended, "workspace": workspace, "granted": grant.Granted,
-		"presumed": min(spent, grant.Granted),
+		"event": "grant_closed", "incarnation": ended.Incarnation, "workspace": workspace, "granted": grant.Granted,
+		"presumed": min(spent, grant.Granted), "taken": ended.Taken[workspace], "written": ended.Written[workspace],
+		"silent_ms": ended.Silence.Milliseconds(),
 	}).Info("grant of an ended incarnation closed")
 	return nil
 }
--- a/treasurer/rows.go
+++ b/treasurer/rows.go
@@ -112,6 +112,10 @@
 	// Spent is the most that it may have taken, by workspace, and Written what its last book says without the rates.
 	Spent   map[string]int64 `json:"spent"`
 	Written map[string]int64 `json:"written,omitempty"`
+	// Taken is what its last book says without the bursts, and Silence how long after its basis the incarnation may have
+	// lived; they only tell where what is presumed comes from.
+	Taken   map[string]int64 `json:"taken,omitempty"`
+	Silence time.Duration    `json:"silence_ns,omitempty"`
 	// Witnesses know what it took beyond that, if most can be asked; Sequence is its last book's.
 	Witnesses []Witness `json:"witnesses,omitempty"`
 	Sequence  int64     `json:"sequence,omitempty"`
@@ -156,11 +160,13 @@
 		passed := b.aliveUntil(s) - b.Basis
 		spent := make(map[string]int64, len(b.Promises))
 		written := make(map[string]int64, len(b.Promises))
+		taken := make(map[string]int64, len(b.Promises))
 		for workspace, p := range b.Promises {
 			spent[workspace] = p.bound(passed)
 			written[workspace] = p.written()
+			taken[workspace] = p.Taken
 		}
-		old := Ended{Incarnation: b.Incarnation, Spent: spent, Written: written, Sequence: b.Sequence}
+		old := Ended{Incarnation: b.Incarnation, Spent: spent, Written: written, Taken: taken, Silence: passed, Sequence: b.Sequence}
 		if passed >= silentAfter {
 			// Only then the witnesses may know of more than what is written.
 			old.Witnesses = b.Witnesses
