--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -101,13 +101,17 @@
 type bank struct {
 	mu      sync.Mutex
 	verdict treasurer.Verdict
+	held    []int64
 	settled []int64
 	blocked bool
 	// after is how long a promise takes.
 	after time.Duration
 }
 
-func (b *bank) Hold(_ context.Context, _ string, _ int64, _ time.Duration) treasurer.Reply {
+func (b *bank) Hold(_ context.Context, _ string, need int64, _ time.Duration) treasurer.Reply {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.held = append(b.held, need)
 	return treasurer.Reply{ID: 1, Verdict: b.verdict}
 }
 
@@ -316,6 +320,29 @@
 	}
 }
 
+// TestResumedRequestPaysForItsPromptOnce has a caller go on where an earlier answer broke off: the prompt was paid for then.
+func TestResumedRequestPaysForItsPromptOnce(t *testing.T) {
+	cases := map[string]struct {
+		path, last string
+		body       string
+		held, used int64
+	}{
+		"from the beginning":         {path: "/resume/x", body: events(1, 5), held: prompt + most, used: prompt + 15},
+		"resumed":                    {path: "/resume/x", last: "2", body: events(3, 5), held: most, used: 9},
+		"on a route without resumes": {path: "/stream/x", last: "2", body: events(3, 5), held: prompt + most, used: prompt + 9},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 1)
+			got := f.ask(t.Context(), "POST", tc.path, "Last-Event-Id", tc.last)
+			qt.Assert(t, got.err, qt.IsNil)
+			qt.Assert(t, got.body, qt.Equals, tc.body)
+			qt.Check(t, f.bank.held, qt.DeepEquals, []int64{tc.held})
+			qt.Check(t, f.bank.spent(), qt.DeepEquals, []int64{tc.used})
+		})
+	}
+}
+
 // faults gives the server that will be asked first one fault, and the other one another.
 func (f *fleet) faults(first, second emulator.OpaqueFault) {
 	// The chooser takes servers with equal cost in turns, beginning with the second.
--- a/starter/gateway_test.go
+++ b/starter/gateway_test.go
@@ -49,6 +49,7 @@
 	rows   *emulator.Rows
 	store  string
 	ledger *emulator.OpaqueLedger
+	engine *emulator.OpaqueServer
 	log    *lockedBuffer
 }
 
@@ -61,6 +62,9 @@
 		s, err := emulator.StartOpaqueServer("i-"+pool, u.ledger)
 		qt.Assert(t, err, qt.IsNil)
 		t.Cleanup(s.Close)
+		if pool == "llm" {
+			u.engine = s
+		}
 		entry, _ := json.Marshal(map[string]any{"service": pool, "address": s.Address(), "zone": "z", "slots": 4, "state": "ready"})
 		u.rows.Put(masticway.RowKey{Table: "servers", Key: s.ID}, entry)
 	}
@@ -71,6 +75,7 @@
 func (u *users) configure(version, prepaid int64) {
 	u.rows.Put(masticway.RowKey{Table: "op", Key: "config"}, fmt.Appendf(nil, `{"version":%d,"routes":[
 		{"name":"r1","host":"h.example","path_prefix":"/draft/","route_kind":"streaming","service":"llm","max_attempts":1,"target_latency_ms":800,"timeout_ms":6000},
+		{"name":"r3","host":"h.example","path_prefix":"/essay/","route_kind":"streaming","resumable":true,"service":"llm","max_attempts":2,"target_latency_ms":800,"timeout_ms":6000},
 		{"name":"r2","host":"h.example","path_prefix":"/book/","route_kind":"non_idempotent","service":"ledger","max_attempts":1,"target_latency_ms":300}],
 		"services":[{"name":"llm","max_conns":50,"engine":{"slots":4,"stride":3}},{"name":"ledger","max_conns":50}],
 		"limits":{"max_body_bytes":4096},"tenants":[{"name":"w","api_keys":["k"],"prepaid":%d}]}`, version, prepaid))
