--- a/treasurer/fleet_test.go
+++ b/treasurer/fleet_test.go
@@ -761,9 +761,7 @@
 			qt.Check(t, f.lost() <= tc.lost, qt.IsTrue)
 			qt.Check(t, calls <= tc.calls, qt.IsTrue)
 			qt.Check(t, f.closings <= tc.closings, qt.IsTrue)
-			for name, got := range f.got {
-				qt.Check(t, got <= f.prepaid[name], qt.IsTrue, qt.Commentf("callers of %s got %d of %d", name, got, f.prepaid[name]))
-			}
+			f.noneOverspent(t)
 		})
 	}
 }
