--- a/soaker/soaker_test.go
+++ b/soaker/soaker_test.go
@@ -135,7 +135,7 @@
 			[]string{"server_fails"}, "not_run",
 		},
 		"counts nothing": {
-			"forwarder/exchange.go", "return int64(x.q.Prompt + ", "return 0 * int64(x.q.Prompt + ",
+			"forwarder/exchange.go", "return int64(x.duePrompt() + min(", "return 0 * int64(x.duePrompt() + min(",
 			[]string{"hangup"}, "budget",
 		},
 		"ends at once when told to end": {
