--- a/emulator/caller.go
+++ b/emulator/caller.go
@@ -18,6 +18,8 @@
 	// Metered tells that the request names tokens: those of its prompt, and the most of its answer.
 	Metered           bool
 	Prompt, MaxOutput int
+	// LastEvent is the event after which the caller goes on with an answer that broke off; zero for a new request.
+	LastEvent int
 }
 
 // Header returns the request's head.
@@ -29,6 +31,9 @@
 	if c.Metered {
 		h.Set("X-Token-Count", fmt.Sprintf("%d,%d", c.Prompt, c.MaxOutput))
 	}
+	if c.LastEvent > 0 {
+		h.Set("Last-Event-Id", strconv.Itoa(c.LastEvent))
+	}
 	return h
 }
 
--- a/soaker/caller.go
+++ b/soaker/caller.go
@@ -45,6 +45,7 @@
 	prompt, declared, router  int
 	limit, patience           time.Duration // what the caller gives, and how long it waits: longer, unless it leaves early
 	kept                      bool          // the connection had carried a request before
+	after                     int           // the caller has the events up to this one from an earlier answer, and goes on
 	written                   atomic.Bool   // the request was sent whole
 
 	sentAt, endedAt             time.Time
@@ -111,9 +112,26 @@
 		q.workspace = workspaces[c.random.IntN(len(workspaces))]
 	}
 	c.send(q, r.name)
+	for resumed := q; resumed.mayResume(c.soak.events); {
+		resumed = resumed.rest()
+		c.send(resumed, r.name)
+	}
 	return q.status
 }
 
+// mayResume tells that an answer broke off amid its events, and that its caller may go on where it did.
+func (q *request) mayResume(events int) bool {
+	return q.metered && q.repeatable && q.outcome == outcomeBroken && q.status == http.StatusOK && q.events > 0 && q.after+q.events < events
+}
+
+// rest is the request for what an answer that broke off had still to bring; its prompt has been paid for.
+func (q *request) rest() *request {
+	return &request{
+		route: q.route, workspace: q.workspace, declared: q.declared, limit: q.limit, patience: min(q.limit, emulator.DeploymentTimeout) + answerSlack,
+		after: q.after + q.events, prompt: q.prompt,
+	}
+}
+
 // askUntil asks until a request of a route is served.
 func (c *caller) askUntil(ctx context.Context, r route, until time.Time) {
 	for c.ask(r) != http.StatusOK && ctx.Err() == nil {
@@ -160,7 +178,7 @@
 	// Without a way to read the body anew, the transport sends nothing once more by itself.
 	out := &http.Request{Method: http.MethodPost, URL: &url.URL{Scheme: "http", Host: emulator.DeploymentHost, Path: q.path}, ContentLength: int64(len(q.body))}
 	out.Body = io.NopCloser(strings.NewReader(q.body))
-	call := emulator.OpaqueCall{ID: q.id, TimeLeft: q.limit, Metered: q.metered, Prompt: q.prompt, MaxOutput: q.declared}
+	call := emulator.OpaqueCall{ID: q.id, TimeLeft: q.limit, Metered: q.metered, Prompt: q.prompt, MaxOutput: q.declared, LastEvent: q.after}
 	if q.workspace != "" {
 		call.Key = emulator.DeploymentKey + q.workspace
 	}
@@ -184,7 +202,7 @@
 	whole := "ok " + q.id + " " + q.body
 	if q.metered {
 		whole, q.events = "", strings.Count(body, "\n\n")
-		for i := range events {
+		for i := q.after; i < events; i++ {
 			whole += fmt.Sprintf("id: %d\ndata: piece %d of %s\n\n", i+1, i+1, q.id)
 		}
 	}
--- a/soaker/checks.go
+++ b/soaker/checks.go
@@ -101,8 +101,13 @@
 		s.served++
 	}
 	if q.events > 0 {
-		// A workspace got the prompt once there is an event, and the events.
-		s.delivered[q.workspace] += int64(q.prompt + q.events*emulator.DeploymentTokensPerEvent)
+		// A workspace got the prompt once there is an event, and the events; it got the prompt of a resumed answer before.
+		s.delivered[q.workspace] += int64(q.events * emulator.DeploymentTokensPerEvent)
+		if q.after == 0 {
+			s.delivered[q.workspace] += int64(q.prompt)
+		} else {
+			s.resumed++
+		}
 	}
 	got, paid := s.delivered[q.workspace], s.prepaid[q.workspace]
 	s.mu.Unlock()
--- a/soaker/soak.go
+++ b/soaker/soak.go
@@ -39,8 +39,8 @@
 
 // Report is what a soak saw.
 type Report struct {
-	Requests, Served, Versions, Faults int
-	Violations                         []Violation
+	Requests, Served, Resumed, Versions, Faults int
+	Violations                                  []Violation
 }
 
 // run is a soak that is under way.
@@ -70,6 +70,7 @@
 	held       map[int][]heldUp
 	violations []Violation
 	served     int
+	resumed    int
 	drawn      int // faults
 }
 
@@ -102,7 +103,7 @@
 	close(done)
 	load.Wait()
 	s.judge()
-	return Report{Requests: len(s.requests), Served: s.served, Versions: len(s.versions), Faults: s.drawn, Violations: s.violations}, ctx.Err()
+	return Report{Requests: len(s.requests), Served: s.served, Resumed: s.resumed, Versions: len(s.versions), Faults: s.drawn, Violations: s.violations}, ctx.Err()
 }
 
 // start starts store, servers and routers.
