--- a/treasurer/fleet_test.go
+++ b/treasurer/fleet_test.go
@@ -155,6 +155,18 @@
 	return f
 }
 
+// openFleet returns a fleet whose routers have started a while ago, as its traffic begins.
+func openFleet(load fleetLoad) *fleet {
+	f := newFleet(load)
+	for _, r := range f.routers {
+		f.start(r)
+	}
+	f.run(5 * time.Second)
+	f.calls = 0
+	f.traffic()
+	return f
+}
+
 // fleetMeanUse is what a request uses in the mean, fleetMost the most that it declares: as tailoring drafts, notes and
 // counter questions of the large deployment together do.
 const (
@@ -740,13 +752,7 @@
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			f := newFleet(tc.load)
-			for _, r := range f.routers {
-				f.start(r)
-			}
-			f.run(5 * time.Second)
-			f.calls = 0
-			f.traffic()
+			f := openFleet(tc.load)
 			tc.trouble(f)
 			f.run(f.load.span + 3*time.Second)
 			sum := f.summary(0, len(f.seconds))
--- a/treasurer/recovery_test.go
+++ b/treasurer/recovery_test.go
@@ -19,12 +19,7 @@
 // holder promised three deviations of its own demand, two to four times that demand, though holders lend to each other in a
 // silence. Proof: closings said that 10% of all budgets went to a silence of 5.4 s, three times what was promised ahead.
 func TestTwoLossesOfPowerInOneOutage(t *testing.T) {
-	f := newFleet(smallFleet)
-	for _, r := range f.routers {
-		f.start(r)
-	}
-	f.run(5 * time.Second)
-	f.traffic()
+	f := openFleet(smallFleet)
 	f.after(5*time.Second, func() { f.away = true })
 	f.after(6*time.Second, func() { f.killAll(f.routers, time.Second) })
 	f.after(9*time.Second, func() { f.killAll(f.routers, time.Second) })
@@ -41,12 +36,7 @@
 // TestSmallFleetServesThroughAnOutage has the store away for longer than a silence counts for nothing, so that routers serve
 // at the rates that they promised: these must not be too low.
 func TestSmallFleetServesThroughAnOutage(t *testing.T) {
-	f := newFleet(smallFleet)
-	for _, r := range f.routers {
-		f.start(r)
-	}
-	f.run(5 * time.Second)
-	f.traffic()
+	f := openFleet(smallFleet)
 	f.after(3*time.Second, func() { f.away = true })
 	f.after(10*time.Second, func() { f.away = false })
 	f.run(f.load.span + 3*time.Second)
