--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -151,7 +151,7 @@
 // duePrompt is the part of the prompt that the workspace has not been charged for. A caller that resumes an answer was
 // charged for all of it with the events that came before; where the router of these died, its successor has counted them at
 // their most. Charged again, it used up budgets after losses of power: over 25 days with trouble of five routers 8.5% of
-// the requests were refused for 6.3%.
+// the requests were refused for 5.9%.
 func (x *exchange) duePrompt() int {
 	if x.q.LastEvent != "" && x.q.route.Repeat == masticway.RepeatByResuming {
 		return 0
