--- a/starter/failure_test.go
+++ b/starter/failure_test.go
@@ -399,7 +399,8 @@
 func TestRevokedKeyAndRacingOperators(t *testing.T) {
 	t.Parallel()
 	b := newBench(t)
-	qt.Assert(t, b.chat(1, "", "x [tokens=2]", false).done, qt.IsTrue)
+	got := b.chat(1, "", "x [tokens=2]", false)
+	qt.Assert(t, got.done, qt.IsTrue, qt.Commentf("%+v", got))
 	_, body := b.operate("GET", "/admin/v1/contracts/w", "")
 	var stands struct {
 		Revision masticway.Revision `json:"revision"`
