--- a/starter/failure_test.go
+++ b/starter/failure_test.go
@@ -294,7 +294,7 @@
 			b.eventually("it is leaving", s.Daemon.Leaving)
 			runs := s.Engine.Counts().Runs
 			for range 20 {
-				qt.Assert(t, b.chat(0, "", "quick [tokens=2]", false).done, qt.IsTrue)
+				b.served(0, "quick [tokens=2]")
 			}
 			qt.Assert(t, s.Engine.Counts().Runs, qt.Equals, runs)
 			b.whole(<-out)
@@ -399,8 +399,7 @@
 func TestRevokedKeyAndRacingOperators(t *testing.T) {
 	t.Parallel()
 	b := newBench(t)
-	got := b.chat(1, "", "x [tokens=2]", false)
-	qt.Assert(t, got.done, qt.IsTrue, qt.Commentf("%+v", got))
+	b.served(1, "x [tokens=2]")
 	_, body := b.operate("GET", "/admin/v1/contracts/w", "")
 	var stands struct {
 		Revision masticway.Revision `json:"revision"`
@@ -450,12 +449,12 @@
 	b := newBench(t, func(s *starter.FleetSpec, _ *masticway.Contract) {
 		s.Router = json.RawMessage(`{"poll":"50ms","stale_after":"600ms"}`)
 	})
-	qt.Assert(t, b.chat(1, "", "x [tokens=2]", false).done, qt.IsTrue)
+	b.served(1, "x [tokens=2]")
 	alone := b.Routers()[1]
 	b.Network.Cut(alone.Name, starter.PlatformProcess)
 	// Its peer still sees the table and says so.
 	time.Sleep(time.Second)
-	qt.Assert(t, b.chat(1, "", "x [tokens=2]", false).done, qt.IsTrue)
+	b.served(1, "x [tokens=2]")
 	b.Network.Cut(alone.Name, b.Routers()[0].Name)
 	b.eventually("it refuses as not run", func() bool {
 		r := b.chat(1, "", "x [tokens=2]", false)
@@ -567,18 +566,18 @@
 		qt.Assert(t, r.header.Get("Retry-After") != "", qt.IsTrue)
 	}
 	b.whole(<-out)
-	qt.Assert(t, b.chat(1, "", "x", false).done, qt.IsTrue)
+	b.served(1, "x")
 }
 
 func TestSidecarRefusesRoutersItCannotVerify(t *testing.T) {
 	t.Parallel()
 	b := newBench(t)
-	qt.Assert(t, b.chat(0, "", "warm [tokens=2]", false).done, qt.IsTrue)
+	b.served(0, "warm [tokens=2]")
 	b.Platform.Table.SetFaults(emulator.TableFaults{Down: true})
 	s, err := b.AddEngine("local", "a", starter.EngineGroup{Model: "m", Settings: emulator.EngineSettings{Capacity: 8}})
 	qt.Assert(t, err, qt.IsNil)
 	for range 10 {
-		qt.Assert(t, b.chat(0, "", "x [tokens=2]", false).done, qt.IsTrue)
+		b.served(0, "x [tokens=2]")
 	}
 	qt.Assert(t, s.Engine.Counts().Runs, qt.Equals, int64(0))
 	b.Platform.Table.SetFaults(emulator.TableFaults{})
@@ -600,5 +599,5 @@
 	// Reading ends only when the other side closes.
 	_, err = io.ReadAll(c)
 	qt.Assert(t, err, qt.IsNil)
-	qt.Assert(t, b.chat(0, "", "x [tokens=2]", false).done, qt.IsTrue)
+	b.served(0, "x [tokens=2]")
 }
--- a/starter/fleet_test.go
+++ b/starter/fleet_test.go
@@ -180,6 +180,13 @@
 	return b.call(router, http.MethodPost, "/v1/chat/completions", key, chatBody(content, stream))
 }
 
+// served asks a router and expects a whole answer; what came instead is shown.
+func (b *bench) served(router int, content string) {
+	b.t.Helper()
+	got := b.chat(router, "", content, false)
+	qt.Assert(b.t, got.done, qt.IsTrue, qt.Commentf("%+v", got))
+}
+
 // runs adds up what the engines or services have begun.
 func (b *bench) runs() int64 {
 	var sum int64
