--- a/starter/gateway_test.go
+++ b/starter/gateway_test.go
@@ -147,10 +147,11 @@
 	return nil
 }
 
-func (u *users) ask(d *starter.GatewayDaemon, id, path, tokens string) (int, string) {
+// request asks for a path as a caller of the workspace does; tokens are those of the prompt and the most of the answer.
+func (u *users) request(d *starter.GatewayDaemon, id, path, tokens string) *http.Request {
 	caller, _ := d.Addresses()
 	request, err := http.NewRequestWithContext(u.t.Context(), "POST", "http://"+caller+path, strings.NewReader("body"))
-	qt.Assert(u.t, err, qt.IsNil)
+	qt.Check(u.t, err, qt.IsNil)
 	request.Host = "h.example"
 	request.Header.Set("X-Attempt-Id", id)
 	request.Header.Set("Authorization", "Token k")
@@ -158,7 +159,11 @@
 	if tokens != "" {
 		request.Header.Set("X-Token-Count", tokens)
 	}
-	response, err := http.DefaultTransport.RoundTrip(request)
+	return request
+}
+
+func (u *users) ask(d *starter.GatewayDaemon, id, path, tokens string) (int, string) {
+	response, err := http.DefaultTransport.RoundTrip(u.request(d, id, path, tokens))
 	qt.Assert(u.t, err, qt.IsNil)
 	defer response.Body.Close()
 	body, err := io.ReadAll(response.Body)
--- a/starter/resumption_test.go
+++ b/starter/resumption_test.go
@@ -15,14 +15,7 @@
 
 // essay asks for a stream that may be resumed, after an event, and tells of each event as it comes; it returns the status.
 func (u *users) essay(d *starter.GatewayDaemon, id, after string, came func(event string)) int {
-	caller, _ := d.Addresses()
-	request, err := http.NewRequestWithContext(u.t.Context(), "POST", "http://"+caller+"/essay/x", strings.NewReader("body"))
-	qt.Check(u.t, err, qt.IsNil)
-	request.Host = "h.example"
-	request.Header.Set("X-Attempt-Id", id)
-	request.Header.Set("Authorization", "Token k")
-	request.Header.Set("X-Deadline-Ms", "4000")
-	request.Header.Set("X-Token-Count", "100,40")
+	request := u.request(d, id, "/essay/x", "100,40")
 	if after != "" {
 		request.Header.Set("Last-Event-Id", after)
 	}
--- a/treasurer/fleet_test.go
+++ b/treasurer/fleet_test.go
@@ -645,6 +645,14 @@
 	return float64(prepaid-known) / float64(prepaid)
 }
 
+// noneOverspent checks that callers of no workspace got more than was paid for.
+func (f *fleet) noneOverspent(t *testing.T) {
+	t.Helper()
+	for name, got := range f.got {
+		qt.Check(t, got <= f.prepaid[name], qt.IsTrue, qt.Commentf("callers of %s got %d of %d", name, got, f.prepaid[name]))
+	}
+}
+
 // killAll ends routers, which are back after a while.
 func (f *fleet) killAll(routers []*fleetRouter, back time.Duration) {
 	for _, r := range routers {
--- a/treasurer/recovery_test.go
+++ b/treasurer/recovery_test.go
@@ -13,7 +13,7 @@
 
 // TestTwoLossesOfPowerInOneOutage has all routers lose power twice while the store is away.
 //
-// Seen: the same as with prompts that are paid for twice: nobody is served at the end, though budgets are not used up. How:
+// Seen: the same as with prompts that are paid for twice: hardly anybody is served at the end, though budgets are not used up. How:
 // whoever lost power first had not been silent for long enough to spend at a rate, but only the third life reaches the store,
 // and no witness is left to say so; what is presumed is the rate for all of the time in which two lives ended. Cause: each
 // holder promised three deviations of its own demand, two to four times that demand, though holders lend to each other in a
@@ -45,11 +45,3 @@
 	qt.Check(t, refused <= 0.006, qt.IsTrue)
 	f.noneOverspent(t)
 }
-
-// noneOverspent checks that callers of no workspace got more than was paid for.
-func (f *fleet) noneOverspent(t *testing.T) {
-	t.Helper()
-	for name, got := range f.got {
-		qt.Check(t, got <= f.prepaid[name], qt.IsTrue, qt.Commentf("callers of %s got %d of %d", name, got, f.prepaid[name]))
-	}
-}
