Send nothing to zones that are emptied, bound what cold servers get, keep requests at home

Cause: nothing read the operator's orders about zones, a server's cold time and allowed regions.

Ruled out: the order being read late; no code knew the row. Its table was read already with the configuration, so no call is added.

Change: orders are kept by row version in the register, beliefs leave out the servers of such zones, so that first, second, resumed and handed-over attempts do. Cold servers get nothing while a warm one can serve; else one router alone sends to each, half of the bound. Servers of a zone that was taken back are taken for cold until they have written since. Homes of routes and workspaces bind by the regions of the settings.

--- /dev/null
+++ b/chooser/cold.go
@@ -0,0 +1,68 @@
+package chooser
+
+import (
+	"slices"
+	"time"
+
+	"github.com/masticway/masticway"
+)
+
+// coldWindow is the time over which requests to a cold server are counted: the deployments bound them in any second, and
+// requests that were sent apart may arrive closer together by some delays of a link.
+const coldWindow = 1200 * time.Millisecond
+
+// ColdBound is how many requests a cold server may get from all routers in any second: Overshoot times the rate that the
+// configuration names, and Slack beside.
+type ColdBound struct {
+	Overshoot float64
+	Slack     float64
+}
+
+// alone is how many of them the one router sends that alone sends to a cold server: half, since two may each take themselves
+// for that one while they know different routers.
+func (b ColdBound) alone(rate float64) int { return max(1, int((b.Overshoot*rate+b.Slack)/2)) }
+
+// Warm returns the servers that may get any request, and of the cold ones those that may get one more by this router: it
+// has to be the one that alone sends to the server, and below its bound. Cold servers are meant for requests that no warm one
+// can serve: they are slow, and crash under what a warm one bears.
+func (s *Servers) Warm(now time.Time, servers []masticway.Server, rate float64, alone func(server string) bool) (warm, cold []masticway.Server) {
+	for i, server := range servers {
+		if !server.Cold(now) {
+			if warm != nil {
+				warm = append(warm, server)
+			}
+			continue
+		}
+		if warm == nil {
+			// Most of the time none is cold, and nothing is copied.
+			warm = append(make([]masticway.Server, 0, len(servers)), servers[:i]...)
+		}
+		if s.load(server.ID).sentSince(now.Add(-coldWindow)) < s.policy.Cold.alone(rate) && alone(server.ID) {
+			cold = append(cold, server)
+		}
+	}
+	if warm == nil {
+		warm = servers
+	}
+	return warm, cold
+}
+
+// sentSince counts the requests that were sent after a time, of the last coldWindow.
+func (l *serverLoad) sentSince(since time.Time) int {
+	n := 0
+	for _, at := range l.sent {
+		if at.After(since) {
+			n++
+		}
+	}
+	return n
+}
+
+// noteSent remembers when a request was sent, as long as that counts.
+func (l *serverLoad) noteSent(now time.Time) {
+	old := 0
+	for old < len(l.sent) && now.Sub(l.sent[old]) > coldWindow {
+		old++
+	}
+	l.sent = append(slices.Delete(l.sent, 0, old), now)
+}
--- a/chooser/cost.go
+++ b/chooser/cost.go
@@ -29,6 +29,8 @@
 	// answer to a prompt with little to share is better made nearby, one whose prompt another zone's engine has read is
 	// not. With 0.04 a sixth less crosses zones.
 	ZoneTokenCost float64
+	// Cold bounds what a cold server gets.
+	Cold ColdBound
 }
 
 func (s *Servers) cost(now time.Time, engine bool, p Prompt, server masticway.Server, home bool) float64 {
--- a/chooser/observations.go
+++ b/chooser/observations.go
@@ -36,6 +36,8 @@
 	// avoidUntil passes a server over after a connection that could not be made.
 	avoidUntil time.Time
 	misses     int
+	// sent is when requests were sent lately, oldest first.
+	sent []time.Time
 }
 
 func (l *serverLoad) delayed(now time.Time) float64 {
@@ -79,6 +81,7 @@
 	l := s.load(server)
 	unread := float64(p.Tokens - l.cached(now, p, false))
 	l.inFlight++
+	l.noteSent(now)
 	l.reading += unread
 	if len(l.parts) > partsKept {
 		l.forget(now)
--- a/deployment.go
+++ b/deployment.go
@@ -45,6 +45,8 @@
 	// EventGap is the longest pause between events that is still on time; zero on routes without streams.
 	EventGap time.Duration
 	Priority int
+	// Homes are the regions in which requests may run; none is any.
+	Homes []string
 }
 
 // Pool is what the configuration says of one set of like servers.
@@ -62,6 +64,9 @@
 	TokensPerEvent int
 	// Memory is how many tokens an engine keeps, for running requests and cached prompt parts.
 	Memory int
+	// ColdFor is how long a server stays slow once it is cold, and ColdRate how many requests a second it then bears.
+	ColdFor  time.Duration
+	ColdRate float64
 }
 
 // Account is a workspace as the configuration has it: its keys, its rank and the tokens paid for.
@@ -75,6 +80,8 @@
 	Prepaid int64
 	// Metered tells that Prepaid is set; workspaces without it are not limited.
 	Metered bool
+	// Homes are the regions in which its requests may run; none is any.
+	Homes []string
 }
 
 // CallerLimits bound what a caller may send and how long it may take.
@@ -155,10 +162,15 @@
 	State   ServerState
 	// Born tells the lives of one id apart: when this one began, by its own word. It is zero where servers do not say.
 	Born time.Time
-	// ColdFor is how much longer the server stays slow after its start, as of its registration.
+	// ColdFor is how much longer the server stays slow, as of its registration.
 	ColdFor time.Duration
+	// ColdUntil is until when a router takes the server for cold; it is zero for a warm one and no part of a registration.
+	ColdUntil time.Time
 }
 
+// Cold tells that the server is taken for cold at a time: it is slow, and too many requests would crash it.
+func (s Server) Cold(now time.Time) bool { return now.Before(s.ColdUntil) }
+
 // PromptPart is one leading piece of a prompt that other requests may share.
 type PromptPart struct {
 	ID     string
--- a/follower/beliefs.go
+++ b/follower/beliefs.go
@@ -25,6 +25,8 @@
 	Deployment masticway.Deployment
 	// Servers are those that may get new work, by pool.
 	Servers map[string][]masticway.Server
+	// Evacuated are the zones whose servers are to get nothing new.
+	Evacuated []string
 }
 
 // Ready tells whether requests can be served.
@@ -37,6 +39,8 @@
 	// lapsedAt is when its row was found missing after an outage, and lapsedVersion of which version; zero while it is there.
 	lapsedAt      time.Time
 	lapsedVersion int64
+	// coldUntil is until when the server is cold by its own word.
+	coldUntil time.Time
 }
 
 // Register derives beliefs from rows; it is not safe for concurrent use.
@@ -52,11 +56,17 @@
 	unreadable map[string]int64
 	reached    time.Time
 	returned   time.Time
+	// evacuated are the versions of the operator's orders in force, by zone, and takenBack the orders that ended.
+	evacuated map[string]int64
+	takenBack map[string]zoneReturn
 }
 
 // NewRegister returns a register that believes nothing yet.
 func NewRegister(d masticway.DeploymentDecoder) *Register {
-	return &Register{decoder: d, entries: map[string]entry{}, gone: map[string]int64{}, unreadable: map[string]int64{}}
+	return &Register{
+		decoder: d, entries: map[string]entry{}, gone: map[string]int64{}, unreadable: map[string]int64{},
+		evacuated: map[string]int64{}, takenBack: map[string]zoneReturn{},
+	}
 }
 
 // Configure takes the configuration's row; an older one than known is left out.
@@ -108,7 +118,7 @@
 			changed = r.remove(now, row.Key, row.Version) || changed
 			continue
 		}
-		done, fault := r.put(row)
+		done, fault := r.put(now, row)
 		if fault != nil {
 			faults = append(faults, fault)
 		}
@@ -136,7 +146,7 @@
 	return changed, faults
 }
 
-func (r *Register) put(row masticway.StoredRow) (changed bool, fault *EntryError) {
+func (r *Register) put(now time.Time, row masticway.StoredRow) (changed bool, fault *EntryError) {
 	known, ok := r.entries[row.Key]
 	if ok && row.Version <= max(known.version, known.lapsedVersion) || row.Version <= max(r.gone[row.Key], r.unreadable[row.Key]) {
 		return false, nil
@@ -156,7 +166,12 @@
 		// A server that is leaving never comes back in the same life.
 		s.State = masticway.ServerDraining
 	}
-	r.entries[row.Key] = entry{server: s, version: row.Version}
+	e := entry{server: s, version: row.Version}
+	if s.ColdFor > 0 {
+		// It was written before it arrived here, so the server is warm by then.
+		e.coldUntil = now.Add(s.ColdFor)
+	}
+	r.entries[row.Key] = e
 	return !ok || known.server != s || !known.lapsedAt.IsZero(), nil
 }
 
@@ -194,12 +209,18 @@
 
 // Beliefs returns what is believed now.
 func (r *Register) Beliefs() Beliefs {
-	b := Beliefs{Known: r.known, Listed: r.listed, Deployment: r.deployment, Servers: map[string][]masticway.Server{}}
+	b := Beliefs{
+		Known: r.known, Listed: r.listed, Deployment: r.deployment, Servers: map[string][]masticway.Server{},
+		Evacuated: slices.Sorted(maps.Keys(r.evacuated)),
+	}
 	for _, id := range slices.Sorted(maps.Keys(r.entries)) {
-		s := r.entries[id].server
-		if s.State == masticway.ServerReady {
-			b.Servers[s.Pool] = append(b.Servers[s.Pool], s)
+		e := r.entries[id]
+		s := e.server
+		if _, evacuated := r.evacuated[s.Zone]; s.State != masticway.ServerReady || evacuated {
+			continue
 		}
+		s.ColdUntil, _ = r.coldUntil(e)
+		b.Servers[s.Pool] = append(b.Servers[s.Pool], s)
 	}
 	return b
 }
--- a/follower/beliefs_test.go
+++ b/follower/beliefs_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"strings"
 	"testing"
 	"time"
 
@@ -21,6 +22,11 @@
 }
 func (decoder) ServerTable() string { return "upstreams" }
 
+func (decoder) Evacuated(key masticway.RowKey) (zone string, ok bool) {
+	zone, ok = strings.CutPrefix(key.Key, "empty/")
+	return zone, ok && key.Table == "operator"
+}
+
 func (decoder) Configuration(value []byte) (masticway.Deployment, error) {
 	var d masticway.Deployment
 	err := json.Unmarshal(value, &d)
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -34,6 +34,9 @@
 	metricBytes    = "follow_bytes"
 	metricVersion  = "configuration_version"
 	metricServers  = "servers_ready"
+	// metricEvacuated counts the zones whose servers get nothing new, metricCold the servers that are taken for cold.
+	metricEvacuated = "zones_evacuated"
+	metricCold      = "servers_cold"
 )
 
 // Follower reads the store and publishes beliefs.
@@ -51,6 +54,8 @@
 	mu       sync.Mutex
 	register *Register
 	beliefs  atomic.Pointer[Beliefs]
+	// cold are the servers that were told of as cold, and when.
+	cold map[string]time.Time
 }
 
 // New returns a follower; changed is called, by one goroutine at a time, whenever the belief changes. The patient store
@@ -58,6 +63,7 @@
 // wait, a change of the configuration still has to be in force in time, and a server that leaves to be left.
 func New(store, patient masticway.RowStore, d masticway.DeploymentDecoder, clock masticway.Clock, log *logrus.Entry, metrics *measurer.Set, changed func(Beliefs)) *Follower {
 	f := &Follower{store: store, patient: patient, decoder: d, clock: clock, log: log, metrics: metrics, changed: changed, register: NewRegister(d)}
+	f.cold = map[string]time.Time{}
 	f.beliefs.Store(&Beliefs{})
 	return f
 }
@@ -71,7 +77,11 @@
 	key := f.decoder.ConfigurationKey()
 	configuration := &mirror{
 		Follower: f, table: key.Table, part: key.Part, between: configurationPause,
-		take: func(_ bool, reading masticway.RowReading) { f.configure(key, reading) },
+		take: func(whole bool, reading masticway.RowReading) {
+			// First, so that a router that starts amid an evacuation never takes the zone for open.
+			f.evacuate(whole, reading)
+			f.configure(key, reading)
+		},
 	}
 	// Registrations lapse while the store is away, and what is missing afterwards is gone.
 	servers := &mirror{Follower: f, table: f.decoder.ServerTable(), between: serverPause, lapses: true, take: f.serve}
@@ -82,7 +92,10 @@
 	wg.Go(func() {
 		for ctx.Err() == nil {
 			f.pause(ctx, expirePause)
-			f.update(func(now time.Time) bool { return f.register.Expire(now) })
+			f.update(func(now time.Time) bool {
+				f.noteCold(now)
+				return f.register.Expire(now)
+			})
 		}
 	})
 	wg.Wait()
@@ -102,6 +115,7 @@
 	if !change(f.clock.Now()) {
 		return
 	}
+	f.noteCold(f.clock.Now())
 	b := f.register.Beliefs()
 	f.beliefs.Store(&b)
 	f.changed(b)
--- a/forwarder/admit.go
+++ b/forwarder/admit.go
@@ -38,6 +38,7 @@
 	codeUnreachable  = "budget_unreachable"
 	codeNoServer     = "no_server"
 	codeServersFull  = "servers_full"
+	codeServersCold  = "servers_cold"
 	codeFailed       = "server_failed"
 	codeUnknown      = "outcome_unknown"
 	codeTimeout      = "timeout"
--- /dev/null
+++ b/forwarder/candidates.go
@@ -0,0 +1,64 @@
+package forwarder
+
+import (
+	"slices"
+	"time"
+
+	"github.com/masticway/masticway"
+	"github.com/masticway/masticway/chooser"
+)
+
+// without lists the servers that may get the request, without some.
+func (x *exchange) without(some map[string]bool) []masticway.Server {
+	known := x.f.beliefs().Servers[x.q.pool.Name]
+	servers := make([]masticway.Server, 0, len(known))
+	for _, s := range known {
+		if !some[s.ID] && x.athome(s) {
+			servers = append(servers, s)
+		}
+	}
+	return servers
+}
+
+// athome tells that the homes of the request's route and workspace both let it run at a server. A server in a zone whose
+// region is not known is in none of them.
+func (x *exchange) athome(s masticway.Server) bool {
+	region := x.f.settings.Regions[s.Zone]
+	for _, homes := range [][]string{x.q.route.Homes, x.q.account.Homes} {
+		if len(homes) > 0 && !slices.Contains(homes, region) {
+			return false
+		}
+	}
+	return true
+}
+
+// place chooses one of some servers, a cold one only where no warm one is left; there may be none.
+func (x *exchange) place(servers []masticway.Server) (masticway.Server, bool) {
+	x.f.mu.Lock()
+	defer x.f.mu.Unlock()
+	now := x.f.clock.Now()
+	warm, cold := x.f.servers.Warm(now, servers, x.q.pool.ColdRate, x.f.bank.Alone)
+	for _, some := range [][]masticway.Server{warm, cold} {
+		if len(some) > 0 {
+			i, _ := x.f.servers.Choose(now, x.q.pool.Engine, x.q.prompt, some)
+			return some[i], true
+		}
+	}
+	return masticway.Server{}, false
+}
+
+// nobody is the outcome of a request that no server can get now.
+func (x *exchange) nobody() outcome {
+	out := outcome{fate: masticway.FateNotRun, verdict: chooser.VerdictNone, reason: "no server is known or left to ask"}
+	now := x.f.clock.Now()
+	var soonest time.Time
+	for _, s := range x.without(x.exclude) {
+		if s.Cold(now) && (soonest.IsZero() || s.ColdUntil.Before(soonest)) {
+			soonest = s.ColdUntil
+		}
+	}
+	if !soonest.IsZero() {
+		out.reason, out.after = "all that may get it are cold", soonest.Sub(now)
+	}
+	return out
+}
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -175,6 +175,8 @@
 	reason string
 	// full tells that the server has no room now, rather than being at fault.
 	full bool
+	// after is when a server that is cold now may take the request; zero when none is.
+	after time.Duration
 }
 
 // attempts tries servers until the answer is there or the rules say to stop.
@@ -183,7 +185,7 @@
 	for {
 		a, ok := x.attempt(ctx)
 		if !ok {
-			return x.giveUp(ctx, outcome{fate: masticway.FateNotRun, reason: "no server is known or left to ask"})
+			return x.giveUp(ctx, x.nobody())
 		}
 		x.step(eventSent)
 		out := x.try(ctx, a)
@@ -219,29 +221,6 @@
 // ran is on how many servers the request may have run.
 func (x *exchange) ran() int { return x.runs + int(x.asides.Load()) }
 
-// without lists the servers that may get work, without some.
-func (x *exchange) without(some map[string]bool) []masticway.Server {
-	known := x.f.beliefs().Servers[x.q.pool.Name]
-	servers := make([]masticway.Server, 0, len(known))
-	for _, s := range known {
-		if !some[s.ID] {
-			servers = append(servers, s)
-		}
-	}
-	return servers
-}
-
-// place chooses one of some servers; there may be none.
-func (x *exchange) place(servers []masticway.Server) (masticway.Server, bool) {
-	if len(servers) == 0 {
-		return masticway.Server{}, false
-	}
-	x.f.mu.Lock()
-	defer x.f.mu.Unlock()
-	i, _ := x.f.servers.Choose(x.f.clock.Now(), x.q.pool.Engine, x.q.prompt, servers)
-	return servers[i], true
-}
-
 // again decides whether another server may be asked.
 func (x *exchange) again(ctx context.Context, out outcome) bool {
 	x.tries++
@@ -304,6 +283,8 @@
 	switch {
 	case x.fate == masticway.FateNotRun && expired:
 		return refusal(http.StatusServiceUnavailable, codeNotInTime, "no server took the request in time: "+out.reason, retrySoon)
+	case x.fate == masticway.FateNotRun && out.after > 0:
+		return refusal(http.StatusServiceUnavailable, codeServersCold, "the servers are cold: "+out.reason, max(retrySoon, out.after))
 	case x.fate == masticway.FateNotRun && out.full:
 		return refusal(http.StatusServiceUnavailable, codeServersFull, "the servers are full: "+out.reason, retrySoon)
 	case x.fate == masticway.FateNotRun:
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -29,6 +29,8 @@
 	Settle(id treasurer.HoldID, used int64)
 	// Members returns how many routers there seem to be, zero when that is not known.
 	Members() int
+	// Alone tells whether this router is the one of all to which a key falls; nobody is before the routers are counted.
+	Alone(key string) bool
 }
 
 // takeFor is how long a router that ends takes any request: the balancer needs two misses, a second apart, to send new
@@ -71,7 +73,7 @@
 func New(s Settings, p Parts) *Forwarder {
 	return &Forwarder{
 		settings: s, clock: p.Clock, log: p.Log, metrics: p.Metrics, dialect: p.Dialect, bank: p.Bank, beliefs: p.Beliefs,
-		sender: sender.New(p.Dial, p.Clock.Now), servers: chooser.NewServers(s.Policy.placement()), allowances: map[string]*retrier.Allowance{},
+		sender: sender.New(p.Dial, p.Clock.Now), servers: chooser.NewServers(s.placement()), allowances: map[string]*retrier.Allowance{},
 	}
 }
 
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -106,6 +106,8 @@
 	blocked bool
 	// after is how long a promise takes.
 	after time.Duration
+	// others tells that all keys fall to other routers.
+	others bool
 }
 
 func (b *bank) Hold(_ context.Context, _ string, need int64, _ time.Duration) treasurer.Reply {
@@ -136,6 +138,8 @@
 
 func (b *bank) Members() int { return 1 }
 
+func (b *bank) Alone(string) bool { return !b.others }
+
 func (b *bank) spent() []int64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -164,6 +168,10 @@
 }
 
 func newFleetThatRetries(t *testing.T, servers int, retries forwarder.RetriesSettings) *fleet {
+	return newFleetOf(t, servers, forwarder.Settings{Retries: retries})
+}
+
+func newFleetOf(t *testing.T, servers int, settings forwarder.Settings) *fleet {
 	f := &fleet{t: t, ledger: &emulator.OpaqueLedger{}, bank: &bank{verdict: treasurer.VerdictHeld}, clock: &drainClock{}}
 	d := masticway.Deployment{
 		Version: 1,
@@ -207,7 +215,7 @@
 			}
 		}
 	})
-	f.router = forwarder.New(forwarder.Settings{Retries: retries}, forwarder.Parts{
+	f.router = forwarder.New(settings, forwarder.Parts{
 		Clock: f.clock, Log: log.WithField("", ""), Metrics: measurer.New(), Dialect: platform.Dialect{},
 		Bank: f.bank, Beliefs: func() follower.Beliefs { return f.beliefs }, Dial: (&net.Dialer{}).DialContext,
 	})
--- a/forwarder/settings.go
+++ b/forwarder/settings.go
@@ -27,7 +27,10 @@
 	GraceSeconds float64         `json:"grace_seconds"`
 	Money        MoneySettings   `json:"money"`
 	Retries      RetriesSettings `json:"retries"`
-	Policy       PolicySettings  `json:"policy"`
+	Cold         ColdSettings    `json:"cold"`
+	// Regions are those of the deployment's availability zones, by zone.
+	Regions map[string]string `json:"regions,omitempty"`
+	Policy  PolicySettings    `json:"policy"`
 }
 
 // PolicySettings turn mechanisms of policy on and off; zero is off.
@@ -56,7 +59,17 @@
 	WindowSeconds float64 `json:"window_seconds"`
 }
 
-// placement is the part of the policy on where requests go.
-func (p PolicySettings) placement() chooser.ServerPolicy {
-	return chooser.ServerPolicy{RankShare: p.RankShare, ZoneTokenCost: p.ZoneTokenCost}
+// ColdSettings bound the requests that a cold server gets in any second, over all routers: the rate that the configuration
+// names for its pool times Overshoot, and Slack beside.
+type ColdSettings struct {
+	Overshoot float64 `json:"overshoot"`
+	Slack     float64 `json:"slack"`
+}
+
+// placement is the part of the settings on where requests go.
+func (s Settings) placement() chooser.ServerPolicy {
+	return chooser.ServerPolicy{
+		RankShare: s.Policy.RankShare, ZoneTokenCost: s.Policy.ZoneTokenCost,
+		Cold: chooser.ColdBound{Overshoot: s.Cold.Overshoot, Slack: s.Cold.Slack},
+	}
 }
--- a/rows.go
+++ b/rows.go
@@ -112,6 +112,9 @@
 type DeploymentDecoder interface {
 	// ConfigurationKey names the row of the newest configuration.
 	ConfigurationKey() RowKey
+	// Evacuated returns the zone whose servers are to get nothing new while a row of the configuration's table and part
+	// exists; false for other rows.
+	Evacuated(key RowKey) (zone string, ok bool)
 	// ServerTable names the table in which servers register, with their ids as keys.
 	ServerTable() string
 	// Configuration decodes the configuration's row.
--- a/treasurer/treasurer.go
+++ b/treasurer/treasurer.go
@@ -143,6 +143,18 @@
 	return t.members
 }
 
+// Alone tells whether this router is the one of all to which a key falls, by rendezvous hash; nobody is before the routers
+// were counted.
+func (t *Treasurer) Alone(key string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.members == 0 {
+		return false
+	}
+	own := weight(key, t.self.Instance())
+	return !slices.ContainsFunc(t.peers, func(o Peer) bool { return weight(key, o.Incarnation.Instance()) > own })
+}
+
 // Configure tells what each workspace has paid for.
 func (t *Treasurer) Configure(d masticway.Deployment) {
 	t.mu.Lock()
