Ask witnesses after any death, and let promises grow with the silence

Cause: a book promised three seconds of demand ahead, of which no witness had to hear, and all that one router's callers borrowed came from the holder of its own zone.

Ruled out, by a log of every loan: loans that are lost on the way (one of 394, given back), repayments that come short (none). What is left over in the end is in flight when a router dies.

Change: a promise has a burst of 0.75 s of demand; beyond it the rate counts from the book on, 1.5 s of demand alone and the rest as far as witnesses have heard. Successors ask witnesses after any death, all at once. With each question another holder is asked first.

--- a/treasurer/doc.go
+++ b/treasurer/doc.go
@@ -7,9 +7,10 @@
 // a grant costly is a router that dies: nobody can tell what it had spent. So
 // each router also keeps a book, one row of its own, with a promise for each
 // workspace: it has taken so much, and until the book's next write it takes at
-// most a burst more, and a rate for each second once the store has been silent
-// for a while. The next incarnation on the instance closes its predecessor's
-// grants at what the promise allows, and the rest goes back to the workspace.
+// most a burst more, or a rate for each second of silence, of most of which other
+// routers, its witnesses, hear first. The next incarnation on the instance closes
+// its predecessor's grants at what the witnesses remember, else at what the
+// promise allows, and the rest goes back to the workspace.
 //
 // Purse decides and Treasurer carries out: the first reads no clock and opens no
 // connection, so that a whole fleet is tested in one goroutine.
@@ -41,8 +42,8 @@
 // wants done: steps at the store (Plan), loans, and statements to witnesses.
 //
 // Promised. Somebody waits for a workspace that the book does not name, so the
-// book is due (bookDue in plan.go). writeBook puts in a Promise: Taken, Burst and
-// Rate. Treasurer.step sends the write, and Purse.Done takes its outcome
+// book is due (bookDue in plan.go). writeBook puts in a Promise: Taken, Burst,
+// and a Rate with its bounds Alone and Ahead. Treasurer.step sends the write, and Purse.Done takes its outcome
 // (outcome.go): with bookDone, kept makes this promise the only one in force. A
 // write whose outcome is unknown leaves both its own promise and the earlier one
 // in force, and the lower one counts (leastPromise). Purse.opened now holds for
@@ -74,8 +75,8 @@
 // Lent, at all other routers. The token comes from a holder (loans.go and
 // lending.go). Purse.Borrowing asks for it at once where this router is no holder
 // (delegated); a holder asks when somebody has waited for the store for a while,
-// or when the row has too little left (beyond). Purse.lenders names the holders of
-// the own availability zone first. Treasurer.borrow asks one after the other; where
+// or when the row has too little left (beyond). Purse.lenders names the holders,
+// with each question another one first. Treasurer.borrow asks one after the other; where
 // nobody answers, this router draws from the store itself for a moment. At the
 // lender, Treasurer.Lend holds the token (Purse.Lend), waits until it is cleared,
 // and hands it over (Purse.Lent): it stays taken and cleared in the lender's
@@ -88,9 +89,9 @@
 // caller, Treasurer.Clear waits for Purse.openGates: what is cleared of the
 // router's own money may not exceed Purse.promised. A book is due when more is
 // taken than the promises cover, so usually the next write opens the gate. While
-// the store is silent the promise's rate does, after silentAfter (Promise.bound),
-// and where the book names witnesses, as far as most of them have been told
-// (witness.go): Purse.Statements says what to tell, Treasurer.testify sends it to
+// the store is silent the promise's rate does (Promise.bound): a part of it alone
+// (Promise.unwitnessed), the rest as far as most of the book's witnesses have been
+// told (witness.go): Purse.Statements says what to tell, Treasurer.testify sends it to
 // other routers, whose Purse.Testified remembers it, and Purse.Witnessed counts
 // who has heard.
 //
@@ -104,8 +105,7 @@
 // and the book of Purse.Final promises no more than what is taken. One that dies
 // leaves the promises that it had. In both cases the instance's next incarnation
 // finds them: Book.succeeded lists an Ended with the most that may have been
-// spent, and with the witnesses if it may have lived for silentAfter beyond its
-// book's basis: only then they may know of more than is written.
+// spent, what of that needed no witness, and the witnesses.
 // closePredecessors then settles: Treasurer.recall (testimony.go) has Ended.Known
 // combine what was written with what the witnesses remember, or take the
 // promise's bound if too few of them answer, and closeGrant writes CloseGrant's
--- a/treasurer/holders.go
+++ b/treasurer/holders.go
@@ -191,8 +191,10 @@
 	return float64(spare) * handShare(part)
 }
 
-// lenders are the routers to ask for money of a workspace, best first: its holders, those of the own availability zone
-// first, then others that had money in hand. Those that did not answer lately are asked last.
+// lenders are the routers to ask for money of a workspace, best first: its holders, with each question another one of them
+// first, then others that had money in hand. Those that did not answer lately are asked last. All callers of a workspace may
+// come to one router; with the holder of its own availability zone first all that it borrowed was promised and in hand there:
+// the death of that one cost 5.7% of a budget, and in a cut the hands of the others were empty.
 func (p *Purse) lenders(now time.Time, a *account) []Witness {
 	var all []Witness
 	add := func(o Peer) {
@@ -201,12 +203,8 @@
 		}
 	}
 	holders := p.holders(a)
-	for _, own := range []bool{true, false} {
-		for _, h := range holders {
-			if (h.Zone == p.settings.Zone) == own {
-				add(h)
-			}
-		}
+	for i := range holders {
+		add(holders[(int(p.nextMessage)+i)%len(holders)])
 	}
 	for _, o := range p.richest(a) {
 		add(o)
--- a/treasurer/plan.go
+++ b/treasurer/plan.go
@@ -100,11 +100,12 @@
 // promised is the most that every promise in force allows now, whatever has been granted.
 func (p *Purse) promised(now time.Time, a *account) int64 {
 	return p.leastPromise(a, func(f inForce, promise Promise) int64 {
-		bound := promise.bound(now.Sub(f.basis))
+		passed := now.Sub(f.basis)
+		bound := promise.bound(passed)
 		if len(f.witnesses) == 0 {
 			return bound
 		}
-		return max(promise.written(), min(bound, f.witnessed(a.workspace)))
+		return max(promise.unwitnessed(passed), min(bound, f.witnessed(a.workspace)))
 	})
 }
 
@@ -115,7 +116,7 @@
 
 // covered is the same without what silence adds.
 func (p *Purse) covered(a *account) int64 {
-	return p.leastPromise(a, func(_ inForce, promise Promise) int64 { return promise.written() })
+	return p.leastPromise(a, func(_ inForce, promise Promise) int64 { return promise.unwitnessed(0) })
 }
 
 func (p *Purse) leastPromise(a *account, bound func(inForce, Promise) int64) int64 {
@@ -155,7 +156,7 @@
 	if span >= slowAnswer {
 		burst = int64(a.demand.rate * 2 * span.Seconds())
 	}
-	burst = max(burst, p.ahead(a))
+	burst = max(burst, p.soon(a))
 	// Others wait for what a holder lends; a loan that has to wait for the book first comes too late for many.
 	burst = max(burst, int64(a.others.rate*keptBursts*(apart+p.bookTook).Seconds()))
 	return min(burst, max(0, a.free()))
@@ -171,6 +172,27 @@
 	return int64(min(span, p.settings.BurstShare*hand))
 }
 
+// soon is the part of what may be taken ahead that needs neither time nor a witness: a book for each answer would cost the
+// store more calls.
+func (p *Purse) soon(a *account) int64 {
+	if len(p.peers) == 0 {
+		return p.ahead(a)
+	}
+	return min(p.ahead(a), p.spanned(a, burstSpan))
+}
+
+// alone is the part of which no witness has to hear. It is lost when the router dies, whoever lives on. A router that is cut
+// off from all others serves its own callers by it, and some that are cut off together lend to each other.
+func (p *Purse) alone(a *account) int64 {
+	own := max(0, a.demand.rate-a.others.rate)
+	return min(p.ahead(a), max(p.spanned(a, aloneSpan), int64(own*silentAfter.Seconds())))
+}
+
+// spanned is the demand of some time, a usual request at least.
+func (p *Purse) spanned(a *account, span time.Duration) int64 {
+	return max(int64(a.demand.rate*span.Seconds()), int64(a.typical))
+}
+
 func (p *Purse) writeBook(now time.Time) Step {
 	p.book.Sequence++
 	next := p.book
@@ -180,7 +202,7 @@
 			continue
 		}
 		next.Promises[a.workspace] = Promise{
-			Taken: a.taken, Burst: p.burst(a), Rate: p.promisedRate(a),
+			Taken: a.taken, Burst: p.burst(a), Rate: p.promisedRate(a), Alone: p.alone(a), Ahead: p.ahead(a),
 		}
 	}
 	next.Witnesses = p.witnesses()
--- a/treasurer/purse.go
+++ b/treasurer/purse.go
@@ -15,6 +15,12 @@
 	// that lose power together had their books back after 0.6 to 2.5 s, and then no witness is left: with 2.2 s a loss of
 	// power for 2 s at 103 routers cost four seconds of all demand, with 3 s one.
 	silentAfter = 3 * time.Second
+	// burstSpan is the demand that a book lets its router take before the next one: three of a busy router's heartbeats.
+	// aloneSpan is the demand that may be taken in a silence of which no witness has heard. With all that is promised ahead
+	// in the burst, a holder that died took 8% of a large budget with it and 9.2% of a day's requests were refused, for 0.5%
+	// with these.
+	burstSpan = 750 * time.Millisecond
+	aloneSpan = 1500 * time.Millisecond
 	// rateSpread is by how many standard deviations a promised rate is above the demand, which comes in lumps: with n
 	// requests at all holders in demandWindow, whose sizes spread as much as their mean, one deviation is 1/sqrt(n) of it: four
 	// times the demand for a request in the window, twice for nine. What is promised too much is lost when a router dies
--- a/treasurer/rows.go
+++ b/treasurer/rows.go
@@ -90,26 +90,36 @@
 type Promise struct {
 	Taken int64 `json:"taken"`
 	Burst int64 `json:"burst"`
-	// Rate is in tokens a second. It counts once the store has been silent for silentAfter, then for all that time and in
-	// place of the burst, if it allows more.
-	Rate int64 `json:"rate"`
+	// Rate is in tokens a second since the basis, in place of the burst, if it is more. It grows with the silence, since
+	// routers that are killed are mostly back within a second, and what they promised for longer would be lost. Alone bounds
+	// what it allows before a witness has heard of it, Ahead what it allows until the store has been silent for silentAfter.
+	Rate  int64 `json:"rate"`
+	Alone int64 `json:"alone,omitempty"`
+	Ahead int64 `json:"ahead,omitempty"`
 }
 
 // bound returns the most that may have been taken so long after the promise's basis.
 func (p Promise) bound(passed time.Duration) int64 {
+	silent := p.silent(passed)
 	if passed < silentAfter {
-		return p.written()
+		silent = min(silent, p.Ahead)
 	}
-	return p.Taken + max(p.Burst, int64(float64(p.Rate)*passed.Seconds()))
+	return p.Taken + max(p.Burst, silent)
 }
 
-// written is the most that may have been taken unless the store was silent for long.
-func (p Promise) written() int64 { return p.Taken + p.Burst }
+// unwitnessed returns the part of that of which no witness has heard.
+func (p Promise) unwitnessed(passed time.Duration) int64 {
+	return p.Taken + max(p.Burst, min(p.silent(passed), p.Alone, p.Ahead))
+}
+
+// silent is what the rate comes to after a time.
+func (p Promise) silent(passed time.Duration) int64 { return int64(float64(p.Rate) * passed.Seconds()) }
 
 // Ended is a dead incarnation whose grants are not all closed yet.
 type Ended struct {
 	Incarnation masticway.Incarnation `json:"incarnation"`
-	// Spent is the most that it may have taken, by workspace, and Written what its last book says without the rates.
+	// Spent is the most that it may have taken, by workspace, and Written what its last book says without what witnesses
+	// have to hear of.
 	Spent   map[string]int64 `json:"spent"`
 	Written map[string]int64 `json:"written,omitempty"`
 	// Taken is what its last book says without the bursts, and Silence how long after its basis the incarnation may have
@@ -130,7 +140,7 @@
 	// Basis is the store's clock at the last write that the writer knew to be made when it sent this one.
 	Basis    time.Duration      `json:"basis_ns"`
 	Promises map[string]Promise `json:"promises,omitempty"`
-	// Witnesses remember what the incarnation takes beyond its promises' bursts while the store is silent.
+	// Witnesses remember what the incarnation takes beyond its promises' bursts.
 	Witnesses []Witness `json:"witnesses,omitempty"`
 	Ended     []Ended   `json:"ended,omitempty"`
 }
@@ -163,15 +173,13 @@
 		taken := make(map[string]int64, len(b.Promises))
 		for workspace, p := range b.Promises {
 			spent[workspace] = p.bound(passed)
-			written[workspace] = p.written()
+			written[workspace] = p.unwitnessed(passed)
 			taken[workspace] = p.Taken
 		}
-		old := Ended{Incarnation: b.Incarnation, Spent: spent, Written: written, Taken: taken, Silence: passed, Sequence: b.Sequence}
-		if passed >= silentAfter {
-			// Only then the witnesses may know of more than what is written.
-			old.Witnesses = b.Witnesses
-		}
-		ended = append(ended, old)
+		ended = append(ended, Ended{
+			Incarnation: b.Incarnation, Spent: spent, Written: written, Taken: taken, Silence: passed, Sequence: b.Sequence,
+			Witnesses: b.Witnesses,
+		})
 	}
 	return Book{Incarnation: s.incarnation, Address: s.address, Basis: s.now, Ended: ended}
 }
--- a/treasurer/testimony.go
+++ b/treasurer/testimony.go
@@ -52,15 +52,7 @@
 
 // recall finds out what a predecessor has taken: from its witnesses if enough can be asked, else by its promises.
 func (t *Treasurer) recall(ctx context.Context, e Ended) map[string]int64 {
-	var recalled []Recollection
-	for _, w := range e.Witnesses {
-		if r, ok := t.ask(ctx, w, e.Incarnation); ok {
-			recalled = append(recalled, r)
-		}
-		if e.Enough(recalled) {
-			break
-		}
-	}
+	recalled := t.askAll(ctx, e)
 	known := e.Known(recalled)
 	var presumed, spared int64
 	for workspace, spent := range e.Spent {
@@ -75,6 +67,26 @@
 	return known
 }
 
+// askAll asks the witnesses of an ended incarnation, all at once, until enough of them have answered or all were tried.
+func (t *Treasurer) askAll(ctx context.Context, e Ended) []Recollection {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answers := make(chan Recollection, len(e.Witnesses))
+	for _, w := range e.Witnesses {
+		t.steps.Go(func() {
+			r, _ := t.ask(ctx, w, e.Incarnation)
+			answers <- r
+		})
+	}
+	var recalled []Recollection
+	for range e.Witnesses {
+		if recalled = append(recalled, <-answers); e.Enough(recalled) {
+			break
+		}
+	}
+	return recalled
+}
+
 // ask asks one witness, a few times.
 func (t *Treasurer) ask(ctx context.Context, w Witness, ended masticway.Incarnation) (Recollection, bool) {
 	for range recallTries {
--- a/treasurer/witness.go
+++ b/treasurer/witness.go
@@ -109,10 +109,18 @@
 	return cmp.Compare(x, y)
 }
 
+// bookLate tells that the store does not take the book as it usually does, so that what waits for it goes to the witnesses.
+func (p *Purse) bookLate(now time.Time) bool {
+	return !p.failingSince.IsZero() || p.bookBusy && now.Sub(p.bookAt) > slowAnswer
+}
+
 // Statements returns what to tell the witnesses now: what waits for a promise that the silent store cannot take.
 func (p *Purse) Statements(now time.Time) []Statement {
 	taken := map[string]int64{}
 	for workspace, a := range p.accounts {
+		if !p.bookLate(now) {
+			break
+		}
 		stated := min(a.taken, p.expected(now, a))
 		if len(a.gates) > 0 && stated > p.promised(now, a) {
 			taken[workspace] = stated
