--- a/treasurer/death_test.go
+++ b/treasurer/death_test.go
@@ -1,6 +1,7 @@
 package treasurer_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -95,3 +96,79 @@
 		})
 	}
 }
+
+// TestWhatGoesOutAloneIsPresumed has a router answer as many requests as it may in a silence of which no witness hears: whatever
+// has gone out counts as spent although its witnesses remember nothing. Each answer is taken for one that a caller got.
+func TestWhatGoesOutAloneIsPresumed(t *testing.T) {
+	for _, length := range []time.Duration{100 * time.Millisecond, 700 * time.Millisecond, 1500 * time.Millisecond, 2900 * time.Millisecond, 5 * time.Second} {
+		t.Run(length.String(), func(t *testing.T) {
+			b := newBench(t, 1_000_000)
+			b.burst = 0.5
+			b.start("edge~2", 1_000_000)
+			var peers []treasurer.Peer
+			witnesses := map[masticway.Incarnation]*treasurer.Purse{}
+			for _, instance := range []string{"one", "two", "three"} {
+				i := masticway.NewIncarnation(instance, "1")
+				witnesses[i] = treasurer.NewPurse(treasurer.Settings{Incarnation: i, Parts: 1})
+				peers = append(peers, treasurer.Peer{Witness: treasurer.Witness{Incarnation: i, Address: instance}})
+			}
+			b.purse.Count(4, peers)
+			const need = 100
+			var asked []treasurer.HoldID
+			// answered are the requests whose answers were ready.
+			answered := map[treasurer.HoldID]bool{}
+			ask := func() {
+				asked = append(asked, b.hold(need))
+				for _, r := range b.purse.Borrowing(b.now) {
+					b.note(b.purse.Borrowed(b.now, r, nil, len(r.Lenders)))
+				}
+				for _, id := range asked {
+					if slices.Contains(b.answered[id], treasurer.VerdictHeld) && !answered[id] {
+						answered[id] = true
+						b.note(b.purse.Clear(b.now, id))
+					}
+				}
+			}
+			for range 40 {
+				ask()
+				b.run(90 * time.Millisecond)
+			}
+			b.run(300 * time.Millisecond)
+			before := len(asked)
+			for passed := time.Duration(0); passed < length; passed += 30 * time.Millisecond {
+				ask()
+				for _, s := range b.plan(30 * time.Millisecond) {
+					replies, err := b.purse.Done(b.now, s, masticway.RowReading{}, &masticway.UnavailableError{Service: "rows"})
+					qt.Assert(t, err, qt.IsNil)
+					b.note(replies)
+				}
+			}
+			var got, alone int64
+			for i, id := range asked {
+				if slices.Contains(b.answered[id], treasurer.VerdictCleared) {
+					got += need
+					if i >= before {
+						alone += need
+					}
+				}
+			}
+			qt.Assert(t, alone > 0, qt.IsTrue, qt.Commentf("nothing went out in the silence"))
+			b.start("edge~3", 1_000_000)
+			for _, e := range b.purse.Predecessors() {
+				if e.Incarnation != "edge~2" {
+					continue
+				}
+				var recalled []treasurer.Recollection
+				for _, w := range e.Witnesses {
+					recalled = append(recalled, witnesses[w.Incarnation].Recall(w.Incarnation, e.Incarnation))
+				}
+				known := e.Known(recalled)["w"]
+				t.Logf("%d went out, %d of it in the silence; %d are presumed, %d without witnesses", got, alone, known, e.Spent["w"])
+				qt.Assert(t, got <= known, qt.IsTrue)
+				qt.Assert(t, known <= e.Spent["w"], qt.IsTrue)
+				return
+			}
+			t.Fatal("nothing was left to close")
+		})
+	}
+}
