--- a/chooser/cold.go
+++ b/chooser/cold.go
@@ -18,14 +18,14 @@
 	Slack     float64
 }
 
-// alone is how many of them the one router sends that alone sends to a cold server: half, since two may each take themselves
-// for that one while they know different routers.
-func (b ColdBound) alone(rate float64) int { return max(1, int((b.Overshoot*rate+b.Slack)/2)) }
+// owner is how many of them the server's owner sends, the one router that sends to it while it is cold: half, since two
+// may each take themselves for the owner while they know different routers.
+func (b ColdBound) owner(rate float64) int { return max(1, int((b.Overshoot*rate+b.Slack)/2)) }
 
-// Warm returns the servers that may get any request, and of the cold ones those that may get one more by this router: it
-// has to be the one that alone sends to the server, and below its bound. Cold servers are meant for requests that no warm one
-// can serve: they are slow, and crash under what a warm one bears.
-func (s *Servers) Warm(now time.Time, servers []masticway.Server, rate float64, alone func(server string) bool) (warm, cold []masticway.Server) {
+// Warm returns the servers that may get any request, and of the cold ones those that may get one more from this router,
+// which has to own the server and to be below the owner's bound. Cold servers are meant for requests that no warm one can
+// serve: they are slow, and crash under what a warm one bears.
+func (s *Servers) Warm(now time.Time, servers []masticway.Server, rate float64, owns func(server string) bool) (warm, cold []masticway.Server) {
 	for i, server := range servers {
 		if !server.Cold(now) {
 			if warm != nil {
@@ -37,7 +37,7 @@
 			// Most of the time none is cold, and nothing is copied.
 			warm = append(make([]masticway.Server, 0, len(servers)), servers[:i]...)
 		}
-		if s.load(server.ID).sentSince(now.Add(-coldWindow)) < s.policy.Cold.alone(rate) && alone(server.ID) {
+		if s.load(server.ID).sentSince(now.Add(-coldWindow)) < s.policy.Cold.owner(rate) && owns(server.ID) {
 			cold = append(cold, server)
 		}
 	}
--- a/follower/evacuations.go
+++ b/follower/evacuations.go
@@ -21,8 +21,13 @@
 	present := map[string]bool{}
 	for _, row := range reading.Rows {
 		zone, ok := r.decoder.Evacuated(row.RowKey)
-		if !ok || row.Version <= max(r.evacuated[zone], r.takenBack[zone].version) {
-			present[zone] = present[zone] || ok && !row.Deleted
+		if !ok {
+			continue
+		}
+		if !row.Deleted {
+			present[zone] = true
+		}
+		if row.Version <= max(r.evacuated[zone], r.takenBack[zone].version) {
 			continue
 		}
 		_, was := r.evacuated[zone]
@@ -33,7 +38,6 @@
 		case row.Deleted:
 			r.takenBack[zone] = zoneReturn{at: now, version: row.Version}
 		default:
-			present[zone] = true
 			r.evacuated[zone] = row.Version
 			if !was {
 				emptied = append(emptied, zone)
--- a/forwarder/candidates.go
+++ b/forwarder/candidates.go
@@ -13,16 +13,16 @@
 	known := x.f.beliefs().Servers[x.q.pool.Name]
 	servers := make([]masticway.Server, 0, len(known))
 	for _, s := range known {
-		if !some[s.ID] && x.athome(s) {
+		if !some[s.ID] && x.atHome(s) {
 			servers = append(servers, s)
 		}
 	}
 	return servers
 }
 
-// athome tells that the homes of the request's route and workspace both let it run at a server. A server in a zone whose
+// atHome tells that the homes of the request's route and workspace both let it run at a server. A server in a zone whose
 // region is not known is in none of them.
-func (x *exchange) athome(s masticway.Server) bool {
+func (x *exchange) atHome(s masticway.Server) bool {
 	region := x.f.settings.Regions[s.Zone]
 	for _, homes := range [][]string{x.q.route.Homes, x.q.account.Homes} {
 		if len(homes) > 0 && !slices.Contains(homes, region) {
@@ -37,7 +37,7 @@
 	x.f.mu.Lock()
 	defer x.f.mu.Unlock()
 	now := x.f.clock.Now()
-	warm, cold := x.f.servers.Warm(now, servers, x.q.pool.ColdRate, x.f.bank.Alone)
+	warm, cold := x.f.servers.Warm(now, servers, x.q.pool.ColdRate, x.f.bank.Owns)
 	for _, some := range [][]masticway.Server{warm, cold} {
 		if len(some) > 0 {
 			i, _ := x.f.servers.Choose(now, x.q.pool.Engine, x.q.prompt, some)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -29,8 +29,8 @@
 	Settle(id treasurer.HoldID, used int64)
 	// Members returns how many routers there seem to be, zero when that is not known.
 	Members() int
-	// Alone tells whether this router is the one of all to which a key falls; nobody is before the routers are counted.
-	Alone(key string) bool
+	// Owns tells whether this router is the one of all to which a key falls; nobody is before the routers are counted.
+	Owns(key string) bool
 }
 
 // takeFor is how long a router that ends takes any request: the balancer needs two misses, a second apart, to send new
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -138,7 +138,7 @@
 
 func (b *bank) Members() int { return 1 }
 
-func (b *bank) Alone(string) bool { return !b.others }
+func (b *bank) Owns(string) bool { return !b.others }
 
 func (b *bank) spent() []int64 {
 	b.mu.Lock()
--- a/treasurer/treasurer.go
+++ b/treasurer/treasurer.go
@@ -143,9 +143,9 @@
 	return t.members
 }
 
-// Alone tells whether this router is the one of all to which a key falls, by rendezvous hash; nobody is before the routers
+// Owns tells whether this router is the one of all to which a key falls, by rendezvous hash; nobody is before the routers
 // were counted.
-func (t *Treasurer) Alone(key string) bool {
+func (t *Treasurer) Owns(key string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.members == 0 {
