Do once what was done for each server, promise and statement

Fields of a log line were built for each server ten times a second, whether it had turned cold or not: they are built for those that have. The window of requests to a server was kept by one rule and counted by another: one serves both. Whether the book is late was asked for each workspace: once. The end of an order to empty a zone is noted in one place.

--- a/chooser/cold.go
+++ b/chooser/cold.go
@@ -37,7 +37,7 @@
 			// Most of the time none is cold, and nothing is copied.
 			warm = append(make([]masticway.Server, 0, len(servers)), servers[:i]...)
 		}
-		if s.load(server.ID).sentSince(now.Add(-coldWindow)) < s.policy.Cold.owner(rate) && owns(server.ID) {
+		if len(s.load(server.ID).sentLately(now)) < s.policy.Cold.owner(rate) && owns(server.ID) {
 			cold = append(cold, server)
 		}
 	}
@@ -47,22 +47,8 @@
 	return warm, cold
 }
 
-// sentSince counts the requests that were sent after a time, of the last coldWindow.
-func (l *serverLoad) sentSince(since time.Time) int {
-	n := 0
-	for _, at := range l.sent {
-		if at.After(since) {
-			n++
-		}
-	}
-	return n
-}
-
-// noteSent remembers when a request was sent, as long as that counts.
-func (l *serverLoad) noteSent(now time.Time) {
-	old := 0
-	for old < len(l.sent) && now.Sub(l.sent[old]) > coldWindow {
-		old++
-	}
-	l.sent = append(slices.Delete(l.sent, 0, old), now)
+// sentLately returns when requests were sent in the last coldWindow, oldest first; earlier ones are forgotten.
+func (l *serverLoad) sentLately(now time.Time) []time.Time {
+	l.sent = slices.DeleteFunc(l.sent, func(at time.Time) bool { return now.Sub(at) >= coldWindow })
+	return l.sent
 }
--- a/chooser/observations.go
+++ b/chooser/observations.go
@@ -81,7 +81,7 @@
 	l := s.load(server)
 	unread := float64(p.Tokens - l.cached(now, p, false))
 	l.inFlight++
-	l.noteSent(now)
+	l.sent = append(l.sentLately(now), now)
 	l.reading += unread
 	if len(l.parts) > partsKept {
 		l.forget(now)
--- a/follower/cold.go
+++ b/follower/cold.go
@@ -32,17 +32,18 @@
 	for id, e := range f.register.entries {
 		until, source := f.register.coldUntil(e)
 		_, told := f.cold[id]
-		fields := logrus.Fields{"server": id, "zone": e.server.Zone, "pool": e.server.Pool, "row_version": e.version}
-		switch cold := now.Before(until); {
-		case cold && !told:
+		cold := now.Before(until)
+		if cold == told {
+			continue
+		}
+		log := f.log.WithFields(logrus.Fields{"server": id, "zone": e.server.Zone, "pool": e.server.Pool, "row_version": e.version})
+		if cold {
 			f.cold[id] = now
-			fields["event"], fields["source"], fields["for_ms"] = "server_cold", source, until.Sub(now).Milliseconds()
-			f.log.WithFields(fields).Info("server is cold")
-		case !cold && told:
-			fields["event"], fields["after_ms"] = "server_warm", now.Sub(f.cold[id]).Milliseconds()
-			delete(f.cold, id)
-			f.log.WithFields(fields).Info("server is warm")
+			log.WithFields(logrus.Fields{"event": "server_cold", "source": source, "for_ms": until.Sub(now).Milliseconds()}).Info("server is cold")
+			continue
 		}
+		log.WithFields(logrus.Fields{"event": "server_warm", "after_ms": now.Sub(f.cold[id]).Milliseconds()}).Info("server is warm")
+		delete(f.cold, id)
 	}
 	for id := range f.cold {
 		if _, known := f.register.entries[id]; !known {
--- a/follower/evacuations.go
+++ b/follower/evacuations.go
@@ -32,17 +32,16 @@
 		}
 		_, was := r.evacuated[zone]
 		switch {
+		case !row.Deleted && !was:
+			emptied = append(emptied, zone)
 		case row.Deleted && was:
 			back = append(back, zone)
+		}
+		if row.Deleted {
 			r.takeBack(now, zone, row.Version)
-		case row.Deleted:
-			r.takenBack[zone] = zoneReturn{at: now, version: row.Version}
-		default:
-			r.evacuated[zone] = row.Version
-			if !was {
-				emptied = append(emptied, zone)
-			}
+			continue
 		}
+		r.evacuated[zone] = row.Version
 	}
 	if !whole {
 		return emptied, back
@@ -56,6 +55,7 @@
 	return emptied, back
 }
 
+// takeBack ends an order, if there is one, and remembers when.
 func (r *Register) takeBack(now time.Time, zone string, version int64) {
 	delete(r.evacuated, zone)
 	r.takenBack[zone] = zoneReturn{at: now, version: version}
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -62,8 +62,7 @@
 // is the same one with a longer time limit: where a router's link is so full that a call takes longer than money can
 // wait, a change of the configuration still has to be in force in time, and a server that leaves to be left.
 func New(store, patient masticway.RowStore, d masticway.DeploymentDecoder, clock masticway.Clock, log *logrus.Entry, metrics *measurer.Set, changed func(Beliefs)) *Follower {
-	f := &Follower{store: store, patient: patient, decoder: d, clock: clock, log: log, metrics: metrics, changed: changed, register: NewRegister(d)}
-	f.cold = map[string]time.Time{}
+	f := &Follower{store: store, patient: patient, decoder: d, clock: clock, log: log, metrics: metrics, changed: changed, register: NewRegister(d), cold: map[string]time.Time{}}
 	f.beliefs.Store(&Beliefs{})
 	return f
 }
--- a/treasurer/plan.go
+++ b/treasurer/plan.go
@@ -146,7 +146,7 @@
 }
 
 // burst is how much of a workspace may be taken between two writes of the book, when these are slow or far apart.
-func (p *Purse) burst(a *account) int64 {
+func (p *Purse) burst(a *account, ahead int64) int64 {
 	span := p.bookTook
 	apart := p.bookApart()
 	if apart > bookPause+slowAnswer {
@@ -156,7 +156,7 @@
 	if span >= slowAnswer {
 		burst = int64(a.demand.rate * 2 * span.Seconds())
 	}
-	burst = max(burst, p.soon(a))
+	burst = max(burst, p.soon(a, ahead))
 	// Others wait for what a holder lends; a loan that has to wait for the book first comes too late for many.
 	burst = max(burst, int64(a.others.rate*keptBursts*(apart+p.bookTook).Seconds()))
 	return min(burst, max(0, a.free()))
@@ -174,18 +174,18 @@
 
 // soon is the part of what may be taken ahead that needs neither time nor a witness: a book for each answer would cost the
 // store more calls.
-func (p *Purse) soon(a *account) int64 {
+func (p *Purse) soon(a *account, ahead int64) int64 {
 	if len(p.peers) == 0 {
-		return p.ahead(a)
+		return ahead
 	}
-	return min(p.ahead(a), p.spanned(a, burstSpan))
+	return min(ahead, p.spanned(a, burstSpan))
 }
 
 // alone is the part of which no witness has to hear. It is lost when the router dies, whoever lives on. A router that is cut
 // off from all others serves its own callers by it, and some that are cut off together lend to each other.
-func (p *Purse) alone(a *account) int64 {
+func (p *Purse) alone(a *account, ahead int64) int64 {
 	own := max(0, a.demand.rate-a.others.rate)
-	return min(p.ahead(a), max(p.spanned(a, aloneSpan), int64(own*silentAfter.Seconds())))
+	return min(ahead, max(p.spanned(a, aloneSpan), int64(own*silentAfter.Seconds())))
 }
 
 // spanned is the demand of some time, a usual request at least.
@@ -193,6 +193,14 @@
 	return max(int64(a.demand.rate*span.Seconds()), int64(a.typical))
 }
 
+// promise is what a book says of a workspace now.
+func (p *Purse) promise(a *account) Promise {
+	ahead := p.ahead(a)
+	return Promise{
+		Taken: a.taken, Burst: p.burst(a, ahead), Rate: p.promisedRate(a), Alone: p.alone(a, ahead), Ahead: ahead,
+	}
+}
+
 func (p *Purse) writeBook(now time.Time) Step {
 	p.book.Sequence++
 	next := p.book
@@ -201,9 +209,7 @@
 		if !p.wanted(now, a) {
 			continue
 		}
-		next.Promises[a.workspace] = Promise{
-			Taken: a.taken, Burst: p.burst(a), Rate: p.promisedRate(a), Alone: p.alone(a), Ahead: p.ahead(a),
-		}
+		next.Promises[a.workspace] = p.promise(a)
 	}
 	next.Witnesses = p.witnesses()
 	p.inForce = append(p.inForce, inForce{
--- a/treasurer/witness.go
+++ b/treasurer/witness.go
@@ -114,18 +114,24 @@
 	return !p.failingSince.IsZero() || p.bookBusy && now.Sub(p.bookAt) > slowAnswer
 }
 
-// Statements returns what to tell the witnesses now: what waits for a promise that the silent store cannot take.
-func (p *Purse) Statements(now time.Time) []Statement {
+// unpromised is the most that has been taken of each workspace for which an answer waits for a promise.
+func (p *Purse) unpromised(now time.Time) map[string]int64 {
 	taken := map[string]int64{}
 	for workspace, a := range p.accounts {
-		if !p.bookLate(now) {
-			break
-		}
 		stated := min(a.taken, p.expected(now, a))
 		if len(a.gates) > 0 && stated > p.promised(now, a) {
 			taken[workspace] = stated
 		}
 	}
+	return taken
+}
+
+// Statements returns what to tell the witnesses now: what waits for a promise that the silent store cannot take.
+func (p *Purse) Statements(now time.Time) []Statement {
+	var taken map[string]int64
+	if p.bookLate(now) {
+		taken = p.unpromised(now)
+	}
 	if len(taken) == 0 {
 		p.statedAt = time.Time{}
 		return nil
