Count only the witnesses that answered

Cause: since witnesses are asked all at once, one that could not be reached brought an empty recollection, so predecessor_recalled told of as many answers as witnesses. What is presumed was right: only a witness that remembers counts. TestWitnessesThatCannotBeAskedAreNotCounted fails on the code before.

--- a/starter/gateway_test.go
+++ b/starter/gateway_test.go
@@ -288,3 +288,24 @@
 	}
 	t.Fatalf("a change never came through the other router:\n%s", u.log)
 }
+
+// TestWitnessesThatCannotBeAskedAreNotCounted has a router and its only witness die. Its successor says how many witnesses told
+// it what was taken, which is how an operator tells a loss that nobody remembers from one that was remembered.
+//
+// Seen: the line told of as many answers as there were witnesses, though none could be reached. Cause: asked all at once, each
+// counted as one that had answered.
+func TestWitnessesThatCannotBeAskedAreNotCounted(t *testing.T) {
+	u := newUsers(t, 100000)
+	s := u.settings("edge-1")
+	first, second := u.start(s), u.gateway("edge-2")
+	// Both have counted each other by then, so that the book names a witness.
+	time.Sleep(3500 * time.Millisecond)
+	status, _ := u.ask(first, "a", "/draft/x", "100,40")
+	qt.Assert(t, status, qt.Equals, 200)
+	second.Kill()
+	first.Kill()
+	successor := u.start(s)
+	defer successor.Kill()
+	u.logged("event=predecessor_recalled", "witnesses=1")
+	u.logged("event=predecessor_recalled", "witnesses=1", "answered=0")
+}
--- a/treasurer/testimony.go
+++ b/treasurer/testimony.go
@@ -71,16 +71,22 @@
 func (t *Treasurer) askAll(ctx context.Context, e Ended) []Recollection {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	answers := make(chan Recollection, len(e.Witnesses))
+	// A witness that cannot be asked brings nothing.
+	answers := make(chan []Recollection, len(e.Witnesses))
 	for _, w := range e.Witnesses {
 		t.steps.Go(func() {
-			r, _ := t.ask(ctx, w, e.Incarnation)
-			answers <- r
+			r, ok := t.ask(ctx, w, e.Incarnation)
+			if !ok {
+				answers <- nil
+				return
+			}
+			answers <- []Recollection{r}
 		})
 	}
 	var recalled []Recollection
 	for range e.Witnesses {
-		if recalled = append(recalled, <-answers); e.Enough(recalled) {
+		recalled = append(recalled, <-answers...)
+		if e.Enough(recalled) {
 			break
 		}
 	}
