--- a/deployment.go
+++ b/deployment.go
@@ -45,8 +45,8 @@
 	// EventGap is the longest pause between events that is still on time; zero on routes without streams.
 	EventGap time.Duration
 	Priority int
-	// Homes are the regions in which requests may run; none is any.
-	Homes []string
+	// Regions are those in which requests may run; none is any.
+	Regions []string
 }
 
 // Pool is what the configuration says of one set of like servers.
@@ -80,8 +80,8 @@
 	Prepaid int64
 	// Metered tells that Prepaid is set; workspaces without it are not limited.
 	Metered bool
-	// Homes are the regions in which its requests may run; none is any.
-	Homes []string
+	// Regions are those in which its requests may run; none is any.
+	Regions []string
 }
 
 // CallerLimits bound what a caller may send and how long it may take.
--- a/forwarder/candidates.go
+++ b/forwarder/candidates.go
@@ -13,19 +13,19 @@
 	known := x.f.beliefs().Servers[x.q.pool.Name]
 	servers := make([]masticway.Server, 0, len(known))
 	for _, s := range known {
-		if !some[s.ID] && x.atHome(s) {
+		if !some[s.ID] && x.allowedAt(s) {
 			servers = append(servers, s)
 		}
 	}
 	return servers
 }
 
-// atHome tells that the homes of the request's route and workspace both let it run at a server. A server in a zone whose
-// region is not known is in none of them.
-func (x *exchange) atHome(s masticway.Server) bool {
+// allowedAt tells that the allowed regions of the request's route and workspace both let it run at a server. A server in a zone
+// whose region is not known is in none of them.
+func (x *exchange) allowedAt(s masticway.Server) bool {
 	region := x.f.settings.Regions[s.Zone]
-	for _, homes := range [][]string{x.q.route.Homes, x.q.account.Homes} {
-		if len(homes) > 0 && !slices.Contains(homes, region) {
+	for _, regions := range [][]string{x.q.route.Regions, x.q.account.Regions} {
+		if len(regions) > 0 && !slices.Contains(regions, region) {
 			return false
 		}
 	}
@@ -47,8 +47,8 @@
 	return masticway.Server{}, false
 }
 
-// nobody is the outcome of a request that no server can get now.
-func (x *exchange) nobody() outcome {
+// noServer is the outcome of a request that no server can get now.
+func (x *exchange) noServer() outcome {
 	out := outcome{fate: masticway.FateNotRun, verdict: chooser.VerdictNone, reason: "no server is known or left to ask"}
 	now := x.f.clock.Now()
 	var soonest time.Time
--- a/forwarder/candidates_test.go
+++ b/forwarder/candidates_test.go
@@ -11,9 +11,9 @@
 	"github.com/masticway/masticway/forwarder"
 )
 
-// TestHomesBindWhereARequestRuns has routes and workspaces with homes before servers in two regions, and one in a zone of
+// TestAllowedRegionsBindWhereARequestRuns has routes and workspaces with allowed regions before servers in two regions, and one in a zone of
 // which nothing is known.
-func TestHomesBindWhereARequestRuns(t *testing.T) {
+func TestAllowedRegionsBindWhereARequestRuns(t *testing.T) {
 	zones := []string{"z-east", "z-west", "z-nowhere"}
 	cases := map[string]struct {
 		route, workspace []string
@@ -34,10 +34,10 @@
 			})
 			d := f.beliefs.Deployment
 			for i := range d.Routes {
-				d.Routes[i].Homes = tc.route
+				d.Routes[i].Regions = tc.route
 			}
 			account := d.Accounts["w"]
-			account.Homes = tc.workspace
+			account.Regions = tc.workspace
 			d.Accounts["w"] = account
 			f.beliefs.Deployment = d.WithIndex()
 			for i := range f.beliefs.Servers["p"] {
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -185,7 +185,7 @@
 	for {
 		a, ok := x.attempt(ctx)
 		if !ok {
-			return x.giveUp(ctx, x.nobody())
+			return x.giveUp(ctx, x.noServer())
 		}
 		x.step(eventSent)
 		out := x.try(ctx, a)
--- a/treasurer/death_test.go
+++ b/treasurer/death_test.go
@@ -11,9 +11,9 @@
 	"github.com/masticway/masticway/treasurer"
 )
 
-// shiftedFleet is the load of a deployment with 31 routers in four availability zones: 310 metered requests a second for 24
+// unevenFleet is the load of a deployment with 31 routers in four availability zones: 310 metered requests a second for 24
 // workspaces, budgets for 1.3 times what they use in 34 s, and the largest workspace's callers all at one router.
-var shiftedFleet = fleetLoad{
+var unevenFleet = fleetLoad{
 	routers: 31, zones: 4, workspaces: 24, perSecond: 310, span: 8 * time.Second, prepaid: 5.5, stick: map[string]int{"w0": 17},
 }
 
@@ -26,7 +26,7 @@
 // a silence of three seconds, and the promise did not grow with the silence. Proof: grant_closed has taken, written, silent_ms.
 func TestDeathOfAHolderCostsAWorkspaceLittle(t *testing.T) {
 	const workspace, mayBeLost = "w0", 0.03
-	f := openFleet(shiftedFleet)
+	f := openFleet(unevenFleet)
 	f.after(4500*time.Millisecond, func() {
 		var richest *fleetRouter
 		var most int64
--- a/treasurer/doc.go
+++ b/treasurer/doc.go
@@ -43,12 +43,12 @@
 //
 // Promised. Somebody waits for a workspace that the book does not name, so the
 // book is due (bookDue in plan.go). writeBook puts in a Promise: Taken, Burst,
-// and a Rate with its bounds Alone and Ahead. Treasurer.step sends the write, and Purse.Done takes its outcome
-// (outcome.go): with bookDone, kept makes this promise the only one in force. A
-// write whose outcome is unknown leaves both its own promise and the earlier one
-// in force, and the lower one counts (leastPromise). Purse.opened now holds for
-// the workspace; until then its grant does not grow, so that a successor finds
-// every grant.
+// and a Rate with its bounds Alone and Ahead. Treasurer.step sends the write, and
+// Purse.Done takes its outcome (outcome.go): with bookDone, kept makes this
+// promise the only one in force. A write whose outcome is unknown leaves both its
+// own promise and the earlier one in force, and the lower one counts
+// (leastPromise). Purse.opened now holds for the workspace; until then its grant
+// does not grow, so that a successor finds every grant.
 //
 // Granted, at a holder. Not every router keeps money of every workspace in hand:
 // order (holders.go) ranks routers by rendezvous hash, zone by zone, and only the
@@ -76,8 +76,9 @@
 // lending.go). Purse.Borrowing asks for it at once where this router is no holder
 // (delegated); a holder asks when somebody has waited for the store for a while,
 // or when the row has too little left (beyond). Purse.lenders names the holders,
-// with each question another one first. Treasurer.borrow asks one after the other; where
-// nobody answers, this router draws from the store itself for a moment. At the
+// with each question another one first. Treasurer.borrow asks one after the
+// other; where nobody answers, this router draws from the store itself for a
+// moment. At the
 // lender, Treasurer.Lend holds the token (Purse.Lend), waits until it is cleared,
 // and hands it over (Purse.Lent): it stays taken and cleared in the lender's
 // grant. Here Borrowed keeps it as a Loan, and serve takes it.
@@ -91,9 +92,9 @@
 // taken than the promises cover, so usually the next write opens the gate. While
 // the store is silent the promise's rate does (Promise.bound): a part of it alone
 // (Promise.unwitnessed), the rest as far as most of the book's witnesses have been
-// told (witness.go): Purse.Statements says what to tell, Treasurer.testify sends it to
-// other routers, whose Purse.Testified remembers it, and Purse.Witnessed counts
-// who has heard.
+// told (witness.go): Purse.Statements says what to tell, Treasurer.testify sends
+// it to other routers, whose Purse.Testified remembers it, and Purse.Witnessed
+// counts who has heard.
 //
 // Used. Treasurer.Settle ends the hold with what was used of it. held.settle
 // counts loans as used first and gives the rest back. The used token stays in
