Tell requests and the ends of servers apart in the logs

attempt_failed named only the attempt, whose id is new each time a caller comes again, so no line could tell whether a server ended under the same request as another. It has a digest now of what stays the same: workspace, method, host, target and whole body. A connection that breaks before its answer has the server checked by a new one, once for all that broke with it, and server_checked says whether it answers, has ended or can't be reached. No decision hangs on either yet.

--- a/forwarder/admit.go
+++ b/forwarder/admit.go
@@ -74,6 +74,12 @@
 	return min(leastUrgent, max(0, q.route.Priority))
 }
 
+// path returns the path without the query, which may hold what is a caller's own business.
+func (q request) path() string {
+	path, _, _ := strings.Cut(q.target, "?")
+	return path
+}
+
 // refusal builds the answer to a request that certainly did not run.
 func refusal(status int, code, message string, wait time.Duration) *masticway.RefusalError {
 	return &masticway.RefusalError{Status: status, Code: code, Message: message, Run: masticway.FateNotRun, RetryAfter: wait}
@@ -124,8 +130,7 @@
 	if name, _, err := net.SplitHostPort(host); err == nil {
 		host = name
 	}
-	path, _, _ := strings.Cut(r.RequestURI, "?")
-	route, ok := d.Route(host, path)
+	route, ok := d.Route(host, x.q.path())
 	if !ok {
 		return refusal(http.StatusNotFound, codeNoRoute, "no route has this host and path", 0)
 	}
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -141,7 +141,7 @@
 	if failure, ok := errors.AsType[*sender.Error](err); ok && !failure.Sent {
 		return outcome{fate: masticway.FateNotRun, verdict: chooser.VerdictUnreached, reason: err.Error()}
 	}
-	return a.failed(err)
+	return a.lost(err)
 }
 
 // failed is an attempt that may have run and whose answer is missing or of no use.
@@ -152,6 +152,13 @@
 	return outcome{fate: masticway.FateUnknown, verdict: chooser.VerdictFailed, reason: err.Error()}
 }
 
+// lost is a failed attempt whose connection ended before the answer did, unless it was this router that ended it.
+func (a *attempt) lost(err error) outcome {
+	out := a.failed(err)
+	out.broken = context.Cause(a.ctx) == nil
+	return out
+}
+
 // own finds the answer to this request, past answers to others that a faulty server sent twice.
 func (a *attempt) own(answer *sender.Answer) (masticway.ServerAnswer, *sender.Answer, error) {
 	for range foreignAnswers {
@@ -201,7 +208,7 @@
 	x := a.x
 	body, err := io.ReadAll(io.LimitReader(answer, answerLimit))
 	if err != nil {
-		return a.failed(fmt.Errorf("reading the answer: %w", err))
+		return a.lost(fmt.Errorf("reading the answer: %w", err))
 	}
 	a.first()
 	bad := answer.Status >= http.StatusInternalServerError
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -12,6 +12,7 @@
 	"github.com/masticway/masticway"
 	"github.com/masticway/masticway/charter"
 	"github.com/masticway/masticway/chooser"
+	"github.com/masticway/masticway/examiner"
 	"github.com/masticway/masticway/sender"
 	"github.com/masticway/masticway/treasurer"
 )
@@ -88,6 +89,8 @@
 	lastEvent string
 	firstAt   time.Time
 	server    string
+	// digested is the request's digest once it was asked for.
+	digested masticway.RequestDigest
 }
 
 // step follows the chart; a step that it does not allow is a defect and is logged.
@@ -100,6 +103,16 @@
 	x.state = next
 }
 
+// digest returns the request's digest. Few requests are ever asked for it.
+func (x *exchange) digest() masticway.RequestDigest {
+	if x.digested == "" {
+		x.digested = examiner.Digest(examiner.Source{
+			Workspace: x.q.account.Workspace, Method: x.q.method, Host: x.q.host, Target: x.q.target, Body: x.q.body,
+		})
+	}
+	return x.digested
+}
+
 // run serves the request.
 func (x *exchange) run(ctx context.Context) {
 	ctx, cancel := context.WithDeadline(ctx, x.q.deadline)
@@ -175,6 +188,8 @@
 	reason string
 	// full tells that the server has no room now, rather than being at fault.
 	full bool
+	// broken tells that the connection ended before the answer did.
+	broken bool
 	// after is when a server that is cold now may take the request; zero when none is.
 	after time.Duration
 }
@@ -195,6 +210,9 @@
 		}
 		x.note(out)
 		x.logAttempt(a.server, out)
+		if out.broken {
+			x.f.checks.begin(a.server)
+		}
 		if out.fate == masticway.FateNotRun {
 			x.step(eventNotRun)
 		} else {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -47,6 +47,7 @@
 	bank     Bank
 	sender   *sender.Sender
 	beliefs  func() follower.Beliefs
+	checks   *checks
 
 	mu         sync.Mutex
 	servers    *chooser.Servers
@@ -73,6 +74,7 @@
 func New(s Settings, p Parts) *Forwarder {
 	return &Forwarder{
 		settings: s, clock: p.Clock, log: p.Log, metrics: p.Metrics, dialect: p.Dialect, bank: p.Bank, beliefs: p.Beliefs,
+		checks: &checks{dial: p.Dial, clock: p.Clock, log: p.Log, known: map[masticway.ServerLife]*check{}},
 		sender: sender.New(p.Dial, p.Clock.Now), servers: chooser.NewServers(s.placement()), allowances: map[string]*retrier.Allowance{},
 	}
 }
@@ -97,6 +99,7 @@
 		f.log.WithFields(logrus.Fields{"event": "server_reborn", "server": id, "born": born[id]}).Info("server began a new life")
 	}
 	f.sender.Forget(addresses)
+	f.checks.keep(b)
 }
 
 // Ready tells whether new connections are wanted.
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -48,7 +48,7 @@
 
 // brokenOff is a stream that ended before its end.
 func (a *attempt) brokenOff(err error, rest int) outcome {
-	out := a.failed(fmt.Errorf("stream broke off after %d events, %d bytes of the next: %w", a.x.events, rest, err))
+	out := a.lost(fmt.Errorf("stream broke off after %d events, %d bytes of the next: %w", a.x.events, rest, err))
 	out.fate = masticway.FateRan
 	return out
 }
--- a/forwarder/report.go
+++ b/forwarder/report.go
@@ -72,6 +72,6 @@
 func (x *exchange) logAttempt(server masticway.Server, out outcome) {
 	x.f.log.WithFields(logrus.Fields{
 		"event": "attempt_failed", "request": x.q.ID, "server": server.ID, "address": server.Address, "fate": out.fate,
-		"cause": out.reason, "events": x.events, "ms": x.f.clock.Now().Sub(x.q.received).Milliseconds(),
+		"cause": out.reason, "events": x.events, "digest": x.digest(), "path": x.q.path(), "workspace": x.q.account.Workspace, "ms": x.f.clock.Now().Sub(x.q.received).Milliseconds(),
 	}).Info("attempt failed")
 }
