Count the time for which a machine is suspended

Leases, silences, promises and time limits lasted longer at a router by the time for which its machine was suspended, as all were judged by the steady clock, which stands still then; a request whose caller had given up was sent with a time limit in the past.

Red first: TestRequestIsNotSentOnceItsTimeIsOver (answered 200).

--- a/amount.go
+++ b/amount.go
@@ -11,23 +11,6 @@
 // PerToken is the amount of one token at weight one.
 const PerToken Amount = 1000
 
-// Clock tells the time to code that must be testable without waiting.
-type Clock interface {
-	// Now returns the current time.
-	Now() time.Time
-	// After returns a channel that delivers the time once d has passed.
-	After(d time.Duration) <-chan time.Time
-}
-
-// SystemClock is the machine's own clock.
-type SystemClock struct{}
-
-// Now returns the machine's time.
-func (SystemClock) Now() time.Time { return time.Now() }
-
-// After waits on the machine's clock.
-func (SystemClock) After(d time.Duration) <-chan time.Time { return time.After(d) }
-
 // Duration is a time.Duration that settings and contracts write as a string such as "1.5s".
 type Duration time.Duration
 
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -119,7 +119,7 @@
 
 // run serves the request.
 func (x *exchange) run(ctx context.Context) {
-	ctx, cancel := context.WithDeadline(ctx, x.q.deadline)
+	ctx, cancel := context.WithTimeout(ctx, x.q.deadline.Sub(x.f.clock.Now()))
 	defer cancel()
 	x.f.mu.Lock()
 	x.f.allowance(x.q.pool.Name).Asked(x.q.received)
@@ -210,6 +210,9 @@
 func (x *exchange) attempts(ctx context.Context) *masticway.RefusalError {
 	defer x.dropNext()
 	for {
+		if x.late() {
+			return x.giveUp(ctx, outcome{fate: masticway.FateNotRun, verdict: chooser.VerdictNone, reason: "its time was over before it was sent"})
+		}
 		a, none := x.attempt(ctx)
 		if a == nil {
 			return x.giveUp(ctx, none)
@@ -305,9 +308,12 @@
 	return false
 }
 
+// late tells that the request's time is over. Its timer alone does not: it stands still while the machine is suspended.
+func (x *exchange) late() bool { return !x.f.clock.Now().Before(x.q.deadline) }
+
 // giveUp turns the last failure into the caller's answer.
 func (x *exchange) giveUp(ctx context.Context, out outcome) *masticway.RefusalError {
-	expired := errors.Is(ctx.Err(), context.DeadlineExceeded)
+	expired := errors.Is(ctx.Err(), context.DeadlineExceeded) || x.late()
 	switch {
 	case x.fate == masticway.FateNotRun && out.suspicion.Suspicion == masticway.SuspicionProven:
 		return refusal(http.StatusServiceUnavailable, codeProven, out.reason, out.suspicion.For)
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -97,6 +97,20 @@
 	}
 }
 
+// TestRequestIsNotSentOnceItsTimeIsOver has the machine suspended while a request waits for money, for longer than its caller
+// waits for the answer.
+//
+// Seen: the request was sent with a time limit in the past. Cause: its time was kept by a timer alone, and timers stand still
+// while a machine is suspended. Proof: the server's ledger has it.
+func TestRequestIsNotSentOnceItsTimeIsOver(t *testing.T) {
+	f := newFleet(t, 1)
+	f.bank.onHold = func() { f.clock.advance(5 * time.Second) }
+	got := f.ask(t.Context(), "POST", "/stream/x", "X-Deadline-Ms", "4000", "X-Token-Count", "100,40")
+	qt.Assert(t, got.err, qt.IsNil)
+	qt.Assert(t, got.status, qt.Equals, 503)
+	qt.Assert(t, f.ledger.Runs(), qt.HasLen, 0)
+}
+
 // bank gives the verdict that a test wants and notes what is settled.
 type bank struct {
 	mu      sync.Mutex
@@ -108,11 +122,16 @@
 	after time.Duration
 	// others tells that all keys fall to other routers.
 	others bool
+	// onHold is called when money is asked for.
+	onHold func()
 }
 
 func (b *bank) Hold(_ context.Context, _ string, need int64, _ time.Duration) treasurer.Reply {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.onHold != nil {
+		b.onHold()
+	}
 	b.held = append(b.held, need)
 	return treasurer.Reply{ID: 1, Verdict: b.verdict}
 }
--- a/starter/gateway.go
+++ b/starter/gateway.go
@@ -42,6 +42,8 @@
 	// within the least time in which deployments want all routers to know. suspectsRelist is how often they are read anew.
 	suspectsWait   = 1500 * time.Millisecond
 	suspectsRelist = 10 * time.Second
+	// suspensionPause is how often it is looked whether the machine was suspended, for the log only.
+	suspensionPause = time.Second
 	// unreadyAtLeast is how long a router that ends still takes connections: the balancer asks once a second and
 	// takes an instance out after two misses.
 	unreadyAtLeast = 3200 * time.Millisecond
@@ -52,6 +54,9 @@
 	drainTick = 20 * time.Millisecond
 )
 
+// metricSuspended is how long the machine has been suspended since the process began, in milliseconds.
+const metricSuspended = "suspended_ms"
+
 // GatewayListeners are a gateway's open sockets.
 type GatewayListeners struct {
 	Caller    net.Listener
@@ -163,6 +168,7 @@
 	d.wg.Go(func() { d.follower.Run(ctx) })
 	d.wg.Go(func() { d.bank.Run(ctx) })
 	d.wg.Go(func() { d.examiner.Run(ctx) })
+	d.wg.Go(func() { d.watchSuspensions(ctx) })
 	d.servers.serveWith(d.callers, d.caller)
 	d.servers.serve(d.listeners.Readiness, http.HandlerFunc(d.readiness))
 	d.servers.serve(d.listeners.Peer, d.peerHandler())
@@ -176,6 +182,25 @@
 	return nil
 }
 
+// watchSuspensions tells of every time for which the machine was suspended, where its clock knows.
+func (d *GatewayDaemon) watchSuspensions(ctx context.Context) {
+	c, ok := d.clock.(interface{ Slept() time.Duration })
+	if !ok {
+		return
+	}
+	for told := c.Slept(); ctx.Err() == nil; {
+		select {
+		case <-ctx.Done():
+		case <-d.clock.After(suspensionPause):
+		}
+		if slept := c.Slept(); slept > told {
+			d.metrics.Gauge(metricSuspended, slept.Milliseconds())
+			d.log.WithFields(logrus.Fields{"event": "machine_suspended", "instance": d.settings.Instance, "for_ms": (slept - told).Milliseconds()}).Warn("the machine was suspended")
+			told = slept
+		}
+	}
+}
+
 // peers names the addresses of other routers: those that are known, before that the seeds.
 func (d *GatewayDaemon) peers() []string {
 	known := d.bank.Peers()
