Give a request up whose upstreams vanish before they bring anything

The same class on the path with sidecars: what befell an upstream was never taken for the request's fault, so retries after it were free, up to 16: one request could end 17 engines. Two such retries are left; answers that came on in between are others' failures and keep theirs. Red first: the new case of the retrier was sent 17 times for 3. Routers with sidecars don't tell each other of such requests; a caller that comes again with another key starts anew.

--- a/retrier/retrier_test.go
+++ b/retrier/retrier_test.go
@@ -58,6 +58,30 @@
 	}
 }
 
+// TestRequestThatEndsUpstreamsIsGivenUp has every upstream of a request vanish, before anything of the answer or amid it.
+//
+// Seen: a request whose upstreams vanish one after the other was sent to 17. Cause: what befell the upstream was never taken for
+// the request's fault, so no retry counted.
+func TestRequestThatEndsUpstreamsIsGivenUp(t *testing.T) {
+	for name, tc := range map[string]struct {
+		failure retrier.Failure
+		sent    int
+	}{
+		"nothing came":                {failure: retrier.Failure{Cause: retrier.CauseDisrupted, Fate: masticway.FateUnknown, Resumable: true}, sent: 3},
+		"a part came each time":       {failure: retrier.Failure{Cause: retrier.CauseDisrupted, Fate: masticway.FateRan, Resumable: true, Progress: true}, sent: 17},
+		"it was not running anywhere": {failure: retrier.Failure{Cause: retrier.CauseDisrupted, Fate: masticway.FateNotRun, Resumable: true}, sent: 17},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := retrier.New(retrier.Settings{CountedLimit: 3})
+			sent, history := 0, retrier.History{}
+			for action := retrier.ActionRetryFree; action != retrier.ActionFail; sent++ {
+				action, history, _ = r.Decide(tc.failure, history)
+			}
+			qt.Assert(t, sent, qt.Equals, tc.sent)
+		})
+	}
+}
+
 func TestRetryBudgetBoundsAStorm(t *testing.T) {
 	r := retrier.New(retrier.Settings{CountedLimit: 1000})
 	now := time.Unix(1_800_000_000, 0)
--- a/router/exchange.go
+++ b/router/exchange.go
@@ -103,17 +103,19 @@
 
 // exchange carries one request from admission to its bill.
 type exchange struct {
-	r        *Router
-	q        request
-	to       receiver
-	gone     <-chan struct{}
-	chart    charter.Chart
-	state    charter.State
-	trace    explainer.Trace
-	hold     *heldMoney
-	exact    bool
-	attempt  int
+	r       *Router
+	q       request
+	to      receiver
+	gone    <-chan struct{}
+	chart   charter.Chart
+	state   charter.State
+	trace   explainer.Trace
+	hold    *heldMoney
+	exact   bool
+	attempt int
+	// next is the next piece of the answer, began the one at which the present attempt began.
 	next     int
+	began    int
 	text     strings.Builder
 	tokens   int
 	prompt   int
@@ -256,6 +258,7 @@
 			x.step(eventRefused)
 			return result{}, err
 		}
+		x.began = x.next
 		e := x.tryAt(ctx, p, work)
 		x.note(e.fate)
 		if e.final != nil && e.final.Complete {
@@ -303,7 +306,7 @@
 	resumable := (x.q.call.Service == "" || x.next == 0) && (e.final == nil || e.final.Disrupted)
 	x.r.retryMu.Lock()
 	action, history, wait := x.r.retrier.Decide(retrier.Failure{
-		Cause: e.cause, Fate: e.fate, NonRepeatable: x.q.nonRepeatable, Resumable: resumable,
+		Cause: e.cause, Fate: e.fate, NonRepeatable: x.q.nonRepeatable, Resumable: resumable, Progress: x.next > x.began,
 	}, x.history)
 	x.r.retryMu.Unlock()
 	x.history = history
