Have the soak's callers come again with requests that crash servers

A fault deadly_request: one request of a kind that the seed draws comes again for up to 8 s at any router, and crashes each server that begins to run it. Two checks: it is sent no more than three times by routers in touch later than 3 s after its third crash, and nobody else is refused as one at fault. It is drawn only where it is named (--kinds), so that the seeds that are kept draw what they did. A build that proves nothing fails it.

--- a/commander/soak.go
+++ b/commander/soak.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/integrii/flaggy"
@@ -12,8 +14,16 @@
 	"github.com/masticway/masticway/soaker"
 )
 
+// splitList returns the entries of a list with commas; there are none in an empty one.
+func splitList(list string) []string {
+	if list == "" {
+		return nil
+	}
+	return strings.Split(list, ",")
+}
+
 func soakCommand() *command {
-	seed, seconds, routers, out := 1, 30, 3, "out"
+	seed, seconds, routers, out, kinds := 1, 30, 3, "out", ""
 	return &command{
 		name: "soak", description: "run gateways as processes on loopback under faults drawn from a seed, and check every promise from outside",
 		example: "masticway soak --seed 7 --seconds 60 --routers 4 --out out",
@@ -21,12 +31,18 @@
 			s.Int(&seed, "", "seed", "what faults and requests are drawn from")
 			s.Int(&seconds, "", "seconds", "how long faults go on")
 			s.Int(&routers, "", "routers", "number of routers")
+			s.String(&kinds, "", "kinds", "kinds of faults to draw, separated by commas; all usual ones when there are none")
 			s.String(&out, "", "out", "directory for settings and logs")
 		},
 		run: func(ctx context.Context, e env) error {
 			if seed < 0 || seconds < 1 || routers < 1 || routers > soaker.MostRouters {
 				return &usageError{reason: fmt.Sprintf("--seed is 0 or more, --seconds 1 or more, --routers 1 to %d", soaker.MostRouters)}
 			}
+			for _, kind := range splitList(kinds) {
+				if !slices.Contains(soaker.Kinds(), kind) {
+					return &usageError{reason: fmt.Sprintf("--kinds has %q, which is none of %s", kind, strings.Join(soaker.Kinds(), ", "))}
+				}
+			}
 			program, err := os.Executable()
 			if err != nil {
 				return err
@@ -34,6 +50,7 @@
 			directory := filepath.Join(out, fmt.Sprintf("soak-%d", seed))
 			report, err := soaker.Soak{
 				Seed: uint64(seed), Duration: time.Duration(seconds) * time.Second, Routers: routers, Program: program, Directory: directory,
+				Kinds: splitList(kinds),
 			}.Run(ctx)
 			if err != nil {
 				return err
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -308,9 +308,6 @@
 	return false
 }
 
-// late tells that the request's time is over. Its timer alone does not: it stands still while the machine is suspended.
-func (x *exchange) late() bool { return !x.f.clock.Now().Before(x.q.deadline) }
-
 // giveUp turns the last failure into the caller's answer.
 func (x *exchange) giveUp(ctx context.Context, out outcome) *masticway.RefusalError {
 	expired := errors.Is(ctx.Err(), context.DeadlineExceeded) || x.late()
@@ -335,6 +332,9 @@
 	return &masticway.RefusalError{Status: http.StatusBadGateway, Code: codeFailed, Run: x.fate, Message: "the server did not finish the answer: " + out.reason}
 }
 
+// late tells that the request's time is over. Its timer alone does not: it stands still while the machine is suspended.
+func (x *exchange) late() bool { return !x.f.clock.Now().Before(x.q.deadline) }
+
 // end answers a request that got none, or breaks off an answer that cannot be finished.
 func (x *exchange) end(ctx context.Context, refused *masticway.RefusalError) {
 	if refused == nil {
--- a/soaker/caller.go
+++ b/soaker/caller.go
@@ -45,6 +45,7 @@
 	prompt, declared, router  int
 	limit, patience           time.Duration // what the caller gives, and how long it waits: longer, unless it leaves early
 	kept                      bool          // the connection had carried a request before
+	fixed                     string        // what stays the same of a request that comes again, in place of its id in path and body
 	after                     int           // the caller has the events up to this one from an earlier answer, and goes on
 	written                   atomic.Bool   // the request was sent whole
 
@@ -147,7 +148,11 @@
 func (c *caller) send(q *request, path string) {
 	c.sent++
 	q.id = fmt.Sprintf("%s-%d", c.name, c.sent)
-	q.path, q.body = "/"+path+"/"+q.id, q.id+q.body
+	name := q.id
+	if q.fixed != "" {
+		name = q.fixed
+	}
+	q.path, q.body = "/"+path+"/"+name, name+q.body
 	c.soak.mu.Lock()
 	c.soak.requests[q.id] = q
 	c.soak.mu.Unlock()
@@ -191,6 +196,9 @@
 	q.status = in.StatusCode
 	q.answerID, q.signedBy = emulator.AnswerOrigin(in.Header)
 	body, err := io.ReadAll(in.Body)
+	if q.fixed == "" && q.status == http.StatusServiceUnavailable && blames(body) {
+		c.soak.violate(promiseSpared, "taken for the cause of servers' ends: %s", q)
+	}
 	if q.status == http.StatusOK {
 		err = q.take(string(body), c.soak.events, err)
 	}
--- a/soaker/checks.go
+++ b/soaker/checks.go
@@ -32,6 +32,7 @@
 	promiseNoReturn  = "no_return" // a configuration never goes back within a process's life
 	promiseDrained   = "drained"   // a server that leaves gets nothing new after a while
 	promiseRecovered = "recovered" // requests are served again after all faults
+	promiseSpared    = "spared"    // a request that crashes servers is kept from them in time, and no other is
 	promiseAlive     = "alive"     // a router's process ends only when it is made to
 )
 
@@ -140,6 +141,7 @@
 		s.judgeFate(q, runs[id])
 		s.judgeEnd(q, runs[id])
 	}
+	s.judgeDeadly()
 }
 
 // judgeRun checks one run by itself.
--- a/soaker/deployment.go
+++ b/soaker/deployment.go
@@ -89,6 +89,7 @@
 	}
 	server.Stream(s.events, s.pause)
 	server.Echo(s.work)
+	server.CrashOn(deadlyMark, s.crashedBy(slot))
 	s.servers[slot] = server
 	s.register(server, false)
 }
--- a/soaker/faults.go
+++ b/soaker/faults.go
@@ -1,6 +1,7 @@
 package soaker
 
 import (
+	"maps"
 	"slices"
 	"syscall"
 	"time"
@@ -19,7 +20,7 @@
 // part returns a part of the most by the event's size, never nothing.
 func (e event) part(most int) int { return 1 + int(e.size*float64(most)) }
 
-// fault is a kind of fault: its weight in the draw, how long it lasts at most, and what it does until it is over.
+// fault is a kind of fault: its weight in the draw (without one it is drawn only where it is named), how long it lasts at most, and what it does until it is over.
 type fault struct {
 	weight int
 	most   time.Duration
@@ -58,12 +59,16 @@
 	"history_forgotten": {2, 0, func(s *run, _ event) { s.rows.Compact() }},
 	"server_drains":     {4, 0, (*run).drain},
 	"server_crashes":    {3, 0, (*run).crash},
+	"deadly_request":    {0, deadlyMost, (*run).deadlyRequest},
 	"server_fails":      {5, 0, (*run).failServer},
 	"configure":         {5, 0, func(s *run, _ event) { s.configure(0, 0) }},
 	"grow":              {4, 0, func(s *run, e event) { s.configure(e.part(routesMost), 0) }},
 	"top_up":            {4, 0, func(s *run, e event) { s.configure(0, e.part(topUpMost), workspaces[e.target%2]) }},
 }
 
+// Kinds returns the names of all kinds of faults, in order.
+func Kinds() []string { return slices.Sorted(maps.Keys(kinds)) }
+
 // meets carries a fault out at the router that it meets, or at all at once.
 func (s *run) meets(e event, do func(i int, p *process)) {
 	for i, p := range s.processes {
--- a/soaker/soak.go
+++ b/soaker/soak.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"maps"
 	"math/rand/v2"
 	"net/http"
 	"os"
@@ -159,9 +158,12 @@
 // play draws faults and carries each out beside the others, until the time is over.
 func (s *run) play(ctx context.Context) {
 	var lots []string
-	for _, name := range slices.Sorted(maps.Keys(kinds)) {
-		if len(s.Kinds) == 0 || slices.Contains(s.Kinds, name) {
+	for _, name := range Kinds() {
+		switch {
+		case len(s.Kinds) == 0:
 			lots = append(lots, slices.Repeat([]string{name}, kinds[name].weight)...)
+		case slices.Contains(s.Kinds, name):
+			lots = append(lots, slices.Repeat([]string{name}, max(1, kinds[name].weight))...)
 		}
 	}
 	began := time.Now()
--- a/soaker/soaker_test.go
+++ b/soaker/soaker_test.go
@@ -117,6 +117,12 @@
 	keepPromises(t, failedSeeds["servers slower than the target, and faults"])
 }
 
+// TestRequestsThatCrashServersAreKeptFromThem has such requests come again while routers die and the store fails.
+func TestRequestsThatCrashServersAreKeptFromThem(t *testing.T) {
+	t.Parallel()
+	keepPromises(t, soaker.Soak{Seed: 1, Duration: 8 * time.Second, Routers: 3, Kinds: []string{"deadly_request", "kill", "store_busy", "store_cut", "history_forgotten"}})
+}
+
 // TestBrokenProgramsFail checks that a soak notices each promise that a program breaks.
 func TestBrokenProgramsFail(t *testing.T) {
 	t.Parallel()
@@ -150,6 +156,10 @@
 			"platform/deployment.go", `if w.State != "ready" {`, `if w.State == "" {`,
 			[]string{"server_drains"}, "drained",
 		},
+		"sends what crashes servers again and again": {
+			"examiner/register.go", "return weight >= weightToProve", "return weight < 0",
+			[]string{"deadly_request"}, "spared",
+		},
 		"passes a broken stream off as complete": {
 			"forwarder/relay.go", "if errors.Is(err, io.EOF) && len(bytes.TrimSpace(pending)) == 0 && x.begun {", "if errors.Is(err, io.ErrUnexpectedEOF) && x.begun || errors.Is(err, io.EOF) && len(bytes.TrimSpace(pending)) == 0 && x.begun {",
 			[]string{"server_crashes"}, "whole",
