Tell an upstream that ended from a run that broke off

The sidecar now looks whether its upstream still listens and says so with the run's end; only ends count.

--- a/connector/upstream.go
+++ b/connector/upstream.go
@@ -8,8 +8,11 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"net/url"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/masticway/masticway"
@@ -21,6 +24,8 @@
 	lineLimit = 1 << 20
 	// unbounded is longer than a process lives: an order may take as long as loading a model does.
 	unbounded = 100 * 365 * 24 * time.Hour
+	// endedTimeout bounds the connection by which an upstream beside the sidecar is checked after a run broke off.
+	endedTimeout = 100 * time.Millisecond
 )
 
 // untilDone are the limits of an upstream's answers that only the caller's context bounds.
@@ -30,6 +35,9 @@
 type Upstream struct {
 	base   string
 	client *http.Client
+	// dial and address reach the upstream without a call.
+	dial    DialFunc
+	address string
 	// once sends service calls, which must never be sent twice.
 	once *http.Client
 	// silence is the longest time between two pieces of an answer; the total time is not bounded.
@@ -40,15 +48,39 @@
 
 // NewUpstream returns a client of the upstream at a base URL.
 func NewUpstream(base string, dial DialFunc, silence time.Duration) Upstream {
-	return Upstream{base: base, client: NewHTTP(dial), once: NewOnceHTTP(dial), silence: silence}
+	u := Upstream{base: base, client: NewHTTP(dial), once: NewOnceHTTP(dial), dial: dial, silence: silence}
+	if u.dial == nil {
+		u.dial = (&net.Dialer{}).DialContext
+	}
+	// A base that is no URL fails with each call.
+	if parsed, err := url.Parse(base); err == nil {
+		u.address = parsed.Host
+	}
+	return u
 }
 
 // Run carries out a call and passes the answer to the sink.
 func (u Upstream) Run(ctx context.Context, c masticway.Call, s masticway.Sink) (masticway.Outcome, error) {
+	run := u.runModel
 	if c.Service != "" {
-		return u.runService(ctx, c, s)
+		run = u.runService
+	}
+	outcome, err := run(ctx, c, s)
+	if failure, ok := errors.AsType[*masticway.UpstreamError](err); ok && failure.Started {
+		failure.Ended = u.ended(ctx)
+	}
+	return outcome, err
+}
+
+// ended tells that nothing listens at the upstream's address.
+func (u Upstream) ended(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, endedTimeout)
+	defer cancel()
+	n, err := u.dial(ctx, "tcp", u.address)
+	if err == nil {
+		_ = n.Close()
 	}
-	return u.runModel(ctx, c, s)
+	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
 // watch cancels a call after too long a silence; each call of the returned reset starts the time anew.
--- a/errors.go
+++ b/errors.go
@@ -52,6 +52,8 @@
 	Reason string
 	// Started tells whether the upstream may have begun the work.
 	Started bool
+	// Ended tells that nothing listens at the upstream's address any more.
+	Ended bool
 	// Status is the upstream's HTTP status, or zero without one.
 	Status int
 }
--- a/retrier/retrier.go
+++ b/retrier/retrier.go
@@ -39,6 +39,8 @@
 	NonRepeatable bool
 	// Resumable tells that the answer so far can be continued elsewhere.
 	Resumable bool
+	// Ended tells that the upstream ended under the request.
+	Ended bool
 	// Progress tells that the failed attempt had brought a part of the answer.
 	Progress bool
 }
@@ -81,8 +83,8 @@
 const (
 	// freeLimit bounds free retries too, so that no request circles for ever.
 	freeLimit = 16
-	// fruitlessLimit bounds the retries of a request whose upstreams are lost before they bring anything: it may be why. What
-	// had come on in between is an answer that others' failures broke off.
+	// fruitlessLimit bounds the retries of a request whose upstreams end before they bring anything: it may be why. What had
+	// come on in between is an answer that others' failures broke off.
 	fruitlessLimit = 2
 	// budgetFloor is the retries a quiet router may make; budgetShare adds a part of its requests.
 	budgetFloor = 10.0
@@ -97,7 +99,7 @@
 type History struct {
 	Free    int
 	Counted int
-	// Fruitless is how often an upstream was lost before it had brought anything of the answer.
+	// Fruitless is how often an upstream ended before it had brought anything of the answer.
 	Fruitless int
 }
 
@@ -142,7 +144,7 @@
 	}
 	switch action {
 	case ActionRetryFree:
-		fruitless := f.Cause == CauseDisrupted && f.Fate != masticway.FateNotRun && !f.Progress
+		fruitless := f.Ended && f.Fate != masticway.FateNotRun && !f.Progress
 		if h.Free >= freeLimit || fruitless && h.Fruitless >= fruitlessLimit {
 			return ActionFail, h, 0
 		}
--- a/router/attempt.go
+++ b/router/attempt.go
@@ -267,7 +267,7 @@
 	}
 	e := ending{fate: m.Fate, final: m, cause: retrier.CauseFailed, reason: m.Outcome.Reason}
 	if m.Disrupted {
-		e.cause = retrier.CauseDisrupted
+		e.cause, e.ended = retrier.CauseDisrupted, m.Ended
 		x.excluded = map[string]bool{f.instance: true}
 	}
 	return e, true
@@ -293,7 +293,7 @@
 		switch {
 		case vanished:
 			x.excluded[f.instance] = true
-			return ending{fate: x.fateIfVanished(), cause: retrier.CauseDisrupted, vanished: true, reason: "sidecar is gone"}, true
+			return ending{fate: x.fateIfVanished(), cause: retrier.CauseDisrupted, vanished: true, ended: true, reason: "sidecar is gone"}, true
 		case answered && !status.Known:
 			return ending{fate: masticway.FateNotRun, cause: retrier.CauseLinkLost, reason: "never taken"}, true
 		case answered:
--- a/router/exchange.go
+++ b/router/exchange.go
@@ -247,7 +247,9 @@
 	rehold bool
 	// vanished tells that the sidecar is gone for certain, and what it ran with it.
 	vanished bool
-	reason   string
+	// ended tells that the upstream has ended under the run, rather than the run alone.
+	ended  bool
+	reason string
 }
 
 // attempts tries upstreams until the whole answer is there or the rules say to stop.
@@ -306,7 +308,7 @@
 	resumable := (x.q.call.Service == "" || x.next == 0) && (e.final == nil || e.final.Disrupted)
 	x.r.retryMu.Lock()
 	action, history, wait := x.r.retrier.Decide(retrier.Failure{
-		Cause: e.cause, Fate: e.fate, NonRepeatable: x.q.nonRepeatable, Resumable: resumable, Progress: x.next > x.began,
+		Cause: e.cause, Fate: e.fate, NonRepeatable: x.q.nonRepeatable, Resumable: resumable, Ended: e.ended, Progress: x.next > x.began,
 	}, x.history)
 	x.r.retryMu.Unlock()
 	x.history = history
--- a/sealer/message.go
+++ b/sealer/message.go
@@ -93,6 +93,8 @@
 	Chunks   int               `cbor:"7,keyasint"`
 	// Disrupted tells that the upstream or its environment failed, not the request.
 	Disrupted bool `cbor:"8,keyasint,omitempty"`
+	// Ended tells that the upstream itself has ended, not only the run.
+	Ended bool `cbor:"9,keyasint,omitempty"`
 }
 
 // Attach asks for a run's answer from a chunk on.
