--- a/starter/fleet_test.go
+++ b/starter/fleet_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
 
 	"github.com/masticway/masticway"
 	"github.com/masticway/masticway/authenticator"
@@ -49,6 +50,19 @@
 	return func(_ *starter.FleetSpec, c *masticway.Contract) { f(c) }
 }
 
+// failureLog returns a log that a test prints if it fails.
+func failureLog(t *testing.T) *logrus.Logger {
+	out := &lockedBuffer{}
+	log, err := logger.New("info", out)
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Logf("the fleet's log:\n%s", out)
+		}
+	})
+	return log
+}
+
 func newBench(t *testing.T, options ...option) *bench {
 	t.Helper()
 	spec := starter.FleetSpec{
@@ -59,7 +73,7 @@
 		Services: []starter.ServiceGroup{{Name: "stock", Count: 1}},
 		Router:   json.RawMessage(`{"poll":"50ms","lost_after":"1500ms","lease":"2s"}`),
 		Sidecar:  json.RawMessage(`{"beat":"100ms"}`),
-		Log:      logger.Discard(),
+		Log:      failureLog(t),
 	}
 	contract := masticway.Contract{
 		Workspace: "w", Budget: "b-100000", HoldWait: masticway.Duration(patience), Models: []masticway.ModelTerms{{Name: "m", MinOutput: 4, MaxOutput: 500}},
