--- a/forwarder/ends.go
+++ b/forwarder/ends.go
@@ -66,11 +66,11 @@
 	return k
 }
 
-// holds tells that a check is under way or its result still counts: a life that has ended stays so.
+// holds tells that a check is under way or its result still counts.
 func (k *check) holds(now time.Time) bool {
 	select {
 	case <-k.done:
-		return k.found == conditionEnded || now.Sub(k.at) < checkFresh
+		return now.Sub(k.at) < checkFresh
 	default:
 		return true
 	}
@@ -100,6 +100,9 @@
 func (c *checks) keep(b follower.Beliefs) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if len(c.known) == 0 {
+		return
+	}
 	registered := map[masticway.ServerLife]bool{}
 	for _, servers := range b.Servers {
 		for _, s := range servers {
