Have a sealed router give its requests up at once

Beside load the first request to a fleet was refused as not run after 5.8 s, by a router that had been sealed 0.7 s after its start and whose next incarnation had served since 0.4 s after that. Every refusal by a sidecar for the seal was a free retry, 16 of them, with money that another router paid. Nothing undoes a seal, so the request is given up as not run.

--- a/router/exchange.go
+++ b/router/exchange.go
@@ -305,6 +305,10 @@
 		x.step(eventLost)
 		return unknownOutcome()
 	}
+	if e.fate == masticway.FateNotRun && x.r.isSealed() {
+		// Nothing undoes a seal; the caller is served by the next incarnation.
+		return x.giveUp(e)
+	}
 	resumable := (x.q.call.Service == "" || x.next == 0) && (e.final == nil || e.final.Disrupted)
 	x.r.retryMu.Lock()
 	action, history, wait := x.r.retrier.Decide(retrier.Failure{
