Link a router to sidecars once its row is there

A sidecar looks the row of a router up when they are linked, and seals one that has none for good, as it would one that was recovered. Ruled out by the fleet's log: a recovery after a missed lease, as none was begun.

--- a/router/bank.go
+++ b/router/bank.go
@@ -39,6 +39,9 @@
 	fenced func()
 	// mine tells whether this router keeps a budget now.
 	mine func(budget string) bool
+	// opened is closed once the links row is there.
+	opened   chan struct{}
+	openOnce sync.Once
 	// askPeers is called when a budget is short and others have open grants.
 	askPeers func(budget string, payers []masticway.Incarnation)
 
@@ -73,6 +76,7 @@
 		counted: map[masticway.HoldID]string{},
 		links:   bookkeeper.Links{Incarnation: self, State: bookkeeper.LinksOpen},
 		goneAt:  map[masticway.Incarnation]time.Time{},
+		opened:  make(chan struct{}),
 		ctx:     ctx, wg: wg,
 	}
 }
@@ -86,6 +90,7 @@
 	b.linksMu.Lock()
 	defer b.linksMu.Unlock()
 	b.version = version
+	b.openOnce.Do(func() { close(b.opened) })
 	return nil
 }
 
--- a/router/upstreams.go
+++ b/router/upstreams.go
@@ -101,7 +101,14 @@
 	u.stops[i.ID] = stop
 	u.dialed[i.ID] = i.Address
 	d := u.router.dialer(u.handle, u.up, u.down)
-	u.router.wg.Go(func() { d.Keep(ctx, i.Address) })
+	u.router.wg.Go(func() {
+		// A sidecar looks a router's row up once they are linked, and takes one that has none for ended.
+		select {
+		case <-u.router.bank.opened:
+			d.Keep(ctx, i.Address)
+		case <-ctx.Done():
+		}
+	})
 }
 
 func (u *upstreams) up(c *linker.Conn) {
