Let requests run again soon after servers that ended under everything are mended

Where every server ends under whatever it runs, as after a bad release, all requests look at fault: each had been kept from servers for 10 minutes and more after the servers were mended. Kept away for 30 s at first now, then one run apart; 10 minutes if a server ends under it, twice as long each further time.

--- a/examiner/record.go
+++ b/examiner/record.go
@@ -43,6 +43,8 @@
 	Ends []masticway.ServerEnd `json:"ends"`
 	// Run is the run apart that is under way, if there is one.
 	Run *Run `json:"run,omitempty"`
+	// Retried is how often it has run apart again after it had been kept from servers.
+	Retried int `json:"retried,omitempty"`
 }
 
 // ReadRecord returns the record that a row holds; it fails with the error of the JSON decoder.
--- a/examiner/register.go
+++ b/examiner/register.go
@@ -8,10 +8,14 @@
 )
 
 const (
-	// provenFirst is how long a request at fault is kept from servers, a time in which what is wrong with them may be mended.
-	// Each further end doubles it, up to provenMost. After it the request runs apart once more.
-	provenFirst = 10 * time.Minute
+	// provenFirst is how long a request at fault is kept from servers at first: where these end under whatever they run, all
+	// requests look at fault, and are to be served soon after the servers are mended. It runs apart once more then, and is
+	// kept away for provenAgain if a server ends under it, for twice as long each further time, up to provenMost.
+	provenFirst = 30 * time.Second
+	provenAgain = 10 * time.Minute
 	provenMost  = 6 * time.Hour
+	// retriedCounted is how often the time doubles at most.
+	retriedCounted = 10
 	// suspectLife is how long a request stays a suspect after the last word of it.
 	suspectLife = 2 * time.Minute
 	// runLease is how long a run apart keeps others waiting of which nothing is heard: a server that ends under a request does
@@ -107,7 +111,10 @@
 
 // provenFor is how long a request is kept from servers.
 func provenFor(record Record) time.Duration {
-	return min(provenMost, provenFirst<<max(0, len(record.Ends)-endsToProve))
+	if record.Retried == 0 {
+		return provenFirst
+	}
+	return min(provenMost, provenAgain<<min(retriedCounted, record.Retried-1))
 }
 
 // proven tells that a request is at fault: enough servers ended under it while it was the only suspect there. Ends that
@@ -250,7 +257,11 @@
 	b := r.beliefs[d]
 	r.runs++
 	b.run = &Run{Router: r.self, Server: server, Number: r.runs}
-	return b.record().WithRun(b.run), b.version, true
+	record = b.record().WithRun(b.run)
+	if r.proven(d, record) {
+		record.Retried++
+	}
+	return record, b.version, true
 }
 
 // Released ends this router's run apart without a finding.
--- a/examiner/writes.go
+++ b/examiner/writes.go
@@ -84,7 +84,8 @@
 		record := b.record()
 		life := suspectLife
 		if r.proven(d, record) {
-			life = 2 * provenFor(record)
+			// It runs apart for a time after it may run again.
+			life = 2 * max(provenAgain, provenFor(record))
 		}
 		age := now.Sub(b.since)
 		switch {
