Look at beliefs about requests only where they can matter

Read again as a whole. Every change of a belief looked through all of them three or four times and built each one's record anew; the cheap conditions go first now. Requests asked for the channel of changes while there was no suspect. Two waits were one. The number of a run and its count were written and never read; a first reading was told apart for nothing. Decisions, bounds and tests are as they were.

--- a/examiner/examiner.go
+++ b/examiner/examiner.go
@@ -131,9 +131,11 @@
 // noteProven tells of the requests that are kept from servers from now on, and of those that are not any more.
 func (e *Examiner) noteProven(now time.Time) {
 	for d, b := range e.register.beliefs {
+		if _, told := e.proven[d]; told || len(b.row.Ends)+len(b.own) < endsToProve {
+			continue
+		}
 		s := e.register.Standing(now, d)
-		_, told := e.proven[d]
-		if s.Suspicion != masticway.SuspicionProven || told {
+		if s.Suspicion != masticway.SuspicionProven {
 			continue
 		}
 		e.proven[d] = now
@@ -232,14 +234,11 @@
 
 // Take takes a reading of the store's table; a whole one has all its rows.
 func (e *Examiner) Take(whole bool, reading masticway.RowReading) {
-	e.mu.Lock()
-	first := whole && !e.listed
-	e.listed = e.listed || whole
-	e.mu.Unlock()
-	if !first && !whole && len(reading.Rows) == 0 {
+	if !whole && len(reading.Rows) == 0 {
 		return
 	}
 	e.update(func(now time.Time) {
+		e.listed = e.listed || whole
 		if whole {
 			e.logFaults(e.register.Listed(now, reading))
 			return
@@ -260,7 +259,7 @@
 
 // Run writes evidence, tells other routers of what the store does not take, and ends beliefs, until the context ends.
 func (e *Examiner) Run(ctx context.Context) {
-	e.wakeUp(ctx)
+	e.askOthers(ctx)
 	for ctx.Err() == nil {
 		pause := idlePause
 		if e.turn(ctx) {
--- a/examiner/record.go
+++ b/examiner/record.go
@@ -32,8 +32,6 @@
 type Run struct {
 	Router masticway.Incarnation `json:"router"`
 	Server masticway.ServerLife  `json:"server"`
-	// Number tells the runs of one router apart.
-	Number int64 `json:"number"`
 }
 
 // Record is what the store holds of one suspect; it does not change.
@@ -102,7 +100,7 @@
 // suspect tells that the request is to run apart: servers hardly ever end twice under one by chance, and one that ends them
 // as it begins has had nothing of its answer.
 func (r Record) suspect() bool {
-	return len(r.Ends) > 1 || slices.ContainsFunc(r.Ends, func(e masticway.ServerEnd) bool { return !e.Answered })
+	return r.serious() || slices.ContainsFunc(r.Ends, func(e masticway.ServerEnd) bool { return !e.Answered })
 }
 
 // weightOf is what the end of a server proves against the only suspect there: requests that end servers do so as they begin.
--- a/examiner/register.go
+++ b/examiner/register.go
@@ -70,7 +70,6 @@
 type Register struct {
 	self    masticway.Incarnation
 	beliefs map[masticway.RequestDigest]*belief
-	runs    int64
 	// spread draws a number from 0 to 1, by which routers do not all write the same evidence at once.
 	spread func() float64
 }
@@ -255,8 +254,7 @@
 		return Record{}, 0, false
 	}
 	b := r.beliefs[d]
-	r.runs++
-	b.run = &Run{Router: r.self, Server: server, Number: r.runs}
+	b.run = &Run{Router: r.self, Server: server}
 	record = b.record().WithRun(b.run)
 	if r.proven(d, record) {
 		record.Retried++
--- a/examiner/tell.go
+++ b/examiner/tell.go
@@ -81,8 +81,8 @@
 	e.Metrics.Add(metricHeard, heard)
 }
 
-// wakeUp asks other routers for what they know until one has told or the store has.
-func (e *Examiner) wakeUp(ctx context.Context) {
+// askOthers asks other routers for what they know until one has told or the store has.
+func (e *Examiner) askOthers(ctx context.Context) {
 	for ctx.Err() == nil && !e.hasListed() {
 		for _, address := range e.listeners(askedMost) {
 			answer, err := e.say(ctx, address, news{Ask: true})
--- a/examiner/writes.go
+++ b/examiner/writes.go
@@ -25,12 +25,11 @@
 			due = append(due, change{digest: d, version: b.version, gone: true})
 			continue
 		}
-		record := b.record()
 		over := b.run == nil && b.row.Run != nil && b.row.Run.Router == r.self
 		// What was answered when its one server ended is nobody's business yet.
-		fresh := len(b.own) > 0 && record.suspect() && !now.Before(b.due)
+		fresh := len(b.own) > 0 && !now.Before(b.due) && b.record().suspect()
 		if over || fresh {
-			due = append(due, change{digest: d, record: record.WithRun(r.remains(b)), version: b.version})
+			due = append(due, change{digest: d, record: b.record().WithRun(r.remains(b)), version: b.version})
 		}
 	}
 	return due
@@ -81,13 +80,16 @@
 func (r *Register) Expired(now time.Time, owns func(key string) bool) []change {
 	var over []change
 	for d, b := range r.beliefs {
-		record := b.record()
+		age := now.Sub(b.since)
+		if age < suspectLife {
+			// No belief is over sooner, and most are this young.
+			continue
+		}
 		life := suspectLife
-		if r.proven(d, record) {
+		if record := b.record(); r.proven(d, record) {
 			// It runs apart for a time after it may run again.
 			life = 2 * max(provenAgain, provenFor(record))
 		}
-		age := now.Sub(b.since)
 		switch {
 		case age < life || b.run != nil:
 		case b.version == 0 || age > 2*life:
@@ -117,8 +119,11 @@
 func (r *Register) Untold(now time.Time) []Entry {
 	var entries []Entry
 	for d, b := range r.beliefs {
+		if len(b.own) == 0 || now.Sub(b.ownAt) < tellAfter || now.Sub(b.toldAt) < tellAgain {
+			continue
+		}
 		record := b.record()
-		if len(b.own) == 0 || !record.suspect() || now.Sub(b.ownAt) < tellAfter || now.Sub(b.toldAt) < tellAgain {
+		if !record.suspect() {
 			continue
 		}
 		b.toldAt = now
--- a/forwarder/suspects.go
+++ b/forwarder/suspects.go
@@ -54,6 +54,9 @@
 
 // choose returns where the next attempt goes. There may be nowhere, for a reason.
 func (x *exchange) choose(ctx context.Context) (c choice, none outcome, ok bool) {
+	if x.f.examiner.Quiet() {
+		return x.chooseAside()
+	}
 	until := x.f.clock.Now().Add(apartWithin)
 	for {
 		changed := x.f.examiner.Changed()
@@ -77,7 +80,7 @@
 			reason := fmt.Sprintf("%d servers ended under this request, and it waits for its turn to run alone", len(s.Ends))
 			return choice{}, outcome{fate: masticway.FateNotRun, verdict: chooser.VerdictNone, reason: reason, suspicion: s}, false
 		}
-		x.wait(ctx, changed)
+		x.await(ctx, changed, apartPause)
 	}
 }
 
@@ -97,15 +100,6 @@
 // serious tells that more than one server has ended under a request.
 func serious(s masticway.Standing) bool { return len(s.Ends) > 1 }
 
-// wait waits for a change of beliefs.
-func (x *exchange) wait(ctx context.Context, changed <-chan struct{}) {
-	select {
-	case <-ctx.Done():
-	case <-changed:
-	case <-x.f.clock.After(apartPause):
-	}
-}
-
 // chooseAside chooses a server where no serious suspect runs, or any if that leaves none.
 func (x *exchange) chooseAside() (c choice, none outcome, ok bool) {
 	servers := x.without(x.exclude)
@@ -150,7 +144,7 @@
 // ended tells whether a server has ended, as far as that is known soon.
 func (x *exchange) ended(ctx context.Context, s masticway.Server) bool {
 	k := x.f.checks.begin(s)
-	x.await(ctx, k.done)
+	x.await(ctx, k.done, endKnownWithin)
 	select {
 	case <-k.done:
 		return k.found == conditionEnded
@@ -167,7 +161,7 @@
 	case out.broken && a.accused():
 		noted := a.accuse()
 		if x.repeatable() {
-			x.await(ctx, noted)
+			x.await(ctx, noted, endKnownWithin)
 		}
 	case out.done && x.suspected:
 		x.f.examiner.Cleared(x.digest())
@@ -177,12 +171,12 @@
 	a.apart = false
 }
 
-// await waits for a finding, for a little.
-func (x *exchange) await(ctx context.Context, found <-chan struct{}) {
+// await waits until a channel is closed, no longer than a time.
+func (x *exchange) await(ctx context.Context, closed <-chan struct{}, within time.Duration) {
 	select {
-	case <-found:
+	case <-closed:
 	case <-ctx.Done():
-	case <-x.f.clock.After(endKnownWithin):
+	case <-x.f.clock.After(within):
 	}
 }
 
