Count retries of requests at fault without the store

Callers would see: while the store is away, a request at fault is sent to a server again every 30 s for as long as it comes. Cause: how often a proven request had run again stood in the store's row alone, so without the store each retry was the first, after which it is kept away for 30 s and not for 10 minutes; the entries that routers tell each other did not have it either. Change: a belief keeps the retries that its router knows, entries carry them, and the larger number counts. TestRetriesCountWithoutTheStore was red first (29.7 s for 9m59.7s). With it, the end of a server ends a run apart only where that run is (TestEndElsewhereLeavesTheRunApart, red first): ends of servers that were left are to be told of as well.

--- a/examiner/register.go
+++ b/examiner/register.go
@@ -43,6 +43,9 @@
 	ownAt  time.Time
 	due    time.Time
 	toldAt time.Time
+	// retried is how often it has run apart again after it had been kept from servers, as far as this router knows without
+	// the store.
+	retried int
 	// run is this router's run apart.
 	run *Run
 	// cleared tells that the row is to go.
@@ -50,7 +53,11 @@
 }
 
 // record is the store's record with what it does not have yet.
-func (b *belief) record() Record { return b.row.WithEnds(b.own...) }
+func (b *belief) record() Record {
+	record := b.row.WithEnds(b.own...)
+	record.Retried = max(record.Retried, b.retried)
+	return record
+}
 
 // running tells that the request runs apart at a time, and unreported where it did so for too long.
 func (b *belief) running(now time.Time) (running bool, unreported masticway.ServerLife) {
@@ -171,15 +178,17 @@
 	}
 	b.row.Path = path
 	b.cleared = false
-	b.run = nil
+	if b.run != nil && b.run.Server == end.Server {
+		b.run = nil
+	}
 	b.add(now, now, end)
 }
 
 // Heard takes what another router tells of a request. It tells whether that was new.
-func (r *Register) Heard(now time.Time, d masticway.RequestDigest, path string, ends []masticway.ServerEnd) bool {
+func (r *Register) Heard(now time.Time, told Entry) bool {
 	var unknown []masticway.ServerEnd
-	b, ok := r.beliefs[d]
-	for _, end := range ends {
+	b, ok := r.beliefs[told.Digest]
+	for _, end := range told.Ends {
 		if !ok || !b.record().has(end) {
 			unknown = append(unknown, end)
 		}
@@ -187,12 +196,13 @@
 	if len(unknown) == 0 {
 		return false
 	}
-	if b = r.believe(now, d); b == nil {
+	if b = r.believe(now, told.Digest); b == nil {
 		return false
 	}
 	if b.row.Path == "" {
-		b.row.Path = path
+		b.row.Path = told.Path
 	}
+	b.retried = max(b.retried, told.Retried)
 	due := now.Add(laterLeast + time.Duration(r.spread()*float64(laterSpan)))
 	b.add(now, due, unknown...)
 	return true
@@ -258,6 +268,7 @@
 	record = b.record().WithRun(b.run)
 	if r.proven(d, record) {
 		record.Retried++
+		b.retried = record.Retried
 	}
 	return record, b.version, true
 }
--- a/examiner/register_test.go
+++ b/examiner/register_test.go
@@ -85,6 +85,43 @@
 	qt.Assert(t, r.Len(), qt.Equals, 0)
 }
 
+// TestRetriesCountWithoutTheStore has a request at fault run apart once more while the store is away, at this router and at
+// another one that is told.
+//
+// Seen: it was kept from servers for the first, short time again and again, and ended a server each time. Cause: how often it
+// had been retried stood in the store's row alone. Proof: a second retry follows the first as soon as that one followed the proof.
+func TestRetriesCountWithoutTheStore(t *testing.T) {
+	r, other := newTestRegister(), newTestRegister()
+	for _, s := range []string{"a", "b", "c"} {
+		r.Ended(testTime, "fault", "/p", end(s, s != "a"))
+	}
+	later := testTime.Add(provenFirst)
+	_, _, ok := r.Claim(later, "fault", "d")
+	qt.Assert(t, ok, qt.IsTrue)
+	r.Ended(later, "fault", "/p", end("d", true))
+	told := r.Untold(later.Add(tellAfter))
+	qt.Assert(t, told, qt.HasLen, 1)
+	qt.Assert(t, other.Heard(later, told[0]), qt.IsTrue)
+	qt.Assert(t, other.Heard(later, told[0]), qt.IsFalse, qt.Commentf("nothing of it was new"))
+	for name, knows := range map[string]*Register{"the router of the retry": r, "one that was told": other} {
+		s := knows.Standing(later.Add(settleTime), "fault")
+		qt.Assert(t, s.Suspicion, qt.Equals, masticway.SuspicionProven, qt.Commentf(name))
+		qt.Assert(t, s.For, qt.Equals, provenAgain-settleTime, qt.Commentf(name))
+	}
+}
+
+// TestEndElsewhereLeavesTheRunApart has a server end of which the request had been left, while it runs apart at another one.
+func TestEndElsewhereLeavesTheRunApart(t *testing.T) {
+	r := newTestRegister()
+	r.Ended(testTime, "d", "/p", end("a", false))
+	_, _, ok := r.Claim(testTime, "d", "b")
+	qt.Assert(t, ok, qt.IsTrue)
+	r.Ended(testTime, "d", "/p", end("c", false))
+	qt.Assert(t, r.Standing(testTime, "d").Running, qt.IsTrue)
+	r.Ended(testTime, "d", "/p", end("b", true))
+	qt.Assert(t, r.Standing(testTime, "d").Running, qt.IsFalse)
+}
+
 // TestRowsOfOverBeliefsAreDeletedByOne has the store keep a row of a belief that is over.
 func TestRowsOfOverBeliefsAreDeletedByOne(t *testing.T) {
 	r := newTestRegister()
--- a/examiner/tell.go
+++ b/examiner/tell.go
@@ -73,7 +73,7 @@
 	heard := int64(0)
 	e.update(func(now time.Time) {
 		for _, n := range entries {
-			if e.register.Heard(now, n.Digest, n.Path, n.Ends) {
+			if e.register.Heard(now, n) {
 				heard++
 			}
 		}
--- a/examiner/world_test.go
+++ b/examiner/world_test.go
@@ -179,7 +179,7 @@
 		for _, n := range r.Untold(w.now) {
 			for _, other := range w.routers {
 				if other != r {
-					other.Heard(w.now, n.Digest, n.Path, n.Ends)
+					other.Heard(w.now, n)
 				}
 			}
 		}
--- a/examiner/writes.go
+++ b/examiner/writes.go
@@ -106,6 +106,13 @@
 	Digest masticway.RequestDigest `cbor:"1,keyasint"`
 	Path   string                  `cbor:"2,keyasint,omitempty"`
 	Ends   []masticway.ServerEnd   `cbor:"3,keyasint"`
+	// Retried is how often it has run apart again after it had been kept from servers.
+	Retried int `cbor:"4,keyasint,omitempty"`
+}
+
+// entryOf returns what is told of a request.
+func entryOf(d masticway.RequestDigest, r Record) Entry {
+	return Entry{Digest: d, Path: r.Path, Ends: r.Ends, Retried: r.Retried}
 }
 
 const (
@@ -127,7 +134,7 @@
 			continue
 		}
 		b.toldAt = now
-		entries = append(entries, Entry{Digest: d, Path: record.Path, Ends: record.Ends})
+		entries = append(entries, entryOf(d, record))
 	}
 	return entries
 }
@@ -137,7 +144,7 @@
 	var entries []Entry
 	for d, b := range r.beliefs {
 		if record := b.record(); !b.cleared && record.suspect() {
-			entries = append(entries, Entry{Digest: d, Path: record.Path, Ends: record.Ends})
+			entries = append(entries, entryOf(d, record))
 		}
 	}
 	return entries
