Accuse requests whose callers leave before the server ends

Callers beside it saw: answers broken off, again and again, under a request that no router refused. Cause: a router looked for the end of a server only where a connection broke. The connection of a run whose caller leaves, or that is left for another server, is closed by the router itself, so a request that ends servers a moment later accused nobody; as a suspect it even gave its turn back and took the next server. Ruled out: keeping such connections open (servers are to stop working for callers that have left); a check of the server for each caller that leaves (a connection each, for nearly nothing).

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -8,6 +8,7 @@
 	"maps"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/masticway/masticway"
@@ -144,6 +145,9 @@
 		return outcome{fate: masticway.FateNotRun, verdict: chooser.VerdictNone, reason: err.Error(), full: true}
 	}
 	if failure, ok := errors.AsType[*sender.Error](err); ok && !failure.Sent {
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			a.x.f.lookFor(a.server)
+		}
 		return outcome{fate: masticway.FateNotRun, verdict: chooser.VerdictUnreached, reason: err.Error()}
 	}
 	return a.lost(err)
--- a/forwarder/ends.go
+++ b/forwarder/ends.go
@@ -47,6 +47,8 @@
 	dial  func(ctx context.Context, network, address string) (net.Conn, error)
 	clock masticway.Clock
 	log   *logrus.Entry
+	// ended is called with each server that is found to have ended.
+	ended func(life masticway.ServerLife)
 
 	mu    sync.Mutex
 	known map[masticway.ServerLife]*check
@@ -94,6 +96,9 @@
 	c.log.WithFields(logrus.Fields{
 		"event": "server_checked", "server": s.ID, "address": s.Address, "pool": s.Pool, "found": k.found, "error": err,
 	}).Info("server checked after a connection broke")
+	if k.found == conditionEnded {
+		c.ended(s.Life())
+	}
 }
 
 // keep forgets the checks of lives that are not among the given servers.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -49,6 +49,8 @@
 	beliefs  func() follower.Beliefs
 	checks   *checks
 	examiner masticway.Examiner
+	// abandoned are the runs whose servers no connection tells of any more.
+	abandoned abandonedRuns
 
 	mu         sync.Mutex
 	servers    *chooser.Servers
@@ -75,12 +77,14 @@
 
 // New returns a forwarder.
 func New(s Settings, p Parts) *Forwarder {
-	return &Forwarder{
+	f := &Forwarder{
 		settings: s, clock: p.Clock, log: p.Log, metrics: p.Metrics, dialect: p.Dialect, bank: p.Bank, beliefs: p.Beliefs,
 		examiner: p.Examiner,
 		checks:   &checks{dial: p.Dial, clock: p.Clock, log: p.Log, known: map[masticway.ServerLife]*check{}},
 		sender:   sender.New(p.Dial, p.Clock.Now), servers: chooser.NewServers(s.placement()), allowances: map[string]*retrier.Allowance{},
 	}
+	f.checks.ended = f.accuseAbandoned
+	return f
 }
 
 // Changed takes a new belief: what is known of servers that are gone is dropped.
--- a/forwarder/handover.go
+++ b/forwarder/handover.go
@@ -200,6 +200,9 @@
 
 // drop ends an attempt beside the exchange that nobody goes on with.
 func (a *attempt) drop() {
+	if a.accused() {
+		a.abandon()
+	}
 	a.cancel(nil)
 	go func() {
 		if r := <-a.sending; r.answer != nil {
--- a/forwarder/suspects.go
+++ b/forwarder/suspects.go
@@ -18,6 +18,8 @@
 	// endKnownWithin is how long a request that may run again waits to hear whether its server has ended, a few ways between
 	// availability zones; what it learns later counts for the next one.
 	endKnownWithin = 50 * time.Millisecond
+	// abandonedLooks is how often the server of a run apart that was given up is looked at: for as long as its end counts.
+	abandonedLooks = int(innocentAfter/checkFresh) - 1
 	// apartWithin bounds the wait of a suspect for its turn, and apartPause is how often it looks without a word.
 	apartWithin = 2 * time.Second
 	apartPause  = 200 * time.Millisecond
@@ -165,6 +167,8 @@
 		}
 	case out.done && x.suspected:
 		x.f.examiner.Cleared(x.digest())
+	case !out.done && out.fate != masticway.FateNotRun && context.Cause(a.ctx) != nil && a.accused():
+		a.abandon()
 	case a.apart:
 		x.f.examiner.Released(x.digest())
 	}
@@ -195,34 +199,82 @@
 	return false
 }
 
+// atServer is the attempt as far as its server's end may be the request's fault.
+func (a *attempt) atServer() run {
+	end := masticway.ServerEnd{Server: a.server.Life(), Apart: a.apart, Answered: !a.firstAt.IsZero()}
+	return run{request: a.x.q.ID, digest: a.x.digest(), path: a.x.q.path(), end: end}
+}
+
 // accuse notes the end of the attempt's server under the request, if it has ended; the channel it returns is closed then.
 func (a *attempt) accuse() <-chan struct{} {
-	x := a.x
-	k := x.f.checks.begin(a.server)
-	end := masticway.ServerEnd{Server: a.server.Life(), Apart: a.apart, Answered: !a.firstAt.IsZero()}
-	digest, path := x.digest(), x.q.path()
+	f, r := a.x.f, a.atServer()
+	k := f.checks.begin(a.server)
 	noted := make(chan struct{})
 	go func() {
 		defer close(noted)
 		<-k.done
-		x.f.accuse(x.q.ID, digest, path, end, k.found)
+		switch {
+		case k.found == conditionEnded:
+			f.accuse(r)
+		case r.end.Apart:
+			f.examiner.Released(r.digest)
+		}
 	}()
 	return noted
 }
 
-// accuse tells the examiner of a server that was checked after its connection had broken.
-func (f *Forwarder) accuse(id string, digest masticway.RequestDigest, path string, end masticway.ServerEnd, found condition) {
-	if found != conditionEnded {
-		if end.Apart {
-			f.examiner.Released(digest)
+// abandon remembers an attempt that this router gives up, so that it can be accused if its server ends soon. A run apart goes
+// on until that is known.
+func (a *attempt) abandon() {
+	f, r := a.x.f, a.atServer()
+	r.abandonedAt = f.clock.Now()
+	f.abandoned.add(r)
+	if a.apart {
+		go f.watch(a.server, r)
+	}
+}
+
+// watch ends a run apart that was given up, by what becomes of its server.
+func (f *Forwarder) watch(s masticway.Server, r run) {
+	for range abandonedLooks {
+		<-f.clock.After(checkFresh)
+		k := f.checks.begin(s)
+		<-k.done
+		if k.found == conditionEnded {
+			f.accuseAbandoned(s.Life())
+			return
 		}
-		return
 	}
-	f.examiner.Ended(digest, path, end)
-	f.log.WithFields(logrus.Fields{
-		"event": "server_ended_under_request", "request": id, "digest": digest, "path": path, "server": end.Server, "apart": end.Apart,
-		"answered": end.Answered, "ends": len(f.examiner.Standing(digest).Ends),
-	}).Warn("a server ended under a request")
+	if f.abandoned.forget(r) {
+		f.examiner.Released(r.digest)
+	}
+}
+
+// lookFor checks a server that takes no connections, if there are attempts whose fault that may be.
+func (f *Forwarder) lookFor(s masticway.Server) {
+	if f.abandoned.at(f.clock.Now(), s.Life()) {
+		f.checks.begin(s)
+	}
+}
+
+// accuseAbandoned accuses the requests that were given up at a server shortly before it ended.
+func (f *Forwarder) accuseAbandoned(life masticway.ServerLife) {
+	for _, r := range f.abandoned.take(f.clock.Now(), life) {
+		f.accuse(r)
+	}
+}
+
+// accuse tells the examiner of a server that ended under a request.
+func (f *Forwarder) accuse(r run) {
+	f.examiner.Ended(r.digest, r.path, r.end)
+	fields := logrus.Fields{
+		"event": "server_ended_under_request", "request": r.request, "digest": r.digest, "path": r.path, "server": r.end.Server, "apart": r.end.Apart,
+		"answered": r.end.Answered, "ends": len(f.examiner.Standing(r.digest).Ends),
+	}
+	if !r.abandonedAt.IsZero() {
+		fields["abandoned_ms"] = f.clock.Now().Sub(r.abandonedAt).Milliseconds()
+	}
+	f.log.WithFields(fields).Warn("a server ended under a request")
 }
 
 // clearIfProven clears a suspect whose answer has gone on for long enough.
--- a/starter/crashing_test.go
+++ b/starter/crashing_test.go
@@ -1,6 +1,7 @@
 package starter_test
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -24,6 +25,8 @@
 	// backAfter is when a server that crashed is back, lapsesAfter when the row of its earlier life goes.
 	backAfter   = 400 * time.Millisecond
 	lapsesAfter = 1500 * time.Millisecond
+	// leavesAfter is when a caller leaves, half of the time in which a server crashes.
+	leavesAfter = 10 * time.Millisecond
 	// deadly is what the body of a request has that crashes the servers which run it.
 	deadly = "deadly"
 )
@@ -233,6 +236,61 @@
 	qt.Assert(t, unserved, qt.HasLen, 0, qt.Commentf("%d: %s", len(unserved), strings.Join(unserved, "\n")))
 }
 
+// TestCallersThatLeaveHideNoRequestThatCrashesServers has the caller of such a request leave, and come again, each time before
+// the server ends.
+//
+// Seen: no request was accused, and servers ended for as long as it came. Cause: a router looked for the end of a server only
+// where a connection broke, and the one of a caller that leaves is closed by the router itself.
+func TestCallersThatLeaveHideNoRequestThatCrashesServers(t *testing.T) {
+	c := newCrashing(t, 8)
+	var routers []*starter.GatewayDaemon
+	for i := range 2 {
+		d := c.gateway(fmt.Sprintf("edge-%d", i+1))
+		defer d.Kill()
+		routers = append(routers, d)
+	}
+	var others sync.WaitGroup
+	stop := make(chan struct{})
+	for i := range 8 {
+		others.Go(func() {
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				a := c.send(routers[(i+n)%2], fmt.Sprintf("%016x", 1000*(i+1)+n), fmt.Sprintf("/essay/%d", i), "100,200", fmt.Sprintf("body %d", i))
+				if a.err != nil || a.status != 200 {
+					t.Errorf("status %d, %v, %.100s", a.status, a.err, a.body)
+				}
+			}
+		})
+	}
+	for began, n := time.Now(), 0; time.Since(began) < 5*time.Second; n++ {
+		c.leaves(routers[n%2], fmt.Sprintf("%016x", time.Now().UnixNano()), "/draft/x", "100,200")
+		time.Sleep(100 * time.Millisecond)
+	}
+	close(stop)
+	others.Wait()
+	ends := c.ends()
+	qt.Assert(t, len(ends) >= crashesBorne, qt.IsTrue, qt.Commentf("%d servers ended", len(ends)))
+	sends := c.deadlyRuns(ends[crashesBorne-1].Add(inForce))
+	t.Logf("%d servers ended, %d sends later", len(ends), sends)
+	qt.Assert(t, sends <= sendsBorne, qt.IsTrue, qt.Commentf("sent %d times more, %d servers ended in all", sends, len(ends)))
+}
+
+// leaves sends a request that crashes servers and leaves before it does.
+func (c *crashing) leaves(d *starter.GatewayDaemon, id, path, tokens string) {
+	ctx, cancel := context.WithTimeout(c.t.Context(), leavesAfter)
+	defer cancel()
+	r := c.request(d, id, path, tokens).WithContext(ctx)
+	r.Body, r.ContentLength = io.NopCloser(strings.NewReader(deadly)), int64(len(deadly))
+	// What a caller gets that leaves is nothing to it.
+	if response, err := http.DefaultTransport.RoundTrip(r); err == nil {
+		_ = response.Body.Close()
+	}
+}
+
 // refused asks until a router refuses the request that crashes servers without sending it to one, and tells whether it did.
 func (c *crashing) refused(d *starter.GatewayDaemon, path string, within time.Duration) bool {
 	for began := time.Now(); time.Since(began) < within; time.Sleep(20 * time.Millisecond) {
