Have the soak's callers of requests that crash servers leave early

Traced: the stand-in closed its connections before it told that it crashes, and the router's 502 was there before the note of the crash, in the same millisecond. It tells first now.

--- a/emulator/opaque.go
+++ b/emulator/opaque.go
@@ -101,7 +101,7 @@
 	echo  bool
 	work  time.Duration
 	conns map[net.Conn]bool
-	// deadly is what bodies contain that crash the server, crashed is called once one has.
+	// deadly is what bodies contain that crash the server, crashed is called as it ends.
 	deadly  string
 	crashed func(s *OpaqueServer)
 }
@@ -139,7 +139,8 @@
 	s.events, s.pause = events, pause
 }
 
-// CrashOn makes every request whose body contains a text crash the server; crashed is called once one has.
+// CrashOn makes every request whose body contains a text crash the server; crashed is called as it ends, before any caller
+// can know.
 func (s *OpaqueServer) CrashOn(text string, crashed func(s *OpaqueServer)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -153,10 +154,10 @@
 	crashed := s.crashed
 	s.crashed = nil
 	s.mu.Unlock()
-	s.Close()
 	if crashed != nil {
 		crashed(s)
 	}
+	s.Close()
 }
 
 // Echo makes plain answers repeat the request's id and body, after the time that the work takes, and events repeat its id,
--- a/soaker/deadly.go
+++ b/soaker/deadly.go
@@ -14,6 +14,8 @@
 	deadlyEnds, deadlySends = 3, 3                                    // so many servers may end under it before it counts as known; it may be sent so often later (as the users' deployments have it)
 	deadlyPause, deadlyMost = 400 * time.Millisecond, 8 * time.Second // its caller's longest pause, and how long it comes again
 	deadlyCaller            = 1 << 20                                 // its callers' streams of random numbers begin here
+	hurriedShare            = 0.4                                     // the part of the events whose caller leaves each time about when the server ends
+	hurriedMost             = 40 * time.Millisecond                   // what such a caller waits at the most, twice the time in which a server crashes
 	blamedCode              = "request_ends_servers"                  // what the refusal of a request says that is kept from servers
 )
 
@@ -32,6 +34,9 @@
 		// Each time on a connection of its own, to any router.
 		c.transport.CloseIdleConnections()
 		q := &request{route: r, fixed: name, prompt: 10, declared: s.events * emulator.DeploymentTokensPerEvent, limit: limitMost, patience: limitMost}
+		if e.size < hurriedShare {
+			q.patience = below(c.random, hurriedMost)
+		}
 		if !r.anonymous {
 			q.workspace = workspaces[len(workspaces)-1]
 		}
