Remember only runs that the router itself gave up

Seen in the reading: a server that ended shortly after it had answered badly accused the request, and a suspect's run with such an answer was looked at for a second. An attempt says now whether it was given up when it failed. TestServerThatHasAnsweredAccusesNobody was red first. The tests of such servers start their routers in one place.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -155,16 +155,17 @@
 
 // failed is an attempt that may have run and whose answer is missing or of no use.
 func (a *attempt) failed(err error) outcome {
-	if cause := context.Cause(a.ctx); cause != nil {
+	cause := context.Cause(a.ctx)
+	if cause != nil {
 		err = fmt.Errorf("%w (%w)", cause, err)
 	}
-	return outcome{fate: masticway.FateUnknown, verdict: chooser.VerdictFailed, reason: err.Error()}
+	return outcome{fate: masticway.FateUnknown, verdict: chooser.VerdictFailed, reason: err.Error(), abandoned: cause != nil}
 }
 
 // lost is a failed attempt whose connection ended before the answer did, unless it was this router that ended it.
 func (a *attempt) lost(err error) outcome {
 	out := a.failed(err)
-	out.broken = context.Cause(a.ctx) == nil
+	out.broken = !out.abandoned
 	return out
 }
 
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -198,8 +198,8 @@
 	reason string
 	// full tells that the server has no room now, rather than being at fault.
 	full bool
-	// broken tells that the connection ended before the answer did.
-	broken bool
+	// broken tells that the connection ended before the answer did, abandoned that this router ended it.
+	broken, abandoned bool
 	// after is when a server that is cold now may take the request; zero when none is.
 	after time.Duration
 	// suspicion tells why the request may not run now, and for how long.
--- a/forwarder/suspects.go
+++ b/forwarder/suspects.go
@@ -167,7 +167,7 @@
 		}
 	case out.done && x.suspected:
 		x.f.examiner.Cleared(x.digest())
-	case !out.done && out.fate != masticway.FateNotRun && context.Cause(a.ctx) != nil && a.accused():
+	case out.abandoned && a.accused():
 		a.abandon()
 	case a.apart:
 		x.f.examiner.Released(x.digest())
--- a/starter/crashing_test.go
+++ b/starter/crashing_test.go
@@ -57,6 +57,16 @@
 	return c
 }
 
+// routers starts some routers, which end with the test.
+func (c *crashing) routers(n int) (all []*starter.GatewayDaemon) {
+	for i := range n {
+		d := c.gateway(fmt.Sprintf("edge-%d", i+1))
+		c.t.Cleanup(d.Kill)
+		all = append(all, d)
+	}
+	return all
+}
+
 // startServer starts one more life of a server; the address is taken again by its next one.
 func (c *crashing) startServer(address string) {
 	c.mu.Lock()
@@ -172,12 +182,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := newCrashing(t, 8)
-			var routers []*starter.GatewayDaemon
-			for i := range 3 {
-				d := c.gateway(fmt.Sprintf("edge-%d", i+1))
-				defer d.Kill()
-				routers = append(routers, d)
-			}
+			routers := c.routers(3)
 			got := c.comesAgain(routers, tc.path, tc.tokens, 100*time.Millisecond, 5*time.Second)
 			ends := c.ends()
 			qt.Assert(t, len(ends) >= crashesBorne, qt.IsTrue, qt.Commentf("%d servers ended", len(ends)))
@@ -198,12 +203,7 @@
 // have more than one server end under them, without being at fault.
 func TestRequestsBesideOneThatCrashesServersAreServed(t *testing.T) {
 	c := newCrashing(t, 6)
-	var routers []*starter.GatewayDaemon
-	for i := range 2 {
-		d := c.gateway(fmt.Sprintf("edge-%d", i+1))
-		defer d.Kill()
-		routers = append(routers, d)
-	}
+	routers := c.routers(2)
 	var wg sync.WaitGroup
 	var mu sync.Mutex
 	var unserved []string
@@ -243,12 +243,7 @@
 // where a connection broke, and the one of a caller that leaves is closed by the router itself.
 func TestCallersThatLeaveHideNoRequestThatCrashesServers(t *testing.T) {
 	c := newCrashing(t, 8)
-	var routers []*starter.GatewayDaemon
-	for i := range 2 {
-		d := c.gateway(fmt.Sprintf("edge-%d", i+1))
-		defer d.Kill()
-		routers = append(routers, d)
-	}
+	routers := c.routers(2)
 	var others sync.WaitGroup
 	stop := make(chan struct{})
 	for i := range 8 {
@@ -346,6 +341,22 @@
 	c.logged("event=server_checked", "found=answers")
 }
 
+// TestServerThatHasAnsweredAccusesNobody has a server end shortly after it has answered a request in a way that is of no use.
+func TestServerThatHasAnsweredAccusesNobody(t *testing.T) {
+	c := newCrashing(t, 1)
+	d := c.gateway("edge-1")
+	defer d.Kill()
+	c.failAll(emulator.OpaqueForged)
+	first := c.send(d, "0000000000000001", "/look/x", "", "body")
+	qt.Assert(t, first.status, qt.Equals, 502, qt.Commentf("%s", first.body))
+	c.servers[0].Close()
+	second := c.send(d, "0000000000000002", "/look/y", "", "body")
+	qt.Assert(t, second.status, qt.Equals, 503, qt.Commentf("%s", second.body))
+	// Longer than a check takes.
+	time.Sleep(200 * time.Millisecond)
+	qt.Assert(t, strings.Contains(c.log.String(), "server_ended_under_request"), qt.IsFalse, qt.Commentf("%s", c.log))
+}
+
 // TestServersThatLeaveAccuseNobody has servers leave in order and end while a request that may be repeated is at them.
 func TestServersThatLeaveAccuseNobody(t *testing.T) {
 	c := newCrashing(t, 4)
