Read log lines, load servers and hook logs in one place each in the tests

Read again as a whole: a second reader of routers' lines stood beside the one of logged, the callers' streams beside a request that crashes servers stood twice, a caller that leaves built its request anew, and a hook of the relay's tests wrote what the logging library has. Each is one piece now. No code of the product changes.

--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -4,9 +4,9 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -15,6 +15,7 @@
 
 	qt "github.com/frankban/quicktest"
 	"github.com/sirupsen/logrus"
+	"github.com/sirupsen/logrus/hooks/test"
 
 	"github.com/masticway/masticway"
 	"github.com/masticway/masticway/emulator"
@@ -102,22 +103,17 @@
 	helper *relayer.Store
 	// address is where the other router is reached.
 	address string
-	// turned counts how often a router told that the store turns it away.
-	turned atomic.Int32
+	// logs have what each router logs.
+	logs map[*relayer.Store]*test.Hook
 }
 
-// Levels and Fire take what routers log.
-func (f *fleet) Levels() []logrus.Level { return logrus.AllLevels }
-
-func (f *fleet) Fire(e *logrus.Entry) error {
-	if e.Data["event"] == "store_turned_away" {
-		f.turned.Add(1)
-	}
-	return nil
+// turnedAway tells that the router has logged that the store turns it away.
+func (f *fleet) turnedAway() bool {
+	return slices.ContainsFunc(f.logs[f.store].AllEntries(), func(e *logrus.Entry) bool { return e.Data["event"] == "store_turned_away" })
 }
 
 func newFleet(t *testing.T) *fleet {
-	f := &fleet{rows: emulator.NewRows(time.Now)}
+	f := &fleet{rows: emulator.NewRows(time.Now), logs: map[*relayer.Store]*test.Hook{}}
 	f.own, f.other = &way{rows: f.rows}, &way{rows: f.rows}
 	f.store, f.helper = f.router(t, f.own), f.router(t, f.other)
 	mux := http.NewServeMux()
@@ -130,11 +126,10 @@
 
 // router returns a router with a way to the store, which asks the other one.
 func (f *fleet) router(t *testing.T, w masticway.RowStore) *relayer.Store {
-	log := logrus.New()
-	log.SetOutput(io.Discard)
-	log.AddHook(f)
+	log, hook := test.NewNullLogger()
 	s := relayer.New(w, messenger.NewClient(), masticway.SystemClock{}, logrus.NewEntry(log), measurer.New())
 	t.Cleanup(s.Close)
+	f.logs[s] = hook
 	s.Ask(func() []string { return []string{f.address} })
 	return s
 }
@@ -144,7 +139,7 @@
 func (f *fleet) turnAway(t *testing.T) {
 	for began := time.Now(); time.Since(began) < 5*time.Second; {
 		_, err := f.store.Read(t.Context(), "t", "0")
-		if f.turned.Load() > 0 && f.other.used.Load() > 0 {
+		if f.turnedAway() && f.other.used.Load() > 0 {
 			qt.Assert(t, err, qt.IsNil)
 			return
 		}
--- a/starter/crashing_test.go
+++ b/starter/crashing_test.go
@@ -146,7 +146,14 @@
 
 // send sends a request with a body of its own and reads all of the answer.
 func (c *crashing) send(d *starter.GatewayDaemon, id, path, tokens, body string) answer {
-	r := c.request(d, id, path, tokens)
+	return c.sendWithin(time.Minute, d, id, path, tokens, body)
+}
+
+// sendWithin does the same for a caller that leaves after a time.
+func (c *crashing) sendWithin(patience time.Duration, d *starter.GatewayDaemon, id, path, tokens, body string) answer {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	r := c.request(d, id, path, tokens).WithContext(ctx)
 	r.Body, r.ContentLength = io.NopCloser(strings.NewReader(body)), int64(len(body))
 	began := time.Now()
 	response, err := http.DefaultTransport.RoundTrip(r)
@@ -204,33 +211,10 @@
 func TestRequestsBesideOneThatCrashesServersAreServed(t *testing.T) {
 	c := newCrashing(t, 6)
 	routers := c.routers(2)
-	var wg sync.WaitGroup
-	var mu sync.Mutex
-	var unserved []string
-	stop := make(chan struct{})
-	for i := range 12 {
-		wg.Go(func() {
-			for n := 0; ; n++ {
-				select {
-				case <-stop:
-					return
-				default:
-				}
-				id := fmt.Sprintf("%016x", 1000*(i+1)+n)
-				// One caller asks for the same thing again and again, as the one that crashes servers does.
-				a := c.send(routers[(i+n)%2], id, fmt.Sprintf("/essay/%d", i), "100,200", fmt.Sprintf("body %d", i))
-				if a.err != nil || a.status != 200 || strings.Count(a.body, "data: piece") != 40 {
-					mu.Lock()
-					unserved = append(unserved, fmt.Sprintf("%s: status %d, %d events, %v, %.100s", id, a.status, strings.Count(a.body, "data: piece"), a.err, a.body))
-					mu.Unlock()
-				}
-			}
-		})
-	}
+	stop := c.streams(routers, 12)
 	c.comesAgain(routers, "/draft/x", "100,200", 100*time.Millisecond, 4*time.Second)
 	ends := c.ends()
-	close(stop)
-	wg.Wait()
+	unserved := stop()
 	t.Logf("%d servers ended", len(ends))
 	qt.Assert(t, len(ends) <= crashesBorne+sendsBorne, qt.IsTrue, qt.Commentf("%d servers ended", len(ends)))
 	qt.Assert(t, unserved, qt.HasLen, 0, qt.Commentf("%d: %s", len(unserved), strings.Join(unserved, "\n")))
@@ -244,45 +228,50 @@
 func TestCallersThatLeaveHideNoRequestThatCrashesServers(t *testing.T) {
 	c := newCrashing(t, 8)
 	routers := c.routers(2)
-	var others sync.WaitGroup
-	stop := make(chan struct{})
-	for i := range 8 {
-		others.Go(func() {
-			for n := 0; ; n++ {
-				select {
-				case <-stop:
-					return
-				default:
-				}
-				a := c.send(routers[(i+n)%2], fmt.Sprintf("%016x", 1000*(i+1)+n), fmt.Sprintf("/essay/%d", i), "100,200", fmt.Sprintf("body %d", i))
-				if a.err != nil || a.status != 200 {
-					t.Errorf("status %d, %v, %.100s", a.status, a.err, a.body)
-				}
-			}
-		})
-	}
+	stop := c.streams(routers, 8)
 	for began, n := time.Now(), 0; time.Since(began) < 5*time.Second; n++ {
-		c.leaves(routers[n%2], fmt.Sprintf("%016x", time.Now().UnixNano()), "/draft/x", "100,200")
+		// What a caller gets that leaves is nothing to it.
+		c.sendWithin(leavesAfter, routers[n%2], fmt.Sprintf("%016x", time.Now().UnixNano()), "/draft/x", "100,200", deadly)
 		time.Sleep(100 * time.Millisecond)
 	}
-	close(stop)
-	others.Wait()
+	unserved := stop()
 	ends := c.ends()
 	qt.Assert(t, len(ends) >= crashesBorne, qt.IsTrue, qt.Commentf("%d servers ended", len(ends)))
 	sends := c.deadlyRuns(ends[crashesBorne-1].Add(inForce))
 	t.Logf("%d servers ended, %d sends later", len(ends), sends)
 	qt.Assert(t, sends <= sendsBorne, qt.IsTrue, qt.Commentf("sent %d times more, %d servers ended in all", sends, len(ends)))
+	qt.Assert(t, unserved, qt.HasLen, 0, qt.Commentf("%d: %s", len(unserved), strings.Join(unserved, "\n")))
 }
 
-// leaves sends a request that crashes servers and leaves before it does.
-func (c *crashing) leaves(d *starter.GatewayDaemon, id, path, tokens string) {
-	ctx, cancel := context.WithTimeout(c.t.Context(), leavesAfter)
-	defer cancel()
-	r := c.request(d, id, path, tokens).WithContext(ctx)
-	r.Body, r.ContentLength = io.NopCloser(strings.NewReader(deadly)), int64(len(deadly))
-	// What a caller gets that leaves is nothing to it.
-	if response, err := http.DefaultTransport.RoundTrip(r); err == nil {
-		_ = response.Body.Close()
+// streams has callers ask for long streams without a pause, each for the same thing again and again as the one that crashes
+// servers does. Stop ends them and returns what was not served in whole.
+func (c *crashing) streams(routers []*starter.GatewayDaemon, callers int) (stop func() []string) {
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	var unserved []string
+	done := make(chan struct{})
+	for i := range callers {
+		wg.Go(func() {
+			for n := 0; ; n++ {
+				select {
+				case <-done:
+					return
+				default:
+				}
+				id := fmt.Sprintf("%016x", 1000*(i+1)+n)
+				a := c.send(routers[(i+n)%len(routers)], id, fmt.Sprintf("/essay/%d", i), "100,200", fmt.Sprintf("body %d", i))
+				if a.err != nil || a.status != 200 || strings.Count(a.body, "data: piece") != 40 {
+					mu.Lock()
+					unserved = append(unserved, fmt.Sprintf("%s: status %d, %d events, %v, %.100s", id, a.status, strings.Count(a.body, "data: piece"), a.err, a.body))
+					mu.Unlock()
+				}
+			}
+		})
+	}
+	return func() []string {
+		close(done)
+		wg.Wait()
+		return unserved
 	}
 }
 
--- a/starter/evacuation_test.go
+++ b/starter/evacuation_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -36,19 +37,24 @@
 func (u *users) logged(texts ...string) {
 	u.t.Helper()
 	for deadline := time.Now().Add(inForce); time.Now().Before(deadline); time.Sleep(5 * time.Millisecond) {
-		for line := range strings.Lines(u.log.String()) {
-			found := true
-			for _, text := range texts {
-				found = found && strings.Contains(line, text)
-			}
-			if found {
-				return
-			}
+		if u.linesWith(texts...) != "" {
+			return
 		}
 	}
 	u.t.Fatalf("no line with %q:\n%s", texts, u.log)
 }
 
+// linesWith returns what routers have logged so far with some texts in one line.
+func (u *users) linesWith(texts ...string) string {
+	var lines strings.Builder
+	for line := range strings.Lines(u.log.String()) {
+		if !slices.ContainsFunc(texts, func(text string) bool { return !strings.Contains(line, text) }) {
+			lines.WriteString(line)
+		}
+	}
+	return lines.String()
+}
+
 // ranAt counts the runs at one server since a number of runs.
 func (u *users) ranAt(id string, since int) int {
 	n := 0
--- a/starter/shutdown_test.go
+++ b/starter/shutdown_test.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -179,7 +178,7 @@
 					continue
 				}
 				if ran[e.id] || read && e.took > crosses {
-					t.Errorf("%s, sent at %s, ended without a whole answer after %s: %v (passed on %t)\n%s", e.id, e.sentAt, e.took, e.err, ran[e.id], u.linesOf(e.id))
+					t.Errorf("%s, sent at %s, ended without a whole answer after %s: %v (passed on %t)\n%s", e.id, e.sentAt, e.took, e.err, ran[e.id], u.linesWith("request="+e.id+" "))
 				}
 			}
 			qt.Check(t, answers[http.StatusOK] > 0, qt.IsTrue)
@@ -187,21 +186,9 @@
 	}
 }
 
-// linesOf returns what routers have logged of a request.
-func (u *users) linesOf(id string) string {
-	var lines []string
-	for line := range strings.Lines(u.log.String()) {
-		if strings.Contains(line, "request="+id+" ") {
-			lines = append(lines, line)
-		}
-	}
-	return strings.Join(lines, "")
-}
-
 // outOfTime tells that a router broke a request's answer off because the request's time was over.
 func (u *users) outOfTime(id string) bool {
-	lines := u.linesOf(id)
-	return strings.Contains(lines, "outcome=broken_off") && strings.Contains(lines, `cause="context deadline exceeded`)
+	return u.linesWith("request="+id+" ", "outcome=broken_off", `cause="context deadline exceeded`) != ""
 }
 
 // startStalling starts a gateway whose callers' connections stand still.
