Log the request limits that servers name, and read them strictly

What the record cannot tell apart: whether a router has heard of a limit and sends all the same, or never reads it. Each answer that names one is a line (server_named_limit). Nothing is decided by it yet. The emulator's opaque servers name limits and note when requests arrive.

--- a/deployment.go
+++ b/deployment.go
@@ -204,7 +204,13 @@
 	LastEvent string
 }
 
-// ServerAnswer is what the head of a server's answer says about its run.
+// RequestLimit is how many requests a second a server takes from all routers together; the zero value is no limit.
+type RequestLimit struct {
+	Named bool    `cbor:"1,keyasint,omitempty"`
+	Rate  float64 `cbor:"2,keyasint,omitempty"`
+}
+
+// ServerAnswer is what the head of a server's answer says about its run, and of the server.
 type ServerAnswer struct {
 	ID string
 	// Signed tells that the answer bears the server's signature.
@@ -213,4 +219,7 @@
 	NotRun bool
 	// KeepIdle is how long the server keeps an idle connection; zero when it does not say.
 	KeepIdle time.Duration
+	// Limit is the server's present limit, which may be none; LimitUnreadable tells that what it says of it is no rate.
+	Limit           RequestLimit
+	LimitUnreadable bool
 }
--- a/emulator/opaque.go
+++ b/emulator/opaque.go
@@ -104,6 +104,10 @@
 	// deadly is what bodies contain that crash the server, crashed is called as it ends.
 	deadly  string
 	crashed func(s *OpaqueServer)
+	// said is what all answers tell of the server itself, as header lines.
+	said string
+	// arrivals are when requests arrived, those that were turned away too.
+	arrivals []time.Time
 }
 
 // StartOpaqueServer starts a server on a loopback port.
@@ -174,6 +178,30 @@
 	return s.echo, s.work
 }
 
+// Limit makes all answers name a limit, in requests a second as text; an empty text ends it.
+func (s *OpaqueServer) Limit(perSecond string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.said = ""
+	if perSecond != "" {
+		s.said = "Server-Limit: " + perSecond + "\r\n"
+	}
+}
+
+// Arrivals returns when requests arrived, those that were turned away too.
+func (s *OpaqueServer) Arrivals() []time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]time.Time(nil), s.arrivals...)
+}
+
+// says returns what an answer tells of the server itself, as header lines.
+func (s *OpaqueServer) says() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.said
+}
+
 // Close ends the server and its connections.
 func (s *OpaqueServer) Close() {
 	_ = s.l.Close()
@@ -220,6 +248,7 @@
 func (s *OpaqueServer) next(body string) (fault OpaqueFault, events int, pause time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.arrivals = append(s.arrivals, time.Now())
 	switch {
 	case s.deadly != "" && strings.Contains(body, s.deadly):
 		fault = OpaqueCrash
@@ -236,7 +265,7 @@
 	id := r.Header.Get("X-Attempt-Id")
 	switch {
 	case fault == OpaqueFull:
-		return s.write(c, "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+		return s.write(c, "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n"+s.says()+"Content-Length: 0\r\n\r\n")
 	case fault == OpaqueOther || r.Header.Get("X-Expect-Instance") != s.ID:
 		return s.write(c, "HTTP/1.1 421 Misdirected Request\r\nX-Instance-Id: "+s.ID+"\r\nContent-Length: 0\r\n\r\n")
 	}
@@ -246,7 +275,7 @@
 		TimeLeft: time.Duration(left) * time.Millisecond, Key: r.Header.Get("Authorization") != "", Body: body,
 		At: time.Now(), Fault: fault,
 	})
-	head := "X-Attempt-Id: " + id + "\r\nX-Server-Signature: " + signaturePrefix + s.ID + "\r\n"
+	head := "X-Attempt-Id: " + id + "\r\nX-Server-Signature: " + signaturePrefix + s.ID + "\r\n" + s.says()
 	switch fault {
 	case OpaqueCrash:
 		s.crash()
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -11,6 +11,8 @@
 	"syscall"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/masticway/masticway"
 	"github.com/masticway/masticway/chooser"
 	"github.com/masticway/masticway/sender"
@@ -114,7 +116,28 @@
 		r := <-a.sending
 		return r.answer, r.err
 	}
-	return a.x.f.sender.Send(a.ctx, a.server.Address, a.x.connections(), a.x.deliver(a.server, a.x.lastEvent))
+	return a.request(a.x.lastEvent)
+}
+
+// request sends the request to the attempt's server and returns the head of the answer; a stream goes on after the last event given.
+func (a *attempt) request(last string) (*sender.Answer, error) {
+	answer, err := a.x.f.sender.Send(a.ctx, a.server.Address, a.x.connections(), a.x.deliver(a.server, last))
+	if err == nil {
+		a.hear(answer)
+	}
+	return answer, err
+}
+
+// hear notes what the server says of itself in the head of an answer.
+func (a *attempt) hear(answer *sender.Answer) {
+	head := a.x.f.dialect.Answer(answer.Status, answer.Header)
+	if answer.Status == http.StatusMisdirectedRequest || !head.Limit.Named {
+		// A server that is not the one meant speaks of itself.
+		return
+	}
+	a.x.f.log.WithFields(logrus.Fields{
+		"event": "server_named_limit", "server": a.server.ID, "request": a.x.q.ID, "per_second": head.Limit.Rate,
+	}).Info("a server named a limit")
 }
 
 // firstWait is how long the first bytes of an answer are waited for before another server is asked; zero is for ever.
--- a/forwarder/handover.go
+++ b/forwarder/handover.go
@@ -194,7 +194,7 @@
 
 // send sends the request beside the exchange; a stream goes on after the last event given.
 func (a *attempt) send(last string) {
-	answer, err := a.x.f.sender.Send(a.ctx, a.server.Address, a.x.connections(), a.x.deliver(a.server, last))
+	answer, err := a.request(last)
 	a.sending <- sent{answer: answer, err: err}
 }
 
