Bring about that routers overrun the limit which a server has named

It bounds every window by the users' rule, and asks besides that the server still gets six tenths of what it takes, that what does not fit is refused within half a second with Retry-After, and that the limit's end is noticed by all.

--- a/starter/crashing_test.go
+++ b/starter/crashing_test.go
@@ -145,15 +145,15 @@
 }
 
 // send sends a request with a body of its own and reads all of the answer.
-func (c *crashing) send(d *starter.GatewayDaemon, id, path, tokens, body string) answer {
-	return c.sendWithin(time.Minute, d, id, path, tokens, body)
+func (u *users) send(d *starter.GatewayDaemon, id, path, tokens, body string) answer {
+	return u.sendWithin(time.Minute, d, id, path, tokens, body)
 }
 
 // sendWithin does the same for a caller that leaves after a time.
-func (c *crashing) sendWithin(patience time.Duration, d *starter.GatewayDaemon, id, path, tokens, body string) answer {
+func (u *users) sendWithin(patience time.Duration, d *starter.GatewayDaemon, id, path, tokens, body string) answer {
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
-	r := c.request(d, id, path, tokens).WithContext(ctx)
+	r := u.request(d, id, path, tokens).WithContext(ctx)
 	r.Body, r.ContentLength = io.NopCloser(strings.NewReader(body)), int64(len(body))
 	began := time.Now()
 	response, err := http.DefaultTransport.RoundTrip(r)
--- /dev/null
+++ b/starter/limits_test.go
@@ -0,0 +1,129 @@
+package starter_test
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/masticway/masticway/starter"
+)
+
+const (
+	// limitWindow, limitOvershoot and limitSlack are the users' rule: in any window a server gets no more than the overshoot times
+	// what its limit allows, and the slack.
+	limitWindow    = 4 * time.Second
+	limitOvershoot = 1.5
+	limitSlack     = 5
+	// limitKnown is when all routers keep to a limit that was named.
+	limitKnown = time.Second
+)
+
+// limitAllowed is the most that a server which has named a limit may get in any window.
+func limitAllowed(perSecond float64) int {
+	return int(limitOvershoot*perSecond*limitWindow.Seconds() + limitSlack)
+}
+
+// mostInWindow is the most arrivals in any window, of those at a time or later.
+func mostInWindow(arrivals []time.Time, since time.Time) (most int) {
+	for i, first := range arrivals {
+		if first.Before(since) {
+			continue
+		}
+		n := 0
+		for _, at := range arrivals[i:] {
+			if at.Sub(first) < limitWindow {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	return most
+}
+
+// ask sends requests to a router, one every pause, until a time, and returns the answers.
+func (u *users) askSteadily(d *starter.GatewayDaemon, path string, pause time.Duration, until time.Time) (all []answer) {
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for i := 0; time.Now().Before(until); i++ {
+		wg.Go(func() {
+			got := u.send(d, fmt.Sprintf("%p-%d", d, i), path, "10,10", "body")
+			mu.Lock()
+			defer mu.Unlock()
+			all = append(all, got)
+		})
+		time.Sleep(pause)
+	}
+	wg.Wait()
+	return all
+}
+
+// TestRequestLimitHoldsForAllRouters: routers that each send what their callers ask for overrun a server in need, which had named a
+// limit for all of them together.
+func TestRequestLimitHoldsForAllRouters(t *testing.T) {
+	for name, tc := range map[string]struct {
+		routers int
+		limit   string
+		rate    float64
+	}{
+		"one router":    {routers: 1, limit: "1.1", rate: 1.1},
+		"four routers":  {routers: 4, limit: "1.1", rate: 1.1},
+		"eight routers": {routers: 8, limit: "4", rate: 4},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			u := newUsers(t, 1<<40)
+			var all []*starter.GatewayDaemon
+			for i := range tc.routers {
+				all = append(all, u.gateway(fmt.Sprintf("edge-%d", i+1)))
+				t.Cleanup(all[i].Kill)
+			}
+			// All have counted each other by then.
+			time.Sleep(4 * time.Second)
+			u.engine.Limit(tc.limit)
+			named := time.Now()
+			until := named.Add(10 * time.Second)
+			var wg sync.WaitGroup
+			answers := make([][]answer, len(all))
+			for i, d := range all {
+				wg.Go(func() { answers[i] = u.askSteadily(d, "/draft/x", 200*time.Millisecond, until) })
+			}
+			wg.Wait()
+			arrivals := u.engine.Arrivals()
+			most := mostInWindow(arrivals, named.Add(limitKnown))
+			qt.Check(t, most <= limitAllowed(tc.rate), qt.IsTrue, qt.Commentf("%d requests in %v, %d are allowed", most, limitWindow, limitAllowed(tc.rate)))
+			got := 0
+			for _, at := range arrivals {
+				if at.After(named.Add(limitKnown)) {
+					got++
+				}
+			}
+			qt.Check(t, float64(got) >= 0.6*tc.rate*9, qt.IsTrue, qt.Commentf("the server got %d requests in 9 s of the %v a second that it takes", got, tc.rate))
+			for _, some := range answers {
+				for _, a := range some {
+					qt.Check(t, a.status == 200 || a.status == 503 && a.header.Get("Retry-After") != "", qt.IsTrue, qt.Commentf("status %d, %q", a.status, a.body))
+					qt.Check(t, a.status == 200 || a.took < 500*time.Millisecond, qt.IsTrue, qt.Commentf("refused after %v", a.took))
+				}
+			}
+			u.engine.Limit("")
+			time.Sleep(5 * time.Second)
+			for i, d := range all {
+				for range 3 {
+					qt.Check(t, u.send(d, fmt.Sprintf("after-%d", i), "/draft/x", "10,10", "body").status, qt.Equals, 200, qt.Commentf("the limit has ended"))
+				}
+			}
+			if t.Failed() {
+				t.Log(strings.Join(tail(u.log.String(), 60), "\n"))
+			}
+		})
+	}
+}
+
+// tail returns the last lines of a text.
+func tail(text string, most int) []string {
+	lines := strings.Split(strings.TrimSpace(text), "\n")
+	return lines[max(0, len(lines)-most):]
+}
