Divide the limits that servers name among all routers

Callers saw nothing; a server in need got 27 requests in 4 s where its own limit for all routers allowed 12. Ruled out: each keeps it alone (one would be bounded), only second attempts pass it (there were none in the record).

throttler divides a limit: one router by rendezvous hash gives permits from a token bucket to all others; the second gives a fifth where the first is silent; a router that has just started passes questions on. Every send passes exchange.place, so retries, second attempts, resumptions and suspects count. What does not fit goes to another server or is refused at once (servers_limited), with a Retry-After that spaces refused callers by this router's part of the limit. The end is heard because someone always asks: one request in 10 s at least. Why it works: the sum over all routers comes out of one bucket, whatever their number; two that divide at once give 1.2 times the limit.

--- a/emulator/opaque.go
+++ b/emulator/opaque.go
@@ -293,7 +293,7 @@
 	case OpaqueError:
 		return s.write(c, "HTTP/1.1 500 Internal Server Error\r\n"+head+"Content-Length: 4\r\n\r\noops")
 	case OpaqueForged:
-		return s.write(c, "HTTP/1.1 200 OK\r\nX-Attempt-Id: "+id+"\r\nContent-Length: 4\r\n\r\nfake")
+		return s.write(c, "HTTP/1.1 200 OK\r\nX-Attempt-Id: "+id+"\r\n"+s.says()+"Content-Length: 4\r\n\r\nfake")
 	case OpaqueForeign, OpaqueExtra:
 		s.write(c, "HTTP/1.1 200 OK\r\nX-Attempt-Id: another\r\nX-Server-Signature: s\r\nContent-Length: 7\r\n\r\nforeign")
 		if fault == OpaqueForeign {
--- a/follower/beliefs.go
+++ b/follower/beliefs.go
@@ -32,6 +32,17 @@
 // Ready tells whether requests can be served.
 func (b Beliefs) Ready() bool { return b.Known && b.Listed }
 
+// Lives names the servers that may get new work, in their present lives.
+func (b Beliefs) Lives() map[masticway.ServerLife]bool {
+	lives := map[masticway.ServerLife]bool{}
+	for _, servers := range b.Servers {
+		for _, s := range servers {
+			lives[s.Life()] = true
+		}
+	}
+	return lives
+}
+
 // entry is one server's registration.
 type entry struct {
 	server  masticway.Server
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -11,8 +11,6 @@
 	"syscall"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"github.com/masticway/masticway"
 	"github.com/masticway/masticway/chooser"
 	"github.com/masticway/masticway/sender"
@@ -130,14 +128,11 @@
 
 // hear notes what the server says of itself in the head of an answer.
 func (a *attempt) hear(answer *sender.Answer) {
-	head := a.x.f.dialect.Answer(answer.Status, answer.Header)
-	if answer.Status == http.StatusMisdirectedRequest || !head.Limit.Named {
+	if answer.Status == http.StatusMisdirectedRequest {
 		// A server that is not the one meant speaks of itself.
 		return
 	}
-	a.x.f.log.WithFields(logrus.Fields{
-		"event": "server_named_limit", "server": a.server.ID, "request": a.x.q.ID, "per_second": head.Limit.Rate,
-	}).Info("a server named a limit")
+	a.x.f.throttler.Heard(a.server.Life(), a.x.f.dialect.Answer(answer.Status, answer.Header))
 }
 
 // firstWait is how long the first bytes of an answer are waited for before another server is asked; zero is for ever.
--- a/forwarder/candidates.go
+++ b/forwarder/candidates.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"context"
 	"slices"
 	"time"
 
@@ -32,8 +33,24 @@
 	return true
 }
 
-// place chooses one of some servers, a cold one only where no warm one is left; there may be none.
-func (x *exchange) place(servers []masticway.Server) (masticway.Server, bool) {
+// admissionsMost bounds the servers with limits that are tried for one choice, each of which may take a question to another router.
+const admissionsMost = 3
+
+// place chooses one of some servers that may get a request more by what it says itself; there may be none.
+func (x *exchange) place(ctx context.Context, servers []masticway.Server) (masticway.Server, bool) {
+	servers = x.f.throttler.Open(servers)
+	for range admissionsMost {
+		s, ok := x.pick(servers)
+		if !ok || x.f.throttler.Admit(ctx, s.Life()) {
+			return s, ok
+		}
+		servers = slices.DeleteFunc(slices.Clone(servers), func(o masticway.Server) bool { return o.ID == s.ID })
+	}
+	return x.pick(x.f.throttler.Unlimited(servers))
+}
+
+// pick chooses one of some servers, a cold one only where no warm one is left; there may be none.
+func (x *exchange) pick(servers []masticway.Server) (masticway.Server, bool) {
 	x.f.mu.Lock()
 	defer x.f.mu.Unlock()
 	now := x.f.clock.Now()
@@ -50,6 +67,10 @@
 // noServer is the outcome of a request that no server can get now.
 func (x *exchange) noServer() outcome {
 	out := outcome{fate: masticway.FateNotRun, verdict: chooser.VerdictNone, reason: "no server is known or left to ask"}
+	if server, reason, ok := x.throttled(); ok {
+		out.reason, out.after, out.code = reason, x.f.throttler.Book(server), codeServersLimited
+		return out
+	}
 	now := x.f.clock.Now()
 	var soonest time.Time
 	for _, s := range x.without(x.exclude) {
@@ -58,7 +79,23 @@
 		}
 	}
 	if !soonest.IsZero() {
-		out.reason, out.after = "all that may get it are cold", soonest.Sub(now)
+		out.reason, out.after, out.code = "all that may get it are cold", soonest.Sub(now), codeServersCold
 	}
 	return out
 }
+
+// throttled returns the server that takes a request soonest, and why it takes none now, where all that may get the request take
+// none by what they say themselves.
+func (x *exchange) throttled() (soonest masticway.ServerLife, reason string, ok bool) {
+	var least time.Duration
+	for _, s := range x.without(nil) {
+		wait, why := x.f.throttler.Wait(s.Life())
+		if wait == 0 {
+			return "", "", false
+		}
+		if !ok || wait < least {
+			soonest, reason, least, ok = s.Life(), why, wait, true
+		}
+	}
+	return soonest, reason, ok
+}
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -205,8 +205,9 @@
 	full bool
 	// broken tells that the connection ended before the answer did, abandoned that this router ended it.
 	broken, abandoned bool
-	// after is when a server that is cold now may take the request; zero when none is.
+	// after is when a server that takes none now may take the request, and code why it does not; zero when none is known to.
 	after time.Duration
+	code  string
 	// suspicion tells why the request may not run now, and for how long.
 	suspicion masticway.Standing
 }
@@ -324,7 +325,7 @@
 	case x.fate == masticway.FateNotRun && expired:
 		return refusal(http.StatusServiceUnavailable, codeNotInTime, "no server took the request in time: "+out.reason, retrySoon)
 	case x.fate == masticway.FateNotRun && out.after > 0:
-		return refusal(http.StatusServiceUnavailable, codeServersCold, "the servers are cold: "+out.reason, max(retrySoon, out.after))
+		return refusal(http.StatusServiceUnavailable, out.code, "the servers take nothing now: "+out.reason, max(retrySoon, out.after))
 	case x.fate == masticway.FateNotRun && out.full:
 		return refusal(http.StatusServiceUnavailable, codeServersFull, "the servers are full: "+out.reason, retrySoon)
 	case x.fate == masticway.FateNotRun:
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -50,6 +50,8 @@
 	checks   *checks
 	examiner masticway.Examiner
 	rotation masticway.Rotation
+	// throttler keeps to what servers say of the requests that they take.
+	throttler masticway.Throttler
 	// abandoned are the runs whose servers no connection tells of any more.
 	abandoned abandonedRuns
 
@@ -74,6 +76,8 @@
 	Examiner masticway.Examiner
 	// Rotation tells whether new callers are wanted.
 	Rotation masticway.Rotation
+	// Throttler keeps to what servers say of the requests that they take.
+	Throttler masticway.Throttler
 	// Dial makes connections to servers.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
@@ -82,7 +86,7 @@
 func New(s Settings, p Parts) *Forwarder {
 	f := &Forwarder{
 		settings: s, clock: p.Clock, log: p.Log, metrics: p.Metrics, dialect: p.Dialect, bank: p.Bank, beliefs: p.Beliefs,
-		examiner: p.Examiner, rotation: p.Rotation,
+		examiner: p.Examiner, rotation: p.Rotation, throttler: p.Throttler,
 		checks: &checks{dial: p.Dial, clock: p.Clock, log: p.Log, known: map[masticway.ServerLife]*check{}},
 		sender: sender.New(p.Dial, p.Clock.Now), servers: chooser.NewServers(s.placement()), allowances: map[string]*retrier.Allowance{},
 	}
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -24,6 +24,7 @@
 	"github.com/masticway/masticway/forwarder"
 	"github.com/masticway/masticway/measurer"
 	"github.com/masticway/masticway/platform"
+	"github.com/masticway/masticway/throttler"
 	"github.com/masticway/masticway/treasurer"
 )
 
@@ -221,8 +222,15 @@
 	// rotation tells whether the router wants new callers.
 	rotation rotation
 	front    *httptest.Server
+	// throttler is the router's, which is alone.
+	throttler *throttler.Throttler
 }
 
+// alone is a router that knows of no other.
+const alone = "router"
+
+func (b *bank) Ranked(string, int) []string { return []string{alone} }
+
 const (
 	prompt = 100
 	most   = 40
@@ -280,8 +288,11 @@
 			}
 		}
 	})
+	f.throttler = throttler.New(throttler.Parts{
+		Members: f.bank, Peers: func() []string { return nil }, Clock: f.clock, Log: log.WithField("", ""), Metrics: measurer.New(), Address: alone,
+	})
 	f.router = forwarder.New(settings, forwarder.Parts{
-		Examiner: calm{}, Rotation: &f.rotation, Clock: f.clock, Log: log.WithField("", ""), Metrics: measurer.New(), Dialect: platform.Dialect{},
+		Examiner: calm{}, Rotation: &f.rotation, Throttler: f.throttler, Clock: f.clock, Log: log.WithField("", ""), Metrics: measurer.New(), Dialect: platform.Dialect{},
 		Bank: f.bank, Beliefs: func() follower.Beliefs { return f.beliefs }, Dial: (&net.Dialer{}).DialContext,
 	})
 	f.front = httptest.NewServer(f.router)
--- a/forwarder/handover.go
+++ b/forwarder/handover.go
@@ -100,8 +100,12 @@
 		// A suspect runs at one server at a time.
 		return false
 	}
-	server, ok := x.place(x.without(a.asked()))
-	if !ok || !x.reserve() {
+	server, ok := x.place(a.parent, x.without(a.asked()))
+	if !ok {
+		return false
+	}
+	if !x.reserve() {
+		x.f.throttler.GiveBack(server.Life())
 		return false
 	}
 	next := x.newAttempt(a.parent, server)
@@ -109,6 +113,7 @@
 	if !a.begin(round, next.cancel) {
 		next.cancel(nil)
 		next.end(chooser.VerdictNone)
+		x.f.throttler.GiveBack(server.Life())
 		return false
 	}
 	go next.send(last)
--- /dev/null
+++ b/forwarder/limits_test.go
@@ -0,0 +1,126 @@
+package forwarder_test
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/masticway/masticway/emulator"
+)
+
+// TestLimitIsHeardInEveryAnswer: a limit that is named in another answer than a good one is overrun until a good one names it.
+func TestLimitIsHeardInEveryAnswer(t *testing.T) {
+	cases := map[string]struct {
+		path  string
+		fault emulator.OpaqueFault
+	}{
+		"a good answer":         {path: "/freely/x"},
+		"a stream":              {path: "/stream/x"},
+		"a stream that breaks":  {path: "/stream/x", fault: emulator.OpaqueCut},
+		"a failure":             {path: "/never/x", fault: emulator.OpaqueError},
+		"a request turned away": {path: "/never/x", fault: emulator.OpaqueFull},
+		"no signature":          {path: "/never/x", fault: emulator.OpaqueForged},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 1)
+			f.servers[0].Limit("0.2")
+			f.servers[0].Fail(tc.fault)
+			f.ask(t.Context(), "POST", tc.path)
+			for range 20 {
+				f.ask(t.Context(), "POST", "/never/x")
+			}
+			qt.Assert(t, f.servers[0].Arrivals(), qt.HasLen, 1)
+		})
+	}
+}
+
+// TestAnswersOfOtherServersNameNoLimit: a server that has taken the address of another one has the other's requests held back.
+func TestAnswersOfOtherServersNameNoLimit(t *testing.T) {
+	f := newFleet(t, 1)
+	f.servers[0].Limit("0.2")
+	f.servers[0].Fail(emulator.OpaqueOther)
+	f.ask(t.Context(), "POST", "/never/x")
+	qt.Assert(t, f.ask(t.Context(), "POST", "/never/x").status, qt.Equals, 200)
+}
+
+// TestRequestsGoToServersWithoutLimits: callers are refused because several servers are at their limits while others have none.
+func TestRequestsGoToServersWithoutLimits(t *testing.T) {
+	f := newFleet(t, 8)
+	for _, s := range f.servers[:7] {
+		s.Limit("0.2")
+	}
+	for range 100 {
+		qt.Assert(t, f.ask(t.Context(), "POST", "/freely/x").status, qt.Equals, 200)
+	}
+	for _, s := range f.servers[:7] {
+		qt.Check(t, len(s.Arrivals()) <= 2, qt.IsTrue, qt.Commentf("%s got %d", s.ID, len(s.Arrivals())))
+	}
+}
+
+// TestRetriesCountForALimit: attempts beyond the first of each request reach a server past its limit.
+func TestRetriesCountForALimit(t *testing.T) {
+	cases := map[string]struct {
+		path  string
+		fault emulator.OpaqueFault
+	}{
+		"the first server turns requests away":  {path: "/freely/x", fault: emulator.OpaqueFull},
+		"the first server is silent":            {path: "/freely/x", fault: emulator.OpaqueHang},
+		"the first server breaks off":           {path: "/freely/x", fault: emulator.OpaqueReset},
+		"the first server breaks off a stream":  {path: "/resume/x", fault: emulator.OpaqueCut},
+		"the first server is silent in streams": {path: "/resume/x", fault: emulator.OpaqueHang},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 2)
+			faults := make([]emulator.OpaqueFault, 100)
+			for i := range faults {
+				faults[i] = tc.fault
+			}
+			f.servers[1].Limit("1")
+			for len(f.servers[1].Arrivals()) == 0 {
+				f.ask(t.Context(), "POST", "/freely/x")
+			}
+			f.servers[0].Fail(faults...)
+			began := time.Now()
+			for range 10 {
+				f.ask(t.Context(), "POST", tc.path, "X-Deadline-Ms", "500")
+			}
+			most := 2 + int(time.Since(began).Seconds())
+			got := len(f.servers[1].Arrivals())
+			qt.Assert(t, got <= most, qt.IsTrue, qt.Commentf("%d requests, of one a second %d fit", got, most))
+		})
+	}
+}
+
+// TestRefusalForALimitIsTrue: a caller that is refused for a limit waits for the answer, or comes again when there is none for it.
+func TestRefusalForALimitIsTrue(t *testing.T) {
+	f := newFleet(t, 1)
+	f.servers[0].Limit("2")
+	f.ask(t.Context(), "POST", "/never/x")
+	var last float64
+	for i := range 4 {
+		began := time.Now()
+		got := f.ask(t.Context(), "POST", "/never/x")
+		qt.Assert(t, got.status, qt.Equals, 503)
+		qt.Assert(t, time.Since(began) < 200*time.Millisecond, qt.IsTrue)
+		qt.Assert(t, strings.Contains(got.body, `"code":"servers_limited"`), qt.IsTrue, qt.Commentf("%s", got.body))
+		qt.Assert(t, strings.Contains(got.body, `"run":"not_run"`), qt.IsTrue)
+		after, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+		qt.Assert(t, err, qt.IsNil)
+		// One every half a second.
+		qt.Assert(t, after > last && after < 0.5*float64(i+2), qt.IsTrue, qt.Commentf("refusal %d: %v s after %v s", i, after, last))
+		last = after
+	}
+	time.Sleep(600 * time.Millisecond)
+	qt.Assert(t, f.ask(t.Context(), "POST", "/never/x").status, qt.Equals, 200, qt.Commentf("the time that the first was told is over"))
+	f.servers[0].Limit("")
+	time.Sleep(600 * time.Millisecond)
+	for i := range 20 {
+		qt.Assert(t, f.ask(t.Context(), "POST", "/never/x").status, qt.Equals, 200, qt.Commentf(fmt.Sprint("the limit has ended, ", i)))
+	}
+}
--- a/forwarder/suspects.go
+++ b/forwarder/suspects.go
@@ -57,7 +57,7 @@
 // choose returns where the next attempt goes. There may be nowhere, for a reason.
 func (x *exchange) choose(ctx context.Context) (c choice, none outcome, ok bool) {
 	if x.f.examiner.Quiet() {
-		return x.chooseAside()
+		return x.chooseAside(ctx)
 	}
 	until := x.f.clock.Now().Add(apartWithin)
 	for {
@@ -65,7 +65,7 @@
 		s := x.standing()
 		switch s.Suspicion {
 		case masticway.SuspicionNone:
-			return x.chooseAside()
+			return x.chooseAside(ctx)
 		case masticway.SuspicionProven:
 			return choice{}, atFault(s), false
 		}
@@ -91,19 +91,24 @@
 func (x *exchange) chooseApart(ctx context.Context, s masticway.Standing) (c choice, found, ok bool) {
 	servers := x.without(x.exclude)
 	occupied, _ := x.f.examiner.Occupied()
-	server, free := x.place(freeOf(servers, occupied))
+	server, free := x.place(ctx, freeOf(servers, occupied))
 	if free {
-		return choice{server: server, apart: true}, true, !s.Running && x.f.examiner.Claim(ctx, x.digest(), server.Life())
+		ok = !s.Running && x.f.examiner.Claim(ctx, x.digest(), server.Life())
+	} else {
+		server, found = x.place(ctx, servers)
+		ok = found && !serious(s) && !s.Running
 	}
-	server, found = x.place(servers)
-	return choice{server: server}, found, found && !serious(s) && !s.Running
+	if (free || found) && !ok {
+		x.f.throttler.GiveBack(server.Life())
+	}
+	return choice{server: server, apart: free}, free || found, ok
 }
 
 // serious tells that more than one server has ended under a request.
 func serious(s masticway.Standing) bool { return len(s.Ends) > 1 }
 
 // chooseAside chooses a server where no serious suspect runs, or any if that leaves none.
-func (x *exchange) chooseAside() (c choice, none outcome, ok bool) {
+func (x *exchange) chooseAside(ctx context.Context) (c choice, none outcome, ok bool) {
 	servers := x.without(x.exclude)
 	if !x.f.examiner.Quiet() {
 		_, serious := x.f.examiner.Occupied()
@@ -111,7 +116,7 @@
 			servers = free
 		}
 	}
-	if c.server, ok = x.place(servers); !ok {
+	if c.server, ok = x.place(ctx, servers); !ok {
 		none = x.noServer()
 	}
 	return c, none, ok
--- a/starter/gateway.go
+++ b/starter/gateway.go
@@ -25,6 +25,7 @@
 	"github.com/masticway/masticway/relayer"
 	"github.com/masticway/masticway/rotator"
 	"github.com/masticway/masticway/sharer"
+	"github.com/masticway/masticway/throttler"
 	"github.com/masticway/masticway/treasurer"
 )
 
@@ -100,6 +101,7 @@
 	bank      *treasurer.Treasurer
 	examiner  *examiner.Examiner
 	rotator   *rotator.Rotator
+	throttler *throttler.Throttler
 	pausable  *pausable
 	store     *relayer.Store
 	shared    *sharer.Store
@@ -147,10 +149,13 @@
 	})
 	d.store.Measure(func(took time.Duration, answered bool) { d.rotator.Note(rotator.KindStore, took, answered) })
 	messages.Measure(func(took time.Duration, answered bool) { d.rotator.Note(rotator.KindRouter, took, answered) })
+	d.throttler = throttler.New(throttler.Parts{
+		Routers: throttler.NewClient(messages), Members: d.bank, Peers: d.peers, Clock: clock, Log: entry, Metrics: metrics, Address: s.PeerAddress,
+	})
 	dialer := &net.Dialer{KeepAlive: -1}
 	d.forwarder = forwarder.New(s, forwarder.Parts{
 		Clock: clock, Log: entry, Metrics: metrics, Dialect: dialect, Bank: d.bank, Beliefs: d.follower.Beliefs, Examiner: d.examiner,
-		Rotation: d.rotator, Dial: d.rotator.Dial(dialer.DialContext),
+		Rotation: d.rotator, Throttler: d.throttler, Dial: d.rotator.Dial(dialer.DialContext),
 	})
 	d.callers = newCallers(d.pausable)
 	d.caller = &http.Server{
@@ -187,6 +192,7 @@
 
 func (d *GatewayDaemon) changed(b follower.Beliefs) {
 	d.bank.Configure(b.Deployment)
+	d.throttler.Keep(b.Lives())
 	d.forwarder.Changed(b)
 }
 
@@ -198,6 +204,7 @@
 	d.wg.Go(func() { d.bank.Run(ctx) })
 	d.wg.Go(func() { d.examiner.Run(ctx) })
 	d.wg.Go(func() { d.rotator.Run(ctx) })
+	d.wg.Go(func() { d.throttler.Run(ctx) })
 	d.wg.Go(func() { d.watchSuspensions(ctx) })
 	d.servers.serveWith(d.callers, d.caller)
 	d.servers.serve(d.listeners.Readiness, http.HandlerFunc(d.readiness))
@@ -256,6 +263,7 @@
 	d.store.Serve(mux)
 	d.examiner.Serve(mux)
 	d.rotator.Serve(mux)
+	d.throttler.Serve(mux)
 	d.shared.Serve(mux)
 	return mux
 }
--- a/starter/limits_test.go
+++ b/starter/limits_test.go
@@ -101,6 +101,7 @@
 					got++
 				}
 			}
+			t.Logf("%d requests in %v at the most, %d are allowed; %d in 9 s", most, limitWindow, limitAllowed(tc.rate), got)
 			qt.Check(t, float64(got) >= 0.6*tc.rate*9, qt.IsTrue, qt.Commentf("the server got %d requests in 9 s of the %v a second that it takes", got, tc.rate))
 			for _, some := range answers {
 				for _, a := range some {
--- /dev/null
+++ b/throttle.go
@@ -0,0 +1,25 @@
+package masticway
+
+import (
+	"context"
+	"time"
+)
+
+// Throttler keeps to what servers say in their answers of the requests that they take.
+type Throttler interface {
+	// Heard notes what the head of a server's answer says of the server.
+	Heard(server ServerLife, answer ServerAnswer)
+	// Open returns the servers that may get a request now as far as this router knows.
+	Open(servers []Server) []Server
+	// Unlimited returns the servers that name no limit.
+	Unlimited(servers []Server) []Server
+	// Admit tells whether a server may get one more request from this router now; it may ask other routers.
+	Admit(ctx context.Context, server ServerLife) bool
+	// GiveBack returns an admission for which nothing was sent.
+	GiveBack(server ServerLife)
+	// Wait returns how long a server takes no request from this router, for a log with the reason; zero when it may get one.
+	Wait(server ServerLife) (wait time.Duration, reason string)
+	// Book returns when a caller that is refused for a server's sake should come again: callers that are refused one after the
+	// other come as far apart as the server takes them.
+	Book(server ServerLife) time.Duration
+}
--- /dev/null
+++ b/throttler/limits.go
@@ -0,0 +1,297 @@
+package throttler
+
+import (
+	"math"
+	"time"
+
+	"github.com/masticway/masticway"
+)
+
+const (
+	// permitLife is how long a permit may be used.
+	permitLife = 400 * time.Millisecond
+	// bucketDepth is how long the divider saves up what nobody asks for, bucketLeast how many permits at least.
+	bucketDepth = 250 * time.Millisecond
+	bucketLeast = 2
+	// rateLeast is what a server gets that names less, in requests a second: its answers tell of the limit's end.
+	rateLeast = 0.1
+	// askSpacing separates the questions of all routers together about one server that has refused them.
+	askSpacing = 10 * time.Millisecond
+	// askAtLeastEvery bounds how long a router goes by an old refusal.
+	askAtLeastEvery = 2 * time.Second
+	// unansweredPause is how long a server gets nothing after a question that nobody answered.
+	unansweredPause = 250 * time.Millisecond
+	// bookedMost bounds the time after which a refused caller is told to come again.
+	bookedMost = 10 * time.Second
+)
+
+// Word is the newest that is known of a server's limit.
+type Word struct {
+	Limit masticway.RequestLimit `cbor:"1,keyasint"`
+	// Age is how long ago the server said so.
+	Age time.Duration `cbor:"2,keyasint"`
+}
+
+// Question asks the divider of a server's limit for permits; without any wanted it only tells the word.
+type Question struct {
+	Server masticway.ServerLife `cbor:"1,keyasint"`
+	Word   Word                 `cbor:"2,keyasint"`
+	Wanted int                  `cbor:"3,keyasint,omitempty"`
+	// PassedOn tells that a divider that has just started asks the second in its place.
+	PassedOn bool `cbor:"4,keyasint,omitempty"`
+}
+
+// Reply answers a question.
+type Reply struct {
+	Word    Word `cbor:"1,keyasint"`
+	Granted int  `cbor:"2,keyasint,omitempty"`
+	// Wait is when the next permit is due, if there was none.
+	Wait time.Duration `cbor:"3,keyasint,omitempty"`
+	// Elsewhere tells that the router that was asked does not divide this limit.
+	Elsewhere bool `cbor:"4,keyasint,omitempty"`
+}
+
+// Change is what a word changes of a belief.
+type Change string
+
+// The changes.
+const (
+	ChangeNone  Change = ""
+	ChangeBegun Change = "begun"
+	ChangeRate  Change = "changed"
+	ChangeEnded Change = "ended"
+)
+
+// limited is what is known of one server that has named a limit.
+type limited struct {
+	limit   masticway.RequestLimit
+	heardAt time.Time
+	// permits may be used until permitsUntil; refusedUntil no more are asked for.
+	permits      int
+	permitsUntil time.Time
+	refusedUntil time.Time
+	// asked is closed when the question under way is answered, for which waiting requests wait beside the one that asks.
+	asked   chan struct{}
+	waiting int
+	// booked is when the last caller was told to come again.
+	booked time.Time
+	// tokens are what the divider may give as of tokensAt.
+	tokens   float64
+	tokensAt time.Time
+}
+
+// rate is what the server gets in requests a second.
+func (l *limited) rate() float64 { return max(rateLeast, l.limit.Rate) }
+
+// Limits are one router's beliefs about limits, the permits that it has, and the buckets that it divides; it is not safe
+// for concurrent use.
+type Limits struct {
+	servers map[masticway.ServerLife]*limited
+	// named is how many servers have a limit now.
+	named int
+}
+
+// NewLimits returns limits of no server.
+func NewLimits() *Limits { return &Limits{servers: map[masticway.ServerLife]*limited{}} }
+
+// Named is how many servers have a limit now.
+func (s *Limits) Named() int { return s.named }
+
+// Heard takes a word unless a newer one is known.
+func (s *Limits) Heard(now time.Time, server masticway.ServerLife, w Word) Change {
+	l, ok := s.servers[server]
+	if !ok {
+		if !w.Limit.Named {
+			return ChangeNone
+		}
+		l = &limited{}
+		s.servers[server] = l
+	}
+	at := now.Add(-max(0, w.Age))
+	if at.Before(l.heardAt) {
+		return ChangeNone
+	}
+	before := l.limit
+	l.limit, l.heardAt = w.Limit, at
+	switch {
+	case before == w.Limit:
+		return ChangeNone
+	case !before.Named:
+		s.named++
+		*l = limited{limit: w.Limit, heardAt: at, tokensAt: now, asked: l.asked, waiting: l.waiting}
+		return ChangeBegun
+	case !w.Limit.Named:
+		s.named--
+		return ChangeEnded
+	}
+	return ChangeRate
+}
+
+// Word returns the newest word on a server; its limit is none if nothing is known.
+func (s *Limits) Word(now time.Time, server masticway.ServerLife) Word {
+	l, ok := s.servers[server]
+	if !ok {
+		return Word{Age: math.MaxInt64}
+	}
+	return Word{Limit: l.limit, Age: now.Sub(l.heardAt)}
+}
+
+// Known returns the words on all servers that have a limit now.
+func (s *Limits) Known(now time.Time) Words {
+	words := Words{}
+	for server, l := range s.servers {
+		if l.limit.Named {
+			words[server] = s.Word(now, server)
+		}
+	}
+	return words
+}
+
+// Verdict is what may be done with a request for a server.
+type Verdict string
+
+// The verdicts.
+const (
+	VerdictAdmitted Verdict = "admitted"
+	VerdictRefused  Verdict = "refused"
+	// VerdictAsk is for the request that asks the divider; Answered has to follow.
+	VerdictAsk Verdict = "ask"
+	// VerdictAsked is for requests that wait until the question under way is answered, and are judged again then.
+	VerdictAsked Verdict = "asked"
+)
+
+// Take judges one request; answered is closed when a question that is under way ends.
+func (s *Limits) Take(now time.Time, server masticway.ServerLife) (v Verdict, answered <-chan struct{}) {
+	l, ok := s.servers[server]
+	switch {
+	case !ok || !l.limit.Named:
+		return VerdictAdmitted, nil
+	case l.permits > 0 && now.Before(l.permitsUntil):
+		l.permits--
+		return VerdictAdmitted, nil
+	case now.Before(l.refusedUntil):
+		return VerdictRefused, nil
+	case l.asked != nil:
+		l.waiting++
+		return VerdictAsked, l.asked
+	}
+	l.asked = make(chan struct{})
+	return VerdictAsk, nil
+}
+
+// Wanted is how many permits the requests at hand need.
+func (s *Limits) Wanted(server masticway.ServerLife) int {
+	if l, ok := s.servers[server]; ok {
+		return l.waiting + 1
+	}
+	return 1
+}
+
+// Refuses tells that a server gets nothing now as far as is known without asking.
+func (s *Limits) Refuses(now time.Time, server masticway.ServerLife) bool {
+	l, ok := s.servers[server]
+	return ok && l.limit.Named && now.Before(l.refusedUntil) && (l.permits == 0 || !now.Before(l.permitsUntil))
+}
+
+// Answered takes the reply to the question under way, nil if there was none; members is how many routers there are.
+func (s *Limits) Answered(now time.Time, server masticway.ServerLife, r *Reply, members int) Change {
+	l, ok := s.servers[server]
+	if !ok {
+		return ChangeNone
+	}
+	if l.asked != nil {
+		close(l.asked)
+		l.asked, l.waiting = nil, 0
+	}
+	if r == nil {
+		l.refusedUntil = now.Add(unansweredPause)
+		return ChangeNone
+	}
+	change := s.Heard(now, server, r.Word)
+	if r.Granted > 0 {
+		l.permits, l.permitsUntil = r.Granted, now.Add(permitLife)
+		return change
+	}
+	l.refusedUntil = now.Add(max(min(r.Wait, askAtLeastEvery), time.Duration(members)*askSpacing))
+	return change
+}
+
+// GiveBack returns a permit that was not used.
+func (s *Limits) GiveBack(now time.Time, server masticway.ServerLife) {
+	l, ok := s.servers[server]
+	if !ok || !l.limit.Named {
+		return
+	}
+	if !now.Before(l.permitsUntil) {
+		l.permits = 0
+	}
+	l.permits++
+	l.permitsUntil = now.Add(permitLife)
+}
+
+// Divide answers a question from the bucket, which fills with a share of the limit.
+func (s *Limits) Divide(now time.Time, q Question, share float64) (r Reply) {
+	r.Word = s.Word(now, q.Server)
+	l, ok := s.servers[q.Server]
+	if !ok || !l.limit.Named || q.Wanted <= 0 {
+		return r
+	}
+	rate := l.rate() * share
+	depth := max(bucketLeast, l.rate()*bucketDepth.Seconds())
+	l.tokens = min(depth, l.tokens+rate*now.Sub(l.tokensAt).Seconds())
+	l.tokensAt = now
+	r.Granted = min(q.Wanted, int(l.tokens))
+	l.tokens -= float64(r.Granted)
+	if r.Granted == 0 {
+		r.Wait = time.Duration((1 - l.tokens) / rate * float64(time.Second))
+	}
+	return r
+}
+
+// Wait is how long a server gets nothing from this router.
+func (s *Limits) Wait(now time.Time, server masticway.ServerLife) time.Duration {
+	if !s.Refuses(now, server) {
+		return 0
+	}
+	return s.servers[server].refusedUntil.Sub(now)
+}
+
+// Limit returns a server's present limit.
+func (s *Limits) Limit(server masticway.ServerLife) masticway.RequestLimit {
+	if l, ok := s.servers[server]; ok {
+		return l.limit
+	}
+	return masticway.RequestLimit{}
+}
+
+// Book returns when the next refused caller should come again: they come as far apart as this router's part of the limit.
+func (s *Limits) Book(now time.Time, server masticway.ServerLife, members int) time.Duration {
+	wait := s.Wait(now, server)
+	l, ok := s.servers[server]
+	if !ok {
+		return wait
+	}
+	apart := time.Duration(float64(max(1, members)) / l.rate() * float64(time.Second))
+	due := now.Add(wait)
+	if next := l.booked.Add(apart); next.After(due) {
+		due = next
+	}
+	if latest := now.Add(bookedMost); due.After(latest) {
+		due = latest
+	}
+	l.booked = due
+	return due.Sub(now)
+}
+
+// Keep forgets the servers that are not among some.
+func (s *Limits) Keep(known map[masticway.ServerLife]bool) {
+	for server, l := range s.servers {
+		if known[server] || l.asked != nil {
+			continue
+		}
+		if l.limit.Named {
+			s.named--
+		}
+		delete(s.servers, server)
+	}
+}
--- /dev/null
+++ b/throttler/messages.go
@@ -0,0 +1,50 @@
+package throttler
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/masticway/masticway"
+	"github.com/masticway/masticway/messenger"
+)
+
+// Paths of the calls.
+const (
+	pathLimit  = "/peer/limit"
+	pathLimits = "/peer/limits"
+)
+
+// Words are the newest words on limits, by server.
+type Words map[masticway.ServerLife]Word
+
+// Routers are the other routers, which divide limits or are told of them.
+type Routers interface {
+	// Ask puts a question to the router at an address.
+	Ask(ctx context.Context, address string, q Question) (Reply, error)
+	// Known asks the router at an address for all limits that it knows.
+	Known(ctx context.Context, address string) (Words, error)
+}
+
+// Client asks over connections between routers; it implements Routers.
+type Client struct {
+	messages *messenger.Client
+}
+
+// NewClient returns a client that sends its calls with another.
+func NewClient(m *messenger.Client) *Client { return &Client{messages: m} }
+
+// Ask puts a question to the router at an address.
+func (c *Client) Ask(ctx context.Context, address string, q Question) (Reply, error) {
+	return messenger.Call[Reply](ctx, c.messages, address, pathLimit, q)
+}
+
+// Known asks the router at an address for all limits that it knows.
+func (c *Client) Known(ctx context.Context, address string) (Words, error) {
+	return messenger.Call[Words](ctx, c.messages, address, pathLimits, struct{}{})
+}
+
+// Serve answers other routers.
+func (t *Throttler) Serve(mux *http.ServeMux) {
+	messenger.Handle(mux, pathLimit, t.Answer)
+	messenger.Handle(mux, pathLimits, func(context.Context, struct{}) Words { return t.Known() })
+}
--- /dev/null
+++ b/throttler/throttler.go
@@ -0,0 +1,340 @@
+package throttler
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/masticway/masticway"
+	"github.com/masticway/masticway/measurer"
+)
+
+const (
+	// askTimeout bounds one question to another router, a few times the way between availability zones.
+	askTimeout = 120 * time.Millisecond
+	// passOnTimeout bounds a question that is passed on, so that the router that has put it still hears.
+	passOnTimeout = 50 * time.Millisecond
+	// silentFor is how long a router is not asked that left a question without an answer.
+	silentFor = time.Second
+	// dividersMost is how many routers may divide one limit: the first, and the second where that one does not answer.
+	dividersMost = 2
+	// secondShare is the part of a limit that the second gives: with all that the first gives, and what is on its way, it stays
+	// within one and a half times the limit in any 4 s.
+	secondShare = 0.2
+	// passesOnFor is how long a router that has started passes questions on, until all others have counted it.
+	passesOnFor = 20 * time.Second
+)
+
+// Names of metrics.
+const (
+	metricLimited    = "servers_limited"
+	metricAsks       = "limit_asks"
+	metricUnanswered = "limit_asks_unanswered"
+	metricGranted    = "limit_permits_granted"
+	metricRefused    = "limit_refusals"
+	metricTold       = "limits_told"
+)
+
+// Members knows the other routers.
+type Members interface {
+	// Members returns how many routers there seem to be, zero when that is not known.
+	Members() int
+	// Ranked names the addresses of the routers that something falls to, this one's among them, first to last.
+	Ranked(of string, most int) []string
+}
+
+// Parts are what a throttler is made of.
+type Parts struct {
+	Routers Routers
+	Members Members
+	// Peers names the addresses of the other routers, some of them before they are counted.
+	Peers   func() []string
+	Clock   masticway.Clock
+	Log     *logrus.Entry
+	Metrics *measurer.Set
+	// Address is where other routers reach this one.
+	Address string
+}
+
+// Throttler carries out what Limits decides.
+type Throttler struct {
+	Parts
+	began time.Time
+	// named is how many servers have a limit, read by every request.
+	named atomic.Int64
+	stir  chan struct{}
+
+	mu     sync.Mutex
+	limits *Limits
+	// silent are the routers that left a question without an answer, and until when they are not asked.
+	silent map[string]time.Time
+	// untold are the servers of whose limit others have to hear.
+	untold map[masticway.ServerLife]bool
+}
+
+var _ masticway.Throttler = (*Throttler)(nil)
+
+// New returns a throttler that knows no limit.
+func New(p Parts) *Throttler {
+	return &Throttler{
+		Parts: p, began: p.Clock.Now(), stir: make(chan struct{}, 1), limits: NewLimits(), silent: map[string]time.Time{},
+		untold: map[masticway.ServerLife]bool{},
+	}
+}
+
+// Heard notes what the head of a server's answer says of the server.
+func (t *Throttler) Heard(server masticway.ServerLife, a masticway.ServerAnswer) {
+	if a.LimitUnreadable {
+		t.Log.WithFields(logrus.Fields{"event": "server_limit_unreadable", "server": server}).Debug("a server's limit is no rate")
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.note(server, Word{Limit: a.Limit}, "answer")
+}
+
+// note takes a word and tells of what it changes; the caller holds the lock.
+func (t *Throttler) note(server masticway.ServerLife, w Word, source string) {
+	t.noted(server, t.limits.Heard(t.Clock.Now(), server, w), w.Age, source)
+}
+
+// noted logs a change, and has others hear of what this router has heard from the server itself, or as its divider.
+func (t *Throttler) noted(server masticway.ServerLife, c Change, age time.Duration, source string) {
+	if c == ChangeNone {
+		return
+	}
+	t.named.Store(int64(t.limits.Named()))
+	t.Metrics.Gauge(metricLimited, t.named.Load())
+	if source == "answer" || c != ChangeRate && t.first(server) {
+		t.untold[server] = true
+		select {
+		case t.stir <- struct{}{}:
+		default:
+		}
+	}
+	t.Log.WithFields(logrus.Fields{
+		"event": "server_limit", "server": server, "change": c, "per_second": t.limits.Limit(server).Rate, "source": source, "age_ms": age.Milliseconds(),
+	}).Info("a server's limit changed")
+}
+
+// first tells that this router divides a server's limit.
+func (t *Throttler) first(server masticway.ServerLife) bool {
+	ranked := t.Members.Ranked(string(server), 1)
+	return len(ranked) > 0 && ranked[0] == t.Address
+}
+
+// Open returns the servers that may get a request now as far as this router knows.
+func (t *Throttler) Open(servers []masticway.Server) []masticway.Server {
+	now := t.Clock.Now()
+	return t.without(servers, func(s masticway.ServerLife) bool { return t.limits.Refuses(now, s) })
+}
+
+// Unlimited returns the servers that name no limit.
+func (t *Throttler) Unlimited(servers []masticway.Server) []masticway.Server {
+	return t.without(servers, func(s masticway.ServerLife) bool { return t.limits.Limit(s).Named })
+}
+
+// without returns the servers but some; most of the time no server has a limit, and nothing is copied.
+func (t *Throttler) without(servers []masticway.Server, some func(masticway.ServerLife) bool) []masticway.Server {
+	if t.named.Load() == 0 {
+		return servers
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	kept := make([]masticway.Server, 0, len(servers))
+	for _, s := range servers {
+		if !some(s.Life()) {
+			kept = append(kept, s)
+		}
+	}
+	return kept
+}
+
+// Admit tells whether a server may get one more request from this router now.
+func (t *Throttler) Admit(ctx context.Context, server masticway.ServerLife) bool {
+	if t.named.Load() == 0 {
+		return true
+	}
+	for {
+		t.mu.Lock()
+		v, answered := t.limits.Take(t.Clock.Now(), server)
+		t.mu.Unlock()
+		switch v {
+		case VerdictAdmitted:
+			return true
+		case VerdictAsk:
+			t.ask(ctx, server)
+		case VerdictAsked:
+			select {
+			case <-answered:
+			case <-ctx.Done():
+				return false
+			}
+		default:
+			t.Metrics.Add(metricRefused, 1)
+			return false
+		}
+	}
+}
+
+// ask asks the divider of a server's limit, or the second in its place.
+func (t *Throttler) ask(ctx context.Context, server masticway.ServerLife) {
+	t.Metrics.Add(metricAsks, 1)
+	t.mu.Lock()
+	q := Question{Server: server, Word: t.limits.Word(t.Clock.Now(), server), Wanted: t.limits.Wanted(server)}
+	t.mu.Unlock()
+	// What comes of it is for all requests at hand, whose callers stay.
+	reply, from := t.put(context.WithoutCancel(ctx), q)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if reply == nil {
+		t.Metrics.Add(metricUnanswered, 1)
+		t.Log.WithFields(logrus.Fields{"event": "limit_not_divided", "server": server, "members": t.Members.Members()}).Info("no router divides a server's limit")
+	}
+	change := t.limits.Answered(t.Clock.Now(), server, reply, t.Members.Members())
+	if reply != nil {
+		t.noted(server, change, reply.Word.Age, from)
+	}
+}
+
+// put puts a question to the first router that answers it and returns where that is; nil when none does.
+func (t *Throttler) put(ctx context.Context, q Question) (*Reply, string) {
+	for _, address := range t.Members.Ranked(string(q.Server), dividersMost) {
+		reply, err := t.putTo(ctx, address, askTimeout, q)
+		if err == nil && !reply.Elsewhere {
+			return &reply, address
+		}
+	}
+	return nil, ""
+}
+
+// putTo puts a question to one router, which may be this one. One that was silent just before is not asked.
+func (t *Throttler) putTo(ctx context.Context, address string, within time.Duration, q Question) (Reply, error) {
+	if address == t.Address {
+		return t.Answer(ctx, q), nil
+	}
+	if err := t.isSilent(address); err != nil {
+		return Reply{}, err
+	}
+	bounded, cancel := context.WithTimeout(ctx, within)
+	defer cancel()
+	reply, err := t.Routers.Ask(bounded, address, q)
+	if err != nil {
+		t.mu.Lock()
+		t.silent[address] = t.Clock.Now().Add(silentFor)
+		t.mu.Unlock()
+		t.Log.WithFields(logrus.Fields{"event": "limit_ask_failed", "server": q.Server, "address": address, "error": err}).Info("a router did not answer about a limit")
+	}
+	return reply, err
+}
+
+// SilentError reports a router that is not asked since it left a question without an answer.
+type SilentError struct {
+	Address string
+	For     time.Duration
+}
+
+// Error names the router.
+func (e *SilentError) Error() string {
+	return fmt.Sprintf("router at %s was silent and is not asked for %v", e.Address, e.For)
+}
+
+func (t *Throttler) isSilent(address string) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	until, ok := t.silent[address]
+	left := until.Sub(t.Clock.Now())
+	if ok && left > 0 {
+		return &SilentError{Address: address, For: left}
+	}
+	delete(t.silent, address)
+	return nil
+}
+
+// Answer answers another router's question, or this one's own.
+func (t *Throttler) Answer(ctx context.Context, q Question) Reply {
+	t.hear(q)
+	if q.Wanted <= 0 {
+		return Reply{Word: t.word(q.Server)}
+	}
+	ranked := t.Members.Ranked(string(q.Server), dividersMost)
+	first := len(ranked) > 0 && ranked[0] == t.Address
+	second := len(ranked) > 1 && ranked[1] == t.Address
+	switch {
+	case q.PassedOn:
+		return t.divide(q, 1)
+	case first && len(ranked) > 1 && t.Clock.Now().Sub(t.began) < passesOnFor:
+		onward := q
+		onward.PassedOn = true
+		if reply, err := t.putTo(ctx, ranked[1], passOnTimeout, onward); err == nil {
+			return reply
+		}
+		return t.divide(q, 1)
+	case first:
+		return t.divide(q, 1)
+	case second:
+		return t.divide(q, secondShare)
+	}
+	return Reply{Word: t.word(q.Server), Elsewhere: true}
+}
+
+// hear takes the word that a question brings.
+func (t *Throttler) hear(q Question) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.note(q.Server, q.Word, "router")
+}
+
+func (t *Throttler) word(server masticway.ServerLife) Word {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.limits.Word(t.Clock.Now(), server)
+}
+
+func (t *Throttler) divide(q Question, share float64) Reply {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.limits.Divide(t.Clock.Now(), q, share)
+	t.Metrics.Add(metricGranted, int64(r.Granted))
+	return r
+}
+
+// GiveBack returns an admission for which nothing was sent.
+func (t *Throttler) GiveBack(server masticway.ServerLife) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.limits.GiveBack(t.Clock.Now(), server)
+}
+
+// Wait returns how long a server takes no request from this router, and why.
+func (t *Throttler) Wait(server masticway.ServerLife) (wait time.Duration, reason string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if wait = t.limits.Wait(t.Clock.Now(), server); wait > 0 {
+		reason = fmt.Sprintf("%s takes %v requests a second", server, t.limits.Limit(server).Rate)
+	}
+	return wait, reason
+}
+
+// Book returns when a caller that is refused for a server's sake should come again.
+func (t *Throttler) Book(server masticway.ServerLife) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.limits.Book(t.Clock.Now(), server, t.Members.Members())
+}
+
+// Keep forgets the servers that are not among some.
+func (t *Throttler) Keep(known map[masticway.ServerLife]bool) {
+	if t.named.Load() == 0 {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.limits.Keep(known)
+	t.named.Store(int64(t.limits.Named()))
+	t.Metrics.Gauge(metricLimited, t.named.Load())
+}
--- a/treasurer/treasurer.go
+++ b/treasurer/treasurer.go
@@ -160,10 +160,7 @@
 	if len(zone) == 0 {
 		return nil, false
 	}
-	self := Peer{Witness: Witness{Incarnation: t.self, Address: t.address}, Zone: t.zone, Processors: t.processors}
-	zone = append(zone, self)
-	slices.SortFunc(zone, func(x, y Peer) int { return cmp.Compare(y.weight(of), x.weight(of)) })
-	for _, p := range zone[:min(most, len(zone))] {
+	for _, p := range t.rank(of, zone, most) {
 		if p.Incarnation == t.self {
 			return nil, true
 		}
@@ -172,6 +169,29 @@
 	return addresses, false
 }
 
+// Ranked names the addresses of the routers that something falls to, this one's among them, first by rendezvous hash and processors
+// to last. There are none before the routers are counted.
+func (t *Treasurer) Ranked(of string, most int) (addresses []string) {
+	t.mu.Lock()
+	counted, peers := t.members > 0, slices.Clone(t.peers)
+	t.mu.Unlock()
+	if !counted {
+		return nil
+	}
+	for _, p := range t.rank(of, peers, most) {
+		addresses = append(addresses, p.Address)
+	}
+	return addresses
+}
+
+// rank returns the first of some peers and this router.
+func (t *Treasurer) rank(of string, peers []Peer, most int) []Peer {
+	self := Peer{Witness: Witness{Incarnation: t.self, Address: t.address}, Zone: t.zone, Processors: t.processors}
+	all := append(peers, self)
+	slices.SortFunc(all, func(x, y Peer) int { return cmp.Compare(y.weight(of), x.weight(of)) })
+	return all[:min(most, len(all))]
+}
+
 // Owns tells whether this router is the one of all to which a key falls, by rendezvous hash; nobody is before the routers
 // were counted.
 func (t *Treasurer) Owns(key string) bool {
