Have the soak's servers name limits, and check what they get

server_limits is a kind of fault that is drawn only where it is named, so that the seeds that failed once draw what they did. A server names up to four requests a second for four to eight seconds; runs at it are held against the users' rule, of routers in touch that it had told half a second before.

--- a/soaker/checks.go
+++ b/soaker/checks.go
@@ -33,6 +33,7 @@
 	promiseDrained   = "drained"   // a server that leaves gets nothing new after a while
 	promiseRecovered = "recovered" // requests are served again after all faults
 	promiseSpared    = "spared"    // a request that crashes servers is kept from them in time, and no other is
+	promiseLimited   = "limited"   // a server that names a limit gets no more than it allows, from all routers
 	promiseAlive     = "alive"     // a router's process ends only when it is made to
 )
 
@@ -142,6 +143,7 @@
 		s.judgeEnd(q, runs[id])
 	}
 	s.judgeDeadly()
+	s.judgeLimits()
 }
 
 // judgeRun checks one run by itself.
--- a/soaker/faults.go
+++ b/soaker/faults.go
@@ -60,6 +60,7 @@
 	"server_drains":     {4, 0, (*run).drain},
 	"server_crashes":    {3, 0, (*run).crash},
 	"deadly_request":    {0, deadlyMost, (*run).deadlyRequest},
+	"server_limits":     {0, limitedMost / 2, (*run).limitServer},
 	"server_fails":      {5, 0, (*run).failServer},
 	"configure":         {5, 0, func(s *run, _ event) { s.configure(0, 0) }},
 	"grow":              {4, 0, func(s *run, e event) { s.configure(e.part(routesMost), 0) }},
--- a/soaker/soak.go
+++ b/soaker/soak.go
@@ -63,6 +63,7 @@
 	servers    []*emulator.OpaqueServer // the present lives of all servers
 	lives      int                      // the number of all lives
 	leftAt     map[string]time.Time     // when the store accepted that a life ends
+	limited    []limitSpan              // the times in which servers named limits
 	versions   []version
 	prepaid    map[string]int64
 	delivered  map[string]int64
--- a/soaker/soaker_test.go
+++ b/soaker/soaker_test.go
@@ -123,6 +123,12 @@
 	keepPromises(t, soaker.Soak{Seed: 1, Duration: 8 * time.Second, Routers: 3, Kinds: []string{"deadly_request", "kill", "store_busy", "store_cut", "history_forgotten"}})
 }
 
+// TestLimitsOfServersHoldUnderFaults has servers name limits while routers die and are cut off.
+func TestLimitsOfServersHoldUnderFaults(t *testing.T) {
+	t.Parallel()
+	keepPromises(t, soaker.Soak{Seed: 3, Duration: 9 * time.Second, Routers: 3, Kinds: []string{"server_limits", "kill", "term", "store_cut", "server_fails"}})
+}
+
 // brokenLimit bounds a soak of a broken program: its start, five seconds, and what is checked after all faults.
 const brokenLimit = 40 * time.Second
 
@@ -163,6 +169,10 @@
 			"examiner/register.go", "return weight >= weightToProve", "return weight < 0",
 			[]string{"deadly_request"}, "spared",
 		},
+		"does not hear of limits": {
+			"platform/dialect.go", "a.Limit, a.LimitUnreadable = limit, !readable", "a.LimitUnreadable = limit.Named || !readable",
+			[]string{"server_limits"}, "limited",
+		},
 		"passes a broken stream off as complete": {
 			"forwarder/relay.go", "if errors.Is(err, io.EOF) && len(bytes.TrimSpace(pending)) == 0 && x.begun {", "if errors.Is(err, io.ErrUnexpectedEOF) && x.begun || errors.Is(err, io.EOF) && len(bytes.TrimSpace(pending)) == 0 && x.begun {",
 			[]string{"server_crashes"}, "whole",
