Bring about that routers go on with a server whose answers say that it leaves

The other test has the word hold until the server's next life, also when its row is written again or lapses between. The emulator's servers say that they leave.

--- a/emulator/opaque.go
+++ b/emulator/opaque.go
@@ -104,8 +104,9 @@
 	// deadly is what bodies contain that crash the server, crashed is called as it ends.
 	deadly  string
 	crashed func(s *OpaqueServer)
-	// said is what all answers tell of the server itself, as header lines.
-	said string
+	// limit is the limit that all answers name, leaving that they tell that the server leaves.
+	limit   string
+	leaving bool
 	// arrivals are when requests arrived, those that were turned away too.
 	arrivals []time.Time
 }
@@ -182,10 +183,19 @@
 func (s *OpaqueServer) Limit(perSecond string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.said = ""
-	if perSecond != "" {
-		s.said = "Server-Limit: " + perSecond + "\r\n"
-	}
+	s.limit = perSecond
+}
+
+// Leave makes all answers tell that the server leaves, until it stays after all, as one that has started again does.
+func (s *OpaqueServer) Leave() { s.setLeaving(true) }
+
+// Stay ends that.
+func (s *OpaqueServer) Stay() { s.setLeaving(false) }
+
+func (s *OpaqueServer) setLeaving(leaving bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = leaving
 }
 
 // Arrivals returns when requests arrived, those that were turned away too.
@@ -199,7 +209,14 @@
 func (s *OpaqueServer) says() string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.said
+	lines := ""
+	if s.limit != "" {
+		lines += "Server-Limit: " + s.limit + "\r\n"
+	}
+	if s.leaving {
+		lines += "Server-Leaving: 1\r\n"
+	}
+	return lines
 }
 
 // Close ends the server and its connections.
--- /dev/null
+++ b/starter/leaving_test.go
@@ -0,0 +1,103 @@
+package starter_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/masticway/masticway"
+	"github.com/masticway/masticway/emulator"
+	"github.com/masticway/masticway/starter"
+)
+
+// leftWithin is the users' bound on requests to a server after it has said that it leaves.
+const leftWithin = 2 * time.Second
+
+// twoEngines has a second server beside the engine, and some routers.
+func twoEngines(t *testing.T, routers int) (u *users, other *emulator.OpaqueServer, all []*starter.GatewayDaemon) {
+	u = newUsers(t, 1<<40)
+	other = u.addServer("i-other", "llm", "z")
+	for i := range routers {
+		all = append(all, u.gateway(fmt.Sprintf("edge-%d", i+1)))
+		t.Cleanup(all[i].Kill)
+	}
+	return u, other, all
+}
+
+// arrivedAfter counts the requests that a server got later than a time.
+func arrivedAfter(s *emulator.OpaqueServer, at time.Time) (n int) {
+	for _, arrived := range s.Arrivals() {
+		if arrived.After(at) {
+			n++
+		}
+	}
+	return n
+}
+
+// TestServerThatLeavesIsLeftByItsAnswers: while the store is away, routers go on with a server that has said in its answers that it
+// leaves, until the store has its word.
+func TestServerThatLeavesIsLeftByItsAnswers(t *testing.T) {
+	cases := map[string]struct {
+		fault emulator.OpaqueFault
+		away  bool
+	}{
+		"a good answer, the store is away":         {away: true},
+		"a request turned away, the store is away": {away: true, fault: emulator.OpaqueFull},
+		"a failure, the store is away":             {away: true, fault: emulator.OpaqueError},
+		"the store has not heard of it yet":        {},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			u, other, all := twoEngines(t, 2)
+			if tc.away {
+				u.rows.SetFaults(emulator.RowFaults{Silent: true})
+			}
+			u.engine.Leave()
+			u.engine.Fail(tc.fault, tc.fault)
+			began := time.Now()
+			for _, d := range all {
+				u.askSteadily(d, "/essay/x", "", 20*time.Millisecond, time.Now().Add(time.Second))
+			}
+			told := time.Now()
+			for _, d := range all {
+				u.askSteadily(d, "/essay/x", "", 20*time.Millisecond, time.Now().Add(2*time.Second))
+			}
+			qt.Assert(t, arrivedAfter(u.engine, began) > 0, qt.IsTrue, qt.Commentf("the server has told nobody"))
+			qt.Check(t, arrivedAfter(u.engine, told.Add(leftWithin)), qt.Equals, 0)
+			qt.Check(t, arrivedAfter(u.engine, told), qt.Equals, 0, qt.Commentf("routers that were told"))
+			qt.Check(t, arrivedAfter(other, told) > 0, qt.IsTrue)
+		})
+	}
+}
+
+// TestServerThatLeftIsUsedAgainOnceItHasStarted: the word of leaving outlives the life that it was said of, or is forgotten in the
+// same one when its row is written or lapses.
+func TestServerThatLeftIsUsedAgainOnceItHasStarted(t *testing.T) {
+	u, _, all := twoEngines(t, 1)
+	register := func(born string) {
+		u.rows.Put(masticway.RowKey{Table: "servers", Key: u.engine.ID}, fmt.Appendf(nil,
+			`{"service":"llm","address":%q,"zone":"z","slots":4,"state":"ready","born":%s}`, u.engine.Address(), born))
+		time.Sleep(time.Second)
+	}
+	serves := func() bool {
+		before := len(u.engine.Arrivals())
+		u.askSteadily(all[0], "/essay/x", "", 20*time.Millisecond, time.Now().Add(time.Second))
+		return len(u.engine.Arrivals()) > before
+	}
+	register("1000")
+	u.engine.Leave()
+	qt.Assert(t, serves(), qt.IsTrue, qt.Commentf("the server has told nobody"))
+	qt.Check(t, serves(), qt.IsFalse)
+	register("1000")
+	qt.Check(t, serves(), qt.IsFalse, qt.Commentf("its row was written again"))
+	u.engine.Deregister(u.rows)
+	time.Sleep(time.Second)
+	register("1000")
+	qt.Check(t, serves(), qt.IsFalse, qt.Commentf("its row had lapsed"))
+	u.engine.Stay()
+	register("2000")
+	qt.Check(t, serves(), qt.IsTrue, qt.Commentf("it has started again"))
+}
--- a/starter/limits_test.go
+++ b/starter/limits_test.go
@@ -45,12 +45,12 @@
 }
 
 // ask sends requests to a router, one every pause, until a time, and returns the answers.
-func (u *users) askSteadily(d *starter.GatewayDaemon, path string, pause time.Duration, until time.Time) (all []answer) {
+func (u *users) askSteadily(d *starter.GatewayDaemon, path, tokens string, pause time.Duration, until time.Time) (all []answer) {
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	for i := 0; time.Now().Before(until); i++ {
 		wg.Go(func() {
-			got := u.send(d, fmt.Sprintf("%p-%d", d, i), path, "10,10", "body")
+			got := u.send(d, fmt.Sprintf("%p-%d", d, i), path, tokens, "body")
 			mu.Lock()
 			defer mu.Unlock()
 			all = append(all, got)
@@ -89,7 +89,7 @@
 			var wg sync.WaitGroup
 			answers := make([][]answer, len(all))
 			for i, d := range all {
-				wg.Go(func() { answers[i] = u.askSteadily(d, "/draft/x", 200*time.Millisecond, until) })
+				wg.Go(func() { answers[i] = u.askSteadily(d, "/draft/x", "10,10", 200*time.Millisecond, until) })
 			}
 			wg.Wait()
 			arrivals := u.engine.Arrivals()
