--- a/emulator/opaque.go
+++ b/emulator/opaque.go
@@ -107,6 +107,8 @@
 	// limit is the limit that all answers name, leaving that they tell that the server leaves.
 	limit   string
 	leaving bool
+	// rest is what a request that is turned away is told as the time to rest, in seconds.
+	rest string
 	// arrivals are when requests arrived, those that were turned away too.
 	arrivals []time.Time
 }
@@ -186,6 +188,23 @@
 	s.limit = perSecond
 }
 
+// Rest makes the answers that turn requests away ask for a time of rest, in seconds as text; an empty text ends it.
+func (s *OpaqueServer) Rest(seconds string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rest = seconds
+}
+
+// asksForRest returns that as a header line.
+func (s *OpaqueServer) asksForRest() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.rest == "" {
+		return ""
+	}
+	return "Retry-After: " + s.rest + "\r\n"
+}
+
 // Leave makes all answers tell that the server leaves, until it stays after all, as one that has started again does.
 func (s *OpaqueServer) Leave() { s.setLeaving(true) }
 
@@ -282,7 +301,7 @@
 	id := r.Header.Get("X-Attempt-Id")
 	switch {
 	case fault == OpaqueFull:
-		return s.write(c, "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n"+s.says()+"Content-Length: 0\r\n\r\n")
+		return s.write(c, "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n"+s.says()+s.asksForRest()+"Content-Length: 0\r\n\r\n")
 	case fault == OpaqueOther || r.Header.Get("X-Expect-Instance") != s.ID:
 		return s.write(c, "HTTP/1.1 421 Misdirected Request\r\nX-Instance-Id: "+s.ID+"\r\nContent-Length: 0\r\n\r\n")
 	}
