Leave a server once its answers say that it leaves

Callers' requests reached a leaving server 2.09 and 2.43 s after routers had passed on its word (2 s are allowed), while the store was away. Cause: leaving was read from the servers' table alone, and no answer was read for it. Evidence: routers that were told go on with half of all requests, with the store away and also while it is in touch and has not heard, after answers of any status. Ruled out: that the word is heard and lost; the routers' logs have no change of belief between.

The head of every answer is read for it, and the registration is draining from then on, which is the one state that all of the router goes by: choice, second attempts, idle connections, and who is accused when a server ends. The word is remembered by life beside the registrations, so that neither a row that is written again nor one that lapses and comes back takes it away; the next life of the id does.

--- a/deployment.go
+++ b/deployment.go
@@ -222,4 +222,6 @@
 	// Limit is the server's present limit, which may be none; LimitUnreadable tells that what it says of it is no rate.
 	Limit           RequestLimit
 	LimitUnreadable bool
+	// Leaving tells that the server takes no new work in this life.
+	Leaving bool
 }
--- a/follower/beliefs.go
+++ b/follower/beliefs.go
@@ -70,13 +70,15 @@
 	// evacuated are the versions of the operator's orders in force, by zone, and takenBack the orders that ended.
 	evacuated map[string]int64
 	takenBack map[string]zoneReturn
+	// left are the lives that said themselves that they leave, by id.
+	left map[string]departure
 }
 
 // NewRegister returns a register that believes nothing yet.
 func NewRegister(d masticway.DeploymentDecoder) *Register {
 	return &Register{
 		decoder: d, entries: map[string]entry{}, gone: map[string]int64{}, unreadable: map[string]int64{},
-		evacuated: map[string]int64{}, takenBack: map[string]zoneReturn{},
+		evacuated: map[string]int64{}, takenBack: map[string]zoneReturn{}, left: map[string]departure{},
 	}
 }
 
@@ -177,6 +179,9 @@
 		// A server that is leaving never comes back in the same life.
 		s.State = masticway.ServerDraining
 	}
+	if r.hasLeft(s) {
+		s.State = masticway.ServerDraining
+	}
 	e := entry{server: s, version: row.Version}
 	if s.ColdFor > 0 {
 		// It was written before it arrived here, so the server is warm by then.
@@ -209,6 +214,7 @@
 	if now.Sub(r.returned) < returnGrace {
 		return false
 	}
+	r.forgetDepartures(now)
 	for id, e := range r.entries {
 		if !e.lapsedAt.IsZero() {
 			delete(r.entries, id)
--- /dev/null
+++ b/follower/departures.go
@@ -0,0 +1,64 @@
+package follower
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/masticway/masticway"
+)
+
+// departureKept is how long it is remembered that a server has left that has no row any more, which may come back late.
+const departureKept = time.Hour
+
+// departure is a server's own word that one of its lives takes no new work.
+type departure struct {
+	life masticway.ServerLife
+	at   time.Time
+}
+
+// Leaves takes a server's own word that its present life leaves; false if that was known, or the life is not.
+func (r *Register) Leaves(now time.Time, id string, life masticway.ServerLife) bool {
+	e, ok := r.entries[id]
+	if !ok || e.server.Life() != life || e.server.State == masticway.ServerDraining {
+		return false
+	}
+	e.server.State = masticway.ServerDraining
+	r.entries[id] = e
+	r.left[id] = departure{life: life, at: now}
+	return true
+}
+
+// hasLeft tells that a registered life has said that it leaves. The next life of the id takes new work.
+func (r *Register) hasLeft(s masticway.Server) bool {
+	d, ok := r.left[s.ID]
+	if ok && d.life != s.Life() {
+		delete(r.left, s.ID)
+		return false
+	}
+	return ok
+}
+
+// forgetDepartures forgets servers that left long ago.
+func (r *Register) forgetDepartures(now time.Time) {
+	for id, d := range r.left {
+		if _, registered := r.entries[id]; !registered && now.Sub(d.at) > departureKept {
+			delete(r.left, id)
+		}
+	}
+}
+
+// Leaves takes a server's own word, in an answer, that its present life takes no new work. It holds also while the store is away or has
+// not heard of it, and whatever the store says of that life later.
+func (f *Follower) Leaves(s masticway.Server) {
+	f.update(func(now time.Time) bool {
+		if !f.register.Leaves(now, s.ID, s.Life()) {
+			return false
+		}
+		f.log.WithFields(logrus.Fields{
+			"event": "server_leaves", "server": s.ID, "pool": s.Pool, "source": "answer", "store_heard_ms": now.Sub(f.register.reached).Milliseconds(),
+		}).Info("a server says that it leaves")
+		f.noteServers()
+		return true
+	})
+}
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -132,7 +132,11 @@
 		// A server that is not the one meant speaks of itself.
 		return
 	}
-	a.x.f.throttler.Heard(a.server.Life(), a.x.f.dialect.Answer(answer.Status, answer.Header))
+	head := a.x.f.dialect.Answer(answer.Status, answer.Header)
+	a.x.f.throttler.Heard(a.server.Life(), head)
+	if head.Leaving && a.staying() {
+		a.x.f.leaves(a.server)
+	}
 }
 
 // firstWait is how long the first bytes of an answer are waited for before another server is asked; zero is for ever.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -52,6 +52,8 @@
 	rotation masticway.Rotation
 	// throttler keeps to what servers say of the requests that they take.
 	throttler masticway.Throttler
+	// leaves is told of servers that say that they leave.
+	leaves func(masticway.Server)
 	// abandoned are the runs whose servers no connection tells of any more.
 	abandoned abandonedRuns
 
@@ -78,6 +80,8 @@
 	Rotation masticway.Rotation
 	// Throttler keeps to what servers say of the requests that they take.
 	Throttler masticway.Throttler
+	// Leaves is told of servers that say themselves that they leave.
+	Leaves func(masticway.Server)
 	// Dial makes connections to servers.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
@@ -86,7 +90,7 @@
 func New(s Settings, p Parts) *Forwarder {
 	f := &Forwarder{
 		settings: s, clock: p.Clock, log: p.Log, metrics: p.Metrics, dialect: p.Dialect, bank: p.Bank, beliefs: p.Beliefs,
-		examiner: p.Examiner, rotation: p.Rotation, throttler: p.Throttler,
+		examiner: p.Examiner, rotation: p.Rotation, throttler: p.Throttler, leaves: p.Leaves,
 		checks: &checks{dial: p.Dial, clock: p.Clock, log: p.Log, known: map[masticway.ServerLife]*check{}},
 		sender: sender.New(p.Dial, p.Clock.Now), servers: chooser.NewServers(s.placement()), allowances: map[string]*retrier.Allowance{},
 	}
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -292,7 +292,7 @@
 		Members: f.bank, Peers: func() []string { return nil }, Clock: f.clock, Log: log.WithField("", ""), Metrics: measurer.New(), Address: alone,
 	})
 	f.router = forwarder.New(settings, forwarder.Parts{
-		Examiner: calm{}, Rotation: &f.rotation, Throttler: f.throttler, Clock: f.clock, Log: log.WithField("", ""), Metrics: measurer.New(), Dialect: platform.Dialect{},
+		Examiner: calm{}, Rotation: &f.rotation, Throttler: f.throttler, Leaves: func(masticway.Server) {}, Clock: f.clock, Log: log.WithField("", ""), Metrics: measurer.New(), Dialect: platform.Dialect{},
 		Bank: f.bank, Beliefs: func() follower.Beliefs { return f.beliefs }, Dial: (&net.Dialer{}).DialContext,
 	})
 	f.front = httptest.NewServer(f.router)
--- a/starter/gateway.go
+++ b/starter/gateway.go
@@ -155,7 +155,7 @@
 	dialer := &net.Dialer{KeepAlive: -1}
 	d.forwarder = forwarder.New(s, forwarder.Parts{
 		Clock: clock, Log: entry, Metrics: metrics, Dialect: dialect, Bank: d.bank, Beliefs: d.follower.Beliefs, Examiner: d.examiner,
-		Rotation: d.rotator, Throttler: d.throttler, Dial: d.rotator.Dial(dialer.DialContext),
+		Rotation: d.rotator, Throttler: d.throttler, Leaves: d.follower.Leaves, Dial: d.rotator.Dial(dialer.DialContext),
 	})
 	d.callers = newCallers(d.pausable)
 	d.caller = &http.Server{
