Have the soak's servers leave by their answers and ask for rest

Checked: no router sends to a server later than 2 s after it has passed on such an answer, in touch with its store or not; no more than two requests of a router reach a server in the rest that it has asked that router for. The emulator notes each arrival with its id and the rest that it was asked for.

--- a/emulator/opaque.go
+++ b/emulator/opaque.go
@@ -86,6 +86,14 @@
 	l.runs[i].Left = true
 }
 
+// OpaqueArrival is a request that has reached a server, which may have turned it away.
+type OpaqueArrival struct {
+	ID string
+	At time.Time
+	// Rest is the time of rest that the server asked for when it turned the request away, in seconds as text.
+	Rest string
+}
+
 // OpaqueServer speaks the protocol of the users' servers, with every fault that they show.
 type OpaqueServer struct {
 	ID     string
@@ -108,9 +116,8 @@
 	limit   string
 	leaving bool
 	// rest is what a request that is turned away is told as the time to rest, in seconds.
-	rest string
-	// arrivals are when requests arrived, those that were turned away too.
-	arrivals []time.Time
+	rest     string
+	arrivals []OpaqueArrival
 }
 
 // StartOpaqueServer starts a server on a loopback port.
@@ -195,14 +202,15 @@
 	s.rest = seconds
 }
 
-// asksForRest returns that as a header line.
-func (s *OpaqueServer) asksForRest() string {
+// turnAway returns the head of an answer to a request that is not run.
+func (s *OpaqueServer) turnAway() string {
+	head := "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n" + s.says()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.rest == "" {
-		return ""
+	if s.rest != "" {
+		head += "Retry-After: " + s.rest + "\r\n"
 	}
-	return "Retry-After: " + s.rest + "\r\n"
+	return head
 }
 
 // Leave makes all answers tell that the server leaves, until it stays after all, as one that has started again does.
@@ -217,11 +225,11 @@
 	s.leaving = leaving
 }
 
-// Arrivals returns when requests arrived, those that were turned away too.
-func (s *OpaqueServer) Arrivals() []time.Time {
+// Arrivals returns the requests that have reached the server, in order.
+func (s *OpaqueServer) Arrivals() []OpaqueArrival {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return append([]time.Time(nil), s.arrivals...)
+	return append([]OpaqueArrival(nil), s.arrivals...)
 }
 
 // says returns what an answer tells of the server itself, as header lines.
@@ -281,10 +289,9 @@
 	}
 }
 
-func (s *OpaqueServer) next(body string) (fault OpaqueFault, events int, pause time.Duration) {
+func (s *OpaqueServer) next(id, body string) (fault OpaqueFault, events int, pause time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.arrivals = append(s.arrivals, time.Now())
 	switch {
 	case s.deadly != "" && strings.Contains(body, s.deadly):
 		fault = OpaqueCrash
@@ -292,16 +299,21 @@
 		fault = s.faults[0]
 		s.faults = s.faults[1:]
 	}
+	arrival := OpaqueArrival{ID: id, At: time.Now()}
+	if fault == OpaqueFull {
+		arrival.Rest = s.rest
+	}
+	s.arrivals = append(s.arrivals, arrival)
 	return fault, s.events, s.pause
 }
 
 // answer serves one request and tells whether the connection goes on.
 func (s *OpaqueServer) answer(c net.Conn, r *http.Request, body string) bool {
-	fault, events, pause := s.next(body)
 	id := r.Header.Get("X-Attempt-Id")
+	fault, events, pause := s.next(id, body)
 	switch {
 	case fault == OpaqueFull:
-		return s.write(c, "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n"+s.says()+s.asksForRest()+"Content-Length: 0\r\n\r\n")
+		return s.write(c, s.turnAway()+"Content-Length: 0\r\n\r\n")
 	case fault == OpaqueOther || r.Header.Get("X-Expect-Instance") != s.ID:
 		return s.write(c, "HTTP/1.1 421 Misdirected Request\r\nX-Instance-Id: "+s.ID+"\r\nContent-Length: 0\r\n\r\n")
 	}
--- a/soaker/checks.go
+++ b/soaker/checks.go
@@ -34,6 +34,7 @@
 	promiseRecovered = "recovered" // requests are served again after all faults
 	promiseSpared    = "spared"    // a request that crashes servers is kept from them in time, and no other is
 	promiseLimited   = "limited"   // a server that names a limit gets no more than it allows, from all routers
+	promiseRested    = "rested"    // a server that asks a router for rest gets nothing from it meanwhile
 	promiseAlive     = "alive"     // a router's process ends only when it is made to
 )
 
@@ -144,6 +145,9 @@
 	}
 	s.judgeDeadly()
 	s.judgeLimits()
+	for _, server := range s.all {
+		s.judgeRest(server)
+	}
 }
 
 // judgeRun checks one run by itself.
@@ -151,6 +155,7 @@
 	if r.Path != q.path || r.Body != q.body || r.Workspace != q.workspace || r.Key || r.TimeLeft > q.limit+busySlack || poolOf(r.Server) != q.pool {
 		s.violate(promiseUnchanged, "%s ran %s for %q with %s left, %d bytes, key %t: %s", r.Server, r.Path, r.Workspace, r.TimeLeft, len(r.Body), r.Key, q)
 	}
+	s.judgeSaid(r, q)
 	// An acceptance binds routers that are in touch from then on.
 	left := s.leftAt[r.Server]
 	if !left.IsZero() && r.At.Sub(left) > drainBound+busySlack && s.calm(left.Add(-stable), r.At, inTouch(q.router)...) {
--- a/soaker/deployment.go
+++ b/soaker/deployment.go
@@ -91,6 +91,7 @@
 	server.Echo(s.work)
 	server.CrashOn(deadlyMark, s.crashedBy(slot))
 	s.servers[slot] = server
+	s.all = append(s.all, server)
 	s.register(server, false)
 }
 
--- a/soaker/soak.go
+++ b/soaker/soak.go
@@ -63,6 +63,8 @@
 	servers    []*emulator.OpaqueServer // the present lives of all servers
 	lives      int                      // the number of all lives
 	leftAt     map[string]time.Time     // when the store accepted that a life ends
+	saidAt     map[string]time.Time     // when a life began to say in its answers that it ends
+	all        []*emulator.OpaqueServer // all lives of servers
 	limited    []limitSpan              // the times in which servers named limits
 	versions   []version
 	prepaid    map[string]int64
@@ -89,7 +91,7 @@
 	s := &run{
 		Soak: o, random: random, log: log, rows: rows, store: &http.Server{Handler: rows.Handler()}, ledger: &emulator.OpaqueLedger{},
 		events: 2 + random.IntN(eventsMost-1), pause: below(random, pauseMost), work: below(random, workMost), grace: graceLeast + time.Duration(random.IntN(2))*graceMore,
-		servers: make([]*emulator.OpaqueServer, len(pools)), leftAt: map[string]time.Time{}, delivered: map[string]int64{},
+		servers: make([]*emulator.OpaqueServer, len(pools)), leftAt: map[string]time.Time{}, saidAt: map[string]time.Time{}, delivered: map[string]int64{},
 		prepaid: map[string]int64{"thin": 4_000, "middle": 40_000, "wide": 50_000_000}, requests: map[string]*request{}, routers: map[string]int{}, spans: map[string][]span{}, held: map[int][]heldUp{},
 	}
 	defer s.close()
