Have only a server's own answers end its limit, and rank routers at less cost

Found in the reading. An answer that a faulty server garbles names no limit and ended it for all routers, until the next good one: without the check, 10 of 10 requests go through at once after one without a signature; none with it. A limit is heard of any answer, its end only of one that is signed or turns the request away. Ranking 300 routers for a question worked out each weight anew in every comparison, some 5,000 hashes; now 300. Routers that were silent once are forgotten when beliefs change.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -133,7 +133,10 @@
 		return
 	}
 	head := a.x.f.dialect.Answer(answer.Status, answer.Header)
-	a.x.f.throttler.Heard(a.server.Life(), head)
+	if head.Signed || head.NotRun || head.Limit.Named {
+		// What a faulty server sends does not end a limit.
+		a.x.f.throttler.Heard(a.server.Life(), head)
+	}
 	if head.Leaving && a.staying() {
 		a.x.f.leaves(a.server)
 	}
--- a/forwarder/limits_test.go
+++ b/forwarder/limits_test.go
@@ -48,6 +48,21 @@
 	qt.Assert(t, f.ask(t.Context(), "POST", "/never/x").status, qt.Equals, 200)
 }
 
+// TestFaultyAnswerEndsNoLimit: an answer that is not the server's lifts a limit for all routers.
+func TestFaultyAnswerEndsNoLimit(t *testing.T) {
+	f := newFleet(t, 1)
+	f.servers[0].Limit("4")
+	f.ask(t.Context(), "POST", "/never/x")
+	time.Sleep(300 * time.Millisecond)
+	f.servers[0].Limit("")
+	f.servers[0].Fail(emulator.OpaqueForged)
+	qt.Assert(t, f.ask(t.Context(), "POST", "/never/x").status, qt.Equals, 502)
+	for range 10 {
+		f.ask(t.Context(), "POST", "/never/x")
+	}
+	qt.Assert(t, f.servers[0].Arrivals(), qt.HasLen, 2)
+}
+
 // TestRequestsGoToServersWithoutLimits: callers are refused because several servers are at their limits while others have none.
 func TestRequestsGoToServersWithoutLimits(t *testing.T) {
 	f := newFleet(t, 8)
--- a/throttler/throttler.go
+++ b/throttler/throttler.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -373,6 +374,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.limits.Keep(known)
-	t.rests.Keep(t.Clock.Now(), known)
+	now := t.Clock.Now()
+	t.rests.Keep(now, known)
+	maps.DeleteFunc(t.silent, func(_ string, until time.Time) bool { return !now.Before(until) })
 	t.count()
 }
--- a/treasurer/treasurer.go
+++ b/treasurer/treasurer.go
@@ -187,8 +187,12 @@
 // rank returns the first of some peers and this router.
 func (t *Treasurer) rank(of string, peers []Peer, most int) []Peer {
 	self := Peer{Witness: Witness{Incarnation: t.self, Address: t.address}, Zone: t.zone, Processors: t.processors}
+	weights := map[masticway.Incarnation]float64{}
 	all := append(peers, self)
-	slices.SortFunc(all, func(x, y Peer) int { return cmp.Compare(y.weight(of), x.weight(of)) })
+	for _, p := range all {
+		weights[p.Incarnation] = p.weight(of)
+	}
+	slices.SortFunc(all, func(x, y Peer) int { return cmp.Compare(weights[y.Incarnation], weights[x.Incarnation]) })
 	return all[:min(most, len(all))]
 }
 
