Remember that a server leaves also while it has no row

Found in the reading: a server whose row had lapsed when it said in an answer that it leaves was used again once the row was back, as the word was kept only with a registration. It is kept by life now, and not for a life that is over.

--- a/follower/departures.go
+++ b/follower/departures.go
@@ -17,15 +17,19 @@
 	at   time.Time
 }
 
-// Leaves takes a server's own word that its present life leaves; false if that was known, or the life is not.
+// Leaves takes a server's own word that one of its lives leaves, and tells whether that takes it out of use now. A life without a row may have
+// lapsed only, and is not used either when its row is back; one that is not the registered one is over.
 func (r *Register) Leaves(now time.Time, id string, life masticway.ServerLife) bool {
-	e, ok := r.entries[id]
-	if !ok || e.server.Life() != life || e.server.State == masticway.ServerDraining {
+	e, registered := r.entries[id]
+	if registered && e.server.Life() != life {
+		return false
+	}
+	r.left[id] = departure{life: life, at: now}
+	if !registered || e.server.State == masticway.ServerDraining {
 		return false
 	}
 	e.server.State = masticway.ServerDraining
 	r.entries[id] = e
-	r.left[id] = departure{life: life, at: now}
 	return true
 }
 
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -137,7 +137,7 @@
 		// What a faulty server sends does not end a limit.
 		a.x.f.throttler.Heard(a.server.Life(), head)
 	}
-	if head.Leaving && a.staying() {
+	if head.Leaving {
 		a.x.f.leaves(a.server)
 	}
 }
--- a/forwarder/suspects.go
+++ b/forwarder/suspects.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -196,12 +195,13 @@
 	if !a.firstAt.IsZero() && x.f.clock.Now().Sub(a.firstAt) >= innocentAfter {
 		return false
 	}
-	return a.staying()
-}
-
-// staying tells that the server is believed to take new work.
-func (a *attempt) staying() bool {
-	return slices.ContainsFunc(a.x.f.beliefs().Servers[a.server.Pool], func(s masticway.Server) bool { return s.Life() == a.server.Life() })
+	for _, s := range x.f.beliefs().Servers[a.server.Pool] {
+		if s.Life() == a.server.Life() {
+			return true
+		}
+	}
+	// It was leaving.
+	return false
 }
 
 // atServer is the attempt as far as its server's end may be the request's fault.
