Do not let what routers repeat of a limit grow younger, and name its parts by the field's terms

An observation that another router repeats no longer renews one with the same content; what the router hears from the server itself does. The rest is names: owner and backup of a limit, observation, available servers.

--- a/forwarder/candidates.go
+++ b/forwarder/candidates.go
@@ -38,7 +38,7 @@
 
 // place chooses one of some servers that may get a request more by what it says itself; there may be none.
 func (x *exchange) place(ctx context.Context, servers []masticway.Server) (masticway.Server, bool) {
-	servers = x.f.throttler.Open(servers)
+	servers = x.f.throttler.Available(servers)
 	for range admissionsMost {
 		s, ok := x.pick(servers)
 		if !ok || x.f.throttler.Admit(ctx, s.Life()) {
@@ -104,6 +104,6 @@
 	if least.Resting {
 		out.code = codeServersResting
 	}
-	out.after = x.f.throttler.Book(soonest.Life())
+	out.after = x.f.throttler.RetryAfter(soonest.Life())
 	return out, true
 }
--- a/throttle.go
+++ b/throttle.go
@@ -18,8 +18,8 @@
 type Throttler interface {
 	// Heard notes what the head of a server's answer says of the server.
 	Heard(server ServerLife, answer ServerAnswer)
-	// Open returns the servers that may get a request now as far as this router knows.
-	Open(servers []Server) []Server
+	// Available returns the servers that may get a request now as far as this router knows.
+	Available(servers []Server) []Server
 	// Unlimited returns the servers that name no limit.
 	Unlimited(servers []Server) []Server
 	// Admit tells whether a server may get one more request from this router now; it may ask other routers.
@@ -28,7 +28,7 @@
 	GiveBack(server ServerLife)
 	// Holding returns why and for how long a server takes no request from this router; false when it may get one.
 	Holding(server ServerLife) (Holding, bool)
-	// Book returns when a caller that is refused for a server's sake should come again: callers that are refused one after the
+	// RetryAfter returns when a caller that is refused for a server's sake should come again: callers that are refused one after the
 	// other come as far apart as the server takes them.
-	Book(server ServerLife) time.Duration
+	RetryAfter(server ServerLife) time.Duration
 }
--- a/throttler/limits.go
+++ b/throttler/limits.go
@@ -10,7 +10,7 @@
 const (
 	// permitLife is how long a permit may be used.
 	permitLife = 400 * time.Millisecond
-	// bucketDepth is how long the divider saves up what nobody asks for, bucketLeast how many permits at least.
+	// bucketDepth is how long the owner saves up what nobody asks for, bucketLeast how many permits at least.
 	bucketDepth = 250 * time.Millisecond
 	bucketLeast = 2
 	// rateLeast is what a server gets that names less, in requests a second: its answers tell of the limit's end.
@@ -25,33 +25,33 @@
 	bookedMost = 10 * time.Second
 )
 
-// Word is the newest that is known of a server's limit.
-type Word struct {
+// Observation is what a server was last heard to say of its limit.
+type Observation struct {
 	Limit masticway.RequestLimit `cbor:"1,keyasint"`
 	// Age is how long ago the server said so.
 	Age time.Duration `cbor:"2,keyasint"`
 }
 
-// Question asks the divider of a server's limit for permits; without any wanted it only tells the word.
+// Question asks the owner of a server's limit for permits; without any wanted it only tells what was observed.
 type Question struct {
-	Server masticway.ServerLife `cbor:"1,keyasint"`
-	Word   Word                 `cbor:"2,keyasint"`
-	Wanted int                  `cbor:"3,keyasint,omitempty"`
-	// PassedOn tells that a divider that has just started asks the second in its place.
-	PassedOn bool `cbor:"4,keyasint,omitempty"`
+	Server   masticway.ServerLife `cbor:"1,keyasint"`
+	Observed Observation          `cbor:"2,keyasint"`
+	Wanted   int                  `cbor:"3,keyasint,omitempty"`
+	// Forwarded tells that an owner that has just started asks the backup in its place.
+	Forwarded bool `cbor:"4,keyasint,omitempty"`
 }
 
 // Reply answers a question.
 type Reply struct {
-	Word    Word `cbor:"1,keyasint"`
-	Granted int  `cbor:"2,keyasint,omitempty"`
+	Observed Observation `cbor:"1,keyasint"`
+	Granted  int         `cbor:"2,keyasint,omitempty"`
 	// Wait is when the next permit is due, if there was none.
 	Wait time.Duration `cbor:"3,keyasint,omitempty"`
-	// Elsewhere tells that the router that was asked does not divide this limit.
+	// Elsewhere tells that the router that was asked gives no permits for this limit.
 	Elsewhere bool `cbor:"4,keyasint,omitempty"`
 }
 
-// Change is what a word changes of a belief.
+// Change is what an observation changes.
 type Change string
 
 // The changes.
@@ -75,7 +75,7 @@
 	waiting int
 	// booked is when the last caller was told to come again.
 	booked time.Time
-	// tokens are what the divider may give as of tokensAt.
+	// tokens are what the owner may give as of tokensAt.
 	tokens   float64
 	tokensAt time.Time
 }
@@ -83,7 +83,7 @@
 // rate is what the server gets in requests a second.
 func (l *limited) rate() float64 { return max(rateLeast, l.limit.Rate) }
 
-// Limits are one router's beliefs about limits, the permits that it has, and the buckets that it divides; it is not safe
+// Limits are one router's beliefs about limits, the permits that it has, and the buckets that it owns; it is not safe
 // for concurrent use.
 type Limits struct {
 	servers map[masticway.ServerLife]*limited
@@ -97,8 +97,8 @@
 // Named is how many servers have a limit now.
 func (s *Limits) Named() int { return s.named }
 
-// Heard takes a word unless a newer one is known.
-func (s *Limits) Heard(now time.Time, server masticway.ServerLife, w Word) Change {
+// Heard takes an observation unless a newer one is known.
+func (s *Limits) Heard(now time.Time, server masticway.ServerLife, w Observation) Change {
 	l, ok := s.servers[server]
 	if !ok {
 		if !w.Limit.Named {
@@ -108,7 +108,9 @@
 		s.servers[server] = l
 	}
 	at := now.Add(-max(0, w.Age))
-	if at.Before(l.heardAt) {
+	// What another router repeats is not younger for the way that it took.
+	repeated := w.Age > 0 && w.Limit == l.limit
+	if at.Before(l.heardAt) || repeated {
 		return ChangeNone
 	}
 	before := l.limit
@@ -127,24 +129,24 @@
 	return ChangeRate
 }
 
-// Word returns the newest word on a server; its limit is none if nothing is known.
-func (s *Limits) Word(now time.Time, server masticway.ServerLife) Word {
+// Observed returns what was last heard of a server; its limit is none if nothing is known.
+func (s *Limits) Observed(now time.Time, server masticway.ServerLife) Observation {
 	l, ok := s.servers[server]
 	if !ok {
-		return Word{Age: math.MaxInt64}
+		return Observation{Age: math.MaxInt64}
 	}
-	return Word{Limit: l.limit, Age: now.Sub(l.heardAt)}
+	return Observation{Limit: l.limit, Age: now.Sub(l.heardAt)}
 }
 
-// Known returns the words on all servers that have a limit now.
-func (s *Limits) Known(now time.Time) Words {
-	words := Words{}
+// Known returns the observations on all servers that have a limit now.
+func (s *Limits) Known(now time.Time) Observations {
+	observations := Observations{}
 	for server, l := range s.servers {
 		if l.limit.Named {
-			words[server] = s.Word(now, server)
+			observations[server] = s.Observed(now, server)
 		}
 	}
-	return words
+	return observations
 }
 
 // Verdict is what may be done with a request for a server.
@@ -154,7 +156,7 @@
 const (
 	VerdictAdmitted Verdict = "admitted"
 	VerdictRefused  Verdict = "refused"
-	// VerdictAsk is for the request that asks the divider; Answered has to follow.
+	// VerdictAsk is for the request that asks the owner; Answered has to follow.
 	VerdictAsk Verdict = "ask"
 	// VerdictAsked is for requests that wait until the question under way is answered, and are judged again then.
 	VerdictAsked Verdict = "asked"
@@ -207,7 +209,7 @@
 		l.refusedUntil = now.Add(unansweredPause)
 		return ChangeNone
 	}
-	change := s.Heard(now, server, r.Word)
+	change := s.Heard(now, server, r.Observed)
 	if r.Granted > 0 {
 		l.permits, l.permitsUntil = r.Granted, now.Add(permitLife)
 		return change
@@ -229,9 +231,9 @@
 	l.permitsUntil = now.Add(permitLife)
 }
 
-// Divide answers a question from the bucket, which fills with a share of the limit.
-func (s *Limits) Divide(now time.Time, q Question, share float64) (r Reply) {
-	r.Word = s.Word(now, q.Server)
+// Grant answers a question from the bucket, which fills with a share of the limit.
+func (s *Limits) Grant(now time.Time, q Question, share float64) (r Reply) {
+	r.Observed = s.Observed(now, q.Server)
 	l, ok := s.servers[q.Server]
 	if !ok || !l.limit.Named || q.Wanted <= 0 {
 		return r
@@ -264,8 +266,8 @@
 	return masticway.RequestLimit{}
 }
 
-// Book returns when the next refused caller should come again: they come as far apart as this router's part of the limit.
-func (s *Limits) Book(now time.Time, server masticway.ServerLife, members int) time.Duration {
+// RetryAfter returns when the next refused caller should come again: they come as far apart as this router's part of the limit.
+func (s *Limits) RetryAfter(now time.Time, server masticway.ServerLife, members int) time.Duration {
 	wait := s.Wait(now, server)
 	l, ok := s.servers[server]
 	if !ok {
--- a/throttler/messages.go
+++ b/throttler/messages.go
@@ -14,15 +14,15 @@
 	pathLimits = "/peer/limits"
 )
 
-// Words are the newest words on limits, by server.
-type Words map[masticway.ServerLife]Word
+// Observations are the newest observations on limits, by server.
+type Observations map[masticway.ServerLife]Observation
 
-// Routers are the other routers, which divide limits or are told of them.
+// Routers are the other routers, which own limits or are told of them.
 type Routers interface {
 	// Ask puts a question to the router at an address.
 	Ask(ctx context.Context, address string, q Question) (Reply, error)
 	// Known asks the router at an address for all limits that it knows.
-	Known(ctx context.Context, address string) (Words, error)
+	Known(ctx context.Context, address string) (Observations, error)
 }
 
 // Client asks over connections between routers; it implements Routers.
@@ -39,12 +39,12 @@
 }
 
 // Known asks the router at an address for all limits that it knows.
-func (c *Client) Known(ctx context.Context, address string) (Words, error) {
-	return messenger.Call[Words](ctx, c.messages, address, pathLimits, struct{}{})
+func (c *Client) Known(ctx context.Context, address string) (Observations, error) {
+	return messenger.Call[Observations](ctx, c.messages, address, pathLimits, struct{}{})
 }
 
 // Serve answers other routers.
 func (t *Throttler) Serve(mux *http.ServeMux) {
 	messenger.Handle(mux, pathLimit, t.Answer)
-	messenger.Handle(mux, pathLimits, func(context.Context, struct{}) Words { return t.Known() })
+	messenger.Handle(mux, pathLimits, func(context.Context, struct{}) Observations { return t.Known() })
 }
--- a/throttler/tell.go
+++ b/throttler/tell.go
@@ -23,7 +23,7 @@
 
 // Run learns the limits that other routers know, and tells others of those that have changed, until the context ends.
 func (t *Throttler) Run(ctx context.Context) {
-	for ctx.Err() == nil && !t.Learn(ctx) && t.Clock.Now().Sub(t.began) < passesOnFor {
+	for ctx.Err() == nil && !t.Learn(ctx) && t.Clock.Now().Sub(t.began) < forwardsFor {
 		select {
 		case <-ctx.Done():
 		case <-t.Clock.After(learnPause):
@@ -49,7 +49,7 @@
 	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
 	for _, address := range others[:min(learnFrom, len(others))] {
 		bounded, cancel := context.WithTimeout(ctx, askTimeout)
-		words, err := t.Routers.Known(bounded, address)
+		observations, err := t.Routers.Known(bounded, address)
 		cancel()
 		if err != nil {
 			t.Log.WithFields(logrus.Fields{"event": "limits_not_learnt", "address": address, "error": err}).Debug("a router did not tell the limits that it knows")
@@ -57,7 +57,7 @@
 		}
 		t.mu.Lock()
 		defer t.mu.Unlock()
-		for server, w := range words {
+		for server, w := range observations {
 			t.note(server, w, address)
 		}
 		return true
@@ -65,21 +65,21 @@
 	return false
 }
 
-// Known returns the words on all servers that have a limit now.
-func (t *Throttler) Known() Words {
+// Known returns the observations on all servers that have a limit now.
+func (t *Throttler) Known() Observations {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.limits.Known(t.Clock.Now())
 }
 
-// Tell tells others of the limits that have changed: the divider all routers, any other one the dividers.
+// Tell tells others of the limits that have changed: the owner all routers, any other one the owners.
 func (t *Throttler) Tell(ctx context.Context) {
 	t.mu.Lock()
 	untold := t.untold
 	t.untold = map[masticway.ServerLife]bool{}
 	t.mu.Unlock()
 	for server := range untold {
-		audience := t.Members.Ranked(string(server), dividersMost)
+		audience := t.Members.Ranked(string(server), ownersMost)
 		if t.first(server) {
 			audience = t.Peers()
 		}
@@ -98,7 +98,7 @@
 		wg.Go(func() {
 			defer func() { <-places }()
 			// One that does not hear of it asks, or is told by the server.
-			if _, err := t.putTo(ctx, address, askTimeout, Question{Server: server, Word: t.word(server)}); err == nil {
+			if _, err := t.putTo(ctx, address, askTimeout, Question{Server: server, Observed: t.observed(server)}); err == nil {
 				t.Metrics.Add(metricTold, 1)
 			}
 		})
--- a/throttler/throttler.go
+++ b/throttler/throttler.go
@@ -17,17 +17,17 @@
 const (
 	// askTimeout bounds one question to another router, a few times the way between availability zones.
 	askTimeout = 120 * time.Millisecond
-	// passOnTimeout bounds a question that is passed on, so that the router that has put it still hears.
-	passOnTimeout = 50 * time.Millisecond
+	// forwardTimeout bounds a question that is passed on, so that the router that has put it still hears.
+	forwardTimeout = 50 * time.Millisecond
 	// silentFor is how long a router is not asked that left a question without an answer.
 	silentFor = time.Second
-	// dividersMost is how many routers may divide one limit: the first, and the second where that one does not answer.
-	dividersMost = 2
-	// secondShare is the part of a limit that the second gives: with all that the first gives, and what is on its way, it stays
+	// ownersMost is how many routers may give permits for one limit: the first, and the backup where that one does not answer.
+	ownersMost = 2
+	// backupShare is the part of a limit that the backup gives: with all that the owner gives, and what is on its way, it stays
 	// within one and a half times the limit in any 4 s.
-	secondShare = 0.2
-	// passesOnFor is how long a router that has started passes questions on, until all others have counted it.
-	passesOnFor = 20 * time.Second
+	backupShare = 0.2
+	// forwardsFor is how long a router that has started passes questions on, until all others have counted it.
+	forwardsFor = 20 * time.Second
 )
 
 // Names of metrics.
@@ -66,9 +66,9 @@
 type Throttler struct {
 	Parts
 	began time.Time
-	// spoken is how many servers have a limit or have asked for rest, read by every request.
-	spoken atomic.Int64
-	stir   chan struct{}
+	// constrained is how many servers have a limit or have asked for rest, read by every request.
+	constrained atomic.Int64
+	stir        chan struct{}
 
 	mu     sync.Mutex
 	limits *Limits
@@ -100,7 +100,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.note(server, Word{Limit: a.Limit}, "answer")
+	t.note(server, Observation{Limit: a.Limit}, "answer")
 }
 
 // rest takes a server's word that it wants nothing from this router for a time.
@@ -114,19 +114,19 @@
 	}).Info("a server wants nothing for a while")
 }
 
-// count counts the servers of whose words requests have to be judged; the caller holds the lock.
+// count counts the servers which not all requests may go to; the caller holds the lock.
 func (t *Throttler) count() {
-	t.spoken.Store(int64(t.limits.Named() + t.rests.Len()))
+	t.constrained.Store(int64(t.limits.Named() + t.rests.Len()))
 	t.Metrics.Gauge(metricLimited, int64(t.limits.Named()))
 	t.Metrics.Gauge(metricResting, int64(t.rests.Len()))
 }
 
-// note takes a word and tells of what it changes; the caller holds the lock.
-func (t *Throttler) note(server masticway.ServerLife, w Word, source string) {
+// note takes an observation and tells of what it changes; the caller holds the lock.
+func (t *Throttler) note(server masticway.ServerLife, w Observation, source string) {
 	t.noted(server, t.limits.Heard(t.Clock.Now(), server, w), w.Age, source)
 }
 
-// noted logs a change, and has others hear of what this router has heard from the server itself, or as its divider.
+// noted logs a change, and has others hear of what this router has heard from the server itself, or as its owner.
 func (t *Throttler) noted(server masticway.ServerLife, c Change, age time.Duration, source string) {
 	if c == ChangeNone {
 		return
@@ -144,14 +144,14 @@
 	}).Info("a server's limit changed")
 }
 
-// first tells that this router divides a server's limit.
+// first tells that this router owns a server's limit.
 func (t *Throttler) first(server masticway.ServerLife) bool {
 	ranked := t.Members.Ranked(string(server), 1)
 	return len(ranked) > 0 && ranked[0] == t.Address
 }
 
-// Open returns the servers that may get a request now as far as this router knows.
-func (t *Throttler) Open(servers []masticway.Server) []masticway.Server {
+// Available returns the servers that may get a request now as far as this router knows.
+func (t *Throttler) Available(servers []masticway.Server) []masticway.Server {
 	now := t.Clock.Now()
 	return t.without(servers, func(s masticway.ServerLife) bool { return t.rests.Left(now, s) > 0 || t.limits.Refuses(now, s) })
 }
@@ -164,7 +164,7 @@
 
 // without returns the servers but some; most of the time no server says anything, and nothing is copied.
 func (t *Throttler) without(servers []masticway.Server, some func(masticway.ServerLife) bool) []masticway.Server {
-	if t.spoken.Load() == 0 {
+	if t.constrained.Load() == 0 {
 		return servers
 	}
 	t.mu.Lock()
@@ -180,7 +180,7 @@
 
 // Admit tells whether a server may get one more request from this router now.
 func (t *Throttler) Admit(ctx context.Context, server masticway.ServerLife) bool {
-	if t.spoken.Load() == 0 {
+	if t.constrained.Load() == 0 {
 		return true
 	}
 	for {
@@ -214,11 +214,11 @@
 	return t.limits.Take(now, server)
 }
 
-// ask asks the divider of a server's limit, or the second in its place.
+// ask asks the owner of a server's limit, or the backup in its place.
 func (t *Throttler) ask(ctx context.Context, server masticway.ServerLife) {
 	t.Metrics.Add(metricAsks, 1)
 	t.mu.Lock()
-	q := Question{Server: server, Word: t.limits.Word(t.Clock.Now(), server), Wanted: t.limits.Wanted(server)}
+	q := Question{Server: server, Observed: t.limits.Observed(t.Clock.Now(), server), Wanted: t.limits.Wanted(server)}
 	t.mu.Unlock()
 	// What comes of it is for all requests at hand, whose callers stay.
 	reply, from := t.put(context.WithoutCancel(ctx), q)
@@ -226,17 +226,17 @@
 	defer t.mu.Unlock()
 	if reply == nil {
 		t.Metrics.Add(metricUnanswered, 1)
-		t.Log.WithFields(logrus.Fields{"event": "limit_not_divided", "server": server, "members": t.Members.Members()}).Info("no router divides a server's limit")
+		t.Log.WithFields(logrus.Fields{"event": "limit_owner_unreachable", "server": server, "members": t.Members.Members()}).Info("no router gives permits for a server")
 	}
 	change := t.limits.Answered(t.Clock.Now(), server, reply, t.Members.Members())
 	if reply != nil {
-		t.noted(server, change, reply.Word.Age, from)
+		t.noted(server, change, reply.Observed.Age, from)
 	}
 }
 
 // put puts a question to the first router that answers it and returns where that is; nil when none does.
 func (t *Throttler) put(ctx context.Context, q Question) (*Reply, string) {
-	for _, address := range t.Members.Ranked(string(q.Server), dividersMost) {
+	for _, address := range t.Members.Ranked(string(q.Server), ownersMost) {
 		reply, err := t.putTo(ctx, address, askTimeout, q)
 		if err == nil && !reply.Elsewhere {
 			return &reply, address
@@ -292,46 +292,46 @@
 func (t *Throttler) Answer(ctx context.Context, q Question) Reply {
 	t.hear(q)
 	if q.Wanted <= 0 {
-		return Reply{Word: t.word(q.Server)}
+		return Reply{Observed: t.observed(q.Server)}
 	}
-	ranked := t.Members.Ranked(string(q.Server), dividersMost)
+	ranked := t.Members.Ranked(string(q.Server), ownersMost)
 	first := len(ranked) > 0 && ranked[0] == t.Address
-	second := len(ranked) > 1 && ranked[1] == t.Address
+	backup := len(ranked) > 1 && ranked[1] == t.Address
 	switch {
-	case q.PassedOn:
-		return t.divide(q, 1)
-	case first && len(ranked) > 1 && t.Clock.Now().Sub(t.began) < passesOnFor:
-		onward := q
-		onward.PassedOn = true
-		if reply, err := t.putTo(ctx, ranked[1], passOnTimeout, onward); err == nil {
+	case q.Forwarded:
+		return t.grant(q, 1)
+	case first && len(ranked) > 1 && t.Clock.Now().Sub(t.began) < forwardsFor:
+		forwarded := q
+		forwarded.Forwarded = true
+		if reply, err := t.putTo(ctx, ranked[1], forwardTimeout, forwarded); err == nil {
 			return reply
 		}
-		return t.divide(q, 1)
+		return t.grant(q, 1)
 	case first:
-		return t.divide(q, 1)
-	case second:
-		return t.divide(q, secondShare)
+		return t.grant(q, 1)
+	case backup:
+		return t.grant(q, backupShare)
 	}
-	return Reply{Word: t.word(q.Server), Elsewhere: true}
+	return Reply{Observed: t.observed(q.Server), Elsewhere: true}
 }
 
-// hear takes the word that a question brings.
+// hear takes the observation that a question brings.
 func (t *Throttler) hear(q Question) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.note(q.Server, q.Word, "router")
+	t.note(q.Server, q.Observed, "router")
 }
 
-func (t *Throttler) word(server masticway.ServerLife) Word {
+func (t *Throttler) observed(server masticway.ServerLife) Observation {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.limits.Word(t.Clock.Now(), server)
+	return t.limits.Observed(t.Clock.Now(), server)
 }
 
-func (t *Throttler) divide(q Question, share float64) Reply {
+func (t *Throttler) grant(q Question, share float64) Reply {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r := t.limits.Divide(t.Clock.Now(), q, share)
+	r := t.limits.Grant(t.Clock.Now(), q, share)
 	t.Metrics.Add(metricGranted, int64(r.Granted))
 	return r
 }
@@ -355,20 +355,20 @@
 	return masticway.Holding{For: wait, Reason: fmt.Sprintf("%s takes %v requests a second", server, t.limits.Limit(server).Rate)}, wait > 0
 }
 
-// Book returns when a caller that is refused for a server's sake should come again.
-func (t *Throttler) Book(server masticway.ServerLife) time.Duration {
+// RetryAfter returns when a caller that is refused for a server's sake should come again.
+func (t *Throttler) RetryAfter(server masticway.ServerLife) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.Clock.Now()
 	if left := t.rests.Left(now, server); left > 0 {
 		return left
 	}
-	return t.limits.Book(now, server, t.Members.Members())
+	return t.limits.RetryAfter(now, server, t.Members.Members())
 }
 
 // Keep forgets the servers that are not among some.
 func (t *Throttler) Keep(known map[masticway.ServerLife]bool) {
-	if t.spoken.Load() == 0 {
+	if t.constrained.Load() == 0 {
 		return
 	}
 	t.mu.Lock()
--- a/throttler/world_test.go
+++ b/throttler/world_test.go
@@ -115,7 +115,7 @@
 }
 
 // Known does the same for all limits.
-func (n *node) Known(_ context.Context, address string) (throttler.Words, error) {
+func (n *node) Known(_ context.Context, address string) (throttler.Observations, error) {
 	if o, ok := n.reach(address); ok {
 		return o.throttle.Known(), nil
 	}
@@ -176,7 +176,7 @@
 	}
 	w.offered++
 	servers := []masticway.Server{{ID: string(server)}}
-	if len(n.throttle.Open(servers)) == 0 || !n.throttle.Admit(context.Background(), server) {
+	if len(n.throttle.Available(servers)) == 0 || !n.throttle.Admit(context.Background(), server) {
 		w.refused++
 		return
 	}
@@ -271,8 +271,8 @@
 
 // TestLimitHoldsWhileRoutersComeAndGo: a router that dies, starts or is cut off has two routers divide one limit, each all of it.
 func TestLimitHoldsWhileRoutersComeAndGo(t *testing.T) {
-	// divider returns the router that divides the limit.
-	divider := func(w *world) *node {
+	// owner returns the router that owns the limit.
+	owner := func(w *world) *node {
 		for _, n := range w.routers {
 			if n.address == n.Ranked(string(server), 1)[0] {
 				return n
@@ -281,13 +281,13 @@
 		return nil
 	}
 	cases := map[string]func(w *world){
-		"the divider dies and is counted for 10 s more": func(w *world) {
-			divider(w).dead = true
+		"the owner dies and is counted for 10 s more": func(w *world) {
+			owner(w).dead = true
 			w.run(settled+20*time.Second, 200)
 			w.count()
 		},
-		"the divider is out of reach of half of the routers": func(w *world) {
-			d := divider(w)
+		"the owner is out of reach of half of the routers": func(w *world) {
+			d := owner(w)
 			w.cut = func(from, to *node) bool { return to == d && w.random.IntN(2) == 0 }
 		},
 		"routers start and are counted one after the other": func(w *world) {
@@ -316,7 +316,7 @@
 				half[n] = i%2 == 0
 			}
 			w.cut = func(from, to *node) bool { return half[from] != half[to] }
-			d := half[divider(w)]
+			d := half[owner(w)]
 			for _, n := range w.routers {
 				n.excused = half[n] != d
 			}
@@ -346,7 +346,7 @@
 	}
 }
 
-// TestQuestionsAreBounded: hundreds of routers ask the divider of one server for every request.
+// TestQuestionsAreBounded: hundreds of routers ask the owner of one server for every request.
 func TestQuestionsAreBounded(t *testing.T) {
 	for _, routers := range []int{30, 300} {
 		t.Run(fmt.Sprint(routers), func(t *testing.T) {
