Remember a limit while its server's row has lapsed

Found in the reading, not seen in a run: each change of the registrations dropped what was known of servers without a row, so that after an outage in which rows lapse all routers would have sent to such a server at once, until each had heard its limit anew. It is remembered for a minute now, a rest until it is over. TestLimitOutlivesALapsedRow fails to compile on the code before, which keeps nothing by time.

--- a/throttler/limits.go
+++ b/throttler/limits.go
@@ -21,6 +21,8 @@
 	askAtLeastEvery = 2 * time.Second
 	// unansweredPause is how long a server gets nothing after a question that nobody answered.
 	unansweredPause = 250 * time.Millisecond
+	// unlistedKept is how long a server is remembered that is not registered any more.
+	unlistedKept = time.Minute
 	// bookedMost bounds the time after which a refused caller is told to come again.
 	bookedMost = 10 * time.Second
 )
@@ -78,6 +80,8 @@
 	// tokens are what the owner may give as of tokensAt.
 	tokens   float64
 	tokensAt time.Time
+	// unlistedSince is since when the server is not registered, zero while it is.
+	unlistedSince time.Time
 }
 
 // rate is what the server gets in requests a second.
@@ -285,10 +289,17 @@
 	return due.Sub(now)
 }
 
-// Keep forgets the servers that are not among some.
-func (s *Limits) Keep(known map[masticway.ServerLife]bool) {
+// Keep forgets the servers that have not been among the known ones for long; the row of one that lapses may come back.
+func (s *Limits) Keep(now time.Time, known map[masticway.ServerLife]bool) {
 	for server, l := range s.servers {
-		if known[server] || l.asked != nil {
+		if known[server] {
+			l.unlistedSince = time.Time{}
+			continue
+		}
+		if l.unlistedSince.IsZero() {
+			l.unlistedSince = now
+		}
+		if l.asked != nil || now.Sub(l.unlistedSince) < unlistedKept {
 			continue
 		}
 		if l.limit.Named {
--- a/throttler/limits_test.go
+++ b/throttler/limits_test.go
@@ -49,6 +49,25 @@
 	}
 }
 
+// TestLimitOutlivesALapsedRow: a server whose row lapses and comes back is overrun until it has named its limit again.
+func TestLimitOutlivesALapsedRow(t *testing.T) {
+	limits := throttler.NewLimits()
+	now := time.Unix(1_000_000, 0)
+	limit := masticway.RequestLimit{Named: true, Rate: 5}
+	limits.Heard(now, server, throttler.Observation{Limit: limit})
+	now = now.Add(10 * time.Second)
+	limits.Keep(now, map[masticway.ServerLife]bool{})
+	qt.Assert(t, limits.Limit(server), qt.Equals, limit)
+	now = now.Add(time.Hour)
+	limits.Keep(now, map[masticway.ServerLife]bool{server: true})
+	qt.Assert(t, limits.Limit(server), qt.Equals, limit)
+	limits.Keep(now, map[masticway.ServerLife]bool{})
+	qt.Assert(t, limits.Limit(server), qt.Equals, limit)
+	now = now.Add(time.Hour)
+	limits.Keep(now, map[masticway.ServerLife]bool{})
+	qt.Assert(t, limits.Named(), qt.Equals, 0)
+}
+
 // TestPermitsLapse: permits that routers have saved up are all used at once.
 func TestPermitsLapse(t *testing.T) {
 	limits := throttler.NewLimits()
--- a/throttler/rests.go
+++ b/throttler/rests.go
@@ -1,6 +1,7 @@
 package throttler
 
 import (
+	"maps"
 	"time"
 
 	"github.com/masticway/masticway"
@@ -35,11 +36,7 @@
 // Len is how many servers are remembered, some of which may have rested.
 func (r *Rests) Len() int { return len(r.until) }
 
-// Keep forgets the servers that have rested, and those that are not among some.
-func (r *Rests) Keep(now time.Time, known map[masticway.ServerLife]bool) {
-	for server := range r.until {
-		if !known[server] || r.Left(now, server) == 0 {
-			delete(r.until, server)
-		}
-	}
+// Forget forgets the servers that have rested.
+func (r *Rests) Forget(now time.Time) {
+	maps.DeleteFunc(r.until, func(_ masticway.ServerLife, until time.Time) bool { return !now.Before(until) })
 }
--- a/throttler/throttler.go
+++ b/throttler/throttler.go
@@ -366,16 +366,16 @@
 	return t.limits.RetryAfter(now, server, t.Members.Members())
 }
 
-// Keep forgets the servers that are not among some.
+// Keep forgets what is over, and servers that are not among some.
 func (t *Throttler) Keep(known map[masticway.ServerLife]bool) {
 	if t.constrained.Load() == 0 {
 		return
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.limits.Keep(known)
 	now := t.Clock.Now()
-	t.rests.Keep(now, known)
+	t.limits.Keep(now, known)
+	t.rests.Forget(now)
 	maps.DeleteFunc(t.silent, func(_ string, until time.Time) bool { return !now.Before(until) })
 	t.count()
 }
