--- a/forwarder/admit.go
+++ b/forwarder/admit.go
@@ -28,20 +28,18 @@
 
 // Codes of refusals; docs/OPERATIONS.md tells what an operator does about each.
 const (
-	codeNotReady    = "not_ready"
-	codeMalformed   = "malformed"
-	codeNoRoute     = "no_route"
-	codeBadKey      = "bad_key"
-	codeTooLarge    = "body_too_large"
-	codeBodyBroken  = "body_unreadable"
-	codeExhausted   = "budget_exhausted"
-	codeUnreachable = "budget_unreachable"
-	codeNoServer    = "no_server"
-	codeServersFull = "servers_full"
-	codeServersCold = "servers_cold"
-	// codeServersLimited is for servers that have as many requests as they say that they take.
+	codeNotReady       = "not_ready"
+	codeMalformed      = "malformed"
+	codeNoRoute        = "no_route"
+	codeBadKey         = "bad_key"
+	codeTooLarge       = "body_too_large"
+	codeBodyBroken     = "body_unreadable"
+	codeExhausted      = "budget_exhausted"
+	codeUnreachable    = "budget_unreachable"
+	codeNoServer       = "no_server"
+	codeServersFull    = "servers_full"
+	codeServersCold    = "servers_cold"
 	codeServersLimited = "servers_limited"
-	// codeServersResting is for servers that have asked this router for rest.
 	codeServersResting = "servers_resting"
 	codeProven         = "request_ends_servers"
 	codeSuspect        = "request_under_examination"
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -133,10 +133,7 @@
 		return
 	}
 	head := a.x.f.dialect.Answer(answer.Status, answer.Header)
-	if head.Signed || head.NotRun || head.Limit.Named {
-		// What a faulty server sends does not end a limit.
-		a.x.f.throttler.Heard(a.server.Life(), head)
-	}
+	a.x.f.throttler.Heard(a.server.Life(), head)
 	if head.Leaving {
 		a.x.f.leaves(a.server)
 	}
--- a/throttler/throttler.go
+++ b/throttler/throttler.go
@@ -98,6 +98,10 @@
 		t.Log.WithFields(logrus.Fields{"event": "server_limit_unreadable", "server": server}).Debug("a server's limit is no rate")
 		return
 	}
+	if !a.Limit.Named && !a.Signed && !a.NotRun {
+		// What a faulty server sends does not end a limit.
+		return
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.note(server, Observation{Limit: a.Limit}, "answer")
--- a/throttler/world_test.go
+++ b/throttler/world_test.go
@@ -183,7 +183,7 @@
 	if !n.excused {
 		w.arrivals = append(w.arrivals, w.at())
 	}
-	n.throttle.Heard(server, masticway.ServerAnswer{Limit: w.named})
+	n.throttle.Heard(server, masticway.ServerAnswer{Signed: true, Limit: w.named})
 }
 
 // name has the server name a limit; zero ends it.
