--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -245,6 +245,10 @@
 }
 
 func newFleetOf(t *testing.T, servers int, settings forwarder.Settings) *fleet {
+	return newFleetExaminedBy(t, calm{}, servers, settings)
+}
+
+func newFleetExaminedBy(t *testing.T, e masticway.Examiner, servers int, settings forwarder.Settings) *fleet {
 	f := &fleet{t: t, ledger: &emulator.OpaqueLedger{}, bank: &bank{verdict: treasurer.VerdictHeld}, clock: &drainClock{}}
 	d := masticway.Deployment{
 		Version: 1,
@@ -292,7 +296,7 @@
 		Members: f.bank, Peers: func() []string { return nil }, Clock: f.clock, Log: log.WithField("", ""), Metrics: measurer.New(), Address: alone,
 	})
 	f.router = forwarder.New(settings, forwarder.Parts{
-		Examiner: calm{}, Rotation: &f.rotation, Throttler: f.throttler, Leaves: func(masticway.Server) {}, Clock: f.clock, Log: log.WithField("", ""), Metrics: measurer.New(), Dialect: platform.Dialect{},
+		Examiner: e, Rotation: &f.rotation, Throttler: f.throttler, Leaves: func(masticway.Server) {}, Clock: f.clock, Log: log.WithField("", ""), Metrics: measurer.New(), Dialect: platform.Dialect{},
 		Bank: f.bank, Beliefs: func() follower.Beliefs { return f.beliefs }, Dial: (&net.Dialer{}).DialContext,
 	})
 	f.front = httptest.NewServer(f.router)
--- a/forwarder/limits_test.go
+++ b/forwarder/limits_test.go
@@ -1,6 +1,7 @@
 package forwarder_test
 
 import (
+	"context"
 	"fmt"
 	"strconv"
 	"strings"
@@ -9,7 +10,9 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/masticway/masticway"
 	"github.com/masticway/masticway/emulator"
+	"github.com/masticway/masticway/forwarder"
 )
 
 // TestLimitIsHeardInEveryAnswer: a limit that is named in another answer than a good one is overrun until a good one names it.
@@ -112,6 +115,48 @@
 	}
 }
 
+// suspecting takes every request for a suspect, whose runs apart are its router's or not.
+type suspecting struct {
+	calm
+	claims bool
+}
+
+func (suspecting) Quiet() bool { return false }
+
+func (suspecting) Standing(masticway.RequestDigest) masticway.Standing {
+	return masticway.Standing{Suspicion: masticway.SuspicionApart, Ends: make([]masticway.ServerEnd, 2)}
+}
+
+func (suspecting) Changed() <-chan struct{} { return nil }
+
+func (suspecting) Occupied() (all, serious map[masticway.ServerLife]bool) { return nil, nil }
+
+func (s suspecting) Claim(context.Context, masticway.RequestDigest, masticway.ServerLife) bool {
+	return s.claims
+}
+
+// TestExaminedRequestsCountForALimit: requests that run apart, as servers ended under them, reach a server past its limit, or use its
+// permits up without being sent.
+func TestExaminedRequestsCountForALimit(t *testing.T) {
+	for name, tc := range map[string]struct {
+		claims bool
+		sent   int
+	}{"they may run": {claims: true, sent: 1}, "they wait for their turn": {}} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleetExaminedBy(t, suspecting{claims: tc.claims}, 1, forwarder.Settings{Retries: forwarder.RetriesSettings{Ratio: 0.2, Slack: 50, WindowSeconds: 10}})
+			f.servers[0].Limit("0.5")
+			life := masticway.ServerLife(f.servers[0].ID)
+			f.throttler.Heard(life, masticway.ServerAnswer{Signed: true, Limit: masticway.RequestLimit{Named: true, Rate: 0.5}})
+			f.clock.advance(2010 * time.Millisecond)
+			for range 5 {
+				f.ask(t.Context(), "POST", "/never/x", "X-Deadline-Ms", "100")
+			}
+			qt.Assert(t, f.servers[0].Arrivals(), qt.HasLen, tc.sent)
+			qt.Assert(t, f.throttler.Admit(t.Context(), life), qt.Equals, !tc.claims, qt.Commentf("a permit is left"))
+		})
+	}
+}
+
 // TestRefusalForALimitIsTrue: a caller that is refused for a limit waits for the answer, or comes again when there is none for it.
 func TestRefusalForALimitIsTrue(t *testing.T) {
 	f := newFleet(t, 1)
