--- a/throttler/world_test.go
+++ b/throttler/world_test.go
@@ -231,6 +231,7 @@
 	for _, routers := range []int{1, 5, 30, 300} {
 		for _, rate := range []float64{0.3, 1.1, 10, 60} {
 			t.Run(fmt.Sprintf("%d routers, %v a second", routers, rate), func(t *testing.T) {
+				t.Parallel()
 				w := newWorld(routers)
 				w.run(settled, 20)
 				w.name(rate)
@@ -255,6 +256,7 @@
 		"one of few that takes little": {routers: 300, rate: 0.2},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			w := newWorld(tc.routers)
 			w.run(settled, 20)
 			w.name(tc.rate)
@@ -330,6 +332,7 @@
 		for _, routers := range []int{5, 30, 300} {
 			for _, rate := range []float64{1.1, 20} {
 				t.Run(fmt.Sprintf("%s, %d routers, %v a second", name, routers, rate), func(t *testing.T) {
+					t.Parallel()
 					w := newWorld(routers)
 					w.run(settled, 20)
 					w.name(rate)
