Judge hedging during a transfer by an injected clock

TestNoOtherRouterIsAskedForWhatArrives failed beside load, because a busy machine delayed the start of an answer by more than the hedge delay of 60 to 400 ms of wall time.

--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -129,8 +129,13 @@
 
 // newRouter returns a router with a path to the store. It relays calls to the other router.
 func (f *routerPair) newRouter(t *testing.T, path masticway.RowStore) *relayer.Store {
+	return f.newRouterWithClock(t, path, masticway.SystemClock{})
+}
+
+// newRouterWithClock is like newRouter, but the router measures its delays with the given clock.
+func (f *routerPair) newRouterWithClock(t *testing.T, path masticway.RowStore, clock masticway.Clock) *relayer.Store {
 	log, hook := test.NewNullLogger()
-	s := relayer.New(path, messenger.NewClient(), masticway.SystemClock{}, logrus.NewEntry(log), measurer.New())
+	s := relayer.New(path, messenger.NewClient(), clock, logrus.NewEntry(log), measurer.New())
 	t.Cleanup(s.Close)
 	f.logs[s] = hook
 	s.SetPeers(func() []string { return []string{f.address} })
