Describe the coordination of uneven load, and say where it applies

Cause: a router knows only its own part of an engine's load, overload control cannot relieve a whole availability zone, and small services are shared equally. Nothing uses the predicate yet.

--- a/deployment.go
+++ b/deployment.go
@@ -183,8 +183,8 @@
 // PromptPart is one of the leading parts of a prompt. Other requests may share it, so a server may have it in its cache. ID
 // identifies its content, and Tokens is its length.
 type PromptPart struct {
-	ID     string
-	Tokens int
+	ID     string `cbor:"1,keyasint,omitempty"`
+	Tokens int    `cbor:"2,keyasint,omitempty"`
 }
 
 // OpaqueRequest is what a caller declares in headers about a request whose body is not parsed.
--- a/forwarder/settings.go
+++ b/forwarder/settings.go
@@ -1,6 +1,8 @@
 package forwarder
 
 import (
+	"slices"
+
 	"github.com/masticway/masticway"
 	"github.com/masticway/masticway/chooser"
 )
@@ -48,6 +50,40 @@
 	RankShare float64 `json:"rank_share"`
 	// ZoneTokenCost is the cost in milliseconds of each token of an answer from another zone.
 	ZoneTokenCost float64 `json:"zone_token_cost"`
+	// SharedLoad says for which deployments routers share what they know of the load.
+	SharedLoad SharedLoadSettings `json:"shared_load"`
+}
+
+// SharedLoadSettings says for which deployments the routers coordinate the load of engines, of availability zones and of the
+// connections to plain services.
+type SharedLoadSettings struct {
+	// TokenGapMS is the longest pause in milliseconds that a stream may make for each token of an event, for which the routers
+	// coordinate. A chunk of another request's prompt delays each token by 25 to 45 ms, so with a longer pause the load that other
+	// routers cause seldom decides whether a stream meets its objective. Zero turns the coordination off.
+	TokenGapMS float64 `json:"token_gap_ms"`
+	// MinRouters is the least number of routers that coordinate. Fewer routers each know enough of the load by themselves.
+	MinRouters int `json:"min_routers"`
+}
+
+// SharesLoad reports whether routers of a deployment coordinate the load. This needs a route to engines whose streams allow at most
+// TokenGapMS for each token, at least MinRouters routers, and availability zones in a single region: messages between regions
+// would take longer than a better choice saves.
+func (s Settings) SharesLoad(d masticway.Deployment, routers int) bool {
+	p := s.Policy.SharedLoad
+	if p.TokenGapMS <= 0 || routers < max(1, p.MinRouters) {
+		return false
+	}
+	regions := map[string]bool{}
+	for _, region := range s.Regions {
+		regions[region] = true
+	}
+	return len(regions) == 1 && slices.ContainsFunc(d.Routes, func(r masticway.Route) bool {
+		return slices.ContainsFunc(r.Shares, func(share masticway.TrafficShare) bool {
+			pool := d.Pools[share.Pool]
+			gap := r.MaxEventGap.Seconds() * 1000
+			return share.Weight > 0 && pool.IsEngine && gap > 0 && gap <= p.TokenGapMS*float64(max(1, pool.TokensPerEvent))
+		})
+	})
 }
 
 // BudgetSettings configures how prepaid budgets are stored and held.
