--- a/engine.go
+++ b/engine.go
@@ -88,9 +88,12 @@
 
 // EngineCoordinator chooses engines by the load that all routers together cause.
 type EngineCoordinator interface {
+	// AppliesTo reports whether runs at the engines of a pool are coordinated. If not, the other methods do nothing.
+	AppliesTo(pool string) bool
 	// Place queries the owner of the run's group of engines. It returns false if local estimates must decide.
 	Place(ctx context.Context, q EngineQuery) (EngineChoice, bool)
 	// Begin, FirstEvent and End report the progress of a run, wherever its engine was chosen. They do not block.
+	// End must be called for each run that was placed or begun, also if it was not sent.
 	Begin(pool string, r EngineRun, server Server)
 	FirstEvent(run string, took time.Duration)
 	End(run string, events int, streamedFor time.Duration)
