Choose engines by the load that all routers cause

Each router knows only its own share of an engine's load, so requests queue behind the prefill of other prompts while other engines are free.

Package scheduler makes the decisions of the owner of a group of engines: load, speed, memory and cached parts of each engine, and a choice that reserves the engine. Package chooser exports the costs and weights that it shares, and halves the weight of engines that are known to be slow.

--- a/chooser/chooser.go
+++ b/chooser/chooser.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/bits"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -176,15 +177,25 @@
 	}
 	best, highest := -1, uint64(0)
 	for i, c := range candidates {
-		if weight := rendezvousWeight(req.Prefixes[0], c.Instance); best < 0 || weight > highest {
+		if weight := RendezvousWeight(req.Prefixes[0], c.Instance); best < 0 || weight > highest {
 			best, highest = i, weight
 		}
 	}
 	return best
 }
 
-// rendezvousWeight returns the rendezvous hashing weight of a name for a hash. All routers compute the same weight.
-func rendezvousWeight(hash uint64, name string) uint64 { return mix(xxhash.Sum64String(name) ^ hash) }
+// RendezvousWeight returns the rendezvous hashing weight of a name for a hash. All routers compute the same weight.
+func RendezvousWeight(hash uint64, name string) uint64 { return MixWeight(hash, xxhash.Sum64String(name)) }
+
+// MixWeight returns the rendezvous hashing weight of a name for a hash, where the name is given by its hash.
+func MixWeight(hash, name uint64) uint64 { return mix(name ^ hash) }
+
+// HalveWeight converts a rendezvous weight so that its name has the highest weight half as often as names with other weights. As
+// a fraction of the maximum it is the square: the fraction to the power of one divided by the name's relative share.
+func HalveWeight(weight uint64) uint64 {
+	high, _ := bits.Mul64(weight, weight)
+	return high
+}
 
 // mix is the finalizer of MurmurHash3. It spreads the bits of x, because an exclusive or of two hashes is not a good weight.
 func mix(x uint64) uint64 {
--- a/chooser/cost.go
+++ b/chooser/cost.go
@@ -7,12 +7,12 @@
 )
 
 const (
-	// tokensPerMillisecond is the assumed prefill speed of an engine, in tokens per millisecond. If an engine is slower, its
+	// TokensPerMillisecond is the assumed prefill speed of an engine, in tokens per millisecond. If an engine is slower, its
 	// serverLoad.delay grows.
-	tokensPerMillisecond = 35.0
-	// runningCost is the cost, in milliseconds, of each request in flight at an engine. Each request slows down the engine's
+	TokensPerMillisecond = 35.0
+	// RunningCost is the cost, in milliseconds, of each request in flight at an engine. Each request slows down the engine's
 	// steps.
-	runningCost = 1.5
+	RunningCost = 1.5
 	// zoneCost is the fixed cost, in milliseconds, of a server in another availability zone than the router.
 	zoneCost = 3.0
 	// failureCost is the cost, in milliseconds, of a failure rate of 1. Lower rates cost proportionally less. A server that is
@@ -46,19 +46,24 @@
 		cost += failureCost * 10
 	}
 	if server.Zone != p.Zone {
-		cost += zoneCost + s.policy.ZoneTokenCost*float64(p.Output)
+		cost += s.policy.ZoneCost(p.Output)
 	}
 	if !isEngine {
 		return cost + float64(l.inFlight)*plainCost
 	}
 	uncached := float64(p.Tokens - l.cachedTokens(now, p, isHome))
-	return cost + (uncached+l.pendingPrefill)/tokensPerMillisecond + float64(l.inFlight)*runningCost + l.currentDelay(now)
+	return cost + (uncached+l.pendingPrefill)/TokensPerMillisecond + float64(l.inFlight)*RunningCost + l.currentDelay(now)
 }
 
-// rankCost returns the cost, in milliseconds, that each rank adds to a server for a prompt. It grows with the number of tokens
-// that can be shared, because it is then more important that all routers fall back from the home to the same servers.
-func (s *Servers) rankCost(p Prompt) float64 {
-	return s.policy.RankShare * float64(p.sharedTokens()) / tokensPerMillisecond
+// ZoneCost returns the cost, in milliseconds, of a server in another availability zone than the router, for a request with at
+// most the given number of output tokens.
+func (s ServerPolicy) ZoneCost(output int) float64 { return zoneCost + s.ZoneTokenCost*float64(output) }
+
+// RankCost returns the cost, in milliseconds, that each rank up to MaxRank adds to a server for a prompt, at the given prefill speed in
+// tokens per millisecond. It grows with the number of tokens that can be shared, because it is then more important that all
+// routers fall back from the home to the same servers.
+func (s ServerPolicy) RankCost(p Prompt, tokensPerMillisecond float64) float64 {
+	return s.RankShare * float64(p.sharedTokens()) / tokensPerMillisecond
 }
 
 // sharedTokens returns the number of the prompt's tokens that other requests may share: those of all parts but the last.
--- a/chooser/observations.go
+++ b/chooser/observations.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// partTTL is how long a prompt part is assumed to stay in an engine's cache after its last use.
-	partTTL = 8 * time.Second
+	// PartTTL is how long a prompt part is assumed to stay in an engine's cache after its last use.
+	PartTTL = 8 * time.Second
 	// delayDecay is the time constant of the exponential decay of serverLoad.delay.
 	delayDecay = 1500 * time.Millisecond
 	// failureWeight is the weight of the newest result in the moving average of a server's failure rate.
@@ -64,7 +64,7 @@
 	tokens := 0
 	for i, part := range p.Parts {
 		shared := i < len(p.Parts)-1
-		if at, ok := l.parts[part.ID]; (!ok || now.Sub(at) > partTTL) && (!isHome || !shared) {
+		if at, ok := l.parts[part.ID]; (!ok || now.Sub(at) > PartTTL) && (!isHome || !shared) {
 			return tokens
 		}
 		tokens += part.Tokens
@@ -101,7 +101,7 @@
 
 func (l *serverLoad) dropExpiredParts(now time.Time) {
 	for id, at := range l.parts {
-		if now.Sub(at) > partTTL {
+		if now.Sub(at) > PartTTL {
 			delete(l.parts, id)
 		}
 	}
@@ -115,7 +115,7 @@
 	p.firstEventSeen = true
 	l := p.load
 	l.pendingPrefill = max(0, l.pendingPrefill-p.uncached)
-	expected := p.uncached / tokensPerMillisecond
+	expected := p.uncached / TokensPerMillisecond
 	late := max(0, float64(now.Sub(p.sentAt))/float64(time.Millisecond)-expected-usualFirstEvent)
 	l.delay = l.currentDelay(now)*0.6 + late*0.4
 	l.delayAt = now
--- a/chooser/servers.go
+++ b/chooser/servers.go
@@ -10,8 +10,8 @@
 	"github.com/masticway/masticway"
 )
 
-// maxRank is the rank above which a higher rank adds no cost to a server.
-const maxRank = 6
+// MaxRank is the rank above which a higher rank adds no cost to a server.
+const MaxRank = 6
 
 // Prompt describes a request for which one of a pool's servers must be chosen.
 type Prompt struct {
@@ -22,12 +22,14 @@
 	Parts []masticway.PromptPart
 	// Zone is the router's availability zone.
 	Zone string
+	// SlowEngines holds the IDs of the engines that are known to be slow. They are the home of half as many prompts as others.
+	SlowEngines map[string]bool
 }
 
-// homePart returns the ID of the part that determines the home of the prompt, the engine that all routers prefer for it. This is
+// HomePart returns the ID of the part that determines the home of the prompt, the engine that all routers prefer for it. This is
 // the part before the last, because other requests may share all parts but the last. If there is only one part, it is this one.
-// homePart returns false if the prompt has no parts.
-func (p Prompt) homePart() (string, bool) {
+// HomePart returns false if the prompt has no parts.
+func (p Prompt) HomePart() (string, bool) {
 	switch len(p.Parts) {
 	case 0:
 		return "", false
@@ -56,17 +58,17 @@
 func (s *Servers) Choose(now time.Time, isEngine bool, p Prompt, servers []masticway.Server) (int, float64) {
 	s.choices++
 	var ranks []int
-	if part, ok := p.homePart(); ok && isEngine {
-		ranks = rankServers(part, servers)
+	if part, ok := p.HomePart(); ok && isEngine {
+		ranks = rankServers(part, servers, p.SlowEngines)
 	}
-	rankCost := s.rankCost(p)
+	rankCost := s.policy.RankCost(p, TokensPerMillisecond)
 	best, bestCost := -1, 0.0
 	for i := range servers {
 		// The search starts at another server in each call, so that servers with equal costs take turns.
 		k := (i + s.choices) % len(servers)
 		cost := s.cost(now, isEngine, p, servers[k], ranks != nil && ranks[k] == 0)
 		if ranks != nil {
-			cost += float64(min(ranks[k], maxRank)) * rankCost
+			cost += float64(min(ranks[k], MaxRank)) * rankCost
 		}
 		if best < 0 || cost < bestCost {
 			best, bestCost = k, cost
@@ -78,12 +80,15 @@
 // rankServers returns the ranks of servers by their rendezvous weights for a prompt part, starting with zero for the highest
 // weight. Routers with the same servers thus agree without communication on the part's home, which has rank zero. They also
 // agree on the order in which other servers are used if the home is overloaded.
-func rankServers(part string, servers []masticway.Server) []int {
+func rankServers(part string, servers []masticway.Server, slow map[string]bool) []int {
 	hash := xxhash.Sum64String(part)
 	weights := make([]uint64, len(servers))
 	order := make([]int, len(servers))
 	for i, server := range servers {
-		weights[i] = rendezvousWeight(hash, server.ID)
+		weights[i] = RendezvousWeight(hash, server.ID)
+		if slow[server.ID] {
+			weights[i] = HalveWeight(weights[i])
+		}
 		order[i] = i
 	}
 	slices.SortFunc(order, func(x, y int) int { return cmp.Compare(weights[y], weights[x]) })
--- /dev/null
+++ b/scheduler/engine.go
@@ -0,0 +1,96 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/masticway/masticway"
+)
+
+// engine is the load of one incarnation of an engine. All sums are kept up to date as runs begin, progress and end.
+type engine struct {
+	incarnation masticway.ServerIncarnation
+	server      masticway.Server
+	// slots is the number of runs that it executes concurrently, and capacity its memory in tokens. Zero is unknown.
+	slots    int
+	capacity int
+	// runs is the number of runs, and tokens the memory that they occupy, in tokens.
+	runs   int
+	tokens int
+	// streams is the number of runs after their first event for which the pause between two events is limited.
+	streams int
+	// pendingPrefill is the number of uncached prompt tokens of the runs without a first event. These runs are in the list from
+	// oldestPending to newestPending, in the order in which they were placed.
+	pendingPrefill               int
+	oldestPending, newestPending *run
+	// firstEventAt is the time of the latest first event of a run.
+	firstEventAt time.Time
+	parts        partCache
+	speed        engineSpeed
+}
+
+func newEngine(id masticway.ServerIncarnation) *engine {
+	return &engine{incarnation: id, parts: newPartCache()}
+}
+
+// add adds a run that has no first event yet, and the prompt parts that it will leave in the cache.
+func (n *engine) add(now time.Time, r *run) {
+	r.engine = n
+	r.uncached = max(0, r.tokens-n.parts.cachedTokens(r.parts))
+	n.runs++
+	n.tokens += r.tokens + r.output
+	n.pendingPrefill += r.uncached
+	r.previous, r.next = n.newestPending, nil
+	if n.newestPending != nil {
+		n.newestPending.next = r
+	} else {
+		n.oldestPending = r
+	}
+	n.newestPending = r
+	n.parts.reserve(now, r.parts)
+	n.evictParts(now)
+}
+
+// recordFirstEvent moves a run from the pending ones to the streams.
+func (n *engine) recordFirstEvent(now time.Time, r *run) {
+	n.removePending(r)
+	r.state = masticway.EngineRunStreaming
+	if r.isPaced {
+		n.streams++
+	}
+	n.parts.confirm(now, r.parts)
+}
+
+// remove removes a run. If it had no first event, the prompt parts that only it would have left in the cache are removed, too.
+func (n *engine) remove(r *run) {
+	if r.state == masticway.EngineRunSent {
+		n.removePending(r)
+		n.parts.cancel(r.parts)
+	} else if r.isPaced {
+		n.streams--
+	}
+	n.runs--
+	n.tokens -= r.tokens + r.output
+}
+
+func (n *engine) removePending(r *run) {
+	n.pendingPrefill -= r.uncached
+	if r.previous != nil {
+		r.previous.next = r.next
+	} else {
+		n.oldestPending = r.next
+	}
+	if r.next != nil {
+		r.next.previous = r.previous
+	} else {
+		n.newestPending = r.previous
+	}
+	r.previous, r.next = nil, nil
+}
+
+// evictParts removes the cached parts for which the running requests leave no memory.
+func (n *engine) evictParts(now time.Time) { n.parts.evict(now, n.capacity-n.tokens) }
+
+// hasRoom reports whether a run with the given number of tokens gets a slot and memory without waiting.
+func (n *engine) hasRoom(tokens int) bool {
+	return (n.slots == 0 || n.runs < n.slots) && (n.capacity == 0 || float64(n.tokens+tokens) <= maxMemoryShare*float64(n.capacity))
+}
--- /dev/null
+++ b/scheduler/reports.go
@@ -0,0 +1,124 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/masticway/masticway"
+)
+
+const (
+	// initialStreamTime is the initial average time in milliseconds from the first to the last event of a run, and streamTimeWeight the
+	// weight of the newest run in it.
+	initialStreamTime = 1000.0
+	streamTimeWeight  = 0.02
+)
+
+// Record records a report of a run. It is idempotent: the load is the same if a report arrives late, several times or in another
+// order. A report without details of a run that is not known is ignored, unless it is the run's end.
+func (e *Engines) Record(now time.Time, sender masticway.Incarnation, r masticway.EngineReport) {
+	s := e.heard(now, sender)
+	if s == nil || e.ended.has(r.Run) {
+		return
+	}
+	n := e.findRun(now, s, r)
+	if n != nil {
+		n.sender = s
+		e.advance(now, n, r)
+	}
+	if r.State >= masticway.EngineRunEnded {
+		e.ended.add(now, r.Run)
+	}
+}
+
+// Replace records all open runs of a sender. It removes the sender's other runs, except reservations: the sender may have sent the
+// report before it received the choice.
+func (e *Engines) Replace(now time.Time, sender masticway.Incarnation, open []masticway.EngineReport) {
+	s := e.heard(now, sender)
+	if s == nil {
+		return
+	}
+	s.complete = true
+	isOpen := make(map[string]bool, len(open))
+	for _, r := range open {
+		isOpen[r.Run] = true
+	}
+	for id, n := range e.runs {
+		if n.sender == s && n.reported && !isOpen[id] {
+			e.remove(n)
+		}
+	}
+	for _, r := range open {
+		e.Record(now, sender, r)
+	}
+}
+
+// findRun returns the run that a report describes. It adds a run that is not known, and moves a run that is at another engine. It
+// returns nil if the report is out of date, or if the run is not at an engine of the group.
+func (e *Engines) findRun(now time.Time, s *sender, r masticway.EngineReport) *run {
+	engine := e.byIncarnation[r.Server]
+	n, ok := e.runs[r.Run]
+	switch {
+	case ok && n.engine == engine:
+		return n
+	case ok && n.reported && r.State <= n.state:
+		return nil
+	case ok:
+		e.remove(n)
+		n.state, n.reported = masticway.EngineRunSent, false
+	case r.Details == nil:
+		return nil
+	}
+	if engine == nil || len(e.runs) >= maxRuns {
+		return nil
+	}
+	if r.Details != nil {
+		d := *r.Details
+		d.ID = r.Run
+		n = newRun(s, d, sentAt(now, r))
+	}
+	if now.Sub(n.sentAt) >= n.timeLeft {
+		return nil
+	}
+	engine.add(now, n)
+	e.runs[n.id] = n
+	return n
+}
+
+// advance applies the state of a report to its run.
+func (e *Engines) advance(now time.Time, n *run, r masticway.EngineReport) {
+	if !n.reported {
+		n.reported = true
+		// A run cannot have been sent before its engine was reserved, even if the report was fast.
+		if at := sentAt(now, r); at.After(n.sentAt) {
+			n.sentAt = at
+		}
+		n.expiresAt = n.sentAt.Add(n.timeLeft)
+	}
+	if n.state == masticway.EngineRunSent && (r.State == masticway.EngineRunStreaming || r.FirstEventAfter > 0) {
+		e.recordSample(now, n, sentAt(now, r).Add(duration(r.FirstEventAfter)))
+		n.engine.recordFirstEvent(now, n)
+	}
+	if r.State >= masticway.EngineRunEnded {
+		if n.state == masticway.EngineRunStreaming && r.StreamedFor > 0 {
+			e.streamTime += streamTimeWeight * (milliseconds(duration(r.StreamedFor)) - e.streamTime)
+		}
+		e.remove(n)
+	}
+}
+
+// sentAt returns the time at which the run of a report was sent, computed from the durations that the sender measured.
+func sentAt(now time.Time, r masticway.EngineReport) time.Time {
+	since := duration(r.Age)
+	if r.State >= masticway.EngineRunStreaming {
+		since += duration(r.FirstEventAfter)
+	}
+	if r.State >= masticway.EngineRunEnded {
+		since += duration(r.StreamedFor)
+	}
+	return now.Add(-since)
+}
+
+// duration limits a reported duration to what a run can take.
+func duration(d time.Duration) time.Duration { return min(max(0, d), maxRunTime) }
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
