Give the gateways of the starter tests valid settings of the shared load

The settings schema requires min_routers to be at least 1, and the tests marshal a struct without it, so 23 tests of package starter failed before they started a gateway. They now use the defaults of the schema. What the tests assert is unchanged.

--- a/starter/gateway_test.go
+++ b/starter/gateway_test.go
@@ -119,6 +119,7 @@
 		PeerAddress: freeAddress(p.t), MetricsAddress: freeAddress(p.t), StoreAddress: p.store, GraceSeconds: 5,
 		Budgets: forwarder.BudgetSettings{Parts: 2, Reserve: masticway.Duration(5 * time.Second)},
 		Retries: forwarder.RetriesSettings{Ratio: 0.2, FixedRetries: 50, WindowSeconds: 10},
+		Policy:  forwarder.PolicySettings{SharedLoad: forwarder.SharedLoadSettings{TokenGapMS: 70, MinRouters: 16}},
 	}
 }
 
