Let the forwarder use engines chosen by their owners

The forwarder queries the coordinator for first attempts, retries, handovers and resumptions at engines, and reports every run. A request that no engine can take in time is refused at once, if no attempt was made. Where coordination does not apply, the choice of servers is as before.

go test -race ./coordinator ./forwarder ./chooser ./starter ./rotator passes.

--- a/chooser/cost.go
+++ b/chooser/cost.go
@@ -41,10 +41,7 @@
 // cost returns the cost of a server for a prompt, in milliseconds, without the cost of its rank.
 func (s *Servers) cost(now time.Time, isEngine bool, p Prompt, server masticway.Server, isHome bool) float64 {
 	l := s.load(server.ID)
-	cost := l.failureRate * failureCost
-	if now.Before(l.avoidUntil) {
-		cost += failureCost * 10
-	}
+	cost := l.failurePenalty(now)
 	if server.Zone != p.Zone {
 		cost += s.policy.ZoneCost(p.Output)
 	}
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -71,7 +71,6 @@
 	IsOverloaded func() bool
 	// NewEngines returns the state of a group without engines.
 	NewEngines func() Engines
-	Grouping   Grouping
 }
 
 // Coordinator exchanges reports and choices with other routers, and serves the groups that this router owns. It implements
@@ -128,7 +127,7 @@
 	applies := c.Applies(d, c.Members.Members())
 	f := &fleet{deployment: d, servers: servers}
 	if applies {
-		f.pools = newPoolFleets(d, servers, c.fleet.Load(), c.Grouping)
+		f.pools = newPoolFleets(d, servers, c.fleet.Load())
 	}
 	c.fleet.Store(f)
 	c.setActive(applies)
--- a/coordinator/fleet.go
+++ b/coordinator/fleet.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"github.com/masticway/masticway"
+	"github.com/masticway/masticway/scheduler"
 )
 
 // maxGroupQueries is the maximum number of groups that are queried for one run.
@@ -33,19 +34,19 @@
 }
 
 // newPoolFleets returns the pools of engines. The groups of known engines are copied from the previous fleet.
-func newPoolFleets(d masticway.Deployment, servers map[string][]masticway.Server, previous *fleet, g Grouping) map[string]*poolFleet {
+func newPoolFleets(d masticway.Deployment, servers map[string][]masticway.Server, previous *fleet) map[string]*poolFleet {
 	pools := map[string]*poolFleet{}
 	for name, pool := range d.Pools {
 		if pool.IsEngine && len(servers[name]) > 0 {
-			pools[name] = newPoolFleet(pool, servers[name], previous.pools[name], g)
+			pools[name] = newPoolFleet(pool, servers[name], previous.pools[name])
 		}
 	}
 	return pools
 }
 
 // newPoolFleet returns the engines of a pool. before is the pool in the previous fleet, or nil.
-func newPoolFleet(pool masticway.Pool, servers []masticway.Server, before *poolFleet, g Grouping) *poolFleet {
-	n := g.Count(len(servers))
+func newPoolFleet(pool masticway.Pool, servers []masticway.Server, before *poolFleet) *poolFleet {
+	n := scheduler.GroupCount(len(servers))
 	p := &poolFleet{pool: pool, servers: servers, groups: make([][]masticway.Server, n)}
 	if n == 1 {
 		p.groups[0] = servers
@@ -58,7 +59,7 @@
 			group, ok = before.groupOf[s.ID]
 		}
 		if !ok {
-			group = g.Of(pool.Name, s.ID, n)
+			group = scheduler.GroupOf(pool.Name, s.ID, n)
 		}
 		p.groupOf[s.ID] = group
 		p.groups[group] = append(p.groups[group], s)
@@ -103,15 +104,6 @@
 	return own
 }
 
-// Grouping divides pools into groups of engines. All routers must use the same.
-type Grouping struct {
-	// Count returns the number of groups of a pool with a number of engines. Of returns the group of an engine, by its ID.
-	Count func(engines int) int
-	Of    func(pool, serverID string, groups int) int
-	// ForPrompt returns the groups to query for a run, in order.
-	ForPrompt func(r masticway.EngineRun, groups int) []int
-}
-
 // has reports whether the fleet has a group.
 func (f *fleet) has(k groupKey) bool {
 	p, ok := f.pools[k.pool]
--- a/coordinator/place.go
+++ b/coordinator/place.go
@@ -5,6 +5,7 @@
 	"errors"
 
 	"github.com/masticway/masticway"
+	"github.com/masticway/masticway/scheduler"
 )
 
 // Place queries the owner of the run's group of engines for an engine. If the reply is Full and the run has another group, it
@@ -18,7 +19,7 @@
 	defer cancel()
 	var full masticway.EngineChoice
 	queried := 0
-	for _, group := range c.Grouping.ForPrompt(q.Run, len(p.groups)) {
+	for _, group := range scheduler.PromptGroups(q.Run, len(p.groups)) {
 		excluded, ok := p.excluded(group, q.Candidates)
 		if !ok {
 			continue
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -44,8 +44,10 @@
 	// by reportToExaminer.
 	quarantined bool
 	// firstAt is when the first events of a stream arrived from this server or, for other answers, the whole answer. It is zero
-	// until then.
-	firstAt time.Time
+	// until then. lastAt is when the last part arrived.
+	firstAt, lastAt time.Time
+	// coordinated is the run as it is reported to the coordinator.
+	coordinated coordinatedRun
 }
 
 // runAttempt runs an attempt to its end and records its result in the load and health of its server. If the caller has left, the
@@ -53,7 +55,9 @@
 func (x *exchange) runAttempt(ctx context.Context, a *attempt) outcome {
 	defer a.cancel(nil)
 	x.server = a.server.ID
+	events := x.events
 	out := a.run()
+	a.coordinated.events = x.events - events
 	if errors.Is(ctx.Err(), context.Canceled) {
 		out.result = chooser.ResultNeutral
 	}
@@ -71,7 +75,7 @@
 		if !ok {
 			return nil, none
 		}
-		a = x.newAttempt(ctx, c.server)
+		a = x.newAttempt(ctx, c.server, c.run)
 		a.quarantined = c.quarantined
 	}
 	a.excluded = maps.Clone(x.tried)
@@ -79,14 +83,15 @@
 }
 
 // newAttempt returns a new attempt and records the request as sent to the server. The caller must call recordResult when the
-// attempt has ended.
-func (x *exchange) newAttempt(ctx context.Context, server masticway.Server) *attempt {
+// attempt has ended. run is that of the choice of the server (see choice).
+func (x *exchange) newAttempt(ctx context.Context, server masticway.Server, run *masticway.EngineRun) *attempt {
 	x.f.metrics.Add(metricAttempts, 1)
 	a := &attempt{x: x, server: server, parent: ctx}
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	x.f.mu.Lock()
 	a.placement = x.f.servers.RecordSent(x.f.clock.Now(), x.q.prompt, server.ID)
 	x.f.mu.Unlock()
+	a.beginRun(run)
 	return a
 }
 
@@ -96,6 +101,7 @@
 	f.mu.Lock()
 	f.servers.RecordEnd(f.clock.Now(), a.placement, r)
 	f.mu.Unlock()
+	a.endRun()
 }
 
 func (a *attempt) run() outcome {
@@ -316,7 +322,9 @@
 	}
 	if a.firstAt.IsZero() {
 		a.firstAt = now
+		a.reportFirstEvent(now)
 	}
+	a.lastAt = now
 	a.x.f.mu.Lock()
 	a.x.f.servers.RecordFirstEvent(now, a.placement)
 	a.x.f.mu.Unlock()
--- a/forwarder/candidates.go
+++ b/forwarder/candidates.go
@@ -59,10 +59,12 @@
 	x.f.mu.Lock()
 	defer x.f.mu.Unlock()
 	now := x.f.clock.Now()
+	prompt := x.q.prompt
+	prompt.SlowEngines = x.f.coordinator.SlowEngines(x.q.pool.Name)
 	warm, cold := x.f.servers.Eligible(now, servers, x.q.pool.MaxColdRate, x.f.budgets.OwnsKey)
 	for _, group := range [][]masticway.Server{warm, cold} {
 		if len(group) > 0 {
-			i, _ := x.f.servers.Choose(now, x.q.pool.IsEngine, x.q.prompt, group)
+			i, _ := x.f.servers.Choose(now, x.q.pool.IsEngine, prompt, group)
 			return group[i], true
 		}
 	}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -54,6 +54,9 @@
 	rotation masticway.Rotation
 	// throttler enforces the rate limits and backoff that servers announce.
 	throttler masticway.Throttler
+	// coordinator chooses engines by the load that all routers cause, and runCount counts the runs that are reported to it.
+	coordinator masticway.EngineCoordinator
+	runCount    atomic.Int64
 	// onDraining is called for each answer with which a server announces that it drains.
 	onDraining func(masticway.Server)
 	// abandoned holds runs that this router gave up. Their requests may still crash their servers.
@@ -85,6 +88,8 @@
 	Rotation masticway.Rotation
 	// Throttler enforces the rate limits and backoff that servers announce.
 	Throttler masticway.Throttler
+	// Coordinator chooses engines by the load that all routers cause. If it is nil, only this router's observations decide.
+	Coordinator masticway.EngineCoordinator
 	// OnDraining is called for each answer with which a server announces that it drains. It is called from several goroutines.
 	OnDraining func(masticway.Server)
 	// Dial connects to a server.
@@ -95,10 +100,13 @@
 func New(s Settings, d Dependencies) *Forwarder {
 	f := &Forwarder{
 		settings: s, clock: d.Clock, log: d.Log, metrics: d.Metrics, codec: d.Codec, budgets: d.Budgets, snapshot: d.Snapshot,
-		examiner: d.Examiner, rotation: d.Rotation, throttler: d.Throttler, onDraining: d.OnDraining,
+		examiner: d.Examiner, rotation: d.Rotation, throttler: d.Throttler, coordinator: d.Coordinator, onDraining: d.OnDraining,
 		checks: &checks{dial: d.Dial, clock: d.Clock, log: d.Log, byServer: map[masticway.ServerIncarnation]*check{}},
 		sender: sender.New(d.Dial, d.Clock.Now), servers: chooser.NewServers(s.serverPolicy()), allowances: map[string]*retrier.Allowance{},
 	}
+	if f.coordinator == nil {
+		f.coordinator = uncoordinated{}
+	}
 	f.checks.onEnded = f.reportAbandoned
 	return f
 }
--- a/forwarder/handover.go
+++ b/forwarder/handover.go
@@ -111,15 +111,17 @@
 		// A suspect must not run at two servers at once.
 		return false
 	}
-	server, ok := x.selectServer(a.parent, x.candidates(a.askedServers()))
+	c, _, ok := x.selectCoordinated(a.parent, x.candidates(a.askedServers()), false)
 	if !ok {
 		return false
 	}
+	server := c.server
 	if !x.reserveRetry() {
+		x.endUnsent(c)
 		x.f.throttler.ReturnPermit(server.Incarnation())
 		return false
 	}
-	next := x.newAttempt(a.parent, server)
+	next := x.newAttempt(a.parent, server, c.run)
 	next.sendResults = make(chan sendResult, 1)
 	if !a.beginHandover(generation, next.cancel) {
 		next.cancel(nil)
--- a/forwarder/suspects.go
+++ b/forwarder/suspects.go
@@ -57,6 +57,8 @@
 type choice struct {
 	server      masticway.Server
 	quarantined bool
+	// run describes the attempt to the coordinator. It is nil if the coordinator was not queried.
+	run *masticway.EngineRun
 }
 
 // choose chooses the server for the next attempt and takes a permit for it. If the request is a suspect that may not run yet,
@@ -125,7 +127,8 @@
 			servers = free
 		}
 	}
-	if c.server, ok = x.selectServer(ctx, servers); !ok {
+	c, none, ok = x.selectCoordinated(ctx, servers, x.mayRefuseFull())
+	if !ok && none.code == "" {
 		none = x.noServerOutcome()
 	}
 	return c, none, ok
--- a/rotator/rotator.go
+++ b/rotator/rotator.go
@@ -72,7 +72,9 @@
 	settings Settings
 	deps     Dependencies
 	out      atomic.Bool
-	wg       sync.WaitGroup
+	// overloaded is the result of the last check of the load.
+	overloaded atomic.Bool
+	wg         sync.WaitGroup
 
 	mu        sync.Mutex
 	load      *Load
@@ -94,6 +96,9 @@
 // IsOut reports whether the router is out of rotation.
 func (r *Rotator) IsOut() bool { return r.out.Load() }
 
+// IsOverloaded reports whether the last check of the load found that the router is overloaded.
+func (r *Rotator) IsOverloaded() bool { return r.overloaded.Load() }
+
 // Admit admits and counts a request. It returns false if the request must be refused because the router is overloaded or because
 // the request does not fit into memory. The caller must call MarkAnswered and Release once for each admitted request. rank is
 // zero for the most urgent requests.
@@ -179,6 +184,7 @@
 	now := r.deps.Clock.Now()
 	overloaded, delayed = r.load.Update(now), r.load.IsDelayed(now)
 	r.admission.adjust(overloaded, delayed)
+	r.overloaded.Store(overloaded)
 	return overloaded, delayed
 }
 
--- a/starter/gateway.go
+++ b/starter/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/masticway/masticway"
+	"github.com/masticway/masticway/coordinator"
 	"github.com/masticway/masticway/examiner"
 	"github.com/masticway/masticway/follower"
 	"github.com/masticway/masticway/forwarder"
@@ -24,6 +25,7 @@
 	"github.com/masticway/masticway/platform"
 	"github.com/masticway/masticway/relayer"
 	"github.com/masticway/masticway/rotator"
+	"github.com/masticway/masticway/scheduler"
 	"github.com/masticway/masticway/sharer"
 	"github.com/masticway/masticway/throttler"
 	"github.com/masticway/masticway/treasurer"
@@ -112,6 +114,7 @@
 	examiner       *examiner.Examiner
 	rotator        *rotator.Rotator
 	throttler      *throttler.Throttler
+	coordinator    *coordinator.Coordinator
 	pausable       *pausableListener
 	store          *relayer.Store
 	sharedStore    *sharer.Store
@@ -163,10 +166,18 @@
 	d.throttler = throttler.New(throttler.Dependencies{
 		Routers: throttler.NewClient(peerClient), Members: d.treasurer, Peers: d.peers, Clock: clock, Log: entry, Metrics: metrics, Address: s.PeerAddress,
 	})
+	d.coordinator = coordinator.New(coordinator.Dependencies{
+		// The rotator doesn't observe these calls: queries end after a time that is short for other calls.
+		Routers: coordinator.NewClient(messenger.NewClient()), Members: d.treasurer, Clock: clock, Log: entry, Metrics: metrics,
+		Self: d.treasurer.Self(), Address: s.PeerAddress, Applies: s.SharesLoad, IsOverloaded: d.rotator.IsOverloaded,
+		NewEngines: func() coordinator.Engines {
+			return scheduler.NewEngines(scheduler.Policy{RankShare: s.Policy.RankShare, ZoneTokenCost: s.Policy.ZoneTokenCost})
+		},
+	})
 	dialer := &net.Dialer{KeepAlive: -1}
 	d.forwarder = forwarder.New(s, forwarder.Dependencies{
 		Clock: clock, Log: entry, Metrics: metrics, Codec: codec, Budgets: d.treasurer, Snapshot: d.follower.Snapshot, Examiner: d.examiner,
-		Rotation: d.rotator, Throttler: d.throttler, OnDraining: d.follower.MarkDraining, Dial: d.rotator.MeasureDial(dialer.DialContext),
+		Rotation: d.rotator, Throttler: d.throttler, Coordinator: d.coordinator, OnDraining: d.follower.MarkDraining, Dial: d.rotator.MeasureDial(dialer.DialContext),
 	})
 	d.callerListener = newCallerListener(d.pausable)
 	d.callerServer = &http.Server{
@@ -209,6 +220,7 @@
 func (d *GatewayDaemon) applySnapshot(s follower.Snapshot) {
 	d.treasurer.Configure(s.Deployment)
 	d.throttler.Prune(s.Incarnations())
+	d.coordinator.Update(s.Deployment, s.Servers)
 	d.forwarder.Update(s)
 }
 
@@ -221,6 +233,7 @@
 	d.wg.Go(func() { d.examiner.Run(ctx) })
 	d.wg.Go(func() { d.rotator.Run(ctx) })
 	d.wg.Go(func() { d.throttler.Run(ctx) })
+	d.wg.Go(func() { d.coordinator.Run(ctx) })
 	d.wg.Go(func() { d.watchSuspensions(ctx) })
 	d.servers.serveWith(d.callerListener, d.callerServer)
 	d.servers.serve(d.listeners.Readiness, http.HandlerFunc(d.readiness))
@@ -282,6 +295,7 @@
 	d.examiner.Serve(mux)
 	d.rotator.Serve(mux)
 	d.throttler.Serve(mux)
+	d.coordinator.Serve(mux)
 	d.sharedStore.Serve(mux)
 	return mux
 }
