--- a/coordinator/outbox.go
+++ b/coordinator/outbox.go
@@ -85,6 +85,9 @@
 	}
 }
 
+// Epoch returns the number of the current epoch. It changes when the target may have lost what was sent to it.
+func (o *Outbox) Epoch() int { return o.epoch }
+
 // CanQuery reports whether the target chooses engines and knows the open runs.
 func (o *Outbox) CanQuery() bool { return o.target != "" && o.synced && o.ready }
 
@@ -101,6 +104,7 @@
 
 // Accept records that the target has reserved a server for a run. epoch is the epoch in which the target was queried.
 func (o *Outbox) Accept(r *trackedRun, choice masticway.EngineChoice, epoch int) {
+	r.asked = true
 	r.source, r.server, r.wait = sourceOwner, choice.Server, choice.Wait
 	r.isKnown = epoch == o.epoch
 }
