--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -251,6 +251,11 @@
 }
 
 func newFixtureWithExaminer(t *testing.T, e masticway.Examiner, servers int, settings forwarder.Settings) *fixture {
+	return newFixtureWith(t, servers, settings, func(d *forwarder.Dependencies) { d.Examiner = e })
+}
+
+// newFixtureWith returns a fixture whose router has changed dependencies.
+func newFixtureWith(t *testing.T, servers int, settings forwarder.Settings, change func(*forwarder.Dependencies)) *fixture {
 	f := &fixture{t: t, ledger: &emulator.OpaqueRunLog{}, budgets: &fakeBudgets{verdict: treasurer.VerdictHeld}, clock: &offsetClock{}}
 	d := masticway.Deployment{
 		Version: 1,
@@ -297,10 +302,12 @@
 	f.throttler = throttler.New(throttler.Dependencies{
 		Members: f.budgets, Peers: func() []string { return nil }, Clock: f.clock, Log: log.WithField("", ""), Metrics: measurer.New(), Address: routerAddress,
 	})
-	f.router = forwarder.New(settings, forwarder.Dependencies{
-		Examiner: e, Rotation: &f.rotation, Throttler: f.throttler, OnDraining: func(masticway.Server) {}, Clock: f.clock, Log: log.WithField("", ""), Metrics: measurer.New(), Codec: platform.HeaderCodec{},
+	dependencies := forwarder.Dependencies{
+		Rotation: &f.rotation, Throttler: f.throttler, OnDraining: func(masticway.Server) {}, Clock: f.clock, Log: log.WithField("", ""), Metrics: measurer.New(), Codec: platform.HeaderCodec{},
 		Budgets: f.budgets, Snapshot: func() follower.Snapshot { return f.snapshot }, Dial: (&net.Dialer{}).DialContext,
-	})
+	}
+	change(&dependencies)
+	f.router = forwarder.New(settings, dependencies)
 	f.frontend = httptest.NewServer(f.router)
 	t.Cleanup(f.frontend.Close)
 	return f
