Weigh engines by stalls, event gaps and parts that they hold

A rank cost that applied even where the shared parts were cached sent prompts away from them, and long answers went to engines that are too slow for their event gaps.

Ranks cost only what would be prefilled again, a run with limited pauses pays for an engine whose prefill chunks break them, prefill weighs more while the group is busy, and an engine without first events is overdue.

--- a/chooser/chooser.go
+++ b/chooser/chooser.go
@@ -185,7 +185,9 @@
 }
 
 // RendezvousWeight returns the rendezvous hashing weight of a name for a hash. All routers compute the same weight.
-func RendezvousWeight(hash uint64, name string) uint64 { return MixWeight(hash, xxhash.Sum64String(name)) }
+func RendezvousWeight(hash uint64, name string) uint64 {
+	return MixWeight(hash, xxhash.Sum64String(name))
+}
 
 // MixWeight returns the rendezvous hashing weight of a name for a hash, where the name is given by its hash.
 func MixWeight(hash, name uint64) uint64 { return mix(name ^ hash) }
--- a/chooser/cost.go
+++ b/chooser/cost.go
@@ -63,11 +63,11 @@
 // tokens per millisecond. It grows with the number of tokens that can be shared, because it is then more important that all
 // routers fall back from the home to the same servers.
 func (s ServerPolicy) RankCost(p Prompt, tokensPerMillisecond float64) float64 {
-	return s.RankShare * float64(p.sharedTokens()) / tokensPerMillisecond
+	return s.RankShare * float64(p.SharedTokens()) / tokensPerMillisecond
 }
 
-// sharedTokens returns the number of the prompt's tokens that other requests may share: those of all parts but the last.
-func (p Prompt) sharedTokens() int {
+// SharedTokens returns the number of the prompt's tokens that other requests may share: those of all parts but the last.
+func (p Prompt) SharedTokens() int {
 	tokens := 0
 	for _, part := range p.Parts[:max(0, len(p.Parts)-1)] {
 		tokens += part.Tokens
--- a/chooser/servers_test.go
+++ b/chooser/servers_test.go
@@ -194,3 +194,29 @@
 	restarted, idle = costs()
 	qt.Assert(t, restarted, qt.Equals, idle, qt.Commentf("the ends of the earlier incarnation's requests must not count"))
 }
+
+// TestSlowEnginesAreHomeOfHalf guards against a slow engine that gets as many prompts as others, and against moving the homes of
+// prompts that have nothing to do with it.
+func TestSlowEnginesAreHomeOfHalf(t *testing.T) {
+	const prompts = 2000
+	servers := pool(10)
+	slow := map[string]bool{"i-3": true}
+	before, after := 0, 0
+	for i := range prompts {
+		p := chat(fmt.Sprintf("s%d", i))
+		home, _ := chooser.NewServers(chooser.ServerPolicy{}).Choose(testTime, true, p, servers)
+		p.SlowEngines = slow
+		next, _ := chooser.NewServers(chooser.ServerPolicy{}).Choose(testTime, true, p, servers)
+		if home == 3 {
+			before++
+		} else {
+			qt.Assert(t, next, qt.Equals, home)
+		}
+		if next == 3 {
+			after++
+		}
+	}
+	// Of 9 normal engines and one with half weight, the latter is the home of one in 19 prompts.
+	qt.Assert(t, before > prompts/10*8/10 && before < prompts/10*12/10, qt.IsTrue, qt.Commentf("%d before", before))
+	qt.Assert(t, after > prompts/19*8/10 && after < prompts/19*12/10, qt.IsTrue, qt.Commentf("%d after", after))
+}
--- a/scheduler/bench_test.go
+++ b/scheduler/bench_test.go
@@ -13,9 +13,9 @@
 func BenchmarkPlace(b *testing.B) {
 	for _, n := range []int{16, 64, 96} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			e := newEngines(n)
+			e := newTestEngines(n)
 			open := make([]masticway.EngineReport, 16*n)
-			now := start
+			now := testStart
 			b.ReportAllocs()
 			for i := 0; b.Loop(); i++ {
 				now = now.Add(1600 * time.Microsecond)
@@ -45,13 +45,13 @@
 
 // BenchmarkChoice measures the query alone, as a repeated query for the same run.
 func BenchmarkChoice(b *testing.B) {
-	e := newEngines(64)
+	e := newTestEngines(64)
 	for i := range 1000 {
-		place(e, start, longRun(fmt.Sprint("other", i), fmt.Sprint("subject", i%400)))
+		place(e, testStart, longRun(fmt.Sprint("other", i), fmt.Sprint("subject", i%400)))
 	}
 	r := longRun("r", "subject7")
 	b.ReportAllocs()
 	for b.Loop() {
-		e.Place(start, routerA, r, nil, nil)
+		e.Place(testStart, routerA, r, nil, nil)
 	}
 }
--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -3,13 +3,23 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/masticway/masticway"
 )
 
+// groupLoad is the sum of the loads of a group's engines.
+type groupLoad struct {
+	pendingPrefill int
+}
+
 // engine is the load of one incarnation of an engine. All sums are kept up to date as runs begin, progress and end.
 type engine struct {
 	incarnation masticway.ServerIncarnation
 	server      masticway.Server
+	// idHash is the hash of the engine's ID, for rendezvous weights.
+	idHash uint64
+	group  *groupLoad
 	// slots is the number of runs that it executes concurrently, and capacity its memory in tokens. Zero is unknown.
 	slots    int
 	capacity int
@@ -28,8 +38,8 @@
 	speed        engineSpeed
 }
 
-func newEngine(id masticway.ServerIncarnation) *engine {
-	return &engine{incarnation: id, parts: newPartCache()}
+func newEngine(incarnation masticway.ServerIncarnation, id string, g *groupLoad) *engine {
+	return &engine{incarnation: incarnation, idHash: xxhash.Sum64String(id), group: g, parts: newPartCache()}
 }
 
 // add adds a run that has no first event yet, and the prompt parts that it will leave in the cache.
@@ -39,6 +49,7 @@
 	n.runs++
 	n.tokens += r.tokens + r.output
 	n.pendingPrefill += r.uncached
+	n.group.pendingPrefill += r.uncached
 	r.previous, r.next = n.newestPending, nil
 	if n.newestPending != nil {
 		n.newestPending.next = r
@@ -74,6 +85,7 @@
 
 func (n *engine) removePending(r *run) {
 	n.pendingPrefill -= r.uncached
+	n.group.pendingPrefill -= r.uncached
 	if r.previous != nil {
 		r.previous.next = r.next
 	} else {
@@ -94,3 +106,33 @@
 func (n *engine) hasRoom(tokens int) bool {
 	return (n.slots == 0 || n.runs < n.slots) && (n.capacity == 0 || float64(n.tokens+tokens) <= maxMemoryShare*float64(n.capacity))
 }
+
+// maxReservationScan is the number of pending runs among which the oldest reported one is searched. Reservations that are older and
+// not reported are rare, because senders report within 200 ms.
+const maxReservationScan = 4
+
+// reportGrace is the time in milliseconds after which a missing report of a first event is taken as a sign that there was none.
+// Senders collect reports for up to 200 ms.
+const reportGrace = 200.0
+
+// overdue returns for how many milliseconds longer than expected the engine has had no first event. pending is the expected
+// prefill time of its pending runs. An engine that is frozen or slower than known has such a delay before any run ends there. What
+// counts is the time until the sender of the oldest pending run was last heard, so that the runs of a dead sender say nothing
+// about their engines.
+func (n *engine) overdue(pending float64) float64 {
+	p := n.oldestPending
+	for range maxReservationScan {
+		if p == nil || p.reported {
+			break
+		}
+		p = p.next
+	}
+	if p == nil || !p.reported {
+		return 0
+	}
+	from := p.sentAt
+	if n.firstEventAt.After(from) {
+		from = n.firstEventAt
+	}
+	return max(0, milliseconds(p.sender.heardAt.Sub(from))-pending-firstEventLatency-reportGrace)
+}
--- a/scheduler/engines.go
+++ b/scheduler/engines.go
@@ -26,6 +26,7 @@
 	runs          map[string]*run
 	senders       map[masticway.Incarnation]*sender
 	ended         endedRuns
+	load          groupLoad
 	speeds        groupSpeeds
 	// slow holds the IDs of the slow engines, sorted.
 	slow []string
@@ -33,8 +34,9 @@
 	streamTime float64
 	choices    int
 	ranking    ranking
-	// parts is the buffer of the prompt parts of the run to place.
-	parts []part
+	// placement and parts are buffers for the run to place.
+	placement placement
+	parts     []part
 }
 
 // NewEngines returns the state of a group that has no engines yet.
@@ -60,7 +62,7 @@
 		}
 		n, ok := previous[id]
 		if !ok {
-			n = newEngine(id)
+			n = newEngine(id, s.ID, &e.load)
 			n.speed.current = e.speeds.median
 		}
 		n.server = s
@@ -76,5 +78,9 @@
 		return cmp.Or(cmp.Compare(x.server.ID, y.server.ID), cmp.Compare(x.incarnation, y.incarnation))
 	})
 	maps.DeleteFunc(e.runs, func(_ string, r *run) bool { return e.byIncarnation[r.engine.incarnation] == nil })
+	e.load.pendingPrefill = 0
+	for _, n := range e.engines {
+		e.load.pendingPrefill += n.pendingPrefill
+	}
 	e.updateSpeeds(now)
 }
--- /dev/null
+++ b/scheduler/parts_test.go
@@ -0,0 +1,94 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/masticway/masticway"
+	"github.com/masticway/masticway/chooser"
+	"github.com/masticway/masticway/scheduler"
+)
+
+// TestCachedParts guards against expecting parts that the engine has evicted, and against prefilling again parts that it still has.
+func TestCachedParts(t *testing.T) {
+	cases := map[string]struct {
+		// capacity is the engine's memory, and running the tokens of a run that occupies a part of it.
+		capacity, running int
+		// later is the number of later prompts of 10,000 tokens, and after the time until the query.
+		later      int
+		after      time.Duration
+		wantCached bool
+	}{
+		"recent":                        {capacity: 50_000, after: time.Second, wantCached: true},
+		"recent, no memory":             {capacity: 50_000, running: 45_000, after: 7 * time.Second, wantCached: true},
+		"old, memory for it":            {capacity: 50_000, after: time.Minute, wantCached: true},
+		"old, memory unknown":           {after: 9 * time.Second},
+		"old, memory used by runs":      {capacity: 50_000, running: 45_000, after: 9 * time.Second},
+		"old, memory used by new parts": {capacity: 50_000, later: 8, after: 9 * time.Second},
+		"old, memory for new parts":     {capacity: 150_000, later: 8, after: 9 * time.Second, wantCached: true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			e := scheduler.NewEngines(testPolicy)
+			p := testPool
+			p.TokenCapacity = tc.capacity
+			e.Sync(testStart, p, testServers(1))
+			s := testServers(1)[0].Incarnation()
+			e.Record(testStart, routerA, ended(longRun("first", "subject"), s, 200*time.Millisecond))
+			now := testStart.Add(tc.after)
+			if tc.running > 0 {
+				r := plainRun("running", tc.running, 0)
+				e.Record(now, routerA, streaming(r, s, 200*time.Millisecond))
+			}
+			for i := range tc.later {
+				r := plainRun(fmt.Sprint("later", i), 10_000, 10)
+				r.Parts = []masticway.PromptPart{{ID: r.ID, Tokens: 10_000}}
+				e.Record(now, routerA, ended(r, s, 200*time.Millisecond))
+			}
+			e.Expire(now)
+			r := longRun("next", "subject")
+			before := e.TotalLoad().Pending
+			e.Place(now, routerA, r, nil, nil)
+			want := 9190
+			if tc.wantCached {
+				want = 2890
+			}
+			qt.Assert(t, e.TotalLoad().Pending-before, qt.Equals, want)
+		})
+	}
+}
+
+// TestHomesAgreeWithChooser guards against homes that differ between an owner and the local estimates of the routers. Shared parts
+// would then be prefilled at both whenever some routers send no queries.
+func TestHomesAgreeWithChooser(t *testing.T) {
+	const engines = 12
+	speeds := map[string]float64{"e-02": 0.3, "e-05": 0.3, "e-07": 0.3}
+	e := newTestEngines(engines)
+	learnSpeeds(e, engines, speeds)
+	slow := map[string]bool{}
+	for _, id := range e.SlowEngines() {
+		slow[id] = true
+	}
+	qt.Assert(t, slow, qt.HasLen, len(speeds))
+	now := testStart.Add(learningTime)
+	homes := map[bool]int{}
+	for i := range 400 {
+		// The own part is so short that its prefill does not outweigh the ranks.
+		r := masticway.EngineRun{ID: fmt.Sprint("r", i), Tokens: 4010, Output: 1, Zone: "z", Parts: []masticway.PromptPart{
+			{ID: fmt.Sprint("subject", i), Tokens: 4000}, {ID: fmt.Sprint("own", i), Tokens: 10},
+		}}
+		prompt := chooser.Prompt{Tokens: r.Tokens, Output: r.Output, Zone: r.Zone, Parts: r.Parts, SlowEngines: slow}
+		local := chooser.NewServers(chooser.ServerPolicy{RankShare: 4})
+		k, _ := local.Choose(now, true, prompt, testServers(engines))
+		homes[slow[testServers(engines)[k].ID]]++
+		if !slow[testServers(engines)[k].ID] {
+			qt.Assert(t, place(e, now, r), qt.Equals, testServers(engines)[k].Incarnation(), qt.Commentf("%s", r.ID))
+			e.Record(now, routerA, ended(r, testServers(engines)[k].Incarnation(), 0))
+		}
+	}
+	// 3 of 12 engines have half weight, so they are the homes of 1.5 of 10.5 prompts: 57 of 400.
+	qt.Assert(t, homes[true] > 35 && homes[true] < 80, qt.IsTrue, qt.Commentf("%d of 400 homes are slow", homes[true]))
+}
--- /dev/null
+++ b/scheduler/place_test.go
@@ -0,0 +1,300 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/masticway/masticway"
+	"github.com/masticway/masticway/scheduler"
+)
+
+// TestReservationIsVisible guards against sending all runs of a burst to the engine that was the cheapest before it.
+func TestReservationIsVisible(t *testing.T) {
+	e := newTestEngines(8)
+	used := map[masticway.ServerIncarnation]int{}
+	for i := range 8 {
+		used[place(e, testStart, plainRun(fmt.Sprint("r", i), 3000, 50))]++
+	}
+	qt.Assert(t, used, qt.HasLen, 8)
+}
+
+// TestChoice places a run at one of two equal engines, e-00 and e-01, of which one has an advantage.
+func TestChoice(t *testing.T) {
+	const first, second = masticway.ServerIncarnation("e-00"), masticway.ServerIncarnation("e-01")
+	fill := func(e *scheduler.Engines, server masticway.ServerIncarnation, n int, r masticway.EngineRun, state masticway.EngineRunState) {
+		for i := range n {
+			r.ID = fmt.Sprint(server, "-", i)
+			report := masticway.EngineReport{Run: r.ID, Server: server, State: state, FirstEventAfter: 50 * time.Millisecond, Details: &r}
+			if state == masticway.EngineRunSent {
+				report.FirstEventAfter = 0
+			}
+			e.Record(testStart, routerB, report)
+		}
+	}
+	longAnswer := plainRun("r", 543, 246)
+	paced := plainRun("", 10, 50)
+	unpaced := plainRun("", 10, 50)
+	unpaced.EventGap = 0
+	cases := map[string]struct {
+		servers   []masticway.Server
+		pool      masticway.Pool
+		prepare   func(e *scheduler.Engines)
+		run       masticway.EngineRun
+		excluded  map[string]bool
+		penalties map[string]float64
+		want      masticway.ServerIncarnation
+		// guards says which failure the case guards against.
+		guards string
+	}{
+		"pending prefill": {
+			prepare: func(e *scheduler.Engines) { fill(e, first, 1, plainRun("", 3000, 10), masticway.EngineRunSent) },
+			run:     plainRun("r", 1000, 10), want: second,
+			guards: "a run queues behind the prefill of another prompt while an engine is free",
+		},
+		"cached parts outweigh a short queue": {
+			prepare: func(e *scheduler.Engines) {
+				e.Record(testStart, routerB, streaming(longRun("earlier", "subject"), first, 100*time.Millisecond))
+				e.Record(testStart, routerB, streaming(longRun("other", "other"), second, 100*time.Millisecond))
+				fill(e, first, 1, plainRun("", 1000, 10), masticway.EngineRunSent)
+			},
+			run: longRun("r", "subject"), want: first,
+			guards: "shared parts are prefilled again at each engine",
+		},
+		"a long queue outweighs cached parts": {
+			prepare: func(e *scheduler.Engines) {
+				e.Record(testStart, routerB, streaming(longRun("earlier", "subject"), first, 100*time.Millisecond))
+				fill(e, first, 8, plainRun("", 3000, 10), masticway.EngineRunSent)
+			},
+			run: longRun("r", "subject"), want: second,
+			guards: "the runs with one subject queue at its home while other engines are free",
+		},
+		"zone": {
+			servers: []masticway.Server{{ID: "e-00", Zone: "y"}, {ID: "e-01", Zone: "z"}},
+			prepare: func(e *scheduler.Engines) { fill(e, second, 3, plainRun("", 1, 10), masticway.EngineRunStreaming) },
+			run:     longAnswer, want: second,
+			guards: "long answers cross zones to avoid a few streams",
+		},
+		"prefill outweighs the zone": {
+			servers: []masticway.Server{{ID: "e-00", Zone: "y"}, {ID: "e-01", Zone: "z"}},
+			prepare: func(e *scheduler.Engines) { fill(e, second, 2, plainRun("", 3000, 10), masticway.EngineRunSent) },
+			run:     longAnswer, want: first,
+			guards: "a run waits in its zone while an engine in another is free",
+		},
+		"penalty": {
+			penalties: map[string]float64{"e-01": 600}, run: longAnswer, want: first,
+			guards: "an engine that fails for the sender is chosen",
+		},
+		"excluded": {
+			excluded: map[string]bool{"e-00": true}, run: longAnswer, want: second,
+			guards: "an engine is chosen that the sender may not use",
+		},
+		"a paced stream avoids pending prefill more than running streams": {
+			prepare: func(e *scheduler.Engines) {
+				fill(e, first, 1, plainRun("", 1050, 10), masticway.EngineRunSent)
+				fill(e, second, 24, paced, masticway.EngineRunStreaming)
+			},
+			run: plainRun("r", 100, 246), want: second,
+			guards: "prefill chunks of other prompts come between the events of a long answer",
+		},
+		"a run with few events does not": {
+			prepare: func(e *scheduler.Engines) {
+				fill(e, first, 1, plainRun("", 1050, 10), masticway.EngineRunSent)
+				fill(e, second, 24, paced, masticway.EngineRunStreaming)
+			},
+			run: plainRun("r", 100, 3), want: first,
+			guards: "all runs weigh the pending prefill as the long answers do",
+		},
+		"a long prompt avoids paced streams": {
+			prepare: func(e *scheduler.Engines) {
+				fill(e, first, 6, paced, masticway.EngineRunStreaming)
+				fill(e, second, 9, unpaced, masticway.EngineRunStreaming)
+			},
+			run: plainRun("r", 9000, 50), want: second,
+			guards: "the prefill of a long prompt delays the events of many streams",
+		},
+		"a short prompt does not": {
+			prepare: func(e *scheduler.Engines) {
+				fill(e, first, 6, paced, masticway.EngineRunStreaming)
+				fill(e, second, 9, unpaced, masticway.EngineRunStreaming)
+			},
+			run: plainRun("r", 100, 50), want: first,
+			guards: "short prompts are spread as if they delayed streams",
+		},
+		"no slot": {
+			pool: masticway.Pool{Slots: 4, TokensPerEvent: 3, TokenCapacity: 354_798},
+			prepare: func(e *scheduler.Engines) {
+				fill(e, first, 4, plainRun("", 1, 1), masticway.EngineRunStreaming)
+				fill(e, second, 3, plainRun("", 9000, 1), masticway.EngineRunSent)
+			},
+			run: plainRun("r", 100, 10), want: second,
+			guards: "a run waits for a slot while another engine has a free one",
+		},
+		"slots of the server": {
+			servers: []masticway.Server{{ID: "e-00", Zone: "z", Slots: 2}, {ID: "e-01", Zone: "z"}},
+			prepare: func(e *scheduler.Engines) {
+				fill(e, first, 2, plainRun("", 1, 1), masticway.EngineRunStreaming)
+				fill(e, second, 3, plainRun("", 9000, 1), masticway.EngineRunSent)
+			},
+			run: plainRun("r", 100, 10), want: second,
+			guards: "the pool's number of slots is used for an engine that has fewer",
+		},
+		"no memory": {
+			prepare: func(e *scheduler.Engines) {
+				fill(e, first, 4, plainRun("", 80_000, 2000), masticway.EngineRunStreaming)
+				fill(e, second, 2, plainRun("", 9000, 2000), masticway.EngineRunSent)
+			},
+			run: plainRun("r", 9000, 2000), want: second,
+			guards: "a run does not fit into the memory of its engine while another has room",
+		},
+		"the least loaded of two full engines": {
+			pool: masticway.Pool{Slots: 4, TokensPerEvent: 3, TokenCapacity: 354_798},
+			prepare: func(e *scheduler.Engines) {
+				fill(e, first, 6, plainRun("", 1, 1), masticway.EngineRunStreaming)
+				fill(e, second, 4, plainRun("", 1, 1), masticway.EngineRunStreaming)
+			},
+			run: plainRun("r", 100, 10), want: second,
+			guards: "no engine is chosen, or any, when all are full",
+		},
+		"draining": {
+			servers: []masticway.Server{{ID: "e-00", Zone: "z", State: masticway.ServerDraining}, {ID: "e-01", Zone: "z"}},
+			prepare: func(e *scheduler.Engines) { fill(e, second, 5, plainRun("", 3000, 1), masticway.EngineRunSent) },
+			run:     longAnswer, want: second,
+			guards: "an engine is chosen that takes no new requests",
+		},
+		"cold": {
+			servers: []masticway.Server{{ID: "e-00", Zone: "z", ColdUntil: testStart.Add(time.Second)}, {ID: "e-01", Zone: "z"}},
+			prepare: func(e *scheduler.Engines) { fill(e, second, 5, plainRun("", 3000, 1), masticway.EngineRunSent) },
+			run:     longAnswer, want: second,
+			guards: "a cold engine is chosen while a warm one can take the run",
+		},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			if tc.servers == nil {
+				tc.servers = []masticway.Server{{ID: "e-00", Zone: "z"}, {ID: "e-01", Zone: "z"}}
+			}
+			if tc.pool.Slots == 0 {
+				tc.pool = testPool
+			}
+			// The choice must not depend on the engine at which the search starts.
+			for placed := range 2 {
+				e := scheduler.NewEngines(testPolicy)
+				e.Sync(testStart, tc.pool, tc.servers)
+				for i := range placed {
+					e.Place(testStart, routerB, plainRun(fmt.Sprint("other", i), 1, 1), map[string]bool{"e-00": true, "e-01": true}, nil)
+				}
+				if tc.prepare != nil {
+					tc.prepare(e)
+				}
+				c := e.Place(testStart, routerA, tc.run, tc.excluded, tc.penalties)
+				qt.Assert(t, c.Server, qt.Equals, tc.want, qt.Commentf("failure: %s; %+v", tc.guards, c))
+			}
+		})
+	}
+}
+
+// TestNoEngine guards against refusing a request with Full because its sender excluded all engines of the group.
+func TestNoEngine(t *testing.T) {
+	cases := map[string]struct {
+		engines  int
+		excluded map[string]bool
+	}{
+		"no engine":    {},
+		"all excluded": {engines: 3, excluded: allBut(3)},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			e := newTestEngines(tc.engines)
+			qt.Assert(t, e.Place(testStart, routerA, plainRun("r", 100, 10), tc.excluded, nil), qt.Equals, masticway.EngineChoice{})
+			qt.Assert(t, e.TotalLoad(), qt.Equals, scheduler.Load{})
+		})
+	}
+}
+
+// TestFull loads two engines with 70,000 pending tokens each, a prefill of 2 s.
+func TestFull(t *testing.T) {
+	cases := map[string]struct {
+		timeLeft time.Duration
+		excluded map[string]bool
+		wantFull bool
+		// guards says which failure the case guards against.
+		guards string
+	}{
+		"the deadline is later": {timeLeft: 3 * time.Second, guards: "a request is refused although it would be answered in time"},
+		"the deadline is earlier": {
+			timeLeft: 500 * time.Millisecond, wantFull: true, guards: "a request waits for an answer that comes too late",
+		},
+		"no deadline": {guards: "a request without a deadline is refused"},
+		"a free engine is excluded": {
+			timeLeft: 500 * time.Millisecond, excluded: map[string]bool{"e-02": true}, wantFull: true,
+			guards: "the wait at an engine counts that the sender may not use",
+		},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			engines := 2 + len(tc.excluded)
+			e := newTestEngines(engines)
+			for i, s := range testServers(2) {
+				e.Record(testStart, routerB, sent(plainRun(fmt.Sprint("other", i), 70_000, 10), s.Incarnation()))
+			}
+			before := e.TotalLoad()
+			r := plainRun("r", 500, 10)
+			r.TimeLeft = tc.timeLeft
+			c := e.Place(testStart, routerA, r, tc.excluded, nil)
+			qt.Assert(t, c.Full, qt.Equals, tc.wantFull, qt.Commentf("failure: %s; %+v", tc.guards, c))
+			if !tc.wantFull {
+				qt.Assert(t, c.Wait > 1900*time.Millisecond && c.Wait < 2200*time.Millisecond, qt.IsTrue, qt.Commentf("%v", c.Wait))
+				return
+			}
+			qt.Assert(t, c.Server, qt.Equals, masticway.ServerIncarnation(""))
+			qt.Assert(t, c.RetryAfter > 1400*time.Millisecond && c.RetryAfter < 1700*time.Millisecond, qt.IsTrue, qt.Commentf("%v", c.RetryAfter))
+			qt.Assert(t, e.TotalLoad(), qt.Equals, before, qt.Commentf("a refused run has a reservation"))
+		})
+	}
+}
+
+// TestFullSlots guards against refusing requests for seconds, or for no time, when all slots are taken.
+func TestFullSlots(t *testing.T) {
+	e := scheduler.NewEngines(testPolicy)
+	p := testPool
+	p.Slots = 4
+	e.Sync(testStart, p, testServers(1))
+	r := plainRun("r", 100, 10)
+	for i := range 12 {
+		other := plainRun(fmt.Sprint("other", i), 100, 10)
+		e.Record(testStart, routerB, streaming(other, testServers(1)[0].Incarnation(), 50*time.Millisecond))
+	}
+	r.TimeLeft = time.Second
+	c := e.Place(testStart, routerA, r, nil, nil)
+	qt.Assert(t, c.Full, qt.IsTrue)
+	qt.Assert(t, c.RetryAfter >= 500*time.Millisecond && c.RetryAfter <= 3*time.Second, qt.IsTrue, qt.Commentf("%v", c.RetryAfter))
+}
+
+// TestFrozenEngine guards against sending runs to an engine that has stopped answering until its failures are noticed.
+func TestFrozenEngine(t *testing.T) {
+	e := newTestEngines(2)
+	frozen := testServers(2)[0].Incarnation()
+	e.Record(testStart, routerB, sent(plainRun("other", 100, 10), frozen))
+	now := testStart.Add(time.Second)
+	e.Touch(now, routerB)
+	for i := range 20 {
+		c := place(e, now, plainRun(fmt.Sprint("r", i), 1000, 10))
+		qt.Assert(t, c, qt.Not(qt.Equals), frozen, qt.Commentf("run %d", i))
+	}
+}
+
+// TestDeadSenderSaysNothingAboutEngines guards against avoiding the engines of a dead router's runs as if they were frozen.
+func TestDeadSenderSaysNothingAboutEngines(t *testing.T) {
+	e := newTestEngines(2)
+	engine := testServers(2)[0].Incarnation()
+	e.Record(testStart, routerB, sent(plainRun("other", 100, 10), engine))
+	now := testStart.Add(2 * time.Second)
+	used := map[masticway.ServerIncarnation]bool{}
+	for i := range 4 {
+		used[place(e, now, plainRun(fmt.Sprint("r", i), 1000, 10))] = true
+	}
+	qt.Assert(t, used[engine], qt.IsTrue)
+}
--- a/scheduler/ranking.go
+++ b/scheduler/ranking.go
@@ -38,7 +38,7 @@
 
 // homeWeight returns the engine's rendezvous weight for the hash of a prompt's home part. Slow engines have half weight.
 func (n *engine) homeWeight(hash uint64) uint64 {
-	weight := chooser.RendezvousWeight(hash, n.server.ID)
+	weight := chooser.MixWeight(hash, n.idHash)
 	if n.speed.isSlow {
 		return chooser.HalveWeight(weight)
 	}
--- a/scheduler/speed.go
+++ b/scheduler/speed.go
@@ -35,6 +35,8 @@
 	initialMeanPrompt = 2000.0
 	// speedUpdateInterval is the minimum interval of updates of the median and of the engines' speeds relative to it.
 	speedUpdateInterval = 100 * time.Millisecond
+	// maxSampleScan is the number of pending runs, from the first placed one, among which the first one sent is searched.
+	maxSampleScan = 64
 	// firstEventLatency is the time in milliseconds from sending a run to its first event at an idle engine, without the prefill.
 	firstEventLatency = 10.0
 )
@@ -96,10 +98,12 @@
 		return
 	}
 	from, latency := r.sentAt, firstEventLatency
-	for p := n.oldestPending; p != nil; p = p.next {
+	p := n.oldestPending
+	for i := 0; i < maxSampleScan && p != nil; i++ {
 		if p.sentAt.Before(from) {
 			from = p.sentAt
 		}
+		p = p.next
 	}
 	if n.firstEventAt.After(from) {
 		from, latency = n.firstEventAt, 0
--- /dev/null
+++ b/scheduler/speed_test.go
@@ -0,0 +1,199 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/masticway/masticway"
+	"github.com/masticway/masticway/scheduler"
+)
+
+const (
+	// usualSpeed is the speed of an engine of speed 1 in these tests, in tokens per millisecond.
+	usualSpeed   = 40.0
+	learningTime = 10 * time.Second
+)
+
+// learnSpeeds reports a busy time of the first n engines until learningTime, with prompts of 2,000 tokens back to back. speeds are
+// shares of usualSpeed by engine ID; engines without one have speed 1.
+func learnSpeeds(e *scheduler.Engines, n int, speeds map[string]float64) {
+	learnSpeedsFrom(e, testStart, learningTime, n, speeds)
+}
+
+func learnSpeedsFrom(e *scheduler.Engines, from time.Time, span time.Duration, n int, speeds map[string]float64) {
+	next := make([]time.Duration, n)
+	servers := testServers(n)
+	for at := time.Duration(0); at < span; at += 10 * time.Millisecond {
+		for i, s := range servers {
+			share := speeds[s.ID]
+			if share == 0 {
+				share = 1
+			}
+			took := time.Duration(2000 / (usualSpeed * share) * float64(time.Millisecond))
+			for next[i] <= at {
+				// A run of a pair is sent with the other one, and waits for its prefill.
+				r := plainRun(fmt.Sprint(s.ID, from.UnixNano(), next[i]), 2000, 10)
+				now := from.Add(next[i])
+				e.Record(now, routerA, sent(r, s.Incarnation()))
+				next[i] += took
+				now = from.Add(next[i])
+				e.Record(now, routerA, streaming(r, s.Incarnation(), took+10*time.Millisecond))
+				e.Record(now, routerA, ended(r, s.Incarnation(), took+10*time.Millisecond))
+			}
+		}
+		e.Expire(from.Add(at))
+	}
+}
+
+// TestSlowAndNormal guards against a classification that changes with each small change of a speed.
+func TestSlowAndNormal(t *testing.T) {
+	cases := map[string]struct {
+		speeds   []float64
+		wantSlow []bool
+	}{
+		"normal":                       {speeds: []float64{1}, wantSlow: []bool{false}},
+		"slow":                         {speeds: []float64{0.3}, wantSlow: []bool{true}},
+		"a little slow":                {speeds: []float64{0.78}, wantSlow: []bool{false}},
+		"slow and then a little slow":  {speeds: []float64{0.4, 0.78}, wantSlow: []bool{true, true}},
+		"slow and then normal":         {speeds: []float64{0.4, 1}, wantSlow: []bool{true, false}},
+		"normal and then a bit slower": {speeds: []float64{1, 0.78, 1}, wantSlow: []bool{false, false, false}},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			e := newTestEngines(5)
+			for i, speed := range tc.speeds {
+				learnSpeedsFrom(e, testStart.Add(time.Duration(i)*time.Minute), time.Minute, 5, map[string]float64{"e-02": speed})
+				slow := e.SlowEngines()
+				if !tc.wantSlow[i] {
+					qt.Assert(t, slow, qt.HasLen, 0, qt.Commentf("phase %d: %.2f", i, e.Speed(testServers(5)[2].Incarnation())))
+					continue
+				}
+				qt.Assert(t, slow, qt.DeepEquals, []string{"e-02"}, qt.Commentf("phase %d: %.2f", i, e.Speed(testServers(5)[2].Incarnation())))
+			}
+		})
+	}
+}
+
+// TestOneSampleMakesNoEngineSlow guards against avoiding an engine because of one late first event.
+func TestOneSampleMakesNoEngineSlow(t *testing.T) {
+	cases := map[string]struct {
+		tokens int
+		took   time.Duration
+	}{
+		"mean prompt":             {tokens: 2000, took: 10 * time.Second},
+		"long prompt":             {tokens: 9190, took: 14 * time.Second},
+		"short prompt":            {tokens: 200, took: 10 * time.Second},
+		"enormous prompt":         {tokens: 200_000, took: 14 * time.Second},
+		"prompt too short to say": {tokens: 10, took: 10 * time.Second},
+	}
+	for name, tc := range cases {
+		for _, hasLearned := range []bool{false, true} {
+			t.Run(fmt.Sprint(name, ", speeds learned: ", hasLearned), func(t *testing.T) {
+				e := newTestEngines(5)
+				now := testStart
+				if hasLearned {
+					learnSpeeds(e, 4, nil)
+					now = now.Add(learningTime)
+				}
+				s := testServers(5)[4].Incarnation()
+				e.Record(now, routerA, sent(plainRun("r", tc.tokens, 10), s))
+				now = now.Add(tc.took)
+				e.Record(now, routerA, streaming(plainRun("r", tc.tokens, 10), s, tc.took))
+				e.Expire(now.Add(time.Second))
+				qt.Assert(t, e.SlowEngines(), qt.HasLen, 0, qt.Commentf("%.2f of the median", e.Speed(s)))
+			})
+		}
+	}
+}
+
+// TestSpeedOfIdleTimes guards against learning a low speed from the time in which an engine had nothing to prefill, or from the
+// order in which the first events of two senders are reported.
+func TestSpeedOfIdleTimes(t *testing.T) {
+	cases := map[string]struct {
+		// sentAt and firstAt are the times of each run's sending and first event in milliseconds from the start of a round of 2 s, and
+		// reportedAt is the order of the reports of first events.
+		sentAt, firstAt []int
+		order           []int
+	}{
+		"one run":                {sentAt: []int{0}, firstAt: []int{60}, order: []int{0}},
+		"two after each other":   {sentAt: []int{0, 1000}, firstAt: []int{60, 1060}, order: []int{0, 1}},
+		"two at once":            {sentAt: []int{0, 0}, firstAt: []int{60, 110}, order: []int{0, 1}},
+		"two at once, reordered": {sentAt: []int{0, 0}, firstAt: []int{60, 110}, order: []int{1, 0}},
+		"three, the last first":  {sentAt: []int{0, 0, 20}, firstAt: []int{60, 110, 160}, order: []int{2, 0, 1}},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			e := newTestEngines(1)
+			s := testServers(1)[0].Incarnation()
+			at := func(round, ms int) time.Time {
+				return testStart.Add(time.Duration(round)*2*time.Second + time.Duration(ms)*time.Millisecond)
+			}
+			for round := range 40 {
+				runs := make([]masticway.EngineRun, len(tc.sentAt))
+				for i, ms := range tc.sentAt {
+					runs[i] = plainRun(fmt.Sprint(round, "-", i), 2000, 10)
+					e.Record(at(round, ms), routerA, sent(runs[i], s))
+				}
+				reportedAt := at(round, tc.firstAt[len(tc.firstAt)-1])
+				for _, i := range tc.order {
+					took := time.Duration(tc.firstAt[i]-tc.sentAt[i]) * time.Millisecond
+					report := streaming(runs[i], s, took)
+					report.Age = reportedAt.Sub(at(round, tc.firstAt[i]))
+					e.Record(reportedAt, routerA, report)
+				}
+			}
+			speed := e.Speeds()[s]
+			qt.Assert(t, math.Abs(speed.TokensPerMS-usualSpeed) < 0.1*usualSpeed, qt.IsTrue, qt.Commentf("%+v", speed))
+		})
+	}
+}
+
+// TestLongPromptsPreferFastEngines guards against giving slow engines the same share of the long prompts as other engines.
+func TestLongPromptsPreferFastEngines(t *testing.T) {
+	e := newTestEngines(8)
+	slow := map[string]float64{"e-01": 0.3, "e-06": 0.3}
+	learnSpeeds(e, 8, slow)
+	qt.Assert(t, e.SlowEngines(), qt.DeepEquals, []string{"e-01", "e-06"})
+	now, count := testStart.Add(learningTime), 0
+	for i := range 80 {
+		r := longRun(fmt.Sprint("r", i), fmt.Sprint("subject", i))
+		server := place(e, now, r)
+		if server == testServers(8)[1].Incarnation() || server == testServers(8)[6].Incarnation() {
+			count++
+		}
+		e.Record(now, routerA, ended(r, server, 0))
+	}
+	qt.Assert(t, count <= 6, qt.IsTrue, qt.Commentf("%d of 80 long prompts at the two slow engines", count))
+}
+
+// TestSpeedsOfPreviousOwner guards against an owner that starts without the speeds of its predecessor, and against one that forgets
+// what it has learned itself.
+func TestSpeedsOfPreviousOwner(t *testing.T) {
+	previous := newTestEngines(5)
+	learnSpeeds(previous, 5, map[string]float64{"e-03": 0.3})
+	learned := previous.Speeds()
+	qt.Assert(t, learned, qt.HasLen, 5)
+
+	next := newTestEngines(5)
+	next.AdoptSpeeds(testStart, learned)
+	next.Expire(testStart.Add(time.Second))
+	qt.Assert(t, next.SlowEngines(), qt.DeepEquals, []string{"e-03"})
+
+	// Less weight, engines that are not known, and invalid values change nothing.
+	s := testServers(5)
+	next.AdoptSpeeds(testStart.Add(time.Second), map[masticway.ServerIncarnation]masticway.EngineSpeed{
+		s[3].Incarnation(): {TokensPerMS: usualSpeed, Tokens: 100},
+		s[0].Incarnation(): {TokensPerMS: 0, Tokens: 1e9},
+		s[1].Incarnation(): {TokensPerMS: math.NaN(), Tokens: 1e9},
+		s[2].Incarnation(): {TokensPerMS: 1e-300, Tokens: 1e300},
+		s[4].Incarnation(): {TokensPerMS: -1, Tokens: 1e9},
+		"e-99@1":           {TokensPerMS: 1, Tokens: 1e9},
+	})
+	next.Expire(testStart.Add(2 * time.Second))
+	qt.Assert(t, next.SlowEngines(), qt.DeepEquals, []string{"e-03"})
+	qt.Assert(t, next.Speeds(), qt.HasLen, 5)
+}
