--- a/scheduler/speed.go
+++ b/scheduler/speed.go
@@ -35,6 +35,8 @@
 	initialMeanPrompt = 2000.0
 	// speedUpdateInterval is the minimum interval of updates of the median and of the engines' speeds relative to it.
 	speedUpdateInterval = 100 * time.Millisecond
+	// maxSampleScan is the number of pending runs, from the first placed one, among which the first one sent is searched.
+	maxSampleScan = 64
 	// firstEventLatency is the time in milliseconds from sending a run to its first event at an idle engine, without the prefill.
 	firstEventLatency = 10.0
 )
@@ -88,21 +90,25 @@
 // the run is still pending.
 //
 // The time of the sample starts at the previous first event, or when the engine began to have pending runs, whichever is later.
-// First events may be reported in another order than they arrived. An earlier one then adds tokens but no time, because the later
-// one has added the time of both.
+// First events may be reported in another order than they arrived. An earlier one of the same busy period then adds tokens but no
+// time, because the later one has added the time of both. One of an earlier busy period is ignored.
 func (e *Engines) recordSample(now time.Time, r *run, at time.Time) {
 	n := r.engine
-	if at.Before(r.sentAt) || r.uncached < minSampleTokens {
+	if at.Before(r.sentAt) || at.Before(n.sampledFrom) || r.uncached < minSampleTokens {
 		return
 	}
 	from, latency := r.sentAt, firstEventLatency
-	for p := n.oldestPending; p != nil; p = p.next {
+	p := n.oldestPending
+	for i := 0; i < maxSampleScan && p != nil; i++ {
 		if p.sentAt.Before(from) {
 			from = p.sentAt
 		}
+		p = p.next
 	}
 	if n.firstEventAt.After(from) {
 		from, latency = n.firstEventAt, 0
+	} else {
+		n.sampledFrom = from
 	}
 	tokens := float64(r.uncached)
 	took := max(0, milliseconds(at.Sub(from))-latency)
