Count queries that an owner leaves unanswered together once

Queries in flight when an owner froze all counted for the gate, which then stayed closed for seconds although the backup replied. A router now also probes itself after it was overloaded, so that it serves its own group again. The handling of results is in one place.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -1,8 +1,6 @@
 package coordinator
 
 import (
-	"context"
-	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -85,10 +83,10 @@
 	// slow holds the slow engines by pool.
 	slow atomic.Pointer[map[string]map[string]bool]
 	// wake signals Run that a message may be due earlier.
-	wake    chan struct{}
-	choices atomic.Int64
-	rankings
-	owned
+	wake     chan struct{}
+	choices  atomic.Int64
+	rankings rankings
+	owned    owned
 
 	// mu guards the state of this router as a sender.
 	mu       sync.Mutex
@@ -288,36 +286,6 @@
 	}).Info("another router owns a group of engines")
 }
 
-// updateSlow applies the list of slow engines in a reply. The caller must hold c.mu.
-func (c *Coordinator) updateSlow(key groupKey, o *Outbox, r Reply) {
-	if !r.Ready || r.SlowVersion == o.slowVersion {
-		return
-	}
-	o.slow, o.slowVersion = r.Slow, r.SlowVersion
-	var lists [][]string
-	for k, other := range c.outboxes {
-		if k.pool == key.pool {
-			lists = append(lists, other.slow)
-		}
-	}
-	all := maps.Clone(*c.slow.Load())
-	all[key.pool] = unite(lists...)
-	c.slow.Store(&all)
-}
-
-// send sends a message to a router, which may be this one. It returns the time that the call took.
-func (c *Coordinator) send(ctx context.Context, address string, timeout time.Duration, m Message) (Reply, time.Duration, error) {
-	c.Metrics.Add(metricReports, int64(len(m.Reports)))
-	if address == c.Address {
-		return c.Answer(m), 0, nil
-	}
-	bounded, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	began := c.Clock.Now()
-	reply, err := c.Routers.Send(bounded, address, m)
-	return reply, c.Clock.Now().Sub(began), err
-}
-
 // ranking is the owner and the backup of a group, as determined at a time.
 type ranking struct {
 	addresses []string
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -153,6 +153,11 @@
 			qt.Check(t, after >= tc.after, qt.IsTrue, qt.Commentf("%v of the runs after the fault", after))
 			qt.Check(t, w.longestWait <= 20*time.Millisecond, qt.IsTrue, qt.Commentf("a request waited for %v", w.longestWait))
 			w.perSecond = 0
+			w.advance(300 * time.Millisecond)
+			if !w.owner().isDown {
+				// All routers have returned to the owner.
+				w.checkKnown(t, 250*time.Millisecond)
+			}
 			w.advance(5 * time.Second)
 			for _, n := range w.routers {
 				if !n.isDown {
--- a/coordinator/flush.go
+++ b/coordinator/flush.go
@@ -98,75 +98,40 @@
 		c.mu.Unlock()
 		return
 	}
-	var b Batch
+	t := transmission{key: key, outbox: o, target: o.target}
 	if o.synced {
-		b = o.Take(now, maxReports)
+		t.batch = o.Take(now, maxReports)
 	} else {
-		b = o.TakeAll(now)
+		t.batch = o.TakeAll(now)
 	}
-	target, m := o.target, Message{Sender: c.Self, Pool: key.pool, Group: key.group, SlowVersion: o.slowVersion, Reports: b.Reports, Resync: b.Resync}
+	var m Message
+	t.fill(&m, c.Self)
 	c.mu.Unlock()
-	reply, took, err := c.send(ctx, target, flushTimeout, m)
+	r := c.send(ctx, t.target, flushTimeout, m)
 	now = c.Clock.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.handleReply(now, key, o, target, b, reply, took, err, false, ctx.Err() != nil)
+	if c.handleResult(now, t, r); r.err == nil && !r.reply.NotOwner {
+		c.owners.RecordSuccess(now, t.target, r.took, false)
+	} else if ctx.Err() == nil {
+		c.owners.RecordFailure(now, t.target)
+	}
 	c.chooseTarget(now, key, o)
 }
 
-// handleReply applies the result of a message to the state of its target and to the outbox. It returns false if the message was
-// not acknowledged. canceled is set if this router has canceled the call. The caller must hold c.mu.
-func (c *Coordinator) handleReply(now time.Time, key groupKey, o *Outbox, target string, b Batch, r Reply, took time.Duration, err error, isQuery, canceled bool) bool {
-	switch {
-	case err != nil && canceled:
-		o.Return(now, b)
-		return false
-	case err != nil && isQuery && isTimeout(err):
-		c.owners.RecordQueryTimeout(now, target)
-	case err != nil || r.NotOwner:
-		c.owners.RecordFailure(now, target)
-	}
-	if err != nil || r.NotOwner {
-		o.Return(now, b)
-		c.logUnanswered(key, target, isQuery, took, err)
-		return false
-	}
-	c.owners.RecordSuccess(now, target, took, isQuery)
-	if o.target != target {
-		o.Return(now, b)
-		return true
-	}
-	o.Acknowledge(now, b)
-	o.ready = r.Ready
-	if r.NeedsResync && o.synced {
-		o.RequireResync()
-		c.wakeUp()
-	}
-	c.updateSlow(key, o, r)
-	return true
-}
-
-// logUnanswered logs a message that its target did not accept.
-func (c *Coordinator) logUnanswered(key groupKey, target string, isQuery bool, took time.Duration, err error) {
-	c.Log.WithFields(logrus.Fields{
-		"event": "engine_message_failed", "pool": key.pool, "group": key.group, "address": target, "query": isQuery, "took_ms": took.Milliseconds(),
-		"not_owner": err == nil, "error": err,
-	}).Debug("the owner of a group of engines did not accept a message")
-}
-
 // probe sends an empty message to each owner and backup that was skipped for as long as it must be.
 func (c *Coordinator) probe(ctx context.Context) {
 	for address, key := range c.dueProbes() {
-		reply, took, err := c.send(ctx, address, queryTimeout, Message{Sender: c.Self, Pool: key.pool, Group: key.group})
+		r := c.send(ctx, address, queryTimeout, Message{Sender: c.Self, Pool: key.pool, Group: key.group})
 		now := c.Clock.Now()
 		c.mu.Lock()
 		switch {
-		case isTimeout(err):
+		case isTimeout(r.err):
 			c.owners.RecordProbeTimeout(now, address)
-		case err != nil || reply.NotOwner:
+		case r.err != nil || r.reply.NotOwner:
 			c.owners.RecordFailure(now, address)
 		default:
-			c.owners.RecordSuccess(now, address, took, true)
+			c.owners.RecordSuccess(now, address, r.took, true)
 		}
 		c.mu.Unlock()
 	}
@@ -184,7 +149,7 @@
 			continue
 		}
 		for _, address := range c.ranked(now, key) {
-			if address == o.target || address == c.Address || !c.owners.DueForProbe(now, address) {
+			if address == o.target || !c.owners.DueForProbe(now, address) {
 				continue
 			}
 			if due == nil {
--- a/coordinator/gate.go
+++ b/coordinator/gate.go
@@ -62,7 +62,8 @@
 	}
 }
 
-// Cancel ends a query whose latency is unknown, because its caller has left.
+// Cancel ends a query without a measured latency, because its caller has left, or because a query that was in flight at the same
+// time has already shown that the owner does not reply.
 func (g *Gate) Cancel() { g.inFlight-- }
 
 // IsClosed reports whether the router sends no queries except probes.
--- a/coordinator/owners.go
+++ b/coordinator/owners.go
@@ -84,17 +84,19 @@
 	h.skip(now)
 }
 
-// RecordQueryTimeout records that a query was not answered in time. Queries that were in flight together count once.
-func (o *Owners) RecordQueryTimeout(now time.Time, address string) {
+// RecordQueryTimeout records that a query was not answered in time. Queries that were in flight together count once; it returns
+// false for the others.
+func (o *Owners) RecordQueryTimeout(now time.Time, address string) bool {
 	h := o.health(address)
 	if now.Before(h.queriesPausedUntil) {
-		return
+		return false
 	}
 	h.queriesPausedUntil = now.Add(minSkipTime)
 	h.unansweredQueries++
 	if h.unansweredQueries >= maxQueryFailures {
 		h.skip(now)
 	}
+	return true
 }
 
 // RecordProbeTimeout records that a probe was not answered within queryTimeout.
--- a/coordinator/place.go
+++ b/coordinator/place.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"errors"
+	"time"
 
 	"github.com/masticway/masticway"
 	"github.com/masticway/masticway/scheduler"
@@ -46,11 +46,8 @@
 
 // pendingQuery is a query in flight.
 type pendingQuery struct {
-	outbox *Outbox
-	target string
-	run    *trackedRun
-	batch  Batch
-	epoch  int
+	transmission
+	run *trackedRun
 	// isGated is set if the query counts for the gate.
 	isGated bool
 }
@@ -63,39 +60,55 @@
 		return masticway.EngineChoice{}, false
 	}
 	c.Metrics.Add(metricAsks, 1)
-	reply, took, err := c.send(ctx, q.target, queryTimeout, m)
+	r := c.send(ctx, q.target, queryTimeout, m)
 	now := c.Clock.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	answered := err == nil && took <= queryTimeout
-	if q.isGated {
-		if err != nil && parent.Err() != nil {
-			c.gate.Cancel()
-		} else {
-			c.gate.End(took, answered, c.IsOverloaded())
-		}
-	}
-	if !c.handleReply(now, key, q.outbox, q.target, q.batch, reply, took, err, true, parent.Err() != nil) {
-		if q.run.source = sourceNotReady; err != nil {
-			q.run.source = sourceTimeout
-			c.Metrics.Add(metricUnanswered, 1)
-		}
+	c.recordQuery(now, q, r, parent.Err() != nil)
+	if !c.handleResult(now, q.transmission, r) || r.reply.Choice == nil {
 		return masticway.EngineChoice{}, false
 	}
-	if reply.Choice == nil || !reply.Choice.Full && reply.Choice.Server == "" {
-		q.run.source = sourceNotReady
-		return masticway.EngineChoice{}, false
-	}
-	choice := *reply.Choice
-	if choice.Full {
+	choice := *r.reply.Choice
+	switch {
+	case choice.Full:
 		q.outbox.remove(q.run)
 		delete(c.outboxOf, q.run.run.ID)
-		return choice, true
+	case choice.Server == "":
+		return masticway.EngineChoice{}, false
+	default:
+		q.outbox.Accept(q.run, choice, q.batch.epoch)
 	}
-	q.outbox.Accept(q.run, choice, q.epoch)
 	return choice, true
 }
 
+// recordQuery records what the result of a query shows about its target and about the latency of queries. isCanceled is set if
+// the request has ended. The caller must hold c.mu.
+func (c *Coordinator) recordQuery(now time.Time, q pendingQuery, r result, isCanceled bool) {
+	q.run.source = sourceNotReady
+	isCounted := true
+	switch {
+	case r.err != nil && isCanceled:
+		isCounted = false
+	case isTimeout(r.err):
+		isCounted = c.owners.RecordQueryTimeout(now, q.target)
+	case r.err != nil || r.reply.NotOwner:
+		c.owners.RecordFailure(now, q.target)
+	default:
+		c.owners.RecordSuccess(now, q.target, r.took, true)
+	}
+	if r.err != nil {
+		q.run.source = sourceTimeout
+		c.Metrics.Add(metricUnanswered, 1)
+	}
+	switch {
+	case !q.isGated:
+	case isCounted:
+		c.gate.End(r.took, r.err == nil, c.IsOverloaded())
+	default:
+		c.gate.Cancel()
+	}
+}
+
 // beginQuery tracks the run of a query and completes the message. It returns false if no query may be sent.
 func (c *Coordinator) beginQuery(key groupKey, m *Message) (pendingQuery, bool) {
 	now := c.Clock.Now()
@@ -116,7 +129,7 @@
 		r.source = sourceTimeout
 		return pendingQuery{}, false
 	}
-	q := pendingQuery{outbox: o, target: o.target, run: r, epoch: o.epoch, isGated: o.target != c.Address}
+	q := pendingQuery{transmission: transmission{key: key, outbox: o, target: o.target}, run: r, isGated: o.target != c.Address}
 	if q.isGated && !c.gate.TryBegin(now, c.IsOverloaded()) {
 		r.source = sourcePressure
 		c.Metrics.Add(metricSkipped, 1)
@@ -124,9 +137,6 @@
 	}
 	r.asked = true
 	q.batch = o.Take(now, maxQueryReports)
-	m.Sender, m.Pool, m.Group, m.SlowVersion, m.Reports = c.Self, key.pool, key.group, o.slowVersion, q.batch.Reports
+	q.fill(m, c.Self)
 	return q, true
 }
-
-// isTimeout reports whether a call ended because of its time limit.
-func isTimeout(err error) bool { return errors.Is(err, context.DeadlineExceeded) }
--- a/coordinator/world_test.go
+++ b/coordinator/world_test.go
@@ -300,15 +300,16 @@
 	server  masticway.ServerIncarnation
 	state   masticway.EngineRunState
 	endedAt time.Time
-	// reserved is set until the run is reported.
-	reserved bool
+	// reserved is set until the run is reported. A reservation expires after 2 s.
+	reserved   bool
+	reservedAt time.Time
 }
 
 func (e *simEngines) Sync(_ time.Time, _ masticway.Pool, servers []masticway.Server) {
 	e.servers = servers
 }
 
-func (e *simEngines) Place(_ time.Time, sender masticway.Incarnation, r masticway.EngineRun, excluded map[string]bool, penalties map[string]float64) masticway.EngineChoice {
+func (e *simEngines) Place(now time.Time, sender masticway.Incarnation, r masticway.EngineRun, excluded map[string]bool, penalties map[string]float64) masticway.EngineChoice {
 	if e.full {
 		return masticway.EngineChoice{Full: true, RetryAfter: time.Second}
 	}
@@ -326,7 +327,7 @@
 		}
 	}
 	if _, ok := e.runs[r.ID]; !ok && best != "" {
-		e.runs[r.ID] = &simEntry{sender: sender, server: best, reserved: true}
+		e.runs[r.ID] = &simEntry{sender: sender, server: best, reserved: true, reservedAt: now}
 	}
 	return masticway.EngineChoice{Server: best}
 }
@@ -372,7 +373,7 @@
 func (e *simEngines) Expire(now time.Time) {
 	maps.DeleteFunc(e.senders, func(_ masticway.Incarnation, s *simSender) bool { return now.Sub(s.heardAt) >= 3*time.Second })
 	maps.DeleteFunc(e.runs, func(_ string, n *simEntry) bool {
-		return e.senders[n.sender] == nil || n.state == masticway.EngineRunEnded && now.Sub(n.endedAt) > 5*time.Second
+		return e.senders[n.sender] == nil || n.reserved && now.Sub(n.reservedAt) > 2*time.Second || n.state == masticway.EngineRunEnded && now.Sub(n.endedAt) > 5*time.Second
 	})
 }
 
