Learn speeds only from first events of the current busy period

A full resync reports streams of a time of which nothing else is known. Their tokens counted without time, so that an engine seemed up to four times as fast as it is. First events in a resync and those of an earlier busy period are no samples now.

Tests cover the suitability before the deadline, the group's load, ranks, and speeds without time.

--- a/scheduler/bench_test.go
+++ b/scheduler/bench_test.go
@@ -55,3 +55,15 @@
 		e.Place(testStart, routerA, r, nil, nil)
 	}
 }
+
+// BenchmarkExpire measures the removal of expired runs when there are none among 4,096, which is called several times a second.
+func BenchmarkExpire(b *testing.B) {
+	e := newTestEngines(64)
+	for i := range 4096 {
+		place(e, testStart, longRun(fmt.Sprint("r", i), fmt.Sprint("subject", i%400)))
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		e.Expire(testStart.Add(time.Second))
+	}
+}
--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -32,10 +32,10 @@
 	// oldestPending to newestPending, in the order in which they were placed.
 	pendingPrefill               int
 	oldestPending, newestPending *run
-	// firstEventAt is the time of the latest first event of a run.
-	firstEventAt time.Time
-	parts        partCache
-	speed        engineSpeed
+	// firstEventAt is the time of the latest first event of a run, and sampledFrom the start of the busy period that it ended.
+	firstEventAt, sampledFrom time.Time
+	parts                     partCache
+	speed                     engineSpeed
 }
 
 func newEngine(incarnation masticway.ServerIncarnation, id string, g *groupLoad) *engine {
--- a/scheduler/export_test.go
+++ b/scheduler/export_test.go
@@ -97,9 +97,13 @@
 		tokens := 0
 		for k := n.parts.oldest; k != nil; k = k.newer {
 			tokens += k.tokens
-			if k.pending > s.pending[k.hash] || k.pending == 0 && !k.prefilled {
+			if k.pending != s.pending[k.hash] || k.pending == 0 && !k.prefilled {
 				return fmt.Errorf("engine %s: part %x has %d pending runs, not %d", n.server.ID, k.hash, k.pending, s.pending[k.hash])
 			}
+			delete(s.pending, k.hash)
+		}
+		if len(s.pending) > 0 {
+			return fmt.Errorf("engine %s: parts of pending runs are not in the cache: %v", n.server.ID, s.pending)
 		}
 		if tokens != n.parts.tokens {
 			return fmt.Errorf("engine %s: parts of %d tokens, not %d", n.server.ID, tokens, n.parts.tokens)
@@ -107,3 +111,16 @@
 	}
 	return nil
 }
+
+// Ranks returns the ranks of engines with the given weights.
+func Ranks(weights []uint64) []int {
+	var r ranking
+	for i, w := range weights {
+		r.add(i, w)
+	}
+	ranks := make([]int, len(weights))
+	for i := range weights {
+		ranks[i] = r.rank(i)
+	}
+	return ranks
+}
--- a/scheduler/parts_test.go
+++ b/scheduler/parts_test.go
@@ -64,31 +64,32 @@
 // TestHomesAgreeWithChooser guards against homes that differ between an owner and the local estimates of the routers. Shared parts
 // would then be prefilled at both whenever some routers send no queries.
 func TestHomesAgreeWithChooser(t *testing.T) {
-	const engines = 12
-	speeds := map[string]float64{"e-02": 0.3, "e-05": 0.3, "e-07": 0.3}
-	e := newTestEngines(engines)
-	learnSpeeds(e, engines, speeds)
+	const (
+		engines = 12
+		prompts = 400
+		// rankShare is so high that the rank outweighs the speed of the engines.
+		rankShare = 40
+	)
+	servers := testServers(engines)
+	e := scheduler.NewEngines(scheduler.Policy{RankShare: rankShare})
+	e.Sync(testStart, testPool, servers)
+	learnSpeeds(e, engines, map[string]float64{"e-02": 0.3, "e-05": 0.3, "e-07": 0.3})
 	slow := map[string]bool{}
 	for _, id := range e.SlowEngines() {
 		slow[id] = true
 	}
-	qt.Assert(t, slow, qt.HasLen, len(speeds))
-	now := testStart.Add(learningTime)
-	homes := map[bool]int{}
-	for i := range 400 {
-		// The own part is so short that its prefill does not outweigh the ranks.
-		r := masticway.EngineRun{ID: fmt.Sprint("r", i), Tokens: 4010, Output: 1, Zone: "z", Parts: []masticway.PromptPart{
-			{ID: fmt.Sprint("subject", i), Tokens: 4000}, {ID: fmt.Sprint("own", i), Tokens: 10},
-		}}
+	qt.Assert(t, slow, qt.HasLen, 3)
+	now, slowHomes := testStart.Add(learningTime), 0
+	for i := range prompts {
+		r := longRun(fmt.Sprint("r", i), fmt.Sprint("subject", i))
 		prompt := chooser.Prompt{Tokens: r.Tokens, Output: r.Output, Zone: r.Zone, Parts: r.Parts, SlowEngines: slow}
-		local := chooser.NewServers(chooser.ServerPolicy{RankShare: 4})
-		k, _ := local.Choose(now, true, prompt, testServers(engines))
-		homes[slow[testServers(engines)[k].ID]]++
-		if !slow[testServers(engines)[k].ID] {
-			qt.Assert(t, place(e, now, r), qt.Equals, testServers(engines)[k].Incarnation(), qt.Commentf("%s", r.ID))
-			e.Record(now, routerA, ended(r, testServers(engines)[k].Incarnation(), 0))
+		k, _ := chooser.NewServers(chooser.ServerPolicy{RankShare: rankShare}).Choose(now, true, prompt, servers)
+		qt.Assert(t, place(e, now, r), qt.Equals, servers[k].Incarnation(), qt.Commentf("%s", r.ID))
+		e.Record(now, routerA, ended(r, servers[k].Incarnation(), 0))
+		if slow[servers[k].ID] {
+			slowHomes++
 		}
 	}
 	// 3 of 12 engines have half weight, so they are the homes of 1.5 of 10.5 prompts: 57 of 400.
-	qt.Assert(t, homes[true] > 35 && homes[true] < 80, qt.IsTrue, qt.Commentf("%d of 400 homes are slow", homes[true]))
+	qt.Assert(t, slowHomes > 35 && slowHomes < 80, qt.IsTrue, qt.Commentf("%d of %d homes are slow", slowHomes, prompts))
 }
--- a/scheduler/place_test.go
+++ b/scheduler/place_test.go
@@ -158,6 +158,12 @@
 			run: plainRun("r", 100, 10), want: second,
 			guards: "no engine is chosen, or any, when all are full",
 		},
+		"in time only at the more expensive engine": {
+			prepare:   func(e *scheduler.Engines) { fill(e, first, 2, plainRun("", 10_000, 1), masticway.EngineRunSent) },
+			run:       masticway.EngineRun{ID: "r", Tokens: 100, Output: 10, Zone: "z", TimeLeft: 400 * time.Millisecond},
+			penalties: map[string]float64{"e-01": 2000}, want: second,
+			guards: "a run is sent to an engine where it is certainly late",
+		},
 		"draining": {
 			servers: []masticway.Server{{ID: "e-00", Zone: "z", State: masticway.ServerDraining}, {ID: "e-01", Zone: "z"}},
 			prepare: func(e *scheduler.Engines) { fill(e, second, 5, plainRun("", 3000, 1), masticway.EngineRunSent) },
@@ -196,6 +202,51 @@
 	}
 }
 
+// TestBusyGroup guards against prefilling shared parts again while all engines are busy, which makes all runs wait longer, and
+// against queueing at the engine that has them while the others are idle.
+func TestBusyGroup(t *testing.T) {
+	for name, tc := range map[string]struct {
+		pendingElsewhere int
+		want             string
+	}{
+		"idle": {want: "e-01"},
+		"busy": {pendingElsewhere: 20_000, want: "e-00"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := scheduler.NewEngines(scheduler.Policy{})
+			servers := testServers(4)
+			e.Sync(testStart, testPool, servers)
+			cached := longRun("cached", "subject")
+			e.Record(testStart, routerB, streaming(cached, servers[0].Incarnation(), 272*time.Millisecond))
+			e.Record(testStart, routerB, sent(plainRun("pending", 9000, 10), servers[0].Incarnation()))
+			for i, s := range servers[2:] {
+				if tc.pendingElsewhere > 0 {
+					e.Record(testStart, routerB, sent(plainRun(fmt.Sprint("other", i), tc.pendingElsewhere, 10), s.Incarnation()))
+				}
+			}
+			r := longRun("r", "subject")
+			c := e.Place(testStart, routerA, r, map[string]bool{"e-02": true, "e-03": true}, nil)
+			qt.Assert(t, string(c.Server[:4]), qt.Equals, tc.want, qt.Commentf("%+v", c))
+		})
+	}
+}
+
+// TestRanks guards against ranks that differ from the order of the weights.
+func TestRanks(t *testing.T) {
+	cases := map[string]struct {
+		weights []uint64
+		want    []int
+	}{
+		"falling":   {weights: []uint64{9, 8, 7, 6, 5, 4, 3, 2}, want: []int{0, 1, 2, 3, 4, 5, 6, 6}},
+		"rising":    {weights: []uint64{2, 3, 4, 5, 6, 7, 8, 9}, want: []int{6, 6, 5, 4, 3, 2, 1, 0}},
+		"unordered": {weights: []uint64{5, 90, 3, 70, 8, 60, 4, 80}, want: []int{5, 0, 6, 2, 4, 3, 6, 1}},
+		"few":       {weights: []uint64{5, 90}, want: []int{1, 0}},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) { qt.Assert(t, scheduler.Ranks(tc.weights), qt.DeepEquals, tc.want) })
+	}
+}
+
 // TestNoEngine guards against refusing a request with Full because its sender excluded all engines of the group.
 func TestNoEngine(t *testing.T) {
 	cases := map[string]struct {
@@ -277,6 +328,8 @@
 func TestFrozenEngine(t *testing.T) {
 	e := newTestEngines(2)
 	frozen := testServers(2)[0].Incarnation()
+	// An earlier reservation that was never reported must not hide the frozen engine.
+	e.Place(testStart, routerA, plainRun("unreported", 100, 10), allBut(2, "e-00"), nil)
 	e.Record(testStart, routerB, sent(plainRun("other", 100, 10), frozen))
 	now := testStart.Add(time.Second)
 	e.Touch(now, routerB)
--- a/scheduler/reports.go
+++ b/scheduler/reports.go
@@ -16,14 +16,20 @@
 // Record records a report of a run. It is idempotent: the load is the same if a report arrives late, several times or in another
 // order. A report without details of a run that is not known is ignored, unless it is the run's end.
 func (e *Engines) Record(now time.Time, sender masticway.Incarnation, r masticway.EngineReport) {
-	s := e.heard(now, sender)
-	if s == nil || e.ended.has(r.Run) {
+	if s := e.heard(now, sender); s != nil {
+		e.record(now, s, r, true)
+	}
+}
+
+// record records a report. If isSample is set and the report contains the run's first event, the speed of the engine is learned
+// from it.
+func (e *Engines) record(now time.Time, s *sender, r masticway.EngineReport, isSample bool) {
+	if e.ended.has(r.Run) {
 		return
 	}
-	n := e.findRun(now, s, r)
-	if n != nil {
+	if n := e.findRun(now, s, r); n != nil {
 		n.sender = s
-		e.advance(now, n, r)
+		e.advance(now, n, r, isSample)
 	}
 	if r.State >= masticway.EngineRunEnded {
 		e.ended.add(now, r.Run)
@@ -48,7 +54,8 @@
 		}
 	}
 	for _, r := range open {
-		e.Record(now, sender, r)
+		// The first events of streams that have run for long are no samples, because what else the engine did then is not known.
+		e.record(now, s, r, false)
 	}
 }
 
@@ -85,7 +92,7 @@
 }
 
 // advance applies the state of a report to its run.
-func (e *Engines) advance(now time.Time, n *run, r masticway.EngineReport) {
+func (e *Engines) advance(now time.Time, n *run, r masticway.EngineReport, isSample bool) {
 	if !n.reported {
 		n.reported = true
 		// A run cannot have been sent before its engine was reserved, even if the report was fast.
@@ -95,7 +102,9 @@
 		n.expiresAt = n.sentAt.Add(n.timeLeft)
 	}
 	if n.state == masticway.EngineRunSent && (r.State == masticway.EngineRunStreaming || r.FirstEventAfter > 0) {
-		e.recordSample(now, n, sentAt(now, r).Add(duration(r.FirstEventAfter)))
+		if isSample {
+			e.recordSample(now, n, sentAt(now, r).Add(duration(r.FirstEventAfter)))
+		}
 		n.engine.recordFirstEvent(now, n)
 	}
 	if r.State >= masticway.EngineRunEnded {
--- a/scheduler/reports_test.go
+++ b/scheduler/reports_test.go
@@ -235,3 +235,13 @@
 	e.Record(testStart, routerA, report)
 	qt.Assert(t, e.TotalLoad(), qt.Equals, scheduler.Load{})
 }
+
+// TestStaleReportOfOtherEngine guards against moving a run back to an engine that its sender tried before.
+func TestStaleReportOfOtherEngine(t *testing.T) {
+	e := newTestEngines(2)
+	r := longRun("r", "subject")
+	e.Record(testStart, routerA, streaming(r, testServers(2)[1].Incarnation(), 100*time.Millisecond))
+	e.Record(testStart, routerA, sent(r, testServers(2)[0].Incarnation()))
+	qt.Assert(t, e.Load("e-00"), qt.Equals, scheduler.Load{})
+	qt.Assert(t, e.Load("e-01").Streams, qt.Equals, 1)
+}
--- a/scheduler/senders_test.go
+++ b/scheduler/senders_test.go
@@ -118,6 +118,7 @@
 		place(e, testStart, r)
 		e.Record(testStart, routerB, ended(masticway.EngineRun{ID: "ended-" + id}, "e-00", 0))
 		e.Touch(testStart, masticway.Incarnation(id))
+		e.Record(testStart, routerB, sent(masticway.EngineRun{ID: "open-" + id, Tokens: 10, TimeLeft: time.Minute}, testServers(2)[i%2].Incarnation()))
 	}
 	runs, ended, senders, parts := e.Counts()
 	qt.Assert(t, runs <= scheduler.MaxRuns, qt.IsTrue, qt.Commentf("%d runs", runs))
--- a/scheduler/speed.go
+++ b/scheduler/speed.go
@@ -90,11 +90,11 @@
 // the run is still pending.
 //
 // The time of the sample starts at the previous first event, or when the engine began to have pending runs, whichever is later.
-// First events may be reported in another order than they arrived. An earlier one then adds tokens but no time, because the later
-// one has added the time of both.
+// First events may be reported in another order than they arrived. An earlier one of the same busy period then adds tokens but no
+// time, because the later one has added the time of both. One of an earlier busy period is ignored.
 func (e *Engines) recordSample(now time.Time, r *run, at time.Time) {
 	n := r.engine
-	if at.Before(r.sentAt) || r.uncached < minSampleTokens {
+	if at.Before(r.sentAt) || at.Before(n.sampledFrom) || r.uncached < minSampleTokens {
 		return
 	}
 	from, latency := r.sentAt, firstEventLatency
@@ -107,6 +107,8 @@
 	}
 	if n.firstEventAt.After(from) {
 		from, latency = n.firstEventAt, 0
+	} else {
+		n.sampledFrom = from
 	}
 	tokens := float64(r.uncached)
 	took := max(0, milliseconds(at.Sub(from))-latency)
--- a/scheduler/speed_test.go
+++ b/scheduler/speed_test.go
@@ -91,12 +91,13 @@
 		"prompt too short to say": {tokens: 10, took: 10 * time.Second},
 	}
 	for name, tc := range cases {
-		for _, hasLearned := range []bool{false, true} {
-			t.Run(fmt.Sprint(name, ", speeds learned: ", hasLearned), func(t *testing.T) {
+		// The sample is of e-04, about which nothing is known if only the speeds of four engines are learned.
+		for _, learned := range []int{0, 4, 5} {
+			t.Run(fmt.Sprint(name, ", learned speeds: ", learned), func(t *testing.T) {
 				e := newTestEngines(5)
 				now := testStart
-				if hasLearned {
-					learnSpeeds(e, 4, nil)
+				if learned > 0 {
+					learnSpeeds(e, learned, nil)
 					now = now.Add(learningTime)
 				}
 				s := testServers(5)[4].Incarnation()
@@ -110,19 +111,109 @@
 	}
 }
 
+// TestEarlierFirstEvents guards against speeds that are too high because runs of an earlier time are reported, for which the time is
+// not counted.
+func TestEarlierFirstEvents(t *testing.T) {
+	s := testServers(2)[0].Incarnation()
+	earlier := func() (reports []masticway.EngineReport) {
+		for i := range 50 {
+			report := streaming(plainRun(fmt.Sprint("earlier", i), 9000, 10), s, 300*time.Millisecond)
+			report.Age = time.Duration(1+i%5) * time.Second
+			reports = append(reports, report)
+		}
+		return reports
+	}
+	now := testStart.Add(learningTime)
+	t.Run("late reports", func(t *testing.T) {
+		e := newTestEngines(2)
+		learnSpeeds(e, 1, nil)
+		// A run that begins a new busy period.
+		r := plainRun("r", 2000, 10)
+		e.Record(now.Add(time.Second), routerA, sent(r, s))
+		e.Record(now.Add(time.Second+60*time.Millisecond), routerA, streaming(r, s, 60*time.Millisecond))
+		before := e.Speeds()[s]
+		for _, report := range earlier() {
+			e.Record(now.Add(time.Second+60*time.Millisecond), routerB, report)
+		}
+		qt.Assert(t, e.Speeds()[s], qt.Equals, before)
+	})
+	t.Run("resync", func(t *testing.T) {
+		e := newTestEngines(2)
+		e.Replace(now, routerB, earlier())
+		qt.Assert(t, e.TotalLoad().Streams, qt.Equals, 50)
+		qt.Assert(t, e.Speeds(), qt.HasLen, 0)
+	})
+}
+
+// TestFastestSpeed guards against an infinite speed from first events that are reported as if they took no time.
+func TestFastestSpeed(t *testing.T) {
+	e := newTestEngines(3)
+	s := testServers(3)[0].Incarnation()
+	for i := range 100 {
+		e.Record(testStart, routerA, streaming(plainRun(fmt.Sprint("r", i), 2000, 10), s, 12*time.Millisecond))
+	}
+	e.Expire(testStart.Add(time.Second))
+	qt.Assert(t, e.Speed(s) <= 4, qt.IsTrue, qt.Commentf("%.2f of the median", e.Speed(s)))
+	c := e.Place(testStart, routerA, plainRun("next", 9000, 10), nil, nil)
+	qt.Assert(t, c.Wait > 50*time.Millisecond, qt.IsTrue, qt.Commentf("%v", c.Wait))
+}
+
+// TestChoiceBySpeed places a run at a slow engine, e-00, or a normal one, e-01.
+func TestChoiceBySpeed(t *testing.T) {
+	unpaced := plainRun("r", 1, 246)
+	unpaced.EventGap = 0
+	cases := map[string]struct {
+		// streams are the numbers of running streams.
+		streams [2]int
+		run     masticway.EngineRun
+		want    int
+		guards  string
+	}{
+		"a run slows down a slow engine more": {
+			streams: [2]int{8, 16}, run: unpaced, want: 1, guards: "slow engines get as many runs as normal ones",
+		},
+		"a slow engine with few runs": {streams: [2]int{2, 16}, run: unpaced, want: 0, guards: "slow engines are not used"},
+		"a paced stream avoids a slow engine": {
+			streams: [2]int{2, 16}, run: plainRun("r", 1, 246), want: 1, guards: "prefill chunks break the event gap of a stream",
+		},
+		"a stream with long gaps does not": {
+			streams: [2]int{2, 16}, run: masticway.EngineRun{ID: "r", Tokens: 1, Output: 246, Zone: "z", EventGap: 2 * time.Second}, want: 0,
+			guards: "streams for which a slow engine is fast enough avoid it",
+		},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			e := newTestEngines(2)
+			servers := testServers(2)
+			// The median is the speed of the normal engine.
+			learnSpeeds(e, 2, map[string]float64{"e-00": 0.3})
+			now := testStart.Add(learningTime)
+			for i, n := range tc.streams {
+				for k := range n {
+					r := masticway.EngineRun{ID: fmt.Sprint(i, "-", k), Tokens: 1, TimeLeft: 8 * time.Second}
+					e.Record(now, routerA, streaming(r, servers[i].Incarnation(), time.Millisecond))
+				}
+			}
+			qt.Assert(t, place(e, now, tc.run), qt.Equals, servers[tc.want].Incarnation(), qt.Commentf("failure: %s", tc.guards))
+		})
+	}
+}
+
 // TestSpeedOfIdleTimes guards against learning a low speed from the time in which an engine had nothing to prefill, or from the
 // order in which the first events of two senders are reported.
 func TestSpeedOfIdleTimes(t *testing.T) {
 	cases := map[string]struct {
-		// sentAt and firstAt are the times of each run's sending and first event in milliseconds from the start of a round of 2 s, and
-		// reportedAt is the order of the reports of first events.
+		// sentAt and firstAt are the times of each run's sending and first event in milliseconds from the start of a round of 2 s,, and
+		// order is the order of the reports of first events. If isReserved is set, each run is reserved 200 ms before it is sent.
 		sentAt, firstAt []int
 		order           []int
+		isReserved      bool
 	}{
 		"one run":                {sentAt: []int{0}, firstAt: []int{60}, order: []int{0}},
 		"two after each other":   {sentAt: []int{0, 1000}, firstAt: []int{60, 1060}, order: []int{0, 1}},
 		"two at once":            {sentAt: []int{0, 0}, firstAt: []int{60, 110}, order: []int{0, 1}},
 		"two at once, reordered": {sentAt: []int{0, 0}, firstAt: []int{60, 110}, order: []int{1, 0}},
+		"reserved earlier":       {sentAt: []int{200}, firstAt: []int{260}, order: []int{0}, isReserved: true},
 		"three, the last first":  {sentAt: []int{0, 0, 20}, firstAt: []int{60, 110, 160}, order: []int{2, 0, 1}},
 	}
 	for name, tc := range cases {
@@ -136,6 +227,9 @@
 				runs := make([]masticway.EngineRun, len(tc.sentAt))
 				for i, ms := range tc.sentAt {
 					runs[i] = plainRun(fmt.Sprint(round, "-", i), 2000, 10)
+					if tc.isReserved {
+						place(e, at(round, ms-200), runs[i])
+					}
 					e.Record(at(round, ms), routerA, sent(runs[i], s))
 				}
 				reportedAt := at(round, tc.firstAt[len(tc.firstAt)-1])
