Report a router's overload and all peers to other packages

Cause: the coordination of a zone needs whether a router is overloaded, its unanswered requests, how long its listener was paused, and the routers of all zones. Change: Rotator.Pressure and Treasurer.Peers. Nothing calls them yet. Result: go test -race ./rotator ./treasurer passes.

--- a/rotator/rotator.go
+++ b/rotator/rotator.go
@@ -78,6 +78,10 @@
 	load      *Load
 	granted   grantedLeases
 	admission admission
+	// pausedSince is since when the listener has been paused; it is zero while it is not. pausedTime is the total time of the
+	// earlier pauses.
+	pausedSince time.Time
+	pausedTime  time.Duration
 
 	// absence, paused and stateSince belong to the goroutine of Run. stateSince is when the router became, or ceased to be,
 	// overloaded.
@@ -94,6 +98,18 @@
 // IsOut reports whether the router is out of rotation.
 func (r *Rotator) IsOut() bool { return r.out.Load() }
 
+// Pressure reports whether the router is overloaded, its number of unanswered requests, and the total time for which the listener
+// has been paused.
+func (r *Rotator) Pressure() (overloaded bool, unanswered int, paused time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	paused = r.pausedTime
+	if !r.pausedSince.IsZero() {
+		paused += r.deps.Clock.Now().Sub(r.pausedSince)
+	}
+	return r.load.overloaded, r.admission.unanswered, paused
+}
+
 // Admit admits and counts a request. It returns false if the request must be refused because the router is overloaded or because
 // the request does not fit into memory. The caller must call MarkAnswered and Release once for each admitted request. rank is
 // zero for the most urgent requests.
@@ -168,6 +184,23 @@
 		r.paused = true
 	case !pause && r.paused:
 		r.paused = !r.deps.Listener.Resume()
+	default:
+		return
+	}
+	r.measurePause()
+}
+
+// measurePause updates the time for which the listener has been paused after the field paused has changed.
+func (r *Rotator) measurePause() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.deps.Clock.Now()
+	switch {
+	case r.paused && r.pausedSince.IsZero():
+		r.pausedSince = now
+	case !r.paused && !r.pausedSince.IsZero():
+		r.pausedTime += now.Sub(r.pausedSince)
+		r.pausedSince = time.Time{}
 	}
 }
 
--- a/treasurer/treasurer.go
+++ b/treasurer/treasurer.go
@@ -162,6 +162,13 @@
 	return t.members
 }
 
+// Peers returns the other routers in all availability zones that have an address and were running at the last count.
+func (t *Treasurer) Peers() []Peer {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.Clone(t.peers)
+}
+
 // ZonePeers returns the other routers in this router's availability zone that have an address and were running at the last
 // count.
 func (t *Treasurer) ZonePeers() []Peer {
