Divert the callers of an overloaded zone to other zones

Cause: a load balancer leaves a zone only if none of its routers is ready, so a zone whose routers are all near their limit stays overloaded while others are idle. Change: package diverter. Routers report to the coordinator of their zone, which takes all of them out of rotation if the other zones consent.

--- /dev/null
+++ b/diverter/coordinate.go
@@ -0,0 +1,234 @@
+package diverter
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	// pollInterval is the interval at which a coordinator whose zone is overloaded or diverted asks the other zones for their
+	// loads.
+	pollInterval = 300 * time.Millisecond
+	// lastZoneWait is how long a coordinator waits for the vote of a single zone after all others have voted.
+	lastZoneWait = 300 * time.Millisecond
+	// retryInterval is the minimum time from a failed proposal to the next. A random time of up to the same length is added, so
+	// that two zones that have refused each other do not ask at the same time again.
+	retryInterval = 500 * time.Millisecond
+)
+
+// proposal is a proposal to divert the zone. own was the zone's load when it began.
+type proposal struct {
+	began time.Time
+	span  time.Duration
+	own   ownLoad
+	// zones is the number of other zones.
+	zones int
+	// votes delivers the votes.
+	votes chan ballot
+}
+
+// coordinate does what is due for a coordinator. It does nothing unless a majority of the zone's routers report to this one.
+func (d *Diverter) coordinate(ctx context.Context, routers []Router) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s, now := &d.state, d.deps.Clock.Now()
+	zones := otherZones(d.settings.Zone, d.settings.Zones, routers)
+	members := d.members(routers)
+	load, known := s.reports.load(now, members)
+	own := newOwnLoad(load, len(members))
+	switch {
+	case s.proposal != nil:
+		d.checkProposal(ctx, now, routers)
+	case !known || len(zones) < minConsents:
+		s.plan.metSince = time.Time{}
+	case s.diversion.isActive(now):
+		d.poll(ctx, now, routers, DivertRequest{Purpose: PurposeHold, Span: s.diversion.until.Sub(now)})
+		if s.plan.shouldEndEarly(now) {
+			s.diversion.endEarly(now)
+			s.plan.othersOverloadedSince = time.Time{}
+			d.deps.Log.WithFields(logrus.Fields{"event": "zone_diversion_ended", "zone": d.settings.Zone, "number": s.diversion.number}).
+				Warn("other zones are overloaded, so the diversion of this zone ends early")
+		}
+	case s.consents.givenTo(now) != "" || !s.diversion.rested(now):
+		s.plan.metSince = time.Time{}
+	default:
+		if own.Overloaded {
+			d.poll(ctx, now, routers, DivertRequest{Purpose: PurposeQuery})
+		}
+		if s.plan.shouldPropose(now, own) {
+			d.propose(ctx, now, routers, &proposal{began: now, span: s.diversion.nextSpan(now), own: own, zones: len(zones)})
+		}
+	}
+}
+
+// poll sends a request to the coordinators of the other zones if the next poll is due. The caller must hold d.mu.
+func (d *Diverter) poll(ctx context.Context, now time.Time, routers []Router, req DivertRequest) {
+	s := &d.state
+	if now.Before(s.pollAt) || s.unansweredPolls >= maxUnansweredPolls {
+		return
+	}
+	s.pollAt = now.Add(pollInterval)
+	s.unansweredPolls++
+	d.wg.Go(func() {
+		d.askZones(ctx, routers, req)
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		// The state was discarded if diversions ceased to apply during the poll.
+		d.state.unansweredPolls = max(0, d.state.unansweredPolls-1)
+	})
+}
+
+// propose asks the other zones for their consent. The caller must hold d.mu.
+func (d *Diverter) propose(ctx context.Context, now time.Time, routers []Router, p *proposal) {
+	p.votes = make(chan ballot, 1)
+	d.state.proposal = p
+	d.wg.Go(func() { p.votes <- d.askZones(ctx, routers, DivertRequest{Purpose: PurposeAsk, Span: p.span}) })
+}
+
+// checkProposal handles the votes on the current proposal if they are known. The caller must hold d.mu.
+func (d *Diverter) checkProposal(ctx context.Context, now time.Time, routers []Router) {
+	s := &d.state
+	p := s.proposal
+	var votes ballot
+	select {
+	case votes = <-p.votes:
+	default:
+		return
+	}
+	s.proposal, s.plan.metSince = nil, time.Time{}
+	result := votes.judge(p.own, p.zones)
+	fields := logrus.Fields{
+		"event": "zone_proposal", "zone": d.settings.Zone, "outcome": result, "for_ms": p.span.Milliseconds(), "took_ms": now.Sub(p.began).Milliseconds(),
+		"requests": p.own.Requests, "routers": p.own.Routers, "requests_per_router": p.own.perRouter, "unanswered": p.own.Unanswered, "zones": p.zones, "number": s.diversion.number + 1,
+	}
+	for zone, v := range votes {
+		fields["zone_"+zone] = v
+	}
+	line := d.deps.Log.WithFields(fields)
+	switch {
+	case s.diversion.isActive(now):
+		// The backup or the coordinator of this zone has decided meanwhile. The consents stay until they expire.
+		line.Info("this zone was diverted during the proposal")
+	case result == outcomeWon && s.consents.givenTo(now) == "":
+		s.diversion.start(p.began, d.settings.Instance, p.span)
+		line.Warn("diverting this zone")
+	default:
+		s.plan.retryAt = now.Add(retryInterval + rand.N(retryInterval))
+		d.wg.Go(func() { d.askZones(ctx, routers, DivertRequest{Purpose: PurposeRelease}) })
+		line.Info("cannot divert this zone")
+	}
+}
+
+// answer is the reply of a coordinator of another zone; ok is false if there was none.
+type answer struct {
+	zone  string
+	reply DivertReply
+	ok    bool
+}
+
+// askZones sends a request to the coordinators and the backups of all other zones, and returns the replies that matter: the votes
+// if the request is a proposal, or else the loads. It records the loads at once. It returns when all have replied or messageTimeout
+// has passed. The votes are complete when each zone has voted, or when lastZoneWait has passed since all but one have voted.
+func (d *Diverter) askZones(ctx context.Context, routers []Router, req DivertRequest) ballot {
+	ctx, cancel := context.WithTimeout(ctx, messageTimeout)
+	defer cancel()
+	req.Zone, req.Proposer = d.settings.Zone, d.settings.Instance
+	zones := otherZones(d.settings.Zone, d.settings.Zones, routers)
+	answers := make(chan answer, maxCoordinators*len(zones))
+	asked := 0
+	for _, zone := range zones {
+		for _, r := range coordinators(zone, routers) {
+			asked++
+			d.wg.Go(func() {
+				reply, err := d.deps.Messages.Divert(ctx, r.Address, req)
+				answers <- answer{zone: zone, reply: reply, ok: err == nil}
+			})
+		}
+	}
+	result := ballot{}
+	var deadline <-chan time.Time
+	for range asked {
+		var a answer
+		select {
+		case a = <-answers:
+		case <-deadline:
+			return result
+		}
+		if !a.ok {
+			continue
+		}
+		d.recordLoad(a)
+		if _, decided := result[a.zone]; !decided && (a.reply.Vote != VoteAbstain || req.Purpose != PurposeAsk && a.reply.LoadKnown) {
+			result[a.zone] = a.reply
+		}
+		if req.Purpose != PurposeAsk {
+			// All coordinators and backups should receive the request.
+			continue
+		}
+		switch len(zones) - len(result) {
+		case 0:
+			return result
+		case 1:
+			if deadline == nil {
+				deadline = d.deps.Clock.After(lastZoneWait)
+			}
+		}
+	}
+	return result
+}
+
+// recordLoad records the load of another zone.
+func (d *Diverter) recordLoad(a answer) {
+	if !a.reply.LoadKnown {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.state.plan.record(d.deps.Clock.Now(), a.zone, a.reply.Load)
+}
+
+// AnswerDivert answers a message of the coordinator of another zone.
+func (d *Diverter) AnswerDivert(req DivertRequest) DivertReply {
+	members := d.members(d.allRouters())
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s, now := &d.state, d.deps.Clock.Now()
+	if !s.active || req.Zone == "" || req.Zone == d.settings.Zone {
+		return DivertReply{Reason: "inactive"}
+	}
+	var reply DivertReply
+	reply.Load, reply.LoadKnown = s.reports.load(now, members)
+	switch req.Purpose {
+	case PurposeAsk:
+		reply.Vote, reply.Reason = s.vote(now, req, reply.Load, members)
+		d.deps.Log.WithFields(logrus.Fields{
+			"event": "zone_vote", "zone": req.Zone, "proposer": req.Proposer, "vote": reply.Vote, "reason": reply.Reason, "for_ms": req.Span.Milliseconds(),
+		}).Info("voted on the diversion of another zone")
+	case PurposeHold:
+		s.consents.give(now, req.Zone, req.Proposer, req.Span+consentMargin)
+	case PurposeRelease:
+		s.consents.release(now, req.Proposer)
+	}
+	return reply
+}
+
+// vote votes on the proposal to divert another zone. own is the load of this zone. A router that does not coordinate this zone at
+// the moment records its consent, too, because it may have to take over.
+func (s *state) vote(now time.Time, req DivertRequest, own ZoneLoad, members map[string]bool) (Vote, string) {
+	switch {
+	case s.diversion.isActive(now):
+		return VoteRefuse, "diverted"
+	case own.Overloaded:
+		return VoteRefuse, "overloaded"
+	case s.proposal != nil:
+		return VoteRefuse, "proposing"
+	case !s.consents.give(now, req.Zone, req.Proposer, req.Span+consentMargin):
+		return VoteRefuse, "committed"
+	case !s.reports.hasMajority(now, members):
+		return VoteAbstain, "not coordinator"
+	}
+	return VoteConsent, ""
+}
--- /dev/null
+++ b/diverter/export_test.go
@@ -0,0 +1,4 @@
+package diverter
+
+// Coordinators exports coordinators for the simulation.
+var Coordinators = coordinators
