Start the diverter in the gateway

Cause: the diverter was not used. Change: the gateway runs it between the forwarder and the rotator, where Settings.SharesLoad is true.

--- a/starter/gateway.go
+++ b/starter/gateway.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"reflect"
@@ -14,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/masticway/masticway"
+	"github.com/masticway/masticway/diverter"
 	"github.com/masticway/masticway/examiner"
 	"github.com/masticway/masticway/follower"
 	"github.com/masticway/masticway/forwarder"
@@ -111,6 +113,7 @@
 	treasurer      *treasurer.Treasurer
 	examiner       *examiner.Examiner
 	rotator        *rotator.Rotator
+	diverter       *diverter.Diverter
 	throttler      *throttler.Throttler
 	pausable       *pausableListener
 	store          *relayer.Store
@@ -158,6 +161,12 @@
 	d.rotator = rotator.New(rotator.Settings{Instance: s.Instance, Zone: s.Zone, Memory: s.MemoryMB << 20}, rotator.Dependencies{
 		Listener: d.pausable, Voters: rotator.NewClient(messenger.NewSlowLinkClient()), Clock: clock, Log: entry, Metrics: metrics, Neighbours: d.zonePeers,
 	})
+	d.diverter = diverter.New(diverter.Settings{
+		Instance: s.Instance, Address: s.PeerAddress, Zone: s.Zone, Zones: slices.Collect(maps.Keys(s.Regions)), Processors: s.Processors,
+	}, diverter.Dependencies{
+		Rotation: d.rotator, Messages: diverter.NewClient(messenger.NewSlowLinkClient()), Routers: d.allPeers, Applies: d.sharesLoad,
+		Clock: clock, Log: entry, Metrics: metrics,
+	})
 	d.store.OnDirectCall(func(took time.Duration, answered bool) { d.rotator.RecordCall(rotator.KindStore, took, answered) })
 	peerClient.ObserveCalls(func(took time.Duration, answered bool) { d.rotator.RecordCall(rotator.KindRouter, took, answered) })
 	d.throttler = throttler.New(throttler.Dependencies{
@@ -166,7 +175,7 @@
 	dialer := &net.Dialer{KeepAlive: -1}
 	d.forwarder = forwarder.New(s, forwarder.Dependencies{
 		Clock: clock, Log: entry, Metrics: metrics, Codec: codec, Budgets: d.treasurer, Snapshot: d.follower.Snapshot, Examiner: d.examiner,
-		Rotation: d.rotator, Throttler: d.throttler, OnDraining: d.follower.MarkDraining, Dial: d.rotator.MeasureDial(dialer.DialContext),
+		Rotation: d.diverter, Throttler: d.throttler, OnDraining: d.follower.MarkDraining, Dial: d.rotator.MeasureDial(dialer.DialContext),
 	})
 	d.callerListener = newCallerListener(d.pausable)
 	d.callerServer = &http.Server{
@@ -220,6 +229,7 @@
 	d.wg.Go(func() { d.treasurer.Run(ctx) })
 	d.wg.Go(func() { d.examiner.Run(ctx) })
 	d.wg.Go(func() { d.rotator.Run(ctx) })
+	d.wg.Go(func() { d.diverter.Run(ctx) })
 	d.wg.Go(func() { d.throttler.Run(ctx) })
 	d.wg.Go(func() { d.watchSuspensions(ctx) })
 	d.servers.serveWith(d.callerListener, d.callerServer)
@@ -274,6 +284,21 @@
 	return all
 }
 
+// allPeers returns the other routers of all availability zones.
+func (d *GatewayDaemon) allPeers() []diverter.Router {
+	var all []diverter.Router
+	for _, p := range d.treasurer.Peers() {
+		all = append(all, diverter.Router{Instance: p.Incarnation.Instance(), Address: p.Address, Zone: p.Zone, Processors: p.Processors})
+	}
+	return all
+}
+
+// sharesLoad reports whether the routers of this deployment coordinate the load. It is false until the number of routers is known,
+// which may be after the last snapshot; so it must be called again from time to time.
+func (d *GatewayDaemon) sharesLoad() bool {
+	return d.settings.SharesLoad(d.follower.Snapshot().Deployment, d.treasurer.Members())
+}
+
 // peerHandler returns the handler for calls from other routers.
 func (d *GatewayDaemon) peerHandler() http.Handler {
 	mux := http.NewServeMux()
@@ -281,6 +306,7 @@
 	d.store.Serve(mux)
 	d.examiner.Serve(mux)
 	d.rotator.Serve(mux)
+	d.diverter.Serve(mux)
 	d.throttler.Serve(mux)
 	d.sharedStore.Serve(mux)
 	return mux
