--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -35,9 +35,9 @@
 type Members interface {
 	// Members returns the number of known routers, or zero if it is unknown.
 	Members() int
-	// RankedAddresses returns the addresses of up to max routers, those with the highest rendezvous weights for a key, highest
+	// RankedLargeAddresses returns the addresses of up to max routers, those with the highest rendezvous weights for a key, highest
 	// first. This router may be among them.
-	RankedAddresses(key string, max int) []string
+	RankedLargeAddresses(key string, max int) []string
 }
 
 // Engines is the state of one group of engines at its owner (see scheduler.Engines). It need not be safe for concurrent use.
@@ -304,7 +304,7 @@
 	defer c.rankings.mu.Unlock()
 	r, ok := c.rankings.known[key]
 	if !ok || now.Sub(r.at) >= rankingTTL {
-		r = ranking{addresses: c.Members.RankedAddresses(key.String(), maxOwners), at: now}
+		r = ranking{addresses: c.Members.RankedLargeAddresses(key.String(), maxOwners), at: now}
 		c.rankings.known[key] = r
 	}
 	return r.addresses
--- a/coordinator/http_test.go
+++ b/coordinator/http_test.go
@@ -28,7 +28,7 @@
 
 func (m fixedMembers) Members() int { return len(m) }
 
-func (m fixedMembers) RankedAddresses(key string, limit int) []string {
+func (m fixedMembers) RankedLargeAddresses(key string, limit int) []string {
 	ranked := slices.Clone(m)
 	slices.SortFunc(ranked, func(x, y string) int { return cmp.Compare(xxhash.Sum64String(key+x), xxhash.Sum64String(key+y)) })
 	return ranked[:min(limit, len(ranked))]
--- a/coordinator/world_test.go
+++ b/coordinator/world_test.go
@@ -130,7 +130,7 @@
 
 func (n *simRouter) Members() int { return len(n.known()) }
 
-func (n *simRouter) RankedAddresses(key string, limit int) (addresses []string) {
+func (n *simRouter) RankedLargeAddresses(key string, limit int) (addresses []string) {
 	weight := func(o *simRouter) uint64 { return xxhash.Sum64String(key + o.address) }
 	ranked := slices.SortedFunc(slices.Values(n.known()), func(x, y *simRouter) int { return cmp.Compare(weight(y), weight(x)) })
 	for _, o := range ranked[:min(limit, len(ranked))] {
@@ -147,10 +147,10 @@
 
 // owner and backup return the routers that all routers consider the owner and the backup of the first group.
 func (w *world) owner() *simRouter {
-	return w.router(w.routers[0].RankedAddresses("engines/llm/0", 2)[0])
+	return w.router(w.routers[0].RankedLargeAddresses("engines/llm/0", 2)[0])
 }
 func (w *world) backup() *simRouter {
-	return w.router(w.routers[0].RankedAddresses("engines/llm/0", 2)[1])
+	return w.router(w.routers[0].RankedLargeAddresses("engines/llm/0", 2)[1])
 }
 
 // transmit delivers a message to another router, and advances the clock by the time that this takes.
--- a/treasurer/treasurer.go
+++ b/treasurer/treasurer.go
@@ -162,6 +162,13 @@
 	return t.members
 }
 
+// Peers returns the other routers in all availability zones that have an address and were running at the last count.
+func (t *Treasurer) Peers() []Peer {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.Clone(t.peers)
+}
+
 // ZonePeers returns the other routers in this router's availability zone that have an address and were running at the last
 // count.
 func (t *Treasurer) ZonePeers() []Peer {
@@ -203,6 +210,33 @@
 	return addresses
 }
 
+// minOwnerShare is the least share of the processors of the fleet's largest router that a router needs to be ranked by
+// RankedLargeAddresses.
+const minOwnerShare = 0.5
+
+// RankedLargeAddresses is like RankedAddresses, but leaves out small routers: those with less than minOwnerShare of the
+// processors of the largest one. By the weights alone, one key in some tens gets a small router, which cannot serve requests
+// of all other routers beside its own callers.
+func (t *Treasurer) RankedLargeAddresses(key string, limit int) (addresses []string) {
+	t.mu.Lock()
+	counted, peers := t.members > 0, slices.Clone(t.peers)
+	t.mu.Unlock()
+	if !counted {
+		return nil
+	}
+	all := t.rankPeers(key, peers, len(peers)+1)
+	most := 0.0
+	for _, p := range all {
+		most = max(most, p.Processors)
+	}
+	for _, p := range all {
+		if p.Processors >= minOwnerShare*most && len(addresses) < limit {
+			addresses = append(addresses, p.Address)
+		}
+	}
+	return addresses
+}
+
 // rankPeers ranks the given peers and this router by their rendezvous weights for a key, and returns the first limit of
 // them, greatest first. A router's weight grows with its number of processors.
 func (t *Treasurer) rankPeers(key string, peers []Peer, limit int) []Peer {
