--- a/diverter/diversion.go
+++ b/diverter/diversion.go
@@ -8,8 +8,8 @@
 const (
 	// minSpan is the duration of a zone's first diversion, and maxSpan the maximum. The duration doubles if the zone meets the
 	// conditions again within the time that the last diversion lasted: the same callers have come back to it.
-	minSpan = 20 * time.Second
-	maxSpan = 80 * time.Second
+	minSpan = 60 * time.Second
+	maxSpan = 240 * time.Second
 )
 
 // Decision is a decision to divert a zone, as messages between routers contain it.
