Test the log of choices, penalties and homes of local choices

The time limits of simulated messages no longer depend on the machine: a pause of 24 ms between two steps made a message without delay fail, and a router send no queries for 1 s.

--- a/coordinator/world_test.go
+++ b/coordinator/world_test.go
@@ -68,6 +68,7 @@
 	address      string
 	coordinator  *coordinator.Coordinator
 	metrics      *measurer.Set
+	logged       *test.Hook
 	isDown       bool
 	isOverloaded bool
 	// members are the routers that it knows, nil if it knows all.
@@ -95,8 +96,8 @@
 
 // start starts a new incarnation of the router, which knows nothing.
 func (n *simRouter) start(suffix string) {
-	log, _ := test.NewNullLogger()
-	n.metrics, n.groups = measurer.New(), nil
+	log, logged := test.NewNullLogger()
+	n.metrics, n.groups, n.logged = measurer.New(), nil, logged
 	n.coordinator = coordinator.New(coordinator.Dependencies{
 		Routers: n, Members: n, Clock: n, Log: log.WithField("", ""), Metrics: n.metrics, Self: masticway.NewIncarnation(n.address, suffix), Address: n.address,
 		Applies:      func(masticway.Deployment, int) bool { return n.w.applies },
@@ -161,10 +162,11 @@
 	if o.isDown && l.delay == 0 && !l.lost {
 		return errUnreachable
 	}
-	limit := time.Minute
-	if deadline, ok := ctx.Deadline(); ok {
-		// The deadline is on the system's clock. Some of the time may have passed.
-		limit = (time.Until(deadline) + 4*time.Millisecond).Truncate(5 * time.Millisecond)
+	// The deadline of the context is on the system's clock, of which any time may have passed. It only tells which of the two
+	// timeouts of messages applies.
+	limit := 20 * time.Millisecond
+	if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) > 2*limit {
+		limit = 250 * time.Millisecond
 	}
 	if l.lost || l.delay > limit || o.isDown {
 		w.now = w.now.Add(limit)
--- a/forwarder/coordination_test.go
+++ b/forwarder/coordination_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"sync"
 	"testing"
@@ -231,3 +232,29 @@
 	qt.Check(t, last.Penalties["i-1"] > 6000, qt.IsTrue, qt.Commentf("%v", last.Penalties))
 	qt.Check(t, last.Penalties["i-0"], qt.Equals, 0.0)
 }
+
+// TestLocalChoicesUseHomesOfOwner guards against local choices that prefer other engines for a prompt than the owner does, so that
+// the shared parts of the prompt are prefilled twice.
+func TestLocalChoicesUseHomesOfOwner(t *testing.T) {
+	const prompts = 60
+	// atFirst returns how many prompts run at the first of three engines.
+	atFirst := func(slow map[string]bool) (n int) {
+		c := &fakeCoordinator{slow: slow}
+		f := newCoordinatedFixture(t, 3, c, nil)
+		for i := range prompts {
+			got := f.do(t.Context(), "POST", "/stream/x", "X-Token-Count", "2000,40", "X-Prefix-Hash", fmt.Sprintf("shared%d:1500,own%d:500", i, i))
+			qt.Assert(t, got.status, qt.Equals, 200)
+		}
+		f.frontend.Close()
+		for _, r := range c.runs {
+			if r.server == "i-0" {
+				n++
+			}
+		}
+		return n
+	}
+	usual, slow := atFirst(nil), atFirst(map[string]bool{"i-0": true})
+	t.Logf("%d of %d prompts at the first engine, %d if it is slow", usual, prompts, slow)
+	qt.Check(t, usual >= prompts/5, qt.IsTrue)
+	qt.Check(t, slow < usual && slow > 0, qt.IsTrue)
+}
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -164,8 +164,6 @@
 
 func (r *fakeRotation) IsOut() bool { return r.out.Load() }
 
-func (r *fakeRotation) IsOverloaded() bool { return r.full.Load() }
-
 func (r *fakeRotation) Admit(_ int, bytes int64) bool {
 	if r.full.Load() {
 		return false
--- a/rotation.go
+++ b/rotation.go
@@ -4,8 +4,6 @@
 type Rotation interface {
 	// IsOut reports whether the router is out of rotation, so that new callers should use other routers.
 	IsOut() bool
-	// IsOverloaded reports whether the router is overloaded, so that it should send no messages that it can do without.
-	IsOverloaded() bool
 	// Admit admits a request with a rank, where zero is the most urgent, and a size in bytes. It returns false if the request
 	// must be refused because of overload or lack of memory. For each admitted request, the caller must call MarkAnswered once:
 	// when the first part of its answer has arrived, or when the request has ended without one. When the request has ended, the
