--- a/scheduler/place_test.go
+++ b/scheduler/place_test.go
@@ -328,6 +328,8 @@
 func TestFrozenEngine(t *testing.T) {
 	e := newTestEngines(2)
 	frozen := testServers(2)[0].Incarnation()
+	// An earlier reservation that was never reported must not hide the frozen engine.
+	e.Place(testStart, routerA, plainRun("unreported", 100, 10), allBut(2, "e-00"), nil)
 	e.Record(testStart, routerB, sent(plainRun("other", 100, 10), frozen))
 	now := testStart.Add(time.Second)
 	e.Touch(now, routerB)
