--- a/forwarder/doc.go
+++ b/forwarder/doc.go
@@ -10,6 +10,7 @@
 // Terms:
 //   - allowance: the limit on this router's retries to a pool (see retrier.Allowance)
 //   - candidate: the server to which a request may be handed over
+//   - coordinator: chooses engines by the load that all routers cause, where this applies (see masticway.EngineCoordinator)
 //   - fate: whether a request ran at a server: "ran", "not run" or "unknown"
 //   - handover: the replacement of a silent server by another one during an attempt (see handoverState)
 //   - hold: a reservation of prepaid tokens for one request, until its settlement (see Budgets)
