--- a/forwarder/coordination_test.go
+++ b/forwarder/coordination_test.go
@@ -258,3 +258,31 @@
 	qt.Check(t, usual >= prompts/5, qt.IsTrue)
 	qt.Check(t, slow < usual && slow > 0, qt.IsTrue)
 }
+
+// TestRefusedHandoverEndsRun guards against a run that the coordinator counts for its whole time limit, because the server to which
+// the request was to be handed over has refused it.
+func TestRefusedHandoverEndsRun(t *testing.T) {
+	c := &fakeCoordinator{choices: []masticway.EngineChoice{chosen("i-2"), chosen("i-1")}}
+	f := newCoordinatedFixture(t, 3, c, nil)
+	f.servers[2].SetStream(2, 400*time.Millisecond)
+	f.servers[1].InjectFaults(emulator.OpaqueOverloaded)
+	f.servers[0].InjectFaults(emulator.OpaqueOverloaded)
+	got := f.do(t.Context(), "POST", "/resume/x")
+	qt.Assert(t, got.err, qt.IsNil)
+	qt.Assert(t, got.body, qt.Equals, eventStream(1, 2))
+	f.frontend.Close()
+	f.failUnless("a run has not ended", func() bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return !slices.ContainsFunc(c.runs, func(r *reportedRun) bool { return r.ends == 0 })
+	})
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	qt.Assert(t, len(c.runs) >= 2, qt.IsTrue)
+	qt.Check(t, c.runs[0].server, qt.Equals, "i-2")
+	qt.Check(t, c.runs[0].events, qt.Equals, 2)
+	qt.Check(t, c.runs[1].server, qt.Equals, "i-1")
+	for _, r := range c.runs {
+		qt.Check(t, r.ends, qt.Equals, 1, qt.Commentf("ends of a run at %s", r.server))
+	}
+}
