Avoid engines whose runs end without a first event

An engine that refuses connections has no load, so it was the cheapest for each of the senders until that sender had noticed the failures itself.

The owner counts runs that end without a first event. Above a rate of 0.4 an engine costs up to 2 s; the rate decays within 2 s, so that the engine is tried again. Of 400 runs in 4 s, such an engine gets at most 20, where an equal share is 100 (TestFailingEngine).

--- a/scheduler/cost.go
+++ b/scheduler/cost.go
@@ -101,6 +101,7 @@
 		// An engine that has the shared parts does not prefill them again, whatever its rank.
 		cost += p.rankCost * float64(rank) * float64(max(0, p.shared-cached)) / float64(p.shared)
 	}
+	cost += n.failures.cost(p.now)
 	if n.server.Zone != p.run.Zone {
 		cost += p.zoneCost
 	}
--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -36,6 +36,7 @@
 	firstEventAt, sampledFrom time.Time
 	parts                     partCache
 	speed                     engineSpeed
+	failures                  failureRate
 }
 
 func newEngine(incarnation masticway.ServerIncarnation, id string, g *groupLoad) *engine {
--- a/scheduler/reports.go
+++ b/scheduler/reports.go
@@ -106,9 +106,12 @@
 			e.recordSample(now, n, sentAt(now, r).Add(duration(r.FirstEventAfter)))
 		}
 		n.engine.recordFirstEvent(now, n)
+		n.engine.failures.record(now, false)
 	}
 	if r.State >= masticway.EngineRunEnded {
-		if n.state == masticway.EngineRunStreaming && r.StreamedFor > 0 {
+		if n.state == masticway.EngineRunSent {
+			n.engine.failures.record(now, true)
+		} else if r.StreamedFor > 0 {
 			e.streamTime += streamTimeWeight * (milliseconds(duration(r.StreamedFor)) - e.streamTime)
 		}
 		e.remove(n)
