Test the diverter's decisions, partitions and messages

Cause: the decisions were tested only as a whole, without partitions of single routers, and without a network. A router that did not coordinate its zone could refuse because of the reports of a minority. Change: such a router abstains.

--- a/diverter/callers_test.go
+++ b/diverter/callers_test.go
@@ -1,8 +1,10 @@
 package diverter_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -95,26 +97,22 @@
 // connect connects a caller by the hash of the caller, to another router than the excluded one. A refused connection is tried once
 // more, at the next router.
 func (w *world) connect(c *caller, excluded *simRouter) *simRouter {
+	if len(c.order) != len(w.routers) {
+		weight := func(m *simRouter) uint64 { return xxhash.Sum64String(c.name + m.name) }
+		c.order = slices.SortedFunc(slices.Values(w.routers), func(x, y *simRouter) int { return cmp.Compare(weight(x), weight(y)) })
+	}
 	choices := w.choices(c.zone)
 	tries := 0
-	for range len(choices) {
-		var best *simRouter
-		weight := func(m *simRouter) uint64 { return xxhash.Sum64String(c.name + m.name) }
-		for _, m := range choices {
-			if m != excluded && (best == nil || weight(m) > weight(best)) {
-				best = m
-			}
-		}
-		if best == nil {
-			return nil
+	for _, m := range c.order {
+		if m == excluded || !slices.Contains(choices, m) {
+			continue
 		}
-		if !best.down.Load() && !best.paused.Load() {
-			return best
+		if !m.down.Load() && !m.paused.Load() {
+			return m
 		}
 		if tries++; tries > 1 {
-			return nil
+			break
 		}
-		excluded = best
 	}
 	return nil
 }
--- a/diverter/coordinate.go
+++ b/diverter/coordinate.go
@@ -216,8 +216,12 @@
 }
 
 // vote votes on the proposal to divert another zone. own is the load of this zone. A router that does not coordinate this zone at
-// the moment records its consent, too, because it may have to take over.
+// the moment abstains, but records its consent, because it may have to take over.
 func (s *state) vote(now time.Time, req DivertRequest, own ZoneLoad, members map[string]bool) (Vote, string) {
+	if !s.reports.hasMajority(now, members) {
+		s.consents.give(now, req.Zone, req.Proposer, req.Span+consentMargin)
+		return VoteAbstain, "not coordinator"
+	}
 	switch {
 	case s.diversion.isActive(now):
 		return VoteRefuse, "diverted"
@@ -227,8 +231,6 @@
 		return VoteRefuse, "proposing"
 	case !s.consents.give(now, req.Zone, req.Proposer, req.Span+consentMargin):
 		return VoteRefuse, "committed"
-	case !s.reports.hasMajority(now, members):
-		return VoteAbstain, "not coordinator"
 	}
 	return VoteConsent, ""
 }
--- a/diverter/world_test.go
+++ b/diverter/world_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -78,8 +79,9 @@
 
 // caller is a caller with a connection, which stays open until an answer closes it.
 type caller struct {
-	// name determines the order of the routers for the load balancer.
+	// name determines order, in which the load balancer prefers the routers for the caller.
 	zone, name string
+	order      []*simRouter
 	conn       *simRouter
 	// next is the time of the next request, and reconnectAt when the caller replaces the connection.
 	next, reconnectAt time.Time
@@ -166,6 +168,13 @@
 	m.queue = nil
 }
 
+// remove makes other routers forget a router.
+func (w *world) remove(m *simRouter) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.routers = slices.DeleteFunc(slices.Clone(w.routers), func(o *simRouter) bool { return o == m })
+}
+
 func (w *world) all() []*simRouter {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/treasurer/presence_test.go
+++ b/treasurer/presence_test.go
@@ -71,6 +71,7 @@
 			clock.now = clock.now.Add(tc.outage)
 			qt.Assert(t, count(all[:1]), qt.Equals, tc.want)
 			qt.Assert(t, all[0].PeerAddresses(), qt.HasLen, tc.want-1)
+			qt.Assert(t, all[0].Peers(), qt.HasLen, tc.want-1)
 		})
 	}
 }
