Divide the connections to small plain services by demand

A server of a small plain service takes so few connections that an equal share for each of 28 routers is 8, whatever the demand there.

--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -428,10 +428,16 @@
 }
 
 // maxConnections returns how many connections this router may have to one server: the pool's limit divided by the number of
-// routers, at most half of the limit, but at least two. Zero means no limit.
+// routers, at most half of the limit, but at least two. For a small plain service it may be another number, which follows demand
+// (see package apportioner). Zero means no limit.
 func (x *exchange) maxConnections() int {
 	if x.q.pool.MaxConnections == 0 {
 		return 0
 	}
+	if x.f.connections != nil {
+		if n, ok := x.f.connections.Allowed(x.q.pool.Name); ok {
+			return n
+		}
+	}
 	return max(2, x.q.pool.MaxConnections/max(2, x.f.budgets.Members()))
 }
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -54,6 +54,8 @@
 	rotation masticway.Rotation
 	// throttler enforces the rate limits and backoff that servers announce.
 	throttler masticway.Throttler
+	// connections divides the connections to small plain services by demand. It may be nil.
+	connections masticway.ConnectionApportioner
 	// onDraining is called for each answer with which a server announces that it drains.
 	onDraining func(masticway.Server)
 	// abandoned holds runs that this router gave up. Their requests may still crash their servers.
@@ -85,6 +87,8 @@
 	Rotation masticway.Rotation
 	// Throttler enforces the rate limits and backoff that servers announce.
 	Throttler masticway.Throttler
+	// Connections divides the connections to small plain services by demand. If it is nil, all connections are divided equally.
+	Connections masticway.ConnectionApportioner
 	// OnDraining is called for each answer with which a server announces that it drains. It is called from several goroutines.
 	OnDraining func(masticway.Server)
 	// Dial connects to a server.
@@ -95,7 +99,7 @@
 func New(s Settings, d Dependencies) *Forwarder {
 	f := &Forwarder{
 		settings: s, clock: d.Clock, log: d.Log, metrics: d.Metrics, codec: d.Codec, budgets: d.Budgets, snapshot: d.Snapshot,
-		examiner: d.Examiner, rotation: d.Rotation, throttler: d.Throttler, onDraining: d.OnDraining,
+		examiner: d.Examiner, rotation: d.Rotation, throttler: d.Throttler, connections: d.Connections, onDraining: d.OnDraining,
 		checks: &checks{dial: d.Dial, clock: d.Clock, log: d.Log, byServer: map[masticway.ServerIncarnation]*check{}},
 		sender: sender.New(d.Dial, d.Clock.Now), servers: chooser.NewServers(s.serverPolicy()), allowances: map[string]*retrier.Allowance{},
 	}
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -148,10 +148,13 @@
 }
 
 // connPool holds the idle connections to one server. open is the number of all its connections, including those in use and those
-// being established.
+// being established. limit is that of the last call of LimitConnections; zero means none. peak is the greatest number of
+// connections in use and denied the number of refused requests since the last call of TakeUse.
 type connPool struct {
-	idle []*conn
-	open int
+	idle         []*conn
+	open         int
+	limit        int
+	peak, denied int
 }
 
 // conn is a connection; it serves one request at a time.
@@ -222,6 +225,7 @@
 		c, open := s.acquireIdle(address, r.MaxIdle)
 		if c == nil {
 			if limit > 0 && open >= limit {
+				s.recordDenied(address)
 				return nil, &ConnectionLimitError{Address: address, Open: open}
 			}
 			return s.connect(ctx, address, r.ConnectTimeout)
@@ -260,6 +264,7 @@
 		return nil, p.open
 	}
 	p.idle = p.idle[:len(p.idle)-1]
+	p.recordPeak()
 	return c, p.open
 }
 
@@ -281,7 +286,9 @@
 
 func (s *Sender) connect(ctx context.Context, address string, timeout time.Duration) (*conn, error) {
 	s.mu.Lock()
-	s.pool(address).open++
+	p := s.pool(address)
+	p.open++
+	p.recordPeak()
 	s.dials++
 	s.mu.Unlock()
 	dialCtx, cancel := context.WithTimeout(ctx, timeout)
@@ -438,6 +445,10 @@
 	defer c.sender.mu.Unlock()
 	c.idleSince = c.sender.now()
 	p := c.sender.pool(c.address)
+	if p.limit > 0 && p.open > p.limit {
+		p.closeConns([]*conn{c})
+		return
+	}
 	p.idle = append(p.idle, c)
 }
 
--- a/starter/gateway.go
+++ b/starter/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/masticway/masticway"
+	"github.com/masticway/masticway/apportioner"
 	"github.com/masticway/masticway/examiner"
 	"github.com/masticway/masticway/follower"
 	"github.com/masticway/masticway/forwarder"
@@ -112,6 +113,7 @@
 	examiner       *examiner.Examiner
 	rotator        *rotator.Rotator
 	throttler      *throttler.Throttler
+	apportioner    *apportioner.Apportioner
 	pausable       *pausableListener
 	store          *relayer.Store
 	sharedStore    *sharer.Store
@@ -163,10 +165,15 @@
 	d.throttler = throttler.New(throttler.Dependencies{
 		Routers: throttler.NewClient(peerClient), Members: d.treasurer, Peers: d.peers, Clock: clock, Log: entry, Metrics: metrics, Address: s.PeerAddress,
 	})
+	d.apportioner = apportioner.New(apportioner.Dependencies{
+		Routers: apportioner.NewClient(peerClient), Members: d.treasurer, Clock: clock, Log: entry, Metrics: metrics, Self: d.treasurer.Self(), Address: s.PeerAddress,
+		TakeUse:          func(pools []string) map[string]masticway.ConnectionUse { return d.forwarder.TakeConnectionUse(pools) },
+		LimitConnections: func(limits map[string]int) { d.forwarder.LimitConnections(limits) },
+	})
 	dialer := &net.Dialer{KeepAlive: -1}
 	d.forwarder = forwarder.New(s, forwarder.Dependencies{
 		Clock: clock, Log: entry, Metrics: metrics, Codec: codec, Budgets: d.treasurer, Snapshot: d.follower.Snapshot, Examiner: d.examiner,
-		Rotation: d.rotator, Throttler: d.throttler, OnDraining: d.follower.MarkDraining, Dial: d.rotator.MeasureDial(dialer.DialContext),
+		Rotation: d.rotator, Throttler: d.throttler, Connections: d.apportioner, OnDraining: d.follower.MarkDraining, Dial: d.rotator.MeasureDial(dialer.DialContext),
 	})
 	d.callerListener = newCallerListener(d.pausable)
 	d.callerServer = &http.Server{
@@ -209,6 +216,7 @@
 func (d *GatewayDaemon) applySnapshot(s follower.Snapshot) {
 	d.treasurer.Configure(s.Deployment)
 	d.throttler.Prune(s.Incarnations())
+	d.apportioner.Configure(s.Deployment.Pools, d.settings.SharesLoad(s.Deployment, d.treasurer.Members()))
 	d.forwarder.Update(s)
 }
 
@@ -221,6 +229,7 @@
 	d.wg.Go(func() { d.examiner.Run(ctx) })
 	d.wg.Go(func() { d.rotator.Run(ctx) })
 	d.wg.Go(func() { d.throttler.Run(ctx) })
+	d.wg.Go(func() { d.apportioner.Run(ctx) })
 	d.wg.Go(func() { d.watchSuspensions(ctx) })
 	d.servers.serveWith(d.callerListener, d.callerServer)
 	d.servers.serve(d.listeners.Readiness, http.HandlerFunc(d.readiness))
@@ -282,6 +291,7 @@
 	d.examiner.Serve(mux)
 	d.rotator.Serve(mux)
 	d.throttler.Serve(mux)
+	d.apportioner.Serve(mux)
 	d.sharedStore.Serve(mux)
 	return mux
 }
