Recompute whether routers share load when their number changes

Tests of the sender, the forwarder and the apportioner cover closed idle connections, the use of connections, messages and the end of sharing.

--- a/apportioner/leases_test.go
+++ b/apportioner/leases_test.go
@@ -228,6 +228,36 @@
 	qt.Assert(t, r.allowed(), qt.Equals, 6+57*3/4)
 }
 
+// TestFrozenOwnerIsSilentAfterItRunsAgain guards against an owner that was frozen, did not notice that another router was the owner
+// meanwhile, and grants what the other has leased.
+func TestFrozenOwnerIsSilentAfterItRunsAgain(t *testing.T) {
+	w := newWorld(230, 28)
+	for _, r := range w.routers {
+		r.demand = 40
+	}
+	check := func() { qt.Assert(t, w.total() <= w.limit, qt.IsTrue, qt.Commentf("%d connections", w.total())) }
+	w.advance(settleTime, check)
+	frozen := w.owner()
+	frozen.frozen = true
+	var second *simRouter
+	for second != w.owner() {
+		if second != nil {
+			w.stop(second)
+		}
+		second = w.start(fmt.Sprintf("router-%d", w.started), 1)
+	}
+	w.advance(2*settleTime, check)
+	w.stop(second)
+	qt.Assert(t, w.owner(), qt.Equals, frozen)
+	frozen.frozen = false
+	for i, r := range w.routers {
+		// Those without leases of the second owner ask the first.
+		r.demand = 10 + 50*(i%2)
+	}
+	w.advance(2*settleTime, check)
+	qt.Assert(t, w.total() > w.limit-2*apportioner.DemandPart(w.limit, len(w.routers))/4, qt.IsTrue, qt.Commentf("the first owner grants again"))
+}
+
 // TestRequestsAreBounded guards against routers that ask with every denied request, or without need.
 func TestRequestsAreBounded(t *testing.T) {
 	for name, tc := range map[string]struct {
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -219,9 +219,10 @@
 	clock    *offsetClock
 	snapshot follower.Snapshot
 	router   *forwarder.Forwarder
-	// rotation is the router's rotation.
-	rotation fakeRotation
-	frontend *httptest.Server
+	// rotation is the router's rotation, and connections its division of connections by demand.
+	rotation    fakeRotation
+	connections fixedConnections
+	frontend    *httptest.Server
 	// throttler is the router's; it has no peers.
 	throttler *throttler.Throttler
 }
@@ -296,7 +297,7 @@
 		Members: f.budgets, Peers: func() []string { return nil }, Clock: f.clock, Log: log.WithField("", ""), Metrics: measurer.New(), Address: routerAddress,
 	})
 	f.router = forwarder.New(settings, forwarder.Dependencies{
-		Examiner: e, Rotation: &f.rotation, Throttler: f.throttler, OnDraining: func(masticway.Server) {}, Clock: f.clock, Log: log.WithField("", ""), Metrics: measurer.New(), Codec: platform.HeaderCodec{},
+		Examiner: e, Rotation: &f.rotation, Throttler: f.throttler, Connections: &f.connections, OnDraining: func(masticway.Server) {}, Clock: f.clock, Log: log.WithField("", ""), Metrics: measurer.New(), Codec: platform.HeaderCodec{},
 		Budgets: f.budgets, Snapshot: func() follower.Snapshot { return f.snapshot }, Dial: (&net.Dialer{}).DialContext,
 	})
 	f.frontend = httptest.NewServer(f.router)
--- a/sender/sender_test.go
+++ b/sender/sender_test.go
@@ -240,3 +240,99 @@
 		qt.Assert(t, got, qt.Equals, int(timeout.Milliseconds()))
 	}
 }
+
+// hold sends a request and returns its answer, which keeps the connection in use until it is read and closed.
+func hold(t *testing.T, s *sender.Sender, address string) *sender.Answer {
+	t.Helper()
+	a, err := s.Send(t.Context(), address, 0, sender.Request{Method: "GET", Target: "/", Host: "h", ConnectTimeout: time.Second})
+	qt.Assert(t, err, qt.IsNil)
+	return a
+}
+
+// TestConnectionsAboveLoweredLimitAreClosed guards against idle connections that stay open after the limit has been lowered, now or
+// when their requests end, and against connections in use that are cut off.
+func TestConnectionsAboveLoweredLimitAreClosed(t *testing.T) {
+	cases := map[string]struct {
+		// Of four connections, inUse are in use when the limit is set.
+		inUse, limit int
+		// open is how many are open afterwards, and then after the ends of the requests.
+		open, openAfterwards int
+	}{
+		"all idle, limit of two":          {limit: 2, open: 2, openAfterwards: 2},
+		"all idle, limit of four":         {limit: 4, open: 4, openAfterwards: 4},
+		"no limit":                        {open: 4, openAfterwards: 4},
+		"three in use, limit of two":      {inUse: 3, limit: 2, open: 3, openAfterwards: 2},
+		"one in use, limit of three":      {inUse: 1, limit: 3, open: 3, openAfterwards: 3},
+		"all in use, the limit is lifted": {inUse: 4, open: 4, openAfterwards: 4},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			s, address := startServer(t, &scriptedServer{answers: []string{okAnswer, okAnswer}})
+			var answers []*sender.Answer
+			for range 4 {
+				answers = append(answers, hold(t, s, address))
+			}
+			end := func(a *sender.Answer) {
+				_, err := io.ReadAll(a)
+				qt.Assert(t, err, qt.IsNil)
+				a.Close()
+			}
+			for _, a := range answers[tc.inUse:] {
+				end(a)
+			}
+			s.LimitConnections(map[string]int{address: tc.limit, "127.0.0.1:1": 1})
+			// openCount returns the number of open connections, which a request beyond them reports.
+			openCount := func() int {
+				_, err := s.Send(t.Context(), address, 1, sender.Request{Method: "GET", Target: "/", Host: "h", MaxIdle: time.Nanosecond, ConnectTimeout: time.Second})
+				var full *sender.ConnectionLimitError
+				qt.Assert(t, err, qt.ErrorAs, &full)
+				return full.Open
+			}
+			qt.Assert(t, openCount(), qt.Equals, tc.open)
+			for _, a := range answers[:tc.inUse] {
+				end(a)
+			}
+			qt.Assert(t, openCount(), qt.Equals, tc.openAfterwards)
+		})
+	}
+}
+
+// TestLimitOfConnectionsEnds guards against a limit that still closes connections after it has been lifted.
+func TestLimitOfConnectionsEnds(t *testing.T) {
+	s, address := startServer(t, &scriptedServer{answers: []string{okAnswer, okAnswer}})
+	a, b := hold(t, s, address), hold(t, s, address)
+	s.LimitConnections(map[string]int{address: 1})
+	s.LimitConnections(nil)
+	for _, o := range []*sender.Answer{a, b} {
+		_, err := io.ReadAll(o)
+		qt.Assert(t, err, qt.IsNil)
+		o.Close()
+	}
+	for range 2 {
+		hold(t, s, address)
+	}
+	qt.Assert(t, s.Dials(), qt.Equals, int64(2))
+}
+
+func TestUseOfConnections(t *testing.T) {
+	s, address := startServer(t, &scriptedServer{answers: []string{okAnswer, okAnswer}})
+	a, b := hold(t, s, address), hold(t, s, address)
+	_, err := s.Send(t.Context(), address, 2, sender.Request{Method: "GET", Target: "/", Host: "h", ConnectTimeout: time.Second})
+	qt.Assert(t, err, qt.IsNotNil)
+	for _, o := range []*sender.Answer{a, b} {
+		_, err := io.ReadAll(o)
+		qt.Assert(t, err, qt.IsNil)
+		o.Close()
+	}
+	for _, want := range [][2]int{{2, 1}, {0, 0}} {
+		peak, denied := s.TakeUse(address)
+		qt.Assert(t, [2]int{peak, denied}, qt.Equals, want)
+	}
+	defer hold(t, s, address).Close()
+	for range 2 {
+		peak, _ := s.TakeUse(address)
+		qt.Assert(t, peak, qt.Equals, 1, qt.Commentf("one is in use all the time"))
+	}
+	peak, denied := s.TakeUse("127.0.0.1:1")
+	qt.Assert(t, peak+denied, qt.Equals, 0)
+}
--- a/starter/gateway.go
+++ b/starter/gateway.go
@@ -122,8 +122,10 @@
 	servers        serverGroup
 	listeners      GatewayListeners
 	metrics        *measurer.Set
-	stop           context.CancelFunc
-	wg             sync.WaitGroup
+	// sharing is held while it is decided and applied whether routers share load.
+	sharing sync.Mutex
+	stop    context.CancelFunc
+	wg      sync.WaitGroup
 }
 
 // NewGateway returns a gateway that keeps its durable state in a row store; Start starts it. The slowLinkStore must be a client
@@ -216,7 +218,7 @@
 func (d *GatewayDaemon) applySnapshot(s follower.Snapshot) {
 	d.treasurer.Configure(s.Deployment)
 	d.throttler.Prune(s.Incarnations())
-	d.apportioner.Configure(s.Deployment.Pools, d.settings.SharesLoad(s.Deployment, d.treasurer.Members()))
+	d.applySharing()
 	d.forwarder.Update(s)
 }
 
@@ -231,6 +233,7 @@
 	d.wg.Go(func() { d.throttler.Run(ctx) })
 	d.wg.Go(func() { d.apportioner.Run(ctx) })
 	d.wg.Go(func() { d.watchSuspensions(ctx) })
+	d.wg.Go(func() { d.watchMembers(ctx) })
 	d.servers.serveWith(d.callerListener, d.callerServer)
 	d.servers.serve(d.listeners.Readiness, http.HandlerFunc(d.readiness))
 	d.servers.serve(d.listeners.Peer, d.peerHandler())
