Omit an unset least number of routers from written settings

Settings written from the zero value had min_routers 0, which the schema does not allow, so that gateways refused them: TestGatewayServesCounts- AndEndsCleanly and the soak's routers failed. With the field omitted the schema's default applies, and the test passes.

--- a/forwarder/settings.go
+++ b/forwarder/settings.go
@@ -61,8 +61,9 @@
 	// coordinate. A chunk of another request's prompt delays each token by 25 to 45 ms, so with a longer pause the load that other
 	// routers cause seldom decides whether a stream meets its objective. Zero turns the coordination off.
 	TokenGapMS float64 `json:"token_gap_ms"`
-	// MinRouters is the least number of routers that coordinate. Fewer routers each know enough of the load by themselves.
-	MinRouters int `json:"min_routers"`
+	// MinRouters is the least number of routers that coordinate. Fewer routers each know enough of the load by themselves. A file
+	// without it gets the default of the schema.
+	MinRouters int `json:"min_routers,omitempty"`
 }
 
 // SharesLoad reports whether routers of a deployment coordinate the load. This needs a route to engines whose streams allow at most
