--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -57,6 +57,8 @@
 	// coordinator chooses engines by the load that all routers cause, and runCount counts the runs that are reported to it.
 	coordinator masticway.EngineCoordinator
 	runCount    atomic.Int64
+	// connections divides the connections to small plain services by demand. It may be nil.
+	connections masticway.ConnectionApportioner
 	// onDraining is called for each answer with which a server announces that it drains.
 	onDraining func(masticway.Server)
 	// abandoned holds runs that this router gave up. Their requests may still crash their servers.
@@ -90,6 +92,8 @@
 	Throttler masticway.Throttler
 	// Coordinator chooses engines by the load that all routers cause. If it is nil, only this router's observations decide.
 	Coordinator masticway.EngineCoordinator
+	// Connections divides the connections to small plain services by demand. If it is nil, all connections are divided equally.
+	Connections masticway.ConnectionApportioner
 	// OnDraining is called for each answer with which a server announces that it drains. It is called from several goroutines.
 	OnDraining func(masticway.Server)
 	// Dial connects to a server.
@@ -100,7 +104,7 @@
 func New(s Settings, d Dependencies) *Forwarder {
 	f := &Forwarder{
 		settings: s, clock: d.Clock, log: d.Log, metrics: d.Metrics, codec: d.Codec, budgets: d.Budgets, snapshot: d.Snapshot,
-		examiner: d.Examiner, rotation: d.Rotation, throttler: d.Throttler, coordinator: d.Coordinator, onDraining: d.OnDraining,
+		examiner: d.Examiner, rotation: d.Rotation, throttler: d.Throttler, coordinator: d.Coordinator, connections: d.Connections, onDraining: d.OnDraining,
 		checks: &checks{dial: d.Dial, clock: d.Clock, log: d.Log, byServer: map[masticway.ServerIncarnation]*check{}},
 		sender: sender.New(d.Dial, d.Clock.Now), servers: chooser.NewServers(s.serverPolicy()), allowances: map[string]*retrier.Allowance{},
 	}
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -219,9 +219,10 @@
 	clock    *offsetClock
 	snapshot follower.Snapshot
 	router   *forwarder.Forwarder
-	// rotation is the router's rotation.
-	rotation fakeRotation
-	frontend *httptest.Server
+	// rotation is the router's rotation, and connections its division of connections by demand.
+	rotation    fakeRotation
+	connections fixedConnections
+	frontend    *httptest.Server
 	// throttler is the router's; it has no peers.
 	throttler *throttler.Throttler
 }
@@ -301,7 +302,7 @@
 		Members: f.budgets, Peers: func() []string { return nil }, Clock: f.clock, Log: log.WithField("", ""), Metrics: measurer.New(), Address: routerAddress,
 	})
 	dependencies := forwarder.Dependencies{
-		Rotation: &f.rotation, Throttler: f.throttler, OnDraining: func(masticway.Server) {}, Clock: f.clock, Log: log.WithField("", ""), Metrics: measurer.New(), Codec: platform.HeaderCodec{},
+		Rotation: &f.rotation, Throttler: f.throttler, Connections: &f.connections, OnDraining: func(masticway.Server) {}, Clock: f.clock, Log: log.WithField("", ""), Metrics: measurer.New(), Codec: platform.HeaderCodec{},
 		Budgets: f.budgets, Snapshot: func() follower.Snapshot { return f.snapshot }, Dial: (&net.Dialer{}).DialContext,
 	}
 	change(&dependencies)
--- a/starter/gateway.go
+++ b/starter/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/masticway/masticway"
+	"github.com/masticway/masticway/apportioner"
 	"github.com/masticway/masticway/coordinator"
 	"github.com/masticway/masticway/diverter"
 	"github.com/masticway/masticway/examiner"
@@ -118,6 +119,7 @@
 	diverter       *diverter.Diverter
 	throttler      *throttler.Throttler
 	coordinator    *coordinator.Coordinator
+	apportioner    *apportioner.Apportioner
 	pausable       *pausableListener
 	store          *relayer.Store
 	sharedStore    *sharer.Store
@@ -126,8 +128,10 @@
 	servers        serverGroup
 	listeners      GatewayListeners
 	metrics        *measurer.Set
-	stop           context.CancelFunc
-	wg             sync.WaitGroup
+	// sharing is held while it is decided and applied whether routers share load.
+	sharing sync.Mutex
+	stop    context.CancelFunc
+	wg      sync.WaitGroup
 }
 
 // NewGateway returns a gateway that keeps its durable state in a row store; Start starts it. The slowLinkStore must be a client
@@ -183,10 +187,15 @@
 			return scheduler.NewEngines(scheduler.Policy{RankShare: s.Policy.RankShare, ZoneTokenCost: s.Policy.ZoneTokenCost})
 		},
 	})
+	d.apportioner = apportioner.New(apportioner.Dependencies{
+		Routers: apportioner.NewClient(peerClient), Members: d.treasurer, Clock: clock, Log: entry, Metrics: metrics, Self: d.treasurer.Self(), Address: s.PeerAddress,
+		TakeUse:          func(pools []string) map[string]masticway.ConnectionUse { return d.forwarder.TakeConnectionUse(pools) },
+		LimitConnections: func(limits map[string]int) { d.forwarder.LimitConnections(limits) },
+	})
 	dialer := &net.Dialer{KeepAlive: -1}
 	d.forwarder = forwarder.New(s, forwarder.Dependencies{
 		Clock: clock, Log: entry, Metrics: metrics, Codec: codec, Budgets: d.treasurer, Snapshot: d.follower.Snapshot, Examiner: d.examiner,
-		Rotation: d.diverter, Throttler: d.throttler, Coordinator: d.coordinator, OnDraining: d.follower.MarkDraining, Dial: d.rotator.MeasureDial(dialer.DialContext),
+		Rotation: d.diverter, Throttler: d.throttler, Coordinator: d.coordinator, Connections: d.apportioner, OnDraining: d.follower.MarkDraining, Dial: d.rotator.MeasureDial(dialer.DialContext),
 	})
 	d.callerListener = newCallerListener(d.pausable)
 	d.callerServer = &http.Server{
@@ -230,6 +239,7 @@
 	d.treasurer.Configure(s.Deployment)
 	d.throttler.Prune(s.Incarnations())
 	d.coordinator.Update(s.Deployment, s.Servers)
+	d.applySharing()
 	d.forwarder.Update(s)
 }
 
@@ -244,7 +254,9 @@
 	d.wg.Go(func() { d.diverter.Run(ctx) })
 	d.wg.Go(func() { d.throttler.Run(ctx) })
 	d.wg.Go(func() { d.coordinator.Run(ctx) })
+	d.wg.Go(func() { d.apportioner.Run(ctx) })
 	d.wg.Go(func() { d.watchSuspensions(ctx) })
+	d.wg.Go(func() { d.watchMembers(ctx) })
 	d.servers.serveWith(d.callerListener, d.callerServer)
 	d.servers.serve(d.listeners.Readiness, http.HandlerFunc(d.readiness))
 	d.servers.serve(d.listeners.Peer, d.peerHandler())
@@ -322,6 +334,7 @@
 	d.diverter.Serve(mux)
 	d.throttler.Serve(mux)
 	d.coordinator.Serve(mux)
+	d.apportioner.Serve(mux)
 	d.sharedStore.Serve(mux)
 	return mux
 }
