--- a/chooser/cost.go
+++ b/chooser/cost.go
@@ -59,8 +59,8 @@
 // most the given number of output tokens.
 func (s ServerPolicy) ZoneCost(output int) float64 { return zoneCost + s.ZoneTokenCost*float64(output) }
 
-// RankCost returns the cost, in milliseconds, that each rank up to MaxRank adds to a server for a prompt, at the given prefill speed in
-// tokens per millisecond. It grows with the number of tokens that can be shared, because it is then more important that all
+// RankCost returns the cost, in milliseconds, that each rank up to MaxRank adds to a server for a prompt, at the given prefill
+// speed in tokens per millisecond. It grows with the number of tokens that can be shared, because it is then more important that all
 // routers fall back from the home to the same servers.
 func (s ServerPolicy) RankCost(p Prompt, tokensPerMillisecond float64) float64 {
 	return s.RankShare * float64(p.SharedTokens()) / tokensPerMillisecond
--- a/scheduler/reports.go
+++ b/scheduler/reports.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// initialStreamTime is the initial average time in milliseconds from the first to the last event of a run, and streamTimeWeight the
-	// weight of the newest run in it.
+	// initialStreamTime is the initial average time in milliseconds from the first to the last event of a run, and streamTimeWeight
+	// the weight of the newest run in it.
 	initialStreamTime = 1000.0
 	streamTimeWeight  = 0.02
 )
@@ -101,7 +101,8 @@
 		}
 		n.expiresAt = n.sentAt.Add(n.timeLeft)
 	}
-	if n.state == masticway.EngineRunSent && (r.State == masticway.EngineRunStreaming || r.FirstEventAfter > 0) {
+	hadFirstEvent := r.State == masticway.EngineRunStreaming || r.State == masticway.EngineRunEnded && r.FirstEventAfter > 0
+	if n.state == masticway.EngineRunSent && hadFirstEvent {
 		if isSample {
 			e.recordSample(now, n, sentAt(now, r).Add(duration(r.FirstEventAfter)))
 		}
--- a/scheduler/reports_test.go
+++ b/scheduler/reports_test.go
@@ -236,6 +236,16 @@
 	qt.Assert(t, e.TotalLoad(), qt.Equals, scheduler.Load{})
 }
 
+// TestInconsistentReport guards against a first event in the future, which would make the engine look idle, when a report of a run
+// that was just sent contains the time of a first event.
+func TestInconsistentReport(t *testing.T) {
+	e := newTestEngines(1)
+	report := sent(longRun("r", "subject"), testServers(1)[0].Incarnation())
+	report.FirstEventAfter = time.Minute
+	e.Record(testStart, routerA, report)
+	qt.Assert(t, e.TotalLoad(), qt.Equals, scheduler.Load{Runs: 1, Pending: 9190, Tokens: 9241})
+}
+
 // TestStaleReportOfOtherEngine guards against moving a run back to an engine that its sender tried before.
 func TestStaleReportOfOtherEngine(t *testing.T) {
 	e := newTestEngines(2)
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -91,7 +91,7 @@
 }
 
 // Expire removes the runs whose time is over, the reservations that were not reported in time, and the senders from which nothing
-// was heard for 3 s, with their runs. It should be called several times per second.
+// was heard for 3 s, with their runs. It should be called about four times per second; it looks at each run.
 func (e *Engines) Expire(now time.Time) {
 	for id, s := range e.senders {
 		if now.Sub(s.heardAt) >= senderTTL {
