Do not count the delay of reports as prefill time

A speed sample began at the earliest sending time of all pending runs of the engine. That of a reported run is late by the delay of its report, that of a reservation is not. So with late reports an idle time counted as prefill, and the speeds of all engines fell.

Only reported runs count as the start.

--- a/scheduler/speed.go
+++ b/scheduler/speed.go
@@ -92,6 +92,9 @@
 // The time of the sample starts at the previous first event, or when the engine began to have pending runs, whichever is later.
 // First events may be reported in another order than they arrived. An earlier one of the same busy period then adds tokens but no
 // time, because the later one has added the time of both. One of an earlier busy period is ignored.
+//
+// Pending runs that are only reserved do not count as the start: their times are those of the choice, while the times of reported
+// runs are late by the delay of the report. With reports that are late by 1 s, speeds fell to half otherwise.
 func (e *Engines) recordSample(now time.Time, r *run, at time.Time) {
 	n := r.engine
 	if at.Before(r.sentAt) || at.Before(n.sampledFrom) || r.uncached < minSampleTokens {
@@ -100,7 +103,7 @@
 	from, latency := r.sentAt, firstEventLatency
 	p := n.oldestPending
 	for i := 0; i < maxSampleScan && p != nil; i++ {
-		if p.sentAt.Before(from) {
+		if p.reported && p.sentAt.Before(from) {
 			from = p.sentAt
 		}
 		p = p.next
--- a/scheduler/speed_test.go
+++ b/scheduler/speed_test.go
@@ -9,6 +9,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/masticway/masticway"
+	"github.com/masticway/masticway/chooser"
 	"github.com/masticway/masticway/scheduler"
 )
 
@@ -291,3 +292,17 @@
 	qt.Assert(t, next.SlowEngines(), qt.DeepEquals, []string{"e-03"})
 	qt.Assert(t, next.Speeds(), qt.HasLen, 5)
 }
+
+// TestLateReportsDoNotLowerSpeed guards against counting the delay of a report as prefill time. The time of a reported run is late
+// by this delay, that of a run which is only reserved is not, so the latter must not be the start of a sample.
+func TestLateReportsDoNotLowerSpeed(t *testing.T) {
+	const delay = time.Second
+	e := newTestEngines(1)
+	first, second := longRun("first", "subject"), longRun("second", "other")
+	server := place(e, testStart, first)
+	place(e, testStart.Add(delay/2), second)
+	took := time.Duration(float64(first.Tokens)/chooser.TokensPerMillisecond*1e6) + 10*time.Millisecond
+	e.Record(testStart.Add(delay+took), routerA, streaming(first, server, took))
+	speed := e.Speeds()[server].TokensPerMS
+	qt.Assert(t, speed > chooser.TokensPerMillisecond*0.95, qt.IsTrue, qt.Commentf("%.1f tokens per ms", speed))
+}
