--- a/scheduler/reports.go
+++ b/scheduler/reports.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// initialStreamTime is the initial average time in milliseconds from the first to the last event of a run, and streamTimeWeight the
-	// weight of the newest run in it.
+	// initialStreamTime is the initial average time in milliseconds from the first to the last event of a run, and streamTimeWeight
+	// the weight of the newest run in it.
 	initialStreamTime = 1000.0
 	streamTimeWeight  = 0.02
 )
@@ -101,14 +101,18 @@
 		}
 		n.expiresAt = n.sentAt.Add(n.timeLeft)
 	}
-	if n.state == masticway.EngineRunSent && (r.State == masticway.EngineRunStreaming || r.FirstEventAfter > 0) {
+	hadFirstEvent := r.State == masticway.EngineRunStreaming || r.State == masticway.EngineRunEnded && r.FirstEventAfter > 0
+	if n.state == masticway.EngineRunSent && hadFirstEvent {
 		if isSample {
 			e.recordSample(now, n, sentAt(now, r).Add(duration(r.FirstEventAfter)))
 		}
 		n.engine.recordFirstEvent(now, n)
+		n.engine.failures.record(now, false)
 	}
 	if r.State >= masticway.EngineRunEnded {
-		if n.state == masticway.EngineRunStreaming && r.StreamedFor > 0 {
+		if n.state == masticway.EngineRunSent {
+			n.engine.failures.record(now, true)
+		} else if r.StreamedFor > 0 {
 			e.streamTime += streamTimeWeight * (milliseconds(duration(r.StreamedFor)) - e.streamTime)
 		}
 		e.remove(n)
