Allow for late reports in the estimate of what is prefilled

With reports that are late by 1 s, the first events of prompts that have long been prefilled are not known, so all engines seem equally busy, and slow engines get a quarter of the runs.

The owner learns the delay from the runs that it has placed itself, and assumes that engines have prefilled for that much longer. The comparison with local choices now includes late reports.

--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -11,6 +11,8 @@
 // groupLoad is the sum of the loads of a group's engines.
 type groupLoad struct {
 	pendingPrefill int
+	// reportDelay is the moving average of the time in milliseconds by which reports of the runs that were placed here are late.
+	reportDelay float64
 	// firstEventTokens is the assumed number of prompt tokens that an engine prefills between the end of a run's own prefill and
 	// its first event.
 	firstEventTokens float64
@@ -114,6 +116,8 @@
 // first event is known only after the tokens that it contains have been generated and the report has arrived. Without this
 // estimate, engines seemed to have 2.7 times the pending prefill that they had, and runs were sent away from their cached parts.
 //
+// The times of reported runs are late by the delay of their reports, so the engine has been prefilling for that much longer.
+//
 // The estimate does not exceed the oldest pending run by more than what is prefilled until its report arrives. So an engine that is
 // frozen does not seem to be idle.
 func (n *engine) progress(now time.Time) float64 {
@@ -127,7 +131,8 @@
 		from, done = n.firstEventAt, n.group.firstEventTokens
 	}
 	speed := n.speed.current
-	return done + min(speed*max(0, milliseconds(now.Sub(from))), float64(r.uncached)+speed*progressGrace)
+	delay := n.group.reportDelay
+	return done + min(speed*(max(0, milliseconds(now.Sub(from)))+delay), float64(r.uncached)+speed*(progressGrace+delay))
 }
 
 // remainingPrefill estimates the number of prompt tokens that the engine still has to prefill.
--- a/scheduler/progress_test.go
+++ b/scheduler/progress_test.go
@@ -67,3 +67,25 @@
 		})
 	}
 }
+
+// TestProgressWithLateReports guards against taking prompts as pending that have been prefilled while their reports were under way.
+func TestProgressWithLateReports(t *testing.T) {
+	const runs, delay = 300, time.Second
+	wait := func(reportDelay time.Duration) time.Duration {
+		e := newTestEngines(1)
+		server := testServers(1)[0].Incarnation()
+		for i := range runs {
+			r, at := plainRun(fmt.Sprint("r", i), 100, 10), testStart.Add(time.Duration(i)*10*time.Millisecond)
+			place(e, at, r)
+			e.Record(at.Add(reportDelay), routerA, sent(r, server))
+			e.Record(at.Add(reportDelay+100*time.Millisecond), routerA, ended(r, server, 20*time.Millisecond))
+		}
+		now := testStart.Add(runs*10*time.Millisecond + 2*delay)
+		r := plainRun("pending", 9000, 10)
+		place(e, now.Add(-reportDelay), r)
+		e.Record(now, routerA, sent(r, server))
+		return e.Place(now, routerA, plainRun("next", 1, 10), nil, nil).Wait
+	}
+	qt.Assert(t, wait(0) > 200*time.Millisecond, qt.IsTrue, qt.Commentf("%v", wait(0)))
+	qt.Assert(t, wait(delay) < 50*time.Millisecond, qt.IsTrue, qt.Commentf("%v", wait(delay)))
+}
--- a/scheduler/reports.go
+++ b/scheduler/reports.go
@@ -11,6 +11,11 @@
 	// the weight of the newest run in it.
 	initialStreamTime = 1000.0
 	streamTimeWeight  = 0.02
+	// reportDelayWeight is the weight of the newest run in the average delay of reports, and maxReportDelay the upper bound of one
+	// delay in milliseconds. A delay is the time from the choice of the engine to the sending of the run, as the report says it. It
+	// is some 3 ms if the reply and the report are not late themselves.
+	reportDelayWeight = 0.02
+	maxReportDelay    = 2000.0
 )
 
 // Record records a report of a run. It is idempotent: the load is the same if a report arrives late, several times or in another
@@ -97,6 +102,7 @@
 		n.reported = true
 		// A run cannot have been sent before its engine was reserved, even if the report was fast.
 		if at := sentAt(now, r); at.After(n.sentAt) {
+			e.load.reportDelay += reportDelayWeight * (min(milliseconds(at.Sub(n.sentAt)), maxReportDelay) - e.load.reportDelay)
 			n.sentAt = at
 		}
 		n.expiresAt = n.sentAt.Add(n.timeLeft)
--- a/scheduler/simulation_test.go
+++ b/scheduler/simulation_test.go
@@ -84,6 +84,7 @@
 		"owner is partitioned for 3 s":           {fail: between(20*time.Second, 23*time.Second, func(o *ownerModel, isFailing bool) { o.unreachable = isFailing })},
 		"a tenth of the reports are lost":        {fail: withReportFault(reportFault{lostShare: 0.1})},
 		"reports are doubled":                    {fail: withReportFault(reportFault{doubled: true})},
+		"reports are late by 1 s":                {fail: withReportFault(reportFault{late: time.Second})},
 		"router dies with 20 requests under way": {deaths: routerDies},
 	}
 	undisturbed := simulate(seed, locally, nil)
