Simulate an owner that is unreachable for 0.5 s

A short interruption differs from one of 3 s: the senders use the backup for a second and return to an owner that still holds the runs that ended meanwhile. Senders send a full resync when they change the owner.

--- a/scheduler/simulation_test.go
+++ b/scheduler/simulation_test.go
@@ -96,6 +96,7 @@
 			}
 		})},
 		"owner is partitioned for 3 s":           {fail: between(20*time.Second, 23*time.Second, func(o *ownerModel, isFailing bool) { o.unreachable = isFailing })},
+		"owner is partitioned for 0.5 s":         {fail: between(20*time.Second, 20500*time.Millisecond, func(o *ownerModel, isFailing bool) { o.unreachable = isFailing })},
 		"a tenth of the reports are lost":        {fail: withReportFault(reportFault{lostShare: 0.1})},
 		"reports are doubled":                    {fail: withReportFault(reportFault{doubled: true})},
 		"reports are late by 1 s":                {fail: withReportFault(reportFault{late: time.Second})},
