--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -114,7 +114,7 @@
 
 // progress estimates how many of the pending prompt tokens the engine has already prefilled. Prompts are prefilled in chunks, and a
 // first event is known only after the tokens that it contains have been generated and the report has arrived. Without this
-// estimate, engines seemed to have 2.6 times the pending prefill that they had, and runs were sent away from their cached parts.
+// estimate, engines seemed to have 2.7 times the pending prefill that they had, and runs were sent away from their cached parts.
 //
 // The times of reported runs are late by the delay of their reports, so the engine has been prefilling for that much longer.
 //
