Compute the membership of a zone once per report, and log the conditions

Cause: each check copied and sorted all routers of the deployment ten times a second, and the log did not say why a zone was not diverted. Change: the membership is computed with each report.

--- a/diverter/diverter.go
+++ b/diverter/diverter.go
@@ -15,7 +15,7 @@
 const (
 	// checkInterval is the interval at which the conditions are checked and an ended diversion is noticed.
 	checkInterval = 100 * time.Millisecond
-	// reportInterval is the interval of a router's reports to its coordinator.
+	// reportInterval is the interval of a router's reports to its coordinator, and of the checks whether diversions apply.
 	reportInterval = 300 * time.Millisecond
 	// backupAfter is how long a router waits for the coordinator's reply until it also reports to the backup.
 	backupAfter = 300 * time.Millisecond
@@ -82,10 +82,11 @@
 var _ masticway.Rotation = (*Diverter)(nil)
 
 // state is what a router knows as a member of its zone, and as a coordinator of the zone if others report to it. It is
-// discarded when diversions cease to apply.
+// discarded when diversions begin or cease to apply.
 type state struct {
-	active    bool
-	diversion diversion
+	active     bool
+	membership membership
+	diversion  diversion
 
 	// The following fields are those of a member. heard are the consents of the zone according to the coordinator that the router
 	// follows, with Left as of heardAt. lateCoordinator is the address of the preferred coordinator while it does not reply within
@@ -106,6 +107,9 @@
 	proposal        *proposal
 	pollAt          time.Time
 	unansweredPolls int
+	// logged are the conditions that were logged last.
+	logged   conditions
+	loggedAt time.Time
 }
 
 // New returns a diverter of a router whose zone is not diverted.
@@ -144,39 +148,45 @@
 
 // check does what is due.
 func (d *Diverter) check(ctx context.Context) {
-	active := d.settings.Zone != "" && d.deps.Applies()
-	d.mu.Lock()
-	if active != d.state.active {
-		d.state = state{active: active, reports: reports{}, unansweredReports: map[string]int{}}
+	now := d.deps.Clock.Now()
+	due := d.isReportDue(now)
+	if due {
+		d.activate(d.settings.Zone != "" && d.deps.Applies())
 	}
-	d.mu.Unlock()
-	if active {
-		routers := d.allRouters()
-		now := d.deps.Clock.Now()
+	if d.isActive() {
 		d.measure(now)
-		if d.isReportDue(now) {
-			d.sendReports(ctx, coordinators(d.settings.Zone, routers))
+		if due {
+			d.updateMembership()
+			d.sendReports(ctx)
 		}
-		d.coordinate(ctx, routers)
+		d.coordinate(ctx)
 	}
 	d.apply()
 }
 
-// allRouters returns all known routers of all zones, including this one.
-func (d *Diverter) allRouters() []Router {
-	s := d.settings
-	return append(d.deps.Routers(), Router{Instance: s.Instance, Address: s.Address, Zone: s.Zone, Processors: s.Processors})
+// activate sets whether diversions apply. It discards the state if that changes.
+func (d *Diverter) activate(active bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if active != d.state.active {
+		d.state = state{active: active, reportAt: d.state.reportAt, reports: reports{}, unansweredReports: map[string]int{}}
+	}
 }
 
-// members returns the instances of the zone's routers among the given routers.
-func (d *Diverter) members(routers []Router) map[string]bool {
-	all := map[string]bool{}
-	for _, r := range routers {
-		if r.Zone == d.settings.Zone {
-			all[r.Instance] = true
-		}
-	}
-	return all
+func (d *Diverter) isActive() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.state.active
+}
+
+// updateMembership updates what is known of the deployment's routers.
+func (d *Diverter) updateMembership() {
+	s := d.settings
+	all := append(d.deps.Routers(), Router{Instance: s.Instance, Address: s.Address, Zone: s.Zone, Processors: s.Processors})
+	m := newMembership(s.Zone, s.Zones, all)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.state.membership = m
 }
 
 // measure updates the rates that the next report contains.
--- a/diverter/export_test.go
+++ b/diverter/export_test.go
@@ -1,4 +1,4 @@
 package diverter
 
-// Coordinators exports coordinators for the simulation.
+// Coordinators returns the coordinator and the backup of the zone of the given routers.
 var Coordinators = coordinators
--- a/diverter/members.go
+++ b/diverter/members.go
@@ -22,14 +22,13 @@
 // maxCoordinators is the number of routers of a zone that may coordinate it: the coordinator, and its backup.
 const maxCoordinators = 2
 
-// coordinators returns the routers of a zone that may coordinate it, the preferred one first. All routers with the same
+// coordinators returns which of the routers of a zone may coordinate it, the preferred one first. All routers with the same
 // membership choose the same ones. The choice is weighted by processors.
-func coordinators(zone string, all []Router) []Router {
-	members := slices.DeleteFunc(slices.Clone(all), func(r Router) bool { return r.Zone != zone })
-	slices.SortFunc(members, func(x, y Router) int {
+func coordinators(routers []Router) []Router {
+	sorted := slices.SortedFunc(slices.Values(routers), func(x, y Router) int {
 		return cmp.Or(cmp.Compare(y.weight(), x.weight()), cmp.Compare(x.Instance, y.Instance))
 	})
-	return members[:min(maxCoordinators, len(members))]
+	return sorted[:min(maxCoordinators, len(sorted))]
 }
 
 // weight returns the router's rendezvous weight for its zone. Its probability to be the greatest is proportional to the
@@ -45,12 +44,37 @@
 	return -processors / math.Log(uniform)
 }
 
-// otherZones returns the zones other than own: the configured ones and those of the known routers, sorted.
-func otherZones(own string, configured []string, all []Router) []string {
-	zones := slices.Clone(configured)
+// membership is what a router knows of the deployment's routers, including itself.
+type membership struct {
+	// members are the instances of the router's own zone.
+	members map[string]bool
+	// own are the coordinator and the backup of the router's zone, and others those of each other zone. A configured zone without
+	// known routers has none.
+	own    []Router
+	others map[string][]Router
+}
+
+// newMembership returns the membership of a router in the zone own. configured are the configured zones, which may include own.
+func newMembership(own string, configured []string, all []Router) membership {
+	m := membership{members: map[string]bool{}, others: map[string][]Router{}}
+	byZone := map[string][]Router{}
+	for _, zone := range configured {
+		byZone[zone] = nil
+	}
 	for _, r := range all {
-		zones = append(zones, r.Zone)
+		byZone[r.Zone] = append(byZone[r.Zone], r)
+	}
+	for zone, routers := range byZone {
+		switch zone {
+		case "":
+		case own:
+			m.own = coordinators(routers)
+			for _, r := range routers {
+				m.members[r.Instance] = true
+			}
+		default:
+			m.others[zone] = coordinators(routers)
+		}
 	}
-	slices.Sort(zones)
-	return slices.DeleteFunc(slices.Compact(zones), func(z string) bool { return z == "" || z == own })
+	return m
 }
--- a/diverter/report.go
+++ b/diverter/report.go
@@ -18,16 +18,17 @@
 
 // sendReports reports to the preferred coordinator of the zone. If that does not reply within backupAfter, or did not at the last
 // time, it also reports to the backup: a coordinator behind a saturated link decides late, and a dead one never.
-func (d *Diverter) sendReports(ctx context.Context, coordinators []Router) {
+func (d *Diverter) sendReports(ctx context.Context) {
+	d.mu.Lock()
+	coordinators := d.state.membership.own
+	late := d.state.lateCoordinator == coordinators[0].Address
+	d.mu.Unlock()
 	preferred := coordinators[0]
 	replied := d.sendReport(ctx, preferred)
 	if len(coordinators) < 2 {
 		return
 	}
 	backup := coordinators[1]
-	d.mu.Lock()
-	late := d.state.lateCoordinator == preferred.Address
-	d.mu.Unlock()
 	if late {
 		d.sendReport(ctx, backup)
 	}
