Play slow readers and a deployment that shares load in the soak

Callers that stop reading for two to three seconds were not played, nor was a deployment in which routers coordinate load. The fault slow_readers checks that the requests that a router holds for such callers fit in a quarter of its memory and that other callers are served.

Three broken programs fail for these checks.

--- a/emulator/deployment.go
+++ b/emulator/deployment.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	_ "embed" // for the configuration's template
 	"fmt"
 	"text/template"
@@ -27,12 +28,22 @@
 	DeploymentTokensPerEvent = 3
 )
 
+// defaultPlainConnections is the default limit of connections to each plain server.
+const defaultPlainConnections = 60
+
 // Deployment is a deployment configuration in the operator's format. It has one route of each kind and one more for each of
 // Paths.
 type Deployment struct {
 	Number  int64            // the version of the configuration
 	Paths   []string         // the paths of further routes
 	Prepaid map[string]int64 // prepaid tokens by workspace
+	// PlainConnections is the limit of connections to each plain server; zero is the default.
+	PlainConnections int
+}
+
+// MaxPlainConnections returns the limit of connections to each plain server that the configuration has.
+func (d Deployment) MaxPlainConnections() int {
+	return cmp.Or(d.PlainConnections, defaultPlainConnections)
 }
 
 // Put writes the configuration to its row in the store, regardless of the store's faults, and returns its size in bytes. It
--- a/emulator/opaque.go
+++ b/emulator/opaque.go
@@ -129,6 +129,15 @@
 	// retryAfter is the Retry-After header of rejections, in seconds.
 	retryAfter string
 	arrivals   []OpaqueArrival
+	// excesses holds the times at which more than maxConns connections were open after a new one; zero means no limit.
+	maxConns int
+	excesses []OpaqueExcess
+}
+
+// OpaqueExcess is a time at which a server had more open connections than its limit (see RecordExcesses).
+type OpaqueExcess struct {
+	At   time.Time
+	Open int
 }
 
 // StartOpaqueServer starts a server on a loopback port.
@@ -239,6 +248,20 @@
 	s.draining = draining
 }
 
+// RecordExcesses makes the server record when more than a number of connections are open. It still accepts them.
+func (s *OpaqueServer) RecordExcesses(maxConns int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.maxConns = maxConns
+}
+
+// Excesses returns the recorded excesses in the order of time.
+func (s *OpaqueServer) Excesses() []OpaqueExcess {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]OpaqueExcess(nil), s.excesses...)
+}
+
 // Arrivals returns all requests that have reached the server, rejected ones included, in the order of arrival.
 func (s *OpaqueServer) Arrivals() []OpaqueArrival {
 	s.mu.Lock()
@@ -278,6 +301,9 @@
 		}
 		s.mu.Lock()
 		s.conns[c] = true
+		if s.maxConns > 0 && len(s.conns) > s.maxConns {
+			s.excesses = append(s.excesses, OpaqueExcess{At: time.Now(), Open: len(s.conns)})
+		}
 		s.mu.Unlock()
 		go s.serveConn(c)
 	}
--- a/soaker/caller.go
+++ b/soaker/caller.go
@@ -65,7 +65,10 @@
 	recurringName string
 	// resumeAfter is the number of the last event of the answer that the request resumes. It is zero if it resumes none.
 	resumeAfter int
-	written     atomic.Bool // the whole request was written
+	// readPause is how long the caller does not read after the head of the answer, which arrived at headAt.
+	readPause time.Duration
+	headAt    time.Time
+	written   atomic.Bool // the whole request was written
 
 	sentAt, endedAt             time.Time
 	outcome, answerID, signedBy string // answerID and signedBy: the ids of the request and of the server that the answer names
@@ -218,6 +221,10 @@
 	defer in.Body.Close()
 	q.status = in.StatusCode
 	q.answerID, q.signedBy = emulator.AnswerOrigin(in.Header)
+	if q.readPause > 0 && q.status == http.StatusOK {
+		q.headAt = time.Now()
+		time.Sleep(q.readPause)
+	}
 	body, err := io.ReadAll(in.Body)
 	if q.recurringName == "" && q.status == http.StatusServiceUnavailable && isCrashRefusal(body) {
 		c.soak.reportViolation(promiseSpared, "refused as a request that crashes servers, but it does not: %s", q)
--- a/soaker/checks.go
+++ b/soaker/checks.go
@@ -38,6 +38,9 @@
 	promiseLimited   = "limited"   // all routers together keep to the rate limit that a server advertises, with a tolerance
 	promiseRested    = "rested"    // a router keeps to a backoff that a server asks for: at most maxSentInBackoff requests
 	promiseAlive     = "alive"     // a router's process ends only when it is stopped
+	promiseBounded   = "bounded"   // the requests that a router holds for slow readers fit in a quarter of its memory
+	promisePatient   = "patient"   // other callers are served while some do not read their answers
+	promiseConnected = "connected" // all routers together keep to the limit of connections to a server
 )
 
 // Violation is a promise that was not kept, with a description.
@@ -154,7 +157,9 @@
 	s.checkRateLimits()
 	for _, server := range s.all {
 		s.checkBackoff(server)
+		s.checkConnections(server)
 	}
+	s.checkSlowReads()
 }
 
 // checkRun checks a single run of a request.
--- a/soaker/deployment.go
+++ b/soaker/deployment.go
@@ -32,6 +32,9 @@
 	{name: "book", pool: "plain"},
 }
 
+// plainRoute is the index of the route of plain services that any caller may use.
+const plainRoute = 2
+
 // pools holds the name of the pool of each server slot. In each slot one server runs at a time; after a crash or drain,
 // another server takes the slot.
 var pools = []string{"engine", "engine", "engine", "engine", "plain", "plain", "plain", "plain"}
@@ -54,6 +57,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	v := version{Deployment: emulator.Deployment{Number: 1, Prepaid: s.prepaid}}
+	if s.SharesLoad {
+		v.PlainConnections = sharedPlainConnections
+	}
 	if n := len(s.versions); n > 0 {
 		v.Number, v.Paths = s.versions[n-1].Number+int64(1+n%3), s.versions[n-1].Paths
 	}
@@ -98,14 +104,18 @@
 	server.SetStream(s.events, s.pause)
 	server.EnableEcho(s.work)
 	server.CrashOn(deadlyMark, s.crashHandler(slot))
+	if s.SharesLoad && pools[slot] == "plain" {
+		server.RecordExcesses(sharedPlainConnections + connectionSlack*s.Routers)
+	}
 	s.servers[slot] = server
 	s.all = append(s.all, server)
+	s.zones[server.ID] = s.zone(slot)
 	s.register(server, false)
 }
 
 // register writes a server's row, as ready or as draining.
 func (s *soakRun) register(server *emulator.OpaqueServer, draining bool) {
-	server.Register(s.rows, poolOf(server.ID), zoneName, draining)
+	server.Register(s.rows, poolOf(server.ID), s.zones[server.ID], draining)
 }
 
 // poolOf returns the pool of a server from its id.
--- a/soaker/faults.go
+++ b/soaker/faults.go
@@ -68,6 +68,8 @@
 	"answers_lost":      {2, 3 * time.Second, storeFault(emulator.RowFaults{DropAnswers: 20})},
 	"writes_late":       {2, 3 * time.Second, storeFault(emulator.RowFaults{LateWrites: 20, LateWriteDelay: 1500 * time.Millisecond})},
 	"history_forgotten": {2, 0, func(s *soakRun, _ faultEvent) { s.rows.Compact() }},
+	slowReadersKind:     {0, maxReadPause - minDuration, (*soakRun).readSlowly},
+	"crowd":             {0, 2 * time.Second, (*soakRun).crowd},
 	"server_drains":     {4, 0, (*soakRun).drain},
 	"server_crashes":    {3, 0, (*soakRun).crash},
 	"deadly_request":    {0, maxDeadlyDuration, (*soakRun).deadlyRequest},
--- a/soaker/process.go
+++ b/soaker/process.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -60,6 +61,12 @@
 		// With a single holder per workspace the other routers borrow, as most routers do in a large fleet.
 		Policy: forwarder.PolicySettings{Holders: 1},
 	}}
+	if s.SharesLoad {
+		p.settings.Zone, p.settings.Regions, p.settings.Policy.SharedLoad = s.zone(i), s.regions(), sharedLoad
+	}
+	if slices.Contains(s.Kinds, slowReadersKind) {
+		p.settings.MemoryMB = slowReaderMemory
+	}
 	s.processes = append(s.processes, p)
 	return p.start()
 }
--- a/soaker/soak.go
+++ b/soaker/soak.go
@@ -46,6 +46,9 @@
 	Routers            int           // the number of routers
 	Program, Directory string        // the path of the built program; the directory for settings and logs
 	Kinds              []string      // the kinds of faults that are drawn; if empty, all that have a weight
+	// SharesLoad makes a deployment in which the routers coordinate load: they are in several availability zones, streams allow
+	// only short pauses, and plain servers take few connections.
+	SharesLoad bool
 }
 
 // Report is the result of a soak.
@@ -72,12 +75,15 @@
 	processes          []*process
 	routers            map[string]int // the index of each process, by its own address for callers and by its proxy's
 	faults             sync.WaitGroup // the faults that still last
+	crowdMu, slowMu    sync.Mutex     // held while there are additional callers, or slow readers
+	crowds, slowFaults int            // the number of such faults; each is protected by its mutex
 	events             int            // number of events per stream
 	pause, work, grace time.Duration  // the pause between two events; the duration of other answers; the grace period of routers
 	narrow             bool           // network links to the store are narrow
 
 	mu               sync.Mutex
 	servers          []*emulator.OpaqueServer // the current server of each slot
+	zones            map[string]string        // the availability zone of each server, by ID
 	incarnations     int                      // the number of servers that have been started
 	drainAcceptedAt  map[string]time.Time     // when the store accepted that a server's row is draining or removed, by server ID
 	drainAnnouncedAt map[string]time.Time     // when a server started to announce in its answers that it drains, by server ID
@@ -90,6 +96,8 @@
 	disturbances     map[string][]interval     // by target: a router, a server or the store
 	delays           map[int][]schedulingDelay // by index of the router
 	violations       []Violation
+	slowReads        []slowRead // the requests of slow readers that were served
+	loadStartedAt    time.Time  // when the callers started
 	served           int
 	resumed          int
 	faultsDrawn      int
@@ -108,7 +116,7 @@
 	s := &soakRun{
 		Soak: o, random: random, log: log, rows: rows, store: &http.Server{Handler: rows.Handler()}, ledger: &emulator.OpaqueRunLog{},
 		events: 2 + random.IntN(maxEvents-1), pause: randomUpTo(random, maxEventPause), work: randomUpTo(random, maxWork), grace: minGrace + time.Duration(random.IntN(2))*extraGrace,
-		servers: make([]*emulator.OpaqueServer, len(pools)), drainAcceptedAt: map[string]time.Time{}, drainAnnouncedAt: map[string]time.Time{}, delivered: map[string]int64{},
+		servers: make([]*emulator.OpaqueServer, len(pools)), zones: map[string]string{}, drainAcceptedAt: map[string]time.Time{}, drainAnnouncedAt: map[string]time.Time{}, delivered: map[string]int64{},
 		prepaid: map[string]int64{"thin": 4_000, "middle": 40_000, "wide": 50_000_000}, requests: map[string]*request{}, routers: map[string]int{}, disturbances: map[string][]interval{}, delays: map[int][]schedulingDelay{},
 	}
 	defer s.close()
@@ -138,6 +146,9 @@
 	if s.random.IntN(slowEvery) == 0 {
 		s.work = slowWork
 	}
+	if s.SharesLoad {
+		s.work = maxWork
+	}
 	s.logf("store links of %.0f bytes/s (0 is unlimited), %d events per stream every %s, other answers take %s, grace period %s", c.rate, s.events, s.pause, s.work, s.grace)
 	for slot := range pools {
 		s.startServer(slot)
@@ -162,6 +173,7 @@
 
 // startLoad starts the callers, the probers and the watch for starvation in load. All of them end after done is closed.
 func (s *soakRun) startLoad(load *sync.WaitGroup, done <-chan struct{}) {
+	s.loadStartedAt = time.Now()
 	load.Go(func() { s.watchStarvation(done) })
 	var addresses []string
 	for i, p := range s.processes {
--- a/soaker/soaker_test.go
+++ b/soaker/soaker_test.go
@@ -133,6 +133,28 @@
 	assertPromisesKept(t, soaker.Soak{Seed: 3, Duration: 9 * time.Second, Routers: 3, Kinds: []string{"server_limits", "server_rests", "server_leaves", "server_drains", "kill", "term", "store_cut", "store_silent"}})
 }
 
+// TestSlowReadersAreBounded guards against callers that do not read their answers and thereby make a router hold more requests than
+// fit in its memory, or keep it from serving other callers.
+func TestSlowReadersAreBounded(t *testing.T) {
+	t.Parallel()
+	assertPromisesKept(t, soaker.Soak{Seed: 4, Duration: 8 * time.Second, Routers: 2, Kinds: []string{"slow_readers"}})
+}
+
+// sharedKinds are the faults of a deployment whose routers share load: those that end, delay or replace the routers that own a group
+// of engines, a pool's connections or a zone, and callers that crowd into one zone.
+var sharedKinds = []string{"kill", "term", "freeze", "crowd", "server_drains", "server_crashes", "callers_slow", "store_cut", "configure"}
+
+// TestSharedLoadUnderFaults guards against routers that break a promise because they coordinate load.
+func TestSharedLoadUnderFaults(t *testing.T) {
+	t.Parallel()
+	for name, kinds := range map[string][]string{"faults": sharedKinds, "only crowds": {"crowd"}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			assertPromisesKept(t, soaker.Soak{Seed: 5, Duration: 10 * time.Second, Routers: 3, SharesLoad: true, Kinds: kinds})
+		})
+	}
+}
+
 // brokenTimeout limits a soak of a broken program: its start, five seconds of faults, and the checks after them.
 const brokenTimeout = 40 * time.Second
 
@@ -145,50 +167,63 @@
 		file, old, new string
 		kinds          []string
 		promise        string
+		sharesLoad     bool
 	}{
 		"retries non-repeatable requests": {
 			"forwarder/exchange.go", "\t}\n\treturn false\n}\n\n// refusalFor", "\t}\n\treturn true\n}\n\n// refusalFor",
-			[]string{"server_fails"}, "once",
+			[]string{"server_fails"}, "once", false,
 		},
 		"reports requests of unknown outcome as not run": {
 			"forwarder/exchange.go", "{Status: http.StatusBadGateway, Code: codeUnknown", "{Status: http.StatusServiceUnavailable, Code: codeUnknown",
-			[]string{"server_fails"}, "not_run",
+			[]string{"server_fails"}, "not_run", false,
 		},
 		"charges no tokens": {
 			"forwarder/exchange.go", "return int64(x.unchargedPrompt() + min(", "return 0 * int64(x.unchargedPrompt() + min(",
-			[]string{"hangup"}, "budget",
+			[]string{"hangup"}, "budget", false,
 		},
 		"exits at once on SIGTERM": {
 			"starter/gateway.go", "d.forwarder.Drain(began.Add(grace - exitBefore))", "d.Kill()",
-			[]string{"term"}, "answered",
+			[]string{"term"}, "answered", false,
 		},
 		"keeps its first configuration": {
 			"follower/beliefs.go", "if r.configured && d.Version <= r.deployment.Version {", "if r.configured {",
-			[]string{"configure"}, "in_force",
+			[]string{"configure"}, "in_force", false,
 		},
 		"uses draining servers": {
 			"platform/deployment.go", `if w.State != "ready" {`, `if w.State == "" {`,
-			[]string{"server_drains"}, "drained",
+			[]string{"server_drains"}, "drained", false,
 		},
 		"goes on sending requests that crash servers": {
 			"examiner/register.go", "return weight >= minWeightToProve", "return weight < 0",
-			[]string{"deadly_request"}, "spared",
+			[]string{"deadly_request"}, "spared", false,
 		},
 		"ignores rate limits": {
 			"platform/dialect.go", "a.Limit, a.LimitInvalid = limit, !valid", "a.LimitInvalid = limit.IsSet || !valid",
-			[]string{"server_limits"}, "limited",
+			[]string{"server_limits"}, "limited", false,
 		},
 		"ignores drains announced in answers": {
 			"platform/dialect.go", "a.Draining, _ = strconv.ParseBool(h.Get(headerDraining))", "a.Draining = false",
-			[]string{"server_leaves"}, "drained",
+			[]string{"server_leaves"}, "drained", false,
 		},
 		"shortens backoffs": {
 			"throttler/rests.go", "now.Add(min(requested, maxBackoff))", "now.Add(min(requested, maxBackoff) / 8)",
-			[]string{"server_rests"}, "rested",
+			[]string{"server_rests"}, "rested", false,
 		},
 		"completes a stream that broke off": {
 			"forwarder/relay.go", "if errors.Is(err, io.EOF) && len(bytes.TrimSpace(pending)) == 0 && x.headWritten {", "if errors.Is(err, io.ErrUnexpectedEOF) && x.headWritten || errors.Is(err, io.EOF) && len(bytes.TrimSpace(pending)) == 0 && x.headWritten {",
-			[]string{"server_crashes"}, "whole",
+			[]string{"server_crashes"}, "whole", false,
+		},
+		"holds any number of requests for slow readers": {
+			"rotator/admission.go", "if a.maxHeldBytes > 0 && a.heldBytes+bytes > a.maxHeldBytes {", "if a.maxHeldBytes > 0 && a.heldBytes > 9*a.maxHeldBytes {",
+			[]string{"slow_readers"}, "bounded", false,
+		},
+		"serves nobody else while a caller does not read": {
+			"forwarder/attempt.go", "\t_, _ = x.w.Write(body)\n", "\tx.f.mu.Lock()\n\t_, _ = x.w.Write(body)\n\tx.f.mu.Unlock()\n",
+			[]string{"slow_readers"}, "patient", false,
+		},
+		"opens any number of connections": {
+			"sender/sender.go", "if limit > 0 && open >= limit {", "if limit > 0 && open >= 9*limit {",
+			[]string{"crowd"}, "connected", true,
 		},
 	}
 	for name, tc := range cases {
@@ -205,7 +240,7 @@
 			found, starved, versions := map[string]bool{}, 0, 0
 			// On a busy machine a single soak may find nothing, because what happens while a router is starved is no violation.
 			for seed := uint64(1); seed <= 6 && !found[tc.promise]; seed++ {
-				report := soak(t, soaker.Soak{Seed: seed, Duration: 5 * time.Second, Routers: 2, Program: path, Directory: t.TempDir(), Kinds: tc.kinds}, brokenTimeout)
+				report := soak(t, soaker.Soak{Seed: seed, Duration: 5 * time.Second, Routers: 2, Program: path, Directory: t.TempDir(), Kinds: tc.kinds, SharesLoad: tc.sharesLoad}, brokenTimeout)
 				starved, versions = starved+report.Starved, versions+report.Versions
 				for _, v := range report.Violations {
 					found[v.Promise] = true
