Check less often where no zone is diverted, and keep the membership

Cause: a diverter used 1.65 ms of processor time per second in a trial with 28 of them over loopback, of which 0.34 ms were for the checks alone, also where diversions do not apply. Change: it checks every 300 ms there, and computes the coordinators only if the known routers have changed. Result: go test -race ./diverter ./rotator ./forwarder passes.

--- a/diverter/diverter.go
+++ b/diverter/diverter.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -137,23 +138,27 @@
 // the context ends.
 func (d *Diverter) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		d.check(ctx)
+		interval := reportInterval
+		if d.check(ctx) {
+			interval = checkInterval
+		}
 		select {
 		case <-ctx.Done():
-		case <-d.deps.Clock.After(checkInterval):
+		case <-d.deps.Clock.After(interval):
 		}
 	}
 	d.wg.Wait()
 }
 
-// check does what is due.
-func (d *Diverter) check(ctx context.Context) {
+// check does what is due. It reports whether diversions apply.
+func (d *Diverter) check(ctx context.Context) bool {
 	now := d.deps.Clock.Now()
 	due := d.isReportDue(now)
 	if due {
 		d.activate(d.settings.Zone != "" && d.deps.Applies())
 	}
-	if d.isActive() {
+	active := d.isActive()
+	if active {
 		d.measure(now)
 		if due {
 			d.updateMembership()
@@ -162,6 +167,7 @@
 		d.coordinate(ctx)
 	}
 	d.apply()
+	return active
 }
 
 // activate sets whether diversions apply. It discards the state if that changes.
@@ -183,10 +189,11 @@
 func (d *Diverter) updateMembership() {
 	s := d.settings
 	all := append(d.deps.Routers(), Router{Instance: s.Instance, Address: s.Address, Zone: s.Zone, Processors: s.Processors})
-	m := newMembership(s.Zone, s.Zones, all)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.state.membership = m
+	if !slices.Equal(all, d.state.membership.all) {
+		d.state.membership = newMembership(s.Zone, s.Zones, all)
+	}
 }
 
 // measure updates the rates that the next report contains.
--- a/diverter/members.go
+++ b/diverter/members.go
@@ -46,6 +46,7 @@
 
 // membership is what a router knows of the deployment's routers, including itself.
 type membership struct {
+	all []Router
 	// members are the instances of the router's own zone.
 	members map[string]bool
 	// own are the coordinator and the backup of the router's zone, and others those of each other zone. A configured zone without
@@ -56,7 +57,7 @@
 
 // newMembership returns the membership of a router in the zone own. configured are the configured zones, which may include own.
 func newMembership(own string, configured []string, all []Router) membership {
-	m := membership{members: map[string]bool{}, others: map[string][]Router{}}
+	m := membership{all: all, members: map[string]bool{}, others: map[string][]Router{}}
 	byZone := map[string][]Router{}
 	for _, zone := range configured {
 		byZone[zone] = nil
