Ask a router that does not reply about connections less often

A router that is silent for long was asked again after each second, which delayed each of these requests by 120 ms. The time doubles now, up to 8 s, as for the owners of engines. In 32 s it is asked 7 times.

Tests state when requests are due, and the soak of a deployment that shares load fails unless a router became owner of a pool's connections.

--- a/apportioner/apportioner.go
+++ b/apportioner/apportioner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"sync"
 	"time"
 
@@ -15,8 +16,10 @@
 const (
 	// askTimeout is the timeout of a request to another router, a few times the round-trip time between availability zones.
 	askTimeout = 120 * time.Millisecond
-	// unresponsiveTime is how long a router is not asked after a request to it has failed.
-	unresponsiveTime = time.Second
+	// unresponsiveTime is how long a router is not asked after a request to it has failed. It doubles with each further failure, up to
+	// maxUnresponsiveTime, until the router replies.
+	unresponsiveTime    = time.Second
+	maxUnresponsiveTime = 8 * time.Second
 	// tickInterval is the interval at which the use of connections is read and the ends of leases are noticed.
 	tickInterval = 100 * time.Millisecond
 	// maxOwners is the number of routers that may grant leases of one pool: the owner and the backup.
@@ -75,15 +78,21 @@
 	mu sync.RWMutex
 	// pools holds the pools that are divided by demand, if IsDivided, or have been.
 	pools map[string]*poolState
-	// unresponsiveUntil holds the routers to which a request has failed, and the times until which they are not asked.
-	unresponsiveUntil map[string]time.Time
+	// unresponsive holds the routers to which the last request failed, by address.
+	unresponsive map[string]unresponsiveRouter
+}
+
+// unresponsiveRouter is how long a router is not asked, and until when.
+type unresponsiveRouter struct {
+	wait  time.Duration
+	until time.Time
 }
 
 var _ masticway.ConnectionApportioner = (*Apportioner)(nil)
 
 // New returns an apportioner that divides nothing until Configure is called.
 func New(p Dependencies) *Apportioner {
-	return &Apportioner{Dependencies: p, wake: make(chan struct{}, 1), pools: map[string]*poolState{}, unresponsiveUntil: map[string]time.Time{}}
+	return &Apportioner{Dependencies: p, wake: make(chan struct{}, 1), pools: map[string]*poolState{}, unresponsive: map[string]unresponsiveRouter{}}
 }
 
 // Configure sets the pools of the deployment. sharesLoad reports whether routers share load; if they do not, nothing is divided and
@@ -191,6 +200,7 @@
 	}
 	a.mu.Lock()
 	now := a.Clock.Now()
+	maps.DeleteFunc(a.unresponsive, func(_ string, r unresponsiveRouter) bool { return now.Sub(r.until) > maxUnresponsiveTime })
 	for name, s := range a.pools {
 		role, isDivided := roles[name]
 		if !isDivided {
@@ -293,10 +303,10 @@
 	bounded, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	reply, err := a.Routers.Ask(bounded, address, req)
+	if ctx.Err() == nil {
+		a.recordResponse(address, err == nil)
+	}
 	if err != nil && ctx.Err() == nil {
-		a.mu.Lock()
-		a.unresponsiveUntil[address] = a.Clock.Now().Add(unresponsiveTime)
-		a.mu.Unlock()
 		a.Log.WithFields(logrus.Fields{"event": "connection_ask_failed", "pool": req.Pool, "address": address, "error": err}).Info("a router did not reply to a request for connections")
 	}
 	return reply, err
@@ -317,14 +327,24 @@
 func (a *Apportioner) checkResponsive(address string) error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	remaining := a.unresponsiveUntil[address].Sub(a.Clock.Now())
-	if remaining > 0 {
+	if remaining := a.unresponsive[address].until.Sub(a.Clock.Now()); remaining > 0 {
 		return &UnresponsiveError{Address: address, Remaining: remaining}
 	}
-	delete(a.unresponsiveUntil, address)
 	return nil
 }
 
+// recordResponse records whether a router replied to a request.
+func (a *Apportioner) recordResponse(address string, replied bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if replied {
+		delete(a.unresponsive, address)
+		return
+	}
+	wait := min(maxUnresponsiveTime, max(unresponsiveTime, 2*a.unresponsive[address].wait))
+	a.unresponsive[address] = unresponsiveRouter{wait: wait, until: a.Clock.Now().Add(wait)}
+}
+
 // Answer answers a request of another router or of this one.
 func (a *Apportioner) Answer(req Request) Reply {
 	role := a.role(req.Pool)
--- a/apportioner/apportioner_test.go
+++ b/apportioner/apportioner_test.go
@@ -189,6 +189,30 @@
 	qt.Assert(t, f.Metrics.Count("connection_asks_unanswered"), qt.Equals, int64(0))
 }
 
+// TestSilentOwnerIsAskedLessOften guards against a router that delays its requests again and again by those to an owner that does not
+// reply, and against one that does not return to an owner that replies again.
+func TestSilentOwnerIsAskedLessOften(t *testing.T) {
+	f, owner, _ := newFleet()
+	delete(f.routers.at, "owner")
+	f.use = masticway.ConnectionUse{Peak: 6, Denied: 100}
+	asks := func(d time.Duration) (n int) {
+		before := len(f.routers.asked)
+		for range d / (100 * time.Millisecond) {
+			f.tick(t)
+		}
+		for _, address := range f.routers.asked[before:] {
+			if address == "owner" {
+				n++
+			}
+		}
+		return n
+	}
+	// At once, and after waits of 1, 2, 4, 8, 8 and 8 s.
+	qt.Assert(t, asks(32*time.Second), qt.Equals, 7)
+	f.routers.at["owner"] = owner.Apportioner
+	qt.Assert(t, asks(12*time.Second) > 6, qt.IsTrue)
+}
+
 // TestLeasesEndWithTheSharing guards against leases that come back when routers share load again, and against an owner that has then
 // forgotten what it leased.
 func TestLeasesEndWithTheSharing(t *testing.T) {
--- a/apportioner/leases_test.go
+++ b/apportioner/leases_test.go
@@ -10,6 +10,7 @@
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
+	"github.com/masticway/masticway"
 	"github.com/masticway/masticway/apportioner"
 )
 
@@ -258,6 +259,34 @@
 	qt.Assert(t, w.total() > w.limit-2*apportioner.DemandPart(w.limit, len(w.routers))/4, qt.IsTrue, qt.Commentf("the first owner grants again"))
 }
 
+// TestTimesOfRequests guards against a second request in flight, and against a smaller lease that is confirmed so late that others wait
+// for its connections.
+func TestTimesOfRequests(t *testing.T) {
+	now := time.Unix(1000, 0)
+	l := apportioner.NewLeases("a~1")
+	observe := func(d time.Duration, peak, denied int) (due bool) {
+		now = now.Add(d)
+		l.Observe(now, masticway.ConnectionUse{Peak: peak, Denied: denied})
+		_, due = l.Ask(now, pool, 230, 28)
+		return due
+	}
+	qt.Assert(t, observe(0, 4, 0), qt.IsFalse, qt.Commentf("the base suffices"))
+	qt.Assert(t, observe(100*time.Millisecond, 5, 0), qt.IsTrue, qt.Commentf("over 0.7 of the base"))
+	qt.Assert(t, observe(time.Second, 6, 20), qt.IsFalse, qt.Commentf("a request is in flight"))
+	l.HandleReply(nil)
+	qt.Assert(t, observe(0, 6, 20), qt.IsTrue)
+	l.HandleReply(&apportioner.Reply{Granter: "o~1", Number: 1, Granted: 14, Part: 57})
+	qt.Assert(t, l.Allowed(now, 230, 28), qt.Equals, 20)
+	qt.Assert(t, observe(100*time.Millisecond, 14, 0), qt.IsFalse, qt.Commentf("it has what it wants"))
+	qt.Assert(t, observe(150*time.Millisecond, 14, 0), qt.IsTrue, qt.Commentf("the usual interval"))
+	l.HandleReply(&apportioner.Reply{Granter: "o~1", Number: 2, Granted: 5, Part: 57})
+	qt.Assert(t, observe(100*time.Millisecond, 10, 0), qt.IsTrue, qt.Commentf("a smaller lease is confirmed"))
+	l.HandleReply(&apportioner.Reply{Granter: "o~1", Number: 1, Granted: 14, Part: 57})
+	qt.Assert(t, l.Allowed(now, 230, 28), qt.Equals, 11, qt.Commentf("an earlier lease is not used again"))
+	qt.Assert(t, l.Allowed(now, 115, 28), qt.Equals, 3+5*28/57, qt.Commentf("the fraction of a smaller demand part"))
+	qt.Assert(t, l.Allowed(now.Add(3*time.Second), 230, 28), qt.Equals, 6, qt.Commentf("the lease has ended"))
+}
+
 // TestRequestsAreBounded guards against routers that ask with every denied request, or without need.
 func TestRequestsAreBounded(t *testing.T) {
 	for name, tc := range map[string]struct {
--- a/soaker/soaker_test.go
+++ b/soaker/soaker_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -85,9 +86,23 @@
 	qt.Assert(t, report.Violations, qt.HasLen, 0, qt.Commentf("logs in %s", s.Directory))
 	qt.Assert(t, report.Served > report.Requests/4, qt.IsTrue, qt.Commentf("%d of %d served", report.Served, report.Requests))
 	qt.Assert(t, report.Faults > 0, qt.IsTrue)
+	if s.SharesLoad {
+		assertLogged(t, s.Directory, "event=connection_owner")
+	}
 	qt.Assert(t, os.RemoveAll(s.Directory), qt.IsNil)
 }
 
+// assertLogged fails the test unless a router has logged a text. It guards against a soak that does not exercise what it is for.
+func assertLogged(t *testing.T, directory, text string) {
+	logs, err := filepath.Glob(filepath.Join(directory, "router-*.log"))
+	qt.Assert(t, err, qt.IsNil)
+	found := slices.ContainsFunc(logs, func(path string) bool {
+		log, err := os.ReadFile(path)
+		return err == nil && strings.Contains(string(log), text)
+	})
+	qt.Assert(t, found, qt.IsTrue, qt.Commentf("no router in %s logged %s", directory, text))
+}
+
 func TestPromisesAreKeptUnderFaults(t *testing.T) {
 	t.Parallel()
 	for _, seed := range []uint64{101, 103, 108} {
