Give fast engines twice as many prompt homes

Where a quarter of the engines is much faster than the rest, the median speed is that of the slower engines. No engine counted as slow, and each was the home of as many prompts as any other.

Engines now have one of three speed classes relative to the median of their group: slow (half as many homes, as before), normal and fast (twice as many, above 1.5 of the median until 1.3). An engine becomes fast only once its samples weigh as much as the prior, because one sample can raise a speed to 1.8 of the median. The owner's reply contains the slow and the fast engines, with one version for both lists, and local choices use the same weights (HomeWeights). Without classes the ranks are those of the unscaled weights.

Measured in tests: of 12 engines, 3 slow and 2 fast, owner and local choices agree on the homes of all 400 prompts.

--- a/chooser/chooser.go
+++ b/chooser/chooser.go
@@ -192,11 +192,26 @@
 // MixWeight returns the rendezvous hashing weight of a name for a hash, where the name is given by its hash.
 func MixWeight(hash, name uint64) uint64 { return mix(name ^ hash) }
 
-// HalveWeight converts a rendezvous weight so that its name has the highest weight half as often as names with other weights. As
-// a fraction of the maximum it is the square: the fraction to the power of one divided by the name's relative share.
-func HalveWeight(weight uint64) uint64 {
-	high, _ := bits.Mul64(weight, weight)
-	return high
+// The shares of slow and fast engines in the homes of prompts, relative to engines of normal speed.
+const (
+	SlowShare = 0.5
+	FastShare = 2.0
+)
+
+// ScaleWeight converts a rendezvous weight so that its name has the highest weight share times as often as names with other
+// weights. As a fraction of the maximum, the result is the fraction to the power of 1/share. Shares other than SlowShare and
+// FastShare change nothing: the powers for these two are exact on all processors, so that all routers agree on the order.
+func ScaleWeight(weight uint64, share float64) uint64 {
+	switch share {
+	case SlowShare:
+		high, _ := bits.Mul64(weight, weight)
+		return high
+	case FastShare:
+		// A conversion from all 64 bits could round up to 2^64.
+		const mantissa = 53
+		return uint64(math.Sqrt(float64(weight>>(64-mantissa))/(1<<mantissa))*(1<<mantissa)) << (64 - mantissa)
+	}
+	return weight
 }
 
 // mix is the finalizer of MurmurHash3. It spreads the bits of x, because an exclusive or of two hashes is not a good weight.
--- a/chooser/servers.go
+++ b/chooser/servers.go
@@ -22,8 +22,9 @@
 	Parts []masticway.PromptPart
 	// Zone is the router's availability zone.
 	Zone string
-	// SlowEngines holds the IDs of the engines that are known to be slow. They are the home of half as many prompts as others.
-	SlowEngines map[string]bool
+	// HomeWeights holds the shares of engines in the homes of prompts, relative to other engines, by server ID. Engines that are not
+	// in the map have share 1.
+	HomeWeights map[string]float64
 }
 
 // HomePart returns the ID of the part that determines the home of the prompt, the engine that all routers prefer for it. This is
@@ -59,7 +60,7 @@
 	s.choices++
 	var ranks []int
 	if part, ok := p.HomePart(); ok && isEngine {
-		ranks = rankServers(part, servers, p.SlowEngines)
+		ranks = rankServers(part, servers, p.HomeWeights)
 	}
 	rankCost := s.policy.RankCost(p, TokensPerMillisecond)
 	best, bestCost := -1, 0.0
@@ -80,14 +81,14 @@
 // rankServers returns the ranks of servers by their rendezvous weights for a prompt part, starting with zero for the highest
 // weight. Routers with the same servers thus agree without communication on the part's home, which has rank zero. They also
 // agree on the order in which other servers are used if the home is overloaded.
-func rankServers(part string, servers []masticway.Server, slow map[string]bool) []int {
+func rankServers(part string, servers []masticway.Server, homeWeights map[string]float64) []int {
 	hash := xxhash.Sum64String(part)
 	weights := make([]uint64, len(servers))
 	order := make([]int, len(servers))
 	for i, server := range servers {
 		weights[i] = RendezvousWeight(hash, server.ID)
-		if slow[server.ID] {
-			weights[i] = HalveWeight(weights[i])
+		if share, ok := homeWeights[server.ID]; ok {
+			weights[i] = ScaleWeight(weights[i], share)
 		}
 		order[i] = i
 	}
--- a/chooser/servers_test.go
+++ b/chooser/servers_test.go
@@ -1,10 +1,14 @@
 package chooser_test
 
 import (
+	"cmp"
 	"fmt"
+	"math"
+	"slices"
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	qt "github.com/frankban/quicktest"
 
 	"github.com/masticway/masticway"
@@ -195,28 +199,80 @@
 	qt.Assert(t, restarted, qt.Equals, idle, qt.Commentf("the ends of the earlier incarnation's requests must not count"))
 }
 
-// TestSlowEnginesAreHomeOfHalf guards against a slow engine that gets as many prompts as others, and against moving the homes of
-// prompts that have nothing to do with it.
-func TestSlowEnginesAreHomeOfHalf(t *testing.T) {
+// TestHomesFollowWeights guards against a slow engine that gets as many prompts as others, against a fast one that gets no more than
+// others, and against moving the homes of prompts that have nothing to do with the engine whose class changes.
+func TestHomesFollowWeights(t *testing.T) {
 	const prompts = 2000
+	cases := map[string]struct {
+		weight float64
+		// wantShare is the weight of the engine divided by the sum of all weights.
+		wantShare float64
+	}{
+		"slow":   {weight: chooser.SlowShare, wantShare: 0.5 / 9.5},
+		"normal": {weight: 1, wantShare: 1.0 / 10},
+		"fast":   {weight: chooser.FastShare, wantShare: 2.0 / 11},
+	}
 	servers := pool(10)
-	slow := map[string]bool{"i-3": true}
-	before, after := 0, 0
-	for i := range prompts {
-		p := chat(fmt.Sprintf("s%d", i))
-		home, _ := chooser.NewServers(chooser.ServerPolicy{}).Choose(testTime, true, p, servers)
-		p.SlowEngines = slow
-		next, _ := chooser.NewServers(chooser.ServerPolicy{}).Choose(testTime, true, p, servers)
-		if home == 3 {
-			before++
-		} else {
-			qt.Assert(t, next, qt.Equals, home)
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			before, after := 0, 0
+			for i := range prompts {
+				p := chat(fmt.Sprintf("s%d", i))
+				home, _ := chooser.NewServers(chooser.ServerPolicy{}).Choose(testTime, true, p, servers)
+				p.HomeWeights = map[string]float64{"i-3": tc.weight}
+				next, _ := chooser.NewServers(chooser.ServerPolicy{}).Choose(testTime, true, p, servers)
+				if home == 3 {
+					before++
+				}
+				if next == 3 {
+					after++
+				}
+				if next != home {
+					qt.Assert(t, home == 3 && tc.weight < 1 || next == 3 && tc.weight > 1, qt.IsTrue, qt.Commentf("a home moved from %d to %d", home, next))
+				}
+			}
+			qt.Assert(t, before > prompts/10*8/10 && before < prompts/10*12/10, qt.IsTrue, qt.Commentf("%d before", before))
+			want := tc.wantShare * prompts
+			qt.Assert(t, float64(after) > want*0.8 && float64(after) < want*1.2, qt.IsTrue, qt.Commentf("%d of %d, not %.0f", after, prompts, want))
+		})
+	}
+}
+
+// TestScaledWeights guards against weights that overflow or change the order of an engine's prompts, and against other ranks
+// without classes than those of unscaled weights.
+func TestScaledWeights(t *testing.T) {
+	weights := []uint64{0, 1, 1 << 11, 1 << 32, 1 << 63, math.MaxUint64 - 1<<11, math.MaxUint64}
+	for _, share := range []float64{chooser.SlowShare, 1, chooser.FastShare} {
+		for i, w := range weights {
+			scaled := chooser.ScaleWeight(w, share)
+			qt.Check(t, share <= 1 || scaled >= w>>11<<11, qt.IsTrue, qt.Commentf("%d times %g: %d", w, share, scaled))
+			qt.Check(t, share >= 1 || scaled <= w, qt.IsTrue, qt.Commentf("%d times %g: %d", w, share, scaled))
+			qt.Check(t, share != 1 || scaled == w, qt.IsTrue, qt.Commentf("%d times %g: %d", w, share, scaled))
+			if i > 0 {
+				qt.Check(t, scaled >= chooser.ScaleWeight(weights[i-1], share), qt.IsTrue, qt.Commentf("%d times %g: %d", w, share, scaled))
+			}
 		}
-		if next == 3 {
-			after++
+	}
+	qt.Check(t, chooser.ScaleWeight(1<<62, chooser.FastShare), qt.Equals, uint64(1<<63))
+	qt.Check(t, chooser.ScaleWeight(1<<63, chooser.SlowShare), qt.Equals, uint64(1<<62))
+}
+
+// TestRanksWithoutClasses guards against homes that move when this version replaces the previous one, with the order of servers that
+// the unscaled rendezvous weights give.
+func TestRanksWithoutClasses(t *testing.T) {
+	servers := pool(20)
+	for i := range 100 {
+		p := chat(fmt.Sprintf("s%d", i))
+		left := slices.Clone(servers)
+		for len(left) > 0 {
+			want := slices.MaxFunc(left, func(x, y masticway.Server) int {
+				h := xxhash.Sum64String(fmt.Sprintf("s%d", i))
+				return cmp.Compare(chooser.RendezvousWeight(h, x.ID), chooser.RendezvousWeight(h, y.ID))
+			})
+			// The rank outweighs all other costs.
+			k, _ := chooser.NewServers(chooser.ServerPolicy{RankShare: 40}).Choose(testTime, true, p, left)
+			qt.Assert(t, left[k].ID, qt.Equals, want.ID)
+			left = slices.Delete(left, k, k+1)
 		}
 	}
-	// Of 9 normal engines and one with half weight, the latter is the home of one in 19 prompts.
-	qt.Assert(t, before > prompts/10*8/10 && before < prompts/10*12/10, qt.IsTrue, qt.Commentf("%d before", before))
-	qt.Assert(t, after > prompts/19*8/10 && after < prompts/19*12/10, qt.IsTrue, qt.Commentf("%d after", after))
 }
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -51,6 +51,7 @@
 	Speeds() map[masticway.ServerIncarnation]masticway.EngineSpeed
 	AdoptSpeeds(now time.Time, s map[masticway.ServerIncarnation]masticway.EngineSpeed)
 	SlowEngines() []string
+	FastEngines() []string
 }
 
 // Dependencies holds the dependencies of a coordinator.
@@ -80,8 +81,8 @@
 	fleet  atomic.Pointer[fleet]
 	// updateMu serializes the changes of fleet and active.
 	updateMu sync.Mutex
-	// slow holds the slow engines by pool.
-	slow atomic.Pointer[map[string]map[string]bool]
+	// homeWeights holds the home weights of the slow and fast engines by pool.
+	homeWeights atomic.Pointer[map[string]map[string]float64]
 	// wake signals Run that a message may be due earlier.
 	wake     chan struct{}
 	choices  atomic.Int64
@@ -109,7 +110,7 @@
 		rankings: rankings{known: map[groupKey]ranking{}}, owned: owned{groups: map[groupKey]*ownedGroup{}},
 	}
 	c.fleet.Store(&fleet{})
-	c.slow.Store(&map[string]map[string]bool{})
+	c.homeWeights.Store(&map[string]map[string]float64{})
 	return c
 }
 
@@ -162,14 +163,17 @@
 	clear(c.outboxOf)
 	c.mu.Unlock()
 	c.owned.retain(func(groupKey, *ownedGroup) bool { return false })
-	c.slow.Store(&map[string]map[string]bool{})
+	c.homeWeights.Store(&map[string]map[string]float64{})
 }
 
 // AppliesTo reports whether the runs at the engines of a pool are coordinated.
 func (c *Coordinator) AppliesTo(pool string) bool { return c.poolFleet(pool) != nil }
 
-// SlowEngines returns the IDs of the pool's engines that are known to be slow. The caller must not change the map.
-func (c *Coordinator) SlowEngines(pool string) map[string]bool { return (*c.slow.Load())[pool] }
+// HomeWeights returns the shares of the pool's slow and fast engines in the homes of prompts, by server ID. The caller must not
+// change the map.
+func (c *Coordinator) HomeWeights(pool string) map[string]float64 {
+	return (*c.homeWeights.Load())[pool]
+}
 
 // Begin records that a run was sent to a server. It does not block.
 func (c *Coordinator) Begin(pool string, r masticway.EngineRun, server masticway.Server) {
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -331,22 +331,28 @@
 	}
 }
 
-// TestSlowEnginesAndSpeeds guards against local choices that use other homes than the owner, and a backup that must learn the
+// TestSpeedClassesAndSpeeds guards against local choices that use other homes than the owner, and a backup that must learn the
 // speeds again.
-func TestSlowEnginesAndSpeeds(t *testing.T) {
+func TestSpeedClassesAndSpeeds(t *testing.T) {
 	w := newWorld(4, 8)
 	w.advance(settle)
 	g := w.owner().groups[0]
-	g.slow = []string{"e-1", "e-5"}
+	g.slow, g.fast = []string{"e-1", "e-5"}, []string{"e-2"}
 	g.speeds = map[masticway.ServerIncarnation]masticway.EngineSpeed{"e-1": {TokensPerMS: 10, Tokens: 1000}}
 	w.advance(3 * time.Second)
 	for _, n := range w.routers {
-		qt.Check(t, n.coordinator.SlowEngines("llm"), qt.DeepEquals, map[string]bool{"e-1": true, "e-5": true})
+		qt.Check(t, n.coordinator.HomeWeights("llm"), qt.DeepEquals, map[string]float64{"e-1": 0.5, "e-5": 0.5, "e-2": 2})
 	}
 	qt.Check(t, w.backup().groups[0].speeds, qt.DeepEquals, g.speeds)
-	g.slow = nil
+	// The version must differ if an engine changes from one list to the other.
+	g.slow, g.fast = []string{"e-1"}, []string{"e-2", "e-5"}
 	w.advance(time.Second)
 	for _, n := range w.routers {
-		qt.Check(t, n.coordinator.SlowEngines("llm"), qt.HasLen, 0)
+		qt.Check(t, n.coordinator.HomeWeights("llm"), qt.DeepEquals, map[string]float64{"e-1": 0.5, "e-5": 2, "e-2": 2})
+	}
+	g.slow, g.fast = nil, nil
+	w.advance(time.Second)
+	for _, n := range w.routers {
+		qt.Check(t, n.coordinator.HomeWeights("llm"), qt.HasLen, 0)
 	}
 }
--- a/coordinator/messages.go
+++ b/coordinator/messages.go
@@ -19,9 +19,9 @@
 	Sender masticway.Incarnation `cbor:"1,keyasint,omitempty"`
 	Pool   string                `cbor:"2,keyasint,omitempty"`
 	Group  int                   `cbor:"3,keyasint,omitempty"`
-	// SlowVersion is the version of the list of slow engines that the sender has. It is zero for the empty list.
-	SlowVersion uint64                   `cbor:"4,keyasint,omitempty"`
-	Reports     []masticway.EngineReport `cbor:"5,keyasint,omitempty"`
+	// ClassVersion is the version of the lists of slow and fast engines that the sender has. It is zero if both are empty.
+	ClassVersion uint64                   `cbor:"4,keyasint,omitempty"`
+	Reports      []masticway.EngineReport `cbor:"5,keyasint,omitempty"`
 	// Resync is set if the reports are the complete list of the sender's open runs.
 	Resync bool `cbor:"6,keyasint,omitempty"`
 	// Run is the run for which the receiver is to choose an engine, or nil. Excluded are the IDs of engines that must not be
@@ -40,10 +40,11 @@
 	// NeedsResync is set if the receiver does not know the open runs of the sender.
 	NeedsResync bool                    `cbor:"3,keyasint,omitempty"`
 	Choice      *masticway.EngineChoice `cbor:"4,keyasint,omitempty"`
-	// SlowVersion is the version of the receiver's list of slow engines. Slow is that list, as server IDs, if the sender has
-	// another version. Both are valid if Ready is set.
-	SlowVersion uint64   `cbor:"5,keyasint,omitempty"`
-	Slow        []string `cbor:"6,keyasint,omitempty"`
+	// ClassVersion is the version of the receiver's lists of slow and fast engines. Slow and Fast are these lists, as server IDs,
+	// if the sender has another version. All three are valid if Ready is set.
+	ClassVersion uint64   `cbor:"5,keyasint,omitempty"`
+	Slow         []string `cbor:"6,keyasint,omitempty"`
+	Fast         []string `cbor:"7,keyasint,omitempty"`
 }
 
 // Speeds carries the speeds of engines that the owner of a group has learned to the group's backup.
--- a/coordinator/outbox.go
+++ b/coordinator/outbox.go
@@ -60,9 +60,9 @@
 	queue       []*trackedRun
 	urgentSince time.Time
 	sentAt      time.Time
-	// slow are the IDs of the slow engines of the group, and slowVersion the version of this list.
-	slow        []string
-	slowVersion uint64
+	// classes are the slow and the fast engines of the group, and classVersion the version of these lists.
+	classes      speedClasses
+	classVersion uint64
 }
 
 // NewOutbox returns an outbox without runs and without a target.
--- a/coordinator/owned.go
+++ b/coordinator/owned.go
@@ -7,14 +7,13 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
 	"github.com/masticway/masticway"
 )
 
 const (
-	// expireInterval is the interval at which the expired runs of an owned group are removed and its slow engines determined.
+	// expireInterval is the interval at which the expired runs of an owned group are removed and its slow and fast engines determined.
 	expireInterval = 250 * time.Millisecond
 	// unusedTTL is how long an owned group is kept after its last message. A backup keeps the speeds that the owner sends.
 	unusedTTL = 30 * time.Second
@@ -33,9 +32,9 @@
 	pool *poolFleet
 	// usedAt is when the last message or the last speeds arrived, and expiredAt when expired runs were removed last.
 	usedAt, expiredAt time.Time
-	// slow are the IDs of the slow engines, sorted, and slowVersion is the hash of this list, or zero if it is empty.
-	slow        []string
-	slowVersion uint64
+	// classes are the slow and the fast engines, and classVersion is the version of these lists.
+	classes      speedClasses
+	classVersion uint64
 }
 
 // owned holds the groups of which this router is the owner or the backup.
@@ -116,8 +115,8 @@
 		choice := g.engines.Place(now, m.Sender, *m.Run, unite(m.Excluded), m.Penalties)
 		reply.Choice = &choice
 	}
-	if reply.SlowVersion = g.slowVersion; g.slowVersion != m.SlowVersion {
-		reply.Slow = g.slow
+	if reply.ClassVersion = g.classVersion; g.classVersion != m.ClassVersion {
+		reply.Slow, reply.Fast = g.classes.slow, g.classes.fast
 	}
 	return reply
 }
@@ -146,38 +145,31 @@
 	g.engines.Sync(now, p.pool, p.groups[group])
 }
 
-// expire removes expired runs and determines the slow engines, at most once per expireInterval. It calls changed if the slow
-// engines have changed. The caller must hold g.mu.
-func (g *ownedGroup) expire(now time.Time, changed func(slow []string)) {
+// expire removes expired runs and determines the slow and fast engines, at most once per expireInterval. It calls changed if
+// they have changed. The caller must hold g.mu.
+func (g *ownedGroup) expire(now time.Time, changed func(speedClasses)) {
 	if now.Sub(g.expiredAt) < expireInterval {
 		return
 	}
 	g.expiredAt = now
 	g.engines.Expire(now)
-	slow := g.engines.SlowEngines()
-	if slices.Equal(slow, g.slow) {
+	classes := speedClasses{slow: g.engines.SlowEngines(), fast: g.engines.FastEngines()}
+	if classes.equal(g.classes) {
 		return
 	}
-	g.slow, g.slowVersion = slow, 0
-	if len(slow) > 0 {
-		h := xxhash.New()
-		for _, id := range slow {
-			_, _ = h.WriteString(id + "\n")
-		}
-		g.slowVersion = max(1, h.Sum64())
-	}
-	changed(slow)
+	g.classes, g.classVersion = classes, classes.version()
+	changed(classes)
 }
 
-// engineSpeedLog returns a function that logs the slow engines of a group.
-func (c *Coordinator) engineSpeedLog(key groupKey) func(slow []string) {
-	return func(slow []string) {
-		c.Log.WithFields(logrus.Fields{"event": "engine_speed", "pool": key.pool, "group": key.group, "slow": slow}).Info("the slow engines of a group have changed")
+// engineSpeedLog returns a function that logs the slow and fast engines of a group.
+func (c *Coordinator) engineSpeedLog(key groupKey) func(speedClasses) {
+	return func(s speedClasses) {
+		c.Log.WithFields(logrus.Fields{"event": "engine_speed", "pool": key.pool, "group": key.group, "slow": s.slow, "fast": s.fast}).Info("the slow or fast engines of a group have changed")
 	}
 }
 
 // maintain removes expired runs. It returns false if the group is not used any more.
-func (g *ownedGroup) maintain(now time.Time, changed func(slow []string)) bool {
+func (g *ownedGroup) maintain(now time.Time, changed func(speedClasses)) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.expire(now, changed)
--- a/coordinator/send.go
+++ b/coordinator/send.go
@@ -21,7 +21,7 @@
 
 // fill sets the fields of the message that carries the batch. The caller must hold the lock of the outbox.
 func (t transmission) fill(m *Message, self masticway.Incarnation) {
-	m.Sender, m.Pool, m.Group, m.SlowVersion = self, t.key.pool, t.key.group, t.outbox.slowVersion
+	m.Sender, m.Pool, m.Group, m.ClassVersion = self, t.key.pool, t.key.group, t.outbox.classVersion
 	m.Reports, m.Resync = t.batch.Reports, t.batch.Resync
 }
 
@@ -69,23 +69,23 @@
 		o.RequireResync()
 		c.wakeUp()
 	}
-	c.updateSlow(t.key, o, r.reply)
+	c.updateClasses(t.key, o, r.reply)
 	return true
 }
 
-// updateSlow applies the list of slow engines in a reply. The caller must hold c.mu.
-func (c *Coordinator) updateSlow(key groupKey, o *Outbox, r Reply) {
-	if !r.Ready || r.SlowVersion == o.slowVersion {
+// updateClasses applies the lists of slow and fast engines in a reply. The caller must hold c.mu.
+func (c *Coordinator) updateClasses(key groupKey, o *Outbox, r Reply) {
+	if !r.Ready || r.ClassVersion == o.classVersion {
 		return
 	}
-	o.slow, o.slowVersion = r.Slow, r.SlowVersion
-	var lists [][]string
+	o.classes, o.classVersion = speedClasses{slow: r.Slow, fast: r.Fast}, r.ClassVersion
+	weights := map[string]float64{}
 	for k, other := range c.outboxes {
 		if k.pool == key.pool {
-			lists = append(lists, other.slow)
+			other.classes.addHomeWeights(weights)
 		}
 	}
-	all := maps.Clone(*c.slow.Load())
-	all[key.pool] = unite(lists...)
-	c.slow.Store(&all)
+	all := maps.Clone(*c.homeWeights.Load())
+	all[key.pool] = weights
+	c.homeWeights.Store(&all)
 }
--- a/coordinator/world_test.go
+++ b/coordinator/world_test.go
@@ -289,6 +289,7 @@
 	senders map[masticway.Incarnation]*simSender
 	speeds  map[masticway.ServerIncarnation]masticway.EngineSpeed
 	slow    []string
+	fast    []string
 	full    bool
 }
 
@@ -386,3 +387,5 @@
 }
 
 func (e *simEngines) SlowEngines() []string { return e.slow }
+
+func (e *simEngines) FastEngines() []string { return e.fast }
--- a/engine.go
+++ b/engine.go
@@ -97,6 +97,7 @@
 	Begin(pool string, r EngineRun, server Server)
 	FirstEvent(run string, took time.Duration)
 	End(run string, events int, streamedFor time.Duration)
-	// SlowEngines returns the IDs of the pool's engines that are known to be slow, for local choices.
-	SlowEngines(pool string) map[string]bool
+	// HomeWeights returns the shares of the pool's engines in the homes of prompts, relative to an engine of normal speed, by server
+	// ID, for local choices. Engines that are not in the map have share 1. The caller must not change the map.
+	HomeWeights(pool string) map[string]float64
 }
--- a/forwarder/candidates.go
+++ b/forwarder/candidates.go
@@ -60,7 +60,7 @@
 	defer x.f.mu.Unlock()
 	now := x.f.clock.Now()
 	prompt := x.q.prompt
-	prompt.SlowEngines = x.f.coordinator.SlowEngines(x.q.pool.Name)
+	prompt.HomeWeights = x.f.coordinator.HomeWeights(x.q.pool.Name)
 	warm, cold := x.f.servers.Eligible(now, servers, x.q.pool.MaxColdRate, x.f.budgets.OwnsKey)
 	for _, group := range [][]masticway.Server{warm, cold} {
 		if len(group) > 0 {
--- a/forwarder/coordination.go
+++ b/forwarder/coordination.go
@@ -26,7 +26,7 @@
 
 func (uncoordinated) End(string, int, time.Duration) {}
 
-func (uncoordinated) SlowEngines(string) map[string]bool { return nil }
+func (uncoordinated) HomeWeights(string) map[string]float64 { return nil }
 
 // coordinatedRun is the run of an attempt that is reported to the coordinator. The ID is empty if none is.
 type coordinatedRun struct {
--- a/forwarder/coordination_test.go
+++ b/forwarder/coordination_test.go
@@ -31,9 +31,9 @@
 	choices []masticway.EngineChoice
 	queries []masticway.EngineQuery
 	// runs are the runs that have begun, in order, and unsent the IDs of those that ended without having begun.
-	runs   []*reportedRun
-	unsent []string
-	slow   map[string]bool
+	runs    []*reportedRun
+	unsent  []string
+	weights map[string]float64
 }
 
 func (c *fakeCoordinator) AppliesTo(pool string) bool { return pool == "llm" }
@@ -80,7 +80,7 @@
 	c.unsent = append(c.unsent, run)
 }
 
-func (c *fakeCoordinator) SlowEngines(string) map[string]bool { return c.slow }
+func (c *fakeCoordinator) HomeWeights(string) map[string]float64 { return c.weights }
 
 // chosen returns the choice of an engine of the fixture.
 func chosen(id string) masticway.EngineChoice {
@@ -238,8 +238,8 @@
 func TestLocalChoicesUseHomesOfOwner(t *testing.T) {
 	const prompts = 60
 	// atFirst returns how many prompts run at the first of three engines.
-	atFirst := func(slow map[string]bool) (n int) {
-		c := &fakeCoordinator{slow: slow}
+	atFirst := func(weight float64) (n int) {
+		c := &fakeCoordinator{weights: map[string]float64{"i-0": weight}}
 		f := newCoordinatedFixture(t, 3, c, nil)
 		for i := range prompts {
 			got := f.do(t.Context(), "POST", "/stream/x", "X-Token-Count", "2000,40", "X-Prefix-Hash", fmt.Sprintf("shared%d:1500,own%d:500", i, i))
@@ -253,10 +253,11 @@
 		}
 		return n
 	}
-	usual, slow := atFirst(nil), atFirst(map[string]bool{"i-0": true})
-	t.Logf("%d of %d prompts at the first engine, %d if it is slow", usual, prompts, slow)
+	usual, slow, fast := atFirst(1), atFirst(0.5), atFirst(2)
+	t.Logf("%d of %d prompts at the first engine, %d if it is slow, %d if it is fast", usual, prompts, slow, fast)
 	qt.Check(t, usual >= prompts/5, qt.IsTrue)
 	qt.Check(t, slow < usual && slow > 0, qt.IsTrue)
+	qt.Check(t, fast > usual && fast < prompts, qt.IsTrue)
 }
 
 // TestRefusedHandoverEndsRun guards against a run that the coordinator counts for its whole time limit, because the server to which
--- a/scheduler/engines.go
+++ b/scheduler/engines.go
@@ -28,8 +28,8 @@
 	ended         endedRuns
 	load          groupLoad
 	speeds        groupSpeeds
-	// slow holds the IDs of the slow engines, sorted.
-	slow []string
+	// slow and fast hold the IDs of the slow and of the fast engines, sorted.
+	slow, fast []string
 	// streamTime is the moving average of the time in milliseconds from the first to the last event of a run.
 	streamTime float64
 	choices    int
--- a/scheduler/parts_test.go
+++ b/scheduler/parts_test.go
@@ -73,23 +73,27 @@
 	servers := testServers(engines)
 	e := scheduler.NewEngines(scheduler.Policy{RankShare: rankShare})
 	e.Sync(testStart, testPool, servers)
-	learnSpeeds(e, engines, map[string]float64{"e-02": 0.3, "e-05": 0.3, "e-07": 0.3})
-	slow := map[string]bool{}
+	learnSpeeds(e, engines, map[string]float64{"e-02": 0.3, "e-05": 0.3, "e-07": 0.3, "e-09": 2.5, "e-10": 2.5})
+	weights, homes := map[string]float64{}, map[float64]int{}
 	for _, id := range e.SlowEngines() {
-		slow[id] = true
+		weights[id] = chooser.SlowShare
 	}
-	qt.Assert(t, slow, qt.HasLen, 3)
-	now, slowHomes := testStart.Add(learningTime), 0
+	qt.Assert(t, weights, qt.HasLen, 3)
+	for _, id := range e.FastEngines() {
+		weights[id] = chooser.FastShare
+	}
+	qt.Assert(t, weights, qt.HasLen, 5)
+	now := testStart.Add(learningTime)
 	for i := range prompts {
 		r := longRun(fmt.Sprint("r", i), fmt.Sprint("subject", i))
-		prompt := chooser.Prompt{Tokens: r.Tokens, Output: r.Output, Zone: r.Zone, Parts: r.Parts, SlowEngines: slow}
+		prompt := chooser.Prompt{Tokens: r.Tokens, Output: r.Output, Zone: r.Zone, Parts: r.Parts, HomeWeights: weights}
 		k, _ := chooser.NewServers(chooser.ServerPolicy{RankShare: rankShare}).Choose(now, true, prompt, servers)
 		qt.Assert(t, place(e, now, r), qt.Equals, servers[k].Incarnation(), qt.Commentf("%s", r.ID))
 		e.Record(now, routerA, ended(r, servers[k].Incarnation(), 100*time.Millisecond))
-		if slow[servers[k].ID] {
-			slowHomes++
-		}
+		homes[weights[servers[k].ID]]++
 	}
-	// 3 of 12 engines have half weight, so they are the homes of 1.5 of 10.5 prompts: 57 of 400.
-	qt.Assert(t, slowHomes > 35 && slowHomes < 80, qt.IsTrue, qt.Commentf("%d of %d homes are slow", slowHomes, prompts))
+	// The 12 engines have weight 12.5 together. The 3 slow ones with weight 1.5 are the homes of 48 of 400 prompts, the 2 fast ones
+	// with weight 4 are those of 128.
+	qt.Assert(t, homes[chooser.SlowShare] > 28 && homes[chooser.SlowShare] < 70, qt.IsTrue, qt.Commentf("%v", homes))
+	qt.Assert(t, homes[chooser.FastShare] > 100 && homes[chooser.FastShare] < 156, qt.IsTrue, qt.Commentf("%v", homes))
 }
--- a/scheduler/ranking.go
+++ b/scheduler/ranking.go
@@ -36,11 +36,7 @@
 	return chooser.MaxRank
 }
 
-// homeWeight returns the engine's rendezvous weight for the hash of a prompt's home part. Slow engines have half weight.
+// homeWeight returns the engine's rendezvous weight for the hash of a prompt's home part.
 func (n *engine) homeWeight(hash uint64) uint64 {
-	weight := chooser.MixWeight(hash, n.idHash)
-	if n.speed.isSlow {
-		return chooser.HalveWeight(weight)
-	}
-	return weight
+	return chooser.ScaleWeight(chooser.MixWeight(hash, n.idHash), n.speed.class.homeShare())
 }
--- a/scheduler/speed.go
+++ b/scheduler/speed.go
@@ -25,10 +25,6 @@
 	minSampleShare = 0.1
 	// maxSpeedShare is the upper bound of a speed as a multiple of the median.
 	maxSpeedShare = 4.0
-	// slowShare and normalShare are the shares of the median speed below which an engine becomes slow, and above which it becomes
-	// normal again.
-	slowShare   = 0.7
-	normalShare = 0.85
 	// meanPromptWeight is the weight of the newest run in the mean number of uncached prompt tokens, and initialMeanPrompt its
 	// initial value.
 	meanPromptWeight  = 0.02
@@ -48,7 +44,7 @@
 	at                   time.Time
 	// current is the estimate in tokens per millisecond, from the samples and the group's median.
 	current float64
-	isSlow  bool
+	class   speedClass
 }
 
 // groupSpeeds holds what the speeds of a group's engines have in common.
@@ -127,7 +123,7 @@
 	n.speed.update(g)
 }
 
-// updateSpeeds updates the median, the engines' speeds and which engines are slow, at most once per speedUpdateInterval.
+// updateSpeeds updates the median, the engines' speeds and the engines' speed classes, at most once per speedUpdateInterval.
 func (e *Engines) updateSpeeds(now time.Time) {
 	g := &e.speeds
 	if d := now.Sub(g.updatedAt); len(e.engines) == 0 || d >= 0 && d < speedUpdateInterval {
@@ -142,19 +138,18 @@
 	}
 	slices.Sort(g.buffer)
 	g.median = g.buffer[len(g.buffer)/2]
-	e.slow = e.slow[:0]
+	e.slow, e.fast = e.slow[:0], e.fast[:0]
 	for _, n := range e.engines {
-		share := n.speed.current / g.median
-		n.speed.isSlow = share < slowShare || n.speed.isSlow && share <= normalShare
-		if n.speed.isSlow {
+		n.speed.class = n.speed.class.next(n.speed.current/g.median, n.speed.tokens >= priorPrompts*g.meanPrompt)
+		switch n.speed.class {
+		case slowSpeed:
 			e.slow = append(e.slow, n.server.ID)
+		case fastSpeed:
+			e.fast = append(e.fast, n.server.ID)
 		}
 	}
 }
 
-// SlowEngines returns the IDs of the slow engines, sorted. They are the home of half as many prompts as others.
-func (e *Engines) SlowEngines() []string { return slices.Clone(e.slow) }
-
 // Speeds returns the learned speeds, for the next owner of the group.
 func (e *Engines) Speeds() map[masticway.ServerIncarnation]masticway.EngineSpeed {
 	speeds := make(map[masticway.ServerIncarnation]masticway.EngineSpeed, len(e.engines))
--- a/scheduler/speed_test.go
+++ b/scheduler/speed_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"testing"
 	"time"
 
@@ -50,11 +51,13 @@
 	}
 }
 
-// TestSlowAndNormal guards against a classification that changes with each small change of a speed.
-func TestSlowAndNormal(t *testing.T) {
+// TestSpeedClasses guards against a classification that changes with each small change of a speed, and so moves the homes of
+// prompts back and forth.
+func TestSpeedClasses(t *testing.T) {
 	cases := map[string]struct {
 		speeds   []float64
 		wantSlow []bool
+		wantFast []bool
 	}{
 		"normal":                       {speeds: []float64{1}, wantSlow: []bool{false}},
 		"slow":                         {speeds: []float64{0.3}, wantSlow: []bool{true}},
@@ -62,25 +65,38 @@
 		"slow and then a little slow":  {speeds: []float64{0.4, 0.78}, wantSlow: []bool{true, true}},
 		"slow and then normal":         {speeds: []float64{0.4, 1}, wantSlow: []bool{true, false}},
 		"normal and then a bit slower": {speeds: []float64{1, 0.78, 1}, wantSlow: []bool{false, false, false}},
+		// learnSpeedsFrom overestimates high speeds: 1.3 becomes 1.4 and 1.8 becomes 2.2 of the median.
+		"fast":                         {speeds: []float64{1.8}, wantFast: []bool{true}},
+		"a little fast":                {speeds: []float64{1.3}},
+		"fast and then a little fast":  {speeds: []float64{1.8, 1.3}, wantFast: []bool{true, true}},
+		"fast and then normal":         {speeds: []float64{1.8, 1}, wantFast: []bool{true, false}},
+		"fast, slow and fast again":    {speeds: []float64{1.8, 0.4, 1.8}, wantSlow: []bool{false, true, false}, wantFast: []bool{true, false, true}},
+		"normal and then a bit faster": {speeds: []float64{1, 1.3, 1}},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
 			e := newTestEngines(5)
 			for i, speed := range tc.speeds {
 				learnSpeedsFrom(e, testStart.Add(time.Duration(i)*time.Minute), time.Minute, 5, map[string]float64{"e-02": speed})
-				slow := e.SlowEngines()
-				if !tc.wantSlow[i] {
-					qt.Assert(t, slow, qt.HasLen, 0, qt.Commentf("phase %d: %.2f", i, e.Speed(testServers(5)[2].Incarnation())))
-					continue
+				for class, c := range map[string]struct {
+					got  []string
+					want []bool
+				}{"slow": {e.SlowEngines(), tc.wantSlow}, "fast": {e.FastEngines(), tc.wantFast}} {
+					var want []string
+					if i < len(c.want) && c.want[i] {
+						want = []string{"e-02"}
+					}
+					comment := qt.Commentf("%s, phase %d: %.2f", class, i, e.Speed(testServers(5)[2].Incarnation()))
+					qt.Assert(t, slices.Equal(c.got, want), qt.IsTrue, comment)
 				}
-				qt.Assert(t, slow, qt.DeepEquals, []string{"e-02"}, qt.Commentf("phase %d: %.2f", i, e.Speed(testServers(5)[2].Incarnation())))
 			}
 		})
 	}
 }
 
-// TestOneSampleMakesNoEngineSlow guards against avoiding an engine because of one late first event.
-func TestOneSampleMakesNoEngineSlow(t *testing.T) {
+// TestOneSampleChangesNoClass guards against avoiding an engine because of one late first event, and against preferring one because
+// of one early first event, such as that of a prompt whose parts were cached without the owner's knowledge.
+func TestOneSampleChangesNoClass(t *testing.T) {
 	cases := map[string]struct {
 		tokens int
 		took   time.Duration
@@ -90,6 +106,8 @@
 		"short prompt":            {tokens: 200, took: 10 * time.Second},
 		"enormous prompt":         {tokens: 200_000, took: 14 * time.Second},
 		"prompt too short to say": {tokens: 10, took: 10 * time.Second},
+		"mean prompt, early":      {tokens: 2000, took: 12 * time.Millisecond},
+		"long prompt, early":      {tokens: 9190, took: 12 * time.Millisecond},
 	}
 	for name, tc := range cases {
 		// The sample is of e-04, about which nothing is known if only the speeds of four engines are learned.
@@ -107,6 +125,7 @@
 				e.Record(now, routerA, streaming(plainRun("r", tc.tokens, 10), s, tc.took))
 				e.Expire(now.Add(time.Second))
 				qt.Assert(t, e.SlowEngines(), qt.HasLen, 0, qt.Commentf("%.2f of the median", e.Speed(s)))
+				qt.Assert(t, e.FastEngines(), qt.HasLen, 0, qt.Commentf("%.2f of the median", e.Speed(s)))
 			})
 		}
 	}
