Let workspaces over their fair share wait at contended engines

When engines get more than they can prefill, a workspace that sends many times its usual load delayed all others of the same rank, because engines served equal ranks in the order of arrival.

The owner of a group now tracks the tokens that each workspace uses, decayed with 2 s, and whether the group is contended. While it is, a run of a workspace over 1.5 of its max-min fair share has level 1, over 3 level 2. The choice contains the level, and coordinated engines get the urgency min(9, 3 x rank + level). A run of level 2 is refused if no engine meets its objective. Pools that are not coordinated get the same urgency as before. The owner logs when contention begins and ends, and engine_choice contains the level.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -52,6 +52,7 @@
 	AdoptSpeeds(now time.Time, s map[masticway.ServerIncarnation]masticway.EngineSpeed)
 	SlowEngines() []string
 	FastEngines() []string
+	IsContended() bool
 }
 
 // Dependencies holds the dependencies of a coordinator.
@@ -230,7 +231,7 @@
 		return
 	}
 	c.Log.WithFields(logrus.Fields{
-		"event": "engine_choice", "run": r.run.ID, "engine": r.server, "source": r.source, "wait_ms": r.wait.Milliseconds(),
+		"event": "engine_choice", "run": r.run.ID, "engine": r.server, "source": r.source, "wait_ms": r.wait.Milliseconds(), "level": r.level,
 		"took_ms": took.Milliseconds(), "tokens": r.run.Tokens, "late": late,
 	}).Info("the first event of a run arrived")
 }
--- a/coordinator/flush.go
+++ b/coordinator/flush.go
@@ -186,7 +186,7 @@
 	}
 	c.rankings.mu.Unlock()
 	c.owned.retain(func(key groupKey, g *ownedGroup) bool {
-		return f.has(key) && c.isRanked(now, key) && g.maintain(now, c.engineSpeedLog(key))
+		return f.has(key) && c.isRanked(now, key) && c.maintainGroup(now, key, g)
 	})
 }
 
--- a/coordinator/log_test.go
+++ b/coordinator/log_test.go
@@ -62,3 +62,30 @@
 		})
 	}
 }
+
+// TestContentionAndLevel guards against a level that does not reach the sender of a run, and against a contention of which the log says
+// nothing.
+func TestContentionAndLevel(t *testing.T) {
+	w := newWorld(4, 8)
+	w.advance(settle)
+	owner := w.owner()
+	owner.logged.Reset()
+	g := owner.groups[0]
+	g.contended, g.level = true, 2
+	w.advance(time.Second)
+	for i, n := range w.routers {
+		run := masticway.EngineRun{ID: fmt.Sprint("x", i), Tokens: 100, TimeLeft: time.Second}
+		choice, ok := n.coordinator.Place(context.Background(), masticway.EngineQuery{Pool: w.pool, Run: run, Candidates: w.engines})
+		qt.Check(t, ok, qt.IsTrue)
+		qt.Check(t, choice.Level, qt.Equals, 2)
+	}
+	g.contended = false
+	w.advance(time.Second)
+	var logged []any
+	for _, line := range owner.logged.AllEntries() {
+		if line.Data["event"] == "engine_contention" {
+			logged = append(logged, line.Data["contended"])
+		}
+	}
+	qt.Check(t, logged, qt.DeepEquals, []any{true, false})
+}
--- a/coordinator/outbox.go
+++ b/coordinator/outbox.go
@@ -105,7 +105,7 @@
 // Accept records that the target has reserved a server for a run. epoch is the epoch in which the target was queried.
 func (o *Outbox) Accept(r *trackedRun, choice masticway.EngineChoice, epoch int) {
 	r.asked = true
-	r.source, r.server, r.wait = sourceOwner, choice.Server, choice.Wait
+	r.source, r.server, r.wait, r.level = sourceOwner, choice.Server, choice.Wait, choice.Level
 	r.isKnown = epoch == o.epoch
 }
 
--- a/coordinator/owned.go
+++ b/coordinator/owned.go
@@ -28,6 +28,8 @@
 	engines   Engines
 	readiness Readiness
 	wasReady  bool
+	// wasContended is the contention that was logged last.
+	wasContended bool
 	// pool is the snapshot of the engines that was applied last.
 	pool *poolFleet
 	// usedAt is when the last message or the last speeds arrived, and expiredAt when expired runs were removed last.
@@ -102,7 +104,7 @@
 			g.engines.Record(now, m.Sender, r)
 		}
 	}
-	g.expire(now, c.engineSpeedLog(key))
+	c.expire(now, key, g)
 	reply := Reply{Ready: g.readiness.IsReady(now), NeedsResync: !known && !m.Resync}
 	if reply.Ready != g.wasReady {
 		g.wasReady = reply.Ready
@@ -145,34 +147,31 @@
 	g.engines.Sync(now, p.pool, p.groups[group])
 }
 
-// expire removes expired runs and determines the slow and fast engines, at most once per expireInterval. It calls changed if
-// they have changed. The caller must hold g.mu.
-func (g *ownedGroup) expire(now time.Time, changed func(speedClasses)) {
+// expire removes expired runs, determines the slow and fast engines and whether the group is contended, and logs changes, at most
+// once per expireInterval. The caller must hold g.mu.
+func (c *Coordinator) expire(now time.Time, key groupKey, g *ownedGroup) {
 	if now.Sub(g.expiredAt) < expireInterval {
 		return
 	}
 	g.expiredAt = now
 	g.engines.Expire(now)
+	if contended := g.engines.IsContended(); contended != g.wasContended {
+		g.wasContended = contended
+		c.Log.WithFields(logrus.Fields{"event": "engine_contention", "pool": key.pool, "group": key.group, "contended": contended}).Info("workspaces compete for the engines of a group, or no longer do")
+	}
 	classes := speedClasses{slow: g.engines.SlowEngines(), fast: g.engines.FastEngines()}
 	if classes.equal(g.classes) {
 		return
 	}
 	g.classes, g.classVersion = classes, classes.version()
-	changed(classes)
-}
-
-// engineSpeedLog returns a function that logs the slow and fast engines of a group.
-func (c *Coordinator) engineSpeedLog(key groupKey) func(speedClasses) {
-	return func(s speedClasses) {
-		c.Log.WithFields(logrus.Fields{"event": "engine_speed", "pool": key.pool, "group": key.group, "slow": s.slow, "fast": s.fast}).Info("the slow or fast engines of a group have changed")
-	}
+	c.Log.WithFields(logrus.Fields{"event": "engine_speed", "pool": key.pool, "group": key.group, "slow": classes.slow, "fast": classes.fast}).Info("the slow or fast engines of a group have changed")
 }
 
-// maintain removes expired runs. It returns false if the group is not used any more.
-func (g *ownedGroup) maintain(now time.Time, changed func(speedClasses)) bool {
+// maintainGroup removes expired runs. It returns false if the group is not used any more.
+func (c *Coordinator) maintainGroup(now time.Time, key groupKey, g *ownedGroup) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.expire(now, changed)
+	c.expire(now, key, g)
 	return now.Sub(g.usedAt) < unusedTTL
 }
 
--- a/coordinator/runs.go
+++ b/coordinator/runs.go
@@ -27,9 +27,11 @@
 	// engine, and began once the request was sent.
 	placedAt     time.Time
 	asked, began bool
-	// source is how the engine was chosen, and wait the time to the first event that the owner expected.
+	// source is how the engine was chosen, wait the time to the first event that the owner expected, and level the owner's level of the
+	// workspace.
 	source source
 	wait   time.Duration
+	level  int
 	state  masticway.EngineRunState
 	// stateAt is when the run reached its state.
 	stateAt         time.Time
--- a/coordinator/world_test.go
+++ b/coordinator/world_test.go
@@ -290,7 +290,10 @@
 	speeds  map[masticway.ServerIncarnation]masticway.EngineSpeed
 	slow    []string
 	fast    []string
-	full    bool
+	level   int
+	// contended is what IsContended returns.
+	contended bool
+	full      bool
 }
 
 type simSender struct {
@@ -332,7 +335,7 @@
 	if _, ok := e.runs[r.ID]; !ok && best != "" {
 		e.runs[r.ID] = &simEntry{sender: sender, server: best, reserved: true, reservedAt: now}
 	}
-	return masticway.EngineChoice{Server: best}
+	return masticway.EngineChoice{Server: best, Level: e.level}
 }
 
 func (e *simEngines) Record(now time.Time, sender masticway.Incarnation, r masticway.EngineReport) {
@@ -389,3 +392,5 @@
 func (e *simEngines) SlowEngines() []string { return e.slow }
 
 func (e *simEngines) FastEngines() []string { return e.fast }
+
+func (e *simEngines) IsContended() bool { return e.contended }
--- a/engine.go
+++ b/engine.go
@@ -33,10 +33,13 @@
 	Server ServerIncarnation `cbor:"1,keyasint,omitempty"`
 	// Wait is the expected time to the first event at this engine.
 	Wait time.Duration `cbor:"2,keyasint,omitempty"`
-	// Full is set if no engine can produce the first event before the deadline. RetryAfter is then the time after which one
-	// probably can.
+	// Full is set if no engine can produce the first event before the deadline, or if the engines are contended, Level is 2 and none
+	// can produce it within the objective. RetryAfter is then the time after which one probably can.
 	Full       bool          `cbor:"3,keyasint,omitempty"`
 	RetryAfter time.Duration `cbor:"4,keyasint,omitempty"`
+	// Level says how far the workspace of the run exceeds its fair share of contended engines: 0, 1 above 1.5 times the share, or 2
+	// above 3 times the share.
+	Level int `cbor:"5,keyasint,omitempty"`
 }
 
 // EngineRunState is how far a run has progressed. States only grow.
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -28,6 +28,8 @@
 type attempt struct {
 	x      *exchange
 	server masticway.Server
+	// urgency is that with which the request is sent (see exchange.urgency).
+	urgency int
 	// placement is the chooser's record of the attempt.
 	placement *chooser.Placement
 	// parent is the exchange's context.
@@ -75,7 +77,7 @@
 		if !ok {
 			return nil, none
 		}
-		a = x.newAttempt(ctx, c.server, c.run)
+		a = x.newAttempt(ctx, c)
 		a.quarantined = c.quarantined
 	}
 	a.excluded = maps.Clone(x.tried)
@@ -83,15 +85,15 @@
 }
 
 // newAttempt returns a new attempt and records the request as sent to the server. The caller must call recordResult when the
-// attempt has ended. run is that of the choice of the server (see choice).
-func (x *exchange) newAttempt(ctx context.Context, server masticway.Server, run *masticway.EngineRun) *attempt {
+// attempt has ended.
+func (x *exchange) newAttempt(ctx context.Context, c choice) *attempt {
 	x.f.metrics.Add(metricAttempts, 1)
-	a := &attempt{x: x, server: server, parent: ctx}
+	a := &attempt{x: x, server: c.server, parent: ctx, urgency: x.urgency(c.level)}
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	x.f.mu.Lock()
-	a.placement = x.f.servers.RecordSent(x.f.clock.Now(), x.q.prompt, server.ID)
+	a.placement = x.f.servers.RecordSent(x.f.clock.Now(), x.q.prompt, c.server.ID)
 	x.f.mu.Unlock()
-	a.beginRun(run)
+	a.beginRun(c.run)
 	return a
 }
 
@@ -135,7 +137,7 @@
 // send sends the request to the attempt's server, waits for the head of the answer and records what the head reports about the
 // server. A stream resumes after lastEvent (see serverRequest).
 func (a *attempt) send(lastEvent string) (*sender.Answer, error) {
-	answer, err := a.x.f.sender.Send(a.ctx, a.server.Address, a.x.maxConnections(), a.x.serverRequest(a.server, lastEvent))
+	answer, err := a.x.f.sender.Send(a.ctx, a.server.Address, a.x.maxConnections(), a.x.serverRequest(a.server, a.urgency, lastEvent))
 	if err == nil {
 		a.observeServer(answer)
 	}
--- a/forwarder/coordination.go
+++ b/forwarder/coordination.go
@@ -62,6 +62,9 @@
 	if len(query.Candidates) > 0 {
 		placed, isPlaced = x.f.coordinator.Place(ctx, query)
 	}
+	if isPlaced {
+		c.level = placed.Level
+	}
 	if isPlaced && placed.Full && mayRefuse {
 		x.endUnsent(c)
 		return choice{}, outcome{
@@ -87,6 +90,19 @@
 	return c, none, ok
 }
 
+// levelCount is the number of levels of a rank (see masticway.EngineChoice).
+const levelCount = 3
+
+// urgency returns the urgency with which a run of a level is sent to a server. Where engines are coordinated, the levels refine the
+// ranks, so that no run comes before one of a more urgent rank. With maxRank as the upper bound, this distinguishes three ranks.
+func (x *exchange) urgency(level int) int {
+	rank := x.q.rank()
+	if !x.f.coordinator.AppliesTo(x.q.pool.Name) {
+		return rank
+	}
+	return min(maxRank, levelCount*rank+min(levelCount-1, max(0, level)))
+}
+
 // engineQuery returns the query for a run. Its candidates are the warm servers among those given to which the throttler allows
 // requests.
 func (x *exchange) engineQuery(run *masticway.EngineRun, servers []masticway.Server) masticway.EngineQuery {
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -405,9 +405,9 @@
 	panic(http.ErrAbortHandler)
 }
 
-// serverRequest returns the request to send to a server. A stream resumes after the event with the ID lastEvent. If lastEvent is
+// serverRequest returns the request to send to a server with an urgency. A stream resumes after the event with the ID lastEvent. If lastEvent is
 // empty, the stream resumes after the event that the caller named, if any.
-func (x *exchange) serverRequest(server masticway.Server, lastEvent string) sender.Request {
+func (x *exchange) serverRequest(server masticway.Server, urgency int, lastEvent string) sender.Request {
 	q := x.q
 	if lastEvent == "" {
 		lastEvent = q.LastEvent
@@ -416,7 +416,7 @@
 		Method: q.method, Target: q.target, Host: q.host, Body: q.body, ConnectTimeout: connectTimeout,
 		Header: x.f.codec.ServerHeaders(q.header, masticway.Delivery{
 			Server: server.ID, Workspace: q.account.Workspace, TimeLeft: q.deadline.Sub(x.f.clock.Now()),
-			Urgency: q.rank(), HasUrgency: q.pool.IsEngine, LastEvent: lastEvent,
+			Urgency: urgency, HasUrgency: q.pool.IsEngine, LastEvent: lastEvent,
 		}),
 	}
 	if q.route.RetryPolicy == masticway.RetryNever {
--- a/forwarder/handover.go
+++ b/forwarder/handover.go
@@ -121,7 +121,7 @@
 		x.f.throttler.ReturnPermit(server.Incarnation())
 		return false
 	}
-	next := x.newAttempt(a.parent, server, c.run)
+	next := x.newAttempt(a.parent, c)
 	next.sendResults = make(chan sendResult, 1)
 	if !a.beginHandover(generation, next.cancel) {
 		next.cancel(nil)
--- a/forwarder/suspects.go
+++ b/forwarder/suspects.go
@@ -59,6 +59,8 @@
 	quarantined bool
 	// run describes the attempt to the coordinator. It is nil if the coordinator was not queried.
 	run *masticway.EngineRun
+	// level is how far the workspace exceeds its fair share of contended engines (see masticway.EngineChoice).
+	level int
 }
 
 // choose chooses the server for the next attempt and takes a permit for it. If the request is a suspect that may not run yet,
--- a/scheduler/coordination_test.go
+++ b/scheduler/coordination_test.go
@@ -143,6 +143,7 @@
 			s.chooseLocally(r)
 		default:
 			s.byOwner++
+			s.setUrgency(r, reply.choice.Level)
 			s.begin(r, i, target)
 		}
 	})
@@ -151,16 +152,23 @@
 func (s *sharedChoice) engineRun(r *request) masticway.EngineRun {
 	k := requestKinds[r.kind]
 	return masticway.EngineRun{
-		ID: r.id, Rank: k.rank, Tokens: r.tokens, Output: r.output(), Parts: r.parts, Zone: s.w.zones[r.router],
+		ID: r.id, Workspace: r.workspace, Rank: k.rank, Tokens: r.tokens, Output: r.output(), Parts: r.parts, Zone: s.w.zones[r.router],
 		EventGap: k.eventGap, Objective: k.objective, TimeLeft: k.timeLimit - (s.w.now - r.arrival),
 	}
 }
 
 func (s *sharedChoice) chooseLocally(r *request) {
 	s.byRouter++
+	s.setUrgency(r, 0)
 	s.begin(r, s.local.best(r), -1)
 }
 
+func (s *sharedChoice) setUrgency(r *request, level int) {
+	if s.w.urgency != nil {
+		r.urgency = s.w.urgency(requestKinds[r.kind].rank, level)
+	}
+}
+
 // begin sends a request to an engine and reports it.
 func (s *sharedChoice) begin(r *request, engine, placedBy int) {
 	s.local.sent(r, engine)
@@ -345,7 +353,10 @@
 			r.FirstEventAfter = c.firstAt - c.sentAt
 		}
 		if c.state == masticway.EngineRunEnded {
-			r.Events, r.StreamedFor = c.events, c.reached-c.firstAt
+			r.Events = c.events
+			if c.firstAt > 0 {
+				r.StreamedFor = c.reached - c.firstAt
+			}
 		}
 		if resync || c.placedBy != target {
 			r.Details = &c.run
--- a/scheduler/doc.go
+++ b/scheduler/doc.go
@@ -9,6 +9,10 @@
 // account. Costs are those of package chooser, which a router uses for choices
 // by its own observations alone.
 //
+// While the engines of a group are contended, the owner compares how many tokens
+// each workspace uses with its max-min fair share. Runs of a workspace far above
+// it get a level, by which they wait behind others of the same rank.
+//
 // What a sender reports is removed when it has sent nothing for 3 s, when the
 // time of a run is over, and when an engine restarts. Nothing here decides
 // whether a request may run: if an owner knows only a part of the load, its
--- a/scheduler/engine_model_test.go
+++ b/scheduler/engine_model_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"slices"
 	"time"
 
 	"github.com/masticway/masticway"
@@ -47,7 +48,7 @@
 }
 
 // engineModel is one engine with continuous batching: each step gives every stream a token and prefills at most one chunk of
-// waiting prompts in the order of arrival.
+// waiting prompts in the order of urgency and arrival.
 type engineModel struct {
 	w      *world
 	server masticway.Server
@@ -74,10 +75,19 @@
 // add queues a request.
 func (e *engineModel) add(r *request) {
 	r.job = &job{req: r}
-	e.queue = append(e.queue, r.job)
+	e.queue = insertByUrgency(e.queue, r.job)
 	e.start()
 }
 
+// insertByUrgency inserts a job behind those that are as urgent or have started.
+func insertByUrgency(jobs []*job, j *job) []*job {
+	i := len(jobs)
+	for i > 0 && !jobs[i-1].started && jobs[i-1].req.urgency > j.req.urgency {
+		i--
+	}
+	return slices.Insert(jobs, i, j)
+}
+
 // cancel ends a request whose router has died.
 func (e *engineModel) cancel(r *request) {
 	if r.job != nil {
@@ -137,7 +147,7 @@
 		e.used += j.occupied
 		e.queue = e.queue[1:]
 		e.batch = append(e.batch, j)
-		e.prefills = append(e.prefills, j)
+		e.prefills = insertByUrgency(e.prefills, j)
 	}
 }
 
--- a/scheduler/engines.go
+++ b/scheduler/engines.go
@@ -28,6 +28,7 @@
 	ended         endedRuns
 	load          groupLoad
 	speeds        groupSpeeds
+	shares        fairShares
 	// slow and fast hold the IDs of the slow and of the fast engines, sorted.
 	slow, fast []string
 	// streamTime is the moving average of the time in milliseconds from the first to the last event of a run.
@@ -45,6 +46,7 @@
 		costs:         chooser.ServerPolicy{RankShare: p.RankShare, ZoneTokenCost: p.ZoneTokenCost},
 		byIncarnation: map[masticway.ServerIncarnation]*engine{}, runs: map[string]*run{}, senders: map[masticway.Incarnation]*sender{},
 		ended: newEndedRuns(), speeds: newGroupSpeeds(), streamTime: initialStreamTime,
+		shares: fairShares{uses: map[string]workspaceUse{}},
 	}
 }
 
--- a/scheduler/export_test.go
+++ b/scheduler/export_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/masticway/masticway"
 )
@@ -43,12 +44,19 @@
 	return e.byIncarnation[id].speed.current / e.speeds.median
 }
 
+// Use returns the number of workspaces with a use, and the use of one of them in tokens.
+func (e *Engines) Use(now time.Time, workspace string) (workspaces int, tokens float64) {
+	return len(e.shares.uses), e.shares.uses[workspace].decayed(now)
+}
+
 // Bounds of the stored state.
 const (
 	MaxRuns    = maxRuns
 	MaxSenders = maxSenders
 	MaxEnded   = maxEnded
 	MaxParts   = maxParts
+	// MaxWorkspaces is the bound on the workspaces with a use.
+	MaxWorkspaces = maxWorkspaces
 )
 
 // Check compares the sums that are kept up to date with the runs.
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -19,6 +19,9 @@
 // draining and cold ones. penalties are additional costs in milliseconds, by engine ID. If no engine is left, the choice is empty
 // but not Full.
 //
+// If the group is contended, the choice contains the level of the run's workspace, and a run of level 2 for which no engine meets the
+// objective is refused. Other runs of its rank are served in its place.
+//
 // If the run is already reserved, the new choice replaces the reservation. If its sender has already reported it, the query is
 // late: the choice is then where it runs, or empty if it has ended.
 func (e *Engines) Place(
@@ -28,28 +31,37 @@
 	if e.ended.has(r.ID) {
 		return masticway.EngineChoice{}
 	}
+	e.updateSpeeds(now)
+	e.updateContention(now)
+	level, charged := e.shares.level(now, r.Workspace), 0
 	if known := e.runs[r.ID]; known != nil {
 		if known.reported {
-			return masticway.EngineChoice{Server: known.engine.incarnation}
+			return masticway.EngineChoice{Server: known.engine.incarnation, Level: level}
 		}
+		charged = known.charged
 		e.remove(known)
 	}
-	e.updateSpeeds(now)
 	best, wait, shortest := e.cheapest(e.newPlacement(now, r, penalties), excluded)
 	if best == nil {
 		return masticway.EngineChoice{}
 	}
-	if r.TimeLeft > 0 && shortest > milliseconds(r.TimeLeft) {
-		retry := time.Duration(shortest*float64(time.Millisecond)) - r.TimeLeft
-		return masticway.EngineChoice{Full: true, RetryAfter: min(max(minRetryTime, retry), maxRetryTime)}
+	limit := r.TimeLeft
+	if level == maxLevel && r.Objective > 0 && (limit <= 0 || r.Objective < limit) {
+		limit = r.Objective
+	}
+	if limit > 0 && shortest > milliseconds(limit) {
+		retry := time.Duration(shortest*float64(time.Millisecond)) - limit
+		return masticway.EngineChoice{Full: true, RetryAfter: min(max(minRetryTime, retry), maxRetryTime), Level: level}
 	}
 	if s != nil && len(e.runs) < maxRuns {
 		n := newRun(s, r, now)
 		n.expiresAt = now.Add(min(reservationTTL, n.timeLeft))
+		n.charged = charged
 		best.add(now, n)
+		e.shares.charge(now, n)
 		e.runs[n.id] = n
 	}
-	return masticway.EngineChoice{Server: best.incarnation, Wait: time.Duration(wait * float64(time.Millisecond))}
+	return masticway.EngineChoice{Server: best.incarnation, Wait: time.Duration(wait * float64(time.Millisecond)), Level: level}
 }
 
 // cheapest returns the engine with the lowest cost among the most suitable ones, the expected wait there, and the shortest
--- a/scheduler/reports.go
+++ b/scheduler/reports.go
@@ -86,12 +86,18 @@
 	if r.Details != nil {
 		d := *r.Details
 		d.ID = r.Run
+		charged := 0
+		if ok {
+			charged = n.charged
+		}
 		n = newRun(s, d, sentAt(now, r))
+		n.charged = charged
 	}
 	if now.Sub(n.sentAt) >= n.timeLeft {
 		return nil
 	}
 	engine.add(now, n)
+	e.shares.charge(now, n)
 	e.runs[n.id] = n
 	return n
 }
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -29,10 +29,11 @@
 
 // run is one attempt of a request at an engine.
 type run struct {
-	id     string
-	sender *sender
-	engine *engine
-	state  masticway.EngineRunState
+	id        string
+	workspace string
+	sender    *sender
+	engine    *engine
+	state     masticway.EngineRunState
 	// reported is set if the sender has reported the run. Until then, it is only a reservation.
 	reported  bool
 	sentAt    time.Time
@@ -45,6 +46,8 @@
 	isPaced bool
 	// uncached is the number of prompt tokens that were not cached at the engine when the run was placed.
 	uncached int
+	// charged is the number of tokens that were added to the use of the workspace.
+	charged int
 	// previous and next are the neighbours in the engine's list of pending runs.
 	previous, next *run
 }
@@ -73,7 +76,7 @@
 // newRun returns a run that has not been placed at an engine.
 func newRun(s *sender, r masticway.EngineRun, sentAt time.Time) *run {
 	n := &run{
-		id: r.ID, sender: s, sentAt: sentAt, tokens: max(0, r.Tokens), output: max(0, r.Output), timeLeft: r.TimeLeft, isPaced: r.EventGap > 0,
+		id: r.ID, workspace: r.Workspace, sender: s, sentAt: sentAt, tokens: max(0, r.Tokens), output: max(0, r.Output), timeLeft: r.TimeLeft, isPaced: r.EventGap > 0,
 	}
 	if n.timeLeft <= 0 {
 		n.timeLeft = maxRunTime
@@ -91,7 +94,7 @@
 }
 
 // Expire removes the runs whose time is over, the reservations that were not reported in time, and the senders from which nothing
-// was heard for 3 s, with their runs. It should be called about four times per second; it looks at each run.
+// was heard for 3 s, with their runs. It also updates the speed classes and the contention. It should be called about four times per second; it looks at each run.
 func (e *Engines) Expire(now time.Time) {
 	for id, s := range e.senders {
 		if now.Sub(s.heardAt) >= senderTTL {
@@ -105,8 +108,10 @@
 		}
 	}
 	e.ended.expire(now)
+	e.shares.expire(now)
 	for _, n := range e.engines {
 		n.evictParts(now)
 	}
 	e.updateSpeeds(now)
+	e.updateContention(now)
 }
--- a/scheduler/senders_test.go
+++ b/scheduler/senders_test.go
@@ -114,7 +114,7 @@
 	e := newTestEngines(2)
 	for i := range 3 * scheduler.MaxRuns {
 		id := fmt.Sprint("r", i)
-		r := masticway.EngineRun{ID: id, Tokens: 10, Zone: "z", Parts: []masticway.PromptPart{{ID: id, Tokens: 10}}}
+		r := masticway.EngineRun{ID: id, Workspace: id, Tokens: 10, Zone: "z", Parts: []masticway.PromptPart{{ID: id, Tokens: 10}}}
 		place(e, testStart, r)
 		e.Record(testStart, routerB, ended(masticway.EngineRun{ID: "ended-" + id}, "e-00", 0))
 		e.Touch(testStart, masticway.Incarnation(id))
@@ -124,8 +124,11 @@
 	qt.Assert(t, runs <= scheduler.MaxRuns, qt.IsTrue, qt.Commentf("%d runs", runs))
 	qt.Assert(t, ended <= scheduler.MaxEnded, qt.IsTrue, qt.Commentf("%d ended runs", ended))
 	qt.Assert(t, senders <= scheduler.MaxSenders, qt.IsTrue, qt.Commentf("%d senders", senders))
+	workspaces, _ := e.Use(testStart, "")
+	qt.Assert(t, workspaces <= scheduler.MaxWorkspaces, qt.IsTrue, qt.Commentf("%d workspaces", workspaces))
 	qt.Assert(t, parts <= scheduler.MaxParts, qt.IsTrue, qt.Commentf("%d parts", parts))
 	e.Expire(testStart.Add(time.Hour))
 	runs, ended, senders, _ = e.Counts()
-	qt.Assert(t, [3]int{runs, ended, senders}, qt.Equals, [3]int{})
+	workspaces, _ = e.Use(testStart, "")
+	qt.Assert(t, [4]int{runs, ended, senders, workspaces}, qt.Equals, [4]int{})
 }
--- a/scheduler/world_test.go
+++ b/scheduler/world_test.go
@@ -79,6 +79,9 @@
 	parts   []masticway.PromptPart
 	tokens  int
 	events  int
+	// workspace and urgency are set in worlds with several workspaces. Engines serve lower urgencies first.
+	workspace string
+	urgency   int
 	// engine is the index of the chosen engine, and job the request there.
 	engine int
 	job    *job
@@ -147,6 +150,8 @@
 	dead     [routerCount]bool
 	requests []*request
 	way      wayOfChoosing
+	// urgency returns the urgency at the engines by the rank and the owner's level; nil means that all are equal.
+	urgency func(rank, level int) int
 	// prefilledParts are the shared parts that some engine has prefilled. repeated is the number of tokens that were prefilled
 	// again after the warm-up.
 	prefilledParts map[string]bool
