Test that a query ends after its timeout

The simulated network of the coordinator's tests ends calls by itself, so a coordinator without timeouts passed. TestQueryTimeout uses routers that block until the context of the call ends, and requires that a second query does not extend the timeout.

With WithCancel for WithTimeout in Place the case of two groups fails; with both timeouts removed, both cases fail after 10 s. The code under test is unchanged.

--- /dev/null
+++ b/coordinator/timeout_test.go
@@ -0,0 +1,102 @@
+package coordinator_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus/hooks/test"
+
+	"github.com/masticway/masticway"
+	"github.com/masticway/masticway/coordinator"
+	"github.com/masticway/masticway/measurer"
+)
+
+// answeringRouters acknowledges reports, and answers queries as given.
+type answeringRouters struct {
+	answer func(ctx context.Context, query int) (coordinator.Reply, error)
+
+	mu        sync.Mutex
+	deadlines []time.Time
+}
+
+func (r *answeringRouters) Send(ctx context.Context, _ string, m coordinator.Message) (coordinator.Reply, error) {
+	if m.Run == nil {
+		return coordinator.Reply{Ready: true}, nil
+	}
+	deadline, _ := ctx.Deadline()
+	r.mu.Lock()
+	r.deadlines = append(r.deadlines, deadline)
+	n := len(r.deadlines)
+	r.mu.Unlock()
+	return r.answer(ctx, n)
+}
+
+func (r *answeringRouters) SendSpeeds(context.Context, string, coordinator.Speeds) error { return nil }
+
+// fullReply is the reply of an owner all of whose engines are full.
+var fullReply = coordinator.Reply{Ready: true, Choice: &masticway.EngineChoice{Full: true, RetryAfter: time.Second}}
+
+// queryFixture is a coordinator of which another router owns all groups and is ready.
+type queryFixture struct {
+	*coordinator.Coordinator
+	clock   *manualClock
+	pool    masticway.Pool
+	engines []masticway.Server
+	metrics *measurer.Set
+	queries int
+}
+
+func newQueryFixture(t *testing.T, engines int, r coordinator.Routers) *queryFixture {
+	log, _ := test.NewNullLogger()
+	f := &queryFixture{clock: &manualClock{now: time.Unix(1_000_000, 0)}, pool: masticway.Pool{Name: "llm", IsEngine: true, Slots: 64}, metrics: measurer.New()}
+	for i := range engines {
+		f.engines = append(f.engines, masticway.Server{ID: fmt.Sprintf("e-%d", i), Pool: "llm"})
+	}
+	f.Coordinator = coordinator.New(coordinator.Dependencies{
+		Routers: r, Members: fixedMembers{"other"}, Clock: f.clock, Log: log.WithField("", ""), Metrics: f.metrics, Self: "self~1", Address: "self",
+		Applies: func(masticway.Deployment, int) bool { return true }, IsOverloaded: func() bool { return false },
+		NewEngines: func() coordinator.Engines { return nil },
+	})
+	f.Update(masticway.Deployment{Pools: map[string]masticway.Pool{"llm": f.pool}}, map[string][]masticway.Server{"llm": f.engines})
+	for i, s := range f.engines {
+		f.Begin("llm", masticway.EngineRun{ID: fmt.Sprint("begun", i), TimeLeft: time.Minute}, s)
+	}
+	f.clock.advance(time.Second)
+	f.Step(t.Context())
+	return f
+}
+
+func (f *queryFixture) place(ctx context.Context) (masticway.EngineChoice, bool) {
+	f.queries++
+	run := masticway.EngineRun{ID: fmt.Sprint("placed", f.queries), Tokens: 100, TimeLeft: time.Second}
+	return f.Place(ctx, masticway.EngineQuery{Pool: f.pool, Run: run, Candidates: f.engines})
+}
+
+// TestQueryTimeout guards against a request that waits for an owner which does not reply, or for longer because it queries a second
+// group.
+func TestQueryTimeout(t *testing.T) {
+	for name, tc := range map[string]struct{ engines, queries int }{"one group": {8, 1}, "a second group": {192, 2}} {
+		t.Run(name, func(t *testing.T) {
+			r := &answeringRouters{answer: func(ctx context.Context, query int) (coordinator.Reply, error) {
+				if query < tc.queries {
+					return fullReply, nil
+				}
+				<-ctx.Done()
+				return coordinator.Reply{}, ctx.Err()
+			}}
+			f := newQueryFixture(t, tc.engines, r)
+			// The test fails by this timeout, which the coordinator takes for the end of the request.
+			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+			defer cancel()
+			_, ok := f.place(ctx)
+			qt.Check(t, ok, qt.IsFalse)
+			qt.Check(t, ctx.Err(), qt.IsNil)
+			qt.Assert(t, r.deadlines, qt.HasLen, tc.queries)
+			qt.Check(t, r.deadlines[tc.queries-1].After(r.deadlines[0]), qt.IsFalse, qt.Commentf("the second query extends the timeout"))
+		})
+	}
+}
