Do not count neutral ends of runs as failures of engines

The owner of a group took each run that ended without a first event for a failure of its engine, also if the run was never sent, or this router or its caller cancelled it. Four such ends within 2 s kept all further runs away from a healthy engine.

A run that was not begun is now reported without a server, so only its reservation ends. EngineReport.IsNeutral marks ends that say nothing about the engine, and EngineCoordinator.End has the argument failed.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -195,7 +195,7 @@
 	o := c.outbox(now, key)
 	if asked, ok := c.outboxOf[r.ID]; ok && asked != o {
 		// The owner of another group may have reserved an engine.
-		asked.End(now, r.ID, 0, 0)
+		asked.End(now, r.ID, 0, 0, false)
 	}
 	wasUrgent := o.IsUrgent()
 	t := o.Begin(now, r, server.Incarnation())
@@ -242,8 +242,9 @@
 	}).Info("the first event of a run arrived")
 }
 
-// End records the end of a run, also of one that was placed and not begun. It does not block.
-func (c *Coordinator) End(run string, events int, streamedFor time.Duration) {
+// End records the end of a run, also of one that was placed and not begun. failed is set if it ended because of the engine. It does
+// not block.
+func (c *Coordinator) End(run string, events int, streamedFor time.Duration, failed bool) {
 	if !c.active.Load() {
 		return
 	}
@@ -252,7 +253,7 @@
 	if o, ok := c.outboxOf[run]; ok {
 		delete(c.outboxOf, run)
 		wasUrgent := o.IsUrgent()
-		o.End(c.Clock.Now(), run, events, streamedFor)
+		o.End(c.Clock.Now(), run, events, streamedFor, failed)
 		c.wakeFor(o, wasUrgent)
 	}
 }
--- a/coordinator/outbox.go
+++ b/coordinator/outbox.go
@@ -141,8 +141,9 @@
 	return r
 }
 
-// End records the end of a run, also of one that did not begin. The target is told if it may know the run.
-func (o *Outbox) End(now time.Time, id string, events int, streamedFor time.Duration) {
+// End records the end of a run, also of one that did not begin. failed is set if it ended because of the engine. The target is told
+// if it may know the run.
+func (o *Outbox) End(now time.Time, id string, events int, streamedFor time.Duration, failed bool) {
 	r, ok := o.runs[id]
 	if !ok || r.state == masticway.EngineRunEnded {
 		return
@@ -151,7 +152,7 @@
 		delete(o.runs, id)
 		return
 	}
-	r.state, r.stateAt, r.events, r.streamedFor = masticway.EngineRunEnded, now, events, streamedFor
+	r.state, r.stateAt, r.events, r.streamedFor, r.failed = masticway.EngineRunEnded, now, events, streamedFor, failed
 	o.enqueue(now, r, true)
 }
 
--- a/coordinator/runs.go
+++ b/coordinator/runs.go
@@ -38,6 +38,8 @@
 	firstEventAfter time.Duration
 	events          int
 	streamedFor     time.Duration
+	// failed is set if the run ended because of the engine.
+	failed bool
 	// isKnown is set if the target knows the run and its engine.
 	isKnown bool
 	// version changes with each change that must be reported. reported is the last version that was acknowledged.
@@ -49,7 +51,11 @@
 func (r *trackedRun) report(now time.Time) masticway.EngineReport {
 	p := masticway.EngineReport{
 		Run: r.run.ID, Server: r.server, State: r.state, Age: now.Sub(r.stateAt), FirstEventAfter: r.firstEventAfter,
-		Events: r.events, StreamedFor: r.streamedFor,
+		Events: r.events, StreamedFor: r.streamedFor, IsNeutral: r.state == masticway.EngineRunEnded && !r.failed,
+	}
+	if !r.began {
+		// Only the reservation ends. The engine has not seen the run.
+		p.Server = ""
 	}
 	if r.began && !r.isKnown {
 		p.Details = &r.run
--- a/engine.go
+++ b/engine.go
@@ -57,7 +57,7 @@
 type EngineReport struct {
 	// Run is the ID of the run.
 	Run string `cbor:"1,keyasint,omitempty"`
-	// Server is the engine at which it runs.
+	// Server is the engine at which it runs. It is empty if the run has ended without being sent.
 	Server ServerIncarnation `cbor:"2,keyasint,omitempty"`
 	State  EngineRunState    `cbor:"3,keyasint,omitempty"`
 	// Age is the time since the run reached its state, by the sender's clock.
@@ -69,6 +69,8 @@
 	StreamedFor time.Duration `cbor:"7,keyasint,omitempty"`
 	// Details describes the run. It is nil if the receiver chose the engine itself and the sender has accepted that choice.
 	Details *EngineRun `cbor:"8,keyasint,omitempty"`
+	// IsNeutral is set if the end of the run says nothing about the engine, for example because the caller has left.
+	IsNeutral bool `cbor:"9,keyasint,omitempty"`
 }
 
 // EngineSpeed is what is known of an engine's prefill speed.
@@ -99,7 +101,8 @@
 	// End must be called for each run that was placed or begun, also if it was not sent.
 	Begin(pool string, r EngineRun, server Server)
 	FirstEvent(run string, took time.Duration)
-	End(run string, events int, streamedFor time.Duration)
+	// failed is set if the run ended because of the engine.
+	End(run string, events int, streamedFor time.Duration, failed bool)
 	// HomeWeights returns the shares of the pool's engines in the homes of prompts, relative to an engine of normal speed, by server
 	// ID, for local choices. Engines that are not in the map have share 1. The caller must not change the map.
 	HomeWeights(pool string) map[string]float64
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -103,7 +103,7 @@
 	f.mu.Lock()
 	f.servers.RecordEnd(f.clock.Now(), a.placement, r)
 	f.mu.Unlock()
-	a.endRun()
+	a.endRun(r)
 }
 
 func (a *attempt) run() outcome {
--- a/forwarder/coordination.go
+++ b/forwarder/coordination.go
@@ -24,7 +24,7 @@
 
 func (uncoordinated) FirstEvent(string, time.Duration) {}
 
-func (uncoordinated) End(string, int, time.Duration) {}
+func (uncoordinated) End(string, int, time.Duration, bool) {}
 
 func (uncoordinated) HomeWeights(string) map[string]float64 { return nil }
 
@@ -119,7 +119,7 @@
 // endUnsent tells the coordinator that the run of a choice is not sent.
 func (x *exchange) endUnsent(c choice) {
 	if c.run != nil {
-		x.f.coordinator.End(c.run.ID, 0, 0)
+		x.f.coordinator.End(c.run.ID, 0, 0, false)
 	}
 }
 
@@ -149,9 +149,10 @@
 	}
 }
 
-// endRun reports to the coordinator that the attempt has ended.
-func (a *attempt) endRun() {
+// endRun reports to the coordinator that the attempt has ended with a result.
+func (a *attempt) endRun(r chooser.Result) {
+	failed := r == chooser.ResultFailure || r == chooser.ResultUnreachable
 	if a.coordinated.id != "" {
-		a.x.f.coordinator.End(a.coordinated.id, a.coordinated.events, a.lastAt.Sub(a.firstAt))
+		a.x.f.coordinator.End(a.coordinated.id, a.coordinated.events, a.lastAt.Sub(a.firstAt), failed)
 	}
 }
--- a/scheduler/failures_test.go
+++ b/scheduler/failures_test.go
@@ -75,3 +75,48 @@
 		})
 	}
 }
+
+// TestNeutralEnds guards against avoiding a healthy engine because requests were not sent to it after all, or were cancelled by
+// their routers or callers.
+func TestNeutralEnds(t *testing.T) {
+	for name, tc := range map[string]struct {
+		end     func(r masticway.EngineRun, engine masticway.ServerIncarnation) masticway.EngineReport
+		avoided bool
+	}{
+		"failed": {end: func(r masticway.EngineRun, engine masticway.ServerIncarnation) masticway.EngineReport {
+			return ended(r, engine, 0)
+		}, avoided: true},
+		"neutral": {end: func(r masticway.EngineRun, engine masticway.ServerIncarnation) masticway.EngineReport {
+			report := ended(r, engine, 0)
+			report.IsNeutral = true
+			return report
+		}},
+		"not sent": {end: func(r masticway.EngineRun, _ masticway.ServerIncarnation) masticway.EngineReport {
+			return masticway.EngineReport{Run: r.ID, State: masticway.EngineRunEnded, IsNeutral: true}
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := newTestEngines(2)
+			engine := testServers(2)[0].Incarnation()
+			now := testStart
+			for i := range 4 {
+				now = now.Add(100 * time.Millisecond)
+				r := plainRun(fmt.Sprint("ended", i), 500, 10)
+				qt.Assert(t, e.Place(now, routerA, r, allBut(2, "e-00"), nil).Server, qt.Equals, engine)
+				e.Record(now, routerA, tc.end(r, engine))
+			}
+			count := 0
+			for i := range 10 {
+				if place(e, now, plainRun(fmt.Sprint("r", i), 500, 10)) == engine {
+					count++
+				}
+			}
+			t.Logf("%d of 10 runs at the engine", count)
+			if tc.avoided {
+				qt.Assert(t, count, qt.Equals, 0)
+			} else {
+				qt.Assert(t, count, qt.Equals, 5)
+			}
+		})
+	}
+}
--- a/scheduler/reports.go
+++ b/scheduler/reports.go
@@ -123,7 +123,9 @@
 	}
 	if r.State >= masticway.EngineRunEnded {
 		if n.state == masticway.EngineRunSent {
-			n.engine.failures.record(now, true)
+			if !r.IsNeutral {
+				n.engine.failures.record(now, true)
+			}
 		} else if r.StreamedFor > 0 {
 			e.streamTime += streamTimeWeight * (milliseconds(duration(r.StreamedFor)) - e.streamTime)
 		}
