Limit the declared sizes of runs at the owner of engines

A caller that declared an answer of 400,000 tokens was refused for 5 s by nearly idle engines: the estimated wait for memory grew with the declared size beyond the time in which all runs end. Sums of larger sizes could overflow.

The share of memory in roomWait is at most 1, and the owner limits prompt and answer each to the pool's token capacity, or 2^20 tokens if that is unknown. TestLargeDeclaredSizes got Full with 5 s in two of its four cases before, and none now.

--- a/scheduler/cost.go
+++ b/scheduler/cost.go
@@ -131,7 +131,8 @@
 		share = float64(n.runs-n.slots+1) / float64(n.slots)
 	}
 	if n.capacity > 0 && n.tokens > 0 {
-		share = max(share, (float64(n.tokens+tokens)-maxMemoryShare*float64(n.capacity))/float64(n.tokens))
+		// No more than all runs can end.
+		share = max(share, min(1, (float64(n.tokens+tokens)-maxMemoryShare*float64(n.capacity))/float64(n.tokens)))
 	}
 	return share * streamTime
 }
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -28,6 +28,7 @@
 	now time.Time, sender masticway.Incarnation, r masticway.EngineRun, excluded map[string]bool, penalties map[string]float64,
 ) masticway.EngineChoice {
 	s := e.heard(now, sender)
+	r.Tokens, r.Output = e.limitTokens(r.Tokens), e.limitTokens(r.Output)
 	if e.ended.has(r.ID) {
 		return masticway.EngineChoice{}
 	}
@@ -54,7 +55,7 @@
 		return masticway.EngineChoice{Full: true, RetryAfter: min(max(minRetryTime, retry), maxRetryTime), Level: level}
 	}
 	if s != nil && len(e.runs) < maxRuns {
-		n := newRun(s, r, now)
+		n := e.newRun(s, r, now)
 		n.expiresAt = now.Add(min(reservationTTL, n.timeLeft))
 		n.charged = charged
 		best.add(now, n)
--- a/scheduler/place_test.go
+++ b/scheduler/place_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -323,3 +324,35 @@
 	qt.Assert(t, c.Full, qt.IsTrue)
 	qt.Assert(t, c.RetryAfter >= 500*time.Millisecond && c.RetryAfter <= 3*time.Second, qt.IsTrue, qt.Commentf("%v", c.RetryAfter))
 }
+
+// TestLargeDeclaredSizes guards against refusals at nearly idle engines because a caller declares an answer larger than their
+// memory, and against sums of declared sizes that overflow.
+func TestLargeDeclaredSizes(t *testing.T) {
+	for name, tc := range map[string]struct{ tokens, output, capacity int }{
+		"output above the memory":    {1000, 400_000, testPool.TokenCapacity},
+		"largest output":             {1000, math.MaxInt, testPool.TokenCapacity},
+		"largest prompt and output":  {math.MaxInt, math.MaxInt, 0},
+		"negative prompt and output": {math.MinInt, math.MinInt, testPool.TokenCapacity},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := scheduler.NewEngines(testPolicy)
+			pool := testPool
+			pool.TokenCapacity = tc.capacity
+			e.Sync(testStart, pool, testServers(2))
+			for i := range 2 {
+				place(e, testStart, plainRun(fmt.Sprint("small", i), 100, 10))
+			}
+			for i := range 3 {
+				r := plainRun(fmt.Sprint("large", i), tc.tokens, tc.output)
+				r.TimeLeft = time.Hour
+				if tc.tokens == 1000 {
+					r.TimeLeft = 5 * time.Second
+				}
+				c := e.Place(testStart, routerA, r, nil, nil)
+				qt.Assert(t, c.Full, qt.IsFalse, qt.Commentf("run %d: %+v", i, c))
+				qt.Assert(t, c.Wait >= 0 && c.Wait < time.Hour, qt.IsTrue, qt.Commentf("%v", c.Wait))
+				e.Record(testStart, routerB, sent(plainRun(fmt.Sprint("reported", i), tc.tokens, tc.output), c.Server))
+			}
+		})
+	}
+}
--- a/scheduler/reports.go
+++ b/scheduler/reports.go
@@ -90,7 +90,7 @@
 		if ok {
 			charged = n.charged
 		}
-		n = newRun(s, d, sentAt(now, r))
+		n = e.newRun(s, d, sentAt(now, r))
 		n.charged = charged
 	}
 	if now.Sub(n.sentAt) >= n.timeLeft {
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -73,10 +73,22 @@
 	return s != nil && s.complete
 }
 
+// defaultTokenLimit limits the size of a run in a pool whose token capacity is unknown.
+const defaultTokenLimit = 1 << 20
+
+// limitTokens limits a declared number of tokens to the memory of an engine, so that sums of them cannot overflow.
+func (e *Engines) limitTokens(n int) int {
+	limit := e.pool.TokenCapacity
+	if limit <= 0 {
+		limit = defaultTokenLimit
+	}
+	return min(max(0, n), limit)
+}
+
 // newRun returns a run that has not been placed at an engine.
-func newRun(s *sender, r masticway.EngineRun, sentAt time.Time) *run {
+func (e *Engines) newRun(s *sender, r masticway.EngineRun, sentAt time.Time) *run {
 	n := &run{
-		id: r.ID, workspace: r.Workspace, sender: s, sentAt: sentAt, tokens: max(0, r.Tokens), output: max(0, r.Output), timeLeft: r.TimeLeft, isPaced: r.EventGap > 0,
+		id: r.ID, workspace: r.Workspace, sender: s, sentAt: sentAt, tokens: e.limitTokens(r.Tokens), output: e.limitTokens(r.Output), timeLeft: r.TimeLeft, isPaced: r.EventGap > 0,
 	}
 	if n.timeLeft <= 0 {
 		n.timeLeft = maxRunTime
