Refuse a request as full only if all groups were queried

With more than two groups, two queries that found their groups full refused a request although a third group could have room. Place now lets local estimates decide if a candidate is in a group that was not queried. The test "all groups are full" had 3 groups and 2 queries and expected the refusal; it is now two cases: 2 groups, both full, must refuse, and 3 groups must not. The second case fails before this change.

--- a/coordinator/place.go
+++ b/coordinator/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/masticway/masticway"
@@ -9,7 +10,8 @@
 )
 
 // Place queries the owner of the run's group of engines for an engine. If the reply is Full and the run has another group, it
-// queries its owner too. Place returns false if local estimates must decide, after QueryTimeout at the latest.
+// queries its owner too. The choice is Full only if no candidate is in another group. Place returns false if local estimates must
+// decide, after QueryTimeout at the latest.
 func (c *Coordinator) Place(ctx context.Context, q masticway.EngineQuery) (masticway.EngineChoice, bool) {
 	p := c.poolFleet(q.Pool.Name)
 	if p == nil {
@@ -18,7 +20,7 @@
 	bounded, cancel := context.WithTimeout(ctx, c.QueryTimeout)
 	defer cancel()
 	var full masticway.EngineChoice
-	queried := 0
+	var queried []int
 	for _, group := range scheduler.PromptGroups(q.Run, len(p.groups)) {
 		excluded, ok := p.excluded(group, q.Candidates)
 		if !ok {
@@ -34,14 +36,16 @@
 		case !full.Full || choice.RetryAfter < full.RetryAfter:
 			full = choice
 		}
-		if queried++; queried == maxGroupQueries {
+		if queried = append(queried, group); len(queried) == maxGroupQueries {
 			break
 		}
 	}
-	if full.Full {
-		c.Metrics.Add(metricFull, 1)
+	isInOther := func(s masticway.Server) bool { return !slices.Contains(queried, p.group(s.ID)) }
+	if !full.Full || slices.ContainsFunc(q.Candidates, isInOther) {
+		return masticway.EngineChoice{}, false
 	}
-	return full, full.Full
+	c.Metrics.Add(metricFull, 1)
+	return full, true
 }
 
 // pendingQuery is a query in flight.
