Ignore the timeout of a query that began with little time left

The second query of a request ends with the first one's timeout. If that leaves it less than half of the 20 ms, its timeout says nothing about the second owner, but paused the queries to it for 1 s and counted 40 ms for the gate. Such timeouts now count for neither.

--- a/coordinator/place.go
+++ b/coordinator/place.go
@@ -19,6 +19,7 @@
 	}
 	bounded, cancel := context.WithTimeout(ctx, c.QueryTimeout)
 	defer cancel()
+	began := c.Clock.Now()
 	var full masticway.EngineChoice
 	var queried []int
 	for _, group := range scheduler.PromptGroups(q.Run, len(p.groups)) {
@@ -27,7 +28,7 @@
 			continue
 		}
 		m := Message{Excluded: excluded, Penalties: p.penalties(group, q.Penalties), Run: &q.Run}
-		choice, ok := c.query(bounded, ctx, groupKey{pool: q.Pool.Name, group: group}, m)
+		choice, ok := c.query(bounded, ctx, groupKey{pool: q.Pool.Name, group: group}, m, began)
 		switch {
 		case !ok:
 			return masticway.EngineChoice{}, false
@@ -54,15 +55,19 @@
 	run *trackedRun
 	// isGated is set if the query counts for the gate.
 	isGated bool
+	// isShort is set if less than half of the query timeout was left when the query began, so that a timeout says nothing about its
+	// target.
+	isShort bool
 }
 
 // query sends a query with the pending reports to the owner of a group. It returns false if the owner makes no choice. parent is
-// the context of the request, from which ctx is derived.
-func (c *Coordinator) query(ctx, parent context.Context, key groupKey, m Message) (masticway.EngineChoice, bool) {
+// the context of the request, from which ctx is derived. placedAt is when the request began to wait for a choice.
+func (c *Coordinator) query(ctx, parent context.Context, key groupKey, m Message, placedAt time.Time) (masticway.EngineChoice, bool) {
 	q, ok := c.beginQuery(key, &m)
 	if !ok {
 		return masticway.EngineChoice{}, false
 	}
+	q.isShort = c.Clock.Now().Sub(placedAt) > c.QueryTimeout/2
 	c.Metrics.Add(metricAsks, 1)
 	r := c.send(ctx, q.target, c.QueryTimeout, m)
 	now := c.Clock.Now()
@@ -91,7 +96,7 @@
 	q.run.source = sourceNotReady
 	isCounted := true
 	switch {
-	case r.err != nil && isCanceled:
+	case r.err != nil && isCanceled, isTimeout(r.err) && q.isShort:
 		isCounted = false
 	case isTimeout(r.err):
 		isCounted = c.owners.RecordQueryTimeout(now, q.target)
