Keep the lists of slow and fast engines when a delayed reply arrives

A reply has no lists if the message carried their version. If another reply had changed the version meanwhile, the delayed one deleted both lists. A transmission now remembers the version that its message carried, and a reply with this version changes nothing. In the test, which fails before, the home weights were empty after the delayed reply; now those of the newer reply stay.

--- a/coordinator/flush.go
+++ b/coordinator/flush.go
@@ -98,7 +98,7 @@
 		c.mu.Unlock()
 		return
 	}
-	t := transmission{key: key, outbox: o, target: o.target}
+	t := transmission{key: key, outbox: o, target: o.target, classVersion: o.classVersion}
 	if o.synced {
 		t.batch = o.Take(now, maxReports)
 	} else {
--- a/coordinator/place.go
+++ b/coordinator/place.go
@@ -138,7 +138,7 @@
 		r.source = sourceTimeout
 		return pendingQuery{}, false
 	}
-	q := pendingQuery{transmission: transmission{key: key, outbox: o, target: o.target}, run: r, isGated: o.target != c.Address}
+	q := pendingQuery{transmission: transmission{key: key, outbox: o, target: o.target, classVersion: o.classVersion}, run: r, isGated: o.target != c.Address}
 	if q.isGated && !c.gate.TryBegin(now, c.IsOverloaded()) {
 		r.source = sourcePressure
 		c.Metrics.Add(metricSkipped, 1)
--- a/coordinator/send.go
+++ b/coordinator/send.go
@@ -17,11 +17,13 @@
 	outbox *Outbox
 	target string
 	batch  Batch
+	// classVersion is the version of the lists of engines that the message carries.
+	classVersion uint64
 }
 
 // fill sets the fields of the message that carries the batch. The caller must hold the lock of the outbox.
 func (t transmission) fill(m *Message, self masticway.Incarnation) {
-	m.Sender, m.Pool, m.Group, m.ClassVersion = self, t.key.pool, t.key.group, t.outbox.classVersion
+	m.Sender, m.Pool, m.Group, m.ClassVersion = self, t.key.pool, t.key.group, t.classVersion
 	m.Reports, m.Resync = t.batch.Reports, t.batch.Resync
 }
 
@@ -74,13 +76,15 @@
 		o.RequireResync()
 		c.wakeUp()
 	}
-	c.updateClasses(t.key, o, r.reply)
+	c.updateClasses(t, r.reply)
 	return true
 }
 
-// updateClasses applies the lists of slow and fast engines in a reply. The caller must hold c.mu.
-func (c *Coordinator) updateClasses(key groupKey, o *Outbox, r Reply) {
-	if !r.Ready || r.ClassVersion == o.classVersion {
+// updateClasses applies the lists of slow and fast engines in the reply to a message. The reply has none if the message carried their
+// version, even if the outbox has others since. The caller must hold c.mu.
+func (c *Coordinator) updateClasses(t transmission, r Reply) {
+	key, o := t.key, t.outbox
+	if !r.Ready || r.ClassVersion == o.classVersion || r.ClassVersion == t.classVersion {
 		return
 	}
 	o.classes, o.classVersion = speedClasses{slow: r.Slow, fast: r.Fast}, r.ClassVersion
--- a/coordinator/timeout_test.go
+++ b/coordinator/timeout_test.go
@@ -125,3 +125,27 @@
 		})
 	}
 }
+
+// TestDelayedReplyKeepsClasses guards against the loss of the lists of slow and fast engines by a reply without lists that arrives
+// after a newer one.
+func TestDelayedReplyKeepsClasses(t *testing.T) {
+	lists := func(version uint64, slow ...string) coordinator.Reply {
+		return coordinator.Reply{Ready: true, ClassVersion: version, Slow: slow, Choice: &masticway.EngineChoice{Server: "e-0"}}
+	}
+	var f *queryFixture
+	f = newQueryFixture(t, 8, time.Minute, &answeringRouters{answer: func(_ context.Context, query int) (coordinator.Reply, error) {
+		switch query {
+		case 1:
+			return lists(1, "e-1"), nil
+		case 2:
+			// The reply to the third query arrives before this one.
+			f.place(t.Context())
+			return lists(1), nil
+		}
+		return lists(2, "e-2", "e-3"), nil
+	}})
+	f.place(t.Context())
+	qt.Assert(t, f.HomeWeights("llm"), qt.DeepEquals, map[string]float64{"e-1": 0.5})
+	f.place(t.Context())
+	qt.Assert(t, f.HomeWeights("llm"), qt.DeepEquals, map[string]float64{"e-2": 0.5, "e-3": 0.5})
+}
