Describe a run to other routers by its first 32 prompt parts

A caller determined the size of the messages between routers by the number of parts that it declared. newEngineRun passes at most the first 32. In the test, which fails before, a prompt with 40 parts is described by 32.

--- a/forwarder/coordination.go
+++ b/forwarder/coordination.go
@@ -36,13 +36,16 @@
 	events int
 }
 
+// maxRunParts is the maximum number of prompt parts in the description of a run. More would make messages to other routers large.
+const maxRunParts = 32
+
 // newEngineRun describes the next attempt of the request at an engine. Its number makes the ID unique, also if a caller reuses
 // the ID of a request.
 func (x *exchange) newEngineRun() *masticway.EngineRun {
 	q := &x.q
 	return &masticway.EngineRun{
 		ID: q.ID + "/" + strconv.FormatInt(x.f.runCount.Add(1), 36), Workspace: q.account.Workspace, Rank: q.rank(), Tokens: q.prompt.Tokens, Output: q.prompt.Output,
-		Parts: q.prompt.Parts, Zone: q.prompt.Zone, EventGap: q.route.MaxEventGap, Objective: q.route.LatencyObjective,
+		Parts: q.prompt.Parts[:min(len(q.prompt.Parts), maxRunParts)], Zone: q.prompt.Zone, EventGap: q.route.MaxEventGap, Objective: q.route.LatencyObjective,
 		TimeLeft: q.deadline.Sub(x.f.clock.Now()),
 	}
 }
--- a/forwarder/coordination_test.go
+++ b/forwarder/coordination_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -333,3 +334,26 @@
 		})
 	}
 }
+
+// TestRunHasLimitedParts guards against messages between routers whose size a caller determines.
+func TestRunHasLimitedParts(t *testing.T) {
+	for name, tc := range map[string]struct{ declared, want int }{"as many as are sent": {32, 32}, "more": {40, 32}} {
+		t.Run(name, func(t *testing.T) {
+			c := &fakeCoordinator{}
+			f := newCoordinatedFixture(t, 1, c, nil)
+			var declared []string
+			for i := range tc.declared {
+				declared = append(declared, fmt.Sprintf("part%d:10", i))
+			}
+			got := f.do(t.Context(), "POST", "/stream/x", "X-Token-Count", "2000,40", "X-Prefix-Hash", strings.Join(declared, ","))
+			qt.Assert(t, got.status, qt.Equals, 200)
+			parts := c.queries[0].Run.Parts
+			qt.Assert(t, parts, qt.HasLen, tc.want)
+			qt.Check(t, parts[0].Tokens, qt.Equals, 10)
+			f.frontend.Close()
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			qt.Check(t, c.runs[0].run.Parts, qt.HasLen, tc.want)
+		})
+	}
+}
