Send to a frozen router once, not once for each group

The target of reports was chosen for all due groups before the first of them was sent, so a frozen router delayed the reports by 250 ms for each of its groups, and a failed message with speeds had no consequence at all.

flush chooses the target again before it sends, and a failed SendSpeeds is a failure of the backup, which then gets speeds again as soon as a probe is due. In the test, which fails before, a frozen owner or backup of 3 groups gets 1 message in a step instead of 3.

--- a/coordinator/flush.go
+++ b/coordinator/flush.go
@@ -94,6 +94,10 @@
 	now := c.Clock.Now()
 	c.mu.Lock()
 	o, ok := c.outboxes[key]
+	if ok {
+		// A message about another group may just have shown that the target does not reply.
+		c.chooseTarget(now, key, o)
+	}
 	if !ok || o.target == "" {
 		c.mu.Unlock()
 		return
@@ -200,14 +204,23 @@
 		}
 		speeds := g.speeds(now)
 		c.mu.Lock()
-		skipped := !c.owners.MayQuery(now, ranked[1])
+		skipped := !c.owners.MayQuery(now, ranked[1]) && !c.owners.DueForProbe(now, ranked[1])
 		c.mu.Unlock()
 		if len(speeds) == 0 || skipped {
 			continue
 		}
 		bounded, cancel := context.WithTimeout(ctx, max(flushTimeout, c.QueryTimeout))
+		began := c.Clock.Now()
 		err := c.Routers.SendSpeeds(bounded, ranked[1], Speeds{Pool: key.pool, Group: key.group, Speeds: speeds})
 		cancel()
+		now = c.Clock.Now()
+		c.mu.Lock()
+		if err == nil {
+			c.owners.RecordSuccess(now, ranked[1], c.scaled(now.Sub(began)), false)
+		} else if ctx.Err() == nil {
+			c.owners.RecordFailure(now, ranked[1])
+		}
+		c.mu.Unlock()
 		if err != nil {
 			c.Log.WithFields(logrus.Fields{"event": "engine_speeds_unsent", "pool": key.pool, "group": key.group, "address": ranked[1], "error": err}).Debug("the backup of a group of engines did not accept speeds")
 		}
--- a/coordinator/timeout_test.go
+++ b/coordinator/timeout_test.go
@@ -149,3 +149,67 @@
 	f.place(t.Context())
 	qt.Assert(t, f.HomeWeights("llm"), qt.DeepEquals, map[string]float64{"e-2": 0.5, "e-3": 0.5})
 }
+
+// rankedMembers ranks the same addresses first for all groups.
+type rankedMembers []string
+
+func (m rankedMembers) Members() int { return len(m) }
+
+func (m rankedMembers) RankedLargeAddresses(_ string, limit int) []string {
+	return m[:min(limit, len(m))]
+}
+
+// frozenRouter counts the messages to the router at the address "frozen", which does not reply.
+type frozenRouter struct{ reports, speeds int }
+
+func (r *frozenRouter) Send(_ context.Context, address string, _ coordinator.Message) (coordinator.Reply, error) {
+	if address == "frozen" {
+		r.reports++
+		return coordinator.Reply{}, context.DeadlineExceeded
+	}
+	return coordinator.Reply{Ready: true}, nil
+}
+
+func (r *frozenRouter) SendSpeeds(context.Context, string, coordinator.Speeds) error {
+	r.speeds++
+	return context.DeadlineExceeded
+}
+
+// TestFrozenRouterDelaysOnce guards against reports that wait for a frozen router again and again, once for each of its groups.
+func TestFrozenRouterDelaysOnce(t *testing.T) {
+	for name, tc := range map[string]struct {
+		members         rankedMembers
+		reports, speeds int
+	}{"the owner": {rankedMembers{"frozen", "other"}, 1, 0}, "the backup": {rankedMembers{"self", "frozen"}, 0, 1}} {
+		t.Run(name, func(t *testing.T) {
+			log, _ := test.NewNullLogger()
+			r, clock := &frozenRouter{}, &manualClock{now: time.Unix(1_000_000, 0)}
+			speeds := map[masticway.ServerIncarnation]masticway.EngineSpeed{"e-1": {TokensPerMS: 10, Tokens: 1000}}
+			c := coordinator.New(coordinator.Dependencies{
+				Routers: r, Members: tc.members, Clock: clock, Log: log.WithField("", ""), Metrics: measurer.New(), Self: "self~1", Address: "self",
+				Applies: func(masticway.Deployment, int) bool { return true }, IsOverloaded: func() bool { return false },
+				NewEngines: func() coordinator.Engines {
+					return &simEngines{runs: map[string]*simEntry{}, senders: map[masticway.Incarnation]*simSender{}, speeds: speeds}
+				},
+			})
+			var engines []masticway.Server
+			for i := range 192 {
+				engines = append(engines, masticway.Server{ID: fmt.Sprintf("e-%d", i), Pool: "llm"})
+			}
+			pool := masticway.Pool{Name: "llm", IsEngine: true, Slots: 64}
+			c.Update(masticway.Deployment{Pools: map[string]masticway.Pool{"llm": pool}}, map[string][]masticway.Server{"llm": engines})
+			for i, s := range engines {
+				c.Begin("llm", masticway.EngineRun{ID: fmt.Sprint("r", i), TimeLeft: time.Minute}, s)
+			}
+			for range 25 {
+				clock.advance(100 * time.Millisecond)
+				c.Step(t.Context())
+				if r.reports+r.speeds > 0 {
+					break
+				}
+			}
+			qt.Check(t, r.reports, qt.Equals, tc.reports)
+			qt.Check(t, r.speeds, qt.Equals, tc.speeds)
+		})
+	}
+}
