Correct comments on run IDs, parts of answers and targets of reports

Run IDs are unique at a router, not in the fleet: the forwarder does not know the router's incarnation. recordFirstPart also records the time of each further part. The log line about a changed target is also written for the first target and for the backup. Comments and one log message change, nothing else.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -295,7 +295,7 @@
 	o.SetTarget(target)
 	c.Log.WithFields(logrus.Fields{
 		"event": "engine_owner", "pool": key.pool, "group": key.group, "owner": target, "previous": previous, "ranked": ranked, "open": len(o.runs),
-	}).Info("another router owns a group of engines")
+	}).Info("the reports about a group of engines go to another router")
 }
 
 // ranking is the owner and the backup of a group, as determined at a time.
--- a/engine.go
+++ b/engine.go
@@ -7,7 +7,8 @@
 
 // EngineRun describes one attempt of a request at an engine, as far as the choice of the engine depends on it.
 type EngineRun struct {
-	// ID identifies the attempt: the request's ID and the number of the attempt. It is unique in the fleet.
+	// ID identifies the attempt: the request's ID and a number that is unique at the router. Two routers can use the same ID if a
+	// caller sends requests with the same ID to both.
 	ID        string `cbor:"1,keyasint,omitempty"`
 	Workspace string `cbor:"2,keyasint,omitempty"`
 	// Rank is the urgency, from 0, the most urgent, to 9.
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -315,7 +315,8 @@
 	}
 }
 
-// recordFirstPart records that the first part of the attempt's answer has arrived. Further calls for the attempt have no effect.
+// recordFirstPart records that a part of the attempt's answer has arrived. The first call for the attempt records its first part,
+// further calls only the time of the last part.
 func (a *attempt) recordFirstPart() {
 	now := a.x.f.clock.Now()
 	a.x.markAnswered()
--- a/forwarder/coordination.go
+++ b/forwarder/coordination.go
@@ -39,8 +39,8 @@
 // maxRunParts is the maximum number of prompt parts in the description of a run. More would make messages to other routers large.
 const maxRunParts = 32
 
-// newEngineRun describes the next attempt of the request at an engine. Its number makes the ID unique, also if a caller reuses
-// the ID of a request.
+// newEngineRun describes the next attempt of the request at an engine. Its number makes the ID unique at this router, also
+// if a caller reuses the ID of a request.
 func (x *exchange) newEngineRun() *masticway.EngineRun {
 	q := &x.q
 	return &masticway.EngineRun{
