Derive the diverter's test times from the spans

They now use minSpan and maxSpan. TestNeverTwoZones runs for 9 times the minimum span, as before. The cases of the two longest tests run in parallel.

--- a/diverter/diverter_test.go
+++ b/diverter/diverter_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/masticway/masticway/diverter"
 )
 
 // run runs a test in a deployment that has had an even load for 2 s.
@@ -49,9 +51,9 @@
 			qt.Check(t, w.counts[zone].share() >= 0.95, qt.IsTrue)
 		}
 		w.setCallers(700, even(4)...)
-		_, ok = w.advanceUntil(10*time.Second, func() bool { return w.servesOwnCallers("zone-0") })
+		_, ok = w.advanceUntil(diverter.MinSpan-10*time.Second, func() bool { return w.servesOwnCallers("zone-0") })
 		qt.Assert(t, ok, qt.IsTrue)
-		w.advance(30 * time.Second)
+		w.advance(diverter.MinSpan + 10*time.Second)
 		qt.Check(t, w.changeCount(), qt.Equals, 2)
 	})
 }
@@ -142,6 +144,7 @@
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			run(t, 4, 7, func(t *testing.T, w *world) {
 				if tc.before != nil {
 					tc.before(w)
@@ -161,13 +164,13 @@
 				if tc.during != nil {
 					tc.during(w)
 				}
-				w.advance(10 * time.Second)
+				w.advance(diverter.MinSpan / 2)
 				qt.Check(t, w.isDiverted(zone), qt.IsTrue)
 				w.setCallers(700, even(4)...)
-				w.advance(15 * time.Second)
+				w.advance(diverter.MinSpan/2 + 5*time.Second)
 				diverted, _ := w.diverted(zone)
 				qt.Check(t, diverted, qt.Equals, 0)
-				w.advance(20 * time.Second)
+				w.advance(diverter.MinSpan)
 				qt.Check(t, w.changeCount(), qt.Equals, 2)
 			})
 		})
@@ -190,7 +193,7 @@
 		w.advance(5 * time.Second)
 		qt.Check(t, w.servesOwnCallers("zone-0"), qt.IsTrue)
 		w.setCallers(700, even(4)...)
-		w.advance(20 * time.Second)
+		w.advance(diverter.MinSpan)
 		diverted, _ := w.diverted("zone-0")
 		qt.Check(t, diverted, qt.Equals, 0)
 	})
@@ -239,14 +242,29 @@
 	}
 }
 
+// changesWithin returns how often a zone that is always overloaded begins or ceases to be diverted within a time, if each diversion
+// begins the given time after the previous one has ended.
+func changesWithin(total, gap time.Duration) (n int) {
+	at, span := gap, diverter.MinSpan
+	for at <= total {
+		n++
+		if at += span; at <= total {
+			n++
+		}
+		at, span = at+gap, min(2*span, diverter.MaxSpan)
+	}
+	return n
+}
+
 // TestLastingOverloadCausesFewChanges guards against a zone that is diverted and returns in quick succession. Half of all callers
 // come from one zone for 5 minutes.
 func TestLastingOverloadCausesFewChanges(t *testing.T) {
+	const total, maxGap = 5 * time.Minute, 10 * time.Second
 	run(t, 4, 7, func(t *testing.T, w *world) {
 		w.setCallers(924, busyShares...)
-		w.advance(5 * time.Minute)
+		w.advance(total)
 		t.Logf("%d changes, %.3f of zone-0 and %.3f of zone-1 served", w.changes["zone-0"], w.counts["zone-0"].share(), w.counts["zone-1"].share())
-		qt.Check(t, w.changes["zone-0"] >= 6 && w.changes["zone-0"] <= 10, qt.IsTrue)
+		qt.Check(t, w.changes["zone-0"] >= changesWithin(total, maxGap) && w.changes["zone-0"] <= changesWithin(total, 0), qt.IsTrue)
 		qt.Check(t, w.changeCount(), qt.Equals, w.changes["zone-0"])
 		qt.Check(t, w.counts["zone-0"].share() >= 0.95, qt.IsTrue)
 	})
--- a/diverter/partition_test.go
+++ b/diverter/partition_test.go
@@ -93,13 +93,15 @@
 func TestNeverTwoZones(t *testing.T) {
 	for seed := range uint64(5) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				ctx, stop := context.WithCancel(t.Context())
 				zones := 3 + int(seed)%3
 				w := newWorld(ctx, zones, 5)
 				c := &chaos{w: w, random: rand.New(rand.NewPCG(seed, 9)), busy: map[string]bool{}}
 				c.serve(3 * time.Second)
-				for range 40 {
+				// Changes come every 4.5 s on average, so this takes 9 times the minimum duration of a diversion.
+				for range int(2 * diverter.MinSpan / time.Second) {
 					c.change()
 					c.serve(time.Duration(1+c.random.IntN(8)) * time.Second)
 				}
--- a/diverter/pure_test.go
+++ b/diverter/pure_test.go
@@ -20,31 +20,34 @@
 // long because it was overloaded long ago.
 func TestSpanDoubles(t *testing.T) {
 	type step struct {
-		// at is when the conditions are met, endAt when the diversion ends early, in seconds; zero means that it does not.
-		at, endAt float64
-		want      time.Duration
+		// at is when the conditions are met, and endAt when the diversion ends early; zero means that it does not.
+		at, endAt, want time.Duration
 	}
+	const moment = 3 * time.Second
 	cases := map[string][]step{
-		"overloaded again at once":            {{at: 0, want: 20 * time.Second}, {at: 23, want: 40 * time.Second}, {at: 66, want: 80 * time.Second}, {at: 150, want: 80 * time.Second}},
-		"overloaded again within the span":    {{at: 0, want: 20 * time.Second}, {at: 40, want: 40 * time.Second}},
-		"overloaded again after the span":     {{at: 0, want: 20 * time.Second}, {at: 41, want: 20 * time.Second}},
-		"ended early, then overloaded again":  {{at: 0, endAt: 5, want: 20 * time.Second}, {at: 26, want: 40 * time.Second}},
-		"ended early, overloaded again later": {{at: 0, endAt: 5, want: 20 * time.Second}, {at: 46, want: 20 * time.Second}},
+		"overloaded again at once": {
+			{at: 0, want: minSpan}, {at: minSpan + moment, want: 2 * minSpan}, {at: 3*minSpan + 2*moment, want: maxSpan},
+			{at: 3*minSpan + maxSpan + 3*moment, want: maxSpan},
+		},
+		"overloaded again within the span":    {{at: 0, want: minSpan}, {at: 2 * minSpan, want: 2 * minSpan}},
+		"overloaded again after the span":     {{at: 0, want: minSpan}, {at: 2*minSpan + time.Second, want: minSpan}},
+		"ended early, then overloaded again":  {{at: 0, endAt: moment, want: minSpan}, {at: minSpan + moment, want: 2 * minSpan}},
+		"ended early, overloaded again later": {{at: 0, endAt: moment, want: minSpan}, {at: 2*minSpan + moment + time.Second, want: minSpan}},
 	}
 	for name, steps := range cases {
 		t.Run(name, func(t *testing.T) {
 			var v diversion
 			for _, s := range steps {
-				now := after(s.at)
+				now := start.Add(s.at)
 				qt.Assert(t, v.rested(now), qt.IsTrue)
 				span := v.nextSpan(now)
 				qt.Assert(t, span, qt.Equals, s.want)
 				v.start(now, "c", span)
 				qt.Assert(t, v.isActive(now), qt.IsTrue)
 				if s.endAt > 0 {
-					v.endEarly(after(s.endAt))
-					qt.Assert(t, v.isActive(after(s.endAt)), qt.IsFalse)
-					qt.Assert(t, v.rested(after(s.endAt+19)), qt.IsFalse)
+					v.endEarly(start.Add(s.endAt))
+					qt.Assert(t, v.isActive(start.Add(s.endAt)), qt.IsFalse)
+					qt.Assert(t, v.rested(start.Add(s.endAt+minSpan-time.Second)), qt.IsFalse)
 				}
 			}
 		})
@@ -54,7 +57,7 @@
 // TestAdoptDecision guards against routers that return later than the coordinator has decided, apply an old decision, or miss the
 // early end of a diversion.
 func TestAdoptDecision(t *testing.T) {
-	known := Decision{Number: 3, Coordinator: "b", Span: 20 * time.Second, Left: 10 * time.Second}
+	known := Decision{Number: 3, Coordinator: "b", Span: minSpan, Left: 10 * time.Second}
 	with := func(change func(d *Decision)) Decision {
 		d := known
 		change(&d)
@@ -75,7 +78,7 @@
 		"an older one":                         {sender: "a", d: with(func(d *Decision) { d.Number, d.Left = 2, 15*time.Second }), want: 10},
 		"a newer one":                          {sender: "a", d: with(func(d *Decision) { d.Number, d.Left = 4, 15*time.Second }), want: 15},
 		"the backup's with the same number":    {sender: "c", d: with(func(d *Decision) { d.Coordinator, d.Left = "c", 9*time.Second }), want: 9},
-		"a time that no diversion may last":    {sender: "a", d: with(func(d *Decision) { d.Number, d.Span, d.Left = 4, time.Hour, time.Hour }), want: 80},
+		"a time that no diversion may last":    {sender: "a", d: with(func(d *Decision) { d.Number, d.Span, d.Left = 4, time.Hour, time.Hour }), want: maxSpan.Seconds()},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
