End a diversion early when few zones answer

shouldEndEarly needed two overloaded zones among those with a recent load, so a diversion to a single remaining zone continued although that zone was overloaded, and one to zones that had all died lasted until its end. The number of overloaded zones needed is now at most the number of zones with a known load, and a diversion without any such zone ends.

TestEarlyEndWithoutZones failed in two of four cases before. go test -race ./diverter passes.

--- a/diverter/plan.go
+++ b/diverter/plan.go
@@ -85,16 +85,18 @@
 	return n >= minConsents && l.perRouter >= minExcess*sum/float64(n) && known.judge(l, n) == outcomeWon
 }
 
-// shouldEndEarly updates othersOverloadedSince and reports whether the diversion of the zone should end early because at least
-// minConsents of the other zones are overloaded.
+// shouldEndEarly updates othersOverloadedSince and reports whether the diversion of the zone should end early: because minConsents of
+// the other zones with a known load are overloaded, or all of them if they are fewer. If the load of none is known, nobody may be able
+// to serve the zone's callers.
 func (p *plan) shouldEndEarly(now time.Time) bool {
+	known := p.current(now)
 	overloaded := 0
-	for _, l := range p.current(now) {
+	for _, l := range known {
 		if l.Overloaded {
 			overloaded++
 		}
 	}
-	if overloaded < minConsents {
+	if overloaded < min(minConsents, len(known)) {
 		p.othersOverloadedSince = time.Time{}
 		return false
 	}
--- a/diverter/plan_test.go
+++ b/diverter/plan_test.go
@@ -102,6 +102,38 @@
 	qt.Check(t, check(5, true, true, false), qt.IsTrue)
 }
 
+// TestEarlyEndWithoutZones guards against a diversion that lasts although the zones that consented to it are dead or overloaded.
+func TestEarlyEndWithoutZones(t *testing.T) {
+	cases := map[string]struct {
+		// loads are those of the zones that still answer.
+		loads []ZoneLoad
+		want  bool
+	}{
+		"two of three are dead, the other is overloaded": {loads: []ZoneLoad{loadOf(100, true)}, want: true},
+		"two of three are dead, the other is calm":       {loads: []ZoneLoad{loadOf(100, false)}},
+		"one of three is dead, another is overloaded":    {loads: []ZoneLoad{loadOf(100, true), loadOf(100, false)}},
+		"all three are dead":                             {want: true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			var p plan
+			for i := range 3 {
+				p.record(start, string(rune('a'+i)), loadOf(100, false))
+			}
+			check := func(seconds float64) bool {
+				for i, l := range tc.loads {
+					p.record(after(seconds), string(rune('a'+i)), l)
+				}
+				return p.shouldEndEarly(after(seconds))
+			}
+			qt.Check(t, check(1.9), qt.IsFalse)
+			qt.Check(t, check(2), qt.IsFalse)
+			qt.Check(t, check(2.9), qt.IsFalse)
+			qt.Check(t, check(3), qt.Equals, tc.want)
+		})
+	}
+}
+
 // TestCoordinators guards against routers that choose different coordinators although they know the same routers, and against
 // coordinators without processors to spare.
 func TestCoordinators(t *testing.T) {
