Do not count routers that are not ready as a zone's capacity

Routers that drain, have no configuration or are out of rotation alone were counted as routers of a consenting zone, so callers could be diverted to zones that the load balancer does not use. Reports now contain whether the router is not ready. Such routers count for majorities, and the requests that still reach them count as the zone's, but they are not among its routers; a zone without a ready router abstains and is left out of the conditions.

The proposing zone's own requests per router are still divided by all of its routers.

--- a/diverter/callers_test.go
+++ b/diverter/callers_test.go
@@ -63,7 +63,7 @@
 // probe performs the load balancer's readiness checks.
 func (w *world) probe() {
 	for _, m := range w.routers {
-		if m.down.Load() || m.diverter.IsOut() {
+		if m.down.Load() || m.draining.Load() || m.diverter.IsOut() {
 			m.misses++
 		} else {
 			m.misses = 0
--- a/diverter/coordinate.go
+++ b/diverter/coordinate.go
@@ -248,6 +248,8 @@
 		return VoteAbstain, "not coordinator"
 	}
 	switch {
+	case own.Routers == 0:
+		return VoteAbstain, "no ready router"
 	case s.diversion.isActive(now):
 		return VoteRefuse, "diverted"
 	case own.Overloaded:
--- a/diverter/diverter.go
+++ b/diverter/diverter.go
@@ -61,9 +61,11 @@
 	Routers func() []Router
 	// Applies reports whether the deployment diverts zones at all. While it does not, no message is sent.
 	Applies func() bool
-	Clock   masticway.Clock
-	Log     *logrus.Entry
-	Metrics *measurer.Set
+	// IsServing reports whether this router has its configuration and does not drain.
+	IsServing func() bool
+	Clock     masticway.Clock
+	Log       *logrus.Entry
+	Metrics   *measurer.Set
 }
 
 // Diverter makes a router leave the rotation together with all routers of its zone. It extends the load control of a single router,
--- a/diverter/diverter_test.go
+++ b/diverter/diverter_test.go
@@ -123,6 +123,9 @@
 			},
 			notDiverted: true,
 		},
+		"two other zones drain": {
+			before: func(w *world) { w.drain("zone-1", "zone-2") }, notDiverted: true,
+		},
 		"the zone is unreachable": {
 			before: func(w *world) {
 				w.cut(func(from, to *simRouter) bool { return (from.zone == zone) != (to.zone == zone) })
--- a/diverter/load.go
+++ b/diverter/load.go
@@ -18,7 +18,8 @@
 
 // ZoneLoad is the load of a zone.
 type ZoneLoad struct {
-	// Requests is the estimated number of requests per second of the zone's callers, and Routers the number of routers that report.
+	// Requests is the estimated number of requests per second of the zone's callers. Routers is the number of routers that report
+	// and are ready, and Unready the number of those that report and are not.
 	Requests float64 `cbor:"1,keyasint,omitempty"`
 	Routers  int     `cbor:"2,keyasint,omitempty"`
 	// Overloaded is set if at least overloadedShare of the requests arrive at overloaded routers, or more than refusedShare of the
@@ -26,6 +27,7 @@
 	Overloaded bool `cbor:"3,keyasint,omitempty"`
 	// Unanswered is the number of requests without the first part of an answer.
 	Unanswered int `cbor:"4,keyasint,omitempty"`
+	Unready    int `cbor:"5,keyasint,omitempty"`
 }
 
 // perRouter returns the requests per second for each router.
@@ -41,14 +43,17 @@
 type ownLoad struct {
 	ZoneLoad
 	// perRouter is the number of requests per second for each known router of the zone, if those that do not report get none.
+	// Routers that are not ready count here: an overloaded router that leaves the rotation must not make the zone look as if it
+	// had more callers.
 	perRouter float64
 	// total is the number of requests per second of the zone, if the routers that do not report get as many as the others.
 	total float64
 }
 
 func newOwnLoad(l ZoneLoad, members int) ownLoad {
-	known := max(1, members, l.Routers)
-	return ownLoad{ZoneLoad: l, perRouter: l.Requests / float64(known), total: l.perRouter() * float64(known)}
+	reported := l.Routers + l.Unready
+	known := max(1, members, reported)
+	return ownLoad{ZoneLoad: l, perRouter: l.Requests / float64(known), total: l.Requests / float64(max(1, reported)) * float64(known)}
 }
 
 // reports holds the newest report of each router of a zone, by instance.
@@ -60,7 +65,8 @@
 }
 
 // load returns the load of the zone. It returns false unless a majority of the given routers of the zone have reported. Reports of
-// other routers count as well: a router that has just started may not yet be a known member.
+// other routers count as well: a router that has just started may not yet be a known member. Routers that are not ready count only
+// for the majority, and with the requests of the callers that are still connected to them.
 func (r reports) load(now time.Time, members map[string]bool) (ZoneLoad, bool) {
 	var l ZoneLoad
 	var requests, overloaded, refused, refusedConnections float64
@@ -70,7 +76,11 @@
 			delete(r, instance)
 			continue
 		}
-		l.Routers++
+		if o.Unready {
+			l.Unready++
+		} else {
+			l.Routers++
+		}
 		l.Requests += o.Requests - retriedShare*o.Refused
 		l.Unanswered += o.Unanswered
 		refused += o.Refused
@@ -84,7 +94,7 @@
 		}
 	}
 	// The routers that do not report are assumed to get as many requests as the others, and not to be overloaded.
-	requests *= max(1, float64(len(members))/float64(max(1, l.Routers)))
+	requests *= max(1, float64(len(members))/float64(max(1, l.Routers+l.Unready)))
 	l.Overloaded = requests > 0 && overloaded >= overloadedShare*requests ||
 		refused+refusedConnections > refusedShare*(requests+refusedConnections)
 	return l, 2*known > len(members)
--- a/diverter/loopback_test.go
+++ b/diverter/loopback_test.go
@@ -57,7 +57,7 @@
 	for i, r := range all {
 		r.diverter = diverter.New(diverter.Settings{Instance: r.Instance, Address: r.Address, Zone: r.Zone, Processors: 1}, diverter.Dependencies{
 			Rotation: &r.rotation, Messages: diverter.NewClient(messenger.NewSlowLinkClient()), Clock: masticway.SystemClock{},
-			Log: log.WithField("instance", r.Instance), Metrics: measurer.New(), Applies: func() bool { return true },
+			Log: log.WithField("instance", r.Instance), Metrics: measurer.New(), Applies: func() bool { return true }, IsServing: func() bool { return true },
 			Routers: func() (others []diverter.Router) {
 				for _, o := range all {
 					if o != r {
--- a/diverter/messages.go
+++ b/diverter/messages.go
@@ -33,6 +33,9 @@
 	Consents []Consent `cbor:"9,keyasint,omitempty"`
 	// Echo is Reply.Issued of the last reply of the receiver if the router follows the receiver, or else zero (see allegiance).
 	Echo int64 `cbor:"10,keyasint,omitempty"`
+	// Unready is set if the load balancer should not send new callers to the router for a reason of its own: it drains, has no
+	// configuration, or is out of rotation alone.
+	Unready bool `cbor:"11,keyasint,omitempty"`
 }
 
 // Reply is the coordinator's answer to a Report.
@@ -68,7 +71,8 @@
 	Span time.Duration `cbor:"4,keyasint,omitempty"`
 }
 
-// Vote is a coordinator's answer to PurposeAsk. A coordinator abstains if it does not coordinate its zone at the moment.
+// Vote is a coordinator's answer to PurposeAsk. A coordinator abstains if it does not coordinate its zone at the moment, or if
+// no router of the zone is ready.
 type Vote int
 
 // The votes.
--- a/diverter/plan.go
+++ b/diverter/plan.go
@@ -47,11 +47,11 @@
 	p.others[zone] = knownLoad{ZoneLoad: l, at: now}
 }
 
-// current returns the loads of the other zones that are not outdated.
+// current returns the loads of the other zones that are not outdated. Zones without a ready router are missing.
 func (p *plan) current(now time.Time) map[string]ZoneLoad {
 	all := map[string]ZoneLoad{}
 	for zone, l := range p.others {
-		if now.Sub(l.at) < loadTTL {
+		if now.Sub(l.at) < loadTTL && l.Routers > 0 {
 			all[zone] = l.ZoneLoad
 		}
 	}
@@ -76,11 +76,9 @@
 	sum, n := 0.0, 0
 	known := ballot{}
 	for zone, o := range others {
-		if o.Routers > 0 {
-			sum += o.perRouter()
-			n++
-			known[zone] = DivertReply{Vote: VoteConsent, Load: o}
-		}
+		sum += o.perRouter()
+		n++
+		known[zone] = DivertReply{Vote: VoteConsent, Load: o}
 	}
 	return n >= minConsents && l.perRouter >= minExcess*sum/float64(n) && known.judge(l, n) == outcomeWon
 }
--- a/diverter/pure_test.go
+++ b/diverter/pure_test.go
@@ -169,6 +169,8 @@
 		"a minority reports":                {members: 4, reports: []Report{busy, calm}, notEnough: true, want: ZoneLoad{Requests: 20, Routers: 2, Overloaded: true}},
 		"only one, overloaded, of five":     {members: 5, reports: []Report{busy}, notEnough: true, want: ZoneLoad{Requests: 10, Routers: 1}},
 		"reports are outdated":              {members: 2, reports: []Report{busy, busy}, at: 2.5, notEnough: true},
+		"one drains":                        {members: 3, reports: []Report{calm, calm, {Requests: 4, Unready: true}}, want: ZoneLoad{Requests: 24, Routers: 2, Unready: 1}},
+		"all drain":                         {members: 1, reports: []Report{{Requests: 10, Unready: true}}, want: ZoneLoad{Requests: 10, Unready: 1}},
 		"a starting router is not a member": {members: 1, reports: []Report{calm, calm}, want: ZoneLoad{Requests: 20, Routers: 2}},
 	}
 	for name, tc := range cases {
@@ -181,6 +183,30 @@
 	}
 }
 
+// TestUnreadyZoneDoesNotConsent guards against a diversion to a zone that cannot take any callers.
+func TestUnreadyZoneDoesNotConsent(t *testing.T) {
+	for name, tc := range map[string]struct {
+		unready []bool
+		want    Vote
+	}{
+		"all are ready":    {unready: []bool{false, false}, want: VoteConsent},
+		"one is not ready": {unready: []bool{true, false}, want: VoteConsent},
+		"none is ready":    {unready: []bool{true, true}, want: VoteAbstain},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var all []Report
+			for _, u := range tc.unready {
+				all = append(all, Report{Requests: 10, Echo: start.UnixNano(), Unready: u})
+			}
+			var s state
+			s.reports, s.membership.members = newReports(len(all), all...)
+			load, _ := s.reports.load(start, s.membership.members)
+			vote, _ := s.vote(start, DivertRequest{Purpose: PurposeAsk, Zone: "z", Proposer: "p", Span: minSpan}, load)
+			qt.Assert(t, vote, qt.Equals, tc.want)
+		})
+	}
+}
+
 // TestMajority guards against a consent by a router that too few routers of its zone follow.
 func TestMajority(t *testing.T) {
 	follows, old, none := Report{Echo: after(-1).UnixNano()}, Report{Echo: after(-1.2).UnixNano()}, Report{}
--- a/diverter/report.go
+++ b/diverter/report.go
@@ -97,7 +97,7 @@
 	s, now := &d.state, d.deps.Clock.Now()
 	r := Report{
 		Instance: d.settings.Instance, Zone: d.settings.Zone, Overloaded: overloaded, Unanswered: unanswered,
-		Requests: s.rates.requests, Refused: s.rates.refused, RefusedConnections: s.rates.refusedConnections,
+		Unready: d.Rotation.IsOut() || !d.deps.IsServing(), Requests: s.rates.requests, Refused: s.rates.refused, RefusedConnections: s.rates.refusedConnections,
 		Decision: s.diversion.export(now), Echo: s.allegiance.echo(now, to.Address),
 	}
 	for _, c := range s.heard {
--- a/diverter/world_test.go
+++ b/diverter/world_test.go
@@ -53,6 +53,7 @@
 	stop       context.CancelFunc
 	paused     atomic.Bool
 	down       atomic.Bool
+	draining   atomic.Bool
 	// extraDelay is added to the delay of the router's messages, and linkDelay is the delay of its link, both in nanoseconds.
 	extraDelay, linkDelay atomic.Int64
 	// queue holds the times at which the waiting requests arrived, and credit the part of a request that the link has carried.
@@ -148,7 +149,7 @@
 		},
 	})
 	m.diverter = diverter.New(diverter.Settings{Instance: name, Address: name, Zone: zone, Zones: w.zones, Processors: m.processors}, diverter.Dependencies{
-		Rotation: m.rotator, Messages: m, Routers: m.peers, Applies: w.applies.Load, Clock: emulator.MonotonicClock{},
+		Rotation: m.rotator, Messages: m, Routers: m.peers, Applies: w.applies.Load, IsServing: func() bool { return !m.draining.Load() }, Clock: emulator.MonotonicClock{},
 		Log: log.WithField("", ""), Metrics: measurer.New(),
 	})
 	var ctx context.Context
@@ -168,6 +169,15 @@
 	m.queue = nil
 }
 
+// drain makes all routers of the given zones unready. They serve the callers that are still connected.
+func (w *world) drain(zones ...string) {
+	for _, m := range w.all() {
+		if slices.Contains(zones, m.zone) {
+			m.draining.Store(true)
+		}
+	}
+}
+
 // remove makes other routers forget a router.
 func (w *world) remove(m *simRouter) {
 	w.mu.Lock()
--- a/starter/gateway.go
+++ b/starter/gateway.go
@@ -10,6 +10,7 @@
 	"reflect"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -128,6 +129,8 @@
 	servers        serverGroup
 	listeners      GatewayListeners
 	metrics        *measurer.Set
+	// draining is set once the shutdown has begun.
+	draining atomic.Bool
 	// sharing is held while it is decided and applied whether routers share load.
 	sharing sync.Mutex
 	stop    context.CancelFunc
@@ -172,7 +175,8 @@
 		Instance: s.Instance, Address: s.PeerAddress, Zone: s.Zone, Zones: slices.Collect(maps.Keys(s.Regions)), Processors: s.Processors,
 	}, diverter.Dependencies{
 		Rotation: d.rotator, Messages: diverter.NewClient(messenger.NewSlowLinkClient()), Routers: d.allPeers, Applies: d.sharesLoad,
-		Clock: clock, Log: entry, Metrics: metrics,
+		IsServing: func() bool { return !d.draining.Load() && d.follower.Snapshot().IsReady() },
+		Clock:     clock, Log: entry, Metrics: metrics,
 	})
 	d.store.OnDirectCall(func(took time.Duration, answered bool) { d.rotator.RecordCall(rotator.KindStore, took, answered) })
 	peerClient.ObserveCalls(func(took time.Duration, answered bool) { d.rotator.RecordCall(rotator.KindRouter, took, answered) })
@@ -369,6 +373,7 @@
 func (d *GatewayDaemon) Drain() bool {
 	began := d.clock.Now()
 	grace := time.Duration(d.settings.GraceSeconds * float64(time.Second))
+	d.draining.Store(true)
 	d.forwarder.Drain(began.Add(grace - exitBefore))
 	d.log.WithFields(logrus.Fields{"event": "stopping", "open": d.callerListener.OpenRequests(), "grace": grace}).Info("gateway stopping")
 	d.wait(began.Add(minUnreadyTime), began.Add(minUnreadyTime), d.isIdle)
