Let a release end only consents to earlier proposals

A release named only the proposer, so one that arrived late ended the consent to a newer proposal of the same coordinator, and two zones could get the consent of a third. Requests and consents now contain the number of the proposal, which is derived from the time so that it increases over restarts. A release applies to its number and smaller ones.

TestLateRelease fails if a release ignores the number. go test ./diverter passes.

--- a/diverter/coordinate.go
+++ b/diverter/coordinate.go
@@ -23,9 +23,11 @@
 
 // proposal is a proposal to divert the zone. own was the zone's load when it began.
 type proposal struct {
-	began time.Time
-	span  time.Duration
-	own   ownLoad
+	// number is the number of the proposal, which increases for each coordinator.
+	number int64
+	began  time.Time
+	span   time.Duration
+	own    ownLoad
 	// zones is the number of other zones.
 	zones int
 	// votes delivers the votes.
@@ -48,7 +50,7 @@
 	case !known || zones < minConsents:
 		s.plan.metSince = time.Time{}
 	case s.diversion.isActive(now):
-		d.poll(ctx, now, DivertRequest{Purpose: PurposeHold, Span: s.diversion.until.Sub(now)})
+		d.poll(ctx, now, DivertRequest{Purpose: PurposeHold, Number: s.proposals, Span: s.diversion.until.Sub(now)})
 		if s.plan.shouldEndEarly(now) {
 			s.diversion.endEarly(now)
 			s.plan.othersOverloadedSince = time.Time{}
@@ -107,10 +109,13 @@
 
 // propose asks the other zones for their consent. The caller must hold d.mu.
 func (d *Diverter) propose(ctx context.Context, p *proposal) {
-	p.votes = make(chan ballot, 1)
+	d.state.proposals = max(d.state.proposals+1, p.began.UnixNano())
+	p.votes, p.number = make(chan ballot, 1), d.state.proposals
 	d.state.proposal = p
 	others := d.state.membership.others
-	d.wg.Go(func() { p.votes <- d.askZones(ctx, others, DivertRequest{Purpose: PurposeAsk, Span: p.span}) })
+	d.wg.Go(func() {
+		p.votes <- d.askZones(ctx, others, DivertRequest{Purpose: PurposeAsk, Number: p.number, Span: p.span})
+	})
 }
 
 // checkProposal handles the votes on the current proposal if they are known. The caller must hold d.mu.
@@ -143,7 +148,7 @@
 	default:
 		s.plan.retryAt = now.Add(retryInterval + rand.N(retryInterval))
 		others := s.membership.others
-		d.wg.Go(func() { d.askZones(ctx, others, DivertRequest{Purpose: PurposeRelease}) })
+		d.wg.Go(func() { d.askZones(ctx, others, DivertRequest{Purpose: PurposeRelease, Number: p.number}) })
 		line.Info("cannot divert this zone")
 	}
 }
@@ -233,9 +238,9 @@
 			"requests": reply.Load.Requests, "routers": reply.Load.Routers, "overloaded": reply.Load.Overloaded,
 		}).Info("voted on the diversion of another zone")
 	case PurposeHold:
-		s.consents.give(now, req.Zone, req.Proposer, req.Span+consentMargin)
+		s.consents.give(now, req.Zone, req.Proposer, req.Number, req.Span+consentMargin)
 	case PurposeRelease:
-		s.consents.release(now, req.Proposer)
+		s.consents.release(now, req.Proposer, req.Number)
 	}
 	return reply
 }
@@ -244,7 +249,7 @@
 // the moment abstains, but records its consent, because it may have to take over.
 func (s *state) vote(now time.Time, req DivertRequest, own ZoneLoad) (Vote, string) {
 	if !s.reports.hasMajority(now, s.membership.members) {
-		s.consents.give(now, req.Zone, req.Proposer, req.Span+consentMargin)
+		s.consents.give(now, req.Zone, req.Proposer, req.Number, req.Span+consentMargin)
 		return VoteAbstain, "not coordinator"
 	}
 	switch {
@@ -256,7 +261,7 @@
 		return VoteRefuse, "overloaded"
 	case s.proposal != nil:
 		return VoteRefuse, "proposing"
-	case !s.consents.give(now, req.Zone, req.Proposer, req.Span+consentMargin):
+	case !s.consents.give(now, req.Zone, req.Proposer, req.Number, req.Span+consentMargin):
 		return VoteRefuse, "committed"
 	}
 	return VoteConsent, ""
--- a/diverter/diverter.go
+++ b/diverter/diverter.go
@@ -104,10 +104,12 @@
 	unansweredReports map[string]int
 
 	// The following fields are those of a coordinator.
-	reports         reports
-	consents        consents
-	plan            plan
-	proposal        *proposal
+	reports  reports
+	consents consents
+	plan     plan
+	proposal *proposal
+	// proposals is the number of the last proposal. It is derived from the time, so that it increases over restarts, too.
+	proposals       int64
 	pollAt          time.Time
 	unansweredPolls int
 	// logged are the conditions that were logged last.
--- a/diverter/messages.go
+++ b/diverter/messages.go
@@ -69,6 +69,9 @@
 	Proposer string `cbor:"3,keyasint"`
 	// Span is how much longer the diversion lasts. It is zero unless the purpose is PurposeAsk or PurposeHold.
 	Span time.Duration `cbor:"4,keyasint,omitempty"`
+	// Number is the number of the sender's proposal. It increases with each of them, also over restarts. It is zero if the purpose is PurposeQuery. A consent that is given
+	// back is one to this proposal or to an earlier one of the sender.
+	Number int64 `cbor:"5,keyasint,omitempty"`
 }
 
 // Vote is a coordinator's answer to PurposeAsk. A coordinator abstains if it does not coordinate its zone at the moment, or if
--- a/diverter/pure_test.go
+++ b/diverter/pure_test.go
@@ -99,26 +99,49 @@
 // against a consent that blocks all others for ever.
 func TestConsentToOneZone(t *testing.T) {
 	var c consents
-	qt.Assert(t, c.give(start, "z1", "p", 20*time.Second), qt.IsTrue)
-	qt.Assert(t, c.give(start, "z1", "backup of p", 10*time.Second), qt.IsTrue)
-	qt.Assert(t, c.give(start, "z2", "q", 20*time.Second), qt.IsFalse)
-	c.release(after(1), "backup of p")
-	qt.Assert(t, c.give(after(2), "z2", "q", 20*time.Second), qt.IsFalse)
-	qt.Assert(t, c.export(after(5)), qt.DeepEquals, []Consent{{Zone: "z1", Proposer: "p", Left: 15 * time.Second}})
+	qt.Assert(t, c.give(start, "z1", "p", 1, 20*time.Second), qt.IsTrue)
+	qt.Assert(t, c.give(start, "z1", "backup of p", 1, 10*time.Second), qt.IsTrue)
+	qt.Assert(t, c.give(start, "z2", "q", 1, 20*time.Second), qt.IsFalse)
+	c.release(after(1), "backup of p", 1)
+	qt.Assert(t, c.give(after(2), "z2", "q", 1, 20*time.Second), qt.IsFalse)
+	qt.Assert(t, c.export(after(5)), qt.DeepEquals, []Consent{{Zone: "z1", Proposer: "p", Left: 15 * time.Second, Number: 1}})
 
 	// A successor learns of it from the routers, but not if it has been given back.
 	var successor consents
 	successor.adopt(after(5), c.export(after(5))[0])
-	qt.Assert(t, successor.give(after(19), "z2", "q", 20*time.Second), qt.IsFalse)
-	successor.release(after(19), "p")
-	successor.adopt(after(19.5), Consent{Zone: "z1", Proposer: "p", Left: time.Second})
-	qt.Assert(t, successor.give(after(19.5), "z2", "q", 20*time.Second), qt.IsTrue)
+	qt.Assert(t, successor.give(after(19), "z2", "q", 1, 20*time.Second), qt.IsFalse)
+	successor.release(after(19), "p", 1)
+	successor.adopt(after(19.5), Consent{Zone: "z1", Proposer: "p", Left: time.Second, Number: 1})
+	qt.Assert(t, successor.give(after(19.5), "z2", "q", 1, 20*time.Second), qt.IsTrue)
 
-	qt.Assert(t, c.give(after(20), "z2", "q", 20*time.Second), qt.IsTrue)
+	qt.Assert(t, c.give(after(20), "z2", "q", 1, 20*time.Second), qt.IsTrue)
 	qt.Assert(t, c.givenTo(after(39)), qt.Equals, "z2")
 	qt.Assert(t, c.givenTo(after(40)), qt.Equals, "")
 }
 
+// TestLateRelease guards against a release of an earlier proposal that ends the consent to a later one because it arrives late.
+func TestLateRelease(t *testing.T) {
+	var c consents
+	qt.Assert(t, c.give(start, "z1", "p", 1, minSpan), qt.IsTrue)
+	qt.Assert(t, c.give(after(1), "z1", "p", 2, minSpan), qt.IsTrue)
+	c.release(after(2), "p", 1)
+	qt.Assert(t, c.give(after(2), "z2", "q", 1, minSpan), qt.IsFalse)
+
+	// A router's report of the newer consent counts, but not one of the older.
+	var successor consents
+	successor.release(after(2), "p", 1)
+	successor.adopt(after(2), Consent{Zone: "z1", Proposer: "p", Left: minSpan, Number: 1})
+	qt.Assert(t, successor.givenTo(after(2)), qt.Equals, "")
+	successor.adopt(after(2), Consent{Zone: "z1", Proposer: "p", Left: minSpan, Number: 2})
+	qt.Assert(t, successor.givenTo(after(2)), qt.Equals, "z1")
+
+	// A late release does not make the release of a later proposal forgotten.
+	c.release(after(3), "p", 2)
+	c.release(after(3), "p", 1)
+	c.adopt(after(3), Consent{Zone: "z1", Proposer: "p", Left: minSpan, Number: 2})
+	qt.Assert(t, c.give(after(3), "z2", "q", 1, minSpan), qt.IsTrue)
+}
+
 // TestAllegiance guards against a coordinator and a backup that both have the allegiance of a majority at the same time.
 func TestAllegiance(t *testing.T) {
 	var a allegiance
