Choose large routers as owners of connections

The owner and the backup of a pool's connections were ranked among all routers, so a small one could get the requests of all others, and the requests were sent by the client whose delays count as the router's own load. They are now ranked by RankedLargeAddresses and use a client of their own, as the coordinator does.

go test ./apportioner passes; its fake membership provides only RankedLargeAddresses. The separate client has no test.

--- a/apportioner/apportioner.go
+++ b/apportioner/apportioner.go
@@ -39,9 +39,9 @@
 type Members interface {
 	// Members returns the number of known routers, or zero if it is unknown.
 	Members() int
-	// RankedAddresses returns the addresses of up to limit routers, those with the highest rendezvous weights for a key, highest
-	// first. This router may be among them.
-	RankedAddresses(key string, limit int) []string
+	// RankedLargeAddresses returns the addresses of up to limit routers, those with the highest rendezvous weights for a key,
+	// highest first. Small routers are left out. This router may be among them.
+	RankedLargeAddresses(key string, limit int) []string
 }
 
 // Dependencies holds the dependencies of an apportioner.
@@ -240,7 +240,7 @@
 
 // role returns this router's role for a pool.
 func (a *Apportioner) role(pool string) Role {
-	ranked := a.Members.RankedAddresses(ownerKeyPrefix+pool, maxOwners)
+	ranked := a.Members.RankedLargeAddresses(ownerKeyPrefix+pool, maxOwners)
 	switch {
 	case len(ranked) > 0 && ranked[0] == a.Address:
 		return RoleOwner
@@ -282,7 +282,7 @@
 // askOwners sends a request to the owner and, if it does not grant leases or does not reply, to the backup. It returns the first reply
 // in which NotGranting is not set, and the address of the router that sent it. It returns nil if there is none.
 func (a *Apportioner) askOwners(ctx context.Context, req Request) (*Reply, string) {
-	for _, address := range a.Members.RankedAddresses(ownerKeyPrefix+req.Pool, maxOwners) {
+	for _, address := range a.Members.RankedLargeAddresses(ownerKeyPrefix+req.Pool, maxOwners) {
 		reply, err := a.askRouter(ctx, address, req)
 		if err == nil && !reply.NotGranting {
 			return &reply, address
--- a/apportioner/apportioner_test.go
+++ b/apportioner/apportioner_test.go
@@ -34,7 +34,7 @@
 
 func (m *fixedMembers) Members() int { return m.count }
 
-func (m *fixedMembers) RankedAddresses(_ string, limit int) []string {
+func (m *fixedMembers) RankedLargeAddresses(_ string, limit int) []string {
 	return m.ranked[:min(limit, len(m.ranked))]
 }
 
--- a/starter/gateway.go
+++ b/starter/gateway.go
@@ -192,7 +192,8 @@
 		},
 	})
 	d.apportioner = apportioner.New(apportioner.Dependencies{
-		Routers: apportioner.NewClient(peerClient), Members: d.treasurer, Clock: clock, Log: entry, Metrics: metrics, Self: d.treasurer.Self(), Address: s.PeerAddress,
+		// The rotator doesn't observe these calls: they end after a time that is short for other calls.
+		Routers: apportioner.NewClient(messenger.NewClient()), Members: d.treasurer, Clock: clock, Log: entry, Metrics: metrics, Self: d.treasurer.Self(), Address: s.PeerAddress,
 		TakeUse:          func(pools []string) map[string]masticway.ConnectionUse { return d.forwarder.TakeConnectionUse(pools) },
 		LimitConnections: func(limits map[string]int) { d.forwarder.LimitConnections(limits) },
 	})
