Count connections as leased while requests use them

A router confirmed a smaller lease while requests still used connections above it, and the owner ended leases after a fixed time although their connections were in use, so more connections than the limit were open. A router now does not confirm a smaller lease while its last observed peak is above its allowance. Its requests contain the connections in use above its base, and the granting router counts these as held for as long as a lease. Received leases are clamped to the demand part.

--- a/apportioner/grants.go
+++ b/apportioner/grants.go
@@ -61,10 +61,16 @@
 	wanted   int
 	wantedAt time.Time
 	grants   []grant
+	// inUse is the fraction that it has reported to be in use, which counts until inUseUntil.
+	inUse      float64
+	inUseUntil time.Time
 }
 
-// held returns the fraction of the demand part that a borrower may use.
-func (b *borrower) held() (fraction float64) {
+// held returns the fraction of the demand part that a borrower may use or has reported to use.
+func (b *borrower) held(now time.Time) (fraction float64) {
+	if now.Before(b.inUseUntil) {
+		fraction = b.inUse
+	}
 	for _, g := range b.grants {
 		fraction = max(fraction, g.fraction)
 	}
@@ -118,6 +124,7 @@
 	}
 	sender.grants = slices.DeleteFunc(sender.grants, func(l grant) bool { return l.number < req.Applied[g.self] })
 	sender.wanted, sender.wantedAt = min(req.Wanted, maxLeased(limit, members)), now
+	sender.inUse, sender.inUseUntil = float64(max(0, min(req.Held, part)))/float64(part), now.Add(grantTTL)
 	wanted := map[masticway.Incarnation]int{}
 	total, wantedByOthers, free := part*g.role.quarters()/limitQuarters, 0, float64(g.role.quarters())/limitQuarters
 	for incarnation, b := range g.borrowers {
@@ -131,7 +138,7 @@
 		if isFresh {
 			wantedByOthers += b.wanted
 		}
-		free -= b.held()
+		free -= b.held(now)
 	}
 	share := max(Divide(total, wanted)[req.Sender], min(req.Kept, maxLeased(limit, members), total-wantedByOthers))
 	granted := max(0, min(share, int(free*float64(part)+roundingTolerance)))
@@ -144,6 +151,6 @@
 func (g *Grants) expire(now time.Time) {
 	maps.DeleteFunc(g.borrowers, func(_ masticway.Incarnation, b *borrower) bool {
 		b.grants = slices.DeleteFunc(b.grants, func(l grant) bool { return !now.Before(l.until) })
-		return len(b.grants) == 0 && now.Sub(b.wantedAt) >= demandTTL
+		return len(b.grants) == 0 && !now.Before(b.inUseUntil) && now.Sub(b.wantedAt) >= demandTTL
 	})
 }
--- a/apportioner/leases.go
+++ b/apportioner/leases.go
@@ -30,6 +30,8 @@
 	number        uint64
 	granted, part int
 	until         time.Time
+	// confirmed is the number of the newest lease of the same router that has been confirmed.
+	confirmed uint64
 }
 
 // recentMax is the greatest value that was observed within a time.
@@ -52,6 +54,8 @@
 	leases map[masticway.Incarnation]lease
 	// need is the greatest number of connections needed in the last needTTL, and kept that in the last keptTTL.
 	need, kept recentMax
+	// inUse is the greatest number of connections in use between the last two observations.
+	inUse int
 	// peak and denied are the use since the last request.
 	peak, denied int
 	// asking is set while a request is in flight. askedAt is when the last one was sent, and askedFor what it wanted.
@@ -87,6 +91,7 @@
 // Observe records the use of the connections since the last call, and the need that follows from it: so many connections that the use
 // is at most maxUseShare of them, and one more for each denied request.
 func (l *Leases) Observe(now time.Time, u masticway.ConnectionUse) {
+	l.inUse = u.Peak
 	l.peak, l.denied = max(l.peak, u.Peak), l.denied+u.Denied
 	need := max(int(math.Ceil(float64(u.Peak)/maxUseShare)), u.Peak+u.Denied)
 	l.need.observe(now, need, needTTL)
@@ -103,7 +108,9 @@
 func (l *Leases) Ask(now time.Time, pool string, limit, members int) (Request, bool) {
 	maps.DeleteFunc(l.leases, func(_ masticway.Incarnation, o lease) bool { return !now.Before(o.until) })
 	wanted, kept := aboveBase(l.need.value, limit, members), aboveBase(l.kept.value, limit, members)
-	urgent := l.confirmDue || float64(wanted) >= needGrowth*float64(max(1, l.askedFor))
+	// A smaller lease must not be confirmed while requests still use more connections than it allows.
+	isOver := l.inUse > l.Allowed(now, limit, members)
+	urgent := l.confirmDue && !isOver || float64(wanted) >= needGrowth*float64(max(1, l.askedFor))
 	idle := kept == 0 && !l.confirmDue && !l.hasLease()
 	if l.asking || idle || DemandPart(limit, members) == 0 {
 		return Request{}, false
@@ -111,11 +118,15 @@
 	if since := now.Sub(l.askedAt); since < minAskInterval || since < askInterval && !urgent {
 		return Request{}, false
 	}
-	req := Request{Pool: pool, Sender: l.self, Used: l.peak, Denied: l.denied, Wanted: wanted, Kept: kept, Applied: map[masticway.Incarnation]uint64{}}
+	req := Request{Pool: pool, Sender: l.self, Used: l.peak, Denied: l.denied, Wanted: wanted, Kept: kept, Held: max(0, l.inUse-Base(limit, members)), Applied: map[masticway.Incarnation]uint64{}}
 	for granter, o := range l.leases {
-		req.Applied[granter] = o.number
+		if !isOver {
+			o.confirmed = o.number
+			l.leases[granter] = o
+		}
+		req.Applied[granter] = o.confirmed
 	}
-	l.asking, l.askedAt, l.askedFor, l.confirmDue, l.peak, l.denied = true, now, wanted, false, 0, 0
+	l.asking, l.askedAt, l.askedFor, l.confirmDue, l.peak, l.denied = true, now, wanted, l.confirmDue && isOver, 0, 0
 	return req, true
 }
 
@@ -140,7 +151,8 @@
 	if r.Number <= old.number {
 		return false
 	}
-	l.leases[r.Granter] = lease{number: r.Number, granted: r.Granted, part: r.Part, until: l.askedAt.Add(leaseTTL)}
-	l.confirmDue = r.Granted < old.granted
-	return r.Granted != old.granted
+	granted := max(0, min(r.Granted, r.Part))
+	l.leases[r.Granter] = lease{number: r.Number, granted: granted, part: r.Part, until: l.askedAt.Add(leaseTTL), confirmed: old.confirmed}
+	l.confirmDue = l.confirmDue || granted < old.granted
+	return granted != old.granted
 }
--- a/apportioner/leases_test.go
+++ b/apportioner/leases_test.go
@@ -215,6 +215,53 @@
 	}
 }
 
+// TestOpenConnectionsHold guards against connections that are leased to another router while requests still use them: after a lease
+// has become smaller, and after one has ended because replies are lost. A router whose requests do not arrive either cannot report its use.
+func TestOpenConnectionsHold(t *testing.T) {
+	for _, requestTime := range []time.Duration{200 * time.Millisecond, time.Second, 5 * time.Second} {
+		for name, cut := range map[string]bool{"smaller lease": false, "ended lease": true} {
+			t.Run(fmt.Sprintf("%s, requests of %v", name, requestTime), func(t *testing.T) {
+				w := newWorld(230, 28)
+				w.requestTime = requestTime
+				busy, most := w.other(9), 0
+				busy.demand = 100
+				check := func() {
+					most = max(most, w.open())
+					qt.Assert(t, w.total() <= w.limit, qt.IsTrue)
+				}
+				w.advance(2*settleTime, check)
+				qt.Assert(t, len(busy.ends) > 40, qt.IsTrue)
+				w.isCut = func(_, to *simRouter) bool { return cut && to == busy }
+				for _, r := range w.routers {
+					r.demand = 20
+				}
+				if cut {
+					// The router uses its lease until the end.
+					busy.demand = 100
+				}
+				w.advance(10*time.Second, check)
+				t.Logf("at most %d connections open, the limit is %d", most, w.limit)
+				qt.Assert(t, most <= w.limit, qt.IsTrue)
+				// What the owner grants to a router that gets no replies stays unused.
+				qt.Assert(t, cut || w.total() > w.limit-apportioner.DemandPart(w.limit, 28)/2, qt.IsTrue)
+			})
+		}
+	}
+}
+
+// TestReplyIsClamped guards against a lease of more than the demand part, or of less than nothing, from a faulty reply.
+func TestReplyIsClamped(t *testing.T) {
+	for granted, want := range map[int]int{-5: 6, 0: 6, 57: 63, 1000: 63} {
+		l := apportioner.NewLeases("a~1")
+		now := time.Unix(1000, 0)
+		l.Observe(now, masticway.ConnectionUse{Peak: 6, Denied: 100})
+		_, due := l.Ask(now, pool, 230, 28)
+		qt.Assert(t, due, qt.IsTrue)
+		l.HandleReply(&apportioner.Reply{Granter: "o~1", Number: 1, Granted: granted, Part: 57})
+		qt.Check(t, l.Allowed(now, 230, 28), qt.Equals, want, qt.Commentf("%d granted", granted))
+	}
+}
+
 // TestBackupGrantsWithoutOwner guards against routers that have only their bases for as long as a dead owner is a member.
 func TestBackupGrantsWithoutOwner(t *testing.T) {
 	w := newWorld(230, 28)
--- a/apportioner/messages.go
+++ b/apportioner/messages.go
@@ -26,6 +26,9 @@
 	// Applied has the numbers of the leases that the sender uses, by the router that granted them. They confirm that the sender does
 	// not use earlier ones any more.
 	Applied map[masticway.Incarnation]uint64 `cbor:"7,keyasint,omitempty"`
+	// Held is the number of connections in use in addition to the sender's base, which may exceed its leases: a connection above a
+	// smaller or ended lease stays open until its request has ended.
+	Held int `cbor:"8,keyasint,omitempty"`
 }
 
 // Reply is the reply to a request.
--- a/apportioner/world_test.go
+++ b/apportioner/world_test.go
@@ -29,6 +29,8 @@
 	now     time.Time
 	limit   int
 	routers []*simRouter
+	// requestTime is how long a request keeps its connection in use. If it is zero, a router that must use fewer does so at once.
+	requestTime time.Duration
 	// inFlight holds the messages to deliver.
 	inFlight []message
 	started  int
@@ -61,6 +63,9 @@
 	lastTick   time.Time
 	// demand is how many connections its callers need.
 	demand int
+	// ends holds the times at which the requests of its callers end, and peak their greatest number since the last tick.
+	ends []time.Time
+	peak int
 	// request is the one in flight, sent to the next of targets at sentAt. It is nil if there is none.
 	request *apportioner.Request
 	targets []string
@@ -169,6 +174,24 @@
 	return n
 }
 
+// open returns the sum of all routers' connections in use.
+func (w *world) open() (n int) {
+	for _, r := range w.routers {
+		n += len(r.ends)
+	}
+	return n
+}
+
+// serve ends and begins requests.
+func (r *simRouter) serve() {
+	r.ends = slices.DeleteFunc(r.ends, func(at time.Time) bool { return !r.w.now.Before(at) })
+	for len(r.ends) < min(r.demand, r.allowed()) {
+		// The durations differ, so that the requests do not all end at the same time.
+		r.ends = append(r.ends, r.w.now.Add(r.w.requestTime*time.Duration(50+10*len(r.ends)%100)/100))
+	}
+	r.peak = max(r.peak, len(r.ends))
+}
+
 // bound returns the largest total that is allowed: the limit, or two connections for each router if that is more.
 func (w *world) bound() int { return max(w.limit, 2*len(w.routers)) }
 
@@ -186,6 +209,9 @@
 			}
 		}
 		for _, r := range slices.Clone(w.routers) {
+			if w.requestTime > 0 {
+				r.serve()
+			}
 			if !r.frozen && w.isRunning(r) {
 				r.act()
 			}
@@ -224,7 +250,11 @@
 	}
 	r.grants.SetRole(now, r.role())
 	allowed := r.allowed()
-	r.leases.Observe(now, masticway.ConnectionUse{Peak: min(r.demand, allowed), Denied: max(0, r.demand-allowed)})
+	use := masticway.ConnectionUse{Peak: min(r.demand, allowed), Denied: max(0, r.demand-allowed)}
+	if r.w.requestTime > 0 {
+		use.Peak, r.peak = r.peak, len(r.ends)
+	}
+	r.leases.Observe(now, use)
 	if req, due := r.leases.Ask(now, pool, r.w.limit, len(r.members())); due {
 		r.w.asks++
 		r.request, r.targets = &req, r.ranked()
