Share load with hysteresis at the minimum of routers

A restart of one router at min_routers ended the sharing of load for all of them, and coordinator, diverter and apportioner each evaluated the setting. GatewayDaemon decides this in one place for the three components.

--- a/starter/gateway.go
+++ b/starter/gateway.go
@@ -131,6 +131,9 @@
 	metrics        *measurer.Set
 	// draining is set once the shutdown has begun.
 	draining atomic.Bool
+	// sharingRule decides whether routers share load; ruleMu guards it.
+	ruleMu      sync.Mutex
+	sharingRule sharingRule
 	// sharing is held while it is decided and applied whether routers share load.
 	sharing sync.Mutex
 	stop    context.CancelFunc
@@ -186,7 +189,7 @@
 	d.coordinator = coordinator.New(coordinator.Dependencies{
 		// The rotator doesn't observe these calls: queries end after a time that is short for other calls.
 		Routers: coordinator.NewClient(messenger.NewClient()), Members: d.treasurer, Clock: clock, Log: entry, Metrics: metrics,
-		Self: d.treasurer.Self(), Address: s.PeerAddress, Applies: s.SharesLoad, IsOverloaded: d.rotator.IsOverloaded,
+		Self: d.treasurer.Self(), Address: s.PeerAddress, Applies: d.appliesSharing, IsOverloaded: d.rotator.IsOverloaded,
 		NewEngines: func() coordinator.Engines {
 			return scheduler.NewEngines(scheduler.Policy{RankShare: s.Policy.RankShare, ZoneTokenCost: s.Policy.ZoneTokenCost})
 		},
@@ -326,7 +329,7 @@
 // sharesLoad reports whether the routers of this deployment coordinate the load. It is false until the number of routers is known,
 // which may be after the last snapshot; so it must be called again from time to time.
 func (d *GatewayDaemon) sharesLoad() bool {
-	return d.settings.SharesLoad(d.follower.Snapshot().Deployment, d.treasurer.Members())
+	return d.appliesSharing(d.follower.Snapshot().Deployment, d.treasurer.Members())
 }
 
 // peerHandler returns the handler for calls from other routers.
