Log the loads of other zones field by field

zone_conditions and zone_proposal contained structs as values, and one line was logged for the begin and the end of a diversion. The comment on denied connections now covers idle ones that are too old for a request.

--- a/connections.go
+++ b/connections.go
@@ -5,7 +5,8 @@
 type ConnectionUse struct {
 	// Peak is the greatest number of connections to one server that carried requests at the same time.
 	Peak int
-	// Denied is the number of requests that got no connection to one server, because all that this router may have were in use.
+	// Denied is the number of requests that got no connection to one server because as many as this router may have were open. These
+	// need not all have carried requests: an idle one that is too old for the request counts, too.
 	Denied int
 }
 
--- a/diverter/coordinate.go
+++ b/diverter/coordinate.go
@@ -84,11 +84,18 @@
 		"requests_per_router": own.perRouter, "routers": own.Routers, "unanswered": own.Unanswered,
 	}
 	for zone, l := range s.plan.current(now) {
-		fields["zone_"+zone] = l
+		addLoad(fields, zone, l)
 	}
 	d.deps.Log.WithFields(fields).Info("the conditions for a diversion of this zone have changed")
 }
 
+// addLoad adds the load of another zone to the fields of a log line.
+func addLoad(fields logrus.Fields, zone string, l ZoneLoad) {
+	prefix := "zone_" + zone + "_"
+	fields[prefix+"requests"], fields[prefix+"routers"], fields[prefix+"unready"] = l.Requests, l.Routers, l.Unready
+	fields[prefix+"overloaded"], fields[prefix+"unanswered"] = l.Overloaded, l.Unanswered
+}
+
 // poll sends a request to the coordinators of the other zones if the next poll is due. The caller must hold d.mu.
 func (d *Diverter) poll(ctx context.Context, now time.Time, req DivertRequest) {
 	s := &d.state
@@ -135,7 +142,8 @@
 		"requests": p.own.Requests, "routers": p.own.Routers, "requests_per_router": p.own.perRouter, "unanswered": p.own.Unanswered, "zones": p.zones, "number": s.diversion.number + 1,
 	}
 	for zone, v := range votes {
-		fields["zone_"+zone] = v
+		addLoad(fields, zone, v.Load)
+		fields["zone_"+zone+"_vote"], fields["zone_"+zone+"_reason"] = v.Vote, v.Reason
 	}
 	line := d.deps.Log.WithFields(fields)
 	switch {
--- a/diverter/diverter.go
+++ b/diverter/diverter.go
@@ -223,8 +223,13 @@
 	}
 	d.deps.Metrics.Gauge(metricDiverted, gauge)
 	v := d.state.diversion
-	d.deps.Log.WithFields(logrus.Fields{
+	line := d.deps.Log.WithFields(logrus.Fields{
 		"event": "zone_diverted", "zone": d.settings.Zone, "diverted": diverted, "number": v.number, "coordinator": v.coordinator,
 		"for_ms": v.span.Milliseconds(), "left_ms": max(0, v.until.Sub(now)).Milliseconds(), "ended_early": v.endedEarly,
-	}).Warn("the diversion of this zone has begun or ended")
+	})
+	if diverted {
+		line.Warn("the diversion of this zone has begun")
+	} else {
+		line.Warn("the diversion of this zone has ended")
+	}
 }
