--- a/diverter/coordinate.go
+++ b/diverter/coordinate.go
@@ -23,9 +23,11 @@
 
 // proposal is a proposal to divert the zone. own was the zone's load when it began.
 type proposal struct {
-	began time.Time
-	span  time.Duration
-	own   ownLoad
+	// number is the number of the proposal, which increases for each coordinator.
+	number int64
+	began  time.Time
+	span   time.Duration
+	own    ownLoad
 	// zones is the number of other zones.
 	zones int
 	// votes delivers the votes.
@@ -48,7 +50,7 @@
 	case !known || zones < minConsents:
 		s.plan.metSince = time.Time{}
 	case s.diversion.isActive(now):
-		d.poll(ctx, now, DivertRequest{Purpose: PurposeHold, Span: s.diversion.until.Sub(now)})
+		d.poll(ctx, now, DivertRequest{Purpose: PurposeHold, Number: s.proposals, Span: s.diversion.until.Sub(now)})
 		if s.plan.shouldEndEarly(now) {
 			s.diversion.endEarly(now)
 			s.plan.othersOverloadedSince = time.Time{}
@@ -82,11 +84,18 @@
 		"requests_per_router": own.perRouter, "routers": own.Routers, "unanswered": own.Unanswered,
 	}
 	for zone, l := range s.plan.current(now) {
-		fields["zone_"+zone] = l
+		addLoad(fields, zone, l)
 	}
 	d.deps.Log.WithFields(fields).Info("the conditions for a diversion of this zone have changed")
 }
 
+// addLoad adds the load of another zone to the fields of a log line.
+func addLoad(fields logrus.Fields, zone string, l ZoneLoad) {
+	prefix := "zone_" + zone + "_"
+	fields[prefix+"requests"], fields[prefix+"routers"], fields[prefix+"unready"] = l.Requests, l.Routers, l.Unready
+	fields[prefix+"overloaded"], fields[prefix+"unanswered"] = l.Overloaded, l.Unanswered
+}
+
 // poll sends a request to the coordinators of the other zones if the next poll is due. The caller must hold d.mu.
 func (d *Diverter) poll(ctx context.Context, now time.Time, req DivertRequest) {
 	s := &d.state
@@ -107,10 +116,13 @@
 
 // propose asks the other zones for their consent. The caller must hold d.mu.
 func (d *Diverter) propose(ctx context.Context, p *proposal) {
-	p.votes = make(chan ballot, 1)
+	d.state.proposals = max(d.state.proposals+1, p.began.UnixNano())
+	p.votes, p.number = make(chan ballot, 1), d.state.proposals
 	d.state.proposal = p
 	others := d.state.membership.others
-	d.wg.Go(func() { p.votes <- d.askZones(ctx, others, DivertRequest{Purpose: PurposeAsk, Span: p.span}) })
+	d.wg.Go(func() {
+		p.votes <- d.askZones(ctx, others, DivertRequest{Purpose: PurposeAsk, Number: p.number, Span: p.span})
+	})
 }
 
 // checkProposal handles the votes on the current proposal if they are known. The caller must hold d.mu.
@@ -130,7 +142,8 @@
 		"requests": p.own.Requests, "routers": p.own.Routers, "requests_per_router": p.own.perRouter, "unanswered": p.own.Unanswered, "zones": p.zones, "number": s.diversion.number + 1,
 	}
 	for zone, v := range votes {
-		fields["zone_"+zone] = v
+		addLoad(fields, zone, v.Load)
+		fields["zone_"+zone+"_vote"], fields["zone_"+zone+"_reason"] = v.Vote, v.Reason
 	}
 	line := d.deps.Log.WithFields(fields)
 	switch {
@@ -143,7 +156,7 @@
 	default:
 		s.plan.retryAt = now.Add(retryInterval + rand.N(retryInterval))
 		others := s.membership.others
-		d.wg.Go(func() { d.askZones(ctx, others, DivertRequest{Purpose: PurposeRelease}) })
+		d.wg.Go(func() { d.askZones(ctx, others, DivertRequest{Purpose: PurposeRelease, Number: p.number}) })
 		line.Info("cannot divert this zone")
 	}
 }
@@ -233,9 +246,9 @@
 			"requests": reply.Load.Requests, "routers": reply.Load.Routers, "overloaded": reply.Load.Overloaded,
 		}).Info("voted on the diversion of another zone")
 	case PurposeHold:
-		s.consents.give(now, req.Zone, req.Proposer, req.Span+consentMargin)
+		s.consents.give(now, req.Zone, req.Proposer, req.Number, req.Span+consentMargin)
 	case PurposeRelease:
-		s.consents.release(now, req.Proposer)
+		s.consents.release(now, req.Proposer, req.Number)
 	}
 	return reply
 }
@@ -244,17 +257,19 @@
 // the moment abstains, but records its consent, because it may have to take over.
 func (s *state) vote(now time.Time, req DivertRequest, own ZoneLoad) (Vote, string) {
 	if !s.reports.hasMajority(now, s.membership.members) {
-		s.consents.give(now, req.Zone, req.Proposer, req.Span+consentMargin)
+		s.consents.give(now, req.Zone, req.Proposer, req.Number, req.Span+consentMargin)
 		return VoteAbstain, "not coordinator"
 	}
 	switch {
+	case own.Routers == 0:
+		return VoteAbstain, "no ready router"
 	case s.diversion.isActive(now):
 		return VoteRefuse, "diverted"
 	case own.Overloaded:
 		return VoteRefuse, "overloaded"
 	case s.proposal != nil:
 		return VoteRefuse, "proposing"
-	case !s.consents.give(now, req.Zone, req.Proposer, req.Span+consentMargin):
+	case !s.consents.give(now, req.Zone, req.Proposer, req.Number, req.Span+consentMargin):
 		return VoteRefuse, "committed"
 	}
 	return VoteConsent, ""
--- a/diverter/diverter.go
+++ b/diverter/diverter.go
@@ -61,9 +61,11 @@
 	Routers func() []Router
 	// Applies reports whether the deployment diverts zones at all. While it does not, no message is sent.
 	Applies func() bool
-	Clock   masticway.Clock
-	Log     *logrus.Entry
-	Metrics *measurer.Set
+	// IsServing reports whether this router has its configuration and does not drain.
+	IsServing func() bool
+	Clock     masticway.Clock
+	Log       *logrus.Entry
+	Metrics   *measurer.Set
 }
 
 // Diverter makes a router leave the rotation together with all routers of its zone. It extends the load control of a single router,
@@ -102,10 +104,12 @@
 	unansweredReports map[string]int
 
 	// The following fields are those of a coordinator.
-	reports         reports
-	consents        consents
-	plan            plan
-	proposal        *proposal
+	reports  reports
+	consents consents
+	plan     plan
+	proposal *proposal
+	// proposals is the number of the last proposal. It is derived from the time, so that it increases over restarts, too.
+	proposals       int64
 	pollAt          time.Time
 	unansweredPolls int
 	// logged are the conditions that were logged last.
@@ -219,8 +223,13 @@
 	}
 	d.deps.Metrics.Gauge(metricDiverted, gauge)
 	v := d.state.diversion
-	d.deps.Log.WithFields(logrus.Fields{
+	line := d.deps.Log.WithFields(logrus.Fields{
 		"event": "zone_diverted", "zone": d.settings.Zone, "diverted": diverted, "number": v.number, "coordinator": v.coordinator,
 		"for_ms": v.span.Milliseconds(), "left_ms": max(0, v.until.Sub(now)).Milliseconds(), "ended_early": v.endedEarly,
-	}).Warn("the diversion of this zone has begun or ended")
+	})
+	if diverted {
+		line.Warn("the diversion of this zone has begun")
+	} else {
+		line.Warn("the diversion of this zone has ended")
+	}
 }
--- a/diverter/plan.go
+++ b/diverter/plan.go
@@ -47,11 +47,11 @@
 	p.others[zone] = knownLoad{ZoneLoad: l, at: now}
 }
 
-// current returns the loads of the other zones that are not outdated.
+// current returns the loads of the other zones that are not outdated. Zones without a ready router are missing.
 func (p *plan) current(now time.Time) map[string]ZoneLoad {
 	all := map[string]ZoneLoad{}
 	for zone, l := range p.others {
-		if now.Sub(l.at) < loadTTL {
+		if now.Sub(l.at) < loadTTL && l.Routers > 0 {
 			all[zone] = l.ZoneLoad
 		}
 	}
@@ -76,25 +76,25 @@
 	sum, n := 0.0, 0
 	known := ballot{}
 	for zone, o := range others {
-		if o.Routers > 0 {
-			sum += o.perRouter()
-			n++
-			known[zone] = DivertReply{Vote: VoteConsent, Load: o}
-		}
+		sum += o.perRouter()
+		n++
+		known[zone] = DivertReply{Vote: VoteConsent, Load: o}
 	}
 	return n >= minConsents && l.perRouter >= minExcess*sum/float64(n) && known.judge(l, n) == outcomeWon
 }
 
-// shouldEndEarly updates othersOverloadedSince and reports whether the diversion of the zone should end early because at least
-// minConsents of the other zones are overloaded.
+// shouldEndEarly updates othersOverloadedSince and reports whether the diversion of the zone should end early: because minConsents of
+// the other zones with a known load are overloaded, or all of them if they are fewer. If the load of none is known, nobody may be able
+// to serve the zone's callers.
 func (p *plan) shouldEndEarly(now time.Time) bool {
+	known := p.current(now)
 	overloaded := 0
-	for _, l := range p.current(now) {
+	for _, l := range known {
 		if l.Overloaded {
 			overloaded++
 		}
 	}
-	if overloaded < minConsents {
+	if overloaded < min(minConsents, len(known)) {
 		p.othersOverloadedSince = time.Time{}
 		return false
 	}
--- a/diverter/pure_test.go
+++ b/diverter/pure_test.go
@@ -20,31 +20,34 @@
 // long because it was overloaded long ago.
 func TestSpanDoubles(t *testing.T) {
 	type step struct {
-		// at is when the conditions are met, endAt when the diversion ends early, in seconds; zero means that it does not.
-		at, endAt float64
-		want      time.Duration
+		// at is when the conditions are met, and endAt when the diversion ends early; zero means that it does not.
+		at, endAt, want time.Duration
 	}
+	const moment = 3 * time.Second
 	cases := map[string][]step{
-		"overloaded again at once":            {{at: 0, want: 20 * time.Second}, {at: 23, want: 40 * time.Second}, {at: 66, want: 80 * time.Second}, {at: 150, want: 80 * time.Second}},
-		"overloaded again within the span":    {{at: 0, want: 20 * time.Second}, {at: 40, want: 40 * time.Second}},
-		"overloaded again after the span":     {{at: 0, want: 20 * time.Second}, {at: 41, want: 20 * time.Second}},
-		"ended early, then overloaded again":  {{at: 0, endAt: 5, want: 20 * time.Second}, {at: 26, want: 40 * time.Second}},
-		"ended early, overloaded again later": {{at: 0, endAt: 5, want: 20 * time.Second}, {at: 46, want: 20 * time.Second}},
+		"overloaded again at once": {
+			{at: 0, want: minSpan}, {at: minSpan + moment, want: 2 * minSpan}, {at: 3*minSpan + 2*moment, want: maxSpan},
+			{at: 3*minSpan + maxSpan + 3*moment, want: maxSpan},
+		},
+		"overloaded again within the span":    {{at: 0, want: minSpan}, {at: 2 * minSpan, want: 2 * minSpan}},
+		"overloaded again after the span":     {{at: 0, want: minSpan}, {at: 2*minSpan + time.Second, want: minSpan}},
+		"ended early, then overloaded again":  {{at: 0, endAt: moment, want: minSpan}, {at: minSpan + moment, want: 2 * minSpan}},
+		"ended early, overloaded again later": {{at: 0, endAt: moment, want: minSpan}, {at: 2*minSpan + moment + time.Second, want: minSpan}},
 	}
 	for name, steps := range cases {
 		t.Run(name, func(t *testing.T) {
 			var v diversion
 			for _, s := range steps {
-				now := after(s.at)
+				now := start.Add(s.at)
 				qt.Assert(t, v.rested(now), qt.IsTrue)
 				span := v.nextSpan(now)
 				qt.Assert(t, span, qt.Equals, s.want)
 				v.start(now, "c", span)
 				qt.Assert(t, v.isActive(now), qt.IsTrue)
 				if s.endAt > 0 {
-					v.endEarly(after(s.endAt))
-					qt.Assert(t, v.isActive(after(s.endAt)), qt.IsFalse)
-					qt.Assert(t, v.rested(after(s.endAt+19)), qt.IsFalse)
+					v.endEarly(start.Add(s.endAt))
+					qt.Assert(t, v.isActive(start.Add(s.endAt)), qt.IsFalse)
+					qt.Assert(t, v.rested(start.Add(s.endAt+minSpan-time.Second)), qt.IsFalse)
 				}
 			}
 		})
@@ -54,7 +57,7 @@
 // TestAdoptDecision guards against routers that return later than the coordinator has decided, apply an old decision, or miss the
 // early end of a diversion.
 func TestAdoptDecision(t *testing.T) {
-	known := Decision{Number: 3, Coordinator: "b", Span: 20 * time.Second, Left: 10 * time.Second}
+	known := Decision{Number: 3, Coordinator: "b", Span: minSpan, Left: 10 * time.Second}
 	with := func(change func(d *Decision)) Decision {
 		d := known
 		change(&d)
@@ -75,7 +78,7 @@
 		"an older one":                         {sender: "a", d: with(func(d *Decision) { d.Number, d.Left = 2, 15*time.Second }), want: 10},
 		"a newer one":                          {sender: "a", d: with(func(d *Decision) { d.Number, d.Left = 4, 15*time.Second }), want: 15},
 		"the backup's with the same number":    {sender: "c", d: with(func(d *Decision) { d.Coordinator, d.Left = "c", 9*time.Second }), want: 9},
-		"a time that no diversion may last":    {sender: "a", d: with(func(d *Decision) { d.Number, d.Span, d.Left = 4, time.Hour, time.Hour }), want: 80},
+		"a time that no diversion may last":    {sender: "a", d: with(func(d *Decision) { d.Number, d.Span, d.Left = 4, time.Hour, time.Hour }), want: maxSpan.Seconds()},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -96,26 +99,49 @@
 // against a consent that blocks all others for ever.
 func TestConsentToOneZone(t *testing.T) {
 	var c consents
-	qt.Assert(t, c.give(start, "z1", "p", 20*time.Second), qt.IsTrue)
-	qt.Assert(t, c.give(start, "z1", "backup of p", 10*time.Second), qt.IsTrue)
-	qt.Assert(t, c.give(start, "z2", "q", 20*time.Second), qt.IsFalse)
-	c.release(after(1), "backup of p")
-	qt.Assert(t, c.give(after(2), "z2", "q", 20*time.Second), qt.IsFalse)
-	qt.Assert(t, c.export(after(5)), qt.DeepEquals, []Consent{{Zone: "z1", Proposer: "p", Left: 15 * time.Second}})
+	qt.Assert(t, c.give(start, "z1", "p", 1, 20*time.Second), qt.IsTrue)
+	qt.Assert(t, c.give(start, "z1", "backup of p", 1, 10*time.Second), qt.IsTrue)
+	qt.Assert(t, c.give(start, "z2", "q", 1, 20*time.Second), qt.IsFalse)
+	c.release(after(1), "backup of p", 1)
+	qt.Assert(t, c.give(after(2), "z2", "q", 1, 20*time.Second), qt.IsFalse)
+	qt.Assert(t, c.export(after(5)), qt.DeepEquals, []Consent{{Zone: "z1", Proposer: "p", Left: 15 * time.Second, Number: 1}})
 
 	// A successor learns of it from the routers, but not if it has been given back.
 	var successor consents
 	successor.adopt(after(5), c.export(after(5))[0])
-	qt.Assert(t, successor.give(after(19), "z2", "q", 20*time.Second), qt.IsFalse)
-	successor.release(after(19), "p")
-	successor.adopt(after(19.5), Consent{Zone: "z1", Proposer: "p", Left: time.Second})
-	qt.Assert(t, successor.give(after(19.5), "z2", "q", 20*time.Second), qt.IsTrue)
+	qt.Assert(t, successor.give(after(19), "z2", "q", 1, 20*time.Second), qt.IsFalse)
+	successor.release(after(19), "p", 1)
+	successor.adopt(after(19.5), Consent{Zone: "z1", Proposer: "p", Left: time.Second, Number: 1})
+	qt.Assert(t, successor.give(after(19.5), "z2", "q", 1, 20*time.Second), qt.IsTrue)
 
-	qt.Assert(t, c.give(after(20), "z2", "q", 20*time.Second), qt.IsTrue)
+	qt.Assert(t, c.give(after(20), "z2", "q", 1, 20*time.Second), qt.IsTrue)
 	qt.Assert(t, c.givenTo(after(39)), qt.Equals, "z2")
 	qt.Assert(t, c.givenTo(after(40)), qt.Equals, "")
 }
 
+// TestLateRelease guards against a release of an earlier proposal that ends the consent to a later one because it arrives late.
+func TestLateRelease(t *testing.T) {
+	var c consents
+	qt.Assert(t, c.give(start, "z1", "p", 1, minSpan), qt.IsTrue)
+	qt.Assert(t, c.give(after(1), "z1", "p", 2, minSpan), qt.IsTrue)
+	c.release(after(2), "p", 1)
+	qt.Assert(t, c.give(after(2), "z2", "q", 1, minSpan), qt.IsFalse)
+
+	// A router's report of the newer consent counts, but not one of the older.
+	var successor consents
+	successor.release(after(2), "p", 1)
+	successor.adopt(after(2), Consent{Zone: "z1", Proposer: "p", Left: minSpan, Number: 1})
+	qt.Assert(t, successor.givenTo(after(2)), qt.Equals, "")
+	successor.adopt(after(2), Consent{Zone: "z1", Proposer: "p", Left: minSpan, Number: 2})
+	qt.Assert(t, successor.givenTo(after(2)), qt.Equals, "z1")
+
+	// A late release does not make the release of a later proposal forgotten.
+	c.release(after(3), "p", 2)
+	c.release(after(3), "p", 1)
+	c.adopt(after(3), Consent{Zone: "z1", Proposer: "p", Left: minSpan, Number: 2})
+	qt.Assert(t, c.give(after(3), "z2", "q", 1, minSpan), qt.IsTrue)
+}
+
 // TestAllegiance guards against a coordinator and a backup that both have the allegiance of a majority at the same time.
 func TestAllegiance(t *testing.T) {
 	var a allegiance
@@ -166,6 +192,8 @@
 		"a minority reports":                {members: 4, reports: []Report{busy, calm}, notEnough: true, want: ZoneLoad{Requests: 20, Routers: 2, Overloaded: true}},
 		"only one, overloaded, of five":     {members: 5, reports: []Report{busy}, notEnough: true, want: ZoneLoad{Requests: 10, Routers: 1}},
 		"reports are outdated":              {members: 2, reports: []Report{busy, busy}, at: 2.5, notEnough: true},
+		"one drains":                        {members: 3, reports: []Report{calm, calm, {Requests: 4, Unready: true}}, want: ZoneLoad{Requests: 24, Routers: 2, Unready: 1}},
+		"all drain":                         {members: 1, reports: []Report{{Requests: 10, Unready: true}}, want: ZoneLoad{Requests: 10, Unready: 1}},
 		"a starting router is not a member": {members: 1, reports: []Report{calm, calm}, want: ZoneLoad{Requests: 20, Routers: 2}},
 	}
 	for name, tc := range cases {
@@ -178,6 +206,30 @@
 	}
 }
 
+// TestUnreadyZoneDoesNotConsent guards against a diversion to a zone that cannot take any callers.
+func TestUnreadyZoneDoesNotConsent(t *testing.T) {
+	for name, tc := range map[string]struct {
+		unready []bool
+		want    Vote
+	}{
+		"all are ready":    {unready: []bool{false, false}, want: VoteConsent},
+		"one is not ready": {unready: []bool{true, false}, want: VoteConsent},
+		"none is ready":    {unready: []bool{true, true}, want: VoteAbstain},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var all []Report
+			for _, u := range tc.unready {
+				all = append(all, Report{Requests: 10, Echo: start.UnixNano(), Unready: u})
+			}
+			var s state
+			s.reports, s.membership.members = newReports(len(all), all...)
+			load, _ := s.reports.load(start, s.membership.members)
+			vote, _ := s.vote(start, DivertRequest{Purpose: PurposeAsk, Zone: "z", Proposer: "p", Span: minSpan}, load)
+			qt.Assert(t, vote, qt.Equals, tc.want)
+		})
+	}
+}
+
 // TestMajority guards against a consent by a router that too few routers of its zone follow.
 func TestMajority(t *testing.T) {
 	follows, old, none := Report{Echo: after(-1).UnixNano()}, Report{Echo: after(-1.2).UnixNano()}, Report{}
--- a/starter/gateway.go
+++ b/starter/gateway.go
@@ -10,6 +10,7 @@
 	"reflect"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -128,6 +129,11 @@
 	servers        serverGroup
 	listeners      GatewayListeners
 	metrics        *measurer.Set
+	// draining is set once the shutdown has begun.
+	draining atomic.Bool
+	// sharingRule decides whether routers share load; ruleMu guards it.
+	ruleMu      sync.Mutex
+	sharingRule sharingRule
 	// sharing is held while it is decided and applied whether routers share load.
 	sharing sync.Mutex
 	stop    context.CancelFunc
@@ -172,7 +178,8 @@
 		Instance: s.Instance, Address: s.PeerAddress, Zone: s.Zone, Zones: slices.Collect(maps.Keys(s.Regions)), Processors: s.Processors,
 	}, diverter.Dependencies{
 		Rotation: d.rotator, Messages: diverter.NewClient(messenger.NewSlowLinkClient()), Routers: d.allPeers, Applies: d.sharesLoad,
-		Clock: clock, Log: entry, Metrics: metrics,
+		IsServing: func() bool { return !d.draining.Load() && d.follower.Snapshot().IsReady() },
+		Clock:     clock, Log: entry, Metrics: metrics,
 	})
 	d.store.OnDirectCall(func(took time.Duration, answered bool) { d.rotator.RecordCall(rotator.KindStore, took, answered) })
 	peerClient.ObserveCalls(func(took time.Duration, answered bool) { d.rotator.RecordCall(rotator.KindRouter, took, answered) })
@@ -182,14 +189,15 @@
 	d.coordinator = coordinator.New(coordinator.Dependencies{
 		// The rotator doesn't observe these calls: queries end after a time that is short for other calls.
 		Routers: coordinator.NewClient(messenger.NewClient()), Members: d.treasurer, Clock: clock, Log: entry, Metrics: metrics,
-		Self: d.treasurer.Self(), Address: s.PeerAddress, Applies: s.SharesLoad, IsOverloaded: d.rotator.IsOverloaded,
+		Self: d.treasurer.Self(), Address: s.PeerAddress, Applies: d.appliesSharing, IsOverloaded: d.rotator.IsOverloaded,
 		QueryTimeout: s.Policy.SharedLoad.QueryTimeout,
 		NewEngines: func() coordinator.Engines {
 			return scheduler.NewEngines(scheduler.Policy{RankShare: s.Policy.RankShare, ZoneTokenCost: s.Policy.ZoneTokenCost})
 		},
 	})
 	d.apportioner = apportioner.New(apportioner.Dependencies{
-		Routers: apportioner.NewClient(peerClient), Members: d.treasurer, Clock: clock, Log: entry, Metrics: metrics, Self: d.treasurer.Self(), Address: s.PeerAddress,
+		// The rotator doesn't observe these calls: they end after a time that is short for other calls.
+		Routers: apportioner.NewClient(messenger.NewClient()), Members: d.treasurer, Clock: clock, Log: entry, Metrics: metrics, Self: d.treasurer.Self(), Address: s.PeerAddress,
 		TakeUse:          func(pools []string) map[string]masticway.ConnectionUse { return d.forwarder.TakeConnectionUse(pools) },
 		LimitConnections: func(limits map[string]int) { d.forwarder.LimitConnections(limits) },
 	})
@@ -322,7 +330,7 @@
 // sharesLoad reports whether the routers of this deployment coordinate the load. It is false until the number of routers is known,
 // which may be after the last snapshot; so it must be called again from time to time.
 func (d *GatewayDaemon) sharesLoad() bool {
-	return d.settings.SharesLoad(d.follower.Snapshot().Deployment, d.treasurer.Members())
+	return d.appliesSharing(d.follower.Snapshot().Deployment, d.treasurer.Members())
 }
 
 // peerHandler returns the handler for calls from other routers.
@@ -370,6 +378,7 @@
 func (d *GatewayDaemon) Drain() bool {
 	began := d.clock.Now()
 	grace := time.Duration(d.settings.GraceSeconds * float64(time.Second))
+	d.draining.Store(true)
 	d.forwarder.Drain(began.Add(grace - exitBefore))
 	d.log.WithFields(logrus.Fields{"event": "stopping", "open": d.callerListener.OpenRequests(), "grace": grace}).Info("gateway stopping")
 	d.wait(began.Add(minUnreadyTime), began.Add(minUnreadyTime), d.isIdle)
