--- a/diverter/load.go
+++ b/diverter/load.go
@@ -9,6 +9,10 @@
 	// overloaded, and refusedShare the share of its requests and connections above which refusals make it overloaded.
 	overloadedShare = 0.25
 	refusedShare    = 0.05
+	// minPressedRouters is the minimum number of a zone's routers that must be overloaded, refuse for overload or not be ready for
+	// the zone to be overloaded, if it has so many. A single overloaded router leaves the rotation by itself (see package rotator). If the whole
+	// zone were diverted, the few callers that overload it would overload one router after the other in the other zones.
+	minPressedRouters = 2
 	// retriedShare is the assumed share of the refused requests that callers send again to another router of the zone, where they
 	// are counted again. A caller tries a second router, but not a third.
 	retriedShare = 0.5
@@ -22,8 +26,8 @@
 	// and are ready, and Unready the number of those that report and are not.
 	Requests float64 `cbor:"1,keyasint,omitempty"`
 	Routers  int     `cbor:"2,keyasint,omitempty"`
-	// Overloaded is set if at least overloadedShare of the requests arrive at overloaded routers, or more than refusedShare of the
-	// requests and connections are refused for overload.
+	// Overloaded is set if at least minPressedRouters are overloaded, refuse or are not ready and, besides, at least overloadedShare of the
+	// requests arrive at overloaded routers or more than refusedShare of the requests and connections are refused for overload.
 	Overloaded bool `cbor:"3,keyasint,omitempty"`
 	// Unanswered is the number of requests without the first part of an answer.
 	Unanswered int `cbor:"4,keyasint,omitempty"`
@@ -70,7 +74,7 @@
 func (r reports) load(now time.Time, members map[string]bool) (ZoneLoad, bool) {
 	var l ZoneLoad
 	var requests, overloaded, refused, refusedConnections float64
-	known := 0
+	known, pressed := 0, 0
 	for instance, o := range r {
 		if now.Sub(o.at) >= reportTTL {
 			delete(r, instance)
@@ -89,14 +93,17 @@
 		if o.Overloaded {
 			overloaded += o.Requests
 		}
+		if o.Overloaded || o.Unready || o.Refused+o.RefusedConnections > 0 {
+			pressed++
+		}
 		if members[instance] {
 			known++
 		}
 	}
 	// The routers that do not report are assumed to get as many requests as the others, and not to be overloaded.
 	requests *= max(1, float64(len(members))/float64(max(1, l.Routers+l.Unready)))
-	l.Overloaded = requests > 0 && overloaded >= overloadedShare*requests ||
-		refused+refusedConnections > refusedShare*(requests+refusedConnections)
+	l.Overloaded = pressed >= min(minPressedRouters, l.Routers+l.Unready) &&
+		(requests > 0 && overloaded >= overloadedShare*requests || refused+refusedConnections > refusedShare*(requests+refusedConnections))
 	return l, 2*known > len(members)
 }
 
