Discard the first reading of the use of connections

The first reading covers all time since the process started, or since the pool was last divided, so routers asked for leases because of old peaks and old denied requests. The apportioner ignores it. Discarding it in sender.TakeUse instead made TestConnectionsFollowApportioner of package forwarder fail, which reads the use once.

TestFirstReadingIsDiscarded fails without the change. go test -race ./apportioner passes.

--- a/apportioner/apportioner.go
+++ b/apportioner/apportioner.go
@@ -67,6 +67,9 @@
 	limit  int
 	leases *Leases
 	grants *Grants
+	// observing is set while the use of connections is read in each interval. The first reading is discarded, because it covers the
+	// time since the start of the process or since the pool was last divided.
+	observing bool
 }
 
 // Apportioner applies the decisions of Leases and Grants, and exchanges leases with other routers.
@@ -207,10 +210,14 @@
 			role = RoleNone
 		}
 		a.setRole(now, name, s, role)
+		wasObserving := s.observing
+		s.observing = isDivided
 		if !isDivided {
 			continue
 		}
-		s.leases.Observe(now, uses[name])
+		if wasObserving {
+			s.leases.Observe(now, uses[name])
+		}
 		if req, due := s.leases.Ask(now, name, s.limit, members); due {
 			leases := s.leases
 			asks = append(asks, func(ctx context.Context) { a.ask(ctx, leases, req) })
--- a/apportioner/apportioner_test.go
+++ b/apportioner/apportioner_test.go
@@ -296,3 +296,19 @@
 	f(address)
 	return apportioner.Reply{}, errNoRouter
 }
+
+// TestFirstReadingIsDiscarded guards against requests for leases because of use before the pool was divided, which may be long ago.
+func TestFirstReadingIsDiscarded(t *testing.T) {
+	members := &fixedMembers{count: 28, ranked: []string{"owner", "backup"}}
+	f := newFixture("asking", &fixedClock{now: time.Unix(1000, 0)}, members, &fakeRouters{})
+	for _, divides := range []bool{true, false, true} {
+		f.Configure(plainPools, divides)
+		f.use = masticway.ConnectionUse{Peak: 100, Denied: 20}
+		qt.Assert(t, f.Tick(), qt.HasLen, 0)
+		f.use = masticway.ConnectionUse{}
+		f.clock.now = f.clock.now.Add(time.Second)
+		qt.Assert(t, f.Tick(), qt.HasLen, 0)
+	}
+	f.use = masticway.ConnectionUse{Peak: 100}
+	qt.Assert(t, f.Tick(), qt.HasLen, 1)
+}
