--- a/engine.go
+++ b/engine.go
@@ -7,7 +7,8 @@
 
 // EngineRun describes one attempt of a request at an engine, as far as the choice of the engine depends on it.
 type EngineRun struct {
-	// ID identifies the attempt: the request's ID and the number of the attempt. It is unique in the fleet.
+	// ID identifies the attempt: the request's ID and a number that is unique at the router. Two routers can use the same ID if a
+	// caller sends requests with the same ID to both.
 	ID        string `cbor:"1,keyasint,omitempty"`
 	Workspace string `cbor:"2,keyasint,omitempty"`
 	// Rank is the urgency, from 0, the most urgent, to 9.
@@ -33,10 +34,13 @@
 	Server ServerIncarnation `cbor:"1,keyasint,omitempty"`
 	// Wait is the expected time to the first event at this engine.
 	Wait time.Duration `cbor:"2,keyasint,omitempty"`
-	// Full is set if no engine can produce the first event before the deadline. RetryAfter is then the time after which one
-	// probably can.
+	// Full is set if no engine can produce the first event before the deadline, or if the engines are contended, Level is 2 and none
+	// can produce it within the objective. RetryAfter is then the time after which one probably can.
 	Full       bool          `cbor:"3,keyasint,omitempty"`
 	RetryAfter time.Duration `cbor:"4,keyasint,omitempty"`
+	// Level says how far the workspace of the run exceeds its fair share of contended engines: 0, 1 above 1.5 times the share, or 2
+	// above 3 times the share.
+	Level int `cbor:"5,keyasint,omitempty"`
 }
 
 // EngineRunState is how far a run has progressed. States only grow.
@@ -54,7 +58,7 @@
 type EngineReport struct {
 	// Run is the ID of the run.
 	Run string `cbor:"1,keyasint,omitempty"`
-	// Server is the engine at which it runs.
+	// Server is the engine at which it runs. It is empty if the run has ended without being sent.
 	Server ServerIncarnation `cbor:"2,keyasint,omitempty"`
 	State  EngineRunState    `cbor:"3,keyasint,omitempty"`
 	// Age is the time since the run reached its state, by the sender's clock.
@@ -66,6 +70,8 @@
 	StreamedFor time.Duration `cbor:"7,keyasint,omitempty"`
 	// Details describes the run. It is nil if the receiver chose the engine itself and the sender has accepted that choice.
 	Details *EngineRun `cbor:"8,keyasint,omitempty"`
+	// IsNeutral is set if the end of the run says nothing about the engine, for example because the caller has left.
+	IsNeutral bool `cbor:"9,keyasint,omitempty"`
 }
 
 // EngineSpeed is what is known of an engine's prefill speed.
@@ -88,12 +94,17 @@
 
 // EngineCoordinator chooses engines by the load that all routers together cause.
 type EngineCoordinator interface {
+	// AppliesTo reports whether runs at the engines of a pool are coordinated. If not, the other methods do nothing.
+	AppliesTo(pool string) bool
 	// Place queries the owner of the run's group of engines. It returns false if local estimates must decide.
 	Place(ctx context.Context, q EngineQuery) (EngineChoice, bool)
 	// Begin, FirstEvent and End report the progress of a run, wherever its engine was chosen. They do not block.
+	// End must be called for each run that was placed or begun, also if it was not sent.
 	Begin(pool string, r EngineRun, server Server)
 	FirstEvent(run string, took time.Duration)
-	End(run string, events int, streamedFor time.Duration)
-	// SlowEngines returns the IDs of the pool's engines that are known to be slow, for local choices.
-	SlowEngines(pool string) map[string]bool
+	// failed is set if the run ended because of the engine.
+	End(run string, events int, streamedFor time.Duration, failed bool)
+	// HomeWeights returns the shares of the pool's engines in the homes of prompts, relative to an engine of normal speed, by server
+	// ID, for local choices. Engines that are not in the map have share 1. The caller must not change the map.
+	HomeWeights(pool string) map[string]float64
 }
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -28,6 +28,8 @@
 type attempt struct {
 	x      *exchange
 	server masticway.Server
+	// urgency is that with which the request is sent (see exchange.urgency).
+	urgency int
 	// placement is the chooser's record of the attempt.
 	placement *chooser.Placement
 	// parent is the exchange's context.
@@ -44,8 +46,10 @@
 	// by reportToExaminer.
 	quarantined bool
 	// firstAt is when the first events of a stream arrived from this server or, for other answers, the whole answer. It is zero
-	// until then.
-	firstAt time.Time
+	// until then. lastAt is when the last part arrived.
+	firstAt, lastAt time.Time
+	// coordinated is the run as it is reported to the coordinator.
+	coordinated coordinatedRun
 }
 
 // runAttempt runs an attempt to its end and records its result in the load and health of its server. If the caller has left, the
@@ -53,7 +57,9 @@
 func (x *exchange) runAttempt(ctx context.Context, a *attempt) outcome {
 	defer a.cancel(nil)
 	x.server = a.server.ID
+	events := x.events
 	out := a.run()
+	a.coordinated.events = x.events - events
 	if errors.Is(ctx.Err(), context.Canceled) {
 		out.result = chooser.ResultNeutral
 	}
@@ -71,7 +77,7 @@
 		if !ok {
 			return nil, none
 		}
-		a = x.newAttempt(ctx, c.server)
+		a = x.newAttempt(ctx, c)
 		a.quarantined = c.quarantined
 	}
 	a.excluded = maps.Clone(x.tried)
@@ -80,13 +86,14 @@
 
 // newAttempt returns a new attempt and records the request as sent to the server. The caller must call recordResult when the
 // attempt has ended.
-func (x *exchange) newAttempt(ctx context.Context, server masticway.Server) *attempt {
+func (x *exchange) newAttempt(ctx context.Context, c choice) *attempt {
 	x.f.metrics.Add(metricAttempts, 1)
-	a := &attempt{x: x, server: server, parent: ctx}
+	a := &attempt{x: x, server: c.server, parent: ctx, urgency: x.urgency(c.level)}
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	x.f.mu.Lock()
-	a.placement = x.f.servers.RecordSent(x.f.clock.Now(), x.q.prompt, server.ID)
+	a.placement = x.f.servers.RecordSent(x.f.clock.Now(), x.q.prompt, c.server.ID)
 	x.f.mu.Unlock()
+	a.beginRun(c.run)
 	return a
 }
 
@@ -96,6 +103,7 @@
 	f.mu.Lock()
 	f.servers.RecordEnd(f.clock.Now(), a.placement, r)
 	f.mu.Unlock()
+	a.endRun(r)
 }
 
 func (a *attempt) run() outcome {
@@ -129,7 +137,7 @@
 // send sends the request to the attempt's server, waits for the head of the answer and records what the head reports about the
 // server. A stream resumes after lastEvent (see serverRequest).
 func (a *attempt) send(lastEvent string) (*sender.Answer, error) {
-	answer, err := a.x.f.sender.Send(a.ctx, a.server.Address, a.x.maxConnections(), a.x.serverRequest(a.server, lastEvent))
+	answer, err := a.x.f.sender.Send(a.ctx, a.server.Address, a.x.maxConnections(), a.x.serverRequest(a.server, a.urgency, lastEvent))
 	if err == nil {
 		a.observeServer(answer)
 	}
@@ -307,7 +315,8 @@
 	}
 }
 
-// recordFirstPart records that the first part of the attempt's answer has arrived. Further calls for the attempt have no effect.
+// recordFirstPart records that a part of the attempt's answer has arrived. The first call for the attempt records its first part,
+// further calls only the time of the last part.
 func (a *attempt) recordFirstPart() {
 	now := a.x.f.clock.Now()
 	a.x.markAnswered()
@@ -316,7 +325,9 @@
 	}
 	if a.firstAt.IsZero() {
 		a.firstAt = now
+		a.reportFirstEvent(now)
 	}
+	a.lastAt = now
 	a.x.f.mu.Lock()
 	a.x.f.servers.RecordFirstEvent(now, a.placement)
 	a.x.f.mu.Unlock()
--- a/starter/gateway.go
+++ b/starter/gateway.go
@@ -4,16 +4,21 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"reflect"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"github.com/masticway/masticway"
+	"github.com/masticway/masticway/apportioner"
+	"github.com/masticway/masticway/coordinator"
+	"github.com/masticway/masticway/diverter"
 	"github.com/masticway/masticway/examiner"
 	"github.com/masticway/masticway/follower"
 	"github.com/masticway/masticway/forwarder"
@@ -24,6 +29,7 @@
 	"github.com/masticway/masticway/platform"
 	"github.com/masticway/masticway/relayer"
 	"github.com/masticway/masticway/rotator"
+	"github.com/masticway/masticway/scheduler"
 	"github.com/masticway/masticway/sharer"
 	"github.com/masticway/masticway/throttler"
 	"github.com/masticway/masticway/treasurer"
@@ -111,7 +117,10 @@
 	treasurer      *treasurer.Treasurer
 	examiner       *examiner.Examiner
 	rotator        *rotator.Rotator
+	diverter       *diverter.Diverter
 	throttler      *throttler.Throttler
+	coordinator    *coordinator.Coordinator
+	apportioner    *apportioner.Apportioner
 	pausable       *pausableListener
 	store          *relayer.Store
 	sharedStore    *sharer.Store
@@ -120,8 +129,15 @@
 	servers        serverGroup
 	listeners      GatewayListeners
 	metrics        *measurer.Set
-	stop           context.CancelFunc
-	wg             sync.WaitGroup
+	// draining is set once the shutdown has begun.
+	draining atomic.Bool
+	// sharingRule decides whether routers share load; ruleMu guards it.
+	ruleMu      sync.Mutex
+	sharingRule sharingRule
+	// sharing is held while it is decided and applied whether routers share load.
+	sharing sync.Mutex
+	stop    context.CancelFunc
+	wg      sync.WaitGroup
 }
 
 // NewGateway returns a gateway that keeps its durable state in a row store; Start starts it. The slowLinkStore must be a client
@@ -158,15 +174,37 @@
 	d.rotator = rotator.New(rotator.Settings{Instance: s.Instance, Zone: s.Zone, Memory: s.MemoryMB << 20}, rotator.Dependencies{
 		Listener: d.pausable, Voters: rotator.NewClient(messenger.NewSlowLinkClient()), Clock: clock, Log: entry, Metrics: metrics, Neighbours: d.zonePeers,
 	})
+	d.diverter = diverter.New(diverter.Settings{
+		Instance: s.Instance, Address: s.PeerAddress, Zone: s.Zone, Zones: slices.Collect(maps.Keys(s.Regions)), Processors: s.Processors,
+	}, diverter.Dependencies{
+		Rotation: d.rotator, Messages: diverter.NewClient(messenger.NewSlowLinkClient()), Routers: d.allPeers, Applies: d.sharesLoad,
+		IsServing: func() bool { return !d.draining.Load() && d.follower.Snapshot().IsReady() },
+		Clock:     clock, Log: entry, Metrics: metrics,
+	})
 	d.store.OnDirectCall(func(took time.Duration, answered bool) { d.rotator.RecordCall(rotator.KindStore, took, answered) })
 	peerClient.ObserveCalls(func(took time.Duration, answered bool) { d.rotator.RecordCall(rotator.KindRouter, took, answered) })
 	d.throttler = throttler.New(throttler.Dependencies{
 		Routers: throttler.NewClient(peerClient), Members: d.treasurer, Peers: d.peers, Clock: clock, Log: entry, Metrics: metrics, Address: s.PeerAddress,
 	})
+	d.coordinator = coordinator.New(coordinator.Dependencies{
+		// The rotator doesn't observe these calls: queries end after a time that is short for other calls.
+		Routers: coordinator.NewClient(messenger.NewClient()), Members: d.treasurer, Clock: clock, Log: entry, Metrics: metrics,
+		Self: d.treasurer.Self(), Address: s.PeerAddress, Applies: d.appliesSharing, IsOverloaded: d.rotator.IsOverloaded,
+		QueryTimeout: s.Policy.SharedLoad.QueryTimeout,
+		NewEngines: func() coordinator.Engines {
+			return scheduler.NewEngines(scheduler.Policy{RankShare: s.Policy.RankShare, ZoneTokenCost: s.Policy.ZoneTokenCost})
+		},
+	})
+	d.apportioner = apportioner.New(apportioner.Dependencies{
+		// The rotator doesn't observe these calls: they end after a time that is short for other calls.
+		Routers: apportioner.NewClient(messenger.NewClient()), Members: d.treasurer, Clock: clock, Log: entry, Metrics: metrics, Self: d.treasurer.Self(), Address: s.PeerAddress,
+		TakeUse:          func(pools []string) map[string]masticway.ConnectionUse { return d.forwarder.TakeConnectionUse(pools) },
+		LimitConnections: func(limits map[string]int) { d.forwarder.LimitConnections(limits) },
+	})
 	dialer := &net.Dialer{KeepAlive: -1}
 	d.forwarder = forwarder.New(s, forwarder.Dependencies{
 		Clock: clock, Log: entry, Metrics: metrics, Codec: codec, Budgets: d.treasurer, Snapshot: d.follower.Snapshot, Examiner: d.examiner,
-		Rotation: d.rotator, Throttler: d.throttler, OnDraining: d.follower.MarkDraining, Dial: d.rotator.MeasureDial(dialer.DialContext),
+		Rotation: d.diverter, Throttler: d.throttler, Coordinator: d.coordinator, Connections: d.apportioner, OnDraining: d.follower.MarkDraining, Dial: d.rotator.MeasureDial(dialer.DialContext),
 	})
 	d.callerListener = newCallerListener(d.pausable)
 	d.callerServer = &http.Server{
@@ -209,6 +247,8 @@
 func (d *GatewayDaemon) applySnapshot(s follower.Snapshot) {
 	d.treasurer.Configure(s.Deployment)
 	d.throttler.Prune(s.Incarnations())
+	d.coordinator.Update(s.Deployment, s.Servers)
+	d.applySharing()
 	d.forwarder.Update(s)
 }
 
@@ -220,8 +260,12 @@
 	d.wg.Go(func() { d.treasurer.Run(ctx) })
 	d.wg.Go(func() { d.examiner.Run(ctx) })
 	d.wg.Go(func() { d.rotator.Run(ctx) })
+	d.wg.Go(func() { d.diverter.Run(ctx) })
 	d.wg.Go(func() { d.throttler.Run(ctx) })
+	d.wg.Go(func() { d.coordinator.Run(ctx) })
+	d.wg.Go(func() { d.apportioner.Run(ctx) })
 	d.wg.Go(func() { d.watchSuspensions(ctx) })
+	d.wg.Go(func() { d.watchMembers(ctx) })
 	d.servers.serveWith(d.callerListener, d.callerServer)
 	d.servers.serve(d.listeners.Readiness, http.HandlerFunc(d.readiness))
 	d.servers.serve(d.listeners.Peer, d.peerHandler())
@@ -274,6 +318,21 @@
 	return all
 }
 
+// allPeers returns the other routers of all availability zones.
+func (d *GatewayDaemon) allPeers() []diverter.Router {
+	var all []diverter.Router
+	for _, p := range d.treasurer.Peers() {
+		all = append(all, diverter.Router{Instance: p.Incarnation.Instance(), Address: p.Address, Zone: p.Zone, Processors: p.Processors})
+	}
+	return all
+}
+
+// sharesLoad reports whether the routers of this deployment coordinate the load. It is false until the number of routers is known,
+// which may be after the last snapshot; so it must be called again from time to time.
+func (d *GatewayDaemon) sharesLoad() bool {
+	return d.appliesSharing(d.follower.Snapshot().Deployment, d.treasurer.Members())
+}
+
 // peerHandler returns the handler for calls from other routers.
 func (d *GatewayDaemon) peerHandler() http.Handler {
 	mux := http.NewServeMux()
@@ -281,7 +340,10 @@
 	d.store.Serve(mux)
 	d.examiner.Serve(mux)
 	d.rotator.Serve(mux)
+	d.diverter.Serve(mux)
 	d.throttler.Serve(mux)
+	d.coordinator.Serve(mux)
+	d.apportioner.Serve(mux)
 	d.sharedStore.Serve(mux)
 	return mux
 }
@@ -316,6 +378,7 @@
 func (d *GatewayDaemon) Drain() bool {
 	began := d.clock.Now()
 	grace := time.Duration(d.settings.GraceSeconds * float64(time.Second))
+	d.draining.Store(true)
 	d.forwarder.Drain(began.Add(grace - exitBefore))
 	d.log.WithFields(logrus.Fields{"event": "stopping", "open": d.callerListener.OpenRequests(), "grace": grace}).Info("gateway stopping")
 	d.wait(began.Add(minUnreadyTime), began.Add(minUnreadyTime), d.isIdle)
