--- a/soaker/shared.go
+++ b/soaker/shared.go
@@ -32,7 +32,7 @@
 
 // sharedLoad has the settings of routers that share load. The pauses that the configuration allows are 133 ms for each token. Load is
 // shared also while one of three routers is missing, so that owners change.
-var sharedLoad = forwarder.SharedLoadSettings{TokenGapMS: 140, MinRouters: 2}
+var sharedLoad = forwarder.SharedLoadSettings{TokenGapMS: 140, MinRouters: 2, DivertZones: true}
 
 // zone returns the availability zone of a router or of a server slot, by its index. There is a single zone unless load is shared.
 func (s *soakRun) zone(i int) string {
--- a/starter/gateway.go
+++ b/starter/gateway.go
@@ -177,7 +177,7 @@
 	d.diverter = diverter.New(diverter.Settings{
 		Instance: s.Instance, Address: s.PeerAddress, Zone: s.Zone, Zones: slices.Collect(maps.Keys(s.Regions)), Processors: s.Processors,
 	}, diverter.Dependencies{
-		Rotation: d.rotator, Messages: diverter.NewClient(messenger.NewSlowLinkClient()), Routers: d.allPeers, Applies: d.sharesLoad,
+		Rotation: d.rotator, Messages: diverter.NewClient(messenger.NewSlowLinkClient()), Routers: d.allPeers, Applies: d.divertsZones,
 		IsServing: func() bool { return !d.draining.Load() && d.follower.Snapshot().IsReady() },
 		Clock:     clock, Log: entry, Metrics: metrics,
 	})
@@ -327,10 +327,10 @@
 	return all
 }
 
-// sharesLoad reports whether the routers of this deployment coordinate the load. It is false until the number of routers is known,
-// which may be after the last snapshot; so it must be called again from time to time.
-func (d *GatewayDaemon) sharesLoad() bool {
-	return d.appliesSharing(d.follower.Snapshot().Deployment, d.treasurer.Members())
+// divertsZones reports whether the routers of this deployment coordinate the load and divert overloaded zones. It is false until the
+// number of routers is known, which may be after the last snapshot; so it must be called again from time to time.
+func (d *GatewayDaemon) divertsZones() bool {
+	return d.settings.Policy.SharedLoad.DivertZones && d.appliesSharing(d.follower.Snapshot().Deployment, d.treasurer.Members())
 }
 
 // peerHandler returns the handler for calls from other routers.
