--- a/forwarder/settings.go
+++ b/forwarder/settings.go
@@ -65,8 +65,7 @@
 	// MinRouters is the least number of routers that coordinate. Fewer routers each know enough of the load by themselves. A file
 	// without it gets the default of the schema.
 	MinRouters int `json:"min_routers,omitempty"`
-	// DivertZones makes an overloaded availability zone send its callers to other zones. It is off unless an operator sets it: when
-	// the callers of one workspace overloaded a router, they overloaded further routers in the zones to which they were diverted.
+	// DivertZones makes an overloaded availability zone send its callers to other zones.
 	DivertZones bool `json:"divert_zones"`
 	// QueryTimeout is the longest time for which a request waits for the choice of an engine by another router. Zero means the
 	// default of the coordinator.
