Log how old a request is when it is read and when it is sent

The kernel records when data arrived on a connection and whether the peer has closed it, also while the process is stopped. A request's line now has its age when it was read and when it was sent, and whether the caller had left by then for the kernel and for the router. No decision depends on it yet.

--- a/forwarder/admit.go
+++ b/forwarder/admit.go
@@ -69,8 +69,9 @@
 	header               http.Header
 	body                 []byte
 	prompt               chooser.Prompt
-	received             time.Time
-	deadline             time.Time
+	// arrived is when the request arrived, and received when the router had read its head.
+	arrived, received time.Time
+	deadline          time.Time
 }
 
 // hasBudget reports whether the request consumes a prepaid budget: it declares its tokens, and its workspace has a budget.
@@ -100,10 +101,14 @@
 // exchange, which the log needs; the caller must call release on it.
 func (f *Forwarder) admit(w http.ResponseWriter, r *http.Request) (*exchange, *masticway.RefusalError) {
 	now := f.clock.Now()
-	x := &exchange{f: f, w: w, state: deliveryChart.Initial(), fate: masticway.FateNotRun, tried: map[string]bool{}}
+	x := &exchange{f: f, w: w, caller: masticway.CallerConnectionOf(r.Context()), state: deliveryChart.Initial(), fate: masticway.FateNotRun, tried: map[string]bool{}}
 	x.q = request{
 		method: r.Method, target: r.RequestURI, host: r.Host, header: r.Header, received: now, deadline: now.Add(defaultTimeout),
 	}
+	x.q.arrived = now
+	if at := x.caller.ArrivedAt(); !at.IsZero() {
+		x.q.arrived = at
+	}
 	snapshot := f.snapshot()
 	head, err := f.codec.ParseRequest(r.Header)
 	x.q.OpaqueRequest = head
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -140,7 +140,7 @@
 // send sends the request to the attempt's server, waits for the head of the answer and records what the head reports about the
 // server. A stream resumes after lastEvent (see serverRequest).
 func (a *attempt) send(lastEvent string) (*sender.Answer, error) {
-	answer, err := a.x.f.sender.Send(a.ctx, a.server.Address, a.x.maxConnections(), a.x.serverRequest(a.server, a.urgency, lastEvent))
+	answer, err := a.x.f.sender.Send(a.ctx, a.server.Address, a.x.maxConnections(), a.x.serverRequest(a.ctx, a.server, a.urgency, lastEvent))
 	if err == nil {
 		a.observeServer(answer)
 	}
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -72,6 +72,10 @@
 	f *Forwarder
 	w http.ResponseWriter
 	q request
+	// caller is the connection on which the request arrived.
+	caller masticway.CallerConnection
+	// sending holds what was known when the request was last about to be sent to a server.
+	sending atomic.Pointer[sending]
 	// state is the request's current state in the delivery chart.
 	state charter.State
 	// fate combines the fates of all attempts: "ran" if any attempt ran, otherwise "unknown" if any may have run, otherwise "not
@@ -362,13 +366,13 @@
 
 // serverRequest returns the request to send to a server with an urgency. A stream resumes after the event with the ID lastEvent. If lastEvent is
 // empty, the stream resumes after the event that the caller named, if any.
-func (x *exchange) serverRequest(server masticway.Server, urgency int, lastEvent string) sender.Request {
+func (x *exchange) serverRequest(ctx context.Context, server masticway.Server, urgency int, lastEvent string) sender.Request {
 	q := x.q
 	if lastEvent == "" {
 		lastEvent = q.LastEvent
 	}
 	r := sender.Request{
-		Method: q.method, Target: q.target, Host: q.host, Body: q.body, ConnectTimeout: connectTimeout,
+		Method: q.method, Target: q.target, Host: q.host, Body: q.body, ConnectTimeout: connectTimeout, BeforeWrite: func() { x.recordSending(ctx) },
 		Header: x.f.codec.ServerHeaders(q.header, masticway.Delivery{
 			Server: server.ID, Workspace: q.account.Workspace, TimeLeft: q.deadline.Sub(x.f.clock.Now()),
 			Urgency: urgency, HasUrgency: q.pool.IsEngine, LastEvent: lastEvent,
@@ -382,6 +386,19 @@
 	return r
 }
 
+// sending is what was known when a request was about to be sent to a server.
+type sending struct {
+	// age is the time since the request arrived.
+	age time.Duration
+	// callerHadLeft is set if the kernel knew that the caller had left, and contextHadEnded if the attempt's context had ended.
+	callerHadLeft, contextHadEnded bool
+}
+
+// recordSending records what is known just before the request is written to a server.
+func (x *exchange) recordSending(ctx context.Context) {
+	x.sending.Store(&sending{age: x.f.clock.Now().Sub(x.q.arrived), callerHadLeft: x.caller.HasLeft(), contextHadEnded: ctx.Err() != nil})
+}
+
 // maxConnections returns how many connections this router may have to one server: the pool's limit divided by the number of
 // routers, at most half of the limit, but at least two. For a small plain service it may be another number, which follows demand
 // (see package apportioner). Zero means no limit.
--- a/forwarder/report.go
+++ b/forwarder/report.go
@@ -44,7 +44,11 @@
 // logEntry returns the log entry for the end of a request. At most one is logged for each request.
 func (x *exchange) logEntry(outcome string) *logrus.Entry {
 	now := x.f.clock.Now()
-	return x.f.log.WithFields(logrus.Fields{
+	fields := logrus.Fields{"read_ms": x.q.received.Sub(x.q.arrived).Milliseconds()}
+	if s := x.sending.Load(); s != nil {
+		fields["sent_ms"], fields["sent_left"], fields["sent_ended"] = s.age.Milliseconds(), s.callerHadLeft, s.contextHadEnded
+	}
+	return x.f.log.WithFields(fields).WithFields(logrus.Fields{
 		"event": "request", "request": x.q.ID, "outcome": outcome, "workspace": x.q.account.Workspace, "route": x.q.route.Name,
 		"pool": x.q.pool.Name, "server": x.server, "tries": x.tries, "events": x.events, "configuration": x.q.configurationVersion,
 		"hold": x.maxTokens(), "used": x.usedTokens(), "money_ms": x.holdReply.Waited.Milliseconds(), "ms": now.Sub(x.q.received).Milliseconds(),
--- /dev/null
+++ b/inspector/inspector.go
@@ -0,0 +1,45 @@
+package inspector
+
+import (
+	"net"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// States of a TCP connection in the kernel, as in include/net/tcp_states.h.
+const (
+	stateEstablished = 1
+)
+
+// Inspection is what the kernel knows about a connection.
+type Inspection struct {
+	// SinceData is the time since data last arrived from the peer, in units of the kernel's timer (1 to 10 ms). It is the time
+	// since the connection was established if no data has arrived.
+	SinceData time.Duration
+	// PeerClosed is set if the peer has closed the connection, or its sending side, or if the connection was reset.
+	PeerClosed bool
+}
+
+// Inspect returns what the kernel knows about a connection. It returns false for connections that are not TCP connections or have
+// been closed by this process, and if the kernel does not tell.
+func Inspect(c net.Conn) (Inspection, bool) {
+	s, ok := c.(syscall.Conn)
+	if !ok {
+		return Inspection{}, false
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return Inspection{}, false
+	}
+	var info *unix.TCPInfo
+	var infoErr error
+	if err := raw.Control(func(fd uintptr) { info, infoErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) }); err != nil || infoErr != nil {
+		return Inspection{}, false
+	}
+	return Inspection{
+		SinceData:  time.Duration(info.Last_data_recv) * time.Millisecond,
+		PeerClosed: info.State != stateEstablished,
+	}, true
+}
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -46,6 +46,8 @@
 	// AckTimeout is how long sent bytes may stay unacknowledged by the server's kernel before the connection is considered
 	// broken. Zero selects the system's default, which is minutes.
 	AckTimeout time.Duration
+	// BeforeWrite is called, unless it is nil, once there is a connection and before anything is written on it.
+	BeforeWrite func()
 }
 
 // Error reports that connecting failed, that a request got no answer, or that Answer.Next found no further one.
@@ -206,6 +208,9 @@
 	c.method = r.Method
 	c.stop = context.AfterFunc(ctx, func() { _ = c.net.Close() })
 	c.setAckTimeout(r.AckTimeout)
+	if r.BeforeWrite != nil {
+		r.BeforeWrite()
+	}
 	if err := c.write(r); err != nil {
 		c.release(false)
 		return nil, &Error{Sent: true, Reused: c.requests > 1, Cause: errOr(ctx.Err(), err)}
--- a/starter/callers.go
+++ b/starter/callers.go
@@ -1,11 +1,15 @@
 package starter
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/masticway/masticway"
+	"github.com/masticway/masticway/inspector"
 )
 
 // pastDeadline is a deadline in the past, which makes reads fail at once.
@@ -17,6 +21,7 @@
 // either, because net/http writes the end of a response after the handler has returned.
 type callerListener struct {
 	net.Listener
+	clock        masticway.Clock
 	openRequests atomic.Int64
 	// closingIdle is set if connections that have answered a request and have no open one must be closed. shuttingDown is set if
 	// connections on which no request has arrived yet must be closed too.
@@ -26,8 +31,8 @@
 	conns map[*callerConn]bool
 }
 
-func newCallerListener(l net.Listener) *callerListener {
-	return &callerListener{Listener: l, conns: map[*callerConn]bool{}}
+func newCallerListener(l net.Listener, clock masticway.Clock) *callerListener {
+	return &callerListener{Listener: l, clock: clock, conns: map[*callerConn]bool{}}
 }
 
 // Accept waits for the next connection and returns it. After shutdown it returns http.ErrServerClosed.
@@ -46,6 +51,14 @@
 	return c, nil
 }
 
+// connContext adds a caller's connection to the context of its requests; it is the ConnContext hook of the HTTP server.
+func connContext(ctx context.Context, n net.Conn) context.Context {
+	if c, ok := n.(masticway.CallerConnection); ok {
+		return masticway.WithCallerConnection(ctx, c)
+	}
+	return ctx
+}
+
 // OpenRequests returns the number of requests that have been read at least in part and whose responses are not completely
 // written.
 func (s *callerListener) OpenRequests() int64 { return s.openRequests.Load() }
@@ -111,6 +124,24 @@
 	// hasRequest is set while a request is open. hasAnswered is set once a request has been answered. closed is set once the
 	// connection has been closed or hijacked.
 	hasRequest, hasAnswered, closed bool
+	// arrivedAt is when the open request arrived.
+	arrivedAt time.Time
+}
+
+var _ masticway.CallerConnection = (*callerConn)(nil)
+
+// ArrivedAt returns when the open request arrived. If it came in several packets of which more than one had arrived before the
+// first was read, it is when the last of these arrived.
+func (c *callerConn) ArrivedAt() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.arrivedAt
+}
+
+// HasLeft reports whether the caller has closed the connection or its sending side, or has reset the connection.
+func (c *callerConn) HasLeft() bool {
+	i, ok := inspector.Inspect(c.Conn)
+	return ok && i.PeerClosed
 }
 
 // Read reads from the connection; a request is open as soon as its first byte has been read.
@@ -144,9 +175,14 @@
 func (c *callerConn) beginRequest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.hasRequest && !c.closed {
-		c.hasRequest = true
-		c.listener.openRequests.Add(1)
+	if c.hasRequest || c.closed {
+		return
+	}
+	c.hasRequest = true
+	c.listener.openRequests.Add(1)
+	c.arrivedAt = c.listener.clock.Now()
+	if i, ok := inspector.Inspect(c.Conn); ok {
+		c.arrivedAt = c.arrivedAt.Add(-i.SinceData)
 	}
 }
 
--- a/starter/gateway.go
+++ b/starter/gateway.go
@@ -213,10 +213,10 @@
 		Clock: clock, Log: entry, Metrics: metrics, Codec: codec, Budgets: d.treasurer, Snapshot: d.follower.Snapshot, Examiner: d.examiner,
 		Rotation: d.diverter, Throttler: d.throttler, StreamVersions: d.versioner, Coordinator: d.coordinator, Connections: d.apportioner, OnDraining: d.follower.MarkDraining, Dial: d.rotator.MeasureDial(dialer.DialContext),
 	})
-	d.callerListener = newCallerListener(d.pausable)
+	d.callerListener = newCallerListener(d.pausable, clock)
 	d.callerServer = &http.Server{
 		Handler: d.forwarder, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxGatewayHeaderBytes, IdleTimeout: callerIdleTimeout,
-		ConnState: d.callerListener.trackState,
+		ConnState: d.callerListener.trackState, ConnContext: connContext,
 	}
 	return d, nil
 }
