Reproduce requests that are sent on after their callers had left

The soak has three more faults, drawn only where they are named: callers that leave or wait while their router is stopped, stopped in series, gets 150 ms of every second or starts (callers_leave); little processor time alone (router_throttled); servers that are slow (servers_slow). It checks from outside that no request reaches a server over 0.5 s after its caller has left, and that servers are told no more time than is left, the latter before with the whole time limit only.

--- a/soaker/checks.go
+++ b/soaker/checks.go
@@ -44,6 +44,7 @@
 	promiseConnected = "connected" // all routers together keep to the limit of connections to a server
 	promiseVersion   = "version"   // a stream goes on only at the software version that began it
 	promiseResumed   = "resumed"   // streams whose version serves are resumed
+	promiseGone      = "gone"      // requests of callers that have left are not sent on, and servers get no more time than is left
 	promiseRepeats   = "repeats"   // all routers together keep to the retry budget, over all of their incarnations
 )
 
@@ -168,6 +169,7 @@
 		s.checkConnections(server)
 	}
 	s.checkSlowReads()
+	s.checkGone()
 }
 
 // checkRun checks a single run of a request.
--- a/soaker/faults.go
+++ b/soaker/faults.go
@@ -68,6 +68,9 @@
 	"answers_lost":      {2, 3 * time.Second, storeFault(emulator.RowFaults{DropAnswers: 20})},
 	"writes_late":       {2, 3 * time.Second, storeFault(emulator.RowFaults{LateWrites: 20, LateWriteDelay: 1500 * time.Millisecond})},
 	"history_forgotten": {2, 0, func(s *soakRun, _ faultEvent) { s.rows.Compact() }},
+	leavingKind:         {0, 0, (*soakRun).leave},
+	"router_throttled":  {0, 4 * time.Second, (*soakRun).throttle},
+	"servers_slow":      {0, maxServerDelay, (*soakRun).slowServers},
 	slowReadersKind:     {0, maxReadPause - minDuration, (*soakRun).readSlowly},
 	"crowd":             {0, 2 * time.Second, (*soakRun).crowd},
 	"server_drains":     {4, 0, (*soakRun).drain},
@@ -142,6 +145,9 @@
 	return func(s *soakRun, e faultEvent) {
 		s.forTargets(e, func(i int, p *process) {
 			defer s.beginDisturbance(e.kind, routerTarget(i), 0)()
+			if which == callerProxy {
+				defer s.beginDisturbance(e.kind, callerLinkTarget(i), 0)()
+			}
 			target := p.proxies[which]
 			if c == reset {
 				target.reset()
--- /dev/null
+++ b/soaker/leaving.go
@@ -0,0 +1,233 @@
+package soaker
+
+import (
+	"context"
+	"math"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	// leavingKind is the name of the fault in which callers leave a router while it gets little or no processor time.
+	leavingKind = "callers_leave"
+	// leavingCallers is the number of callers that leave in such a fault, each leavePatience after it has sent a request. As many as
+	// waitingCallers wait for their answers, for waitingTime longer than the fault lasts.
+	leavingCallers, waitingCallers = 40, 12
+	leavePatience, waitingTime     = 320 * time.Millisecond, 3 * time.Second
+	// maxLeavePause is the longest pause of a leaving caller between two requests.
+	maxLeavePause = 200 * time.Millisecond
+	// leavingStreamBase is the lowest number of the random streams (newCaller) of these callers.
+	leavingStreamBase = 4 << 20
+	// minStop and maxStop bound the time for which a router is stopped at once. stopPause is the pause between two stops in a series.
+	minStop, maxStop, stopPause = 600 * time.Millisecond, 1600 * time.Millisecond, 120 * time.Millisecond
+	// A router with little processor time runs for runTime of every runPeriod.
+	runTime, runPeriod = 150 * time.Millisecond, time.Second
+	// maxServerDelay is the longest time that plain servers take for an answer while they are slow, beyond minDuration.
+	maxServerDelay = 2 * time.Second
+	// goneSlack is how long after a caller has left its request may still reach a server, as in the users' deployments.
+	goneSlack = 500 * time.Millisecond
+	// soakTarget is the name under which starvation of the soak itself is recorded.
+	soakTarget = "soak"
+)
+
+// callerLinkTarget returns the name under which disturbances of the network between a router and its callers are recorded.
+func callerLinkTarget(i int) string { return "callers-" + routerTarget(i) }
+
+// starve keeps a process from running, in a way that the number way selects.
+func (p *process) starve(way int, length time.Duration) {
+	pause := func(d time.Duration) {
+		p.signal(syscall.SIGSTOP)
+		time.Sleep(d)
+		p.signal(syscall.SIGCONT)
+	}
+	switch way % 3 {
+	case 0:
+		pause(length)
+	case 1:
+		for range 3 {
+			pause(length / 3)
+			time.Sleep(stopPause)
+		}
+	default:
+		for until := time.Now().Add(2 * length); time.Now().Before(until); {
+			pause(runPeriod - runTime)
+			time.Sleep(runTime)
+		}
+	}
+}
+
+// throttle gives the affected routers little processor time for the duration of the fault.
+func (s *soakRun) throttle(e faultEvent) {
+	s.forTargets(e, func(i int, p *process) {
+		defer s.beginDisturbance(e.kind, routerTarget(i), 0)()
+		p.starve(2, e.duration/2)
+	})
+}
+
+// slowServers makes the current servers take long for answers that are not streams, for the duration of the fault.
+func (s *soakRun) slowServers(e faultEvent) {
+	s.mu.Lock()
+	servers := append(s.servers[:0:0], s.servers...)
+	s.mu.Unlock()
+	s.logf("servers take %s", e.duration)
+	for _, server := range servers {
+		server.EnableEcho(e.duration)
+	}
+	time.Sleep(e.duration)
+	for _, server := range servers {
+		server.EnableEcho(s.work)
+	}
+}
+
+// leave keeps the affected routers from running, or restarts them, while many of their callers leave and others wait.
+func (s *soakRun) leave(e faultEvent) {
+	s.forTargets(e, func(i int, p *process) {
+		way := e.target / s.Routers % 4
+		if way == 3 && p.lifecycleMu.TryLock() {
+			defer p.lifecycleMu.Unlock()
+		} else {
+			way %= 3
+		}
+		length := minStop + time.Duration(e.severity*float64(maxStop-minStop))
+		s.mu.Lock()
+		stream := leavingStreamBase + s.leavingFaults*(leavingCallers+waitingCallers)
+		s.leavingFaults++
+		s.mu.Unlock()
+		callers := make([]*caller, leavingCallers+waitingCallers)
+		var ready sync.WaitGroup
+		for j := range callers {
+			callers[j] = s.newLeavingCaller(stream+j, p.settings.CallerAddress, j%4 < 2)
+			if j%2 == 0 {
+				ready.Go(func() { callers[j].sendPatiently(length) })
+			}
+		}
+		ready.Wait()
+		defer s.beginDisturbance(e.kind, routerTarget(i), 0)()
+		over := make(chan struct{})
+		var load sync.WaitGroup
+		for j, c := range callers {
+			if j < leavingCallers {
+				load.Go(func() { c.leaveRepeatedly(over) })
+			} else {
+				load.Go(func() { c.wait(over, length, way < 3) })
+			}
+		}
+		if way == 3 {
+			p.kill()
+			if err := p.start(); err != nil {
+				s.reportViolation(promiseAlive, "%s cannot be started: %v", routerTarget(i), err)
+			}
+			p.awaitReady()
+		} else {
+			p.starve(way, length)
+		}
+		close(over)
+		load.Wait()
+	})
+}
+
+// newLeavingCaller returns a caller with a connection of its own to a router, which it resets when it leaves if resets is set.
+func (s *soakRun) newLeavingCaller(stream int, address string, resets bool) *caller {
+	c := s.newCaller("l", stream, address)
+	c.transport.DialContext = func(ctx context.Context, network, _ string) (net.Conn, error) {
+		n, err := (&net.Dialer{Timeout: connectTimeout}).DialContext(ctx, network, address)
+		if tcp, ok := n.(*net.TCPConn); ok && resets {
+			_ = tcp.SetLinger(0)
+		}
+		return n, err
+	}
+	return c
+}
+
+// leaveRepeatedly sends requests and leaves early until over is closed. Some of the requests declare how early, and some repeat at
+// once.
+func (c *caller) leaveRepeatedly(over <-chan struct{}) {
+	for {
+		select {
+		case <-over:
+			return
+		case <-time.After(randomUpTo(c.random, maxLeavePause)):
+		}
+		r := routes[c.random.IntN(len(routes))]
+		q := &request{route: r, timeLimit: leavePatience, waitTimeout: leavePatience, prompt: c.random.IntN(maxPrompt), declared: maxEvents}
+		if c.random.IntN(2) == 0 {
+			q.timeLimit = maxTimeLimit
+		}
+		if !r.anonymous {
+			q.workspace = workspaces[len(workspaces)-1]
+		}
+		q.body = strings.Repeat("x", int(math.Pow(maxBodyBytes, c.random.Float64())))
+		c.send(q, r.name)
+	}
+}
+
+// sendPatiently sends a request to a plain service with enough time to be served after a stop of the given length, and reports
+// whether it was served.
+func (c *caller) sendPatiently(stop time.Duration) bool {
+	r := routes[plainRoute]
+	q := &request{route: r, timeLimit: (3*stop + waitingTime).Truncate(time.Millisecond)}
+	q.waitTimeout = q.timeLimit + answerSlack
+	c.send(q, r.name)
+	return q.outcome == outcomeAnswered && q.status == http.StatusOK
+}
+
+// wait sends requests until over is closed, and counts those that were served.
+func (c *caller) wait(over <-chan struct{}, stop time.Duration, counts bool) {
+	for {
+		served := c.sendPatiently(stop)
+		c.soak.mu.Lock()
+		if counts {
+			c.soak.waited++
+		}
+		if counts && served {
+			c.soak.waitedServed++
+		}
+		c.soak.mu.Unlock()
+		select {
+		case <-over:
+			return
+		case <-time.After(maxLeavePause):
+		}
+	}
+}
+
+// checkGone checks that no request reached a server more than goneSlack after its caller had left, and that servers were told no
+// more time than was left. It counts the callers that left.
+func (s *soakRun) checkGone() {
+	for _, q := range s.requests {
+		if q.outcome == outcomeTimedOut {
+			s.left++
+		}
+	}
+	for _, server := range s.all {
+		for _, a := range server.Arrivals() {
+			q := s.requests[a.ID]
+			if q == nil || q.outcome != outcomeTimedOut && q.outcome != outcomeUnsent {
+				continue
+			}
+			if late := a.ReceivedAt.Sub(q.endedAt); late > goneSlack && s.hasSeenCaller(q, a.ReceivedAt) {
+				s.reportViolation(promiseGone, "%s got a request %s after its caller had left: %s", server.ID, late.Round(time.Millisecond), q)
+			}
+		}
+	}
+	for _, r := range s.ledger.Runs() {
+		q := s.requests[r.ID]
+		if q == nil {
+			continue
+		}
+		left := q.timeLimit - r.StartedAt.Sub(q.sentAt)
+		if r.TimeLeft > max(0, left)+timingSlack && s.hasSeenCaller(q, r.StartedAt) {
+			s.reportViolation(promiseGone, "%s was given %s at %s, when %s were left: %s", r.Server, r.TimeLeft, r.StartedAt.UTC().Format(clockFormat), left, q)
+		}
+	}
+}
+
+// hasSeenCaller reports whether the network between a caller and its router, and the soak itself, were undisturbed from when a
+// request was sent until a time.
+func (s *soakRun) hasSeenCaller(q *request, until time.Time) bool {
+	return s.isUndisturbed(q.sentAt.Add(-timingSlack), until, callerLinkTarget(q.router), soakTarget)
+}
--- a/soaker/soaker_test.go
+++ b/soaker/soaker_test.go
@@ -165,6 +165,24 @@
 	assertPromisesKept(t, soaker.Soak{Seed: 3, Duration: 9 * time.Second, Routers: 3, Kinds: []string{"server_limits", "server_rests", "server_leaves", "server_drains", "kill", "term", "store_cut", "store_silent"}})
 }
 
+// TestRequestsOfCallersThatLeftAreNotSent guards against routers that were stopped, slow, starting or busy and then send on requests
+// whose callers have left, or give servers more time than callers have left.
+func TestRequestsOfCallersThatLeftAreNotSent(t *testing.T) {
+	t.Parallel()
+	for name, soak := range map[string]soaker.Soak{
+		"one router":     {Seed: 3, Duration: 10 * time.Second, Routers: 1, Kinds: []string{"callers_leave"}},
+		"five routers":   {Seed: 5, Duration: 10 * time.Second, Routers: 5, Kinds: []string{"callers_leave", "router_throttled", "servers_slow", "freeze", "kill"}},
+		"thirty routers": {Seed: 9, Duration: 6 * time.Second, Routers: 30, Kinds: []string{"callers_leave", "router_throttled", "servers_slow", "freeze", "term"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			report := assertPromisesKept(t, soak)
+			qt.Assert(t, report.Left > 0, qt.IsTrue)
+			qt.Assert(t, report.WaitedServed > report.Waited/2, qt.IsTrue, qt.Commentf("%d of %d callers that waited were served", report.WaitedServed, report.Waited))
+		})
+	}
+}
+
 // TestSlowReadersAreBounded guards against callers that do not read their answers and thereby make a router hold more requests than
 // fit in its memory, or keep it from serving other callers.
 func TestSlowReadersAreBounded(t *testing.T) {
--- a/soaker/starvation.go
+++ b/soaker/starvation.go
@@ -23,6 +23,9 @@
 	w := threadWaits{}
 	for {
 		own := w.longest(os.Getpid())
+		if own > maxSchedulingDelay {
+			s.beginDisturbance("starvation", soakTarget, own)()
+		}
 		for i, p := range s.processes {
 			router := w.longest(int(p.pid.Load()))
 			if d := max(own, router); d > maxSchedulingDelay {
