Count a request's time from its arrival

Callers saw servers work for them after they had left, and servers were told more time than their callers had left: all 40 callers that waited while their router was stopped for 1.2 s. A request's deadline, latency, age and wait for its budget counted from when the router had read its head, so a router that was stopped or had to wait for a processor added its own delay to each.

Now they count from when the kernel got the request, which is known on new and on used connections, also if the caller has closed them since. Where the kernel does not tell, they count from the reading as before.

--- a/forwarder/admit.go
+++ b/forwarder/admit.go
@@ -69,8 +69,9 @@
 	header               http.Header
 	body                 []byte
 	prompt               chooser.Prompt
-	// arrived is when the request arrived, and received when the router had read its head.
-	arrived, received time.Time
+	// arrivedAt is when the request arrived, and readAt when the router had read its head. All times of the request count from its
+	// arrival: a router that had to wait for a processor reads requests late.
+	arrivedAt, readAt time.Time
 	deadline          time.Time
 }
 
@@ -100,15 +101,13 @@
 // admit checks a request, reserves capacity of the router for it and reads its body, or returns a refusal. It always returns the
 // exchange, which the log needs; the caller must call release on it.
 func (f *Forwarder) admit(w http.ResponseWriter, r *http.Request) (*exchange, *masticway.RefusalError) {
-	now := f.clock.Now()
 	x := &exchange{f: f, w: w, caller: masticway.CallerConnectionOf(r.Context()), state: deliveryChart.Initial(), fate: masticway.FateNotRun, tried: map[string]bool{}}
-	x.q = request{
-		method: r.Method, target: r.RequestURI, host: r.Host, header: r.Header, received: now, deadline: now.Add(defaultTimeout),
-	}
-	x.q.arrived = now
+	x.q = request{method: r.Method, target: r.RequestURI, host: r.Host, header: r.Header, readAt: f.clock.Now()}
+	x.q.arrivedAt = x.q.readAt
 	if at := x.caller.ArrivedAt(); !at.IsZero() {
-		x.q.arrived = at
+		x.q.arrivedAt = at
 	}
+	x.q.deadline = x.q.arrivedAt.Add(defaultTimeout)
 	snapshot := f.snapshot()
 	head, err := f.codec.ParseRequest(r.Header)
 	x.q.OpaqueRequest = head
@@ -235,7 +234,7 @@
 		left = t
 	}
 	if left > 0 {
-		x.q.deadline = x.q.received.Add(left)
+		x.q.deadline = x.q.arrivedAt.Add(left)
 	}
 }
 
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -140,7 +140,7 @@
 	ctx, cancel := context.WithTimeout(ctx, x.q.deadline.Sub(x.f.clock.Now()))
 	defer cancel()
 	x.f.mu.Lock()
-	x.f.allowance(x.q.pool.Name).RecordRequest(x.q.received)
+	x.f.allowance(x.q.pool.Name).RecordRequest(x.q.arrivedAt)
 	x.f.mu.Unlock()
 	if none, proven := x.provenOutcome(); proven {
 		x.cause = none.reason
@@ -171,7 +171,7 @@
 	if !x.q.hasBudget() {
 		return nil
 	}
-	wait := max(minHoldWait, time.Duration(holdWaitFraction*float64(x.q.route.LatencyObjective))-x.f.clock.Now().Sub(x.q.received))
+	wait := max(minHoldWait, time.Duration(holdWaitFraction*float64(x.q.route.LatencyObjective))-x.f.clock.Now().Sub(x.q.arrivedAt))
 	x.holdReply = x.f.budgets.Hold(ctx, x.q.account.Workspace, x.maxTokens(), wait)
 	switch x.holdReply.Verdict {
 	case treasurer.VerdictHeld:
@@ -396,7 +396,7 @@
 
 // recordSending records what is known just before the request is written to a server.
 func (x *exchange) recordSending(ctx context.Context) {
-	x.sending.Store(&sending{age: x.f.clock.Now().Sub(x.q.arrived), callerHadLeft: x.caller.HasLeft(), contextHadEnded: ctx.Err() != nil})
+	x.sending.Store(&sending{age: x.f.clock.Now().Sub(x.q.arrivedAt), callerHadLeft: x.caller.HasLeft(), contextHadEnded: ctx.Err() != nil})
 }
 
 // maxConnections returns how many connections this router may have to one server: the pool's limit divided by the number of
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -215,6 +215,32 @@
 	return append([]int64(nil), b.settled...)
 }
 
+// fakeCaller is a caller's connection as the kernel would report it.
+type fakeCaller struct {
+	clock *offsetClock
+	mu    sync.Mutex
+	// age is how long before each request is read it arrived.
+	age time.Duration
+	// hasLeft is called by HasLeft. If it is nil, the caller has not left.
+	hasLeft func() bool
+}
+
+func (c *fakeCaller) ArrivedAt() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.age == 0 {
+		return time.Time{}
+	}
+	return c.clock.Now().Add(-c.age)
+}
+
+func (c *fakeCaller) HasLeft() bool {
+	c.mu.Lock()
+	left := c.hasLeft
+	c.mu.Unlock()
+	return left != nil && left()
+}
+
 // fixture is a router in front of opaque servers.
 type fixture struct {
 	t       *testing.T
@@ -229,7 +255,9 @@
 	// rotation is the router's rotation, and connections its division of connections by demand.
 	rotation    fakeRotation
 	connections fixedConnections
-	frontend    *httptest.Server
+	// callers is the connection on which all requests seem to arrive.
+	callers  fakeCaller
+	frontend *httptest.Server
 	// throttler is the router's; it has no peers.
 	throttler *throttler.Throttler
 	versions  fakeVersions
@@ -332,7 +360,10 @@
 	f.router = forwarder.New(settings, dependencies)
 	// A router uses its fixed retries once those of its predecessor have left the window.
 	f.clock.advance(settings.Retries.Window() * 11 / 10)
-	f.frontend = httptest.NewServer(f.router)
+	f.callers.clock = f.clock
+	f.frontend = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		f.router.ServeHTTP(w, r.WithContext(masticway.WithCallerConnection(r.Context(), &f.callers)))
+	}))
 	t.Cleanup(f.frontend.Close)
 	return f
 }
--- a/forwarder/report.go
+++ b/forwarder/report.go
@@ -44,14 +44,14 @@
 // logEntry returns the log entry for the end of a request. At most one is logged for each request.
 func (x *exchange) logEntry(outcome string) *logrus.Entry {
 	now := x.f.clock.Now()
-	fields := logrus.Fields{"read_ms": x.q.received.Sub(x.q.arrived).Milliseconds()}
+	fields := logrus.Fields{"read_ms": x.q.readAt.Sub(x.q.arrivedAt).Milliseconds()}
 	if s := x.sending.Load(); s != nil {
 		fields["sent_ms"], fields["sent_left"], fields["sent_ended"] = s.age.Milliseconds(), s.callerHadLeft, s.contextHadEnded
 	}
 	return x.f.log.WithFields(fields).WithFields(logrus.Fields{
 		"event": "request", "request": x.q.ID, "outcome": outcome, "workspace": x.q.account.Workspace, "route": x.q.route.Name,
 		"pool": x.q.pool.Name, "server": x.server, "tries": x.tries, "events": x.events, "configuration": x.q.configurationVersion,
-		"hold": x.maxTokens(), "used": x.usedTokens(), "money_ms": x.holdReply.Waited.Milliseconds(), "ms": now.Sub(x.q.received).Milliseconds(),
+		"hold": x.maxTokens(), "used": x.usedTokens(), "money_ms": x.holdReply.Waited.Milliseconds(), "ms": now.Sub(x.q.arrivedAt).Milliseconds(),
 		"left_ms": x.q.deadline.Sub(now).Milliseconds(), "state": x.state, "resumes_after": x.q.LastEvent, "resumes": x.q.Resumes, "version": x.version,
 	})
 }
@@ -60,8 +60,8 @@
 func (f *Forwarder) recordServed(x *exchange) {
 	f.metrics.Add(metricServed, 1)
 	now := f.clock.Now()
-	f.metrics.Observe(histogramFirst, x.q.route.Name, x.firstAt.Sub(x.q.received))
-	f.metrics.Observe(histogramWhole, x.q.account.Workspace, now.Sub(x.q.received))
+	f.metrics.Observe(histogramFirst, x.q.route.Name, x.firstAt.Sub(x.q.arrivedAt))
+	f.metrics.Observe(histogramWhole, x.q.account.Workspace, now.Sub(x.q.arrivedAt))
 	if f.settings.LogEvery > 0 && f.servedCount.Add(1)%int64(f.settings.LogEvery) == 0 {
 		x.logEntry("served").Info("request served")
 	}
@@ -80,6 +80,6 @@
 func (x *exchange) logFailedAttempt(server masticway.Server, out outcome, retry retryDecision) {
 	x.f.log.WithFields(retry.fields()).WithFields(logrus.Fields{
 		"event": "attempt_failed", "request": x.q.ID, "pool": x.q.pool.Name, "server": server.ID, "version": server.Version, "address": server.Address, "fate": out.fate,
-		"cause": out.reason, "events": x.events, "digest": x.suspects().Request, "path": x.q.path(), "workspace": x.q.account.Workspace, "ms": x.f.clock.Now().Sub(x.q.received).Milliseconds(),
+		"cause": out.reason, "events": x.events, "digest": x.suspects().Request, "path": x.q.path(), "workspace": x.q.account.Workspace, "ms": x.f.clock.Now().Sub(x.q.arrivedAt).Milliseconds(),
 	}).Info("attempt failed")
 }
--- /dev/null
+++ b/starter/callers_test.go
@@ -0,0 +1,77 @@
+package starter
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/masticway/masticway"
+)
+
+// acceptCaller returns a caller's connection and the caller's end of it.
+func acceptCaller(t *testing.T) (*callerConn, *net.TCPConn) {
+	l, err := Listen("127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	listener := newCallerListener(l, masticway.SystemClock{})
+	t.Cleanup(listener.shutdown)
+	caller, err := net.Dial("tcp", l.Addr().String())
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = caller.Close() })
+	accepted, err := listener.Accept()
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = accepted.Close() })
+	return accepted.(*callerConn), caller.(*net.TCPConn)
+}
+
+// TestArrivalOfRequestsThatAreReadLate guards against counting the age of a request from when the process reads it, on new
+// connections and on those that have carried a request.
+func TestArrivalOfRequestsThatAreReadLate(t *testing.T) {
+	const delay, tolerance = 150 * time.Millisecond, 20 * time.Millisecond
+	conn, caller := acceptCaller(t)
+	buffer := make([]byte, 100)
+	for _, name := range []string{"new connection", "connection used before", "connection used twice"} {
+		_, err := caller.Write([]byte("request"))
+		qt.Assert(t, err, qt.IsNil)
+		sent := masticway.SystemClock{}.Now()
+		time.Sleep(delay)
+		_, err = conn.Read(buffer)
+		qt.Assert(t, err, qt.IsNil)
+		late := conn.ArrivedAt().Sub(sent)
+		qt.Assert(t, late > -tolerance && late < tolerance, qt.IsTrue, qt.Commentf("%s: %s", name, late))
+		// Bytes that arrive while the request is open belong to it, or to a later one.
+		_, err = caller.Write([]byte("more"))
+		qt.Assert(t, err, qt.IsNil)
+		arrived := conn.ArrivedAt()
+		_, err = conn.Read(buffer)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, conn.ArrivedAt(), qt.Equals, arrived)
+		conn.endRequest(false)
+		time.Sleep(delay)
+	}
+}
+
+// TestCallerThatHasLeftIsKnownBeforeReading guards against routers that learn only by reading that a caller has left.
+func TestCallerThatHasLeftIsKnownBeforeReading(t *testing.T) {
+	cases := map[string]func(caller *net.TCPConn) error{
+		"closed":      func(caller *net.TCPConn) error { return caller.Close() },
+		"half-closed": func(caller *net.TCPConn) error { return caller.CloseWrite() },
+		"reset": func(caller *net.TCPConn) error {
+			_ = caller.SetLinger(0)
+			return caller.Close()
+		},
+	}
+	for name, leave := range cases {
+		t.Run(name, func(t *testing.T) {
+			conn, caller := acceptCaller(t)
+			_, err := caller.Write([]byte("request"))
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, conn.HasLeft(), qt.IsFalse)
+			qt.Assert(t, leave(caller), qt.IsNil)
+			for deadline := time.Now().Add(time.Second); !conn.HasLeft(); time.Sleep(time.Millisecond) {
+				qt.Assert(t, time.Now().Before(deadline), qt.IsTrue)
+			}
+		})
+	}
+}
