Tell a half-closed caller what happened to its request

A caller that closes only its sending side and reads on got an empty 200 for a request that had been given up, and the end of a stream that had been broken off looked like its proper end: after a caller had left, the handler returned without writing anything, and net/http completed the answer by itself.

A half-closed caller cannot be told from one that has left until something is written, so its request is given up like that of any caller that left. Now it gets the refusal: 503 caller_left, not run, or 502 if the request may have run; an answer that has begun is aborted without its end.

TestHalfClosedCallerIsToldWhatHappened failed in 3 of 3 cases before: 200 for 503 and 502, and a broken stream without an error.

--- a/forwarder/admit.go
+++ b/forwarder/admit.go
@@ -54,6 +54,7 @@
 	codeNotInTime             = "not_in_time"
 	codeShuttingDown          = "shutting_down"
 	codeOverloaded            = "router_overloaded"
+	codeCallerLeft            = "caller_left"
 )
 
 // request is a caller's request. It does not change after its admission.
--- a/forwarder/arrival_test.go
+++ b/forwarder/arrival_test.go
@@ -1,8 +1,13 @@
 package forwarder_test
 
 import (
+	"bufio"
 	"context"
+	"fmt"
+	"io"
 	"net"
+	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -144,3 +149,45 @@
 	qt.Assert(t, e.crashed, qt.HasLen, 0)
 	qt.Assert(t, f.servers[0].Arrivals(), qt.HasLen, 0)
 }
+
+// TestHalfClosedCallerIsToldWhatHappened guards against callers that close only their sending side and get an empty success, or a broken
+// stream that looks complete, for a request that was given up.
+func TestHalfClosedCallerIsToldWhatHappened(t *testing.T) {
+	cases := map[string]struct {
+		path   string
+		fault  emulator.OpaqueFault
+		status int
+		// broken is set if the answer must end without its end being marked.
+		broken bool
+	}{
+		"not run":         {path: "/never/x", fault: emulator.OpaqueOverloaded, status: 503},
+		"running":         {path: "/never/x", fault: emulator.OpaqueHang, status: 502},
+		"amid the answer": {path: "/stream/x", status: 200, broken: true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, 1)
+			f.servers[0].InjectFaults(tc.fault)
+			f.servers[0].SetStream(100, 20*time.Millisecond)
+			f.callers.hasLeft = func() bool { return tc.status == 503 }
+			c, err := net.Dial("tcp", strings.TrimPrefix(f.frontend.URL, "http://"))
+			qt.Assert(t, err, qt.IsNil)
+			defer c.Close()
+			fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: a1\r\nAuthorization: Token k\r\nX-Token-Count: 100,40\r\nContent-Length: 0\r\n\r\n", tc.path)
+			reader := bufio.NewReader(c)
+			if tc.broken {
+				_, err := reader.Peek(1)
+				qt.Assert(t, err, qt.IsNil)
+			}
+			if tc.status == 502 {
+				f.failUnless("the request does not run", func() bool { return len(f.ledger.Runs()) > 0 })
+			}
+			qt.Assert(t, c.(*net.TCPConn).CloseWrite(), qt.IsNil)
+			response, err := http.ReadResponse(reader, nil)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, response.StatusCode, qt.Equals, tc.status)
+			_, err = io.ReadAll(response.Body)
+			qt.Assert(t, err != nil, qt.Equals, tc.broken, qt.Commentf("%v", err))
+		})
+	}
+}
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -348,28 +348,38 @@
 // machine is suspended.
 func (x *exchange) isExpired() bool { return !x.f.clock.Now().Before(x.q.deadline) }
 
-// finish records the end of the exchange. If no answer was begun, it writes the refusal, unless the caller has left. If an answer
-// was begun that cannot be completed, it aborts the connection with a panic.
+// finish records the end of the exchange. If no answer was begun, it writes the refusal. If an answer was begun that cannot be
+// completed, it aborts the connection with a panic. Both also apply to a caller that has left, because it may have closed its sending
+// side only and still read.
 func (x *exchange) finish(ctx context.Context, refused *masticway.RefusalError) {
 	if refused == nil {
 		x.f.recordServed(x)
 		return
 	}
-	if errors.Is(ctx.Err(), context.Canceled) {
+	hasLeft := errors.Is(ctx.Err(), context.Canceled)
+	switch {
+	case hasLeft:
 		x.step(eventLeft)
-		x.f.recordCallerLeft(x)
-		return
-	}
-	if refused.Fate == masticway.FateNotRun {
+		if refused.Fate == masticway.FateNotRun {
+			refused = refusal(http.StatusServiceUnavailable, codeCallerLeft, "the caller closed its side of the connection", retryAfterReconnect)
+		}
+	case refused.Fate == masticway.FateNotRun:
 		x.step(eventRefused)
-	} else {
+	default:
 		x.step(eventLost)
 	}
+	switch {
+	case hasLeft:
+		x.f.recordCallerLeft(x)
+	case x.headWritten:
+		x.f.recordBroken(x, refused)
+	default:
+		x.f.recordRefused(x, refused)
+	}
 	if !x.headWritten {
-		x.f.writeRefusal(x.w, x, refused)
+		x.f.writeRefusal(x, refused)
 		return
 	}
-	x.f.recordBroken(x, refused)
 	// The panic makes net/http close the connection without marking the end of the answer, so that the caller detects that it is
 	// incomplete.
 	panic(http.ErrAbortHandler)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -189,7 +189,8 @@
 	x, refused := f.admit(w, r)
 	defer x.release()
 	if refused != nil {
-		f.writeRefusal(w, x, refused)
+		f.recordRefused(x, refused)
+		f.writeRefusal(x, refused)
 		return
 	}
 	x.run(r.Context())
--- a/forwarder/report.go
+++ b/forwarder/report.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"net/http"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -10,9 +9,9 @@
 	"github.com/masticway/masticway"
 )
 
-// writeRefusal writes a refusal to the caller, counts it and logs it.
-func (f *Forwarder) writeRefusal(w http.ResponseWriter, x *exchange, refused *masticway.RefusalError) {
-	f.metrics.Add(metricRefused+"_"+refused.Code, 1)
+// writeRefusal writes a refusal to the caller.
+func (f *Forwarder) writeRefusal(x *exchange, refused *masticway.RefusalError) {
+	w := x.w
 	f.codec.SetRefusal(w.Header(), x.q.ID, refused.RetryAfter)
 	body, err := json.Marshal(struct {
 		Error any `json:"error"`
@@ -34,6 +33,11 @@
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(refused.Status)
 	_, _ = w.Write(body)
+}
+
+// recordRefused counts a refused request and logs it.
+func (f *Forwarder) recordRefused(x *exchange, refused *masticway.RefusalError) {
+	f.metrics.Add(metricRefused+"_"+refused.Code, 1)
 	fields := logrus.Fields{"status": refused.Status, "run": refused.Fate, "cause": x.cause}
 	if refused.Code == codeExhausted || refused.Code == codeUnreachable {
 		fields["prepaid"], fields["left"], fields["free"], fields["own"] = x.holdReply.Prepaid, x.holdReply.Ungranted, x.holdReply.Free, x.holdReply.Available
@@ -70,7 +74,7 @@
 
 func (f *Forwarder) recordCallerLeft(x *exchange) {
 	f.metrics.Add(metricCallersLeft, 1)
-	x.logEntry("caller_left").WithField("cause", x.cause).Info("caller left")
+	x.logEntry(codeCallerLeft).WithField("cause", x.cause).Info("caller left")
 }
 
 func (f *Forwarder) recordBroken(x *exchange, refused *masticway.RefusalError) {
