Do not report a request as not run that a candidate may have run

A silent server's request was being handed over; the candidate had got it when the attempt at the first server ended (its connection had timed out meanwhile), so the candidate was given up. Its possible run was counted for the number of servers, not for the request's fate, and possibly only after the fate had been told. A caller may send a request that cannot be repeated again after "not run".

A candidate now counts as pending until it is known what became of it, and the fate is unknown while one is pending, has been handed the request or was given up. TestGivenUpCandidateIsNotReportedAsNotRun got 503 not_run before, now 502.

--- a/forwarder/arrival_test.go
+++ b/forwarder/arrival_test.go
@@ -191,3 +191,24 @@
 		})
 	}
 }
+
+// TestGivenUpCandidateIsNotReportedAsNotRun guards against a refusal that says "not run" although a handover candidate, which was given
+// up because the attempt at the first server had ended meanwhile, may have run the request.
+func TestGivenUpCandidateIsNotReportedAsNotRun(t *testing.T) {
+	var first string
+	f := newFixtureWith(t, 2, forwarder.Settings{Retries: forwarder.RetriesSettings{Ratio: 0.2, FixedRetries: 50, WindowSeconds: 10}}, func(d *forwarder.Dependencies) {
+		d.Examiner = noSuspects{}
+		d.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+			if address == first {
+				<-ctx.Done()
+				return nil, ctx.Err()
+			}
+			return (&net.Dialer{}).DialContext(ctx, network, address)
+		}
+	})
+	first = f.servers[1].Address()
+	f.servers[0].InjectFaults(emulator.OpaqueHang, emulator.OpaqueOverloaded)
+	got := f.do(t.Context(), "POST", "/freely/x")
+	qt.Assert(t, f.ledger.Runs(), qt.HasLen, 1)
+	qt.Assert(t, got.status, qt.Equals, 502, qt.Commentf("%s", got.body))
+}
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -98,8 +98,9 @@
 	// streamVersion is the software version that began the stream, to which its continuation is bound. It is nil while the stream has
 	// no event.
 	streamVersion atomic.Pointer[string]
-	// otherRuns counts the handover candidates that may have run the request and were given up.
-	otherRuns atomic.Int32
+	// otherRuns counts the handover candidates that may have run the request and were given up. pendingCandidates counts those of
+	// which it is not known yet whether the request is handed over to them.
+	otherRuns, pendingCandidates atomic.Int32
 	// tried holds the IDs of the servers of failed attempts, and cause the reason of the last failure.
 	tried map[string]bool
 	cause string
@@ -299,6 +300,12 @@
 // possibleRuns returns the number of servers on which the request may have run, not counting the current attempt's server.
 func (x *exchange) possibleRuns() int { return x.attemptRuns + int(x.otherRuns.Load()) }
 
+// mayRunAtCandidate reports whether a handover candidate may have run the request, or may run it now.
+func (x *exchange) mayRunAtCandidate() bool {
+	// A candidate that is given up counts among otherRuns before it ceases to be pending.
+	return x.pendingCandidates.Load() > 0 || x.next.Load() != nil || x.otherRuns.Load() > 0
+}
+
 // isRepeatable reports whether a request that may have run may run again, or its answer may be resumed, given what has been
 // written to the caller.
 func (x *exchange) isRepeatable() bool {
@@ -315,6 +322,9 @@
 // reason for that. If an answer has begun, the refusal is only recorded and not written to the caller.
 func (x *exchange) refusalFor(ctx context.Context, out outcome) *masticway.RefusalError {
 	expired := errors.Is(ctx.Err(), context.DeadlineExceeded) || x.isExpired()
+	if x.fate == masticway.FateNotRun && x.mayRunAtCandidate() {
+		x.fate = masticway.FateUnknown
+	}
 	if out.isFull {
 		// The server that refused the request may have announced a rate limit or a backoff.
 		if throttled, ok := x.throttledOutcome(); ok {
--- a/forwarder/handover.go
+++ b/forwarder/handover.go
@@ -134,6 +134,8 @@
 		x.returnRetry(retry)
 		return false
 	}
+	x.pendingCandidates.Add(1)
+	defer x.pendingCandidates.Add(-1)
 	go next.sendAsync(lastEvent)
 	select {
 	case r := <-next.sendResults:
