Connect again if a connection attempt's timeout is noticed late

A router that was stopped while it connected found the timeout over when it ran again, took the server for unreachable, asked others in turn and refused callers that had time left. The kernel had often connected meanwhile.

If the timeout is noticed over 30 ms late, the sender connects once more. TestTimeoutThatIsNoticedLateIsNoFailure failed before.

--- a/sender/sender.go
+++ b/sender/sender.go
@@ -29,6 +29,8 @@
 	defaultIdleTimeout = 4 * time.Second
 	// idleFraction is the part of a server's idle timeout after which a connection is no longer reused.
 	idleFraction = 0.7
+	// maxTimeoutDelay is how late the timeout of a connection attempt may be noticed by a process that runs.
+	maxTimeoutDelay = 30 * time.Millisecond
 	// sweepThreshold is a number of idle connections to a server. If there are more, acquireIdle also checks the one that has
 	// been idle for longest, and closes it if it has expired.
 	sweepThreshold = 4
@@ -320,9 +322,7 @@
 	p.recordPeak()
 	s.dials++
 	s.mu.Unlock()
-	dialCtx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	n, err := s.dial(dialCtx, "tcp", address)
+	n, err := s.dialInTime(ctx, address, timeout)
 	if err != nil {
 		s.mu.Lock()
 		s.pool(address).open--
@@ -332,6 +332,23 @@
 	return &conn{sender: s, address: address, net: n, reader: bufio.NewReaderSize(n, readBufferSize)}, nil
 }
 
+// dialInTime connects to a server within a timeout. If the timeout is noticed late, this process had to wait for a processor and the
+// server may have accepted the connection in time, so dialInTime connects once more.
+func (s *Sender) dialInTime(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
+	dial := func() (net.Conn, bool, error) {
+		began := s.now()
+		dialCtx, cancel := context.WithTimeout(ctx, timeout)
+		defer cancel()
+		n, err := s.dial(dialCtx, "tcp", address)
+		return n, s.now().Sub(began) > timeout+maxTimeoutDelay, err
+	}
+	n, late, err := dial()
+	if err != nil && late && ctx.Err() == nil {
+		n, _, err = dial()
+	}
+	return n, err
+}
+
 // Retain closes the idle connections to all servers except those at the addresses in keep. Connections in use stay open.
 func (s *Sender) Retain(keep map[string]bool) {
 	s.mu.Lock()
--- a/sender/sender_test.go
+++ b/sender/sender_test.go
@@ -376,3 +376,32 @@
 	qt.Assert(t, failure.Sent, qt.IsTrue)
 	qt.Assert(t, err, qt.ErrorIs, errUnwanted)
 }
+
+// TestTimeoutThatIsNoticedLateIsNoFailure guards against taking a server for unreachable because this process was stopped while it
+// connected.
+func TestTimeoutThatIsNoticedLateIsNoFailure(t *testing.T) {
+	for name, tc := range map[string]struct {
+		delay time.Duration
+		dials int
+		fails bool
+	}{
+		"noticed late":        {delay: 300 * time.Millisecond, dials: 2},
+		"noticed at its time": {dials: 1, fails: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, address := startServer(t, &scriptedServer{answers: []string{"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"}})
+			dials := 0
+			s := sender.New(func(ctx context.Context, network, address string) (net.Conn, error) {
+				if dials++; dials == 1 {
+					<-ctx.Done()
+					time.Sleep(tc.delay)
+					return nil, ctx.Err()
+				}
+				return (&net.Dialer{}).DialContext(ctx, network, address)
+			}, time.Now)
+			_, _, err := get(t.Context(), s, address)
+			qt.Assert(t, err != nil, qt.Equals, tc.fails)
+			qt.Assert(t, dials, qt.Equals, tc.dials)
+		})
+	}
+}
