Do not hand over for a silence timeout that fires late

A router that was stopped while a server worked gave the server up as silent when it ran again, although the answer waited to be read: another server got the request, and a retry was used.

TestNoHandoverBecauseProcessWasStopped saw two runs before, one now; a process that runs hands over as before.

--- a/forwarder/arrival_test.go
+++ b/forwarder/arrival_test.go
@@ -212,3 +212,26 @@
 	qt.Assert(t, f.ledger.Runs(), qt.HasLen, 1)
 	qt.Assert(t, got.status, qt.Equals, 502, qt.Commentf("%s", got.body))
 }
+
+// TestNoHandoverBecauseProcessWasStopped guards against giving up a server as silent although its answer waits to be read, because the
+// process was stopped while the silence timeout ran.
+func TestNoHandoverBecauseProcessWasStopped(t *testing.T) {
+	for name, tc := range map[string]struct {
+		stop time.Duration
+		runs int
+	}{
+		"stopped":     {stop: time.Second, runs: 1},
+		"not stopped": {runs: 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, 2)
+			for _, s := range f.servers {
+				s.EnableEcho(270 * time.Millisecond)
+			}
+			time.AfterFunc(100*time.Millisecond, func() { f.clock.advance(tc.stop) })
+			got := f.do(t.Context(), "POST", "/freely/x")
+			qt.Assert(t, got.status, qt.Equals, 200)
+			qt.Assert(t, f.ledger.Runs(), qt.HasLen, tc.runs)
+		})
+	}
+}
--- a/forwarder/handover.go
+++ b/forwarder/handover.go
@@ -23,6 +23,10 @@
 // only progress of the server starts the timeout. The number is small because each candidate takes a retry from the allowance.
 const maxHandovers = 2
 
+// maxTimerDelay is how late a silence timeout may fire. If it fires later, this process had to wait for a processor, and what the server
+// has sent meanwhile may not be read yet.
+const maxTimerDelay = 30 * time.Millisecond
+
 // errSilent is the cancellation cause of an attempt that was handed over because its server was silent for too long.
 var errSilent = errors.New("nothing came for too long")
 
@@ -36,8 +40,10 @@
 // long. The silent server is given up when the candidate has taken the request, or has not refused it within handoverTimeout.
 // Until then, progress of the silent server aborts the handover.
 type handoverState struct {
-	mu    sync.Mutex
+	mu sync.Mutex
+	// timer fires at due when the silence timeout expires.
 	timer *time.Timer
+	due   time.Time
 	// generation changes when the server makes progress and when the silence timeout is set. A handover that began in an earlier
 	// generation is aborted.
 	generation int
@@ -69,7 +75,11 @@
 		return
 	}
 	generation, headWritten, lastEvent := h.generation, a.x.headWritten, a.x.lastEvent
+	h.due = a.x.f.clock.Now().Add(timeout)
 	h.timer = time.AfterFunc(timeout, func() {
+		if a.deferLateTimeout(generation) {
+			return
+		}
 		// A draining router does not hand over a stream that has begun. The request's deadline still ends the stream.
 		if headWritten && a.x.f.drainState.Load() != nil {
 			return
@@ -80,6 +90,21 @@
 	})
 }
 
+// deferLateTimeout starts an expired silence timeout again, for a short time, if it fired late (see maxTimerDelay). It returns false if
+// it fired in time.
+func (a *attempt) deferLateTimeout(generation int) bool {
+	h := &a.handover
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := a.x.f.clock.Now()
+	if h.generation != generation || h.timer == nil || now.Sub(h.due) <= maxTimerDelay {
+		return false
+	}
+	h.due = now.Add(handoverTimeout)
+	h.timer.Reset(handoverTimeout)
+	return true
+}
+
 // rearmSilenceTimeout starts the expired silence timeout again, unless the server has made progress in the meantime or
 // maxHandovers candidates have been dropped.
 func (a *attempt) rearmSilenceTimeout(generation int, timeout time.Duration) {
@@ -87,6 +112,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.generation == generation && h.timer != nil && len(h.droppedCandidates) < maxHandovers {
+		h.due = a.x.f.clock.Now().Add(timeout)
 		h.timer.Reset(timeout)
 	}
 }
