Count the time of permits from when they were asked for and taken

A router that was stopped could send more to a server with a rate limit than its permits allow at once: their 400 ms counted from when it handled the reply, and a permit of a request that was not sent counted anew from when it was given back, however long ago it had been taken.

A reply that is handled later than its request may take counts from that time, and a permit that is given back after its time lapses. Found while looking for the same cause elsewhere; TestPermitsOfStoppedRouterExpire fails without either: the reply's permits and the returned one are used.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -199,7 +199,7 @@
 		if isFailure && failure.Sent {
 			return outcome{fate: masticway.FateUnknown, result: chooser.ResultNeutral, reason: err.Error(), abandoned: true}
 		}
-		a.x.f.throttler.ReturnPermit(a.server.Incarnation())
+		a.x.f.throttler.ReturnPermit(a.server.Incarnation(), a.sentAt)
 		return unwantedOutcome(err)
 	}
 	if _, ok := errors.AsType[*sender.ConnectionLimitError](err); ok {
--- a/forwarder/handover.go
+++ b/forwarder/handover.go
@@ -140,6 +140,7 @@
 		// A suspect must not run at two servers at once.
 		return false
 	}
+	began := x.f.clock.Now()
 	c, _, ok := x.selectCoordinated(a.parent, x.candidates(a.askedServers()), false)
 	if !ok {
 		return false
@@ -148,7 +149,7 @@
 	retry, granted := x.takeHandoverRetry()
 	if !granted {
 		x.endUnsent(c)
-		x.f.throttler.ReturnPermit(server.Incarnation())
+		x.f.throttler.ReturnPermit(server.Incarnation(), began)
 		return false
 	}
 	next := x.newAttempt(a.parent, c)
@@ -156,7 +157,7 @@
 	if !a.beginHandover(generation, next.cancel) {
 		next.cancel(nil)
 		next.recordResult(chooser.ResultNeutral)
-		x.f.throttler.ReturnPermit(server.Incarnation())
+		x.f.throttler.ReturnPermit(server.Incarnation(), began)
 		x.returnRetry(retry)
 		return false
 	}
--- a/forwarder/suspects.go
+++ b/forwarder/suspects.go
@@ -128,6 +128,7 @@
 // quarantine elsewhere. found reports whether a server was found, and ok whether the request may run there now. If ok is set, a
 // permit for the server has been taken.
 func (x *exchange) chooseForSuspect(ctx context.Context, s masticway.SuspectStatus) (c choice, found, ok bool) {
+	began := x.f.clock.Now()
 	servers := x.candidates(x.tried)
 	occupied, _ := x.f.examiner.QuarantineServers()
 	server, unoccupied := x.selectServer(ctx, exclude(servers, occupied))
@@ -138,7 +139,7 @@
 		ok = found && !isSerious(s) && !s.Running
 	}
 	if (unoccupied || found) && !ok {
-		x.f.throttler.ReturnPermit(server.Incarnation())
+		x.f.throttler.ReturnPermit(server.Incarnation(), began)
 	}
 	return choice{server: server, quarantined: unoccupied}, unoccupied || found, ok
 }
--- a/throttle.go
+++ b/throttle.go
@@ -28,8 +28,8 @@
 	// request for permits, or until ctx ends. It returns false if this router must not send the request now. If Admit returns
 	// true but the request is not sent, the caller must call ReturnPermit.
 	Admit(ctx context.Context, server ServerIncarnation) bool
-	// ReturnPermit gives back the permit of an admitted request that was not sent.
-	ReturnPermit(server ServerIncarnation)
+	// ReturnPermit gives back the permit of a request that was admitted at a time and not sent.
+	ReturnPermit(server ServerIncarnation, admittedAt time.Time)
 	// Throttling returns why and for how long a server must get no requests from this router. It returns false if the server may
 	// get one.
 	Throttling(server ServerIncarnation) (Throttling, bool)
--- a/throttler/limits.go
+++ b/throttler/limits.go
@@ -218,7 +218,7 @@
 // HandleReply ends the permit request in progress and wakes the requests that wait for it. It records the permits or the refusal
 // in the reply r, and its observation. It returns how the observation changes the limit. r is nil if no router granted or refused
 // permits. members is the number of routers.
-func (s *Limits) HandleReply(now time.Time, server masticway.ServerIncarnation, r *PermitReply, members int) Change {
+func (s *Limits) HandleReply(now, askedAt time.Time, server masticway.ServerIncarnation, r *PermitReply, members int) Change {
 	l, ok := s.servers[server]
 	if !ok {
 		return ChangeNone
@@ -233,7 +233,12 @@
 	}
 	change := s.Observe(now, server, r.Observed)
 	if r.Granted > 0 {
-		l.permits, l.permitsUntil = r.Granted, now.Add(permitTTL)
+		// A process that had to wait for a processor may handle the reply late.
+		received := now
+		if latest := askedAt.Add(maxOwners * askTimeout); latest.Before(received) {
+			received = latest
+		}
+		l.permits, l.permitsUntil = r.Granted, received.Add(permitTTL)
 		return change
 	}
 	l.refusedUntil = now.Add(max(min(r.Wait, maxAskInterval), time.Duration(members)*minAskInterval))
@@ -241,10 +246,10 @@
 }
 
 // ReturnPermit gives an unused permit back to this router's permits. All of its permits that have not expired may then be used
-// for another permitTTL. ReturnPermit does nothing if the server has no limit.
-func (s *Limits) ReturnPermit(now time.Time, server masticway.ServerIncarnation) {
+// for another permitTTL. ReturnPermit does nothing if the server has no limit, or if the permit was taken over permitTTL ago.
+func (s *Limits) ReturnPermit(now time.Time, server masticway.ServerIncarnation, takenAt time.Time) {
 	l, ok := s.servers[server]
-	if !ok || !l.limit.IsSet {
+	if !ok || !l.limit.IsSet || now.Sub(takenAt) > permitTTL {
 		return
 	}
 	if !now.Before(l.permitsUntil) {
--- a/throttler/limits_test.go
+++ b/throttler/limits_test.go
@@ -83,13 +83,49 @@
 	qt.Assert(t, acquire(), qt.Equals, throttler.DecisionAsk)
 	qt.Assert(t, acquire(), qt.Equals, throttler.DecisionWait)
 	qt.Assert(t, limits.PermitsWanted(limitedServer), qt.Equals, 2)
-	limits.HandleReply(now, limitedServer, &throttler.PermitReply{Observed: observation, Granted: 3}, 1)
+	limits.HandleReply(now, now, limitedServer, &throttler.PermitReply{Observed: observation, Granted: 3}, 1)
 	qt.Assert(t, acquire(), qt.Equals, throttler.DecisionAdmitted)
 	now = now.Add(time.Second)
 	qt.Assert(t, acquire(), qt.Equals, throttler.DecisionAsk, qt.Commentf("two permits have expired"))
-	limits.HandleReply(now, limitedServer, nil, 1)
+	limits.HandleReply(now, now, limitedServer, nil, 1)
 	qt.Assert(t, acquire(), qt.Equals, throttler.DecisionRefused)
-	limits.ReturnPermit(now, limitedServer)
+	limits.ReturnPermit(now, limitedServer, now)
 	qt.Assert(t, acquire(), qt.Equals, throttler.DecisionAdmitted)
 	qt.Assert(t, acquire(), qt.Equals, throttler.DecisionRefused)
 }
+
+// TestPermitsOfStoppedRouterExpire guards against a router that was stopped and then uses permits which it got or took long ago: their
+// time would count from when it noticed.
+func TestPermitsOfStoppedRouterExpire(t *testing.T) {
+	asked := time.Unix(1_000_000, 0)
+	observation := throttler.Observation{Limit: masticway.RateLimit{IsSet: true, Rate: 5}}
+	for name, tc := range map[string]struct {
+		replyDelay, returnDelay time.Duration
+		permits, returned       int
+	}{
+		"running":                    {replyDelay: 10 * time.Millisecond, permits: 3, returned: 1},
+		"stopped before the reply":   {replyDelay: time.Second, returned: 1},
+		"stopped before the sending": {replyDelay: 10 * time.Millisecond, returnDelay: time.Second, permits: 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			limits := throttler.NewLimits()
+			limits.Observe(asked, limitedServer, observation)
+			admitted := func(now time.Time) (n int) {
+				for {
+					if d, _ := limits.Acquire(now, limitedServer); d != throttler.DecisionAdmitted {
+						return n
+					}
+					n++
+				}
+			}
+			qt.Assert(t, admitted(asked), qt.Equals, 0)
+			now := asked.Add(tc.replyDelay)
+			limits.HandleReply(now, asked, limitedServer, &throttler.PermitReply{Observed: observation, Granted: 3}, 1)
+			qt.Assert(t, admitted(now), qt.Equals, tc.permits)
+			limits.HandleReply(now, now, limitedServer, nil, 1)
+			later := now.Add(tc.returnDelay)
+			limits.ReturnPermit(later, limitedServer, now)
+			qt.Assert(t, admitted(later), qt.Equals, tc.returned)
+		})
+	}
+}
--- a/throttler/throttler.go
+++ b/throttler/throttler.go
@@ -240,7 +240,8 @@
 func (t *Throttler) requestPermits(ctx context.Context, server masticway.ServerIncarnation) {
 	t.Metrics.Add(metricAsks, 1)
 	t.mu.Lock()
-	req := PermitRequest{Server: server, Observed: t.limits.Observation(t.Clock.Now(), server), Wanted: t.limits.PermitsWanted(server)}
+	askedAt := t.Clock.Now()
+	req := PermitRequest{Server: server, Observed: t.limits.Observation(askedAt, server), Wanted: t.limits.PermitsWanted(server)}
 	t.mu.Unlock()
 	// The reply serves all waiting requests, so it must arrive even if this request is canceled.
 	reply, from := t.askOwners(context.WithoutCancel(ctx), req)
@@ -250,7 +251,7 @@
 		t.Metrics.Add(metricUnanswered, 1)
 		t.Log.WithFields(logrus.Fields{"event": "limit_owner_unreachable", "server": server, "members": t.Members.Members()}).Info("no router grants permits for a server")
 	}
-	change := t.limits.HandleReply(t.Clock.Now(), server, reply, t.Members.Members())
+	change := t.limits.HandleReply(t.Clock.Now(), askedAt, server, reply, t.Members.Members())
 	if reply != nil {
 		t.handleChange(server, change, reply.Observed.Age, from)
 	}
@@ -365,11 +366,11 @@
 	return r
 }
 
-// ReturnPermit gives back the permit of an admitted request that was not sent.
-func (t *Throttler) ReturnPermit(server masticway.ServerIncarnation) {
+// ReturnPermit gives back the permit of a request that was admitted at a time and not sent.
+func (t *Throttler) ReturnPermit(server masticway.ServerIncarnation, admittedAt time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.limits.ReturnPermit(t.Clock.Now(), server)
+	t.limits.ReturnPermit(t.Clock.Now(), server, admittedAt)
 }
 
 // Throttling returns why and for how long this router must not send requests to a server. It returns false if nothing is known
