Do not dispatch requests of callers that left to sidecars either

The path with sidecars had the same cause: a request without an idempotency key was dispatched, and tried again, after its caller had left, until the HTTP server's background read had told so. Whether the caller is there is now asked of the kernel as well, and before each dispatch. A request with a key goes on as before, since its caller can ask again for the outcome.

Arrival is not tracked on this path: callers declare no deadline there, and its waits for money and slots count from the reading.

--- a/router/attempt.go
+++ b/router/attempt.go
@@ -64,7 +64,9 @@
 	d := x.newDispatch()
 	x.step(eventSent)
 	e := attemptResult{fate: masticway.FateNotRun, cause: retrier.CauseLinkLost, reason: "no link"}
-	if c := x.r.upstreams.conn(instance); c != nil && c.Peer().Incarnation == p.upstream.Incarnation {
+	if !x.isWanted() {
+		e.reason = "the caller has left"
+	} else if c := x.r.upstreams.conn(instance); c != nil && c.Peer().Incarnation == p.upstream.Incarnation {
 		if err := c.Send(linker.Message{Dispatch: &d}); err == nil {
 			e = x.relayRun(ctx, f, false, work)
 		}
--- a/router/callers.go
+++ b/router/callers.go
@@ -200,7 +200,7 @@
 		return err
 	}
 	w := newChatWriter(c.to, q, stream)
-	out, err := r.newExchange(q, w, ctx.Done()).run(context.WithoutCancel(ctx))
+	out, err := r.newExchange(ctx, q, w).run(context.WithoutCancel(ctx))
 	return w.finish(out, err)
 }
 
@@ -321,7 +321,7 @@
 	q.call.ContentType = c.http.Header.Get("Content-Type")
 	q.call.Body = data
 	w := &bufferedWriter{}
-	out, err := r.newExchange(q, w, ctx.Done()).run(context.WithoutCancel(ctx))
+	out, err := r.newExchange(ctx, q, w).run(context.WithoutCancel(ctx))
 	if err != nil {
 		return err
 	}
--- a/router/exchange.go
+++ b/router/exchange.go
@@ -111,6 +111,7 @@
 	q             request
 	to            chunkWriter
 	callerDone    <-chan struct{}
+	caller        masticway.CallerConnection
 	chart         charter.Chart
 	state         charter.State
 	trace         explainer.Trace
@@ -148,9 +149,10 @@
 
 var requestChart = charter.MustLoad(charter.Request)
 
-func (r *Router) newExchange(q request, to chunkWriter, callerDone <-chan struct{}) *exchange {
+// newExchange returns an exchange. The caller's context ends when its connection does.
+func (r *Router) newExchange(caller context.Context, q request, to chunkWriter) *exchange {
 	return &exchange{
-		r: r, q: q, to: to, callerDone: callerDone, chart: requestChart, state: requestChart.Initial(),
+		r: r, q: q, to: to, callerDone: caller.Done(), caller: masticway.CallerConnectionOf(caller), chart: requestChart, state: requestChart.Initial(),
 		excluded: map[string]bool{}, fate: masticway.FateNotRun,
 		trace: explainer.Trace{
 			Request: q.id, Identity: q.identity, Workspace: q.contract.Workspace, Revision: q.revision,
@@ -169,16 +171,19 @@
 	x.state = next
 }
 
-// isCallerGone reports whether the caller has disconnected.
+// isCallerGone reports whether the caller has disconnected, for this process or for the kernel.
 func (x *exchange) isCallerGone() bool {
 	select {
 	case <-x.callerDone:
 		return true
 	default:
-		return false
+		return x.caller.HasLeft()
 	}
 }
 
+// isWanted reports whether an attempt is still of use: the caller is there, or can ask again for its outcome.
+func (x *exchange) isWanted() bool { return x.q.hasCallerKey || !x.isCallerGone() }
+
 // run processes the request. Its error is a RefusalError.
 func (x *exchange) run(ctx context.Context) (result, error) {
 	x.r.metrics.Add(metricRequests, 1)
@@ -335,7 +340,7 @@
 	}, x.history)
 	x.r.retryMu.Unlock()
 	x.history = history
-	if action == retrier.ActionFail || (x.isCallerGone() && !x.q.hasCallerKey) || x.r.ctx.Err() != nil {
+	if action == retrier.ActionFail || !x.isWanted() || x.r.ctx.Err() != nil {
 		return x.giveUp(e)
 	}
 	x.r.metrics.Add(metricRetries, 1)
--- a/router/sealed_test.go
+++ b/router/sealed_test.go
@@ -20,7 +20,7 @@
 func TestSealedRouterFailsRequestsAtOnce(t *testing.T) {
 	r := New(Settings{}, Secrets{}, masticway.SystemClock{}, logger.Discard(), Platform{Table: emulator.NewTable()}, nil, measurer.New())
 	defer r.Close()
-	x := r.newExchange(request{}, nil, nil)
+	x := r.newExchange(t.Context(), request{}, nil)
 	x.hold = &moneyHold{}
 	sealed := attemptResult{fate: masticway.FateNotRun, cause: retrier.CauseFenced, reason: "sealed"}
 	qt.Assert(t, x.handleFailure(t.Context(), sealed), qt.IsNil, qt.Commentf("a router that is not sealed must retry"))
--- a/starter/callers.go
+++ b/starter/callers.go
@@ -53,10 +53,26 @@
 
 // connContext adds a caller's connection to the context of its requests; it is the ConnContext hook of the HTTP server.
 func connContext(ctx context.Context, n net.Conn) context.Context {
-	if c, ok := n.(masticway.CallerConnection); ok {
-		return masticway.WithCallerConnection(ctx, c)
+	c, ok := n.(masticway.CallerConnection)
+	if !ok {
+		c = plainConn{n}
 	}
-	return ctx
+	return masticway.WithCallerConnection(ctx, c)
+}
+
+// plainConn is a connection whose requests are not tracked.
+type plainConn struct{ net.Conn }
+
+// ArrivedAt returns zero, because the arrival of requests is not tracked.
+func (plainConn) ArrivedAt() time.Time { return time.Time{} }
+
+// HasLeft reports whether the caller has closed the connection or its sending side, or has reset the connection.
+func (c plainConn) HasLeft() bool { return isClosedByPeer(c.Conn) }
+
+// isClosedByPeer reports whether the kernel knows that the peer has closed a connection or its sending side, or has reset it.
+func isClosedByPeer(c net.Conn) bool {
+	i, ok := inspector.Inspect(c)
+	return ok && i.PeerClosed
 }
 
 // OpenRequests returns the number of requests that have been read at least in part and whose responses are not completely
@@ -139,10 +155,7 @@
 }
 
 // HasLeft reports whether the caller has closed the connection or its sending side, or has reset the connection.
-func (c *callerConn) HasLeft() bool {
-	i, ok := inspector.Inspect(c.Conn)
-	return ok && i.PeerClosed
-}
+func (c *callerConn) HasLeft() bool { return isClosedByPeer(c.Conn) }
 
 // Read reads from the connection; a request is open as soon as its first byte has been read.
 func (c *callerConn) Read(b []byte) (int, error) {
