--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -14,7 +14,6 @@
 	"github.com/masticway/masticway/charter"
 	"github.com/masticway/masticway/chooser"
 	"github.com/masticway/masticway/retrier"
-	"github.com/masticway/masticway/sender"
 	"github.com/masticway/masticway/treasurer"
 )
 
@@ -395,48 +394,6 @@
 	panic(http.ErrAbortHandler)
 }
 
-// serverRequest returns the request of an attempt. A stream resumes after the event with the ID lastEvent. If lastEvent is empty, the
-// stream resumes after the event that the caller named, if any.
-func (a *attempt) serverRequest(lastEvent string) sender.Request {
-	q := &a.x.q
-	if lastEvent == "" {
-		lastEvent = q.LastEvent
-	}
-	r := sender.Request{
-		Method: q.method, Target: q.target, Host: q.host, Body: q.body, ConnectTimeout: connectTimeout,
-		Prepare: func() http.Header { return a.serverHeader(lastEvent) },
-		Check:   a.checkSending,
-	}
-	if q.route.RetryPolicy == masticway.RetryNever {
-		r.MaxIdle = maxIdleNonRepeatable
-	} else {
-		r.AckTimeout = ackTimeout
-	}
-	return r
-}
-
-// serverHeader returns the header of the attempt's request. It is called when the request is about to be written, so that the time left
-// is not that of before the attempt had to wait.
-func (a *attempt) serverHeader(lastEvent string) http.Header {
-	x := a.x
-	return x.f.codec.ServerHeaders(x.q.header, masticway.Delivery{
-		Server: a.server.ID, Workspace: x.q.account.Workspace, TimeLeft: x.q.deadline.Sub(x.f.clock.Now()),
-		Urgency: a.urgency, HasUrgency: x.q.pool.IsEngine, LastEvent: lastEvent,
-	})
-}
-
-// checkSending returns an error if the request is not wanted any more. If it returns none, the request counts as sent.
-func (a *attempt) checkSending() error {
-	x := a.x
-	if err := x.checkWanted(a.ctx); err != nil {
-		return err
-	}
-	if !a.sent.Swap(true) {
-		x.sentAge.Store(int64(x.f.clock.Now().Sub(x.q.arrivedAt)))
-	}
-	return nil
-}
-
 // maxConnections returns how many connections this router may have to one server: the pool's limit divided by the number of
 // routers, at most half of the limit, but at least two. For a small plain service it may be another number, which follows demand
 // (see package apportioner). Zero means no limit.
--- a/inspector/inspector.go
+++ b/inspector/inspector.go
@@ -8,10 +8,8 @@
 	"golang.org/x/sys/unix"
 )
 
-// States of a TCP connection in the kernel, as in include/net/tcp_states.h.
-const (
-	stateEstablished = 1
-)
+// stateEstablished is the state of a TCP connection that neither end has closed, as the kernel numbers it.
+const stateEstablished = 1
 
 // Inspection is what the kernel knows about a connection.
 type Inspection struct {
--- a/soaker/soaker_test.go
+++ b/soaker/soaker_test.go
@@ -311,7 +311,7 @@
 			[]string{"servers_reject"}, "repeats", false,
 		},
 		"sends on what callers have left": {
-			"forwarder/wanted.go", "if x.caller.HasLeft() {", "if x.caller == nil {",
+			"forwarder/sending.go", "if x.caller.HasLeft() {", "if x.caller == nil {",
 			[]string{"callers_leave"}, "gone", false,
 		},
 		"counts the time left from reading": {
