--- a/forwarder/arrival_test.go
+++ b/forwarder/sending_test.go
@@ -14,10 +14,25 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/masticway/masticway"
 	"github.com/masticway/masticway/emulator"
 	"github.com/masticway/masticway/forwarder"
 )
 
+// newFixtureWithDial returns a fixture whose router calls onDial before it connects to a server. If onDial fails, so does connecting.
+func newFixtureWithDial(t *testing.T, e masticway.Examiner, servers int, onDial func(ctx context.Context, address string) error) *fixture {
+	retries := forwarder.RetriesSettings{Ratio: 0.2, FixedRetries: 50, WindowSeconds: 10}
+	return newFixtureWith(t, servers, forwarder.Settings{Retries: retries}, func(d *forwarder.Dependencies) {
+		d.Examiner = e
+		d.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+			if err := onDial(ctx, address); err != nil {
+				return nil, err
+			}
+			return (&net.Dialer{}).DialContext(ctx, network, address)
+		}
+	})
+}
+
 // TestDeadlineCountsFromArrival guards against servers that get more time than callers have left because the router read the request
 // late.
 func TestDeadlineCountsFromArrival(t *testing.T) {
@@ -64,12 +79,9 @@
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
 			var waiting, connecting atomic.Bool
-			f := newFixtureWith(t, 2, forwarder.Settings{Retries: forwarder.RetriesSettings{Ratio: 0.2, FixedRetries: 50, WindowSeconds: 10}}, func(d *forwarder.Dependencies) {
-				d.Examiner = noSuspects{}
-				d.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
-					connecting.Store(true)
-					return (&net.Dialer{}).DialContext(ctx, network, address)
-				}
+			f := newFixtureWithDial(t, noSuspects{}, 2, func(context.Context, string) error {
+				connecting.Store(true)
+				return nil
 			})
 			arrivals := func() (n int) {
 				for _, s := range f.servers {
@@ -111,12 +123,9 @@
 // a connection, with no time left or, if the timers were late, with more than is left.
 func TestExpiredRequestIsNotSentAfterConnecting(t *testing.T) {
 	var advance func()
-	f := newFixtureWith(t, 1, forwarder.Settings{Retries: forwarder.RetriesSettings{Ratio: 0.2, FixedRetries: 50, WindowSeconds: 10}}, func(d *forwarder.Dependencies) {
-		d.Examiner = noSuspects{}
-		d.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
-			advance()
-			return (&net.Dialer{}).DialContext(ctx, network, address)
-		}
+	f := newFixtureWithDial(t, noSuspects{}, 1, func(context.Context, string) error {
+		advance()
+		return nil
 	})
 	advance = func() { f.clock.advance(600 * time.Millisecond) }
 	got := f.do(t.Context(), "POST", "/never/x", "X-Deadline-Ms", "1000")
@@ -134,12 +143,9 @@
 func TestQuarantinedRunOfCallerThatLeftIsReleased(t *testing.T) {
 	e := &recordingExaminer{quarantining: quarantining{claimable: true}}
 	var connecting atomic.Bool
-	f := newFixtureWith(t, 1, forwarder.Settings{Retries: forwarder.RetriesSettings{Ratio: 0.2, FixedRetries: 50, WindowSeconds: 10}}, func(d *forwarder.Dependencies) {
-		d.Examiner = e
-		d.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
-			connecting.Store(true)
-			return (&net.Dialer{}).DialContext(ctx, network, address)
-		}
+	f := newFixtureWithDial(t, e, 1, func(context.Context, string) error {
+		connecting.Store(true)
+		return nil
 	})
 	f.callers.hasLeft = connecting.Load
 	f.do(t.Context(), "POST", "/stream/x", "X-Token-Count", "100,40", "X-Prefix-Hash", "a:50,own:50")
@@ -196,15 +202,11 @@
 // up because the attempt at the first server had ended meanwhile, may have run the request.
 func TestGivenUpCandidateIsNotReportedAsNotRun(t *testing.T) {
 	var first string
-	f := newFixtureWith(t, 2, forwarder.Settings{Retries: forwarder.RetriesSettings{Ratio: 0.2, FixedRetries: 50, WindowSeconds: 10}}, func(d *forwarder.Dependencies) {
-		d.Examiner = noSuspects{}
-		d.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
-			if address == first {
-				<-ctx.Done()
-				return nil, ctx.Err()
-			}
-			return (&net.Dialer{}).DialContext(ctx, network, address)
+	f := newFixtureWithDial(t, noSuspects{}, 2, func(ctx context.Context, address string) error {
+		if address == first {
+			<-ctx.Done()
 		}
+		return ctx.Err()
 	})
 	first = f.servers[1].Address()
 	f.servers[0].InjectFaults(emulator.OpaqueHang, emulator.OpaqueOverloaded)
