Do not take a request for older than it can be

The inspector now tells the least time that can have passed. TestArrivalIsNotBeforeSending failed before (2.8 ms).

--- a/inspector/inspector.go
+++ b/inspector/inspector.go
@@ -11,10 +11,13 @@
 // stateEstablished is the state of a TCP connection that neither end has closed, as the kernel numbers it.
 const stateEstablished = 1
 
+// maxTick is the longest period of the kernel's timer, in whose units it records when data arrived.
+const maxTick = 10 * time.Millisecond
+
 // Inspection is what the kernel knows about a connection.
 type Inspection struct {
-	// SinceData is the time since data last arrived from the peer, in units of the kernel's timer (1 to 10 ms). It is the time
-	// since the connection was established if no data has arrived.
+	// SinceData is the least time that can have passed since data last arrived from the peer or, if none has arrived, since the
+	// connection was established. The true time is longer by two periods of the kernel's timer (1 to 10 ms each) at most.
 	SinceData time.Duration
 	// PeerClosed is set if the peer has closed the connection, or its sending side, or if the connection was reset.
 	PeerClosed bool
@@ -37,7 +40,7 @@
 		return Inspection{}, false
 	}
 	return Inspection{
-		SinceData:  time.Duration(info.Last_data_recv) * time.Millisecond,
+		SinceData:  max(0, time.Duration(info.Last_data_recv)*time.Millisecond-maxTick),
 		PeerClosed: info.State != stateEstablished,
 	}, true
 }
--- a/starter/callers_test.go
+++ b/starter/callers_test.go
@@ -75,3 +75,21 @@
 		})
 	}
 }
+
+// TestArrivalIsNotBeforeSending guards against answers that are broken off before the caller's time is over, because the kernel's timer
+// is coarse and the request seems to have arrived before it was sent.
+func TestArrivalIsNotBeforeSending(t *testing.T) {
+	conn, caller := acceptCaller(t)
+	buffer := make([]byte, 100)
+	for i := range 300 {
+		time.Sleep(time.Duration(i%9) * 370 * time.Microsecond)
+		sent := masticway.SystemClock{}.Now()
+		_, err := caller.Write([]byte("request"))
+		qt.Assert(t, err, qt.IsNil)
+		time.Sleep(time.Duration(i%7) * 510 * time.Microsecond)
+		_, err = conn.Read(buffer)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, conn.ArrivedAt().Before(sent), qt.IsFalse, qt.Commentf("%s", sent.Sub(conn.ArrivedAt())))
+		conn.endRequest(false)
+	}
+}
