--- a/soaker/faults.go
+++ b/soaker/faults.go
@@ -113,10 +113,7 @@
 		defer s.beginDisturbance(e.kind, target(i), 0)()
 		end(p)
 		time.Sleep(time.Duration(e.scaled(maxRestartPause)) * time.Millisecond)
-		if err := p.start(); err != nil {
-			s.reportViolation(promiseAlive, "%s cannot be started: %v", routerTarget(i), err)
-		}
-		p.awaitReady()
+		p.startAgain()
 	})
 }
 
--- a/soaker/leaving.go
+++ b/soaker/leaving.go
@@ -37,24 +37,39 @@
 // callerLinkTarget returns the name under which disturbances of the network between a router and its callers are recorded.
 func callerLinkTarget(i int) string { return "callers-" + routerTarget(i) }
 
-// starve keeps a process from running, in a way that the number way selects.
-func (p *process) starve(way int, length time.Duration) {
-	pause := func(d time.Duration) {
+// stopPattern is how a router is kept from serving its callers.
+type stopPattern int
+
+// The patterns: one stop, several stops one after the other, little processor time, and a restart.
+const (
+	stopOnce stopPattern = iota
+	stopInSeries
+	runShortly
+	restartRouter
+	stopPatterns
+)
+
+// stopsInSeries is the number of stops of stopInSeries.
+const stopsInSeries = 3
+
+// suspend keeps a process from running for a time: once, in several stops, or for most of every runPeriod of twice that time.
+func (p *process) suspend(pattern stopPattern, length time.Duration) {
+	stop := func(d time.Duration) {
 		p.signal(syscall.SIGSTOP)
 		time.Sleep(d)
 		p.signal(syscall.SIGCONT)
 	}
-	switch way % 3 {
-	case 0:
-		pause(length)
-	case 1:
-		for range 3 {
-			pause(length / 3)
+	switch pattern {
+	case stopOnce:
+		stop(length)
+	case stopInSeries:
+		for range stopsInSeries {
+			stop(length / stopsInSeries)
 			time.Sleep(stopPause)
 		}
 	default:
 		for until := time.Now().Add(2 * length); time.Now().Before(until); {
-			pause(runPeriod - runTime)
+			stop(runPeriod - runTime)
 			time.Sleep(runTime)
 		}
 	}
@@ -64,7 +79,7 @@
 func (s *soakRun) throttle(e faultEvent) {
 	s.forTargets(e, func(i int, p *process) {
 		defer s.beginDisturbance(e.kind, routerTarget(i), 0)()
-		p.starve(2, e.duration/2)
+		p.suspend(runShortly, e.duration/2)
 	})
 }
 
@@ -86,11 +101,14 @@
 // leave keeps the affected routers from running, or restarts them, while many of their callers leave and others wait.
 func (s *soakRun) leave(e faultEvent) {
 	s.forTargets(e, func(i int, p *process) {
-		way := e.target / s.Routers % 4
-		if way == 3 && p.lifecycleMu.TryLock() {
-			defer p.lifecycleMu.Unlock()
-		} else {
-			way %= 3
+		pattern := stopPattern(e.target/s.Routers) % stopPatterns
+		if pattern == restartRouter {
+			if p.lifecycleMu.TryLock() {
+				defer p.lifecycleMu.Unlock()
+			} else {
+				// Another fault is restarting the router.
+				pattern = stopOnce
+			}
 		}
 		length := minStop + time.Duration(e.severity*float64(maxStop-minStop))
 		s.mu.Lock()
@@ -113,17 +131,14 @@
 			if j < leavingCallers {
 				load.Go(func() { c.leaveRepeatedly(over) })
 			} else {
-				load.Go(func() { c.wait(over, length, p, way < 3) })
+				load.Go(func() { c.wait(over, length, p, pattern != restartRouter) })
 			}
 		}
-		if way == 3 {
+		if pattern == restartRouter {
 			p.kill()
-			if err := p.start(); err != nil {
-				s.reportViolation(promiseAlive, "%s cannot be started: %v", routerTarget(i), err)
-			}
-			p.awaitReady()
+			p.startAgain()
 		} else {
-			p.starve(way, length)
+			p.suspend(pattern, length)
 		}
 		close(over)
 		load.Wait()
--- a/soaker/process.go
+++ b/soaker/process.go
@@ -95,6 +95,14 @@
 	return nil
 }
 
+// startAgain starts the next incarnation and waits until it is ready. It reports a violation if it cannot be started.
+func (p *process) startAgain() {
+	if err := p.start(); err != nil {
+		p.soak.reportViolation(promiseAlive, "%s cannot be started: %v", p.settings.Instance, err)
+	}
+	p.awaitReady()
+}
+
 // wait waits for the end of an incarnation, and reports a violation if the soak had not asked it to stop.
 func (p *process) wait(c *exec.Cmd, exited chan struct{}) {
 	defer close(exited)
