Prepare a request's head again if that took long, and send it at once

A router that was stopped, or whose goroutine lost its processor in a system call, between preparing the head and writing it sent a time that was out of date; and the head of a request with a body over 2 KB waited for a goroutine.

The check now comes before the header, which needs no system call after it; both are done again if that took over 10 ms, three times at most. The head is written at once with the first 2 KB of the body, only the rest in a goroutine. TestHeaderIsPreparedAgainAfterDelay.

--- a/sender/sender.go
+++ b/sender/sender.go
@@ -20,7 +20,7 @@
 const (
 	// readBufferSize is the size in bytes of a connection's read buffer. It fits the head and body of a typical answer.
 	readBufferSize = 4 << 10
-	// maxInlineBody is the maximum size in bytes of a body that is written before the answer is read. A larger body is written
+	// maxInlineBody is how many bytes of a body are written before the answer is read. The rest of a larger body is written
 	// concurrently, because the write may block: the TCP windows of the links are small.
 	maxInlineBody = 2 << 10
 	// pieceBytes is how many bytes of a larger body are written at once.
@@ -29,6 +29,9 @@
 	defaultIdleTimeout = 4 * time.Second
 	// idleFraction is the part of a server's idle timeout after which a connection is no longer reused.
 	idleFraction = 0.7
+	// maxPrepareTime is the longest time from the check whether a request is to be sent until its head is ready. If that takes longer,
+	// it is done again, at most maxPreparations times in all.
+	maxPrepareTime, maxPreparations = 10 * time.Millisecond, 3
 	// maxTimeoutDelay is how late the timeout of a connection attempt may be noticed by a process that runs.
 	maxTimeoutDelay = 30 * time.Millisecond
 	// sweepThreshold is a number of idle connections to a server. If there are more, acquireIdle also checks the one that has
@@ -214,12 +217,9 @@
 	if err != nil {
 		return nil, err
 	}
-	if r.Prepare != nil {
-		r.Header = r.Prepare()
-	}
-	head := r.head()
 	c.setAckTimeout(r.AckTimeout)
-	if err := r.check(); err != nil {
+	head, err := s.prepare(r)
+	if err != nil {
 		c.keep()
 		return nil, &Error{Cause: err}
 	}
@@ -241,6 +241,24 @@
 	return a, nil
 }
 
+// prepare checks that the request is to be sent and returns its head. It starts again if that took long: this process had to wait for
+// a processor, so that neither the check nor the header is up to date.
+func (s *Sender) prepare(r Request) ([]byte, error) {
+	for tries := 1; ; tries++ {
+		began := s.now()
+		if err := r.check(); err != nil {
+			return nil, err
+		}
+		if r.Prepare != nil {
+			r.Header = r.Prepare()
+		}
+		head := r.head()
+		if s.now().Sub(began) < maxPrepareTime || tries == maxPreparations {
+			return head, nil
+		}
+	}
+}
+
 // check calls Check, if there is one.
 func (r Request) check() error {
 	if r.Check == nil {
@@ -442,34 +460,33 @@
 	return head
 }
 
-// write sends the request. If the body is larger than maxInlineBody, the whole request is written in a goroutine, so that the
-// answer can be read meanwhile.
+// write sends the request. It writes the head and up to maxInlineBody bytes of the body at once, and the rest of a larger body in a
+// goroutine, so that the answer can be read meanwhile.
 func (c *conn) write(head []byte, r Request) error {
-	if len(r.Body) <= maxInlineBody {
-		_, err := c.net.Write(append(head, r.Body...))
+	n := min(maxInlineBody, len(r.Body))
+	if _, err := c.net.Write(append(head, r.Body[:n]...)); err != nil || n == len(r.Body) {
 		return err
 	}
 	done := make(chan error, 1)
 	c.writeDone = done
-	go func() { done <- c.writePieces(head, r) }()
+	go func() { done <- c.writeRest(r, r.Body[n:]) }()
 	return nil
 }
 
-// writePieces writes the head and the body of a request. It closes the connection if the request is not wanted any more: writing may
-// take long, or the process may have waited for a processor.
-func (c *conn) writePieces(head []byte, r Request) error {
-	for rest := r.Body; len(rest) > 0; {
+// writeRest writes the rest of a body. It closes the connection if the request is not wanted any more: writing may take long, or the
+// process may have waited for a processor.
+func (c *conn) writeRest(r Request, rest []byte) error {
+	for len(rest) > 0 {
 		if err := r.check(); err != nil {
 			c.checkFailure.Store(&err)
 			_ = c.net.Close()
 			return err
 		}
 		n := min(pieceBytes, len(rest))
-		buffers := net.Buffers{head, rest[:n]}
-		if _, err := buffers.WriteTo(c.net); err != nil {
+		if _, err := c.net.Write(rest[:n]); err != nil {
 			return err
 		}
-		head, rest = nil, rest[n:]
+		rest = rest[n:]
 	}
 	return nil
 }
--- a/sender/sender_test.go
+++ b/sender/sender_test.go
@@ -405,3 +405,32 @@
 		})
 	}
 }
+
+// TestHeaderIsPreparedAgainAfterDelay guards against headers that are out of date, and requests that are not wanted any more, because
+// this process was stopped after it had prepared them.
+func TestHeaderIsPreparedAgainAfterDelay(t *testing.T) {
+	for name, unwanted := range map[string]bool{"still wanted": false, "not wanted any more": true} {
+		t.Run(name, func(t *testing.T) {
+			s, address := startServer(t, &scriptedServer{answers: []string{okAnswer}})
+			checks, prepared := 0, 0
+			_, err := s.Send(t.Context(), address, 0, sender.Request{
+				Method: "GET", Target: "/", Host: "h", ConnectTimeout: time.Second,
+				Check: func() error {
+					if checks++; checks > 1 && unwanted {
+						return errUnwanted
+					}
+					return nil
+				},
+				Prepare: func() http.Header {
+					if prepared++; prepared == 1 {
+						time.Sleep(50 * time.Millisecond)
+					}
+					return http.Header{}
+				},
+			})
+			qt.Assert(t, checks, qt.Equals, 2)
+			qt.Assert(t, errors.Is(err, errUnwanted), qt.Equals, unwanted)
+			qt.Assert(t, prepared == 2, qt.Equals, !unwanted)
+		})
+	}
+}
