Let the emulator's servers tell when a request arrived, not when it was read

The trace of one shows that its router had sent it at once, in time (sent_ms=0, closed after 153 ms); the emulated server, which runs in the test's process, read it 1.07 s later. What the check promises is about routers, so the emulator now asks the kernel when the bytes arrived.

--- a/emulator/opaque.go
+++ b/emulator/opaque.go
@@ -11,6 +11,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/masticway/masticway/inspector"
 )
 
 // signaturePrefix is the prefix of a server's signature. The server's ID follows it.
@@ -66,7 +68,7 @@
 	Body   string
 	// Prompt is the list of the parts of the prompt, as the request declares it.
 	Prompt string
-	// HeadAt is when the server had read the head of the request, and StartedAt when it started to run the request. Fault is the
+	// HeadAt is when the head of the request had arrived, for the kernel, and StartedAt when it started to run the request. Fault is the
 	// fault that was injected for it.
 	HeadAt    time.Time
 	StartedAt time.Time
@@ -105,7 +107,8 @@
 
 // OpaqueArrival is a request that has reached a server, which may have rejected it.
 type OpaqueArrival struct {
-	ID         string
+	ID string
+	// ReceivedAt is when the last byte of the request arrived, for the kernel.
 	ReceivedAt time.Time
 	// RetryAfter is the Retry-After value, in seconds, in the rejection of the request. It is empty if there was none.
 	RetryAfter string
@@ -356,7 +359,7 @@
 		if err != nil {
 			return
 		}
-		headAt := time.Now()
+		headAt := arrivedAt(c)
 		body, err := io.ReadAll(r.Body)
 		if err != nil || !s.serveRequest(c, r, headAt, string(body)) {
 			return
@@ -364,9 +367,15 @@
 	}
 }
 
-// recordArrival records the arrival of a request and takes the request's fault from the list. It returns the fault and the
+// arrivedAt returns when the last data on a connection arrived, for the kernel. A test process on a busy machine reads it late.
+func arrivedAt(c net.Conn) time.Time {
+	i, _ := inspector.Inspect(c)
+	return time.Now().Add(-i.SinceData)
+}
+
+// recordArrival records that a request arrived at a time and takes the request's fault from the list. It returns the fault and the
 // current settings for streams.
-func (s *OpaqueServer) recordArrival(id, body, prompt string) (fault OpaqueFault, events int, pause time.Duration) {
+func (s *OpaqueServer) recordArrival(at time.Time, id, body, prompt string) (fault OpaqueFault, events int, pause time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
@@ -376,7 +385,7 @@
 		fault = s.faults[0]
 		s.faults = s.faults[1:]
 	}
-	arrival := OpaqueArrival{ID: id, ReceivedAt: time.Now()}
+	arrival := OpaqueArrival{ID: id, ReceivedAt: at}
 	if fault == OpaqueOverloaded {
 		arrival.RetryAfter = s.retryAfter
 	}
@@ -384,10 +393,10 @@
 	return fault, s.events, s.pause
 }
 
-// serveRequest serves one request, whose head was read at headAt. It returns whether the connection stays open.
+// serveRequest serves one request, whose head arrived at headAt. It returns whether the connection stays open.
 func (s *OpaqueServer) serveRequest(c net.Conn, r *http.Request, headAt time.Time, body string) bool {
 	id := r.Header.Get("X-Attempt-Id")
-	fault, events, pause := s.recordArrival(id, body, r.Header.Get("X-Prefix-Hash"))
+	fault, events, pause := s.recordArrival(arrivedAt(c), id, body, r.Header.Get("X-Prefix-Hash"))
 	switch {
 	case fault == OpaqueOverloaded:
 		return s.write(c, s.rejectionHeader()+"Content-Length: 0\r\n\r\n")
