Log the store's era, dropped reads and ignored rows

Logs could not tell whether a full read was dropped as older than what a router knew, or its rows were ignored, nor in which era of the store an answer was made. No logic changes.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -158,7 +158,11 @@
 			if row.RowKey != key {
 				continue
 			}
+			known := f.registry.rowVersion
 			applied, err := f.registry.ApplyConfiguration(row)
+			if !applied && err == nil && row.Version < known {
+				f.log.WithFields(logrus.Fields{"event": "row_ignored", "table": row.Table, "key": row.Key, "era": reading.Era, "row_version": row.Version, "known_version": known}).Info("ignored a row that is older than the one known")
+			}
 			if err != nil {
 				f.log.WithFields(logrus.Fields{"event": "configuration_unreadable", "row_version": row.Version, "error": err}).Error("configuration not applied")
 			}
--- a/follower/mirror.go
+++ b/follower/mirror.go
@@ -50,6 +50,8 @@
 	// version is the store version up to which changes have been applied. It is zero before the first read. It is also zero from
 	// when changes were lost until the next full read.
 	version int64
+	// era is the store's era at the last read.
+	era int64
 	// listedAt is the time of the last full read, and size its size in bytes. After failures, listedAt is moved to make the next
 	// full read due earlier or later (see handleFailure).
 	listedAt time.Time
@@ -128,7 +130,12 @@
 func (m *tableWatcher) accept(full bool, reading masticway.RowReading) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if reading.Era != m.era {
+		m.log.WithFields(logrus.Fields{"event": "store_era", "table": m.table, "era": reading.Era, "previous": m.era, "version": reading.Version, "known_version": m.version, "full": full}).Info("the store's era has changed")
+		m.era = reading.Era
+	}
 	if full && reading.Version < m.version {
+		m.log.WithFields(logrus.Fields{"event": "reading_dropped", "table": m.table, "era": reading.Era, "version": reading.Version, "known_version": m.version}).Info("dropped a full read that is older than the changes applied")
 		return
 	}
 	m.apply(full, reading)
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -39,6 +39,7 @@
 // Response is a response that has been received completely.
 type Response struct {
 	Status int
+	Header http.Header
 	Body   []byte
 }
 
@@ -100,7 +101,7 @@
 	if err != nil {
 		return Response{}, &Error{Bytes: len(body), Took: time.Since(start), Err: cause(ctx, err)}
 	}
-	return Response{Status: response.StatusCode, Body: body}, nil
+	return Response{Status: response.StatusCode, Header: response.Header, Body: body}, nil
 }
 
 // ReportProgress calls the function that was passed to WithProgress, if ctx has one. Callers use it if they receive a
--- a/rows.go
+++ b/rows.go
@@ -51,6 +51,9 @@
 	Version int64
 	// StoreTime is the reading of the store's monotonic clock when it answered.
 	StoreTime time.Duration `cbor:"At"`
+	// Era is the era of the store when it answered: it rises by one whenever the store returns from a copy of an earlier state. It
+	// is zero if the store has not told its era.
+	Era int64
 }
 
 // Bytes returns the total size of the tables, parts, keys and values of the rows.
