--- a/emulator/rows.go
+++ b/emulator/rows.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -31,7 +32,7 @@
 	mu      sync.Mutex
 	rows    map[masticway.RowKey]masticway.StoredRow
 	history []masticway.StoredRow // the changes since version compacted, in order
-	version int64                 // the version of the last commit
+	version int64                 // the version of the last commit, in the current era
 	// compacted is the version up to which the history has been discarded.
 	compacted int64
 	faults    RowFaults
@@ -49,6 +50,51 @@
 	return &RowStore{rows: map[masticway.RowKey]masticway.StoredRow{}, started: now(), now: now, changed: make(chan struct{})}
 }
 
+// RowCopy is a copy of a row store at one moment.
+type RowCopy struct {
+	rows      map[masticway.RowKey]masticway.StoredRow
+	history   []masticway.StoredRow
+	version   int64
+	compacted int64
+	storeTime time.Duration
+}
+
+// Copy returns a copy of the store.
+func (s *RowStore) Copy() RowCopy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return RowCopy{
+		rows: maps.Clone(s.rows), history: slices.Clone(s.history), version: s.version, compacted: s.compacted, storeTime: s.reading().StoreTime,
+	}
+}
+
+// Return makes the store return from a copy of an earlier state and begins its next era. All commits since the copy are lost,
+// their version numbers are given out again, and the store's clock goes back.
+func (s *RowStore) Return(c RowCopy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	era := masticway.StoreEra(s.version) + 1
+	inEra := func(version int64) int64 { return masticway.NewStoreVersion(era, masticway.StoreNumber(version)) }
+	s.rows, s.history = map[masticway.RowKey]masticway.StoredRow{}, nil
+	for key, r := range c.rows {
+		r.Version = inEra(r.Version)
+		s.rows[key] = r
+	}
+	for _, r := range c.history {
+		r.Version = inEra(r.Version)
+		s.history = append(s.history, r)
+	}
+	s.version, s.compacted, s.started = inEra(c.version), inEra(c.compacted), s.now().Add(-c.storeTime)
+	s.notifyWatchers()
+}
+
+// currentVersion returns the version of the last commit.
+func (s *RowStore) currentVersion() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.version
+}
+
 // SetFaults replaces the store's faults.
 func (s *RowStore) SetFaults(f RowFaults) {
 	s.mu.Lock()
@@ -222,7 +268,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	historyLost := &masticway.HistoryLostError{Table: f.Table, Since: f.Since}
-	if f.Since < s.compacted {
+	if f.Since < s.compacted || f.Since > s.version {
 		return masticway.RowReading{}, nil, historyLost
 	}
 	out := s.reading()
--- a/emulator/rowserver.go
+++ b/emulator/rowserver.go
@@ -38,6 +38,15 @@
 	return mux
 }
 
+// inCurrentEra returns the version with a number of the current era. The store takes version numbers in calls for those of its
+// current era, because calls do not name one. Number zero stands for an absent row.
+func (s *RowStore) inCurrentEra(number int64) int64 {
+	if number == 0 {
+		return 0
+	}
+	return masticway.NewStoreVersion(masticway.StoreEra(s.currentVersion()), number)
+}
+
 func (s *RowStore) serveRead(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
 	out, err := s.Read(r.Context(), query.Get("table"), query.Get("part"))
@@ -50,15 +59,15 @@
 	if len(out.Rows) > maxPageRows {
 		out.Rows, hasMore = out.Rows[:maxPageRows], true
 	}
-	writeRows(w, out, hasMore, err)
+	s.writeRows(w, out, hasMore, err)
 }
 
 func (s *RowStore) serveWatch(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
 	since, _ := strconv.ParseInt(query.Get("since_rev"), 10, 64)
 	wait, _ := strconv.ParseInt(query.Get("wait_ms"), 10, 64)
-	out, err := s.Watch(r.Context(), masticway.WatchRequest{Table: query.Get("table"), Since: since, MaxWait: time.Duration(wait) * time.Millisecond})
-	writeRows(w, out, false, err)
+	out, err := s.Watch(r.Context(), masticway.WatchRequest{Table: query.Get("table"), Since: masticway.NewStoreVersion(masticway.StoreEra(s.currentVersion()), since), MaxWait: time.Duration(wait) * time.Millisecond})
+	s.writeRows(w, out, false, err)
 }
 
 func (s *RowStore) serveWrite(w http.ResponseWriter, r *http.Request) {
@@ -74,7 +83,7 @@
 	var write masticway.RowWrite
 	parts := map[string]bool{}
 	for _, e := range in.Expected {
-		write.Expected = append(write.Expected, masticway.RowVersion{RowKey: e.key(), Version: e.Version})
+		write.Expected = append(write.Expected, masticway.RowVersion{RowKey: e.key(), Version: s.inCurrentEra(e.Version)})
 		parts[e.Part] = true
 	}
 	for _, p := range in.Puts {
@@ -90,12 +99,12 @@
 		return
 	}
 	out, err := s.Write(r.Context(), write)
-	writeRows(w, out, false, err)
+	s.writeRows(w, out, false, err)
 }
 
 // writeRows answers with rows, or with the status for an error: 412 and the current rows for a conflict, 410 if the history
 // is lost, and 503 otherwise. If the error is an OutcomeUnknownError, it aborts the connection instead.
-func writeRows(w http.ResponseWriter, out masticway.RowReading, hasMore bool, err error) {
+func (s *RowStore) writeRows(w http.ResponseWriter, out masticway.RowReading, hasMore bool, err error) {
 	status := http.StatusOK
 	conflict, ok := errors.AsType[*masticway.RowConflictError](err)
 	if ok {
@@ -108,14 +117,18 @@
 	} else if err != nil {
 		status = http.StatusServiceUnavailable
 	}
+	if out.Version == 0 {
+		out.Version = s.currentVersion()
+	}
 	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Store-Era", strconv.FormatInt(masticway.StoreEra(out.Version), 10))
 	w.WriteHeader(status)
 	// Encode one row at a time, so that no more rows are encoded after the caller has disconnected.
 	if _, err := io.WriteString(w, `{"rows":[`); err != nil {
 		return
 	}
 	for i, r := range out.Rows {
-		row, err := json.Marshal(rowJSON{Table: r.Table, Part: r.Part, Key: r.Key, Value: r.Value, Version: r.Version, Deleted: r.Deleted})
+		row, err := json.Marshal(rowJSON{Table: r.Table, Part: r.Part, Key: r.Key, Value: r.Value, Version: masticway.StoreNumber(r.Version), Deleted: r.Deleted})
 		if err != nil {
 			panic(http.ErrAbortHandler)
 		}
@@ -126,5 +139,5 @@
 			return
 		}
 	}
-	fmt.Fprintf(w, `],"has_more":%t,"row_version":%d,"now_ms":%d}`, hasMore, out.Version, out.StoreTime.Milliseconds())
+	fmt.Fprintf(w, `],"has_more":%t,"row_version":%d,"now_ms":%d}`, hasMore, masticway.StoreNumber(out.Version), out.StoreTime.Milliseconds())
 }
--- a/rows.go
+++ b/rows.go
@@ -43,6 +43,21 @@
 	Deletes  []RowKey
 }
 
+// storeVersionBits is the number of low bits of a version that count the store's transactions. That is enough for 35 years of a
+// thousand transactions a second.
+const storeVersionBits = 40
+
+// NewStoreVersion returns the version with a number of an era of the store. Versions are ordered by their eras, and within an era
+// by their numbers: after the store has returned from a copy of an earlier state, it gives out the same numbers again in the next
+// era.
+func NewStoreVersion(era, number int64) int64 { return era<<storeVersionBits | number }
+
+// StoreEra returns the era of a version.
+func StoreEra(version int64) int64 { return version >> storeVersionBits }
+
+// StoreNumber returns the number that the store gave to a version in its era.
+func StoreNumber(version int64) int64 { return version & (1<<storeVersionBits - 1) }
+
 // RowReading is the result of a read, a write or a watch.
 type RowReading struct {
 	Rows []StoredRow
