Order the store's versions by its era first

Callers were handled by configurations that had been replaced and servers that had announced draining got requests, for seconds after the store had confirmed the change. The store had returned from a copy, its versions were lowered and given out again, and routers compared them with those of the lost era.

A version now carries the store's era above its number (NewStoreVersion), so that every comparison is by era, then number, and what arrives late from an earlier era is older than everything after it. A write that expects a version of an earlier era gets the current rows as a conflict, and one that the store accepts across a return is of unknown outcome, because its number may have been given out again. A watch across a return fails like one whose history is lost; routers then read in full, spread over 0.4 to 0.9 s.

Rows that only the copy has are no news: a server that was removed stays out until it writes again (10 s at most), draining ones stay draining, those whose rows were lost get the grace period of an outage, and a lost evacuation order stays in force for 5 s.

--- a/emulator/rows.go
+++ b/emulator/rows.go
@@ -213,7 +213,7 @@
 		}
 	}
 	if !matches {
-		return masticway.RowReading{}, &masticway.RowConflictError{Rows: current}
+		return masticway.RowReading{}, &masticway.RowConflictError{Rows: current, Version: s.version}
 	}
 	s.commit(w)
 	return s.reading(), nil
@@ -268,7 +268,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	historyLost := &masticway.HistoryLostError{Table: f.Table, Since: f.Since}
-	if f.Since < s.compacted || f.Since > s.version {
+	historyLost.EraEnded = masticway.StoreEra(f.Since) != masticway.StoreEra(s.version)
+	if f.Since < s.compacted || f.Since > s.version || historyLost.EraEnded {
 		return masticway.RowReading{}, nil, historyLost
 	}
 	out := s.reading()
--- a/emulator/rowserver.go
+++ b/emulator/rowserver.go
@@ -108,7 +108,7 @@
 	status := http.StatusOK
 	conflict, ok := errors.AsType[*masticway.RowConflictError](err)
 	if ok {
-		status, out.Rows = http.StatusPreconditionFailed, conflict.Rows
+		status, out.Rows, out.Version = http.StatusPreconditionFailed, conflict.Rows, conflict.Version
 	} else if _, historyLost := errors.AsType[*masticway.HistoryLostError](err); historyLost {
 		status = http.StatusGone
 	} else if _, unknown := errors.AsType[*masticway.OutcomeUnknownError](err); unknown {
--- a/follower/beliefs.go
+++ b/follower/beliefs.go
@@ -65,15 +65,18 @@
 	rowVersion    int64
 	configured    bool
 	serversLoaded bool
-	// entries holds the registrations by server ID. removed holds, by server ID, the store version at which the server's row was
-	// last found deleted or missing.
+	// entries holds the registrations by server ID, and removed the last removals by server ID.
 	entries map[string]entry
-	removed map[string]int64
+	removed map[string]removal
 	// invalid holds the versions of rows that are not valid registrations, by key.
 	invalid map[string]int64
 	// lastContact is when the store last answered about the servers, and recoveredAt when the last outage ended.
 	lastContact time.Time
 	recoveredAt time.Time
+	// era is the newest era of the store that is known, if eraKnown is set. eraSince is when the last era ended.
+	era      int64
+	eraKnown bool
+	eraSince time.Time
 	// evacuations holds, by zone, the row versions of the evacuation orders in force. reopenings holds, by zone, when the last
 	// order ended.
 	evacuations map[string]int64
@@ -85,7 +88,7 @@
 // NewRegistry returns an empty registry.
 func NewRegistry(d masticway.DeploymentDecoder) *Registry {
 	return &Registry{
-		decoder: d, entries: map[string]entry{}, removed: map[string]int64{}, invalid: map[string]int64{},
+		decoder: d, entries: map[string]entry{}, removed: map[string]removal{}, invalid: map[string]int64{},
 		evacuations: map[string]int64{}, reopenings: map[string]zoneReopening{}, departures: map[string]departure{},
 	}
 }
@@ -108,10 +111,10 @@
 	return true, nil
 }
 
-// RecordContact records that the store answered about the servers, and reports whether that ends an outage. If it does, the grace
-// period for the registrations that expired during the outage begins.
-func (r *Registry) RecordContact(now time.Time) (recovered bool) {
-	if !r.lastContact.IsZero() && now.Sub(r.lastContact) > outageThreshold {
+// RecordContact records that the store answered about the servers, at a version, and reports whether that ends an outage or an era.
+// If it does, the grace period begins for the registrations that expired during the outage or were lost with the era.
+func (r *Registry) RecordContact(now time.Time, version int64) (recovered bool) {
+	if r.recordEra(now, version) || !r.lastContact.IsZero() && now.Sub(r.lastContact) > outageThreshold {
 		r.recoveredAt = now
 		recovered = true
 	}
@@ -119,6 +122,20 @@
 	return recovered
 }
 
+// recordEra records that the store has had a version, and reports whether an earlier era has ended.
+func (r *Registry) recordEra(now time.Time, version int64) (ended bool) {
+	era := masticway.StoreEra(version)
+	if r.eraKnown && era <= r.era {
+		return false
+	}
+	ended = r.eraKnown
+	r.era, r.eraKnown = era, true
+	if ended {
+		r.eraSince, r.recoveredAt = now, now
+	}
+	return ended
+}
+
 // RegistrationError reports a row of the server table that is not a valid registration. It is returned once for each version of
 // the row.
 type RegistrationError struct {
@@ -174,7 +191,7 @@
 
 func (r *Registry) upsert(now time.Time, row masticway.StoredRow) (changed bool, regErr *RegistrationError) {
 	previous, ok := r.entries[row.Key]
-	if ok && row.Version <= max(previous.version, previous.missingVersion) || row.Version <= max(r.removed[row.Key], r.invalid[row.Key]) {
+	if ok && row.Version <= max(previous.version, previous.missingVersion) || row.Version <= max(r.removed[row.Key].version, r.invalid[row.Key]) {
 		return false, nil
 	}
 	s, err := r.decoder.Server(row.Key, row.Value)
@@ -184,6 +201,9 @@
 		delete(r.entries, row.Key)
 		return ok, &RegistrationError{Key: row.Key, Version: row.Version, Cause: err}
 	}
+	if !ok && r.isRemovedEarlier(now, s, row.Version) {
+		return false, nil
+	}
 	if ok && s.StartedAt.Before(previous.server.StartedAt) {
 		// The row is a late heartbeat of an earlier incarnation.
 		return false, nil
@@ -219,7 +239,7 @@
 		return false
 	}
 	delete(r.entries, id)
-	r.removed[id] = version
+	r.removed[id] = removal{version: version, incarnation: e.server.Incarnation()}
 	return true
 }
 
@@ -233,6 +253,7 @@
 	for id, e := range r.entries {
 		if !e.missingSince.IsZero() {
 			delete(r.entries, id)
+			r.removed[id] = removal{version: e.missingVersion, incarnation: e.server.Incarnation()}
 			changed = true
 		}
 	}
--- a/follower/evacuations.go
+++ b/follower/evacuations.go
@@ -8,6 +8,9 @@
 	"github.com/masticway/masticway"
 )
 
+// lostOrderTTL is how long an order stays in force that the store has lost with an earlier era.
+const lostOrderTTL = 5 * time.Second
+
 // zoneReopening is the end of an operator's order to evacuate an availability zone.
 type zoneReopening struct {
 	// at is when this router learned of the reopening. version is the store version at which the row of the order was gone.
@@ -47,7 +50,12 @@
 	if !full {
 		return evacuated, reopened
 	}
+	r.recordEra(now, reading.Version)
 	for zone, version := range r.evacuations {
+		if masticway.StoreEra(version) < r.era && now.Sub(r.eraSince) < lostOrderTTL {
+			// The operator writes the order again.
+			continue
+		}
 		if !present[zone] && version <= reading.Version {
 			reopened = append(reopened, zone)
 			r.reopenZone(now, zone, reading.Version)
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -161,7 +161,7 @@
 			known := f.registry.rowVersion
 			applied, err := f.registry.ApplyConfiguration(row)
 			if !applied && err == nil && row.Version < known {
-				f.log.WithFields(logrus.Fields{"event": "row_ignored", "table": row.Table, "key": row.Key, "era": reading.Era, "row_version": row.Version, "known_version": known}).Info("ignored a row that is older than the one known")
+				f.log.WithFields(logrus.Fields{"event": "row_ignored", "table": row.Table, "key": row.Key, "era": masticway.StoreEra(row.Version), "row_version": masticway.StoreNumber(row.Version), "known_era": masticway.StoreEra(known), "known_version": masticway.StoreNumber(known)}).Info("ignored a row that is older than the one known")
 			}
 			if err != nil {
 				f.log.WithFields(logrus.Fields{"event": "configuration_unreadable", "row_version": row.Version, "error": err}).Error("configuration not applied")
@@ -179,7 +179,7 @@
 
 func (f *Follower) applyServers(full bool, reading masticway.RowReading) {
 	f.update(func(now time.Time) bool {
-		if f.registry.RecordContact(now) {
+		if f.registry.RecordContact(now, reading.Version) {
 			f.log.WithFields(logrus.Fields{"event": "servers_may_return", "grace": recoveryGrace}).Info("store is reachable again; expired servers may reappear")
 		}
 		var changed bool
--- a/follower/mirror.go
+++ b/follower/mirror.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -26,6 +27,13 @@
 	// to read them on a link of 10 Mbit/s, and further versions were written meanwhile. A full read returns only the newest
 	// version, so after at most two of them the router is up to date.
 	maxWatchBytes = 16 << 10
+	// eraSpread is the range of the random time after which a router reads a table in full when an era of the store has ended.
+	// It is longer for large tables, by the time that maxSpreadSize or the table's size takes at eraReadRate bytes per second.
+	// At 350 routers, the reads of three small tables take half of the calls that a store answers, and a configuration of 0.8 MB
+	// 0.4 GB per second.
+	eraSpread     = 400 * time.Millisecond
+	eraReadRate   = 2 << 20
+	maxSpreadSize = 1 << 20
 )
 
 // tableWatcher keeps up with one part of a table of the store: it reads the part in full and then the table's changes.
@@ -50,8 +58,8 @@
 	// version is the store version up to which changes have been applied. It is zero before the first read. It is also zero from
 	// when changes were lost until the next full read.
 	version int64
-	// era is the store's era at the last read.
-	era int64
+	// applied is the store version up to which changes have ever been applied.
+	applied int64
 	// listedAt is the time of the last full read, and size its size in bytes. After failures, listedAt is moved to make the next
 	// full read due earlier or later (see handleFailure).
 	listedAt time.Time
@@ -91,6 +99,13 @@
 	return m.version
 }
 
+// listedSize returns the size of the last full read in bytes, at most maxSpreadSize.
+func (m *tableWatcher) listedSize() int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return min(m.size, maxSpreadSize)
+}
+
 // isRelistDue reports whether the next read must be a full one.
 func (m *tableWatcher) isRelistDue() bool {
 	m.mu.Lock()
@@ -114,7 +129,7 @@
 		reading, err = store.Watch(ctx, watch)
 	}
 	if historyLost, ok := errors.AsType[*masticway.HistoryLostError](err); ok {
-		m.restart(historyLost)
+		m.restart(ctx, historyLost)
 	}
 	if err != nil {
 		m.metrics.Add(metricFailures, 1)
@@ -126,34 +141,46 @@
 }
 
 // accept applies the result of a read. It drops a full read that is older than the changes that have already been applied,
-// because it would undo them.
+// because it would undo them, and everything that was read in an earlier era.
 func (m *tableWatcher) accept(full bool, reading masticway.RowReading) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if reading.Era != m.era {
-		m.log.WithFields(logrus.Fields{"event": "store_era", "table": m.table, "era": reading.Era, "previous": m.era, "version": reading.Version, "known_version": m.version, "full": full}).Info("the store's era has changed")
-		m.era = reading.Era
-	}
-	if full && reading.Version < m.version {
-		m.log.WithFields(logrus.Fields{"event": "reading_dropped", "table": m.table, "era": reading.Era, "version": reading.Version, "known_version": m.version}).Info("dropped a full read that is older than the changes applied")
+	if full && reading.Version < m.applied || masticway.StoreEra(reading.Version) < masticway.StoreEra(m.applied) {
+		m.log.WithFields(m.versionFields("reading_dropped", reading)).Info("dropped a reading that is older than what was applied")
 		return
 	}
+	if masticway.StoreEra(reading.Version) != masticway.StoreEra(m.applied) {
+		m.log.WithFields(m.versionFields("store_era", reading)).Info("the store's era has changed")
+	}
 	m.apply(full, reading)
 	m.version = max(m.version, reading.Version)
+	m.applied = m.version
 	if full {
 		m.listedAt, m.size = m.clock.Now(), reading.Bytes()
 	}
 }
 
+// versionFields returns the fields of a log line that compares a reading with what has been applied.
+func (m *tableWatcher) versionFields(event string, reading masticway.RowReading) logrus.Fields {
+	return logrus.Fields{
+		"event": event, "table": m.table, "era": masticway.StoreEra(reading.Version), "version": masticway.StoreNumber(reading.Version),
+		"known_era": masticway.StoreEra(m.applied), "known_version": masticway.StoreNumber(m.applied),
+	}
+}
+
 // restart makes the next read a full one, because the changes since m.version are lost or too large. If another read has changed
-// m.version meanwhile, it leaves the next read as it is.
-func (m *tableWatcher) restart(historyLost *masticway.HistoryLostError) {
+// m.version meanwhile, it leaves the next read as it is. After an era has ended, it first waits for a random time, because all
+// routers notice that at the same time.
+func (m *tableWatcher) restart(ctx context.Context, historyLost *masticway.HistoryLostError) {
+	if historyLost.EraEnded {
+		m.sleep(ctx, rand.N(eraSpread+time.Duration(m.listedSize())*time.Second/eraReadRate))
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.version == historyLost.Since {
 		m.version = 0
 	}
-	m.log.WithFields(logrus.Fields{"event": "history_lost", "table": m.table, "since": historyLost.Since, "large": historyLost.TooLarge}).Info("reading the table in full")
+	m.log.WithFields(logrus.Fields{"event": "history_lost", "table": m.table, "since": masticway.StoreNumber(historyLost.Since), "era": masticway.StoreEra(historyLost.Since), "large": historyLost.TooLarge, "era_ended": historyLost.EraEnded}).Info("reading the table in full")
 }
 
 // handleFailure records a failed read and waits for retryInterval. It returns at once if the error does not mean that the store
--- a/relayer/relay.go
+++ b/relayer/relay.go
@@ -62,6 +62,8 @@
 	Status  relayStatus          `cbor:"1,keyasint"`
 	Reading masticway.RowReading `cbor:"2,keyasint"`
 	Reason  string               `cbor:"3,keyasint,omitempty"`
+	// EraEnded is that of masticway.HistoryLostError.
+	EraEnded bool `cbor:"4,keyasint,omitempty"`
 }
 
 // result converts the reply to the result of the relayed call.
@@ -70,9 +72,9 @@
 	case statusDone:
 		return result{reading: reply.Reading}
 	case statusConflict:
-		return result{err: &masticway.RowConflictError{Rows: reply.Reading.Rows}}
+		return result{err: &masticway.RowConflictError{Rows: reply.Reading.Rows, Version: reply.Reading.Version}}
 	case statusHistoryLost:
-		return result{err: &masticway.HistoryLostError{Table: call.Table, Since: call.Since}}
+		return result{err: &masticway.HistoryLostError{Table: call.Table, Since: call.Since, EraEnded: reply.EraEnded}}
 	case statusUnavailable, statusRateLimited:
 		return result{err: &masticway.UnavailableError{Service: serviceName, Reason: reply.Reason, RateLimited: reply.Status == statusRateLimited}}
 	}
@@ -147,10 +149,10 @@
 		return relayReply{Status: statusDone, Reading: r.reading}
 	}
 	if conflict, ok := errors.AsType[*masticway.RowConflictError](r.err); ok {
-		return relayReply{Status: statusConflict, Reading: masticway.RowReading{Rows: conflict.Rows}}
+		return relayReply{Status: statusConflict, Reading: masticway.RowReading{Rows: conflict.Rows, Version: conflict.Version}}
 	}
-	if _, ok := errors.AsType[*masticway.HistoryLostError](r.err); ok {
-		return relayReply{Status: statusHistoryLost}
+	if historyLost, ok := errors.AsType[*masticway.HistoryLostError](r.err); ok {
+		return relayReply{Status: statusHistoryLost, EraEnded: historyLost.EraEnded}
 	}
 	if r.isRateLimited() {
 		return relayReply{Status: statusRateLimited, Reason: r.err.Error()}
--- a/rows.go
+++ b/rows.go
@@ -15,7 +15,8 @@
 	Key   string
 }
 
-// StoredRow is a row at one version. Versions come from one counter for the whole store.
+// StoredRow is a row at one version. Versions come from one counter for the whole store, which goes back whenever the store returns
+// from a copy of an earlier state (see NewStoreVersion).
 type StoredRow struct {
 	RowKey
 	Value   []byte
@@ -66,9 +67,6 @@
 	Version int64
 	// StoreTime is the reading of the store's monotonic clock when it answered.
 	StoreTime time.Duration `cbor:"At"`
-	// Era is the era of the store when it answered: it rises by one whenever the store returns from a copy of an earlier state. It
-	// is zero if the store has not told its era.
-	Era int64
 }
 
 // Bytes returns the total size of the tables, parts, keys and values of the rows.
@@ -99,11 +97,11 @@
 	Read(ctx context.Context, table, part string) (RowReading, error)
 	// Write commits a write and returns its version and the store's time. It fails with RowConflictError if an expected version
 	// does not match, and with UnavailableError if nothing was written. It fails with OutcomeUnknownError if the write may have
-	// been made or may still be made.
+	// been made or may still be made. An expected version of an earlier era never matches.
 	Write(ctx context.Context, w RowWrite) (RowReading, error)
 	// Watch returns the changes of a table after version f.Since, with all versions of each row. If there are none yet, it waits
-	// for the first one, and returns no rows after f.MaxWait. It fails with HistoryLostError if the changes are no longer stored
-	// or exceed f.MaxBytes, and with UnavailableError if the store cannot be read.
+	// for the first one, and returns no rows after f.MaxWait. It fails with HistoryLostError if the changes are no longer stored,
+	// exceed f.MaxBytes or were lost with an earlier era, and with UnavailableError if the store cannot be read.
 	Watch(ctx context.Context, f WatchRequest) (RowReading, error)
 }
 
@@ -111,6 +109,8 @@
 // rows that exist.
 type RowConflictError struct {
 	Rows []StoredRow
+	// Version is the newest version of the store when it answered.
+	Version int64
 }
 
 // Error returns a message with the number of rows.
@@ -125,6 +125,8 @@
 	Since int64
 	// TooLarge is set if the changes are stored but exceed the requested maximum size.
 	TooLarge bool
+	// EraEnded is set if the store has returned from a copy since the version.
+	EraEnded bool
 }
 
 // Error returns a message with the table and the version.
--- a/treasurer/treasurer.go
+++ b/treasurer/treasurer.go
@@ -99,8 +99,6 @@
 	members int
 	// sealed is set once this incarnation must not spend any more (see seal).
 	sealed bool
-	// era is the store's era at the last call that succeeded.
-	era int64
 
 	// countedAt is when the routers were last counted. countedBytes is the size of all routers' presences then. presence is
 	// what is known of this router's own presence.
@@ -438,10 +436,6 @@
 	if err != nil {
 		t.noteFailure(s, err)
 	}
-	if err == nil && reading.Era != t.era {
-		t.log.WithFields(logrus.Fields{"event": "store_era", "era": reading.Era, "previous": t.era, "version": reading.Version, "workspace": s.Workspace, "is_write": s.Write != nil}).Info("the store's era has changed")
-		t.era = reading.Era
-	}
 	replies, fault := t.planner.CompleteStoreCall(t.clock.Now(), s, reading, err)
 	t.deliver(replies)
 	if fault != nil {
