--- a/emulator/rows.go
+++ b/emulator/rows.go
@@ -267,9 +267,8 @@
 func (s *RowStore) changes(f masticway.WatchRequest) (masticway.RowReading, <-chan struct{}, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	historyLost := &masticway.HistoryLostError{Table: f.Table, Since: f.Since}
-	historyLost.EraEnded = masticway.StoreEra(f.Since) != masticway.StoreEra(s.version)
-	if f.Since < s.compacted || f.Since > s.version || historyLost.EraEnded {
+	historyLost := &masticway.HistoryLostError{Table: f.Table, Since: f.Since, Era: masticway.StoreEra(s.version)}
+	if f.Since < s.compacted || f.Since > s.version || historyLost.IsEraEnded() {
 		return masticway.RowReading{}, nil, historyLost
 	}
 	out := s.reading()
--- a/follower/mirror.go
+++ b/follower/mirror.go
@@ -172,7 +172,7 @@
 // m.version meanwhile, it leaves the next read as it is. After an era has ended, it first waits for a random time, because all
 // routers notice that at the same time.
 func (m *tableWatcher) restart(ctx context.Context, historyLost *masticway.HistoryLostError) {
-	if historyLost.EraEnded {
+	if historyLost.IsEraEnded() {
 		m.sleep(ctx, rand.N(eraSpread+time.Duration(m.listedSize())*time.Second/eraReadRate))
 	}
 	m.mu.Lock()
@@ -180,7 +180,7 @@
 	if m.version == historyLost.Since {
 		m.version = 0
 	}
-	m.log.WithFields(logrus.Fields{"event": "history_lost", "table": m.table, "since": masticway.StoreNumber(historyLost.Since), "era": masticway.StoreEra(historyLost.Since), "large": historyLost.TooLarge, "era_ended": historyLost.EraEnded}).Info("reading the table in full")
+	m.log.WithFields(logrus.Fields{"event": "history_lost", "table": m.table, "since": masticway.StoreNumber(historyLost.Since), "era": masticway.StoreEra(historyLost.Since), "large": historyLost.TooLarge, "era_ended": historyLost.IsEraEnded()}).Info("reading the table in full")
 }
 
 // handleFailure records a failed read and waits for retryInterval. It returns at once if the error does not mean that the store
--- a/relayer/relay.go
+++ b/relayer/relay.go
@@ -62,8 +62,8 @@
 	Status  relayStatus          `cbor:"1,keyasint"`
 	Reading masticway.RowReading `cbor:"2,keyasint"`
 	Reason  string               `cbor:"3,keyasint,omitempty"`
-	// EraEnded is that of masticway.HistoryLostError.
-	EraEnded bool `cbor:"4,keyasint,omitempty"`
+	// Era is that of masticway.HistoryLostError.
+	Era int64 `cbor:"4,keyasint,omitempty"`
 }
 
 // result converts the reply to the result of the relayed call.
@@ -74,7 +74,7 @@
 	case statusConflict:
 		return result{err: &masticway.RowConflictError{Rows: reply.Reading.Rows, Version: reply.Reading.Version}}
 	case statusHistoryLost:
-		return result{err: &masticway.HistoryLostError{Table: call.Table, Since: call.Since, EraEnded: reply.EraEnded}}
+		return result{err: &masticway.HistoryLostError{Table: call.Table, Since: call.Since, Era: reply.Era}}
 	case statusUnavailable, statusRateLimited:
 		return result{err: &masticway.UnavailableError{Service: serviceName, Reason: reply.Reason, RateLimited: reply.Status == statusRateLimited}}
 	}
@@ -152,7 +152,7 @@
 		return relayReply{Status: statusConflict, Reading: masticway.RowReading{Rows: conflict.Rows, Version: conflict.Version}}
 	}
 	if historyLost, ok := errors.AsType[*masticway.HistoryLostError](r.err); ok {
-		return relayReply{Status: statusHistoryLost, EraEnded: historyLost.EraEnded}
+		return relayReply{Status: statusHistoryLost, Era: historyLost.Era}
 	}
 	if r.isRateLimited() {
 		return relayReply{Status: statusRateLimited, Reason: r.err.Error()}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -75,6 +75,8 @@
 	// peers returns the addresses of other routers. onRestored is called when direct calls work again.
 	peers      func() []string
 	onRestored func()
+	// observeVersion is called with the store's version in each result, see OnVersion.
+	observeVersion func(version int64)
 	// observeLatency is called with the duration of direct calls, see OnDirectCall.
 	observeLatency func(took time.Duration, answered bool)
 	// lastSuccess is when a direct call last got a definite result. failingSince is zero if no direct call has failed after
@@ -101,7 +103,7 @@
 
 // New returns a Store whose direct calls go to the store direct. It relays no calls until SetPeers is called.
 func New(direct masticway.RowStore, m *messenger.Client, clock masticway.Clock, log *logrus.Entry, metrics *measurer.Set) *Store {
-	s := &Store{direct: direct, client: m, clock: clock, log: log, metrics: metrics, peers: func() []string { return nil }, onRestored: func() {}, observeLatency: func(time.Duration, bool) {}}
+	s := &Store{direct: direct, client: m, clock: clock, log: log, metrics: metrics, peers: func() []string { return nil }, onRestored: func() {}, observeVersion: func(int64) {}, observeLatency: func(time.Duration, bool) {}}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	return s
 }
@@ -127,6 +129,14 @@
 	s.onRestored = f
 }
 
+// OnVersion sets a function that is called with the store's version in the results of this router's calls, direct or relayed, from
+// which a component learns of a new era of the store.
+func (s *Store) OnVersion(observe func(version int64)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.observeVersion = observe
+}
+
 // OnDirectCall sets a function that is called with the duration of direct calls and whether the store answered. A call that
 // failed within minHedgeDelay counts as answered. Watches, rate-limited calls, canceled calls and large answers that arrived are
 // not reported.
@@ -193,7 +203,25 @@
 func (s *Store) call(ctx context.Context, c storeCall) (masticway.RowReading, error) {
 	p := startCall(ctx, s, c)
 	defer p.cancelRelay()
-	return p.wait()
+	reading, err := p.wait()
+	if version := answeredVersion(reading, err); version > 0 {
+		s.mu.Lock()
+		observe := s.observeVersion
+		s.mu.Unlock()
+		observe(version)
+	}
+	return reading, err
+}
+
+// answeredVersion returns the version of the store that the result of a call shows, zero if there is none.
+func answeredVersion(reading masticway.RowReading, err error) int64 {
+	if conflict, ok := errors.AsType[*masticway.RowConflictError](err); ok {
+		return conflict.Version
+	}
+	if historyLost, ok := errors.AsType[*masticway.HistoryLostError](err); ok {
+		return masticway.NewStoreVersion(historyLost.Era, 0)
+	}
+	return reading.Version
 }
 
 // worseOf returns the worse of two results that are not definite. A result with an unknown outcome is worse, because the other
--- a/retrier/share.go
+++ b/retrier/share.go
@@ -68,6 +68,23 @@
 	return s
 }
 
+// WithClockShift returns the share after the store's clock has been found to be ahead of its estimate by an offset, because the store
+// has returned from a copy.
+func (s Share) WithClockShift(offset time.Duration) Share {
+	s.countedAt += offset
+	s.own.WrittenAt += offset
+	s.own.JoinedAt += offset
+	return s
+}
+
+// Presence returns the last presence that this instance has written, nil if there is none.
+func (s Share) Presence() *Presence {
+	if !s.isPresent {
+		return nil
+	}
+	return &s.own
+}
+
 // Routers returns the number of routers that divide the fixed retries at a time, or zero if this router must not use any.
 func (s Share) Routers(now time.Duration) int {
 	if s.routers == 0 || !s.isPresent || now-s.countedAt > s.lifetime || now-s.own.WrittenAt > s.lifetime {
--- a/rows.go
+++ b/rows.go
@@ -125,10 +125,13 @@
 	Since int64
 	// TooLarge is set if the changes are stored but exceed the requested maximum size.
 	TooLarge bool
-	// EraEnded is set if the store has returned from a copy since the version.
-	EraEnded bool
+	// Era is the newest era of the store that is known.
+	Era int64
 }
 
+// IsEraEnded reports whether the changes were lost because the store has returned from a copy since the version.
+func (e *HistoryLostError) IsEraEnded() bool { return StoreEra(e.Since) != e.Era }
+
 // Error returns a message with the table and the version.
 func (e *HistoryLostError) Error() string {
 	return fmt.Sprintf("changes of %s since version %d are not available", e.Table, e.Since)
--- a/starter/gateway.go
+++ b/starter/gateway.go
@@ -161,6 +161,7 @@
 	})
 	d.store.SetPeers(d.peers)
 	d.store.OnRestored(d.treasurer.NotifyStoreRecovered)
+	d.store.OnVersion(d.treasurer.NoteVersion)
 	d.examiner = examiner.New(examiner.Dependencies{
 		Store: d.store, Messages: peerClient, Peers: d.peers, Members: d.treasurer, Clock: clock, Log: entry, Metrics: metrics, Self: d.treasurer.Self(),
 	})
--- a/treasurer/begin.go
+++ b/treasurer/begin.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -37,12 +38,12 @@
 	// The store reads its clock after the call is sent. So the time at which listening began, which is computed from that
 	// clock, is never too early.
 	listeningFor := t.clock.Now().Sub(t.listeningAt)
-	row, at, err := t.readRow(ctx, key)
+	row, reading, err := t.readRow(ctx, key)
 	if err != nil {
 		return err
 	}
 	t.mu.Lock()
-	write, err := t.planner.TakeOver(row, at, at-listeningFor)
+	write, err := t.planner.TakeOver(row, masticway.StoreEra(reading.Version), reading.StoreTime, reading.StoreTime-listeningFor)
 	t.mu.Unlock()
 	if err != nil {
 		return err
@@ -51,6 +52,9 @@
 	if err != nil {
 		return err
 	}
+	if masticway.StoreEra(written.Version) != masticway.StoreEra(reading.Version) {
+		return errEraChanged
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.planner.CompleteTakeOver(t.clock.Now(), written.Version, written.StoreTime)
@@ -63,9 +67,16 @@
 // closePredecessors closes the grants of this instance's earlier incarnations. Once all are closed, it makes the next
 // checkpoint omit these incarnations. It returns early if the context is done.
 func (t *Treasurer) closePredecessors(ctx context.Context) {
+	if !t.awaitSettled(ctx) {
+		return
+	}
 	t.mu.Lock()
 	ended := t.planner.Predecessors()
 	t.mu.Unlock()
+	if slices.ContainsFunc(ended, func(e EndedIncarnation) bool { return e.FromCopy }) {
+		// Meanwhile another router may have continued the era.
+		t.enterEra(ctx)
+	}
 	var closing sync.WaitGroup
 	slots := make(chan struct{}, maxConcurrentClosings)
 	for _, e := range ended {
@@ -99,7 +110,11 @@
 			row, _, err = t.readRow(ctx, key)
 			known = err == nil
 		}
-		grants := len(ReadAccount(row).Grants)
+		account := ReadAccount(row)
+		grants := len(account.Grants)
+		if _, open := account.Grants[ended.Incarnation]; known && !open && ended.MaxSpent == nil {
+			return
+		}
 		if known && grants >= contendedGrants && !waited {
 			waited = true
 			t.sleepForContention(ctx, grants)
@@ -133,30 +148,36 @@
 	}
 }
 
-// readRow reads one row and the store's clock. If the row does not exist, it returns one with version zero.
-func (t *Treasurer) readRow(ctx context.Context, key masticway.RowKey) (masticway.StoredRow, time.Duration, error) {
+// readRow reads one row and returns it with the reading of its part. If the row does not exist, it returns one with version zero.
+func (t *Treasurer) readRow(ctx context.Context, key masticway.RowKey) (masticway.StoredRow, masticway.RowReading, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	reading, err := t.store.Read(ctx, key.Table, key.Part)
 	for _, r := range reading.Rows {
 		if r.Key == key.Key {
-			return r, reading.StoreTime, err
+			return r, reading, err
 		}
 	}
-	return masticway.StoredRow{RowKey: key}, reading.StoreTime, err
+	return masticway.StoredRow{RowKey: key}, reading, err
 }
 
 // tryCloseGrant writes the given row without the ended incarnation's grant. row must be the row as it was last read.
 func (t *Treasurer) tryCloseGrant(ctx context.Context, row masticway.StoredRow, ended EndedIncarnation, workspace string, spent int64) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	write, grant, err := CloseGrant(row, ended.Incarnation, spent)
+	t.mu.Lock()
+	at := t.storeTime()
+	t.mu.Unlock()
+	write, grant, err := CloseGrant(row, ended.Incarnation, spent, at)
 	if err != nil {
 		return err
 	}
 	if _, err = t.store.Write(ctx, write); err != nil {
 		return fmt.Errorf("closing the grant of %s: %w", ended.Incarnation, err)
 	}
+	t.mu.Lock()
+	t.planner.NoteClosed(t.clock.Now(), ended.Incarnation, workspace, ClosedGrant{Spent: min(spent, grant.Granted), At: at})
+	t.mu.Unlock()
 	t.log.WithFields(logrus.Fields{
 		"event": "grant_closed", "incarnation": ended.Incarnation, "workspace": workspace, "granted": grant.Granted,
 		"presumed": min(spent, grant.Granted), "taken": ended.Taken[workspace], "written": ended.MaxUnwitnessed[workspace],
--- a/treasurer/death_test.go
+++ b/treasurer/death_test.go
@@ -87,7 +87,7 @@
 				}
 				records = append(records, p.FinalReports(w.Incarnation, ended[0].Incarnation))
 			}
-			presumed := ended[0].PresumedSpent(records)["w"]
+			presumed := ended[0].PresumedSpent(records, false)["w"]
 			qt.Assert(t, presumed >= ended[0].Taken["w"], qt.IsTrue)
 			qt.Assert(t, ended[0].MaxUnwitnessed["w"] <= ended[0].MaxSpent["w"], qt.IsTrue)
 			if tc.witnesses == 0 {
@@ -165,7 +165,7 @@
 				for _, w := range e.Witnesses {
 					records = append(records, witnesses[w.Incarnation].FinalReports(w.Incarnation, e.Incarnation))
 				}
-				presumed := e.PresumedSpent(records)["w"]
+				presumed := e.PresumedSpent(records, false)["w"]
 				t.Logf("%d delivered, %d of it during the outage; %d presumed, %d without witnesses", delivered, unwitnessed, presumed, e.MaxSpent["w"])
 				qt.Assert(t, delivered <= presumed, qt.IsTrue)
 				qt.Assert(t, presumed <= e.MaxSpent["w"], qt.IsTrue)
--- a/treasurer/doc.go
+++ b/treasurer/doc.go
@@ -127,6 +127,24 @@
 // conflicts with a newer version and has no effect. An incarnation that was only frozen learns from the conflict at its
 // checkpoint that it has a successor (resolveCheckpoint), and Treasurer.seal stops it from spending.
 //
+// # When the store returns from a copy
+//
+// The store may return from a copy of an earlier state: grants, checkpoints, closings and presences of the last seconds are
+// lost, and a new era begins (see masticway.NewStoreVersion). A planner whose call is answered in another era than its own makes
+// no more calls (noteVersion) until Treasurer.enterEra has read or written when the era began (EraRecord) and called
+// Planner.EnterEra. From then on it ignores answers of earlier eras.
+//
+// Each router goes on spending from the grant that it knows and writes it again, with its checkpoint and its presence. Rows that it
+// knows from the lost era tell it the grants and closings of others. It writes those again later, in case their routers cannot
+// (withLost); Grant.Sequence and Account.Ended tell which one of two rows is newer. Until that is done everywhere, at
+// EraStart.SettledAt, no grant grows, no budget is found exhausted and no predecessor's grant is closed.
+//
+// A checkpoint from a copy does not bound what its incarnation has spent since. Its whole grants count as spent then
+// (EndedIncarnation.FromCopy), like those that no checkpoint names (Stray). What no running router knows is assumed: a grant that
+// was drawn after the copy counts for nothing if its router and all that have read its row since have ended; and if no router at
+// all has run through the return, predecessors are assumed to have spent at the rates of the checkpoints in the copy, for
+// maxCopyAge longer than these say.
+//
 // Constants that are policy are in declarations of their own, apart from timeouts, intervals and bounds of calls. A policy
 // constant trades refusals, delays and losses against each other.
 package treasurer
--- a/treasurer/holders_test.go
+++ b/treasurer/holders_test.go
@@ -241,7 +241,7 @@
 		row = row.WithGrant(masticway.NewIncarnation(fmt.Sprint(i), "1"), treasurer.Grant{Demand: 1})
 	}
 	qt.Assert(t, row.Grants, qt.HasLen, 1)
-	row = row.WithClosed(masticway.NewIncarnation("99", "1"), 7)
+	row = row.WithClosed(masticway.NewIncarnation("99", "1"), 7, 0)
 	qt.Assert(t, row.Grants, qt.HasLen, 0)
 	qt.Assert(t, row.Closed, qt.Equals, int64(7))
 }
--- a/treasurer/outcome.go
+++ b/treasurer/outcome.go
@@ -11,6 +11,14 @@
 // The error is a masticway.SealedError if another incarnation has taken over this instance's checkpoint. It is another error
 // if a row cannot be decoded.
 func (p *Planner) CompleteStoreCall(now time.Time, s StoreCall, reading masticway.RowReading, err error) ([]Reply, error) {
+	if s.era != p.era {
+		// The planner has entered another era since, and what it had in flight does not count any more.
+		return nil, nil
+	}
+	if !p.isAnswerCurrent(reading, err) {
+		// The call met rows of another era. The planner reads and writes its rows again once it has entered that era.
+		err = errors.Join(errEraChanged, &masticway.OutcomeUnknownError{Service: "row store", Reason: errEraChanged.Error()})
+	}
 	if s.Part == "" {
 		return p.completeCheckpoint(now, s, reading, err)
 	}
@@ -33,6 +41,14 @@
 	return p.completeChange(now, s, reading)
 }
 
+// isAnswerCurrent reports whether the outcome of a call does not show another era of the store than that of the planner's rows.
+func (p *Planner) isAnswerCurrent(reading masticway.RowReading, err error) bool {
+	if conflict, ok := errors.AsType[*masticway.RowConflictError](err); ok {
+		return p.noteVersion(conflict.Version)
+	}
+	return err != nil || p.noteVersion(reading.Version)
+}
+
 // noteStoreSuccess records that the store has answered a call. A conflict is an answer too.
 func (p *Planner) noteStoreSuccess() {
 	p.failingSince = time.Time{}
@@ -97,6 +113,10 @@
 // completeChange applies a change that the store has made.
 func (p *Planner) completeChange(now time.Time, s StoreCall, reading masticway.RowReading) ([]Reply, error) {
 	p.endChange(s)
+	if a, ok := p.accounts[s.Workspace]; ok {
+		// The row that was written has the grant as this router knows it.
+		a.restoring = false
+	}
 	var rows []masticway.StoredRow
 	for _, put := range s.Write.Puts {
 		rows = append(rows, masticway.StoredRow{RowKey: put.RowKey, Value: put.Value, Version: reading.Version})
@@ -140,10 +160,14 @@
 	return replies, nil
 }
 
-// ApplyChanges applies the rows that a watch of the accounts returned.
+// ApplyChanges applies the rows that a watch of the accounts returned. It ignores those of another era of the store.
 //
 // Rows that the watch did not return have not changed, so every known row counts as current as of now.
-func (p *Planner) ApplyChanges(now time.Time, rows []masticway.StoredRow) ([]Reply, error) {
+func (p *Planner) ApplyChanges(now time.Time, reading masticway.RowReading) ([]Reply, error) {
+	if !p.noteVersion(reading.Version) {
+		return nil, nil
+	}
+	rows := reading.Rows
 	var replies []Reply
 	for _, a := range p.sortedAccounts {
 		if a.rowKnown {
@@ -154,7 +178,14 @@
 		a, ok := p.accounts[r.Key]
 		// The watch returns nothing if an unconfirmed change was not made. Only a read can find that out, so the watch's row
 		// is ignored.
-		if !ok || !a.rowKnown && a.unconfirmed {
+		if !ok {
+			continue
+		}
+		if !a.rowKnown && a.unconfirmed {
+			// What others have written may still be lost with the store's era.
+			if row, err := decode[Account](r); err == nil {
+				a.ignored = row
+			}
 			continue
 		}
 		if err := p.applyRow(a, r); err != nil {
@@ -181,8 +212,10 @@
 		return err
 	}
 	a.setRow(row)
+	a.ignored = Account{}
 	a.rowVersion, a.rowKnown = r.Version, true
-	a.granted = row.Grants[p.settings.Incarnation].Granted
+	p.applyOwnGrant(a)
+	p.noteStrays(a)
 	a.unconfirmed, a.unconfirmedReturn = false, 0
 	if row.Version > a.configVersion {
 		a.prepaid, a.configVersion = row.Prepaid, row.Version
@@ -240,8 +273,10 @@
 
 // resolveCheckpoint handles a conflict at the write of a checkpoint. The conflict returns the row that the store has. If an
 // earlier write of this incarnation with unknown outcome wrote the row, the limits of that checkpoint are the only ones in
-// force. If another incarnation wrote it, the result is a masticway.SealedError.
+// force. If a successor wrote it, the result is a masticway.SealedError. If the store has no row, or an older one, because it has
+// returned from a copy, the next checkpoint replaces that.
 func (p *Planner) resolveCheckpoint(now time.Time, rows []masticway.StoredRow) ([]Reply, error) {
+	p.checkpointVersion = 0
 	for _, r := range rows {
 		if r.Key != p.checkpointKey().Key {
 			continue
@@ -250,10 +285,14 @@
 		if err != nil {
 			return nil, err
 		}
-		if checkpoint.Incarnation != p.settings.Incarnation {
+		if checkpoint.Incarnation != p.settings.Incarnation && checkpoint.supersedes(p.checkpoint) {
 			return nil, &masticway.SealedError{Incarnation: p.settings.Incarnation}
 		}
 		p.checkpointVersion = r.Version
+		if checkpoint.Incarnation != p.settings.Incarnation || checkpoint.Era != p.era {
+			p.checkpointLost = true
+			continue
+		}
 		// The store's clock at that write is unknown. The older checkpointBasis is kept, which only makes the limits count
 		// from an earlier time.
 		p.keepOnlyLimits(checkpoint.Sequence)
@@ -262,14 +301,14 @@
 }
 
 // TakeOver returns the write that replaces the predecessor's checkpoint by this incarnation's first one. The caller must
-// make the write before it calls CompleteTakeOver. row is the predecessor's checkpoint, and now the store's clock when it
-// was read. listening is an upper bound of the store's clock at the time at which this process began to listen.
-func (p *Planner) TakeOver(row masticway.StoredRow, now, listening time.Duration) (masticway.RowWrite, error) {
+// make the write before it calls CompleteTakeOver. row is the predecessor's checkpoint, and era and now are the store's era and
+// clock when it was read. listening is an upper bound of the store's clock at the time at which this process began to listen.
+func (p *Planner) TakeOver(row masticway.StoredRow, era int64, now, listening time.Duration) (masticway.RowWrite, error) {
 	old, err := decode[Checkpoint](row)
 	if err != nil {
 		return masticway.RowWrite{}, err
 	}
-	next := old.successor(startInfo{incarnation: p.settings.Incarnation, address: p.settings.Address, now: now, listening: listening})
+	next := old.successor(startInfo{incarnation: p.settings.Incarnation, address: p.settings.Address, era: era, now: now, listening: listening})
 	key := p.checkpointKey()
 	p.checkpoint = next
 	return masticway.RowWrite{
@@ -282,6 +321,9 @@
 // store's clock at the write.
 func (p *Planner) CompleteTakeOver(now time.Time, version int64, at time.Duration) {
 	p.started, p.startedAt = true, now
+	// A store whose first era has not ended has lost nothing.
+	p.era = masticway.StoreEra(version)
+	p.mustEnterEra = p.era > 0
 	p.checkpointVersion = version
 	p.checkpoint.Basis = at
 	p.checkpointBasis = now
--- a/treasurer/plan.go
+++ b/treasurer/plan.go
@@ -22,13 +22,15 @@
 	// sequence is the checkpoint's sequence number, zero for other calls.
 	sequence int64
 	sentAt   time.Time
+	// era is the era of the store for whose rows the call was made.
+	era int64
 }
 
 // Plan returns the calls to make to the store now. It counts them as in flight until CompleteStoreCall is called for them. It
 // returns no checkpoint while another is in flight. The same holds for changes of one workspace's grant, and for reads of one
 // part. While the store fails, it returns only checkpoints.
 func (p *Planner) Plan(now time.Time) []StoreCall {
-	if !p.started {
+	if !p.started || p.mustEnterEra {
 		return nil
 	}
 	if p.peersChanged {
@@ -53,10 +55,14 @@
 			continue
 		}
 		delta := p.grantDelta(now, a)
-		if !a.rowKnown && (len(a.waiting) > 0 || delta != 0) || p.needsFreshRow(now, a) {
+		if !now.Before(p.restoreUntil) {
+			a.lost = Account{}
+		}
+		restore := p.mustRestore(now, a)
+		if !a.rowKnown && (len(a.waiting) > 0 || delta != 0 || restore || len(a.lost.Grants)+len(a.lost.Ended) > 0 && !now.Before(p.restoreOthersAt)) || p.needsFreshRow(now, a) {
 			reads[PartOf(a.workspace, p.settings.Parts)] = true
 		}
-		if delta != 0 && a.rowKnown && now.Sub(p.lastChangeAt) >= p.changeInterval {
+		if (delta != 0 || restore) && a.rowKnown && now.Sub(p.lastChangeAt) >= p.changeInterval {
 			p.lastChangeAt = now
 			calls = append(calls, p.changeGrant(now, a, delta))
 		}
@@ -64,12 +70,22 @@
 	for _, part := range slices.Sorted(maps.Keys(reads)) {
 		if !p.readsInFlight[part] {
 			p.readsInFlight[part] = true
-			calls = append(calls, StoreCall{Part: part, sentAt: now})
+			calls = append(calls, p.ReadCall(now, part))
 		}
 	}
 	return calls
 }
 
+// storeNow returns an estimate of the store's time.
+func (p *Planner) storeNow(now time.Time) time.Duration {
+	return p.checkpoint.Basis + now.Sub(p.checkpointBasis)
+}
+
+// ReadCall returns a call that reads a part of the accounts, for the caller to make.
+func (p *Planner) ReadCall(now time.Time, part string) StoreCall {
+	return StoreCall{Part: part, sentAt: now, era: p.era}
+}
+
 // accountsByQueue lists the accounts by the length of their queues of waiting requests, longest first. The order matters
 // because Plan may return only one change of a grant in each change interval.
 func (p *Planner) accountsByQueue() []*account {
@@ -82,6 +98,9 @@
 // the store does not fail.
 func (p *Planner) isCheckpointDue(now time.Time) bool {
 	age := now.Sub(p.checkpointSentAt)
+	if p.checkpointLost {
+		return true
+	}
 	if age < checkpointPause || p.checkpointCredit(now) < 1 {
 		return false
 	}
@@ -257,11 +276,11 @@
 		sequence: next.Sequence, basis: p.checkpointBasis, limits: next.Limits, witnesses: next.Witnesses, acked: map[masticway.Incarnation]map[string]int64{},
 	})
 	p.checkpoint = next
-	p.checkpointInFlight = true
+	p.checkpointInFlight, p.checkpointLost = true, false
 	p.checkpointCreditLeft, p.checkpointSentAt = max(0, p.checkpointCredit(now)-1), now
 	key := p.checkpointKey()
 	return StoreCall{
-		sequence: next.Sequence, sentAt: now,
+		sequence: next.Sequence, sentAt: now, era: p.era,
 		Write: &masticway.RowWrite{
 			Expected: []masticway.RowVersion{{RowKey: key, Version: p.checkpointVersion}},
 			Puts:     []masticway.RowPut{{RowKey: key, Value: encode(next)}},
@@ -330,10 +349,12 @@
 // workspace has its own write, so that a conflict on one row affects no other workspace.
 func (p *Planner) changeGrant(now time.Time, a *account, delta int64) StoreCall {
 	a.changeInFlight, a.returning = true, max(0, -delta)
-	next := a.newestRow().WithGrant(p.settings.Incarnation, Grant{Granted: a.granted + delta, Taken: a.taken, Demand: int64(a.demand.rate)})
+	next := p.withLost(now, a, a.newestRow()).withoutOldEnded(p.storeNow(now)).WithGrant(p.settings.Incarnation, Grant{
+		Granted: a.granted + delta, Taken: a.taken, Demand: int64(a.demand.rate), Sequence: a.sequence + 1,
+	})
 	key := accountKey(a.workspace, p.settings.Parts)
 	return StoreCall{
-		Part: key.Part, Workspace: a.workspace, sentAt: now,
+		Part: key.Part, Workspace: a.workspace, sentAt: now, era: p.era,
 		Write: &masticway.RowWrite{
 			Expected: []masticway.RowVersion{{RowKey: key, Version: a.rowVersion}},
 			Puts:     []masticway.RowPut{{RowKey: key, Value: encode(next)}},
@@ -356,6 +377,9 @@
 	if p.closing {
 		return -max(0, free)
 	}
+	if !p.isSettled(now) || a.restoring {
+		return 0
+	}
 	if left < 0 {
 		// The budget was lowered below the sum of what is closed and granted: return what is not taken.
 		return -max(0, min(free, -left))
--- a/treasurer/presence.go
+++ b/treasurer/presence.go
@@ -104,21 +104,29 @@
 	if err != nil {
 		return 0, err
 	}
+	era, beganAt, ok := t.currentEra(reading.Version)
+	if !ok {
+		return 0, errEraChanged
+	}
 	ownVersion := int64(0)
 	var own *retrier.Presence
 	var others []retrier.Presence
 	var peers []Peer
 	ttl := max(presenceTTL, presenceTTLIntervals*presenceInterval(len(reading.Rows))) + t.sinceLastCount()
 	n := 1
+	present := map[string]bool{}
 	for _, r := range reading.Rows {
 		p, err := decode[Presence](r)
 		if r.Key == t.self.Instance() {
 			ownVersion = r.Version
-			if err == nil {
-				own = &retrier.Presence{WrittenAt: p.StoreTime, JoinedAt: p.JoinTime}
-			}
+			own = t.ownPresence(p, err, era)
 			continue
 		}
+		present[r.Key] = true
+		if p.Era != era {
+			// The row is from a copy. Its router is running if it writes the row again.
+			p.StoreTime = beganAt
+		}
 		if err != nil {
 			t.log.WithFields(logrus.Fields{"event": "presence_unreadable", "instance_of": r.Key, "error": err}).Warn("router not counted")
 			// It may use a share of the retries.
@@ -134,11 +142,60 @@
 			peers = append(peers, Peer{Witness: Witness{Incarnation: p.Incarnation, Address: p.Address}, Zone: p.Zone, Processors: p.Processors})
 		}
 	}
+	for _, peer := range t.unsettledPeers() {
+		if !present[peer.Incarnation.Instance()] {
+			n++
+			others = append(others, retrier.Presence{WrittenAt: reading.StoreTime})
+			peers = append(peers, peer)
+		}
+	}
 	slices.SortFunc(peers, func(x, y Peer) int { return cmp.Compare(x.Incarnation, y.Incarnation) })
 	t.setCount(n, peers, reading, ownVersion, own, others)
 	return n, t.writePresence(ctx)
 }
 
+// currentEra returns the era of the store and when it began, by the store's clock. It returns false if the given version of the
+// store is of another era.
+func (t *Treasurer) currentEra(version int64) (era int64, beganAt time.Duration, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.planner.noteVersion(version) {
+		return 0, 0, false
+	}
+	return t.planner.Era(), t.eraBeganAt, true
+}
+
+// ownPresence returns this instance's presence according to its row in an era of the store, nil if there is none. What a row of an
+// earlier era says is replaced by what this router has written last.
+func (t *Treasurer) ownPresence(p Presence, err error, era int64) *retrier.Presence {
+	if err == nil && p.Era == era {
+		return &retrier.Presence{WrittenAt: p.StoreTime, JoinedAt: p.JoinTime}
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.share.Presence()
+}
+
+// unsettledPeers returns the known peers while presences that were lost with an earlier era of the store may still be written
+// again, and none after that.
+func (t *Treasurer) unsettledPeers() []Peer {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.planner.isSettled(t.clock.Now()) {
+		return nil
+	}
+	return slices.Clone(t.peers)
+}
+
+// enterPresenceEra makes the times of the router's presence and count those of a new era, of whose clock there is a reading. The
+// caller must hold t.mu.
+func (t *Treasurer) enterPresenceEra(now time.Time, storeTime time.Duration) {
+	if !t.countedAt.IsZero() {
+		t.share = t.share.WithClockShift(storeTime - t.storeTime())
+	}
+	t.presence = presenceRow{storeTime: storeTime, readAt: now}
+}
+
 // setCount records a count and passes it to the planner.
 func (t *Treasurer) setCount(n int, peers []Peer, reading masticway.RowReading, ownVersion int64, own *retrier.Presence, others []retrier.Presence) {
 	t.mu.Lock()
@@ -173,12 +230,12 @@
 // call expects the right version.
 func (t *Treasurer) writePresence(ctx context.Context) error {
 	t.mu.Lock()
-	row, next := t.presence, t.share.NextPresence(t.storeTime())
+	row, next, era := t.presence, t.share.NextPresence(t.storeTime()), t.planner.Era()
 	t.mu.Unlock()
 	key := masticway.RowKey{Table: tableRouters, Part: routersPart, Key: t.self.Instance()}
 	written, err := t.store.Write(ctx, masticway.RowWrite{
 		Expected: []masticway.RowVersion{{RowKey: key, Version: row.version}},
-		Puts:     []masticway.RowPut{{RowKey: key, Value: encode(Presence{Incarnation: t.self, Address: t.address, Zone: t.zone, Processors: t.processors, StoreTime: next.WrittenAt, JoinTime: next.JoinedAt})}},
+		Puts:     []masticway.RowPut{{RowKey: key, Value: encode(Presence{Incarnation: t.self, Address: t.address, Zone: t.zone, Processors: t.processors, StoreTime: next.WrittenAt, Era: era, JoinTime: next.JoinedAt})}},
 	})
 	if conflict, ok := errors.AsType[*masticway.RowConflictError](err); ok {
 		// Either an earlier write of unknown outcome was made, or the row was not seen at the last count. The next write
--- a/treasurer/purse.go
+++ b/treasurer/purse.go
@@ -191,8 +191,16 @@
 	rowVersion int64
 	rowKnown   bool
 	rowSeenAt  time.Time
-	// granted is this incarnation's grant according to the row.
-	granted int64
+	// granted is this incarnation's grant according to the row, and sequence the number of its last change. While restoring is
+	// set, the row lacks changes that were lost with an earlier era of the store, and granted is as it was before. lost has
+	// the grants of the last rows of earlier eras until they are written again, and closings those that this router has made.
+	granted   int64
+	sequence  int64
+	restoring bool
+	lost      Account
+	// ignored is the last row of a watch that was ignored because the outcome of a change is unknown.
+	ignored  Account
+	closings []ownClosing
 	// changeInFlight is set while a change of the grant is in flight. returning is how many tokens the change returns.
 	changeInFlight bool
 	returning      int64
@@ -339,6 +347,21 @@
 	// changeInterval is the minimum time between two changes of grants; lastChangeAt is when the last one was sent.
 	changeInterval time.Duration
 	lastChangeAt   time.Time
+	// checkpointLost is set if the store has lost the last checkpoint with an earlier era.
+	checkpointLost bool
+	// era is the era of the store that the rows are of. mustEnterEra is set if the store has told another one. settledAt is when
+	// grants may grow in the era, restoreAt when lost grants of this router are written again, and restoreOthersAt when those of
+	// others are, until restoreUntil. enteredLate is set if
+	// grants could grow before this router noticed the era.
+	era             int64
+	mustEnterEra    bool
+	settledAt       time.Time
+	restoreAt       time.Time
+	restoreOthersAt time.Time
+	restoreUntil    time.Time
+	enteredLate     bool
+	// strays has the strays to be closed.
+	strays map[Stray]bool
 	// started is set once the store has a checkpoint of this incarnation.
 	started   bool
 	startedAt time.Time
@@ -363,7 +386,7 @@
 		settings: s, accounts: map[string]*account{}, holds: map[HoldID]*hold{},
 		readsInFlight: map[string]bool{}, borrowers: map[masticway.Incarnation]*borrowerState{},
 		peerReports: map[masticway.Incarnation]senderReports{}, reportsInFlight: map[masticway.Incarnation]bool{},
-		unansweredAt: map[string]time.Time{},
+		unansweredAt: map[string]time.Time{}, strays: map[Stray]bool{},
 	}
 }
 
--- a/treasurer/purse_test.go
+++ b/treasurer/purse_test.go
@@ -44,7 +44,7 @@
 	b.planner = treasurer.NewPlanner(treasurer.Settings{Incarnation: self, Address: address, Parts: 1, Reserve: 10 * time.Second, EarlyShare: b.burstShare})
 	b.planner.Configure(1, map[string]masticway.Account{"w": {Workspace: "w", Prepaid: prepaid, HasLimit: true}})
 	row := b.rows.Row(masticway.RowKey{Table: "masticway_books", Part: "0", Key: self.Instance()})
-	write, err := b.planner.TakeOver(row, b.now.Sub(epoch), listening.Sub(epoch))
+	write, err := b.planner.TakeOver(row, 0, b.now.Sub(epoch), listening.Sub(epoch))
 	qt.Assert(b.t, err, qt.IsNil)
 	written, err := b.rows.Apply(write)
 	qt.Assert(b.t, err, qt.IsNil)
@@ -394,7 +394,7 @@
 	// The process crashes while its grant is in flight; the next one closes a grant that does not exist yet.
 	b.start("edge~2", 1000)
 	row := b.rows.Row(change.Write.Puts[0].RowKey)
-	closing, grant, err := treasurer.CloseGrant(row, "edge~1", 600)
+	closing, grant, err := treasurer.CloseGrant(row, "edge~1", 600, 0)
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, grant.Granted, qt.Equals, int64(0))
 	_, err = b.rows.Apply(closing)
@@ -553,7 +553,7 @@
 	old := b.rows.Row(masticway.RowKey{Table: "masticway_accounts", Part: "0", Key: "w"})
 	old.Version--
 	old.Value = []byte(`{"prepaid":100000,"version":1,"grants":{"edge~1":{"granted":90000,"sequence":1}}}`)
-	replies, err := b.planner.ApplyChanges(b.now, []masticway.StoredRow{old})
+	replies, err := b.planner.ApplyChanges(b.now, masticway.RowReading{Rows: []masticway.StoredRow{old}})
 	qt.Assert(t, err, qt.IsNil)
 	b.record(replies)
 	qt.Assert(t, b.planner.AccountStates(), qt.DeepEquals, before)
--- a/treasurer/rows.go
+++ b/treasurer/rows.go
@@ -32,6 +32,8 @@
 	// Processors is how many processors the router may use, which may be a fraction.
 	Processors float64       `json:"processors,omitempty"`
 	StoreTime  time.Duration `json:"at_ns"`
+	// Era is the era of the store in which the row was written. Times of another era do not count.
+	Era int64 `json:"era,omitempty"`
 	// JoinTime is the store's time since which the instance has been present without a gap (see retrier.Presence).
 	JoinTime time.Duration `json:"joined_ns,omitempty"`
 }
@@ -45,6 +47,9 @@
 	// Demand is the demand at the incarnation's router when it last changed the grant, in tokens a second. Each router sizes
 	// its reserve by its share of the sum of all demands.
 	Demand int64 `json:"demand,omitempty"`
+	// Sequence numbers the changes of the grant by its incarnation. It tells which one of two rows is newer if the store has lost
+	// one of them with an earlier era.
+	Sequence int64 `json:"sequence,omitempty"`
 }
 
 // Account is the row of one workspace. Its amounts are in tokens. A grant grows only if the sum of Closed and all grants
@@ -57,8 +62,20 @@
 	// Closed is what ended incarnations have spent or are presumed to have spent.
 	Closed int64                           `json:"closed"`
 	Grants map[masticway.Incarnation]Grant `json:"grants,omitempty"`
+	// Ended has the grants that were closed lately, so that a closing that the store loses with an era can be made again, once.
+	Ended map[masticway.Incarnation]ClosedGrant `json:"ended,omitempty"`
 }
 
+// ClosedGrant is what counted as spent of a grant that was closed, and the store's time then.
+type ClosedGrant struct {
+	Spent int64         `json:"spent"`
+	At    time.Duration `json:"at_ns"`
+}
+
+// closedGrantTTL is how long a closed grant stays in the account's row. It is many times the greatest age of a copy from which the
+// store returns.
+const closedGrantTTL = time.Minute
+
 // Ungranted returns how many prepaid tokens are neither closed nor granted to any router. It is negative if the budget was
 // lowered below what is closed and granted.
 func (a Account) Ungranted() int64 {
@@ -86,12 +103,40 @@
 }
 
 // WithClosed returns the account without an incarnation's grant. It adds the amount spent to Closed, but at most the grant;
-// the rest of the grant is ungranted again.
-func (a Account) WithClosed(i masticway.Incarnation, spent int64) Account {
-	grants := maps.Clone(a.Grants)
-	delete(grants, i)
-	a.Closed += min(spent, a.Grants[i].Granted)
-	a.Grants = grants
+// the rest of the grant is ungranted again. If a grant of the incarnation was closed already, nothing is added. at is the store's
+// time.
+func (a Account) WithClosed(i masticway.Incarnation, spent int64, at time.Duration) Account {
+	return a.withEnded(i, ClosedGrant{Spent: min(spent, a.Grants[i].Granted), At: at})
+}
+
+// withEnded returns the account without an incarnation's grant, and with what counted as spent of it. If a grant of the
+// incarnation was closed already, nothing is added.
+func (a Account) withEnded(i masticway.Incarnation, closed ClosedGrant) Account {
+	if _, open := a.Grants[i]; open {
+		a.Grants = maps.Clone(a.Grants)
+		delete(a.Grants, i)
+	}
+	if _, known := a.Ended[i]; known || closed.Spent == 0 {
+		return a
+	}
+	ended := maps.Clone(a.Ended)
+	if ended == nil {
+		ended = map[masticway.Incarnation]ClosedGrant{}
+	}
+	ended[i] = closed
+	a.Closed, a.Ended = a.Closed+closed.Spent, ended
+	return a
+}
+
+// withoutOldEnded returns the account without the grants that were closed long before now, by the store's clock.
+func (a Account) withoutOldEnded(now time.Duration) Account {
+	for _, closed := range a.Ended {
+		if (now - closed.At).Abs() > closedGrantTTL {
+			a.Ended = maps.Clone(a.Ended)
+			maps.DeleteFunc(a.Ended, func(_ masticway.Incarnation, c ClosedGrant) bool { return (now - c.At).Abs() > closedGrantTTL })
+			break
+		}
+	}
 	return a
 }
 
@@ -148,11 +193,19 @@
 	// spent beyond MaxUnwitnessed. Sequence is the number of the incarnation's last checkpoint.
 	Witnesses []Witness `json:"witnesses,omitempty"`
 	Sequence  int64     `json:"sequence,omitempty"`
+	// FromCopy is set if the last checkpoint is of an earlier era of the store than the one in which it was taken over. The
+	// incarnation may have written later ones, which are lost. MaxSpent is then what its rates would have allowed since, for
+	// maxCopyAge more. Where the era has been continued (see EraRecord), its whole grants count as spent instead.
+	FromCopy bool `json:"from_copy,omitempty"`
 }
 
 // Checkpoint is the row of one instance. It bounds what the instance's incarnation may spend until it writes the next one.
 type Checkpoint struct {
 	Incarnation masticway.Incarnation `json:"incarnation"`
+	// Generation is one more than that of the checkpoint that the incarnation took over. Era is the era of the store for which the
+	// checkpoint was written. A checkpoint in the store that is of an earlier era is from a copy.
+	Generation int64 `json:"generation,omitempty"`
+	Era        int64 `json:"era,omitempty"`
 	// Sequence numbers the checkpoints of one incarnation, in the order in which they are sent.
 	Sequence int64 `json:"sequence"`
 	// Address is where the incarnation listens; no other process on the machine can listen there at the same time.
@@ -173,6 +226,8 @@
 type startInfo struct {
 	incarnation masticway.Incarnation
 	address     string
+	// era is the era of the store.
+	era int64
 	// now is the store's clock when the predecessor's checkpoint was read. listening is an upper bound of the store's clock
 	// at the time at which the incarnation began to listen at its address.
 	now       time.Duration
@@ -195,33 +250,48 @@
 	ended := append([]EndedIncarnation(nil), c.Ended...)
 	if len(c.Limits) > 0 {
 		elapsed := c.endedBy(s) - c.Basis
+		fromCopy := c.Era != s.era
+		if fromCopy {
+			elapsed = max(0, elapsed) + maxCopyAge
+		}
 		maxSpent := make(map[string]int64, len(c.Limits))
 		maxUnwitnessed := make(map[string]int64, len(c.Limits))
 		taken := make(map[string]int64, len(c.Limits))
 		for workspace, p := range c.Limits {
 			maxSpent[workspace] = p.bound(elapsed)
 			maxUnwitnessed[workspace] = p.unwitnessedBound(elapsed)
+			if fromCopy {
+				maxUnwitnessed[workspace] = maxSpent[workspace]
+			}
 			taken[workspace] = p.Taken
 		}
 		ended = append(ended, EndedIncarnation{
 			Incarnation: c.Incarnation, MaxSpent: maxSpent, MaxUnwitnessed: maxUnwitnessed, Taken: taken, SinceBasis: elapsed, Sequence: c.Sequence,
-			Witnesses: c.Witnesses,
+			Witnesses: c.Witnesses, FromCopy: fromCopy,
 		})
 	}
-	return Checkpoint{Incarnation: s.incarnation, Address: s.address, Basis: s.now, Ended: ended}
+	return Checkpoint{Incarnation: s.incarnation, Generation: c.Generation + 1, Era: s.era, Address: s.address, Basis: s.now, Ended: ended}
+}
+
+// supersedes reports whether the checkpoint, which the store has, shows that the incarnation of another one has a successor. An
+// earlier incarnation's checkpoint does not: the store may have it because it has returned from a copy.
+func (c Checkpoint) supersedes(o Checkpoint) bool {
+	return c.Generation > o.Generation || c.Generation == o.Generation && c.Era == o.Era
 }
 
 // CloseGrant returns the write that removes an ended incarnation's grant from a workspace's row, and the grant. The caller
 // must make the write even if there is no grant: it gives the row a new version, so that a late write of the ended
 // incarnation conflicts.
-func CloseGrant(row masticway.StoredRow, ended masticway.Incarnation, spent int64) (masticway.RowWrite, Grant, error) {
+//
+// at is the store's time.
+func CloseGrant(row masticway.StoredRow, ended masticway.Incarnation, spent int64, at time.Duration) (masticway.RowWrite, Grant, error) {
 	account, err := decode[Account](row)
 	if err != nil {
 		return masticway.RowWrite{}, Grant{}, err
 	}
 	return masticway.RowWrite{
 		Expected: []masticway.RowVersion{{RowKey: row.RowKey, Version: row.Version}},
-		Puts:     []masticway.RowPut{{RowKey: row.RowKey, Value: encode(account.WithClosed(ended, spent))}},
+		Puts:     []masticway.RowPut{{RowKey: row.RowKey, Value: encode(account.WithClosed(ended, spent, at))}},
 	}, account.Grants[ended], nil
 }
 
--- a/treasurer/simulation_test.go
+++ b/treasurer/simulation_test.go
@@ -254,7 +254,7 @@
 	}
 	f.calls += 2
 	key := masticway.RowKey{Table: "masticway_books", Part: treasurer.PartOf(r.instance, fleetParts), Key: r.instance}
-	write, err := r.planner.TakeOver(f.rows.Row(key), f.now.Sub(epoch), r.listeningSince.Sub(epoch))
+	write, err := r.planner.TakeOver(f.rows.Row(key), 0, f.now.Sub(epoch), r.listeningSince.Sub(epoch))
 	if err != nil {
 		panic(err)
 	}
@@ -269,7 +269,7 @@
 		f.updatePeers(r)
 		r.planner.CompleteTakeOver(f.now, written.Version, written.StoreTime)
 		for _, e := range r.planner.Predecessors() {
-			for workspace, spent := range e.PresumedSpent(f.queryWitnesses(e)) {
+			for workspace, spent := range e.PresumedSpent(f.queryWitnesses(e), false) {
 				f.closings++
 				f.schedule(time.Duration(f.random.Int64N(int64(60*time.Millisecond))), func() { f.closeGrant(e.Incarnation, workspace, spent) })
 			}
@@ -282,7 +282,7 @@
 func (f *fleet) closeGrant(ended masticway.Incarnation, workspace string, spent int64) {
 	f.calls += 2
 	key := masticway.RowKey{Table: "masticway_accounts", Part: treasurer.PartOf(workspace, fleetParts), Key: workspace}
-	write, _, err := treasurer.CloseGrant(f.rows.Row(key), ended, spent)
+	write, _, err := treasurer.CloseGrant(f.rows.Row(key), ended, spent, f.now.Sub(epoch))
 	if err != nil {
 		panic(err)
 	}
@@ -342,7 +342,7 @@
 		rows[row.Key] = row
 	}
 	r.changesSeen = len(f.changedRows)
-	replies, err := r.planner.ApplyChanges(f.now, slices.Collect(maps.Values(rows)))
+	replies, err := r.planner.ApplyChanges(f.now, masticway.RowReading{Rows: slices.Collect(maps.Values(rows))})
 	if err != nil {
 		panic(err)
 	}
--- a/treasurer/testimony.go
+++ b/treasurer/testimony.go
@@ -57,8 +57,14 @@
 // presumeSpent asks a predecessor's witnesses and returns what the predecessor is presumed to have spent, by workspace (see
 // PresumedSpent). It logs and counts what the witnesses' answers saved compared with the spend limits alone.
 func (t *Treasurer) presumeSpent(ctx context.Context, e EndedIncarnation) map[string]int64 {
-	records := t.queryWitnesses(ctx, e)
-	presumedSpent := e.PresumedSpent(records)
+	t.mu.Lock()
+	continued := t.eraContinued
+	t.mu.Unlock()
+	var records []WitnessRecord
+	if !e.FromCopy {
+		records = t.queryWitnesses(ctx, e)
+	}
+	presumedSpent := e.PresumedSpent(records, continued)
 	var presumed, saved int64
 	for workspace, spent := range e.MaxSpent {
 		presumed += presumedSpent[workspace]
--- a/treasurer/treasurer.go
+++ b/treasurer/treasurer.go
@@ -99,6 +99,10 @@
 	members int
 	// sealed is set once this incarnation must not spend any more (see seal).
 	sealed bool
+	// enteringEra is set while enterEra runs. eraContinued and eraBeganAt are those of the EraRecord of the era that was entered last.
+	enteringEra  bool
+	eraContinued bool
+	eraBeganAt   time.Duration
 
 	// countedAt is when the routers were last counted. countedBytes is the size of all routers' presences then. presence is
 	// what is known of this router's own presence.
@@ -404,6 +408,13 @@
 	defer t.mu.Unlock()
 	now := t.clock.Now()
 	t.deliver(t.planner.ServeQueues(now))
+	if t.planner.MustEnterEra() && !t.enteringEra {
+		t.enteringEra = true
+		t.tasks.Go(func() { t.enterEra(ctx) })
+	}
+	if strays := t.planner.DueStrays(now); len(strays) > 0 {
+		t.tasks.Go(func() { t.closeStrays(ctx, strays) })
+	}
 	for _, s := range t.planner.Plan(now) {
 		t.tasks.Go(func() { _ = t.runStoreCall(ctx, s) })
 	}
--- a/treasurer/watch.go
+++ b/treasurer/watch.go
@@ -56,7 +56,7 @@
 		}
 		if err == nil {
 			since = max(since, reading.Version)
-			t.applyChanges(reading.Rows)
+			t.applyChanges(reading)
 		}
 		if traffic.sum > maxWatchRate*demandWindow.Seconds() {
 			return
@@ -73,7 +73,7 @@
 		interval := max(partsInterval, time.Duration(t.Members())*partsIntervalPerRouter)
 		for _, part := range parts {
 			// runStoreCall logs a failure at the debug level. The part is read again in the next turn.
-			_ = t.runStoreCall(ctx, StoreCall{Part: part, sentAt: t.clock.Now()})
+			_ = t.runStoreCall(ctx, t.readCall(part))
 			t.sleep(ctx, interval/time.Duration(len(parts)))
 		}
 		if len(parts) == 0 {
@@ -82,6 +82,13 @@
 	}
 }
 
+// readCall returns a call that reads a part.
+func (t *Treasurer) readCall(part string) StoreCall {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.planner.ReadCall(t.clock.Now(), part)
+}
+
 // initialParts lists the parts to read before the watch starts: all that have workspaces. If all routers together would
 // exceed maxInitialReads, it is only the parts with this router's own workspaces, if there are any.
 func (t *Treasurer) initialParts() []string {
@@ -102,10 +109,10 @@
 }
 
 // applyChanges passes changed rows to the planner. It seals the treasurer if a row cannot be decoded.
-func (t *Treasurer) applyChanges(rows []masticway.StoredRow) {
+func (t *Treasurer) applyChanges(reading masticway.RowReading) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	replies, err := t.planner.ApplyChanges(t.clock.Now(), rows)
+	replies, err := t.planner.ApplyChanges(t.clock.Now(), reading)
 	t.deliver(replies)
 	if err != nil {
 		t.seal(err)
--- a/treasurer/witness.go
+++ b/treasurer/witness.go
@@ -270,10 +270,18 @@
 // PresumedSpent returns the most that an ended incarnation can have spent, by workspace. If it had no witnesses or too few
 // of them have answered, that is all that its spend limits allowed (MaxSpent). Otherwise it is what the spend limits allowed
 // without witnesses (MaxUnwitnessed), or the amount in the records if that is more. Reports made before its last checkpoint
-// are ignored, because the checkpoint covers them.
-func (e EndedIncarnation) PresumedSpent(records []WitnessRecord) map[string]int64 {
-	if len(e.Witnesses) == 0 || !e.HasQuorum(records) {
-		return e.MaxSpent
+// are ignored, because the checkpoint covers them. Witnesses do not count where later checkpoints may be lost.
+// continued is EraRecord.Continued of the current era.
+func (e EndedIncarnation) PresumedSpent(records []WitnessRecord, continued bool) map[string]int64 {
+	if e.FromCopy && continued {
+		presumed := map[string]int64{}
+		for workspace := range e.MaxSpent {
+			presumed[workspace] = presumeAll
+		}
+		return presumed
+	}
+	if e.FromCopy || len(e.Witnesses) == 0 || !e.HasQuorum(records) {
+		return maps.Clone(e.MaxSpent)
 	}
 	presumed := maps.Clone(e.MaxUnwitnessed)
 	for _, r := range records {
--- a/treasurer/witness_test.go
+++ b/treasurer/witness_test.go
@@ -150,7 +150,7 @@
 				}
 				records = append(records, p.FinalReports(w.Incarnation, ended[0].Incarnation))
 			}
-			presumedSpent := ended[0].PresumedSpent(records)["w"]
+			presumedSpent := ended[0].PresumedSpent(records, false)["w"]
 			if tc.presumed {
 				qt.Assert(t, presumedSpent, qt.Equals, ended[0].MaxSpent["w"])
 				qt.Assert(t, presumedSpent > 1100, qt.IsTrue)
@@ -182,7 +182,7 @@
 		MaxSpent: map[string]int64{"w": 500}, MaxUnwitnessed: map[string]int64{"w": 40}, Sequence: 10,
 		Witnesses: []treasurer.Witness{{Incarnation: "one~1"}},
 	}
-	qt.Assert(t, ended.PresumedSpent([]treasurer.WitnessRecord{w.FinalReports("one~1", "edge~1")}), qt.DeepEquals, map[string]int64{"w": 90})
+	qt.Assert(t, ended.PresumedSpent([]treasurer.WitnessRecord{w.FinalReports("one~1", "edge~1")}, false), qt.DeepEquals, map[string]int64{"w": 90})
 }
 
 func TestReportDoesNotCountForLaterCheckpoint(t *testing.T) {
@@ -218,7 +218,7 @@
 		MaxSpent: map[string]int64{"w": 100}, MaxUnwitnessed: map[string]int64{"w": 15}, Sequence: 5,
 		Witnesses: []treasurer.Witness{{Incarnation: "one~1"}},
 	}
-	qt.Assert(t, ended.PresumedSpent([]treasurer.WitnessRecord{r}), qt.DeepEquals, map[string]int64{"w": 15})
+	qt.Assert(t, ended.PresumedSpent([]treasurer.WitnessRecord{r}, false), qt.DeepEquals, map[string]int64{"w": 15})
 	ended.Sequence = 4
-	qt.Assert(t, ended.PresumedSpent([]treasurer.WitnessRecord{r}), qt.DeepEquals, map[string]int64{"w": 20})
+	qt.Assert(t, ended.PresumedSpent([]treasurer.WitnessRecord{r}, false), qt.DeepEquals, map[string]int64{"w": 20})
 }
--- a/treasurer/world_test.go
+++ b/treasurer/world_test.go
@@ -31,6 +31,11 @@
 	lateWrites      []masticway.RowWrite
 	deliveries      int
 	lastIncarnation int
+	// saved is a copy of the rows, if hasSaved is set. settledAt is when grants may grow in the store's current era.
+	saved     emulator.RowCopy
+	hasSaved  bool
+	settledAt time.Time
+	returns   int
 	// burstShare is the planners' Settings.EarlyShare.
 	burstShare float64
 	// holders is the planners' Settings.Holders.
@@ -132,8 +137,9 @@
 	if r.partitioned || r.started {
 		return
 	}
+	defer w.enterEra(r)
 	reading := w.read("masticway_books", r.instance)
-	write, err := r.planner.TakeOver(reading.row, reading.at, reading.at-w.now.Sub(r.startedAt))
+	write, err := r.planner.TakeOver(reading.row, masticway.StoreEra(reading.version), reading.at, reading.at-w.now.Sub(r.startedAt))
 	if err != nil {
 		t.Fatalf("taking over: %v", err)
 	}
@@ -157,6 +163,8 @@
 type rowReading struct {
 	row masticway.StoredRow
 	at  time.Duration
+	// version is the store's version.
+	version int64
 }
 
 // read reads one row.
@@ -166,7 +174,7 @@
 	if err != nil {
 		return out
 	}
-	out.at = all.StoreTime
+	out.at, out.version = all.StoreTime, all.Version
 	for _, r := range all.Rows {
 		if r.Key == key {
 			out.row = r
@@ -177,25 +185,118 @@
 
 // closePredecessors closes the grants of a router's predecessors without concurrent writes.
 func (w *model) closePredecessors(t *rapid.T, r *modelRouter) {
-	if r.partitioned || len(r.ended) == 0 {
+	if r.partitioned || w.now.Before(w.settledAt) {
+		return
+	}
+	for _, stray := range r.planner.DueStrays(w.now) {
+		w.closeGrant(t, r, stray.Incarnation, stray.Workspace, 1<<40)
+	}
+	if len(r.ended) == 0 {
 		return
 	}
 	for _, e := range r.ended {
-		for workspace, spent := range e.PresumedSpent(w.queryWitnesses(t, e)) {
-			reading := w.read("masticway_accounts", workspace)
-			write, _, err := treasurer.CloseGrant(reading.row, e.Incarnation, spent)
-			if err != nil {
-				t.Fatalf("closing a grant: %v", err)
-			}
-			if _, err := w.rows.Apply(write); err != nil {
-				t.Fatalf("closing a grant without concurrent writes: %v", err)
-			}
+		for workspace, spent := range e.PresumedSpent(w.queryWitnesses(t, e), w.returns > 0) {
+			w.closeGrant(t, r, e.Incarnation, workspace, spent)
 		}
 	}
 	r.ended = nil
 	r.planner.ForgetPredecessors()
 }
 
+// closeGrant closes a grant without concurrent writes.
+func (w *model) closeGrant(t *rapid.T, r *modelRouter, ended masticway.Incarnation, workspace string, spent int64) {
+	reading := w.read("masticway_accounts", workspace)
+	write, grant, err := treasurer.CloseGrant(reading.row, ended, spent, reading.at)
+	if err != nil {
+		t.Fatalf("closing a grant: %v", err)
+	}
+	if _, err := w.rows.Apply(write); err != nil {
+		t.Fatalf("closing a grant without concurrent writes: %v", err)
+	}
+	r.planner.NoteClosed(w.now, ended, workspace, treasurer.ClosedGrant{Spent: min(spent, grant.Granted), At: reading.at})
+}
+
+// enterEra makes a router enter the store's current era if it has noticed it.
+func (w *model) enterEra(r *modelRouter) {
+	if r.partitioned || !r.planner.MustEnterEra() {
+		return
+	}
+	reading := w.read("masticway_eras", "era")
+	r.planner.EnterEra(w.now, treasurer.EraStart{Era: masticway.StoreEra(reading.version), StoreTime: reading.at, SettledAt: w.settledAt})
+}
+
+// returnStore makes the store return from the saved copy. Running routers that reach the store have seen its rows before, and at
+// least one of them goes on running until all that was lost and that is known to one of them is written again.
+func (w *model) returnStore(t *rapid.T) {
+	var survivors []*modelRouter
+	for _, r := range w.routers {
+		if r.started && !r.partitioned {
+			w.applyChanges(t, r)
+			w.enterEra(r)
+			w.applyChanges(t, r)
+			survivors = append(survivors, r)
+		}
+	}
+	if !w.hasSaved || len(survivors) == 0 || w.now.Before(w.settledAt) {
+		return
+	}
+	w.rows.Return(w.saved)
+	w.hasSaved = rapid.Bool().Draw(t, "same copy again")
+	w.returns++
+	w.settledAt = w.now.Add(2 * time.Second)
+	for _, r := range survivors[1:] {
+		if rapid.IntRange(0, 3).Draw(t, "dies") == 0 {
+			w.kill(r)
+		}
+	}
+	for range 2 {
+		for range rapid.IntRange(0, 8).Draw(t, "requests") {
+			w.request(t, rapid.SampledFrom(w.routers).Draw(t, "router"))
+		}
+		for _, r := range w.routers {
+			if rapid.IntRange(0, 2).Draw(t, "begins") == 0 {
+				w.takeOver(t, r)
+			}
+			w.restore(t, r)
+		}
+		// From then on, routers also write the grants of others again.
+		w.now = w.now.Add(1100 * time.Millisecond)
+	}
+}
+
+// restore makes a router that reaches the store notice its era and write again what was lost.
+func (w *model) restore(t *rapid.T, r *modelRouter) {
+	if r.partitioned || !r.started {
+		return
+	}
+	w.applyChanges(t, r)
+	w.enterEra(r)
+	for _, s := range r.calls {
+		if s.Write != nil {
+			w.lateWrites = append(w.lateWrites, *s.Write)
+		}
+	}
+	r.calls = nil
+	for range 4 {
+		w.plan(r)
+		for _, s := range r.calls {
+			reading, err := masticway.RowReading{}, error(nil)
+			if s.Write == nil {
+				reading, err = w.rows.Read(t.Context(), "masticway_accounts", s.Part)
+			} else {
+				reading, err = w.rows.Apply(*s.Write)
+			}
+			replies, fault := r.planner.CompleteStoreCall(w.now, s, reading, err)
+			w.handleReplies(r, replies)
+			if fault != nil {
+				t.Fatalf("a router that had no successor was sealed: %v", fault)
+			}
+		}
+		r.calls = nil
+		w.now = w.now.Add(30 * time.Millisecond)
+	}
+}
+
 // queryWitnesses asks the witnesses of an ended incarnation, some of which cannot be reached.
 func (w *model) queryWitnesses(t *rapid.T, e treasurer.EndedIncarnation) []treasurer.WitnessRecord {
 	var records []treasurer.WitnessRecord
@@ -244,6 +345,7 @@
 
 // plan collects the calls to the store that a planner returns.
 func (w *model) plan(r *modelRouter) {
+	w.enterEra(r)
 	w.handleReplies(r, r.planner.ServeQueues(w.now))
 	r.calls = append(r.calls, r.planner.Plan(w.now)...)
 }
@@ -383,7 +485,12 @@
 		return
 	}
 	for _, workspace := range workspaces {
-		replies, err := r.planner.ApplyChanges(w.now, []masticway.StoredRow{w.read("masticway_accounts", workspace).row})
+		reading := w.read("masticway_accounts", workspace)
+		var rows []masticway.StoredRow
+		if reading.row.Version > 0 {
+			rows = append(rows, reading.row)
+		}
+		replies, err := r.planner.ApplyChanges(w.now, masticway.RowReading{Rows: rows, Version: reading.version})
 		if err != nil {
 			t.Fatalf("applying changes: %v", err)
 		}
@@ -397,6 +504,9 @@
 		if w.delivered[workspace] > w.maxPrepaid[workspace] {
 			t.Fatalf("callers of %s received %d tokens of %d prepaid", workspace, w.delivered[workspace], w.maxPrepaid[workspace])
 		}
+		if w.now.Before(w.settledAt) {
+			continue
+		}
 		// Whatever callers received must be closed or granted in the row, or it would be granted again.
 		account := treasurer.ReadAccount(w.read("masticway_accounts", workspace).row)
 		covered := account.Closed
@@ -410,7 +520,7 @@
 }
 
 func TestNoWorkspaceGetsMoreThanItPaidFor(t *testing.T) {
-	deliveries := 0
+	deliveries, returns := 0, 0
 	rapid.Check(t, func(t *rapid.T) {
 		w := newModel(t)
 		router := func(t *rapid.T) *modelRouter { return rapid.SampledFrom(w.routers).Draw(t, "router") }
@@ -455,6 +565,12 @@
 					w.kill(r)
 				}
 			},
+			"copy": func(t *rapid.T) { w.saved, w.hasSaved = w.rows.Copy(), true },
+			"return": func(t *rapid.T) {
+				if rapid.IntRange(0, 2).Draw(t, "really") == 0 {
+					w.returnStore(t)
+				}
+			},
 			"deliver": func(t *rapid.T) { w.deliver(t, router(t)) },
 			"lend":    func(t *rapid.T) { w.lend(t, router(t)) },
 			"testify": func(t *rapid.T) { w.sendReports(t, router(t)) },
@@ -486,9 +602,13 @@
 			"": w.checkBudgets,
 		})
 		deliveries += w.deliveries
+		returns += w.returns
 	})
 	if deliveries == 0 {
 		t.Fatal("no hold was delivered, so the test proves nothing")
 	}
-	t.Logf("%d holds were delivered", deliveries)
+	if returns == 0 {
+		t.Fatal("the store never returned from a copy, so the test does not prove that budgets hold then")
+	}
+	t.Logf("%d holds were delivered, and the store returned %d times", deliveries, returns)
 }
