Write evidence on suspects again that the store has lost

Read in the code: when the store returned from a copy, routers dropped crashes whose rows were missing or older, so that a request or part that crashes servers ran again, and a quarantined run that the store no longer knew could begin at a second router. They took the missing row for a deleted one.

A row that is missing or older in a later era is lost, not deleted: its crashes, counts and proof stay and are written again by one of the routers, a claim at once by the router that runs it, and others keep to a claim that they have seen. A row that was to be deleted stays cleared.

--- a/examiner/examiner.go
+++ b/examiner/examiner.go
@@ -266,7 +266,9 @@
 	e.Metrics.Add(metricWrites, 1)
 	reading, err := e.Store.Write(ctx, w)
 	if conflict, ok := errors.AsType[*masticway.RowConflictError](err); ok {
-		e.update(func(now time.Time) { e.logErrors(e.registry.ApplyConflict(now, changes, conflict.Rows)) })
+		e.update(func(now time.Time) {
+			e.logErrors(e.registry.ApplyConflict(now, changes, conflict.Rows, conflict.Version))
+		})
 		return err
 	}
 	if err != nil {
--- a/examiner/register.go
+++ b/examiner/register.go
@@ -59,6 +59,9 @@
 	run *Run
 	// cleared is set if a server has served the request without crashing, so that the row must be deleted.
 	cleared bool
+	// isLost is set while the store lacks information that it has lost with an earlier era and that this router must write again
+	// from writeAt on.
+	isLost bool
 	// isPart is set if the suspect is a part of prompts; partState is used for parts only.
 	isPart bool
 	partState
@@ -321,6 +324,11 @@
 		r.dropRow(d)
 		return nil
 	}
+	if known && state.cleared && isEraEnded(state.version, row.Version) {
+		// The row is from before the request was cleared.
+		state.version = row.Version
+		return nil
+	}
 	record, err := DecodeRecord(row)
 	if err != nil {
 		return err
@@ -334,6 +342,9 @@
 	}
 	// If this router has cleared the request, another one has added evidence since.
 	state.cleared = false
+	if isEraEnded(state.version, row.Version) {
+		record = r.retain(now, state, record)
+	}
 	state.setStored(now, record, row.Version)
 	r.updateProof(now, d, state)
 	return nil
@@ -346,6 +357,7 @@
 	for _, crash := range record.Crashes {
 		s.learn(now, crash)
 	}
+	s.isLost = s.isLost && s.hasUnstored()
 	if record.Run == nil {
 		// The store has the result of this router's run.
 		s.inconclusive, s.isUnsent = false, false
@@ -359,7 +371,7 @@
 	if !ok {
 		return
 	}
-	if len(state.pending) == 0 && state.run == nil {
+	if len(state.pending) == 0 && state.run == nil && !state.isLost {
 		delete(r.suspects, d)
 		return
 	}
@@ -381,7 +393,7 @@
 	}
 	for d, state := range r.suspects {
 		if !present[d] && state.version > 0 && state.version <= reading.Version {
-			r.dropRow(d)
+			r.loseRow(now, d, reading.Version)
 		}
 	}
 	return errs
--- a/examiner/register_test.go
+++ b/examiner/register_test.go
@@ -202,6 +202,6 @@
 	qt.Assert(t, due[0].deleted, qt.IsTrue)
 
 	newer := masticway.StoredRow{RowKey: row.RowKey, Version: 2, Value: Record{Crashes: []masticway.ServerCrash{newCrash("a", false), newCrash("b", false)}}.encode()}
-	r.ApplyConflict(testTime, due, []masticway.StoredRow{newer})
+	r.ApplyConflict(testTime, due, []masticway.StoredRow{newer}, newer.Version)
 	qt.Assert(t, r.Status(testTime, "d").Suspicion, qt.Equals, masticway.SuspicionQuarantined, qt.Commentf("a server has crashed elsewhere since"))
 }
--- a/examiner/world_test.go
+++ b/examiner/world_test.go
@@ -163,7 +163,7 @@
 	}
 	reading, err := w.rows.Apply(write)
 	if conflict, ok := errors.AsType[*masticway.RowConflictError](err); ok {
-		r.ApplyConflict(w.now, changes, conflict.Rows)
+		r.ApplyConflict(w.now, changes, conflict.Rows, conflict.Version)
 		return err
 	}
 	qt.Assert(w.t, err, qt.IsNil)
--- a/examiner/writes.go
+++ b/examiner/writes.go
@@ -29,7 +29,7 @@
 		ended := state.run == nil && state.stored.Run != nil && state.stored.Run.Router == r.self
 		// A request with a single crash during its answer is not a suspect yet and is not written.
 		fresh := len(state.pending) > 0 && !now.Before(state.writeAt) && state.mustWrite()
-		if isProven := state.markProven(now); ended || fresh || isProven || state.hasNewSoundPool() {
+		if isProven := state.markProven(now); ended || fresh || isProven || state.hasNewSoundPool() || state.isLost && !now.Before(state.writeAt) {
 			due = append(due, change{suspect: d, record: state.record().WithRun(r.remainingRun(state)), version: state.version})
 		}
 	}
@@ -62,8 +62,9 @@
 }
 
 // ApplyConflict applies the current rows that the store returned because some changes conflicted with them. A row that is
-// expected by a change but missing among them has been deleted. ApplyConflict returns the errors of rows that cannot be decoded.
-func (r *Registry) ApplyConflict(now time.Time, changes []change, rows []masticway.StoredRow) (errs []error) {
+// expected by a change but missing among them has been deleted, or lost with an earlier era than that of the store's version.
+// ApplyConflict returns the errors of rows that cannot be decoded.
+func (r *Registry) ApplyConflict(now time.Time, changes []change, rows []masticway.StoredRow, version int64) (errs []error) {
 	present := map[masticway.SuspectID]bool{}
 	for _, row := range rows {
 		present[masticway.SuspectID(row.Key)] = !row.Deleted
@@ -73,7 +74,7 @@
 	}
 	for _, c := range changes {
 		if !present[c.suspect] && c.version > 0 {
-			r.dropRow(c.suspect)
+			r.loseRow(now, c.suspect, version)
 		}
 	}
 	return errs
