Record the software versions of pools again after a return of the store

Read in the code: the record of a pool's versions that the store lost with an era was not written again, since routers compared with what they had read before. A router that started then could take a stream of a version that had left for one of the version that is left.

Routers read the record again in a new era and add versions that they saw leave and that it lacks (TestVersionsThatLeftAreRecordedAgainAfterReturnOfStore).

--- a/starter/gateway.go
+++ b/starter/gateway.go
@@ -161,7 +161,6 @@
 	})
 	d.store.SetPeers(d.peers)
 	d.store.OnRestored(d.treasurer.NotifyStoreRecovered)
-	d.store.OnVersion(d.treasurer.NoteVersion)
 	d.examiner = examiner.New(examiner.Dependencies{
 		Store: d.store, Messages: peerClient, Peers: d.peers, Members: d.treasurer, Clock: clock, Log: entry, Metrics: metrics, Self: d.treasurer.Self(),
 	})
@@ -194,6 +193,10 @@
 		Routers: versioner.NewClient(messenger.NewClient()), Members: d.treasurer, Peers: d.peers, Store: d.store, Clock: clock, Log: entry, Metrics: metrics, Address: s.PeerAddress,
 	})
 	d.follower.OnServersRead(d.versioner.RecordReading)
+	d.store.OnVersion(func(version int64) {
+		d.treasurer.NoteVersion(version)
+		d.versioner.NoteVersion(version)
+	})
 	d.coordinator = coordinator.New(coordinator.Dependencies{
 		// The rotator doesn't observe these calls: queries end after a time that is short for other calls.
 		Routers: coordinator.NewClient(messenger.NewClient()), Members: d.treasurer, Clock: clock, Log: entry, Metrics: metrics,
--- a/versioner/history.go
+++ b/versioner/history.go
@@ -104,6 +104,13 @@
 	return !h.recorded.readAt.IsZero() && !h.since.IsZero() && !h.recorded.readAt.Before(h.since)
 }
 
+// forgetRecord forgets what was read of the store's record in eras before the given one.
+func (h *History) forgetRecord(era int64) {
+	if h.recorded.era < era {
+		h.recorded.readAt = time.Time{}
+	}
+}
+
 // needsRecord reports whether the store's record must be read.
 func (h *History) needsRecord() bool {
 	return !h.since.IsZero() && len(h.pools) > 0 && !h.isRecordCurrent()
@@ -116,7 +123,7 @@
 		return changed
 	}
 	for pool, p := range h.pools {
-		if record, ok := h.recorded.changed(now, pool, p.current, p.span); ok {
+		if record, ok := h.recorded.changed(now, pool, p.current, p.lastSeen, p.span); ok {
 			changed[pool] = record
 		}
 	}
--- a/versioner/history_test.go
+++ b/versioner/history_test.go
@@ -141,3 +141,27 @@
 	n.Find(now, a)
 	qt.Assert(t, len(n.versions)+len(n.ends)+len(n.counts)+len(n.unsent), qt.Equals, 0)
 }
+
+// TestVersionsThatLeftAreRecordedAgainAfterReturnOfStore guards against streams that a new router takes for ones of another version,
+// because the store has returned from a copy that does not know all versions of the pool.
+func TestVersionsThatLeftAreRecordedAgainAfterReturnOfStore(t *testing.T) {
+	start := time.Unix(1_800_000_000, 0)
+	h := NewHistory()
+	h.RecordReading(start)
+	h.Update(start, testDeployment, serversOf("v1", "v2"))
+	left := start.Add(2 * time.Second)
+	h.RecordReading(left)
+	h.Update(left, testDeployment, serversOf("v1"))
+	now := left.Add(time.Second)
+	h.RecordReading(now)
+	h.recorded = recordedPools{readAt: now, storeTime: time.Minute, pools: map[string]storedPool{"p": {version: 7, record: PoolRecord{Versions: map[string]int64{"v1": 0, "v2": 59_000}}}}}
+	qt.Assert(t, h.changedPools(now), qt.HasLen, 0)
+
+	h.forgetRecord(1)
+	qt.Assert(t, h.needsRecord(), qt.IsTrue)
+	h.recorded = recordedPools{readAt: now, storeTime: 50 * time.Second, era: 1, pools: map[string]storedPool{"p": {version: nextEraVersion, record: PoolRecord{Versions: map[string]int64{"v1": 0}}}}}
+	qt.Assert(t, h.changedPools(now), qt.DeepEquals, map[string]PoolRecord{"p": {Versions: map[string]int64{"v1": 0, "v2": 49_000}}})
+}
+
+// nextEraVersion is a version in the store's second era.
+var nextEraVersion = masticway.NewStoreVersion(1, 3)
--- a/versioner/pools.go
+++ b/versioner/pools.go
@@ -46,17 +46,19 @@
 // recordedPools is what the store had of the pools' versions when it was read.
 type recordedPools struct {
 	pools map[string]storedPool
-	// readAt is when the table was read, and storeTime the store's clock then. readAt is zero if the table has not been read.
+	// readAt is when the table was read, and storeTime the store's clock then. readAt is zero if the table has not been read. era is
+	// the era of the store that was read.
 	readAt    time.Time
 	storeTime time.Duration
+	era       int64
 }
 
 // storeNow returns the time by the store's clock.
 func (r recordedPools) storeNow(now time.Time) time.Duration { return r.storeTime + now.Sub(r.readAt) }
 
-// changed returns the record that a pool must have, or false if the stored one is up to date. span is the time in which a stream may
-// be resumed.
-func (r recordedPools) changed(now time.Time, pool string, current map[string]bool, span time.Duration) (PoolRecord, bool) {
+// changed returns the record that a pool must have, or false if the stored one is up to date. left holds when this router saw versions
+// leave; the store may have lost the record of them with an earlier era. span is the time in which a stream may be resumed.
+func (r recordedPools) changed(now time.Time, pool string, current map[string]bool, left map[string]time.Time, span time.Duration) (PoolRecord, bool) {
 	old, storeNow := r.pools[pool].record, r.storeNow(now)
 	if len(current) == 0 || len(current) == 1 && current[""] {
 		return PoolRecord{}, false
@@ -75,6 +77,12 @@
 			next.Versions[version] = left
 		}
 	}
+	for version, at := range left {
+		if _, known := old.Versions[version]; known || current[version] || now.Sub(at) > span || version == "" {
+			continue
+		}
+		next.Versions[version], hasChanged = max(1, (storeNow-now.Sub(at)).Milliseconds()), true
+	}
 	for version := range current {
 		if left, known := old.Versions[version]; !known || left != 0 {
 			hasChanged = true
@@ -101,7 +109,7 @@
 
 // newRecordedPools returns a reading of the table.
 func newRecordedPools(now time.Time, reading masticway.RowReading) (recordedPools, error) {
-	r := recordedPools{pools: map[string]storedPool{}, readAt: now, storeTime: reading.StoreTime}
+	r := recordedPools{pools: map[string]storedPool{}, readAt: now, storeTime: reading.StoreTime, era: masticway.StoreEra(reading.Version)}
 	for _, row := range reading.Rows {
 		if err := r.apply(row); err != nil {
 			return r, err
@@ -121,6 +129,17 @@
 	return nil
 }
 
+// NoteVersion records a version of the store that another component has seen. The records of an earlier era are read again, since the
+// store may have lost some of them.
+func (v *Versioner) NoteVersion(version int64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if era := masticway.StoreEra(version); era > v.era {
+		v.era = era
+		v.history.forgetRecord(era)
+	}
+}
+
 // synchronizePools reads the table once for each row of readings of the servers, so that a router that has just started knows the
 // versions of streams that began before, and writes the changes that this router must write now.
 func (v *Versioner) synchronizePools(ctx context.Context) {
@@ -147,7 +166,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.nextReadAt = v.Clock.Now().Add(readInterval)
-	if err == nil {
+	if err == nil && recorded.era >= v.era {
 		v.history.recorded = recorded
 	}
 	v.Log.WithFields(logrus.Fields{"event": "pool_versions_read", "pools": len(recorded.pools), "error": err}).Info("read the software versions of the pools")
--- a/versioner/versioner.go
+++ b/versioner/versioner.go
@@ -77,6 +77,8 @@
 	// nextReadAt is when the table of pools may be read again, and writePoolAt when this router writes the records of changed pools.
 	nextReadAt  time.Time
 	writePoolAt map[string]time.Time
+	// era is the newest era of the store that is known.
+	era int64
 	// random returns a random number from 0 to 1.
 	random func() float64
 }
