Let the soak return the store from copies among its other faults

A copy up to 5 s old, an outage, the return, and the operator and the servers that write again up to 0.4 s later, among kills, restarts, freezes, cuts and changes.

--- a/emulator/rows.go
+++ b/emulator/rows.go
@@ -1,6 +1,7 @@
 package emulator
 
 import (
+	"bytes"
 	"context"
 	"maps"
 	"slices"
@@ -35,10 +36,12 @@
 	version int64                 // the version of the last commit, in the current era
 	// compacted is the version up to which the history has been discarded.
 	compacted int64
-	faults    RowFaults
-	started   time.Time
-	now       func() time.Time
-	changed   chan struct{} // closed and replaced at each commit or compaction
+	// returnedAt is the version at which the store returned from a copy, zero if it has not.
+	returnedAt int64
+	faults     RowFaults
+	started    time.Time
+	now        func() time.Time
+	changed    chan struct{} // closed and replaced at each commit or compaction
 	// pendingLateWrites is the number of late writes (RowFaults.LateWrites) that have not been executed yet.
 	pendingLateWrites int
 }
@@ -84,10 +87,32 @@
 		r.Version = inEra(r.Version)
 		s.history = append(s.history, r)
 	}
-	s.version, s.compacted, s.started = inEra(c.version), inEra(c.compacted), s.now().Add(-c.storeTime)
+	s.version, s.compacted, s.returnedAt, s.started = inEra(c.version), inEra(c.compacted), inEra(c.version), s.now().Add(-c.storeTime)
 	s.notifyWatchers()
 }
 
+// Rewrite writes again, on behalf of operators and servers, how the rows of some tables were in an earlier state, as far as they
+// have not been written since the store returned. It is to be called after Return, with a copy that was made just before.
+func (s *RowStore) Rewrite(before RowCopy, tables ...string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for key, lost := range before.rows {
+		if now, ok := s.rows[key]; slices.Contains(tables, key.Table) && !s.isWrittenSinceReturn(key) && (!ok || !bytes.Equal(now.Value, lost.Value)) {
+			s.commit(masticway.RowWrite{Puts: []masticway.RowPut{{RowKey: key, Value: lost.Value}}})
+		}
+	}
+	for key := range maps.Clone(s.rows) {
+		if _, ok := before.rows[key]; slices.Contains(tables, key.Table) && !s.isWrittenSinceReturn(key) && !ok {
+			s.commit(masticway.RowWrite{Deletes: []masticway.RowKey{key}})
+		}
+	}
+}
+
+// isWrittenSinceReturn reports whether a row was written or deleted in the current era.
+func (s *RowStore) isWrittenSinceReturn(key masticway.RowKey) bool {
+	return slices.ContainsFunc(s.history, func(r masticway.StoredRow) bool { return r.RowKey == key && r.Version > s.returnedAt })
+}
+
 // currentVersion returns the version of the last commit.
 func (s *RowStore) currentVersion() int64 {
 	s.mu.Lock()
--- a/soaker/faults.go
+++ b/soaker/faults.go
@@ -68,6 +68,7 @@
 	"answers_lost":      {2, 3 * time.Second, storeFault(emulator.RowFaults{DropAnswers: 20})},
 	"writes_late":       {2, 3 * time.Second, storeFault(emulator.RowFaults{LateWrites: 20, LateWriteDelay: 1500 * time.Millisecond})},
 	"history_forgotten": {2, 0, func(s *soakRun, _ faultEvent) { s.rows.Compact() }},
+	returnKind:          {0, maxReturnOutage - minDuration, (*soakRun).returnStore},
 	leavingKind:         {0, 0, (*soakRun).leave},
 	"router_throttled":  {0, 4 * time.Second, (*soakRun).throttle},
 	"servers_slow":      {0, maxServerDelay, (*soakRun).slowServers},
--- a/soaker/soak.go
+++ b/soaker/soak.go
@@ -83,6 +83,7 @@
 	routers            map[string]int // the index of each process, by its own address for callers and by its proxy's
 	faults             sync.WaitGroup // the faults that still last
 	crowdMu, slowMu    sync.Mutex     // held while there are additional callers, or slow readers
+	returnMu           sync.Mutex     // held from when a copy of the store is made until the store has returned from it
 	crowds, slowFaults int            // the number of such faults; each is protected by its mutex
 	events             int            // number of events per stream
 	pause, work, grace time.Duration  // the pause between two events; the duration of other answers; the grace period of routers
--- a/soaker/soaker_test.go
+++ b/soaker/soaker_test.go
@@ -115,6 +115,24 @@
 	}
 }
 
+// returnKinds are kinds of faults with returns of the store from a copy among them.
+var returnKinds = []string{
+	"store_returns", "kill", "term", "freeze", "hangup", "store_cut", "store_link_reset", "store_busy", "answers_lost", "writes_late",
+	"configure", "top_up", "server_drains", "server_crashes",
+}
+
+// TestPromisesAreKeptWhileStoreReturns guards against routers that rely on what the store has lost: configurations that are not in
+// force, draining servers that get requests, and budgets that are overspent or out of reach.
+func TestPromisesAreKeptWhileStoreReturns(t *testing.T) {
+	t.Parallel()
+	for seed, routers := range map[uint64]int{401: 1, 402: 5, 403: 5, 404: 30} {
+		t.Run(fmt.Sprintf("%d/%d routers", seed, routers), func(t *testing.T) {
+			t.Parallel()
+			assertPromisesKept(t, soaker.Soak{Seed: seed, Duration: 10 * time.Second, Routers: routers, Kinds: returnKinds})
+		})
+	}
+}
+
 // failedSeeds has soaks that failed because of a fault of the product, by the cause; they stay as regression tests.
 var failedSeeds = map[string]soaker.Soak{
 	// A row of 0.9 MB takes as long on a network link of 10 Mbit/s as a call to the store may, and a watch returns all versions.
