Bound what is read of answers without end

A server that sends bytes without end filled the router's memory until the caller's time was over: 740 MB of a line without end, 474 of a status line, 381 of a header line, 57 to 122 of headers, 95 of informational answers, and 360 of a rejected body or one of another request in 4 s each. A body of over 8 MB was cut there and passed on as a whole answer.

The standard parser of heads has no limit. The connection now fails once a head and the informational answers before it take 64 KB; chunk sizes and trailers were bounded by the read buffer. An answer over 8 MB fails, and so does one when all unfinished answers and events take a quarter of the memory together. Rejected answers are read for 64 KB and 50 ms at most, since their heads say all. Heads of the store and of other routers are bounded likewise.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -7,6 +7,7 @@
 	"io"
 	"maps"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"syscall"
@@ -19,9 +20,10 @@
 )
 
 const (
-	// maxAnswerBytes is the maximum number of bytes of a buffered answer that are relayed. The rest of a longer answer is
-	// dropped.
+	// maxAnswerBytes is the maximum size in bytes of an answer that is relayed as a whole.
 	maxAnswerBytes = 8 << 20
+	// minAnswerPiece is the least number of bytes for which there is room when more of an answer is read.
+	minAnswerPiece = 512
 	// maxForeignAnswers is the number of answers to other requests, on one connection, after which an attempt fails.
 	maxForeignAnswers = 2
 )
@@ -254,7 +256,7 @@
 // a signature.
 func (a *attempt) handleAnswer(answer *sender.Answer, head masticway.ServerAnswer) outcome {
 	if head.NotRun {
-		_, _ = io.Copy(io.Discard, answer)
+		_ = answer.Discard()
 		return a.notRunOutcome(answer.Status)
 	}
 	if head.ID == "" || !head.Signed {
@@ -280,13 +282,43 @@
 	return out
 }
 
-// relayWhole reads the whole answer, waits until its hold is cleared and writes it to the caller. Bytes after the first
-// maxAnswerBytes are dropped. It writes nothing if the answer cannot be read to its end, if the exchange has already written part
+// errAnswerTooLarge ends an attempt whose answer is larger than maxAnswerBytes.
+var errAnswerTooLarge = fmt.Errorf("the answer is larger than %d bytes", maxAnswerBytes)
+
+// errAnswersTooLarge ends an attempt because the router may not keep more bytes of unfinished answers.
+var errAnswersTooLarge = errors.New("the answers that are being read are too large together")
+
+// readWhole reads an answer to its end. The caller must call release when it does not need the body any more.
+func (a *attempt) readWhole(answer io.Reader) (body []byte, release func(), err error) {
+	kept := a.x.f.answerBytes.account()
+	for {
+		if len(body) == cap(body) {
+			body = slices.Grow(body, max(minAnswerPiece, len(body)))
+		}
+		if !kept.set(int64(cap(body))) {
+			return nil, kept.release, errAnswersTooLarge
+		}
+		n, err := answer.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case len(body) > maxAnswerBytes:
+			return nil, kept.release, errAnswerTooLarge
+		case errors.Is(err, io.EOF):
+			return body, kept.release, nil
+		case err != nil:
+			return nil, kept.release, err
+		}
+	}
+}
+
+// relayWhole reads the whole answer, waits until its hold is cleared and writes it to the caller. It writes nothing if the answer
+// cannot be read to its end or is too large, if the exchange has already written part
 // of a stream, or if the hold is not cleared in time. It also writes nothing if the status is 500 or above, the server is an
 // outlier (see isOutlier) and the request may run at another server.
 func (a *attempt) relayWhole(answer *sender.Answer) outcome {
 	x := a.x
-	body, err := io.ReadAll(io.LimitReader(answer, maxAnswerBytes))
+	body, release, err := a.readWhole(answer)
+	defer release()
 	if err != nil {
 		return a.connectionFailure(fmt.Errorf("reading the answer: %w", err))
 	}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -46,14 +46,16 @@
 	settings Settings
 	clock    masticway.Clock
 	log      *logrus.Entry
-	metrics  *measurer.Set
-	codec    masticway.HeaderCodec
-	budgets  Budgets
-	sender   *sender.Sender
-	snapshot func() follower.Snapshot
-	checks   *checks
-	examiner masticway.Examiner
-	rotation masticway.Rotation
+	// answerBytes bounds what is kept of answers that are being read.
+	answerBytes *answerMemory
+	metrics     *measurer.Set
+	codec       masticway.HeaderCodec
+	budgets     Budgets
+	sender      *sender.Sender
+	snapshot    func() follower.Snapshot
+	checks      *checks
+	examiner    masticway.Examiner
+	rotation    masticway.Rotation
 	// throttler enforces the rate limits and backoff that servers announce.
 	throttler masticway.Throttler
 	// coordinator chooses engines by the load that all routers cause, and runCount counts the runs that are reported to it.
@@ -111,7 +113,8 @@
 // New returns a Forwarder.
 func New(s Settings, d Dependencies) *Forwarder {
 	f := &Forwarder{
-		settings: s, clock: d.Clock, log: d.Log, metrics: d.Metrics, codec: d.Codec, budgets: d.Budgets, snapshot: d.Snapshot,
+		answerBytes: newAnswerMemory(s.MemoryMB << 20),
+		settings:    s, clock: d.Clock, log: d.Log, metrics: d.Metrics, codec: d.Codec, budgets: d.Budgets, snapshot: d.Snapshot,
 		examiner: d.Examiner, rotation: d.Rotation, throttler: d.Throttler, coordinator: d.Coordinator, connections: d.Connections, streamVersions: d.StreamVersions, onDraining: d.OnDraining,
 		checks: &checks{dial: d.Dial, clock: d.Clock, log: d.Log, byServer: map[masticway.ServerIncarnation]*check{}},
 		sender: sender.New(d.Dial, d.Clock.Now), servers: chooser.NewServers(s.serverPolicy()), allowances: map[string]*retrier.Allowance{}, startedAt: d.Clock.Now(),
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -20,6 +20,8 @@
 func (a *attempt) relayStream(answer *sender.Answer) outcome {
 	x := a.x
 	var pending []byte
+	kept := x.f.answerBytes.account()
+	defer kept.release()
 	buffer := make([]byte, 4<<10)
 	for {
 		n, err := answer.Read(buffer)
@@ -49,6 +51,9 @@
 			x.fate = masticway.FateRan
 			return outcome{done: true, fate: masticway.FateRan, result: chooser.ResultSuccess}
 		}
+		if err == nil && !kept.set(int64(cap(pending))) {
+			err = errAnswersTooLarge
+		}
 		if err != nil || len(pending) > maxEventBytes {
 			return a.streamFailure(err, len(pending))
 		}
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -22,6 +22,8 @@
 	// maxAnswerBytes is the maximum size of an answer. The largest one is an answer with rows of the row store, which operators
 	// may have written.
 	maxAnswerBytes = 16 << 20
+	// maxHeaderBytes bounds the header of an answer.
+	maxHeaderBytes = 64 << 10
 	// beginTimeout is how long an answer may take to begin if the context of the call does not end earlier. It is a multiple of
 	// the time that any caller waits.
 	beginTimeout = 10 * time.Second
@@ -67,6 +69,7 @@
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
 	return &Client{observe: func(time.Duration, bool) {}, http: &http.Client{Transport: &http.Transport{
 		DialContext: dialer.DialContext, IdleConnTimeout: idleTimeout, MaxIdleConnsPerHost: maxIdleConnsPerRouter, DisableCompression: true,
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}}}
 }
 
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -132,7 +132,7 @@
 // caller must close the new answer and not the old one; otherwise it must close the old one.
 func (a *Answer) Next() (*Answer, error) {
 	a.conn.tainted = true
-	if _, err := io.Copy(io.Discard, a); err != nil || !a.Framed {
+	if err := a.skip(maxSkippedBytes); err != nil || !a.Framed {
 		return nil, &Error{Sent: true, Reused: a.conn.requests > 1, Cause: fmt.Errorf("skipping an answer to another request: %w", errOr(err, io.ErrUnexpectedEOF))}
 	}
 	next, err := a.conn.readAnswer()
@@ -176,6 +176,8 @@
 	address string
 	net     net.Conn
 	reader  *bufio.Reader
+	// head limits what reader reads for the head of an answer.
+	head *headReader
 	// writeDone delivers the result of writing a large body concurrently; it is nil if there is none. requests is the number of
 	// requests sent on the connection.
 	writeDone chan error
@@ -347,7 +349,8 @@
 		s.mu.Unlock()
 		return nil, &Error{Cause: err}
 	}
-	return &conn{sender: s, address: address, net: n, reader: bufio.NewReaderSize(n, readBufferSize)}, nil
+	head := &headReader{Conn: n}
+	return &conn{sender: s, address: address, net: n, head: head, reader: bufio.NewReaderSize(head, readBufferSize)}, nil
 }
 
 // dialInTime connects to a server within a timeout. If the timeout is noticed late, this process had to wait for a processor and the
@@ -491,8 +494,10 @@
 	return nil
 }
 
-// readAnswer reads the head of the next answer and skips informational ones.
+// readAnswer reads the head of the next answer and skips informational ones. It fails with HeadTooLargeError if they are too large.
 func (c *conn) readAnswer() (*Answer, error) {
+	c.head.begin()
+	defer c.head.end()
 	for {
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: c.method})
 		if err != nil {
