Let a starting router wait for the configuration that others have

Found by reading: a router that starts after the store has returned from a copy with an older configuration served by that one until the operator had written the newer one again.

--- a/follower/beliefs.go
+++ b/follower/beliefs.go
@@ -64,6 +64,7 @@
 	// ignored.
 	rowVersion    int64
 	configured    bool
+	required      requirement
 	serversLoaded bool
 	// entries holds the registrations by server ID, and removed the last removals by server ID.
 	entries map[string]entry
@@ -246,8 +247,9 @@
 // Expire does nothing during the grace period after an outage. Otherwise it removes the servers that have not reappeared within
 // it, and forgets old departures of unregistered servers. It reports whether it removed a server.
 func (r *Registry) Expire(now time.Time) (changed bool) {
+	changed = r.expireRequirement(now)
 	if now.Sub(r.recoveredAt) < recoveryGrace {
-		return false
+		return changed
 	}
 	r.pruneDepartures(now)
 	for id, e := range r.entries {
@@ -263,7 +265,7 @@
 // Snapshot returns the current view of the deployment.
 func (r *Registry) Snapshot() Snapshot {
 	b := Snapshot{
-		ConfigurationLoaded: r.configured, ServersLoaded: r.serversLoaded, Deployment: r.deployment, Servers: map[string][]masticway.Server{},
+		ConfigurationLoaded: r.configured && r.deployment.Version >= r.required.version, ServersLoaded: r.serversLoaded, Deployment: r.deployment, Servers: map[string][]masticway.Server{},
 		EvacuatedZones: slices.Sorted(maps.Keys(r.evacuations)),
 	}
 	for _, id := range slices.Sorted(maps.Keys(r.entries)) {
--- a/starter/era_test.go
+++ b/starter/era_test.go
@@ -136,6 +136,34 @@
 	}
 }
 
+// TestNewRouterWaitsForConfigurationOfOthersAfterStoreReturned guards against a router that starts after the store has returned from a
+// copy with an older configuration, and serves by that one.
+func TestNewRouterWaitsForConfigurationOfOthersAfterStoreReturned(t *testing.T) {
+	p := newTestPlatform(t, 100000)
+	gateways, settings := p.startGateways(2)
+	defer killAll(&gateways)
+	saved := p.rows.Copy()
+	p.configure(5, 100000)
+	for began := time.Now(); p.version(settings[1]) < 5 && time.Since(began) < maxConfigurationDelay; {
+		time.Sleep(10 * time.Millisecond)
+	}
+	p.rows.Return(saved)
+	// The others have written their presences again by then.
+	time.Sleep(1500 * time.Millisecond)
+	s := p.settings("edge-3")
+	d, err := starter.BuildGateway(s, p.log)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, d.Start(), qt.IsNil)
+	gateways = append(gateways, d)
+	time.Sleep(time.Second)
+	status, _ := p.ask(d, "before", "/book/x", "")
+	qt.Check(t, status, qt.Equals, http.StatusServiceUnavailable, qt.Commentf("%s", p.log))
+	p.configure(5, 100000)
+	time.Sleep(time.Second)
+	status, _ = p.ask(d, "after", "/book/x", "")
+	qt.Check(t, status, qt.Equals, http.StatusOK, qt.Commentf("%s", p.log))
+}
+
 // TestBudgetHoldsAfterStoreReturned guards against budgets that are overspent or out of reach after the store has returned from a
 // copy that lacks the newest grants.
 func TestBudgetHoldsAfterStoreReturned(t *testing.T) {
--- a/treasurer/presence.go
+++ b/treasurer/presence.go
@@ -35,6 +35,8 @@
 	// routers.
 	basePresenceInterval      = 3 * time.Second
 	presenceIntervalPerRouter = 10 * time.Millisecond
+	// configurationReportTime is how long after its start a router learns from presences which configuration the others have.
+	configurationReportTime = 5 * time.Second
 	// maxCountRate is the maximum mean rate at which a router reads all presences in order to count the routers, in bytes a
 	// second.
 	maxCountRate = 4 << 10
@@ -114,7 +116,7 @@
 	var peers []Peer
 	ttl := max(presenceTTL, presenceTTLIntervals*presenceInterval(len(reading.Rows))) + t.sinceLastCount()
 	n := 1
-	present := map[string]bool{}
+	present, newest := map[string]bool{}, int64(0)
 	for _, r := range reading.Rows {
 		p, err := decode[Presence](r)
 		if r.Key == t.self.Instance() {
@@ -123,6 +125,7 @@
 			continue
 		}
 		present[r.Key] = true
+		newest = max(newest, p.Configuration)
 		if p.Era != era {
 			// The row is from a copy. Its router is running if it writes the row again.
 			p.StoreTime = beganAt
@@ -151,9 +154,24 @@
 	}
 	slices.SortFunc(peers, func(x, y Peer) int { return cmp.Compare(x.Incarnation, y.Incarnation) })
 	t.setCount(n, peers, reading, ownVersion, own, others)
+	t.reportConfiguration(newest)
 	return n, t.writePresence(ctx)
 }
 
+// OnPeerConfiguration sets a function that is called, while this router starts after a return of the store, with the newest version of
+// the configuration that other routers have. It must be called before Run.
+func (t *Treasurer) OnPeerConfiguration(report func(version int64)) { t.onPeerConfiguration = report }
+
+// reportConfiguration reports the newest configuration of other routers if this router has started lately.
+func (t *Treasurer) reportConfiguration(version int64) {
+	t.mu.Lock()
+	starts := t.planner.Era() > 0 && t.clock.Now().Sub(t.listeningAt) < configurationReportTime
+	t.mu.Unlock()
+	if starts && version > 0 {
+		t.onPeerConfiguration(version)
+	}
+}
+
 // currentEra returns the era of the store and when it began, by the store's clock. It returns false if the given version of the
 // store is of another era.
 func (t *Treasurer) currentEra(version int64) (era int64, beganAt time.Duration, ok bool) {
@@ -230,12 +248,12 @@
 // call expects the right version.
 func (t *Treasurer) writePresence(ctx context.Context) error {
 	t.mu.Lock()
-	row, next, era := t.presence, t.share.NextPresence(t.storeTime()), t.planner.Era()
+	row, next, era, configuration := t.presence, t.share.NextPresence(t.storeTime()), t.planner.Era(), t.configuration
 	t.mu.Unlock()
 	key := masticway.RowKey{Table: tableRouters, Part: routersPart, Key: t.self.Instance()}
 	written, err := t.store.Write(ctx, masticway.RowWrite{
 		Expected: []masticway.RowVersion{{RowKey: key, Version: row.version}},
-		Puts:     []masticway.RowPut{{RowKey: key, Value: encode(Presence{Incarnation: t.self, Address: t.address, Zone: t.zone, Processors: t.processors, StoreTime: next.WrittenAt, Era: era, JoinTime: next.JoinedAt})}},
+		Puts:     []masticway.RowPut{{RowKey: key, Value: encode(Presence{Incarnation: t.self, Address: t.address, Zone: t.zone, Processors: t.processors, StoreTime: next.WrittenAt, Era: era, Configuration: configuration, JoinTime: next.JoinedAt})}},
 	})
 	if conflict, ok := errors.AsType[*masticway.RowConflictError](err); ok {
 		// Either an earlier write of unknown outcome was made, or the row was not seen at the last count. The next write
--- a/treasurer/rows.go
+++ b/treasurer/rows.go
@@ -32,6 +32,8 @@
 	// Processors is how many processors the router may use, which may be a fraction.
 	Processors float64       `json:"processors,omitempty"`
 	StoreTime  time.Duration `json:"at_ns"`
+	// Configuration is the version of the newest configuration that the router has.
+	Configuration int64 `json:"configuration,omitempty"`
 	// Era is the era of the store in which the row was written. Times of another era do not count.
 	Era int64 `json:"era,omitempty"`
 	// JoinTime is the store's time since which the instance has been present without a gap (see retrier.Presence).
--- a/treasurer/treasurer.go
+++ b/treasurer/treasurer.go
@@ -115,6 +115,10 @@
 	// peers lists the other routers that have an address and were running at the last count, sorted by incarnation.
 	peers []Peer
 
+	// configuration is the version of the newest configuration.
+	configuration       int64
+	onPeerConfiguration func(version int64)
+
 	peerClient PeerClient
 	wake       chan struct{}
 	tasks      sync.WaitGroup
@@ -142,7 +146,8 @@
 	return &Treasurer{
 		store: store, peerClient: peerClient, clock: clock, log: log, metrics: metrics, self: s.Incarnation, parts: s.Parts, address: s.Address, zone: s.Zone, processors: s.Processors, listeningAt: clock.Now(),
 		planner: NewPlanner(s), share: retrier.Share{Window: s.RetryWindow},
-		waiting: map[HoldID]chan Reply{}, wake: make(chan struct{}, 1),
+		onPeerConfiguration: func(int64) {},
+		waiting:             map[HoldID]chan Reply{}, wake: make(chan struct{}, 1),
 	}
 }
 
@@ -273,6 +278,7 @@
 func (t *Treasurer) Configure(d masticway.Deployment) {
 	t.mu.Lock()
 	t.planner.Configure(d.Version, d.Accounts)
+	t.configuration = max(t.configuration, d.Version)
 	t.mu.Unlock()
 	t.wakeUp()
 }
