--- a/soaker/soaker_test.go
+++ b/soaker/soaker_test.go
@@ -141,6 +141,16 @@
 	// for the other server.
 	"servers slower than the latency objective":             {Seed: 12, Duration: 8 * time.Second, Routers: 2, Kinds: []string{"configure"}},
 	"servers slower than the latency objective, and faults": {Seed: 102, Duration: 6 * time.Second, Routers: 2},
+	// A router that was stopped counted its grace period from when it noticed SIGTERM, and was killed before it had drained.
+	"SIGTERM to a stopped router": {Seed: 238, Duration: 8 * time.Second, Routers: 4, Kinds: []string{
+		"callers_leave", "router_throttled", "servers_slow", "freeze", "kill", "term", "server_crashes", "server_fails", "callers_reset",
+		"store_cut", "hangup",
+	}},
+}
+
+func TestGraceCountsFromSignalToStoppedRouter(t *testing.T) {
+	t.Parallel()
+	assertPromisesKept(t, failedSeeds["SIGTERM to a stopped router"])
 }
 
 func TestGrownConfigurationOverANarrowLink(t *testing.T) {
--- a/starter/gateway.go
+++ b/starter/gateway.go
@@ -131,6 +131,8 @@
 	servers        serverGroup
 	listeners      GatewayListeners
 	metrics        *measurer.Set
+	// stalls tells when SIGTERM may have been sent.
+	stalls stallRecord
 	// draining is set once the shutdown has begun.
 	draining atomic.Bool
 	// sharingRule decides whether routers share load; ruleMu guards it.
@@ -279,6 +281,7 @@
 	d.wg.Go(func() { d.coordinator.Run(ctx) })
 	d.wg.Go(func() { d.apportioner.Run(ctx) })
 	d.wg.Go(func() { d.watchSuspensions(ctx) })
+	d.wg.Go(func() { d.stalls.watch(ctx, d.clock) })
 	d.wg.Go(func() { d.watchMembers(ctx) })
 	d.servers.serveWith(d.callerListener, d.callerServer)
 	d.servers.serve(d.listeners.Readiness, http.HandlerFunc(d.readiness))
@@ -391,11 +394,13 @@
 // Drain shuts the gateway down gracefully and returns when it has stopped, at the end of the grace period at the latest. It
 // returns false if a request was cut off.
 func (d *GatewayDaemon) Drain() bool {
-	began := d.clock.Now()
+	now := d.clock.Now()
+	// The grace period began when SIGTERM was sent, which may have been while this process was stopped.
+	began := d.stalls.earliest(now)
 	grace := time.Duration(d.settings.GraceSeconds * float64(time.Second))
 	d.draining.Store(true)
 	d.forwarder.Drain(began.Add(grace - exitBefore))
-	d.log.WithFields(logrus.Fields{"event": "stopping", "open": d.callerListener.OpenRequests(), "grace": grace}).Info("gateway stopping")
+	d.log.WithFields(logrus.Fields{"event": "stopping", "open": d.callerListener.OpenRequests(), "grace": grace, "late_ms": now.Sub(began).Milliseconds()}).Info("gateway stopping")
 	d.wait(began.Add(minUnreadyTime), began.Add(minUnreadyTime), d.isIdle)
 	// Requests that arrive later on connections that are idle now would be cut off by the shutdown. The callers should connect to
 	// another router.
