Find no budget exhausted while an era is not settled

Found by reading: between a return of the store and the time when all grants are written again, a row shows more or less than is left, and a router could tell callers that their budget was exhausted. Rows of another era are ignored one by one, since a reading of several parts may span a return; a sealed router keeps its presence in later eras; and a router that starts reads its era at once.

--- a/treasurer/era.go
+++ b/treasurer/era.go
@@ -281,7 +281,10 @@
 // enterEra reads when the store's current era began, or writes that it begins now, and passes that to the planner. It tries until
 // it succeeds or the context is done.
 func (t *Treasurer) enterEra(ctx context.Context) {
-	t.sleep(ctx, rand.N(eraJitter))
+	isStarting := t.Members() == 0
+	if !isStarting {
+		t.sleep(ctx, rand.N(eraJitter))
+	}
 	for ctx.Err() == nil {
 		err := t.tryEnterEra(ctx)
 		if err == nil {
@@ -294,7 +297,9 @@
 	t.enteringEra = false
 	t.mu.Unlock()
 	t.wakeUp()
-	t.tryCount(ctx)
+	if !isStarting {
+		t.tryCount(ctx)
+	}
 }
 
 func (t *Treasurer) tryEnterEra(ctx context.Context) error {
@@ -331,7 +336,7 @@
 	t.planner.EnterEra(now, EraStart{Era: era, StoreTime: reading.StoreTime, SettledAt: settledAt})
 	t.eraContinued, t.eraBeganAt = next.Continued, next.BeganAt
 	if previous < era {
-		t.enterPresenceEra(now, reading.StoreTime)
+		t.enterPresenceEra(now, reading)
 	}
 	t.log.WithFields(logrus.Fields{
 		"event": "era_entered", "era": era, "previous": previous, "continued": next.Continued, "settled_in_ms": settledAt.Sub(now).Milliseconds(),
--- a/treasurer/holds.go
+++ b/treasurer/holds.go
@@ -139,7 +139,8 @@
 		return p.decideUnreachable(now, a, w)
 	}
 	fresh := a.rowKnown && (!a.rowSeenAt.Before(w.since) || now.Sub(a.rowSeenAt) < rowTTL)
-	if fresh && p.exceedsBudget(a, w.need) && now.Sub(p.startedAt) > startupGrace {
+	isComplete := fresh && !a.restoring && p.isSettled(now)
+	if isComplete && p.exceedsBudget(a, w.need) && now.Sub(p.startedAt) > startupGrace {
 		return VerdictExhausted, true
 	}
 	return p.decideUnreachable(now, a, w)
--- a/treasurer/outcome.go
+++ b/treasurer/outcome.go
@@ -196,9 +196,12 @@
 	return replies, nil
 }
 
-// applyRow applies a row of a workspace, unless a newer one is known. A row newer than the known one resolves changes of
+// applyRow applies a row of a workspace, unless a newer one is known or the row is of another era. A row newer than the known one resolves changes of
 // unknown outcome: either it includes them, or they expect a version that is gone and can never be made.
 func (p *Planner) applyRow(a *account, r masticway.StoredRow) error {
+	if !p.noteVersion(r.Version) {
+		return nil
+	}
 	if r.Version < a.rowVersion {
 		return nil
 	}
--- a/treasurer/presence.go
+++ b/treasurer/presence.go
@@ -177,6 +177,9 @@
 func (t *Treasurer) currentEra(version int64) (era int64, beganAt time.Duration, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.sealed {
+		return masticway.StoreEra(version), t.eraBeganAt, true
+	}
 	if !t.planner.noteVersion(version) {
 		return 0, 0, false
 	}
@@ -207,11 +210,11 @@
 
 // enterPresenceEra makes the times of the router's presence and count those of a new era, of whose clock there is a reading. The
 // caller must hold t.mu.
-func (t *Treasurer) enterPresenceEra(now time.Time, storeTime time.Duration) {
+func (t *Treasurer) enterPresenceEra(now time.Time, reading masticway.RowReading) {
 	if !t.countedAt.IsZero() {
-		t.share = t.share.WithClockShift(storeTime - t.storeTime())
+		t.share = t.share.WithClockShift(reading.StoreTime - t.storeTime())
 	}
-	t.presence = presenceRow{storeTime: storeTime, readAt: now}
+	t.presence = presenceRow{storeVersion: reading.Version, storeTime: reading.StoreTime, readAt: now}
 }
 
 // setCount records a count and passes it to the planner.
@@ -220,7 +223,7 @@
 	defer t.mu.Unlock()
 	t.peers, t.members = peers, n
 	t.countedAt, t.countedBytes = t.clock.Now(), reading.Bytes()
-	t.presence = presenceRow{version: ownVersion, storeTime: reading.StoreTime, readAt: t.countedAt}
+	t.presence = presenceRow{version: ownVersion, storeVersion: reading.Version, storeTime: reading.StoreTime, readAt: t.countedAt}
 	t.share = t.share.WithCount(reading.StoreTime, own, others, t.countInterval()+presenceInterval(n)*3/2)
 	t.planner.SetPeers(n, peers)
 	t.metrics.Gauge(metricRouters, int64(n))
@@ -239,6 +242,8 @@
 // presenceRow is what is known of the row of this router's own presence.
 type presenceRow struct {
 	version int64
+	// storeVersion is a version of the store in the era of which storeTime is.
+	storeVersion int64
 	// storeTime is the store's clock at about the time readAt of this router's clock, or slightly before it.
 	storeTime time.Duration
 	readAt    time.Time
@@ -248,8 +253,9 @@
 // call expects the right version.
 func (t *Treasurer) writePresence(ctx context.Context) error {
 	t.mu.Lock()
-	row, next, era, configuration := t.presence, t.share.NextPresence(t.storeTime()), t.planner.Era(), t.configuration
+	row, next, configuration := t.presence, t.share.NextPresence(t.storeTime()), t.configuration
 	t.mu.Unlock()
+	era := masticway.StoreEra(row.storeVersion)
 	key := masticway.RowKey{Table: tableRouters, Part: routersPart, Key: t.self.Instance()}
 	written, err := t.store.Write(ctx, masticway.RowWrite{
 		Expected: []masticway.RowVersion{{RowKey: key, Version: row.version}},
--- a/treasurer/watch.go
+++ b/treasurer/watch.go
@@ -133,6 +133,9 @@
 		if i == 0 {
 			all.Version = reading.Version
 		}
+		if masticway.StoreEra(reading.Version) != masticway.StoreEra(all.Version) {
+			return all, errEraChanged
+		}
 	}
 	return all, nil
 }
