--- a/treasurer/fleet_test.go
+++ b/treasurer/fleet_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/masticway/masticway/emulator"
 )
 
 // largeFleet is the load of a deployment with 103 routers in six availability zones: 960 requests a second for 40
@@ -77,6 +79,15 @@
 			},
 		},
 		"budgets are nearly used up": {load: lowBudgetFleet, fault: func(*fleet) {}, refused: 0.02, lost: 0.01, calls: 1.5},
+		"the store returns from a copy": {
+			load: largeFleet, refused: 0.03, lost: 0.02, calls: 2.5,
+			fault: returnOfStore,
+		},
+		"the store returns from a copy, 300 routers": {
+			load:    fleetLoad{routers: 300, zones: 6, workspaces: 40, perSecond: 1600, span: 13 * time.Second, budgetFactor: 3},
+			refused: 0.03, lost: 0.02, calls: 2.5,
+			fault: returnOfStore,
+		},
 		"half of a zone's callers move": {
 			load: largeFleet, refused: 0.001, lost: 0.01, calls: 1.2,
 			fault: func(f *fleet) {
@@ -135,6 +146,17 @@
 	}
 }
 
+// returnOfStore takes the store away for a second and lets it return from a copy that was made two seconds before.
+func returnOfStore(f *fleet) {
+	var saved emulator.RowCopy
+	f.schedule(time.Second, func() { saved = f.rows.Copy() })
+	f.schedule(3*time.Second, func() { f.storeDown = true })
+	f.schedule(4*time.Second, func() {
+		f.returnStore(saved)
+		f.storeDown = false
+	})
+}
+
 // TestConcentratedDemandIsServed has all callers of some workspaces use one router each, whose network link they saturate,
 // so that loans arrive too late. Deployments with few callers in a workspace have such loads. A router that borrowed
 // everything refused most of the requests while nearly the whole budget was left.
--- a/treasurer/simulation_test.go
+++ b/treasurer/simulation_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"container/heap"
+	"context"
 	"fmt"
 	"maps"
 	"math"
@@ -88,8 +89,9 @@
 	// workspaceShare is each workspace's share of the traffic, zoneShare that of each availability zone.
 	workspaceShare map[string]float64
 	zoneShare      []float64
-	// storeDown is set during an outage of the store.
+	// storeDown is set during an outage of the store. eraBegan is when it returned from a copy.
 	storeDown bool
+	eraBegan  time.Time
 	// calls counts the calls to the store, callsByKind the calls of the planners by what they are for.
 	calls       int
 	callsByKind map[string]int
@@ -123,6 +125,8 @@
 	// partitioned is set while the router reaches only other partitioned ones, and not the store.
 	partitioned bool
 	changesSeen int
+	// enteringEra is set from when the router has noticed a new era of the store until it has entered it.
+	enteringEra bool
 	holds       map[treasurer.HoldID]*fleetHold
 	// extraLatency is added to each message to or from the router, as over a saturated link.
 	extraLatency   time.Duration
@@ -337,12 +341,16 @@
 		return
 	}
 	f.calls++
+	if r.changesSeen == 0 && !f.eraBegan.IsZero() {
+		// The history is lost, so the router reads all parts.
+		f.calls += fleetParts
+	}
 	rows := map[string]masticway.StoredRow{}
 	for _, row := range f.changedRows[r.changesSeen:] {
 		rows[row.Key] = row
 	}
 	r.changesSeen = len(f.changedRows)
-	replies, err := r.planner.ApplyChanges(f.now, masticway.RowReading{Rows: slices.Collect(maps.Values(rows))})
+	replies, err := r.planner.ApplyChanges(f.now, masticway.RowReading{Rows: slices.Collect(maps.Values(rows)), Version: f.storeReading().Version})
 	if err != nil {
 		panic(err)
 	}
@@ -350,6 +358,49 @@
 	f.wakeUp(r)
 }
 
+// storeReading returns a reading without rows.
+func (f *fleet) storeReading() masticway.RowReading {
+	reading, err := f.rows.Read(context.Background(), "", "")
+	if err != nil {
+		panic(err)
+	}
+	return reading
+}
+
+// returnStore makes the store return from a copy.
+func (f *fleet) returnStore(saved emulator.RowCopy) {
+	f.rows.Return(saved)
+	f.eraBegan, f.changedRows = f.now, nil
+	for _, name := range f.names {
+		if row := f.rows.Row(masticway.RowKey{Table: "masticway_accounts", Part: treasurer.PartOf(name, fleetParts), Key: name}); row.Version > 0 {
+			f.changedRows = append(f.changedRows, row)
+		}
+	}
+	for _, r := range f.routers {
+		r.changesSeen = 0
+	}
+}
+
+// enterEra makes a router enter the store's era as Treasurer.enterEra does.
+func (f *fleet) enterEra(r *fleetRouter) {
+	if r.enteringEra || !r.planner.MustEnterEra() {
+		return
+	}
+	r.enteringEra = true
+	f.calls++
+	generation := r.generation
+	f.schedule(time.Duration(f.random.Int64N(int64(200*time.Millisecond)))+fleetStoreLatency, func() {
+		r.enteringEra = false
+		if r.generation != generation || !r.alive {
+			return
+		}
+		reading := f.storeReading()
+		settledAt := f.eraBegan.Add(2*time.Second + time.Duration(len(f.routers))*35*time.Millisecond)
+		r.planner.EnterEra(f.now, treasurer.EraStart{Era: masticway.StoreEra(reading.Version), StoreTime: reading.StoreTime, SettledAt: settledAt})
+		f.wakeUp(r)
+	})
+}
+
 // wakeUp has a router check what is due after the current event.
 func (f *fleet) wakeUp(r *fleetRouter) {
 	if r.wakePending {
@@ -367,6 +418,7 @@
 
 // runOnce does what Treasurer.runOnce does.
 func (f *fleet) runOnce(r *fleetRouter) {
+	f.enterEra(r)
 	f.handleReplies(r, r.planner.ServeQueues(f.now))
 	generation := r.generation
 	alive := func(do func()) func() {
@@ -433,6 +485,7 @@
 		var reading masticway.RowReading
 		var err error
 		if s.Write == nil {
+			reading = f.storeReading()
 			reading.Rows = f.readPart(s.Part)
 		} else {
 			reading, err = f.apply(*s.Write)
