--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -319,7 +319,10 @@
 	x := a.x
 	body, release, err := a.readWhole(answer)
 	defer release()
-	if err != nil {
+	switch {
+	case errors.Is(err, errAnswerTooLarge) || errors.Is(err, errAnswersTooLarge):
+		return a.failure(err)
+	case err != nil:
 		return a.connectionFailure(fmt.Errorf("reading the answer: %w", err))
 	}
 	a.recordFirstPart()
--- a/starter/era_test.go
+++ b/starter/era_test.go
@@ -25,6 +25,14 @@
 	}
 }
 
+// awaitConfiguration waits until a gateway uses a version of the configuration, at most for maxConfigurationDelay. Unlike
+// waitForVersion, it reads nothing from the store.
+func (p *testPlatform) awaitConfiguration(s forwarder.Settings, version int64) {
+	for began := time.Now(); p.version(s) < version && time.Since(began) < maxConfigurationDelay; {
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
 // startGateways starts gateways at instances edge-1 and so on.
 func (p *testPlatform) startGateways(n int) (all []*starter.GatewayDaemon, settings []forwarder.Settings) {
 	for i := range n {
@@ -75,9 +83,7 @@
 			p.advance(tc.lost)
 			p.configure(2, 100000)
 			for _, s := range settings {
-				for began := time.Now(); p.version(s) < 2 && time.Since(began) < maxConfigurationDelay; {
-					time.Sleep(10 * time.Millisecond)
-				}
+				p.awaitConfiguration(s, 2)
 			}
 			p.rows.SetFaults(emulator.RowFaults{Unavailable: tc.outage > 0})
 			time.Sleep(tc.outage)
@@ -144,9 +150,7 @@
 	defer killAll(&gateways)
 	saved := p.rows.Copy()
 	p.configure(5, 100000)
-	for began := time.Now(); p.version(settings[1]) < 5 && time.Since(began) < maxConfigurationDelay; {
-		time.Sleep(10 * time.Millisecond)
-	}
+	p.awaitConfiguration(settings[1], 5)
 	p.rows.Return(saved)
 	// The others have written their presences again by then.
 	time.Sleep(1500 * time.Millisecond)
--- a/treasurer/begin.go
+++ b/treasurer/begin.go
@@ -74,8 +74,11 @@
 	ended := t.planner.Predecessors()
 	t.mu.Unlock()
 	if slices.ContainsFunc(ended, func(e EndedIncarnation) bool { return e.FromCopy }) {
-		// Meanwhile another router may have continued the era.
+		// Meanwhile another router may have continued the era, or the store may have returned again.
 		t.enterEra(ctx)
+		if !t.awaitSettled(ctx) {
+			return
+		}
 	}
 	var closing sync.WaitGroup
 	slots := make(chan struct{}, maxConcurrentClosings)
