--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -26,7 +26,12 @@
 	for {
 		n, err := answer.Read(buffer)
 		pending = append(pending, buffer[:n]...)
-		complete := lastEventEnd(pending)
+		// The bytes before the new ones contain no more than the start of a delimiter.
+		seen := max(0, len(pending)-n-maxDelimiter+1)
+		complete := lastEventEnd(pending[seen:])
+		if complete > 0 {
+			complete += seen
+		}
 		if complete > 0 {
 			if !a.recordProgress() {
 				// The next server was asked to resume before these events, so it will send them.
@@ -131,9 +136,11 @@
 	return err != nil || a > b
 }
 
-// eventDelimiters are the blank lines that end an event.
+// eventDelimiters are the blank lines that end an event, of at most maxDelimiter bytes.
 var eventDelimiters = [][]byte{[]byte("\n\n"), []byte("\r\n\r\n")}
 
+const maxDelimiter = 4
+
 // firstEventEnd returns the length of the first whole event in b, or the length of b if there is none.
 func firstEventEnd(b []byte) int {
 	first := len(b)
