--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -288,25 +288,27 @@
 // errAnswersTooLarge ends an attempt because the router may not keep more bytes of unfinished answers.
 var errAnswersTooLarge = errors.New("the answers that are being read are too large together")
 
-// readWhole reads an answer to its end. The caller must call release when it does not need the body any more.
-func (a *attempt) readWhole(answer io.Reader) (body []byte, release func(), err error) {
+// readWhole reads an answer to its end.
+func (a *attempt) readWhole(answer io.Reader) ([]byte, error) {
 	kept := a.x.f.answerBytes.account()
+	defer kept.release()
+	var body []byte
 	for {
 		if len(body) == cap(body) {
 			body = slices.Grow(body, max(minAnswerPiece, len(body)))
 		}
 		if !kept.set(int64(cap(body))) {
-			return nil, kept.release, errAnswersTooLarge
+			return nil, errAnswersTooLarge
 		}
 		n, err := answer.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
 		switch {
 		case len(body) > maxAnswerBytes:
-			return nil, kept.release, errAnswerTooLarge
+			return nil, errAnswerTooLarge
 		case errors.Is(err, io.EOF):
-			return body, kept.release, nil
+			return body, nil
 		case err != nil:
-			return nil, kept.release, err
+			return nil, err
 		}
 	}
 }
@@ -317,8 +319,7 @@
 // outlier (see isOutlier) and the request may run at another server.
 func (a *attempt) relayWhole(answer *sender.Answer) outcome {
 	x := a.x
-	body, release, err := a.readWhole(answer)
-	defer release()
+	body, err := a.readWhole(answer)
 	switch {
 	case errors.Is(err, errAnswerTooLarge) || errors.Is(err, errAnswersTooLarge):
 		return a.failure(err)
