Close a grant that was lost after its checkpoint was read

The successor had read the predecessor's checkpoint, with 460 tokens taken, but the store returned from a copy without the grant before it was closed: the closing counts what is spent up to the grant, which was none, and the other router had not seen the grant yet. An entry of an ended incarnation now says in which era its checkpoint was read, and a closing in a later one counts what that allowed, once.

--- a/treasurer/begin.go
+++ b/treasurer/begin.go
@@ -106,11 +106,12 @@
 func (t *Treasurer) closeGrant(ctx context.Context, ended EndedIncarnation, workspace string, spent int64) {
 	key := accountKey(workspace, t.parts)
 	row, known := masticway.StoredRow{RowKey: key}, false
+	var reading masticway.RowReading
 	waited := false
 	for ctx.Err() == nil {
 		var err error
 		if !known {
-			row, _, err = t.readRow(ctx, key)
+			row, reading, err = t.readRow(ctx, key)
 			known = err == nil
 		}
 		account := ReadAccount(row)
@@ -125,13 +126,14 @@
 			continue
 		}
 		if known {
-			err = t.tryCloseGrant(ctx, row, ended, workspace, spent)
+			isLost := spent < presumeAll && masticway.StoreEra(reading.Version) > ended.Era
+			err = t.tryCloseGrant(ctx, row, ended, workspace, spent, isLost)
 		}
 		if err == nil {
 			return
 		}
 		if conflict, ok := errors.AsType[*masticway.RowConflictError](err); ok && len(conflict.Rows) == 1 {
-			row = conflict.Rows[0]
+			row, reading.Version = conflict.Rows[0], conflict.Version
 			t.sleepForContention(ctx, grants)
 			// Many writers will have changed the row again by now.
 			known = grants < contendedGrants
@@ -165,13 +167,13 @@
 }
 
 // tryCloseGrant writes the given row without the ended incarnation's grant. row must be the row as it was last read.
-func (t *Treasurer) tryCloseGrant(ctx context.Context, row masticway.StoredRow, ended EndedIncarnation, workspace string, spent int64) error {
+func (t *Treasurer) tryCloseGrant(ctx context.Context, row masticway.StoredRow, ended EndedIncarnation, workspace string, spent int64, isLost bool) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	t.mu.Lock()
 	at := t.storeTime()
 	t.mu.Unlock()
-	write, grant, err := CloseGrant(row, ended.Incarnation, spent, at)
+	write, grant, err := CloseGrant(row, ended.Incarnation, spent, at, isLost)
 	if err != nil {
 		return err
 	}
@@ -179,11 +181,15 @@
 		return fmt.Errorf("closing the grant of %s: %w", ended.Incarnation, err)
 	}
 	t.mu.Lock()
-	t.planner.NoteClosed(t.clock.Now(), ended.Incarnation, workspace, ClosedGrant{Spent: min(spent, grant.Granted), At: at})
+	closed := ClosedGrant{Spent: min(spent, grant.Granted), At: at}
+	if isLost {
+		closed.Spent = spent
+	}
+	t.planner.NoteClosed(t.clock.Now(), ended.Incarnation, workspace, closed)
 	t.mu.Unlock()
 	t.log.WithFields(logrus.Fields{
 		"event": "grant_closed", "incarnation": ended.Incarnation, "workspace": workspace, "granted": grant.Granted,
-		"presumed": min(spent, grant.Granted), "taken": ended.Taken[workspace], "written": ended.MaxUnwitnessed[workspace],
+		"presumed": closed.Spent, "grant_lost": isLost, "taken": ended.Taken[workspace], "written": ended.MaxUnwitnessed[workspace],
 		"silent_ms": ended.SinceBasis.Milliseconds(),
 	}).Info("grant of an ended incarnation closed")
 	return nil
--- a/treasurer/purse_test.go
+++ b/treasurer/purse_test.go
@@ -394,7 +394,7 @@
 	// The process crashes while its grant is in flight; the next one closes a grant that does not exist yet.
 	b.start("edge~2", 1000)
 	row := b.rows.Row(change.Write.Puts[0].RowKey)
-	closing, grant, err := treasurer.CloseGrant(row, "edge~1", 600, 0)
+	closing, grant, err := treasurer.CloseGrant(row, "edge~1", 600, 0, false)
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, grant.Granted, qt.Equals, int64(0))
 	_, err = b.rows.Apply(closing)
--- a/treasurer/rows.go
+++ b/treasurer/rows.go
@@ -195,6 +195,8 @@
 	// spent beyond MaxUnwitnessed. Sequence is the number of the incarnation's last checkpoint.
 	Witnesses []Witness `json:"witnesses,omitempty"`
 	Sequence  int64     `json:"sequence,omitempty"`
+	// Era is the era of the store in which the last checkpoint was read. The incarnation's grants may be lost in a later one.
+	Era int64 `json:"era,omitempty"`
 	// FromCopy is set if the last checkpoint is of an earlier era of the store than the one in which it was taken over. The
 	// incarnation may have written later ones, which are lost. MaxSpent is then what its rates would have allowed since, for
 	// maxCopyAge more. Where the era has been continued (see EraRecord), its whole grants count as spent instead.
@@ -269,7 +271,7 @@
 		}
 		ended = append(ended, EndedIncarnation{
 			Incarnation: c.Incarnation, MaxSpent: maxSpent, MaxUnwitnessed: maxUnwitnessed, Taken: taken, SinceBasis: elapsed, Sequence: c.Sequence,
-			Witnesses: c.Witnesses, FromCopy: fromCopy,
+			Witnesses: c.Witnesses, Era: s.era, FromCopy: fromCopy,
 		})
 	}
 	return Checkpoint{Incarnation: s.incarnation, Generation: c.Generation + 1, Era: s.era, Address: s.address, Basis: s.now, Ended: ended}
@@ -281,19 +283,29 @@
 	return c.Generation > o.Generation || c.Generation == o.Generation && c.Era == o.Era
 }
 
+// WithLostClosed is like WithClosed, but the store may have lost the grant with an earlier era, so that it does not bound what was
+// spent.
+func (a Account) WithLostClosed(i masticway.Incarnation, spent int64, at time.Duration) Account {
+	return a.withEnded(i, ClosedGrant{Spent: spent, At: at})
+}
+
 // CloseGrant returns the write that removes an ended incarnation's grant from a workspace's row, and the grant. The caller
 // must make the write even if there is no grant: it gives the row a new version, so that a late write of the ended
 // incarnation conflicts.
 //
-// at is the store's time.
-func CloseGrant(row masticway.StoredRow, ended masticway.Incarnation, spent int64, at time.Duration) (masticway.RowWrite, Grant, error) {
+// at is the store's time. isLost is set if the store may have lost the grant with an earlier era (see WithLostClosed).
+func CloseGrant(row masticway.StoredRow, ended masticway.Incarnation, spent int64, at time.Duration, isLost bool) (masticway.RowWrite, Grant, error) {
 	account, err := decode[Account](row)
 	if err != nil {
 		return masticway.RowWrite{}, Grant{}, err
 	}
+	next := account.WithClosed(ended, spent, at)
+	if isLost {
+		next = account.WithLostClosed(ended, spent, at)
+	}
 	return masticway.RowWrite{
 		Expected: []masticway.RowVersion{{RowKey: row.RowKey, Version: row.Version}},
-		Puts:     []masticway.RowPut{{RowKey: row.RowKey, Value: encode(account.WithClosed(ended, spent, at))}},
+		Puts:     []masticway.RowPut{{RowKey: row.RowKey, Value: encode(next)}},
 	}, account.Grants[ended], nil
 }
 
--- a/treasurer/simulation_test.go
+++ b/treasurer/simulation_test.go
@@ -286,7 +286,7 @@
 func (f *fleet) closeGrant(ended masticway.Incarnation, workspace string, spent int64) {
 	f.calls += 2
 	key := masticway.RowKey{Table: "masticway_accounts", Part: treasurer.PartOf(workspace, fleetParts), Key: workspace}
-	write, _, err := treasurer.CloseGrant(f.rows.Row(key), ended, spent, f.now.Sub(epoch))
+	write, _, err := treasurer.CloseGrant(f.rows.Row(key), ended, spent, f.now.Sub(epoch), false)
 	if err != nil {
 		panic(err)
 	}
--- a/treasurer/world_test.go
+++ b/treasurer/world_test.go
@@ -189,31 +189,39 @@
 		return
 	}
 	for _, stray := range r.planner.DueStrays(w.now) {
-		w.closeGrant(t, r, stray.Incarnation, stray.Workspace, 1<<40)
+		w.closeGrant(t, r, treasurer.EndedIncarnation{Incarnation: stray.Incarnation}, stray.Workspace, allSpent)
 	}
 	if len(r.ended) == 0 {
 		return
 	}
 	for _, e := range r.ended {
 		for workspace, spent := range e.PresumedSpent(w.queryWitnesses(t, e), w.returns > 0) {
-			w.closeGrant(t, r, e.Incarnation, workspace, spent)
+			w.closeGrant(t, r, e, workspace, spent)
 		}
 	}
 	r.ended = nil
 	r.planner.ForgetPredecessors()
 }
 
+// allSpent is more than any grant.
+const allSpent = 1 << 40
+
 // closeGrant closes a grant without concurrent writes.
-func (w *model) closeGrant(t *rapid.T, r *modelRouter, ended masticway.Incarnation, workspace string, spent int64) {
+func (w *model) closeGrant(t *rapid.T, r *modelRouter, e treasurer.EndedIncarnation, workspace string, spent int64) {
 	reading := w.read("masticway_accounts", workspace)
-	write, grant, err := treasurer.CloseGrant(reading.row, ended, spent, reading.at)
+	isLost := spent < allSpent && masticway.StoreEra(reading.version) > e.Era
+	write, grant, err := treasurer.CloseGrant(reading.row, e.Incarnation, spent, reading.at, isLost)
 	if err != nil {
 		t.Fatalf("closing a grant: %v", err)
 	}
 	if _, err := w.rows.Apply(write); err != nil {
 		t.Fatalf("closing a grant without concurrent writes: %v", err)
 	}
-	r.planner.NoteClosed(w.now, ended, workspace, treasurer.ClosedGrant{Spent: min(spent, grant.Granted), At: reading.at})
+	closed := treasurer.ClosedGrant{Spent: min(spent, grant.Granted), At: reading.at}
+	if isLost {
+		closed.Spent = spent
+	}
+	r.planner.NoteClosed(w.now, e.Incarnation, workspace, closed)
 }
 
 // queryWitnesses asks the witnesses of an ended incarnation, some of which cannot be reached.
