Drop a comment that was wrong about the reads after a return

The comment on how tables are spread said that the first reads of 350 routers take half of what the store answers; CAPACITY works out more than that. It was also a note on how the value was chosen. One comment is wrapped again, and one zero value is written as such. No behaviour changes.

--- a/follower/mirror.go
+++ b/follower/mirror.go
@@ -29,8 +29,6 @@
 	maxWatchBytes = 16 << 10
 	// eraSpread is the range of the random time after which a router reads a table in full when an era of the store has ended.
 	// It is longer for large tables, by the time that maxSpreadSize or the table's size takes at eraReadRate bytes per second.
-	// At 350 routers, the reads of three small tables take half of the calls that a store answers, and a configuration of 0.8 MB
-	// 0.4 GB per second.
 	eraSpread     = 400 * time.Millisecond
 	eraReadRate   = 2 << 20
 	maxSpreadSize = 1 << 20
--- a/follower/required.go
+++ b/follower/required.go
@@ -32,7 +32,7 @@
 		return false
 	}
 	changed = r.configured && r.deployment.Version < r.required.version
-	r.required = requirement{version: 0}
+	r.required = requirement{}
 	return changed
 }
 
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -314,9 +314,9 @@
 }
 
 // relayWhole reads the whole answer, waits until its hold is cleared and writes it to the caller. It writes nothing if the answer
-// cannot be read to its end or is too large, if the exchange has already written part
-// of a stream, or if the hold is not cleared in time. It also writes nothing if the status is 500 or above, the server is an
-// outlier (see isOutlier) and the request may run at another server.
+// cannot be read to its end or is too large, if the exchange has already written part of a stream, or if the hold is not cleared in
+// time. It also writes nothing if the status is 500 or above, the server is an outlier (see isOutlier) and the request may run at
+// another server.
 func (a *attempt) relayWhole(answer *sender.Answer) outcome {
 	x := a.x
 	body, err := a.readWhole(answer)
