--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -406,11 +406,11 @@
 
 // call is one request of a client.
 type call struct {
-	id, router     string
-	sentAt, endAt  time.Time
-	status         int
-	server         string
-	err            error
+	id, router    string
+	sentAt, endAt time.Time
+	status        int
+	server        string
+	err           error
 }
 
 var callNumber atomic.Int64
