--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -32,7 +32,7 @@
 	configApplyTime = 2 * time.Second
 	graceTime       = 8 * time.Second
 	heartbeat       = 1200 * time.Millisecond
-	host            = "ficu95.example"
+	host            = "salon.example"
 )
 
 // record writes what happens in a case to its record.
@@ -81,7 +81,7 @@
 	exited              chan struct{}
 }
 
-var zones = []string{"dublin-north", "dublin-south", "kildare", "wicklow"}
+var zones = []string{"montevideo-a", "montevideo-b", "canelones", "maldonado"}
 
 // newFleet starts the store. Close ends everything that the fleet has started.
 func newFleet(rec *record) (*fleet, error) {
@@ -201,7 +201,7 @@
 	}
 	regions := map[string]string{}
 	for _, z := range zones {
-		regions[z] = "leinster"
+		regions[z] = "uy-sur"
 	}
 	for i := range n {
 		ip := fmt.Sprint(subnet, 1+i)
@@ -209,13 +209,13 @@
 		if err != nil {
 			return err
 		}
-		r := &router{name: fmt.Sprintf("edge-%d", i+1), caller: ip + ":7101", ready: ip + ":7102", toStore: toStore}
+		r := &router{name: fmt.Sprintf("edge-%s-%d", zones[i%len(zones)], 1+i/len(zones)), caller: ip + ":7101", ready: ip + ":7102", toStore: toStore}
 		r.settings = filepath.Join(f.dir, r.name+".json")
 		// The fields of deploy/gateway.json.tmpl.
 		settings, err := json.Marshal(map[string]any{
 			"instance": r.name, "zone": zones[i%len(zones)], "log_level": "info", "log_every": 50, "caller_address": r.caller, "readiness_address": r.ready,
 			"metrics_address": ip + ":7104", "peer_address": ip + ":7103", "peer_seeds": seeds, "store_address": toStore.Addr().String(), "processors": 0.304,
-			"memory_mb": 284, "grace_seconds": graceTime.Seconds(), "money": map[string]any{"parts": 64, "reserve": "30s"}, "regions": regions,
+			"memory_mb": 134, "grace_seconds": graceTime.Seconds(), "money": map[string]any{"parts": 64, "reserve": "30s"}, "regions": regions,
 			"retries": map[string]any{"ratio": 0.2, "slack": 58, "window_seconds": 10},
 		})
 		if err != nil {
--- a/review/standin/silent.go
+++ b/review/standin/silent.go
@@ -23,12 +23,12 @@
 
 func standardManifest() (routes, services, tenants []map[string]any) {
 	routes = []map[string]any{
-		{"name": "r-look", "host": host, "path_prefix": lookPath, "route_kind": "idempotent", "timeout_ms": 800, "target_latency_ms": 300, "priority": 2, "service": "ledger", "max_attempts": 2, "anonymous": false, "sticky": false, "resumable": false},
-		{"name": "r-draft", "host": host, "path_prefix": draftPath, "route_kind": "streaming", "timeout_ms": 6000, "target_latency_ms": 800, "target_tbt_ms": 300, "priority": 1, "service": "model", "max_attempts": 1, "anonymous": false, "sticky": true, "resumable": false},
+		{"name": "r-look", "host": host, "path_prefix": lookPath, "route_kind": "idempotent", "timeout_ms": 800, "target_latency_ms": 150, "priority": 2, "service": "ledger", "max_attempts": 2, "anonymous": false, "sticky": false, "resumable": false},
+		{"name": "r-draft", "host": host, "path_prefix": draftPath, "route_kind": "streaming", "timeout_ms": 6000, "target_latency_ms": 800, "target_tbt_ms": 400, "priority": 1, "service": "model", "max_attempts": 1, "anonymous": false, "sticky": true, "resumable": false},
 	}
 	services = []map[string]any{
 		{"name": "ledger", "health_path": "/healthz", "max_conns": 110, "protocol": "h1", "tls": false},
-		{"name": "model", "health_path": "/healthz", "max_conns": 500, "protocol": "h1", "tls": false, "engine": map[string]any{"slots": 96, "kv_capacity": 273304, "stride": 3, "models": []map[string]any{{"name": "m"}}}},
+		{"name": "model", "health_path": "/healthz", "max_conns": 500, "protocol": "h1", "tls": false, "engine": map[string]any{"slots": 96, "kv_capacity": 186862, "stride": 4, "models": []map[string]any{{"name": "m"}}}},
 	}
 	for i := range tenantCount {
 		tenants = append(tenants, map[string]any{"name": fmt.Sprintf("hule93%d", i), "api_keys": []string{keyOf(i)}, "priority": 1, "prepaid": 50_000_000})
@@ -103,7 +103,7 @@
 		if err != nil {
 			return false, err
 		}
-		s.SetStream(17, 20*time.Millisecond)
+		s.SetStream(13, 20*time.Millisecond)
 	}
 	f.configure(standardManifest())
 	if err := f.addRouters(5); err != nil {
