review: RECOVER after routers were removed while the store is silent

The promise: of the requests sent later than recovery_s after the machines are back, a quarter or more is served. The disruption: four of five routers get SIGTERM and leave for good; the store is silent for 4.5 s meanwhile. Later the last router is killed and starts again. Seen: the tokens of their grants are never returned; each request with tokens gets 402, while over a third of the prepaid tokens was given to nobody.

--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -312,6 +312,8 @@
 	target string
 	mu     sync.Mutex
 	conns  map[*channel]bool
+	// held is set while nothing passes, on old channels and new ones.
+	held atomic.Bool
 }
 
 // channel is one open channel of a proxy.
@@ -348,7 +350,7 @@
 		var ended atomic.Int32
 		for _, way := range [][2]net.Conn{{far, near}, {near, far}} {
 			go func() {
-				c.copy(way[0], way[1])
+				c.copy(p, way[0], way[1])
 				if ended.Add(1) == 2 {
 					_, _ = near.Close(), far.Close()
 					p.mu.Lock()
@@ -361,10 +363,13 @@
 }
 
 // copy forwards bytes in one direction. Bytes on a silent channel are dropped, and neither end learns of the other's close.
-func (c *channel) copy(to, from net.Conn) {
+func (c *channel) copy(p *proxy, to, from net.Conn) {
 	buffer := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buffer)
+		for p.held.Load() {
+			time.Sleep(5 * time.Millisecond)
+		}
 		if c.silent.Load() {
 			if err != nil {
 				// One end has given the channel up; the other one waits for nothing on it.
@@ -395,7 +400,11 @@
 	return len(p.conns)
 }
 
+// hold makes the way silent, or lets pass what has been held up.
+func (p *proxy) hold(on bool) { p.held.Store(on) }
+
 func (p *proxy) close() {
+	p.hold(false)
 	_ = p.Close()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -411,6 +420,8 @@
 	status        int
 	server        string
 	err           error
+	// events is the number of whole events of a stream.
+	events int
 }
 
 var callNumber atomic.Int64
@@ -437,7 +448,9 @@
 	if err == nil {
 		c.status = response.StatusCode
 		_, c.server = emulator.AnswerOrigin(response.Header)
-		_, err = io.Copy(io.Discard, response.Body)
+		var body []byte
+		body, err = io.ReadAll(response.Body)
+		c.events = bytes.Count(body, []byte("\n\n"))
 		_ = response.Body.Close()
 	}
 	c.err, c.endAt = err, time.Now()
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -20,7 +20,8 @@
 
 // cases are the cases by name. Each returns whether the rule was broken, or an error if the case could not run.
 var cases = map[string]func(f *fleet, trouble bool) (bool, error){
-	"silent": silentStore,
+	"removed": removed,
+	"silent":  silentStore,
 }
 
 func main() { os.Exit(run()) }
