Count the ends of each workspace's requests and the tokens charged for them

Served requests are logged in samples, so no log told which share of a workspace's requests was served, and reports name no workspace: a starved one could not be found. Package tallier counts served, late and refused requests and charged tokens for each workspace, cumulatively for an incarnation, and logs what has changed once a second, in a bounded number of lines. A line that is lost is made up for by the next. masticway account adds the incarnations up and sets each workspace beside all, the one that is served least first. Evidence: tallier's and accountant's tests.

--- a/accountant/account.go
+++ b/accountant/account.go
@@ -26,6 +26,7 @@
 	causes, routes, workspaces, routers, times rows
 	served, servers, changed, others           rows
 
+	tallies  tallies
 	money    money
 	versions versions
 	outages  outages
@@ -40,7 +41,8 @@
 		bucket: bucket, reader: reader{newest: map[string]time.Time{}},
 		causes: rows{}, routes: rows{}, workspaces: rows{}, routers: rows{}, times: rows{},
 		served: rows{}, servers: rows{}, changed: rows{}, others: rows{},
-		money: money{workspaces: rows{}, routers: rows{}, last: map[string]Counts{}}, versions: versions{current: map[string]int64{}},
+		tallies: tallies{},
+		money:   money{workspaces: rows{}, routers: rows{}, last: map[string]Counts{}}, versions: versions{current: map[string]int64{}},
 		outages: outages{open: map[outageKey]Line{}, done: rows{}}, joined: joinedRequests{ids: map[string]*joinedRequest{}},
 		trace: trace{request: request, states: map[string]map[string]Line{}},
 	}
@@ -62,6 +64,8 @@
 		a.joined.add(l, "")
 		key := Key{Name: l.Text("server"), Detail: l.Text("address")}
 		a.servers.add(key, l, l.Number("ms"), l.Text("fate"), reasonOf(l.Text("cause")))
+	case l.Event == "workspace_requests":
+		a.tallies.add(l)
 	case l.Event == "money_status":
 		a.money.add(l)
 	default:
@@ -118,6 +122,7 @@
 		a.outages.endAll(router, last, "still_open")
 	}
 	return Report{Input: a.reader.input, Tables: []Table{
+		{Name: "requests_by_workspace", Rows: a.tallies.list()},
 		{Name: "not_served_by_cause", Rows: a.causes.list()},
 		{Name: "not_served_by_route", Rows: a.routes.list()},
 		{Name: "not_served_by_workspace", Rows: a.workspaces.list()},
--- a/accountant/account_test.go
+++ b/accountant/account_test.go
@@ -84,7 +84,7 @@
 	qt.Assert(t, summary(t, r, "money_refused_by_workspace"), qt.DeepEquals, []string{
 		"w1 5 prepaid_most=5000 left_most=900 budget_unreachable/enough_left=4 budget_exhausted/nothing_left=1",
 	})
-	row := r.Tables[0].Rows[0]
+	row := r.Tables[1].Rows[0]
 	qt.Assert(t, row.Share, qt.Equals, 2.0/6)
 	qt.Assert(t, row.TokensAsked, qt.Equals, int64(200))
 	qt.Assert(t, row.MeanMS, qt.Equals, int64(150))
@@ -93,6 +93,32 @@
 	qt.Assert(t, row.Last.Sub(row.First), qt.Equals, 2070*time.Millisecond)
 }
 
+// TestWorkspacesBesideAll guards against a starved workspace that no report shows: counts of dropped lines, of restarted routers and
+// of lines in any order add up, and each workspace stands beside all.
+func TestWorkspacesBesideAll(t *testing.T) {
+	counts := func(router string, ms int, incarnation, workspace, fields string) string {
+		return line(router, ms, fmt.Sprintf("event=workspace_requests incarnation=%s workspace=%s %s", incarnation, workspace, fields))
+	}
+	r := account(t, []string{
+		counts("edge-1", 0, "edge-1~1", "w1", "served=10 late=2"), counts("edge-1", 1000, "edge-1~1", "w1", "served=30 late=3 budget_exhausted=2 tokens=900 tokens_unserved=7"),
+		// A restart begins with zero.
+		counts("edge-1", 2000, "edge-1~2", "w1", "served=8"), counts("edge-1", 2001, "edge-1~2", "w2", "served=1 budget_unreachable=15 no_server=4"),
+	}, []string{
+		counts("edge-2", 50, "edge-2~1", "w1", "served=10"), counts("edge-2", 40, "edge-2~1", "w1", "served=4"),
+		counts("edge-2", 60, "edge-2~1", "", "served=20"),
+	})
+	qt.Assert(t, summary(t, r, "requests_by_workspace"), qt.DeepEquals, []string{
+		"w2 20 budget_unreachable=15 no_server=4 served=1", "w1 50 tokens=900 served=48 tokens_unserved=7 late=3 budget_exhausted=2", "- 20 served=20",
+	})
+	row := r.Tables[0].Rows[0]
+	qt.Assert(t, row.Served, qt.Equals, 0.05)
+	qt.Assert(t, row.BesideAll > 0.06 && row.BesideAll < 0.07, qt.IsTrue, qt.Commentf("%v", row.BesideAll))
+	qt.Assert(t, r.Tables[0].Rows[1].Routers, qt.DeepEquals, accountant.Counts{"edge-1": 40, "edge-2": 10})
+	var out bytes.Buffer
+	qt.Assert(t, r.Print(&out, 0), qt.IsNil)
+	qt.Assert(t, out.String(), qt.Contains, "beside_all")
+}
+
 func TestMoneyOutsideRequests(t *testing.T) {
 	status := "event=money_status money_borrowed=%d money_exhausted=0"
 	r := account(t, []string{
@@ -263,7 +289,7 @@
 		maxRows  int
 		contains []string
 	}{
-		"all":     {0, []string{"not_served_by_cause: 2 of 2 rows", "no total of them is known", "03:00:00.010"}},
+		"all":     {0, []string{"not_served_by_cause: 2 of 2 rows", "requests_by_workspace has their numbers", "03:00:00.010"}},
 		"limited": {1, []string{"not_served_by_cause: 1 of 2 rows", "changes: 1 of 1 rows"}},
 	}
 	for name, tc := range cases {
--- a/accountant/report.go
+++ b/accountant/report.go
@@ -8,6 +8,8 @@
 	"strings"
 	"text/tabwriter"
 	"time"
+
+	"github.com/masticway/masticway/tallier"
 )
 
 // NotFoundError reports that none of the lines that were read is What. Lines is their number.
@@ -26,7 +28,8 @@
 }
 
 // Report is the summary of a fleet's lines. Routers log the end of each request that was not served, so the report counts
-// all of these unless routers dropped lines. Served requests are logged in samples only.
+// all of these unless routers dropped lines. Served requests are logged in samples only. The table of workspaces' requests comes
+// from cumulative counts, and so counts served requests too.
 type Report struct {
 	Input  Input   `json:"input"`
 	Tables []Table `json:"tables"`
@@ -35,7 +38,7 @@
 // Print writes the report as text. It prints at most maxRows rows of each table that is not chronological, or all rows if
 // maxRows is zero.
 func (r Report) Print(w io.Writer, maxRows int) error {
-	fmt.Fprintf(w, "%s\nserved requests are logged in samples only (log_every): no total of them is known\n", r.Input)
+	fmt.Fprintf(w, "%s\nserved requests are logged in samples only (log_every): requests_by_workspace has their numbers\n", r.Input)
 	for _, t := range r.Tables {
 		shown := t.Rows
 		if maxRows > 0 && !t.chronological {
@@ -63,6 +66,8 @@
 	{"store", func(r Row) string { return r.Store }},
 	{"count", func(r Row) string { return number(r.Count) }},
 	{"share", share},
+	{"served", func(r Row) string { return ratio(r, r.Served) }},
+	{"beside_all", func(r Row) string { return ratio(r, r.BesideAll) }},
 	{"tokens_asked", func(r Row) string { return number(r.TokensAsked) }},
 	{"tokens_used", func(r Row) string { return number(r.TokensUsed) }},
 	{"mean_ms", func(r Row) string { return number(r.MeanMS) }},
@@ -84,6 +89,14 @@
 	return fmt.Sprintf("%.1f%%", 100*r.Share)
 }
 
+// ratio formats a ratio of the table of workspaces' requests. It returns "" for the rows of other tables.
+func ratio(r Row, value float64) string {
+	if _, ok := r.Kinds[tallier.Served]; !ok {
+		return ""
+	}
+	return fmt.Sprintf("%.2f", value)
+}
+
 func number(n int64) string { return strings.TrimPrefix(strconv.FormatInt(n, 10), "0") }
 
 func clock(t time.Time) string {
--- a/accountant/rows.go
+++ b/accountant/rows.go
@@ -46,6 +46,10 @@
 	Count int64 `json:"count"`
 	// Share is Count divided by the sum of the counts of all rows in the table.
 	Share float64 `json:"share"`
+	// Served is the share of a workspace's requests that were served. BesideAll is that share divided by the share of all
+	// workspaces' requests. Both are zero in other tables.
+	Served    float64 `json:"served,omitempty"`
+	BesideAll float64 `json:"beside_all,omitempty"`
 	// TokensAsked and TokensUsed are the sums of the fields hold and used.
 	TokensAsked int64 `json:"tokens_asked,omitempty"`
 	TokensUsed  int64 `json:"tokens_used,omitempty"`
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -16,6 +16,7 @@
 	"github.com/masticway/masticway/measurer"
 	"github.com/masticway/masticway/retrier"
 	"github.com/masticway/masticway/sender"
+	"github.com/masticway/masticway/tallier"
 	"github.com/masticway/masticway/treasurer"
 )
 
@@ -49,13 +50,15 @@
 	// answerBytes bounds what is kept of answers that are being read.
 	answerBytes *answerMemory
 	metrics     *measurer.Set
-	codec       masticway.HeaderCodec
-	budgets     Budgets
-	sender      *sender.Sender
-	snapshot    func() follower.Snapshot
-	checks      *checks
-	examiner    masticway.Examiner
-	rotation    masticway.Rotation
+	// tally counts the ends of requests by workspace.
+	tally    *tallier.Tallier
+	codec    masticway.HeaderCodec
+	budgets  Budgets
+	sender   *sender.Sender
+	snapshot func() follower.Snapshot
+	checks   *checks
+	examiner masticway.Examiner
+	rotation masticway.Rotation
 	// throttler enforces the rate limits and backoff that servers announce.
 	throttler masticway.Throttler
 	// coordinator chooses engines by the load that all routers cause, and runCount counts the runs that are reported to it.
@@ -85,9 +88,11 @@
 
 // Dependencies holds the dependencies of a Forwarder.
 type Dependencies struct {
-	Clock    masticway.Clock
-	Log      *logrus.Entry
-	Metrics  *measurer.Set
+	Clock   masticway.Clock
+	Log     *logrus.Entry
+	Metrics *measurer.Set
+	// Tally counts the ends of requests by workspace.
+	Tally    *tallier.Tallier
 	Codec    masticway.HeaderCodec
 	Budgets  Budgets
 	Snapshot func() follower.Snapshot
@@ -114,7 +119,7 @@
 func New(s Settings, d Dependencies) *Forwarder {
 	f := &Forwarder{
 		answerBytes: newAnswerMemory(s.MemoryMB << 20),
-		settings:    s, clock: d.Clock, log: d.Log, metrics: d.Metrics, codec: d.Codec, budgets: d.Budgets, snapshot: d.Snapshot,
+		settings:    s, clock: d.Clock, log: d.Log, metrics: d.Metrics, tally: d.Tally, codec: d.Codec, budgets: d.Budgets, snapshot: d.Snapshot,
 		examiner: d.Examiner, rotation: d.Rotation, throttler: d.Throttler, coordinator: d.Coordinator, connections: d.Connections, streamVersions: d.StreamVersions, onDraining: d.OnDraining,
 		checks: &checks{dial: d.Dial, clock: d.Clock, log: d.Log, byServer: map[masticway.ServerIncarnation]*check{}},
 		sender: sender.New(d.Dial, d.Clock.Now), servers: chooser.NewServers(s.serverPolicy()), allowances: map[string]*retrier.Allowance{}, startedAt: d.Clock.Now(),
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -25,6 +25,7 @@
 	"github.com/masticway/masticway/forwarder"
 	"github.com/masticway/masticway/measurer"
 	"github.com/masticway/masticway/platform"
+	"github.com/masticway/masticway/tallier"
 	"github.com/masticway/masticway/throttler"
 	"github.com/masticway/masticway/treasurer"
 )
@@ -353,7 +354,7 @@
 		Members: f.budgets, Peers: func() []string { return nil }, Clock: f.clock, Log: log.WithField("", ""), Metrics: measurer.New(), Address: routerAddress,
 	})
 	dependencies := forwarder.Dependencies{
-		Rotation: &f.rotation, Throttler: f.throttler, StreamVersions: &f.versions, Connections: &f.connections, OnDraining: func(masticway.Server) {}, Clock: f.clock, Log: log.WithField("", ""), Metrics: measurer.New(), Codec: platform.HeaderCodec{},
+		Rotation: &f.rotation, Throttler: f.throttler, StreamVersions: &f.versions, Connections: &f.connections, OnDraining: func(masticway.Server) {}, Clock: f.clock, Log: log.WithField("", ""), Metrics: measurer.New(), Tally: tallier.New(f.clock, log.WithField("", ""), routerAddress), Codec: platform.HeaderCodec{},
 		Budgets: f.budgets, Snapshot: f.currentSnapshot, Dial: (&net.Dialer{}).DialContext,
 	}
 	change(&dependencies)
--- a/forwarder/report.go
+++ b/forwarder/report.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/masticway/masticway"
+	"github.com/masticway/masticway/tallier"
 )
 
 // writeRefusal writes a refusal to the caller.
@@ -35,8 +36,12 @@
 	_, _ = w.Write(body)
 }
 
+// codeBrokenOff is the outcome of a request whose answer was begun and could not be completed.
+const codeBrokenOff = "broken_off"
+
 // recordRefused counts a refused request and logs it.
 func (f *Forwarder) recordRefused(x *exchange, refused *masticway.RefusalError) {
+	f.tally.Add(x.end(refused.Code))
 	f.metrics.Add(metricRefused+"_"+refused.Code, 1)
 	fields := logrus.Fields{"status": refused.Status, "run": refused.Fate, "cause": x.cause}
 	if refused.Code == codeExhausted || refused.Code == codeUnreachable {
@@ -61,10 +66,22 @@
 	})
 }
 
+// end returns the end of the request for the counts of its workspace.
+func (x *exchange) end(outcome string) tallier.End {
+	e := tallier.End{Workspace: x.q.account.Workspace, Outcome: outcome}
+	if x.q.hasBudget() {
+		e.Charged = x.usedTokens()
+	}
+	return e
+}
+
 // recordServed counts a served request, records its latency and logs one of every Settings.LogEvery served requests.
 func (f *Forwarder) recordServed(x *exchange) {
 	f.metrics.Add(metricServed, 1)
 	now := f.clock.Now()
+	end := x.end(tallier.Served)
+	end.IsLate = x.q.route.LatencyObjective > 0 && x.firstAt.Sub(x.q.arrivedAt) > x.q.route.LatencyObjective
+	f.tally.Add(end)
 	f.metrics.Observe(histogramFirst, x.q.route.Name, x.firstAt.Sub(x.q.arrivedAt))
 	f.metrics.Observe(histogramWhole, x.q.account.Workspace, now.Sub(x.q.arrivedAt))
 	if f.settings.LogEvery > 0 && f.servedCount.Add(1)%int64(f.settings.LogEvery) == 0 {
@@ -74,12 +91,14 @@
 
 func (f *Forwarder) recordCallerLeft(x *exchange) {
 	f.metrics.Add(metricCallersLeft, 1)
+	f.tally.Add(x.end(codeCallerLeft))
 	x.logEntry(codeCallerLeft).WithField("cause", x.cause).Info("caller left")
 }
 
 func (f *Forwarder) recordBroken(x *exchange, refused *masticway.RefusalError) {
 	f.metrics.Add(metricBroken, 1)
-	x.logEntry("broken_off").WithFields(logrus.Fields{"run": refused.Fate, "cause": x.cause}).Info("answer aborted")
+	f.tally.Add(x.end(codeBrokenOff))
+	x.logEntry(codeBrokenOff).WithFields(logrus.Fields{"run": refused.Fate, "cause": x.cause}).Info("answer aborted")
 }
 
 func (x *exchange) logFailedAttempt(server masticway.Server, out outcome, retry retryDecision) {
--- a/starter/gateway.go
+++ b/starter/gateway.go
@@ -31,6 +31,7 @@
 	"github.com/masticway/masticway/rotator"
 	"github.com/masticway/masticway/scheduler"
 	"github.com/masticway/masticway/sharer"
+	"github.com/masticway/masticway/tallier"
 	"github.com/masticway/masticway/throttler"
 	"github.com/masticway/masticway/treasurer"
 	"github.com/masticway/masticway/versioner"
@@ -123,6 +124,7 @@
 	versioner      *versioner.Versioner
 	coordinator    *coordinator.Coordinator
 	apportioner    *apportioner.Apportioner
+	tally          *tallier.Tallier
 	pausable       *pausableListener
 	store          *relayer.Store
 	sharedStore    *sharer.Store
@@ -215,9 +217,10 @@
 		TakeUse:          func(pools []string) map[string]masticway.ConnectionUse { return d.forwarder.TakeConnectionUse(pools) },
 		LimitConnections: func(limits map[string]int) { d.forwarder.LimitConnections(limits) },
 	})
+	d.tally = tallier.New(clock, entry, d.treasurer.Self())
 	dialer := &net.Dialer{KeepAlive: -1}
 	d.forwarder = forwarder.New(s, forwarder.Dependencies{
-		Clock: clock, Log: entry, Metrics: metrics, Codec: codec, Budgets: d.treasurer, Snapshot: d.follower.Snapshot, Examiner: d.examiner,
+		Clock: clock, Log: entry, Metrics: metrics, Tally: d.tally, Codec: codec, Budgets: d.treasurer, Snapshot: d.follower.Snapshot, Examiner: d.examiner,
 		Rotation: d.diverter, Throttler: d.throttler, StreamVersions: d.versioner, Coordinator: d.coordinator, Connections: d.apportioner, OnDraining: d.follower.MarkDraining, Dial: d.rotator.MeasureDial(dialer.DialContext),
 	})
 	d.callerListener = newCallerListener(d.pausable, clock)
@@ -280,6 +283,7 @@
 	d.wg.Go(func() { d.versioner.Run(ctx) })
 	d.wg.Go(func() { d.coordinator.Run(ctx) })
 	d.wg.Go(func() { d.apportioner.Run(ctx) })
+	d.wg.Go(func() { d.tally.Run(ctx) })
 	d.wg.Go(func() { d.watchSuspensions(ctx) })
 	d.wg.Go(func() { d.stalls.watch(ctx, d.clock) })
 	d.wg.Go(func() { d.watchMembers(ctx) })
@@ -415,6 +419,7 @@
 	d.callerListener.shutdown()
 	d.wait(began, began.Add(grace-exitBefore), d.callerListener.isDrained)
 	clean := d.callerListener.OpenRequests() == 0
+	d.tally.Flush()
 	d.log.WithFields(logrus.Fields{"event": "stopped", "cut_off": d.callerListener.OpenRequests(), "ms": d.clock.Now().Sub(began).Milliseconds()}).Info("gateway stopped")
 	d.Kill()
 	return clean
