Do not charge for answers that their callers give up

Cause: an answer that its caller left midway was charged with its prompt and all events written, which the users' count has none of. Class: what is a few parts in a hundred in sum is everything to one workspace: once the difference is over three parts in a hundred, each later refusal of that workspace is one that was owed.

Fix: such an answer is not charged if the caller closed its connection in order while the stream was within its promised pauses; one whose connection was reset or whose stream stalled may be resumed and stays charged. A workspace is waived at most as much as it was charged for whole answers at the router, so that reading nearly all of each answer is not free.

TestAbandonedAnswerIsNotCharged failed before.

--- a/callers.go
+++ b/callers.go
@@ -12,6 +12,9 @@
 	ArrivedAt() time.Time
 	// HasLeft reports whether the caller has closed the connection or its sending side, or has reset the connection.
 	HasLeft() bool
+	// HasClosed reports whether the caller has closed the connection or its sending side in order. It returns false if the
+	// connection was reset, which a failure of the network may also cause.
+	HasClosed() bool
 }
 
 // callerConnectionKey is the context key of a CallerConnection.
@@ -36,3 +39,5 @@
 func (unknownConnection) ArrivedAt() time.Time { return time.Time{} }
 
 func (unknownConnection) HasLeft() bool { return false }
+
+func (unknownConnection) HasClosed() bool { return false }
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -120,6 +120,10 @@
 	firstAt   time.Time
 	server    string
 	version   string
+	// writtenAt is when the last events were written to the caller. waived is what was not charged of them because the caller gave
+	// up the answer.
+	writtenAt time.Time
+	waived    int64
 	// suspectsOnce guards the computation of the suspects, which few requests need.
 	suspectsOnce  sync.Once
 	suspectsValue masticway.Suspects
@@ -169,7 +173,7 @@
 	}
 	x.step(eventHeld)
 	refused := x.runAttempts(ctx)
-	x.settle()
+	x.settle(ctx, refused)
 	x.finish(ctx, refused)
 }
 
@@ -191,13 +195,26 @@
 	return refusal(http.StatusServiceUnavailable, codeUnreachable, "the prepaid budget cannot be reached now", retryAfterBudget)
 }
 
-// settle ends the hold, if one is open, and charges usedTokens to the workspace.
-func (x *exchange) settle() {
+// settle ends the hold, if one is open, and charges usedTokens to the workspace. refused is nil if the whole answer was written.
+func (x *exchange) settle(ctx context.Context, refused *masticway.RefusalError) {
 	if !x.holdOpen {
 		return
 	}
 	x.holdOpen = false
-	x.f.budgets.Settle(x.holdReply.ID, x.usedTokens())
+	used := x.usedTokens()
+	switch {
+	case refused == nil:
+		x.f.waivers.recordCharge(x.q.account.Workspace, used)
+	case used > 0 && x.isAbandoned(ctx) && x.f.waivers.waive(x.q.account.Workspace, used):
+		x.waived, used = used, 0
+	}
+	x.f.budgets.Settle(x.holdReply.ID, used)
+}
+
+// isAbandoned reports whether the caller has given up an answer that was arriving as the route promises. A caller whose connection
+// was reset, or whose stream paused for longer than that, may go on with it elsewhere, which relies on the charge for its prompt.
+func (x *exchange) isAbandoned(ctx context.Context) bool {
+	return errors.Is(ctx.Err(), context.Canceled) && x.caller.HasClosed() && x.f.clock.Now().Sub(x.writtenAt) <= x.q.route.MaxEventGap
 }
 
 // maxTokens returns the maximum number of tokens that may be charged for the request.
@@ -215,10 +232,10 @@
 	return x.q.Prompt
 }
 
-// usedTokens returns the tokens to charge: none if no successful answer was begun, otherwise the uncharged prompt and, for each
-// written event, the maximum number of tokens in one event.
+// usedTokens returns the tokens to charge: none if no successful answer was begun or the charge was waived, otherwise the uncharged
+// prompt and, for each written event, the maximum number of tokens in one event.
 func (x *exchange) usedTokens() int64 {
-	if !x.chargeable {
+	if !x.chargeable || x.waived > 0 {
 		return 0
 	}
 	return int64(x.unchargedPrompt() + min(x.q.MaxOutput, x.events*max(1, x.q.pool.TokensPerEvent)))
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -224,6 +224,8 @@
 	age time.Duration
 	// hasLeft is called by HasLeft. If it is nil, the caller has not left.
 	hasLeft func() bool
+	// hasClosed is what HasClosed returns.
+	hasClosed atomic.Bool
 }
 
 func (c *fakeCaller) ArrivedAt() time.Time {
@@ -235,6 +237,8 @@
 	return c.clock.Now().Add(-c.age)
 }
 
+func (c *fakeCaller) HasClosed() bool { return c.hasClosed.Load() }
+
 func (c *fakeCaller) HasLeft() bool {
 	c.mu.Lock()
 	left := c.hasLeft
@@ -684,6 +688,44 @@
 	qt.Assert(t, f.budgets.settledAmounts()[0] >= promptTokens, qt.IsTrue)
 }
 
+// TestAbandonedAnswerIsNotCharged guards against budgets that are found exhausted although their workspaces' callers got far less: an
+// answer that its caller gives up is charged only if the caller may go on with it, or more is given up than read to its end.
+func TestAbandonedAnswerIsNotCharged(t *testing.T) {
+	const maxGap = 5 * time.Second
+	cases := map[string]struct {
+		path           string
+		reset          bool
+		maxGap         time.Duration
+		wholeAnswers   int
+		isChargeWaived bool
+	}{
+		"given up":                      {path: "/stream/x", maxGap: maxGap, wholeAnswers: 2, isChargeWaived: true},
+		"given up, may be resumed":      {path: "/resume/x", maxGap: maxGap, wholeAnswers: 2, isChargeWaived: true},
+		"connection reset":              {path: "/resume/x", maxGap: maxGap, reset: true, wholeAnswers: 2},
+		"given up after a long pause":   {path: "/stream/x", maxGap: time.Nanosecond, wholeAnswers: 2},
+		"no answer was read to its end": {path: "/stream/x", maxGap: maxGap},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, 1)
+			for i := range f.snapshot.Deployment.Routes {
+				f.snapshot.Deployment.Routes[i].MaxEventGap = tc.maxGap
+			}
+			f.snapshot.Deployment = f.snapshot.Deployment.WithIndex()
+			for range tc.wholeAnswers {
+				f.do(t.Context(), "POST", tc.path)
+			}
+			f.servers[0].SetStream(1000, 10*time.Millisecond)
+			f.callers.hasClosed.Store(!tc.reset)
+			ctx, leave := context.WithTimeout(t.Context(), 150*time.Millisecond)
+			defer leave()
+			f.do(ctx, "POST", tc.path)
+			f.failUnless("the hold is open", func() bool { return len(f.budgets.settledAmounts()) == tc.wholeAnswers+1 })
+			qt.Assert(t, f.budgets.settledAmounts()[tc.wholeAnswers] == 0, qt.Equals, tc.isChargeWaived)
+		})
+	}
+}
+
 func TestAnswerWaitsForClearance(t *testing.T) {
 	f := newFixture(t, 1)
 	f.budgets.clearBlocked = true
--- a/router/leaving_test.go
+++ b/router/leaving_test.go
@@ -21,6 +21,8 @@
 
 func (closedConnection) ArrivedAt() time.Time { return time.Time{} }
 
+func (closedConnection) HasClosed() bool { return true }
+
 func (closedConnection) HasLeft() bool { return true }
 
 // TestRequestOfCallerThatLeftIsNotDispatched guards against dispatching the request of a caller that has left, although the caller
--- a/starter/callers.go
+++ b/starter/callers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -69,6 +70,9 @@
 // HasLeft reports whether the caller has closed the connection or its sending side, or has reset the connection.
 func (c plainConn) HasLeft() bool { return isClosedByPeer(c.Conn) }
 
+// HasClosed returns false, because reads are not tracked.
+func (plainConn) HasClosed() bool { return false }
+
 // isClosedByPeer reports whether the kernel knows that the peer has closed a connection or its sending side, or has reset it.
 func isClosedByPeer(c net.Conn) bool {
 	i, ok := inspector.Inspect(c)
@@ -135,6 +139,8 @@
 type callerConn struct {
 	net.Conn
 	listener *callerListener
+	// hasClosed is set once a read has returned io.EOF.
+	hasClosed atomic.Bool
 
 	mu sync.Mutex
 	// hasRequest is set while a request is open. hasAnswered is set once a request has been answered. closed is set once the
@@ -157,9 +163,16 @@
 // HasLeft reports whether the caller has closed the connection or its sending side, or has reset the connection.
 func (c *callerConn) HasLeft() bool { return isClosedByPeer(c.Conn) }
 
+// HasClosed reports whether a read has met the end of what the caller sends. The kernel does not tell it later: if the router
+// writes to a caller that has closed, the connection is reset.
+func (c *callerConn) HasClosed() bool { return c.hasClosed.Load() }
+
 // Read reads from the connection; a request is open as soon as its first byte has been read.
 func (c *callerConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
+	if err == io.EOF {
+		c.hasClosed.Store(true)
+	}
 	if n > 0 {
 		c.beginRequest()
 	}
--- a/starter/callers_test.go
+++ b/starter/callers_test.go
@@ -93,3 +93,38 @@
 		conn.endRequest(false)
 	}
 }
+
+// TestClosedConnectionIsToldFromReset guards against taking a connection that the network reset for one whose caller has given up.
+func TestClosedConnectionIsToldFromReset(t *testing.T) {
+	cases := map[string]struct {
+		end       func(c *net.TCPConn) error
+		hasClosed bool
+	}{
+		"closed":      {(*net.TCPConn).Close, true},
+		"half-closed": {(*net.TCPConn).CloseWrite, true},
+		"reset": {func(c *net.TCPConn) error {
+			if err := c.SetLinger(0); err != nil {
+				return err
+			}
+			return c.Close()
+		}, false},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			qt.Assert(t, err, qt.IsNil)
+			callers := newCallerListener(l, masticway.SystemClock{})
+			defer callers.Close()
+			caller, err := net.Dial("tcp", l.Addr().String())
+			qt.Assert(t, err, qt.IsNil)
+			accepted, err := callers.Accept()
+			qt.Assert(t, err, qt.IsNil)
+			defer accepted.Close()
+			qt.Assert(t, accepted.(masticway.CallerConnection).HasClosed(), qt.IsFalse)
+			qt.Assert(t, tc.end(caller.(*net.TCPConn)), qt.IsNil)
+			_, err = accepted.Read(make([]byte, 1))
+			qt.Assert(t, err, qt.IsNotNil)
+			qt.Assert(t, accepted.(masticway.CallerConnection).HasClosed(), qt.Equals, tc.hasClosed)
+		})
+	}
+}
