Tell borrowers what holders know of the budget

Cause: a router that borrows does not watch the row. Its old row showed enough, so a round in which all holders answered and lent too little was taken for money out of reach, and the request waited for its deadline. Class: a verdict from what this router last read, where another router that was just asked knows better.

TestBorrowerLearnsOfExhaustedBudget failed before; the drawn orders of events and the simulated fleets pass the readings on too.

--- a/lender/lender.go
+++ b/lender/lender.go
@@ -22,6 +22,8 @@
 	Amount int64 `cbor:"1,keyasint"`
 	// Lender is the incarnation that lends. It may be another one than the caller expects if the router has been restarted.
 	Lender masticway.Incarnation `cbor:"2,keyasint,omitempty"`
+	// Budget is what the lender knows of the workspace's budget.
+	Budget treasurer.BudgetReading `cbor:"3,keyasint,omitempty"`
 }
 
 // ack is the answer to a message that only needs to be confirmed.
@@ -51,7 +53,7 @@
 // in the request. It is zero if the router lends nothing.
 func (c *Client) Borrow(ctx context.Context, address string, request treasurer.LoanRequest) (treasurer.Loan, error) {
 	answer, err := messenger.Call[borrowResponse](ctx, c.messages, address, pathBorrow, request)
-	return treasurer.Loan{Lender: answer.Lender, Amount: min(request.Need, max(0, answer.Amount))}, err
+	return treasurer.Loan{Lender: answer.Lender, Amount: min(request.Need, max(0, answer.Amount)), Budget: answer.Budget}, err
 }
 
 // Repay sends a repayment, or the cancellation of a loan request, to the router at an address.
@@ -74,10 +76,8 @@
 
 // PeerServer handles the calls that other routers make to this router.
 type PeerServer interface {
-	// Self returns the incarnation of this router, which is the lender of its loans.
-	Self() masticway.Incarnation
-	// Lend lends tokens to another router and returns how many. It returns zero if there is nothing to lend.
-	Lend(ctx context.Context, request treasurer.LoanRequest) int64
+	// Lend lends tokens to another router and returns the loan. Its amount is zero if there is nothing to lend.
+	Lend(ctx context.Context, request treasurer.LoanRequest) treasurer.Loan
 	// AcceptRepayment takes back tokens that another router has borrowed, or cancels its loan request.
 	AcceptRepayment(r treasurer.Repayment)
 	// AcceptReport records another router's report and returns true. It returns false, without recording the report, in three
@@ -92,7 +92,8 @@
 // Serve registers handlers on mux that pass the calls of other routers to p.
 func Serve(mux *http.ServeMux, p PeerServer) {
 	messenger.Handle(mux, pathBorrow, func(ctx context.Context, request treasurer.LoanRequest) borrowResponse {
-		return borrowResponse{Amount: p.Lend(ctx, request), Lender: p.Self()}
+		loan := p.Lend(ctx, request)
+		return borrowResponse{Amount: loan.Amount, Lender: loan.Lender, Budget: loan.Budget}
 	})
 	messenger.Handle(mux, pathRepay, func(_ context.Context, r treasurer.Repayment) ack {
 		p.AcceptRepayment(r)
--- a/lender/lender_test.go
+++ b/lender/lender_test.go
@@ -47,15 +47,18 @@
 	return lender.NewClient(messenger.NewClient()), strings.TrimPrefix(server.URL, "http://")
 }
 
-func (p *peerServer) Lend(_ context.Context, request treasurer.LoanRequest) int64 {
+// budget is what the lender knows of each workspace's budget.
+var budget = treasurer.BudgetReading{IsKnown: true, Ungranted: 12, Version: 3}
+
+func (p *peerServer) Lend(_ context.Context, request treasurer.LoanRequest) treasurer.Loan {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if request.Workspace != "w" {
-		return 0
+	loan := treasurer.Loan{Lender: p.Self(), Budget: budget}
+	if request.Workspace == "w" {
+		loan.Amount = min(request.Need, p.balance)
+		p.balance -= loan.Amount
 	}
-	amount := min(request.Need, p.balance)
-	p.balance -= amount
-	return amount
+	return loan
 }
 
 func (p *peerServer) Self() masticway.Incarnation { return "b~2" }
@@ -76,7 +79,7 @@
 	for _, tc := range cases {
 		loan, err := client.Borrow(t.Context(), address, treasurer.LoanRequest{Number: 1, Borrower: "a~1", Workspace: tc.workspace, Need: tc.need})
 		qt.Assert(t, err, qt.IsNil)
-		qt.Assert(t, loan, qt.Equals, treasurer.Loan{Lender: "b~2", Amount: tc.want})
+		qt.Assert(t, loan, qt.Equals, treasurer.Loan{Lender: "b~2", Amount: tc.want, Budget: budget})
 	}
 	back := treasurer.Repayment{Number: 3, Borrower: "a~1", Lender: "b~2", Workspace: "w", Amount: 7}
 	qt.Assert(t, client.Repay(t.Context(), address, back), qt.IsNil)
--- a/treasurer/holders_test.go
+++ b/treasurer/holders_test.go
@@ -206,6 +206,39 @@
 	}
 }
 
+// TestBorrowerLearnsOfExhaustedBudget guards against routers that borrow and, by an old row of their own, refuse requests as
+// unreachable after a long wait, although all holders know that the budget is exhausted.
+func TestBorrowerLearnsOfExhaustedBudget(t *testing.T) {
+	cases := map[string]struct {
+		budget treasurer.BudgetReading
+		want   treasurer.Verdict
+	}{
+		"exhausted":                      {budget: treasurer.BudgetReading{IsKnown: true, Ungranted: 40, Version: 1}, want: treasurer.VerdictExhausted},
+		"exhausted before a top-up":      {budget: treasurer.BudgetReading{IsKnown: true, Ungranted: 40}, want: treasurer.VerdictUnreachable},
+		"enough is left":                 {budget: treasurer.BudgetReading{IsKnown: true, Ungranted: 100, Version: 1}, want: treasurer.VerdictUnreachable},
+		"the lenders' rows are old, too": {want: treasurer.VerdictUnreachable},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			peers := newPeers(103, 6, "1")
+			i := slices.IndexFunc(peers, func(o treasurer.Peer) bool {
+				return len(lendersFor(newPlannerWithPeers(o, peers, 1), "w0", epoch)) > 0
+			})
+			p := newPlannerWithPeers(peers[i], peers, 1)
+			now := epoch
+			_, replies := p.Hold(now, "w0", 100, now.Add(400*time.Millisecond))
+			for ; len(replies) == 0 && now.Sub(epoch) < time.Second; now = now.Add(30 * time.Millisecond) {
+				for _, r := range p.DueBorrowRounds(now) {
+					replies = append(replies, p.CompleteBorrowRound(now, r, []treasurer.Loan{{Lender: r.Lenders[0].Incarnation, Budget: tc.budget}}, 0)...)
+				}
+				replies = append(replies, p.ServeQueues(now)...)
+			}
+			qt.Assert(t, replies, qt.HasLen, 1)
+			qt.Assert(t, replies[0].Verdict, qt.Equals, tc.want)
+		})
+	}
+}
+
 // TestRepaymentGoesToActualLender has a lender that was restarted after the borrower counted the routers. Its successor
 // lends, so the unused part must be repaid to the successor; no router would accept a repayment to the predecessor.
 func TestRepaymentGoesToActualLender(t *testing.T) {
--- a/treasurer/holds.go
+++ b/treasurer/holds.go
@@ -140,7 +140,8 @@
 	}
 	fresh := a.rowKnown && (!a.rowSeenAt.Before(w.since) || now.Sub(a.rowSeenAt) < rowTTL)
 	isComplete := fresh && !a.restoring && p.isSettled(now)
-	if isComplete && p.exceedsBudget(a, w.need) && now.Sub(p.startedAt) > startupGrace {
+	isExhausted := isComplete && p.exceedsBudget(a, w.need) || p.exceedsLendersBudget(now, a, w.need)
+	if isExhausted && now.Sub(p.startedAt) > startupGrace {
 		return VerdictExhausted, true
 	}
 	return p.decideUnreachable(now, a, w)
@@ -162,6 +163,15 @@
 	return need > a.ungranted()+max(0, a.free())+a.loanBalance() && a.isGrantKnown()
 }
 
+// exceedsLendersBudget is like exceedsBudget for a router that borrows from holders, by what a lender has said of the budget within
+// rowTTL. The router's own row may be old. It returns false if the lender did not know the newest configuration.
+func (p *Planner) exceedsLendersBudget(now time.Time, a *account, need int64) bool {
+	if !p.borrowsFromHolders(now, a) || !a.news.IsKnown || now.Sub(a.news.at) >= rowTTL || a.news.Version < a.configVersion {
+		return false
+	}
+	return need > a.news.Ungranted+max(0, a.free())+a.loanBalance() && a.isGrantKnown()
+}
+
 // isStoreUnavailable reports whether the store has failed for longer than unavailableAfter.
 func (p *Planner) isStoreUnavailable(now time.Time) bool {
 	return !p.failingSince.IsZero() && now.Sub(p.failingSince) > unavailableAfter
--- a/treasurer/lending.go
+++ b/treasurer/lending.go
@@ -71,10 +71,19 @@
 	t.log.WithFields(logrus.Fields{"event": "not_repaid", "lender": r.Lender, "workspace": r.Workspace, "amount": r.Amount}).Warn("loan not repaid")
 }
 
-// Lend lends tokens of this router's grant to another router, and returns how many. It waits until the tokens are cleared.
-// It lends nothing and returns zero if too little is available, if the borrower has canceled the request, or if clearance
-// takes longer than clearTimeout or the context allows.
-func (t *Treasurer) Lend(ctx context.Context, request LoanRequest) int64 {
+// Lend lends tokens of this router's grant to another router, and returns the loan. It waits until the tokens are cleared.
+// The amount is zero if too little is available, if the borrower has canceled the request, or if clearance takes longer than
+// clearTimeout or the context allows.
+func (t *Treasurer) Lend(ctx context.Context, request LoanRequest) Loan {
+	loan := Loan{Lender: t.self, Amount: t.lend(ctx, request)}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	loan.Budget = t.planner.ReadBudget(t.clock.Now(), request.Workspace)
+	return loan
+}
+
+// lend is Lend without what the router knows of the budget. It returns the amount.
+func (t *Treasurer) lend(ctx context.Context, request LoanRequest) int64 {
 	t.mu.Lock()
 	id, amount := t.planner.Lend(t.clock.Now(), request)
 	t.mu.Unlock()
--- a/treasurer/loans.go
+++ b/treasurer/loans.go
@@ -34,6 +34,25 @@
 	// Address is where the lender was reached.
 	Address string
 	Amount  int64
+	// Budget is what the lender knew of the workspace's budget.
+	Budget BudgetReading
+}
+
+// BudgetReading is what a router knows of a workspace's budget from a row that is at most rowTTL old. A router that borrows does
+// not watch the row itself.
+type BudgetReading struct {
+	// IsKnown is set if the router has such a row.
+	IsKnown bool `cbor:"1,keyasint,omitempty"`
+	// Ungranted is how many tokens were neither closed nor granted to any router.
+	Ungranted int64 `cbor:"2,keyasint,omitempty"`
+	// Version is the version of the configuration whose prepaid amount Ungranted counts from.
+	Version int64 `cbor:"3,keyasint,omitempty"`
+}
+
+// budgetNews is a BudgetReading of another router, and when it arrived.
+type budgetNews struct {
+	BudgetReading
+	at time.Time
 }
 
 // BorrowRound is one round of asking other routers for tokens of a workspace. They are asked one after the other until the
@@ -156,6 +175,9 @@
 	for _, l := range loans {
 		a.addLoan(l)
 		received += l.Amount
+		if l.Budget.IsKnown {
+			a.news = budgetNews{BudgetReading: l.Budget, at: now}
+		}
 	}
 	a.allAnswered = unanswered == 0
 	if received < r.Need {
@@ -178,6 +200,15 @@
 	}
 }
 
+// ReadBudget returns what this router knows of a workspace's budget.
+func (p *Planner) ReadBudget(now time.Time, workspace string) BudgetReading {
+	a, ok := p.accounts[workspace]
+	if !ok || !a.rowKnown || a.restoring || !p.isSettled(now) || now.Sub(a.rowSeenAt) >= rowTTL {
+		return BudgetReading{}
+	}
+	return BudgetReading{IsKnown: true, Ungranted: a.ungranted(), Version: max(a.configVersion, a.row.Version)}
+}
+
 // Lend holds tokens of this router's grant for a loan to another router, and counts the request as demand. It returns the
 // hold and its amount. The hold must be cleared before the tokens are handed over, and the caller must end it with
 // CompleteLoan or Settle. If nothing is lent, there is no hold and the amount is zero.
--- a/treasurer/purse.go
+++ b/treasurer/purse.go
@@ -243,6 +243,8 @@
 	shortfallAt time.Time
 	allAnswered bool
 	noAnswerAt  time.Time
+	// news is what a lender has last said of the budget.
+	news budgetNews
 	// surplusSince is since when more has been free than highWatermark allows. It is zero while there is no such surplus.
 	surplusSince time.Time
 }
--- a/treasurer/simulation_test.go
+++ b/treasurer/simulation_test.go
@@ -532,8 +532,9 @@
 		}
 		lender := o.self
 		f.lend(o, request, func(amount int64) {
+			budget := o.planner.ReadBudget(f.now, round.Workspace)
 			f.schedule(fleetNetworkLatency, alive(func() {
-				f.borrow(r, round, lenders[1:], append(loans, treasurer.Loan{Lender: lender, Address: l.Address, Amount: amount}), unanswered, alive)
+				f.borrow(r, round, lenders[1:], append(loans, treasurer.Loan{Lender: lender, Address: l.Address, Amount: amount, Budget: budget}), unanswered, alive)
 			}))
 		})
 	})
--- a/treasurer/world_test.go
+++ b/treasurer/world_test.go
@@ -387,7 +387,7 @@
 					w.handleReplies(lender, lender.planner.Settle(w.now, id, 0))
 				}
 				if lent && rapid.IntRange(0, 3).Draw(t, "arrives") > 0 {
-					loans = append(loans, treasurer.Loan{Lender: lender.self, Amount: amount})
+					loans = append(loans, treasurer.Loan{Lender: lender.self, Amount: amount, Budget: lender.planner.ReadBudget(w.now, r.Workspace)})
 				} else {
 					cancellations = append(cancellations, borrower.planner.CancelRequest(w.now, r, treasurer.Witness{Incarnation: lender.self}))
 				}
