Trace what lost witnesses cannot have acknowledged

Cause: a successor that could not ask two of three witnesses presumed the rate of the spend limits for all the time without power, up to 5.7 s at up to four times the demand: no record was left, as the witnesses had lost power too, in the same loss or the next one. Class: no answer was taken for the worst answer, where the store has evidence of what the silent ones can have done.

Fix: a witness acknowledges nothing while the store has answered its checkpoint within the last second, and its checkpoint says when it last acknowledged a report and by when its predecessors had ended. So the checkpoints of the witnesses, which the successor reads, bound until when each of them can have acknowledged anything that only lost memories have; only what the limits allowed until a quorum of them can have done so is presumed. Checkpoints name four witnesses, of which three must acknowledge: one may be missing as before, and two may be lost together with the router.

--- a/treasurer/begin.go
+++ b/treasurer/begin.go
@@ -189,7 +189,7 @@
 	t.mu.Unlock()
 	t.log.WithFields(logrus.Fields{
 		"event": "grant_closed", "incarnation": ended.Incarnation, "workspace": workspace, "granted": grant.Granted,
-		"presumed": closed.Spent, "grant_lost": isLost, "taken": ended.Taken[workspace], "written": ended.MaxUnwitnessed[workspace],
+		"presumed": closed.Spent, "grant_lost": isLost, "taken": ended.Limits[workspace].Taken, "written": ended.MaxUnwitnessed[workspace],
 		"silent_ms": ended.SinceBasis.Milliseconds(),
 	}).Info("grant of an ended incarnation closed")
 	return nil
--- a/treasurer/death_test.go
+++ b/treasurer/death_test.go
@@ -72,7 +72,7 @@
 			var reportedAmount int64
 			for _, s := range b.planner.DueReports(b.now) {
 				if tc.reported {
-					qt.Assert(t, witnesses[s.Witness.Instance()].AcceptReport(s), qt.IsTrue)
+					qt.Assert(t, witnesses[s.Witness.Instance()].AcceptReport(b.now, s), qt.IsTrue)
 					reportedAmount = s.Taken["w"]
 				}
 			}
@@ -87,8 +87,8 @@
 				}
 				records = append(records, p.FinalReports(w.Incarnation, ended[0].Incarnation))
 			}
-			presumed := ended[0].PresumedSpent(records, false)["w"]
-			qt.Assert(t, presumed >= ended[0].Taken["w"], qt.IsTrue)
+			presumed := ended[0].PresumedSpent(treasurer.Testimony{Records: records})["w"]
+			qt.Assert(t, presumed >= ended[0].Limits["w"].Taken, qt.IsTrue)
 			qt.Assert(t, ended[0].MaxUnwitnessed["w"] <= ended[0].MaxSpent["w"], qt.IsTrue)
 			if tc.witnesses == 0 {
 				qt.Assert(t, presumed, qt.Equals, ended[0].MaxSpent["w"])
@@ -165,7 +165,7 @@
 				for _, w := range e.Witnesses {
 					records = append(records, witnesses[w.Incarnation].FinalReports(w.Incarnation, e.Incarnation))
 				}
-				presumed := e.PresumedSpent(records, false)["w"]
+				presumed := e.PresumedSpent(treasurer.Testimony{Records: records})["w"]
 				t.Logf("%d delivered, %d of it during the outage; %d presumed, %d without witnesses", delivered, unwitnessed, presumed, e.MaxSpent["w"])
 				qt.Assert(t, delivered <= presumed, qt.IsTrue)
 				qt.Assert(t, presumed <= e.MaxSpent["w"], qt.IsTrue)
--- a/treasurer/era.go
+++ b/treasurer/era.go
@@ -80,6 +80,11 @@
 	p.checkpoint.Era = s.Era
 	// The store reads its clock before now, so the new basis is not too late.
 	p.checkpoint.Basis = s.StoreTime - now.Sub(p.checkpointBasis)
+	// Times of the earlier era are by another clock.
+	p.checkpointBasisSentAt, p.checkpoint.Predecessors = time.Time{}, nil
+	if p.checkpoint.AckedAt > 0 {
+		p.checkpoint.AckedAt = math.MaxInt64
+	}
 	clear(p.readsInFlight)
 	clear(p.strays)
 	for _, a := range p.sortedAccounts {
--- a/treasurer/outcome.go
+++ b/treasurer/outcome.go
@@ -249,7 +249,7 @@
 	p.checkpointVersion = reading.Version
 	p.keepOnlyLimits(s.sequence)
 	p.checkpoint.Basis = reading.StoreTime
-	p.checkpointBasis = now
+	p.checkpointBasis, p.checkpointBasisSentAt = now, s.sentAt
 	return p.ServeQueues(now), nil
 }
 
@@ -312,6 +312,7 @@
 		return masticway.RowWrite{}, err
 	}
 	next := old.successor(startInfo{incarnation: p.settings.Incarnation, address: p.settings.Address, era: era, now: now, listening: listening})
+	next.AckedAt = p.checkpoint.AckedAt
 	key := p.checkpointKey()
 	p.checkpoint = next
 	return masticway.RowWrite{
--- a/treasurer/purse.go
+++ b/treasurer/purse.go
@@ -328,6 +328,8 @@
 	checkpointInFlight bool
 	checkpointBasis    time.Time
 	checkpointSentAt   time.Time
+	// checkpointBasisSentAt is when the write was sent whose time is the checkpoint's Basis, zero if that is not known.
+	checkpointBasisSentAt time.Time
 	// checkpointCreditLeft is the checkpoint credit (see checkpointCredit) that was left after the last checkpoint was sent.
 	checkpointCreditLeft float64
 	// checkpointLatency is the moving average of the latency of successful writes of checkpoints.
@@ -377,6 +379,8 @@
 	// witnesses to which a report of this router is in flight.
 	peerReports     map[masticway.Incarnation]senderReports
 	reportsInFlight map[masticway.Incarnation]bool
+	// refusedAt is when a witness last did not accept a report.
+	refusedAt map[masticway.Incarnation]time.Time
 	// unackedSince is since when reports have been due without the acknowledgement of a quorum of witnesses; zero if they
 	// are not.
 	unackedSince time.Time
@@ -387,7 +391,7 @@
 	return &Planner{
 		settings: s, accounts: map[string]*account{}, holds: map[HoldID]*hold{},
 		readsInFlight: map[string]bool{}, borrowers: map[masticway.Incarnation]*borrowerState{},
-		peerReports: map[masticway.Incarnation]senderReports{}, reportsInFlight: map[masticway.Incarnation]bool{},
+		peerReports: map[masticway.Incarnation]senderReports{}, reportsInFlight: map[masticway.Incarnation]bool{}, refusedAt: map[masticway.Incarnation]time.Time{},
 		unansweredAt: map[string]time.Time{}, strays: map[Stray]bool{},
 	}
 }
--- a/treasurer/rows.go
+++ b/treasurer/rows.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"hash/fnv"
 	"maps"
+	"slices"
 	"strconv"
 	"time"
 
@@ -186,11 +187,11 @@
 	// spent without the acknowledgement of witnesses.
 	MaxSpent       map[string]int64 `json:"spent"`
 	MaxUnwitnessed map[string]int64 `json:"written,omitempty"`
-	// Taken is the SpendLimit.Taken of each workspace in the incarnation's last checkpoint. SinceBasis is the time from that
-	// checkpoint's Basis to the latest time at which the incarnation may have run. Both are only used to log where a
-	// presumed amount comes from.
-	Taken      map[string]int64 `json:"taken,omitempty"`
-	SinceBasis time.Duration    `json:"silence_ns,omitempty"`
+	// Limits are the spend limits of the incarnation's last checkpoint, and Basis is that checkpoint's. SinceBasis is the time from
+	// it to the latest time at which the incarnation may have run.
+	Limits     map[string]SpendLimit `json:"limits,omitempty"`
+	Basis      time.Duration         `json:"basis_ns,omitempty"`
+	SinceBasis time.Duration         `json:"silence_ns,omitempty"`
 	// Witnesses are the witnesses that the incarnation's last checkpoint named. If enough of them answer, they know what it
 	// spent beyond MaxUnwitnessed. Sequence is the number of the incarnation's last checkpoint.
 	Witnesses []Witness `json:"witnesses,omitempty"`
@@ -224,6 +225,22 @@
 	Witnesses []Witness `json:"witnesses,omitempty"`
 	// Ended lists the earlier incarnations of the instance whose grants may not all be closed yet.
 	Ended []EndedIncarnation `json:"ended,omitempty"`
+	// AckedAt is when the incarnation last acknowledged another router's report, by the store's clock, or later.
+	AckedAt time.Duration `json:"acked_ns,omitempty"`
+	// Predecessors has the last earlier incarnations that listened at Address, at most maxPredecessors, oldest first.
+	Predecessors []Predecessor `json:"predecessors,omitempty"`
+}
+
+// maxPredecessors bounds Checkpoint.Predecessors.
+const maxPredecessors = 4
+
+// Predecessor is an earlier incarnation of an instance, and a time of the store's clock by which it had certainly ended. Basis and
+// AckedAt are those of its last checkpoint.
+type Predecessor struct {
+	Incarnation masticway.Incarnation `json:"incarnation"`
+	EndedBy     time.Duration         `json:"ended_by_ns"`
+	Basis       time.Duration         `json:"basis_ns"`
+	AckedAt     time.Duration         `json:"acked_ns,omitempty"`
 }
 
 // startInfo describes the start of an incarnation.
@@ -260,21 +277,31 @@
 		}
 		maxSpent := make(map[string]int64, len(c.Limits))
 		maxUnwitnessed := make(map[string]int64, len(c.Limits))
-		taken := make(map[string]int64, len(c.Limits))
 		for workspace, p := range c.Limits {
 			maxSpent[workspace] = p.bound(elapsed)
 			maxUnwitnessed[workspace] = p.unwitnessedBound(elapsed)
 			if fromCopy {
 				maxUnwitnessed[workspace] = maxSpent[workspace]
 			}
-			taken[workspace] = p.Taken
 		}
 		ended = append(ended, EndedIncarnation{
-			Incarnation: c.Incarnation, MaxSpent: maxSpent, MaxUnwitnessed: maxUnwitnessed, Taken: taken, SinceBasis: elapsed, Sequence: c.Sequence,
+			Incarnation: c.Incarnation, MaxSpent: maxSpent, MaxUnwitnessed: maxUnwitnessed, Limits: c.Limits, Basis: c.Basis, SinceBasis: elapsed, Sequence: c.Sequence,
 			Witnesses: c.Witnesses, Era: s.era, FromCopy: fromCopy,
 		})
 	}
-	return Checkpoint{Incarnation: s.incarnation, Generation: c.Generation + 1, Era: s.era, Address: s.address, Basis: s.now, Ended: ended}
+	return Checkpoint{
+		Incarnation: s.incarnation, Generation: c.Generation + 1, Era: s.era, Address: s.address, Basis: s.now, Ended: ended, Predecessors: c.predecessorsFor(s),
+	}
+}
+
+// predecessorsFor returns Checkpoint.Predecessors for the first checkpoint of a new incarnation.
+func (c Checkpoint) predecessorsFor(s startInfo) []Predecessor {
+	if c.Incarnation == "" || c.Address == "" || c.Address != s.address || c.Era != s.era {
+		// Nothing is known of when the other one ended, or it is by another clock.
+		return nil
+	}
+	all := append(slices.Clone(c.Predecessors), Predecessor{Incarnation: c.Incarnation, EndedBy: c.endedBy(s), Basis: c.Basis, AckedAt: c.AckedAt})
+	return all[max(0, len(all)-maxPredecessors):]
 }
 
 // supersedes reports whether the checkpoint, which the store has, shows that the incarnation of another one has a successor. An
--- a/treasurer/simulation_test.go
+++ b/treasurer/simulation_test.go
@@ -273,7 +273,7 @@
 		f.updatePeers(r)
 		r.planner.CompleteTakeOver(f.now, written.Version, written.StoreTime)
 		for _, e := range r.planner.Predecessors() {
-			for workspace, spent := range e.PresumedSpent(f.queryWitnesses(e), false) {
+			for workspace, spent := range e.PresumedSpent(f.queryWitnesses(e)) {
 				f.closings++
 				f.schedule(time.Duration(f.random.Int64N(int64(60*time.Millisecond))), func() { f.closeGrant(e.Incarnation, workspace, spent) })
 			}
@@ -307,14 +307,21 @@
 	return written, nil
 }
 
-func (f *fleet) queryWitnesses(e treasurer.EndedIncarnation) []treasurer.WitnessRecord {
-	var all []treasurer.WitnessRecord
+// queryWitnesses asks the witnesses of an ended incarnation, and reads the traces of those that have no record.
+func (f *fleet) queryWitnesses(e treasurer.EndedIncarnation) treasurer.Testimony {
+	var testimony treasurer.Testimony
 	for _, w := range e.Witnesses {
-		if o := f.router(w.Incarnation); o.alive && !o.partitioned {
-			all = append(all, o.planner.FinalReports(w.Incarnation, e.Incarnation))
+		o := f.router(w.Incarnation)
+		if o.alive && !o.partitioned {
+			if r := o.planner.FinalReports(w.Incarnation, e.Incarnation); r.IsNamedWitness {
+				testimony.Records = append(testimony.Records, r)
+				continue
+			}
 		}
+		row := f.rows.Row(masticway.RowKey{Table: "masticway_books", Part: treasurer.PartOf(o.instance, fleetParts), Key: o.instance})
+		testimony.Traces = append(testimony.Traces, treasurer.TraceWitness(row, w.Incarnation, e.Era))
 	}
-	return all
+	return testimony
 }
 
 func (f *fleet) router(i masticway.Incarnation) *fleetRouter {
@@ -439,7 +446,7 @@
 				f.schedule(150*time.Millisecond, alive(func() { f.handleReplies(r, r.planner.CompleteReport(f.now, s, false)) }))
 				return
 			}
-			accepted := o.planner.AcceptReport(s)
+			accepted := o.planner.AcceptReport(f.now, s)
 			f.schedule(fleetNetworkLatency, alive(func() { f.handleReplies(r, r.planner.CompleteReport(f.now, s, accepted)) }))
 		})
 	}
--- a/treasurer/testimony.go
+++ b/treasurer/testimony.go
@@ -34,12 +34,11 @@
 }
 
 // AcceptReport records another router's report, as its witness, and returns true. It returns false, without recording the report,
-// in three cases: a successor of the sender has asked for the record, the report is meant for another incarnation than this one,
-// or this router is sealed.
+// if this router is sealed or Planner.AcceptReport does.
 func (t *Treasurer) AcceptReport(s SpendReport) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return !t.sealed && t.planner.AcceptReport(s)
+	return !t.sealed && t.planner.AcceptReport(t.clock.Now(), s)
 }
 
 // FinalReports returns what an ended incarnation has reported to this one, and makes this one refuse further reports of it.
@@ -58,51 +57,79 @@
 // PresumedSpent). It logs and counts what the witnesses' answers saved compared with the spend limits alone.
 func (t *Treasurer) presumeSpent(ctx context.Context, e EndedIncarnation) map[string]int64 {
 	t.mu.Lock()
-	continued := t.eraContinued
+	testimony := Testimony{IsEraContinued: t.eraContinued}
 	t.mu.Unlock()
-	var records []WitnessRecord
+	answered := 0
 	if !e.FromCopy {
-		records = t.queryWitnesses(ctx, e)
+		testimony, answered = t.queryWitnesses(ctx, e, testimony)
 	}
-	presumedSpent := e.PresumedSpent(records, continued)
+	presumedSpent := e.PresumedSpent(testimony)
 	var presumed, saved int64
 	for workspace, spent := range e.MaxSpent {
 		presumed += presumedSpent[workspace]
 		saved += spent - presumedSpent[workspace]
 	}
 	t.metrics.Add(metricRecalled, saved)
+	elapsed, mayHaveQuorum := e.ackedUntil(testimony)
 	t.log.WithFields(logrus.Fields{
-		"event": "predecessor_recalled", "incarnation": e.Incarnation, "witnesses": len(e.Witnesses), "answered": len(records),
+		"event": "predecessor_recalled", "incarnation": e.Incarnation, "witnesses": len(e.Witnesses), "answered": answered,
+		"records": len(testimony.Records), "traces": len(testimony.Traces), "quorum_possible": mayHaveQuorum, "acked_until_ms": elapsed.Milliseconds(),
 		"presumed": presumed, "spared": saved,
 	}).Info("presumed what a predecessor has spent")
 	return presumedSpent
 }
 
-// queryWitnesses asks the witnesses of an ended incarnation concurrently. It returns the records of those that have
-// answered, once there are enough of them (see HasQuorum) or all witnesses were tried.
-func (t *Treasurer) queryWitnesses(ctx context.Context, e EndedIncarnation) []WitnessRecord {
+// queryWitnesses asks the witnesses of an ended incarnation concurrently and adds the records of those that have one to the
+// testimony. If these are too few (see HasQuorum), it adds the traces of the others. It also returns how many have answered.
+func (t *Treasurer) queryWitnesses(ctx context.Context, e EndedIncarnation, testimony Testimony) (Testimony, int) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	// A witness that does not answer contributes no record.
-	answers := make(chan []WitnessRecord, len(e.Witnesses))
+	type answer struct {
+		witness Witness
+		record  WitnessRecord
+		ok      bool
+	}
+	answers := make(chan answer, len(e.Witnesses))
 	for _, w := range e.Witnesses {
 		t.tasks.Go(func() {
 			r, ok := t.queryWitness(ctx, w, e.Incarnation)
-			if !ok {
-				answers <- nil
-				return
-			}
-			answers <- []WitnessRecord{r}
+			answers <- answer{w, r, ok}
 		})
 	}
-	var records []WitnessRecord
+	answered := 0
+	var others []Witness
 	for range e.Witnesses {
-		records = append(records, <-answers...)
-		if e.HasQuorum(records) {
-			break
+		a := <-answers
+		if a.ok {
+			answered++
+		}
+		if !a.record.IsNamedWitness {
+			others = append(others, a.witness)
+			continue
 		}
+		testimony.Records = append(testimony.Records, a.record)
+		if e.HasQuorum(testimony.Records) {
+			return testimony, answered
+		}
+	}
+	for _, w := range others {
+		testimony.Traces = append(testimony.Traces, t.traceWitness(ctx, w, e.Era))
+	}
+	return testimony, answered
+}
+
+// traceWitness reads the trace of a witness from the store. It tries until it succeeds or the context is done.
+func (t *Treasurer) traceWitness(ctx context.Context, w Witness, era int64) WitnessTrace {
+	instance := w.Incarnation.Instance()
+	key := masticway.RowKey{Table: tableCheckpoints, Part: PartOf(instance, t.parts), Key: instance}
+	for ctx.Err() == nil {
+		row, _, err := t.readRow(ctx, key)
+		if err == nil {
+			return TraceWitness(row, w.Incarnation, era)
+		}
+		t.sleep(ctx, callRetryInterval)
 	}
-	return records
+	return WitnessTrace{}
 }
 
 // queryWitness asks one witness for its record, up to maxWitnessAttempts times. It returns false if no attempt was answered.
--- a/treasurer/witness.go
+++ b/treasurer/witness.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -10,17 +11,24 @@
 )
 
 const (
-	// maxWitnesses is the maximum number of other routers that a checkpoint names as witnesses. With three witnesses, two must
-	// accept a report before tokens that need witnesses are cleared while the store cannot be reached, and a successor needs the
-	// answers of two (see quorum and HasQuorum). So one witness may be lost in either case. Under an earlier rule with two
-	// witnesses, one had to accept and both had to answer. A router that was restarted during a partition at the same time as one
-	// of its two witnesses then cost its workspace 10% of the budget.
-	maxWitnesses = 3
+	// maxWitnesses is the maximum number of other routers that a checkpoint names as witnesses. With four witnesses, three must
+	// accept a report before tokens that need witnesses are cleared while the store cannot be reached (see quorum), so one may be
+	// lost. Of the witnesses, two may be lost together with the router before its successor must presume the rate of the spend limits
+	// (see PresumedSpent). With three witnesses, of which two had to accept, a power loss of three of five routers cost that for all
+	// the time without power. Under a still earlier rule, one of two had to accept and both had to answer. A router that was restarted
+	// during a partition at the same time as one of its two witnesses then cost its workspace 10% of the budget.
+	maxWitnesses = 4
 	// unackedTimeout is how long reports may lack a quorum while a checkpoint is late. It matters while the store is not
 	// timely (isStoreTimely). Before the timeout, requests are held within what acknowledgements are expected to clear soon
 	// (expectedLimit). After it, they are held only within what is already cleared or can be cleared now (currentLimit).
 	// Without the timeout, requests would hold tokens that are not cleared in time. It is twice reportTimeout.
 	unackedTimeout = 300 * time.Millisecond
+	// minAckSilence is how long the store must not have answered a checkpoint of a witness before that acknowledges reports. So a
+	// checkpoint tells that its router has acknowledged nothing for that time after its Basis. In the first part of an outage the
+	// spend limits allow enough without witnesses (see unwitnessedWindow).
+	minAckSilence = time.Second
+	// refusedReportPause is how long no report is sent to a witness that has not accepted one.
+	refusedReportPause = 100 * time.Millisecond
 )
 
 // Witness is a router that another router reports to while the store is late. It remembers the reports for the other
@@ -62,6 +70,38 @@
 	Reported       map[string]ReportedSpend `cbor:"2,keyasint"`
 }
 
+// WitnessTrace is what the checkpoint of a witness's instance says about a witness that may have lost its record. The times are by
+// the store's clock, as is the time at which the witness acknowledged a report.
+type WitnessTrace struct {
+	// IsKnown is set if the checkpoint is of the witness or names it as a predecessor.
+	IsKnown bool
+	// AckedAt is when the witness had last acknowledged a report before it wrote its checkpoint, or later. Since then it has
+	// acknowledged none before Silent.
+	AckedAt time.Duration
+	Silent  time.Duration
+	// EndedBy is when the witness had ended, if HasEnded is set.
+	HasEnded bool
+	EndedBy  time.Duration
+}
+
+// TraceWitness returns the trace of a witness in the row of its instance's checkpoint. It returns an empty trace if the checkpoint is
+// of another era than the given one, whose clock is another.
+func TraceWitness(row masticway.StoredRow, witness masticway.Incarnation, era int64) WitnessTrace {
+	c, err := decode[Checkpoint](row)
+	if err != nil || c.Era != era {
+		return WitnessTrace{}
+	}
+	if c.Incarnation == witness {
+		return WitnessTrace{IsKnown: true, AckedAt: c.AckedAt, Silent: c.Basis + minAckSilence}
+	}
+	for _, p := range c.Predecessors {
+		if p.Incarnation == witness {
+			return WitnessTrace{IsKnown: true, AckedAt: p.AckedAt, Silent: p.Basis + minAckSilence, HasEnded: true, EndedBy: p.EndedBy}
+		}
+	}
+	return WitnessTrace{}
+}
+
 // senderReports is a witness's record of the reports of one sender.
 type senderReports struct {
 	reported map[string]ReportedSpend
@@ -70,13 +110,14 @@
 }
 
 // AcceptReport records another router's report and returns true. It returns false, without recording it, if a successor of
-// the sender has asked for the record or the report is meant for another incarnation than this one. Recorded amounts that
-// the sender's checkpoints cover by now are dropped.
-func (p *Planner) AcceptReport(s SpendReport) bool {
+// the sender has asked for the record, the report is meant for another incarnation than this one, or the store has answered this one
+// within minAckSilence. Recorded amounts that the sender's checkpoints cover by now are dropped.
+func (p *Planner) AcceptReport(now time.Time, s SpendReport) bool {
 	record := p.peerReports[s.Sender]
-	if s.Witness != p.settings.Incarnation || record.ended {
+	if s.Witness != p.settings.Incarnation || record.ended || now.Sub(p.checkpointBasis) < minAckSilence {
 		return false
 	}
+	p.checkpoint.AckedAt = max(p.checkpoint.AckedAt, p.latestStoreTime(now))
 	if record.reported == nil {
 		record.reported = map[string]ReportedSpend{}
 	}
@@ -90,6 +131,14 @@
 	return true
 }
 
+// latestStoreTime returns an estimate of the store's time that is not too early.
+func (p *Planner) latestStoreTime(now time.Time) time.Duration {
+	if p.checkpointBasisSentAt.IsZero() {
+		return math.MaxInt64
+	}
+	return p.checkpoint.Basis + now.Sub(p.checkpointBasisSentAt)
+}
+
 // FinalReports returns what an ended incarnation has reported to this one, and makes this one refuse further reports of it.
 // If witness is another incarnation than this one, it does nothing and returns an empty record.
 func (p *Planner) FinalReports(witness, ended masticway.Incarnation) WitnessRecord {
@@ -160,7 +209,7 @@
 	}
 	var due []SpendReport
 	for _, w := range p.currentWitnesses() {
-		if p.reportsInFlight[w.Incarnation] {
+		if p.reportsInFlight[w.Incarnation] || now.Sub(p.refusedAt[w.Incarnation]) < refusedReportPause {
 			continue
 		}
 		p.reportsInFlight[w.Incarnation] = true
@@ -190,8 +239,10 @@
 func (p *Planner) CompleteReport(now time.Time, s SpendReport, accepted bool) []Reply {
 	delete(p.reportsInFlight, s.Witness)
 	if !accepted {
+		p.refusedAt[s.Witness] = now
 		return nil
 	}
+	delete(p.refusedAt, s.Witness)
 	for _, f := range p.limitsInForce {
 		// The report does not count for checkpoints that were sent after it was made.
 		if f.sequence <= s.NewestCheckpoint {
@@ -267,29 +318,83 @@
 	return answered > len(e.Witnesses)-quorum(len(e.Witnesses))
 }
 
-// PresumedSpent returns the most that an ended incarnation can have spent, by workspace. If it had no witnesses or too few
-// of them have answered, that is all that its spend limits allowed (MaxSpent). Otherwise it is what the spend limits allowed
+// Testimony is what is known of what an ended incarnation's witnesses have acknowledged: the records of those that have answered,
+// and the traces of the others.
+type Testimony struct {
+	Records []WitnessRecord
+	Traces  []WitnessTrace
+	// IsEraContinued is EraRecord.Continued of the store's current era.
+	IsEraContinued bool
+}
+
+// PresumedSpent returns the most that an ended incarnation can have spent, by workspace. It is what the spend limits allowed
 // without witnesses (MaxUnwitnessed), or the amount in the records if that is more. Reports made before its last checkpoint
-// are ignored, because the checkpoint covers them. Witnesses do not count where later checkpoints may be lost.
-// continued is EraRecord.Continued of the current era.
-func (e EndedIncarnation) PresumedSpent(records []WitnessRecord, continued bool) map[string]int64 {
-	if e.FromCopy && continued {
+// are ignored, because the checkpoint covers them. If a quorum of the witnesses without a record can have acknowledged more, it is
+// what the limits allowed while that quorum can have run, or all that they allowed (MaxSpent). Witnesses do not count where later
+// checkpoints may be lost.
+func (e EndedIncarnation) PresumedSpent(t Testimony) map[string]int64 {
+	if e.FromCopy && t.IsEraContinued {
 		presumed := map[string]int64{}
 		for workspace := range e.MaxSpent {
 			presumed[workspace] = presumeAll
 		}
 		return presumed
 	}
-	if e.FromCopy || len(e.Witnesses) == 0 || !e.HasQuorum(records) {
+	if e.FromCopy || len(e.Witnesses) == 0 {
 		return maps.Clone(e.MaxSpent)
 	}
 	presumed := maps.Clone(e.MaxUnwitnessed)
-	for _, r := range records {
+	for _, r := range t.Records {
 		for workspace, s := range r.Reported {
 			if r.IsNamedWitness && s.Checkpoint >= e.Sequence {
 				presumed[workspace] = max(presumed[workspace], s.Taken)
 			}
 		}
 	}
+	elapsed, mayHaveQuorum := e.ackedUntil(t)
+	if !mayHaveQuorum {
+		return presumed
+	}
+	if elapsed >= e.SinceBasis || e.Limits == nil {
+		return maps.Clone(e.MaxSpent)
+	}
+	for workspace, limit := range e.Limits {
+		presumed[workspace] = max(presumed[workspace], limit.bound(elapsed))
+	}
 	return presumed
 }
+
+// ackedUntil returns the longest time after the Basis by which a quorum of the witnesses without a record can have acknowledged the
+// same report, and whether there can have been one. What was cleared on such an acknowledgement was reported by then, so the
+// spend limits allowed it by then.
+func (e EndedIncarnation) ackedUntil(t Testimony) (elapsed time.Duration, mayHaveQuorum bool) {
+	known := 0
+	for _, r := range t.Records {
+		if r.IsNamedWitness {
+			known++
+		}
+	}
+	var until []time.Duration
+	for _, trace := range t.Traces {
+		if !trace.IsKnown {
+			continue
+		}
+		known++
+		last := e.SinceBasis
+		if trace.HasEnded {
+			last = min(last, trace.EndedBy-e.Basis)
+		}
+		if last >= trace.Silent-e.Basis || last >= 0 && trace.AckedAt >= e.Basis {
+			until = append(until, max(0, last))
+		}
+	}
+	for range len(e.Witnesses) - known {
+		until = append(until, e.SinceBasis)
+	}
+	needed := quorum(len(e.Witnesses))
+	if len(until) < needed {
+		return 0, false
+	}
+	slices.SortFunc(until, func(x, y time.Duration) int { return cmp.Compare(y, x) })
+	return until[needed-1], true
+}
--- a/treasurer/world_test.go
+++ b/treasurer/world_test.go
@@ -79,7 +79,7 @@
 	for _, workspace := range workspaces {
 		w.prepaid[workspace] = rapid.Int64Range(300, 4000).Draw(t, "prepaid")
 	}
-	for i := range rapid.IntRange(1, 4).Draw(t, "routers") {
+	for i := range rapid.IntRange(1, 5).Draw(t, "routers") {
 		r := &modelRouter{instance: fmt.Sprintf("edge-%d", i)}
 		w.routers = append(w.routers, r)
 		w.restart(r)
@@ -195,7 +195,7 @@
 		return
 	}
 	for _, e := range r.ended {
-		for workspace, spent := range e.PresumedSpent(w.queryWitnesses(t, e), w.returns > 0) {
+		for workspace, spent := range e.PresumedSpent(w.queryWitnesses(t, e)) {
 			w.closeGrant(t, r, e, workspace, spent)
 		}
 	}
@@ -224,17 +224,24 @@
 	r.planner.NoteClosed(w.now, e.Incarnation, workspace, closed)
 }
 
-// queryWitnesses asks the witnesses of an ended incarnation, some of which cannot be reached.
-func (w *model) queryWitnesses(t *rapid.T, e treasurer.EndedIncarnation) []treasurer.WitnessRecord {
-	var records []treasurer.WitnessRecord
+// queryWitnesses asks the witnesses of an ended incarnation, some of which cannot be reached, and reads the traces of the others.
+func (w *model) queryWitnesses(t *rapid.T, e treasurer.EndedIncarnation) treasurer.Testimony {
+	testimony := treasurer.Testimony{IsEraContinued: w.returns > 0}
 	for _, named := range e.Witnesses {
+		var record treasurer.WitnessRecord
 		for _, o := range w.routers {
 			if o.self.Instance() == named.Incarnation.Instance() && rapid.IntRange(0, 5).Draw(t, "reached") > 0 {
-				records = append(records, o.planner.FinalReports(named.Incarnation, e.Incarnation))
+				record = o.planner.FinalReports(named.Incarnation, e.Incarnation)
 			}
 		}
+		if record.IsNamedWitness {
+			testimony.Records = append(testimony.Records, record)
+		} else {
+			row := w.read("masticway_books", named.Incarnation.Instance()).row
+			testimony.Traces = append(testimony.Traces, treasurer.TraceWitness(row, named.Incarnation, e.Era))
+		}
 	}
-	return records
+	return testimony
 }
 
 // sendReports sends a router's reports to its witnesses; reports and acknowledgements may be lost or delayed.
@@ -264,7 +271,7 @@
 func (w *model) acceptReport(s treasurer.SpendReport) bool {
 	for _, o := range w.routers {
 		if o.self.Instance() == s.Witness.Instance() {
-			return o.planner.AcceptReport(s)
+			return o.planner.AcceptReport(w.now, s)
 		}
 	}
 	return false
