Have other routers close the grants of one that leaves in an outage

Cause: a router that leaves tried for 1.2 s to return the tokens of its grants, and ended with seconds of its grace period left. No other router closes the grants of an instance that does not start again. Class: what only one process can return lies where nobody comes any more as soon as that process is gone.

Fix: the attempt lasts until the end of the grace period, beside the end of the connections. After half a second without success the router says farewell: it tells other routers what it has taken, takes no more from then on, and up to three of them close its grants once the store answers, and pass the farewell on if they leave themselves. The calls to the store of a router that ends are canceled, so that it does not outlast its grace period.

Evidence: TestGrantsOfRouterThatLeavesInOutageAreClosed, both cases, failed before; drawn orders of events close grants by farewells at any time and break no budget.

--- a/lender/lender.go
+++ b/lender/lender.go
@@ -15,6 +15,7 @@
 	pathRepay        = "/peer/repay"
 	pathReport       = "/peer/testify"
 	pathFinalReports = "/peer/recall"
+	pathFarewell     = "/peer/farewell"
 )
 
 // borrowResponse is the answer to a loan request. Amount is the number of tokens that are lent.
@@ -34,6 +35,11 @@
 	Accepted bool `cbor:"1,keyasint"`
 }
 
+// farewellResponse is the answer to a farewell. Accepted is set if the router will close the sender's grants.
+type farewellResponse struct {
+	Accepted bool `cbor:"1,keyasint"`
+}
+
 // finalReportsRequest asks the router Witness for what the incarnation Ended reported to it. The router has no such record
 // if it has been restarted since then and is no longer the incarnation Witness.
 type finalReportsRequest struct {
@@ -74,19 +80,27 @@
 	return messenger.Call[treasurer.WitnessRecord](ctx, c.messages, address, pathFinalReports, finalReportsRequest{Witness: witness, Ended: ended})
 }
 
+// SendFarewell asks the router at an address to close the grants of an incarnation that shuts down, and reports whether it will.
+func (c *Client) SendFarewell(ctx context.Context, address string, f treasurer.Farewell) (bool, error) {
+	answer, err := messenger.Call[farewellResponse](ctx, c.messages, address, pathFarewell, f)
+	return answer.Accepted, err
+}
+
 // PeerServer handles the calls that other routers make to this router.
 type PeerServer interface {
 	// Lend lends tokens to another router and returns the loan. Its amount is zero if there is nothing to lend.
 	Lend(ctx context.Context, request treasurer.LoanRequest) treasurer.Loan
 	// AcceptRepayment takes back tokens that another router has borrowed, or cancels its loan request.
 	AcceptRepayment(r treasurer.Repayment)
-	// AcceptReport records another router's report and returns true. It returns false, without recording the report, in three
-	// cases: the report is meant for another incarnation than this one, FinalReports was called for the report's sender, or
-	// this router is sealed (it must not spend any more).
+	// AcceptReport records another router's report and returns true. It returns false, without recording the report, if this router
+	// is no witness of the sender or must not be one now.
 	AcceptReport(s treasurer.SpendReport) bool
 	// FinalReports returns what an ended incarnation reported to a witness. The record is empty if the witness is another
 	// incarnation than this one; otherwise AcceptReport refuses later reports of the ended incarnation.
 	FinalReports(witness, ended masticway.Incarnation) treasurer.WitnessRecord
+	// AcceptFarewell makes this router close the grants of an incarnation that shuts down, and returns true. It returns false if this
+	// router will not.
+	AcceptFarewell(f treasurer.Farewell) bool
 }
 
 // Serve registers handlers on mux that pass the calls of other routers to p.
@@ -102,6 +116,9 @@
 	messenger.Handle(mux, pathReport, func(_ context.Context, s treasurer.SpendReport) reportResponse {
 		return reportResponse{Accepted: p.AcceptReport(s)}
 	})
+	messenger.Handle(mux, pathFarewell, func(_ context.Context, f treasurer.Farewell) farewellResponse {
+		return farewellResponse{Accepted: p.AcceptFarewell(f)}
+	})
 	messenger.Handle(mux, pathFinalReports, func(_ context.Context, r finalReportsRequest) treasurer.WitnessRecord {
 		return p.FinalReports(r.Witness, r.Ended)
 	})
--- a/lender/lender_test.go
+++ b/lender/lender_test.go
@@ -22,6 +22,8 @@
 	balance int64
 	repaid  []treasurer.Repayment
 	reports []treasurer.SpendReport
+
+	farewells []treasurer.Farewell
 }
 
 func (p *peerServer) AcceptReport(s treasurer.SpendReport) bool {
@@ -31,6 +33,13 @@
 	return s.Sender != "gone~1"
 }
 
+func (p *peerServer) AcceptFarewell(f treasurer.Farewell) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.farewells = append(p.farewells, f)
+	return f.Sender != "gone~1"
+}
+
 func (p *peerServer) FinalReports(witness, ended masticway.Incarnation) treasurer.WitnessRecord {
 	if witness != "b~2" || ended != "a~1" {
 		return treasurer.WitnessRecord{}
@@ -86,6 +95,19 @@
 	qt.Assert(t, p.repaid, qt.DeepEquals, []treasurer.Repayment{back})
 }
 
+func TestFarewellsAreAccepted(t *testing.T) {
+	p := &peerServer{}
+	client, address := serve(t, p)
+	f := treasurer.Farewell{Sender: "a~1", Era: 2, Taken: map[string]int64{"w": 9}}
+	accepted, err := client.SendFarewell(t.Context(), address, f)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, accepted, qt.IsTrue)
+	qt.Assert(t, p.farewells, qt.DeepEquals, []treasurer.Farewell{f})
+	accepted, err = client.SendFarewell(t.Context(), address, treasurer.Farewell{Sender: "gone~1"})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, accepted, qt.IsFalse)
+}
+
 func TestReportsAreAcceptedAndReturned(t *testing.T) {
 	p := &peerServer{}
 	client, address := serve(t, p)
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -115,6 +115,9 @@
 	s.calls.Wait()
 }
 
+// Cancel ends the calls in progress, and all later ones, without a definite result.
+func (s *Store) Cancel() { s.cancel() }
+
 // SetPeers sets the function that returns the addresses of other routers.
 func (s *Store) SetPeers(peers func() []string) {
 	s.mu.Lock()
--- a/relayer/ways.go
+++ b/relayer/ways.go
@@ -74,7 +74,7 @@
 
 // wait waits for the first definite result (see isDefinite) and returns it. If all attempts have ended without one, it returns
 // the worst result. It returns an unknown outcome if the direct attempt gets no result within directGrace after the relayed one
-// failed, or if the context ends. If more of a large answer arrives, it cancels the relayed attempt and postpones the hedge by
+// failed, or if the context ends or the store's calls are canceled. If more of a large answer arrives, it cancels the relayed attempt and postpones the hedge by
 // progressTimeout.
 func (p *callPaths) wait() (masticway.RowReading, error) {
 	for p.direct != nil || p.relayed != nil {
@@ -105,6 +105,8 @@
 			return unknownOutcome("no answer in time")
 		case <-p.ctx.Done():
 			return unknownOutcome(p.ctx.Err().Error())
+		case <-p.store.ctx.Done():
+			return unknownOutcome("the calls were canceled")
 		}
 	}
 	return p.worst.reading, p.worst.err
--- a/starter/gateway.go
+++ b/starter/gateway.go
@@ -411,13 +411,16 @@
 	d.forwarder.StopForwarding()
 	d.callerListener.closeIdle()
 	d.wait(began, began.Add(grace-closeBudgetsBefore), d.isIdle)
-	ctx, cancel := context.WithTimeout(context.Background(), closeBudgetsBefore-exitBefore)
+	// If the store is away, it may answer again within the rest of the grace period.
+	ctx, cancel := context.WithTimeout(context.Background(), began.Add(grace-exitBefore).Sub(d.clock.Now()))
 	defer cancel()
-	d.treasurer.Close(ctx)
+	var closing sync.WaitGroup
+	closing.Go(func() { d.treasurer.Close(ctx) })
 	d.wait(began, began.Add(grace-exitBefore), d.isIdle)
 	// If a request has been read since the last check, its connection stays open until the request is answered.
 	d.callerListener.shutdown()
 	d.wait(began, began.Add(grace-exitBefore), d.callerListener.isDrained)
+	closing.Wait()
 	clean := d.callerListener.OpenRequests() == 0
 	d.tally.Flush()
 	d.log.WithFields(logrus.Fields{"event": "stopped", "cut_off": d.callerListener.OpenRequests(), "ms": d.clock.Now().Sub(began).Milliseconds()}).Info("gateway stopped")
@@ -443,6 +446,7 @@
 // Kill stops the gateway at once, as a crash would.
 func (d *GatewayDaemon) Kill() {
 	d.stop()
+	d.store.Cancel()
 	d.servers.close()
 	d.wg.Wait()
 	d.store.Close()
--- a/starter/gateway_test.go
+++ b/starter/gateway_test.go
@@ -190,6 +190,19 @@
 	return spent, granted
 }
 
+// grantOf returns how much is granted to incarnations on an instance.
+func (p *testPlatform) grantOf(instance string) (granted int64) {
+	for part := range 2 {
+		a := treasurer.ReadAccount(p.rows.Row(masticway.RowKey{Table: "masticway_accounts", Part: fmt.Sprint(part), Key: "w"}))
+		for i, g := range a.Grants {
+			if i.Instance() == instance {
+				granted += g.Granted
+			}
+		}
+	}
+	return granted
+}
+
 func TestGatewayServesCountsAndEndsCleanly(t *testing.T) {
 	p := newTestPlatform(t, 100000)
 	d := p.gateway("edge-1")
@@ -314,3 +327,40 @@
 	p.waitForLog("event=predecessor_recalled", "witnesses=1")
 	p.waitForLog("event=predecessor_recalled", "witnesses=1", "answered=0")
 }
+
+// TestGrantsOfRouterThatLeavesInOutageAreClosed guards against tokens that nobody can spend again: a router that leaves for good while
+// the store is away has to have its grants closed by another one, whether the store answers within its grace period or later.
+func TestGrantsOfRouterThatLeavesInOutageAreClosed(t *testing.T) {
+	cases := map[string]bool{"the store answers within the grace period": true, "the store answers later": false}
+	for name, answersInTime := range cases {
+		t.Run(name, func(t *testing.T) {
+			p := newTestPlatform(t, 100000)
+			s := p.settings("edge-1")
+			s.GraceSeconds = 6
+			leaving, other := p.start(s), p.gateway("edge-2")
+			defer other.Kill()
+			// By then each gateway counts the other as a member.
+			time.Sleep(3500 * time.Millisecond)
+			status, _ := p.ask(leaving, "a", "/draft/x", "100,40")
+			qt.Assert(t, status, qt.Equals, 200)
+			qt.Assert(t, p.grantOf("edge-1") > 0, qt.IsTrue)
+			p.rows.SetFaults(emulator.RowFaults{Unresponsive: true})
+			if answersInTime {
+				time.AfterFunc(4500*time.Millisecond, func() { p.rows.SetFaults(emulator.RowFaults{}) })
+			}
+			began := time.Now()
+			qt.Assert(t, leaving.Drain(), qt.IsTrue)
+			qt.Assert(t, time.Since(began) < 6*time.Second, qt.IsTrue, qt.Commentf("%s", time.Since(began)))
+			p.rows.SetFaults(emulator.RowFaults{})
+			for range 500 {
+				if p.grantOf("edge-1") == 0 {
+					spent, _ := p.accountTotals()
+					qt.Assert(t, spent <= 115, qt.IsTrue, qt.Commentf("%d", spent))
+					return
+				}
+				time.Sleep(10 * time.Millisecond)
+			}
+			t.Fatalf("the grant stays open:\n%s", p.log)
+		})
+	}
+}
--- a/treasurer/begin.go
+++ b/treasurer/begin.go
@@ -81,15 +81,9 @@
 		}
 	}
 	var closing sync.WaitGroup
-	slots := make(chan struct{}, maxConcurrentClosings)
 	for _, e := range ended {
-		for workspace, spent := range t.presumeSpent(ctx, e) {
-			closing.Go(func() {
-				slots <- struct{}{}
-				defer func() { <-slots }()
-				t.closeGrant(ctx, e, workspace, spent)
-			})
-		}
+		spent := t.presumeSpent(ctx, e)
+		closing.Go(func() { t.closeGrants(ctx, e, spent) })
 	}
 	closing.Wait()
 	if ctx.Err() != nil || len(ended) == 0 {
@@ -100,6 +94,19 @@
 	t.mu.Unlock()
 }
 
+// closeGrants closes the grants of an ended incarnation, given what it has spent by workspace.
+func (t *Treasurer) closeGrants(ctx context.Context, ended EndedIncarnation, spent map[string]int64) {
+	var closing sync.WaitGroup
+	for workspace, amount := range spent {
+		closing.Go(func() {
+			t.closingSlots <- struct{}{}
+			defer func() { <-t.closingSlots }()
+			t.closeGrant(ctx, ended, workspace, amount)
+		})
+	}
+	closing.Wait()
+}
+
 // closeGrant closes the grant that an ended incarnation has of a workspace. It tries again after each failure until the
 // context is done. A conflict returns the current row, which is used for the next attempt. If the row has contendedGrants or
 // more, it is read again instead, because other routers will have changed it by then.
@@ -119,6 +126,9 @@
 		if _, open := account.Grants[ended.Incarnation]; known && !open && ended.MaxSpent == nil {
 			return
 		}
+		if _, closed := account.Ended[ended.Incarnation]; known && closed {
+			return
+		}
 		if known && grants >= contendedGrants && !waited {
 			waited = true
 			t.sleepForContention(ctx, grants)
--- a/treasurer/purse.go
+++ b/treasurer/purse.go
@@ -371,6 +371,8 @@
 	startedAt time.Time
 	// closing is set once Close was called. From then on grants only shrink and nothing is lent any more.
 	closing bool
+	// hasLeft is set once Farewell has told what is taken.
+	hasLeft bool
 	// borrowers is the state kept for each router that has asked this one for a loan or repaid one. lastMessage is the
 	// number of this router's last borrow round or repayment.
 	borrowers   map[masticway.Incarnation]*borrowerState
@@ -419,8 +421,11 @@
 // maxTaken returns the maximum of the account's taken tokens now. While the store is timely it is the usable grant: a
 // checkpoint that covers a hold is then expected before the response is ready. Otherwise it is at most what the spend limits
 // are expected to clear after clearanceSlack. If the witnesses do not acknowledge reports, it is at most what the spend
-// limits clear now.
+// limits clear now. After Farewell, nothing more is taken.
 func (p *Planner) maxTaken(now time.Time, a *account) int64 {
+	if p.hasLeft {
+		return a.taken
+	}
 	if p.isStoreTimely(now) {
 		return a.usableGrant()
 	}
--- a/treasurer/treasurer.go
+++ b/treasurer/treasurer.go
@@ -122,6 +122,12 @@
 	peerClient PeerClient
 	wake       chan struct{}
 	tasks      sync.WaitGroup
+	// closingSlots bounds how many grants are closed at the same time.
+	closingSlots chan struct{}
+	// runCtx is the context of Run while it runs, else nil. farewells has the farewells of others that this router has accepted and not
+	// carried out.
+	runCtx    context.Context
+	farewells map[masticway.Incarnation]Farewell
 }
 
 // PeerClient calls other routers: to borrow tokens and repay them, and to use the routers as witnesses.
@@ -137,6 +143,8 @@
 	// FinalReports asks a witness what an ended incarnation has reported to it. The witness then refuses further reports of
 	// the ended incarnation.
 	FinalReports(ctx context.Context, address string, witness, ended masticway.Incarnation) (WitnessRecord, error)
+	// SendFarewell asks the router at the address to close the grants of an incarnation that shuts down, and reports whether it will.
+	SendFarewell(ctx context.Context, address string, f Farewell) (bool, error)
 }
 
 // New returns a treasurer for a new incarnation on an instance. It ignores the incarnation in the settings. The process must
@@ -148,6 +156,7 @@
 		planner: NewPlanner(s), share: retrier.Share{Window: s.RetryWindow},
 		onPeerConfiguration: func(int64) {},
 		waiting:             map[HoldID]chan Reply{}, wake: make(chan struct{}, 1),
+		closingSlots: make(chan struct{}, maxConcurrentClosings), farewells: map[masticway.Incarnation]Farewell{},
 	}
 }
 
@@ -377,6 +386,9 @@
 	if !t.takeOver(ctx) {
 		return
 	}
+	t.mu.Lock()
+	t.runCtx = ctx
+	t.mu.Unlock()
 	// Try to learn the other routers before the first grant. A router that knows no others keeps a reserve of every workspace
 	// (see keepsReserve), so a hundred routers that start at the same time would all draw grants of each.
 	t.tryCount(ctx)
@@ -391,6 +403,9 @@
 		case <-t.clock.After(tickInterval):
 		}
 	}
+	t.mu.Lock()
+	t.runCtx = nil
+	t.mu.Unlock()
 	t.tasks.Wait()
 }
 
@@ -486,17 +501,26 @@
 }
 
 // Close gives the free tokens of the grants back to the workspaces and starts to send unused loans back, and then writes the
-// final checkpoint. It gives up if the context is done or the router is sealed. If a hold is settled after Close, its unused
-// tokens are not given back; the next incarnation counts them as spent.
+// final checkpoint. If that takes longer than farewellDelay, it also asks other routers to close the grants. It gives up if the context
+// is done or the router is sealed. If a hold is settled after Close, its unused tokens are not given back; they count as spent.
 func (t *Treasurer) Close(ctx context.Context) {
 	t.mu.Lock()
 	t.planner.Close()
 	t.mu.Unlock()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var farewell sync.WaitGroup
+	defer farewell.Wait()
+	farewell.Go(func() {
+		t.sleep(ctx, farewellDelay)
+		t.sayFarewell(ctx)
+	})
+	defer cancel()
 	for ctx.Err() == nil && !t.isSealed() {
 		t.mu.Lock()
 		final, ok := t.planner.FinalCheckpoint(t.clock.Now())
 		t.mu.Unlock()
-		if ok && t.runStoreCall(ctx, final) == nil {
+		if ok && t.runFinalCall(ctx, final) {
 			t.log.WithFields(logrus.Fields{"event": "money_closed", "incarnation": t.self}).Info("unused tokens returned")
 			return
 		}
@@ -504,3 +528,16 @@
 		t.sleep(ctx, tickInterval/5)
 	}
 }
+
+// runFinalCall makes the call that writes the final checkpoint and reports whether it succeeded. It returns early if the context is
+// done.
+func (t *Treasurer) runFinalCall(ctx context.Context, s StoreCall) bool {
+	done := make(chan error, 1)
+	t.tasks.Go(func() { done <- t.runStoreCall(ctx, s) })
+	select {
+	case err := <-done:
+		return err == nil
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/treasurer/world_test.go
+++ b/treasurer/world_test.go
@@ -22,8 +22,10 @@
 	now     time.Time
 	rows    *emulator.RowStore
 	routers []*modelRouter
-	version int64
-	prepaid map[string]int64
+	// farewells are those of routers that were about to end.
+	farewells []treasurer.Farewell
+	version   int64
+	prepaid   map[string]int64
 	// maxPrepaid is the largest budget that was ever in force, delivered what callers received, by workspace.
 	maxPrepaid map[string]int64
 	delivered  map[string]int64
@@ -505,6 +507,26 @@
 					w.returnStore(t)
 				}
 			},
+			"leave": func(t *rapid.T) {
+				r := router(t)
+				if rapid.IntRange(0, 3).Draw(t, "really") > 0 {
+					return
+				}
+				r.planner.Close()
+				if f, ok := r.planner.Farewell(); ok {
+					w.farewells = append(w.farewells, f)
+				}
+			},
+			"farewell": func(t *rapid.T) {
+				r := router(t)
+				if len(w.farewells) == 0 || r.partitioned || w.now.Before(w.settledAt) {
+					return
+				}
+				f := w.farewells[rapid.IntRange(0, len(w.farewells)-1).Draw(t, "farewell")]
+				for workspace, taken := range f.Taken {
+					w.closeGrant(t, r, treasurer.EndedIncarnation{Incarnation: f.Sender, MaxSpent: f.Taken, Era: f.Era}, workspace, taken)
+				}
+			},
 			"deliver": func(t *rapid.T) { w.deliver(t, router(t)) },
 			"lend":    func(t *rapid.T) { w.lend(t, router(t)) },
 			"testify": func(t *rapid.T) { w.sendReports(t, router(t)) },
