Tell silent connections to the store from an outage of it

Cause: a router met its silent connections one after the other, each for the whole timeout of a call, so that a silence of its own connections lasted over 1.5 s and was taken for an outage of the store; then it keeps servers whose entries are missing for 2 s more. Class: no answer on one path was taken for no answer at all.

The soak has the fault, with 1 and 5 routers. Its check of budgets counted answers that callers give up before their time, which are not charged any more: those are bounded by what is prepaid as well, on their own, and all others as before.

--- a/follower/beliefs.go
+++ b/follower/beliefs.go
@@ -11,8 +11,10 @@
 
 const (
 	// outageThreshold is how long the store may fail to answer about the servers before this counts as an outage. It is shorter
-	// than the time in which the registrations of live servers can expire: three heartbeats, sent at least a second apart.
-	outageThreshold = 1500 * time.Millisecond
+	// than the time in which the registrations of live servers can expire: three heartbeats, sent at least a second apart, of which
+	// the last may have come just before. It is longer than the time until a watch on a connection that has gone silent has failed
+	// and the next call is answered on another one.
+	outageThreshold = 1900 * time.Millisecond
 	// recoveryGrace is the grace period: how long after an outage the registrations that expired during it may take to reappear.
 	recoveryGrace = 2 * time.Second
 )
--- a/follower/mirror.go
+++ b/follower/mirror.go
@@ -181,16 +181,17 @@
 	m.log.WithFields(logrus.Fields{"event": "history_lost", "table": m.table, "since": masticway.StoreNumber(historyLost.Since), "era": masticway.StoreEra(historyLost.Since), "large": historyLost.TooLarge, "era_ended": historyLost.IsEraEnded()}).Info("reading the table in full")
 }
 
-// handleFailure records a failed read and waits for retryInterval. It returns at once if the error does not mean that the store
-// is unreachable.
+// handleFailure records a failed read and waits for retryInterval. It returns at once after the first failure, because only the
+// connection may have failed, and if the error does not mean that the store is unreachable.
 func (m *tableWatcher) handleFailure(ctx context.Context, full bool, err error) {
 	if _, historyLost := errors.AsType[*masticway.HistoryLostError](err); historyLost || errors.Is(err, errSuperseded) {
 		return
 	}
-	if !m.failing.Swap(true) {
+	if m.failing.Swap(true) {
+		m.sleep(ctx, retryInterval)
+	} else {
 		m.log.WithFields(logrus.Fields{"event": "store_lost", "table": m.table, "error": err}).Warn("store is unreachable")
 	}
-	m.sleep(ctx, retryInterval)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	switch {
--- a/soaker/caller.go
+++ b/soaker/caller.go
@@ -161,6 +161,11 @@
 	return q.status
 }
 
+// isAbandoned reports whether the caller gave up an answer that was arriving, before its time was over.
+func (q *request) isAbandoned() bool {
+	return q.outcome == outcomeTimedOut && q.status == http.StatusOK && q.waitTimeout < min(q.timeLimit, emulator.DeploymentTimeout)
+}
+
 // canResume reports whether the caller may resume the answer: the request is repeatable, and its answer is a stream that
 // broke off after some of its events. events is the number of events of a whole stream.
 func (q *request) canResume(events int) bool {
--- a/soaker/checks.go
+++ b/soaker/checks.go
@@ -24,7 +24,7 @@
 
 // Names of the promises that are checked.
 const (
-	promiseBudget    = "budget"    // no workspace gets more than its prepaid tokens
+	promiseBudget    = "budget"    // no workspace gets more than its prepaid tokens, without answers that its callers abandon
 	promiseOnce      = "once"      // a non-repeatable request runs at most once
 	promiseNotRun    = "not_run"   // a request that was reported as not run never ran
 	promiseWhole     = "whole"     // a caller gets the whole answer to its own request, and no partial answer looks complete
@@ -119,18 +119,27 @@
 	if q.events > 0 {
 		// The workspace got the events, and with the first event also the prompt. If the request resumes an answer, the
 		// prompt was counted with the first request.
-		s.delivered[q.workspace] += int64(q.events * emulator.DeploymentTokensPerEvent)
+		tokens := int64(q.events * emulator.DeploymentTokensPerEvent)
 		if q.resumeAfter == 0 {
-			s.delivered[q.workspace] += int64(q.prompt)
+			tokens += int64(q.prompt)
 		} else {
 			s.resumed++
 		}
+		if q.isAbandoned() {
+			s.abandoned[q.workspace] += tokens
+		} else {
+			s.delivered[q.workspace] += tokens
+		}
 	}
-	got, paid := s.delivered[q.workspace], s.prepaid[q.workspace]
+	got, abandoned, paid := s.delivered[q.workspace], s.abandoned[q.workspace], s.prepaid[q.workspace]
 	s.mu.Unlock()
 	if q.events > 0 && got > paid {
 		s.reportViolation(promiseBudget, "%s got %d tokens, but had prepaid %d, at request %s", q.workspace, got, paid, q)
 	}
+	// At most as much is waived for abandoned answers as was charged for others, and the rest is charged.
+	if q.events > 0 && abandoned > paid {
+		s.reportViolation(promiseBudget, "%s abandoned answers of %d tokens, but had prepaid %d, at request %s", q.workspace, abandoned, paid, q)
+	}
 	switch q.status {
 	case statusWrongBody:
 		s.reportViolation(promiseWhole, "the body is not the answer to this request: %s", q)
--- a/soaker/faults.go
+++ b/soaker/faults.go
@@ -65,6 +65,7 @@
 	"store_busy":        {2, 5 * time.Second, storeFault(emulator.RowFaults{Unavailable: true})},
 	"store_silent":      {2, 5 * time.Second, storeFault(emulator.RowFaults{Unresponsive: true})},
 	"store_slow":        {2, 5 * time.Second, storeFault(emulator.RowFaults{Delay: 250 * time.Millisecond})},
+	"store_link_silent": {0, 0, (*soakRun).silenceStoreLinks},
 	"answers_lost":      {2, 3 * time.Second, storeFault(emulator.RowFaults{DropAnswers: 20})},
 	"writes_late":       {2, 3 * time.Second, storeFault(emulator.RowFaults{LateWrites: 20, LateWriteDelay: 1500 * time.Millisecond})},
 	"history_forgotten": {2, 0, func(s *soakRun, _ faultEvent) { s.rows.Compact() }},
@@ -159,6 +160,15 @@
 	}
 }
 
+// silenceStoreLinks makes all open connections of all routers to the store silent for good.
+func (s *soakRun) silenceStoreLinks(e faultEvent) {
+	for i, p := range s.processes {
+		end := s.beginDisturbance(e.kind, routerTarget(i), 0)
+		p.proxies[storeProxy].silence()
+		end()
+	}
+}
+
 // storeFault returns a fault of the store. If two of them overlap, the later replaces the earlier, and the first to end ends
 // both.
 func storeFault(f emulator.RowFaults) func(s *soakRun, e faultEvent) {
--- a/soaker/link.go
+++ b/soaker/link.go
@@ -29,6 +29,8 @@
 	target  string
 	usual   condition // the condition while no fault impairs the proxy
 	current atomic.Pointer[condition]
+	// silences is how often silence was called.
+	silences atomic.Int64
 
 	mu     sync.Mutex
 	conns  []*net.TCPConn // both ends of all connections, including closed ones
@@ -62,6 +64,10 @@
 	}
 }
 
+// silence makes all open connections silent for good: what either end sends is lost, though it is acknowledged. New connections
+// work.
+func (p *proxy) silence() { p.silences.Add(1) }
+
 func (p *proxy) accept() {
 	for {
 		near, err := p.Accept()
@@ -94,8 +100,12 @@
 func (p *proxy) forward(direction int, to, from *net.TCPConn) {
 	defer to.CloseWrite()
 	buffer := make([]byte, chunkBytes)
+	silences := p.silences.Load()
 	for {
 		n, err := from.Read(buffer)
+		if err == nil && p.silences.Load() != silences {
+			continue
+		}
 		time.Sleep(time.Until(p.waitTurn(direction, n)))
 		if _, failed := to.Write(buffer[:n]); err != nil || failed != nil {
 			return
--- a/soaker/soak.go
+++ b/soaker/soak.go
@@ -101,7 +101,8 @@
 	limits           []limitInterval          // the ended intervals in which servers advertised rate limits
 	versions         []version
 	prepaid          map[string]int64          // tokens by workspace
-	delivered        map[string]int64          // tokens that callers got, by workspace
+	delivered        map[string]int64          // tokens that callers got, by workspace, without abandoned answers
+	abandoned        map[string]int64          // tokens of answers that callers abandoned, by workspace
 	requests         map[string]*request       // by id
 	disturbances     map[string][]interval     // by target: a router, a server or the store
 	delays           map[int][]schedulingDelay // by index of the router
@@ -132,7 +133,7 @@
 	s := &soakRun{
 		Soak: o, random: random, log: log, rows: rows, store: &http.Server{Handler: rows.Handler()}, ledger: &emulator.OpaqueRunLog{},
 		events: 2 + random.IntN(maxEvents-1), pause: randomUpTo(random, maxEventPause), work: randomUpTo(random, maxWork), grace: minGrace + time.Duration(random.IntN(2))*extraGrace,
-		servers: make([]*emulator.OpaqueServer, len(pools)), zones: map[string]string{}, slotVersions: firstVersions(slices.Contains(o.Kinds, releaseKind)), serverSpans: map[string]serverSpan{}, drainAcceptedAt: map[string]time.Time{}, drainAnnouncedAt: map[string]time.Time{}, delivered: map[string]int64{},
+		servers: make([]*emulator.OpaqueServer, len(pools)), zones: map[string]string{}, slotVersions: firstVersions(slices.Contains(o.Kinds, releaseKind)), serverSpans: map[string]serverSpan{}, drainAcceptedAt: map[string]time.Time{}, drainAnnouncedAt: map[string]time.Time{}, delivered: map[string]int64{}, abandoned: map[string]int64{},
 		prepaid: map[string]int64{"thin": 4_000, "middle": 40_000, "wide": 50_000_000}, requests: map[string]*request{}, routers: map[string]int{}, disturbances: map[string][]interval{}, delays: map[int][]schedulingDelay{},
 	}
 	defer s.close()
--- a/soaker/soaker_test.go
+++ b/soaker/soaker_test.go
@@ -170,6 +170,18 @@
 	assertPromisesKept(t, failedSeeds["servers slower than the latency objective, and faults"])
 }
 
+// TestPromisesAreKeptWhileStoreLinksGoSilent guards against routers that take the silence of their own connections to the store for an
+// outage of it, and go on sending to servers that have left.
+func TestPromisesAreKeptWhileStoreLinksGoSilent(t *testing.T) {
+	t.Parallel()
+	for seed, routers := range map[uint64]int{701: 1, 702: 5} {
+		t.Run(fmt.Sprintf("%d/%d routers", seed, routers), func(t *testing.T) {
+			t.Parallel()
+			assertPromisesKept(t, soaker.Soak{Seed: seed, Duration: 12 * time.Second, Routers: routers, Kinds: []string{"store_link_silent", "server_drains", "configure"}})
+		})
+	}
+}
+
 // TestRequestsThatCrashServersAreKeptFromThem guards against routers that go on sending such a request to servers because they
 // forgot its crashes when they were killed or had no contact with the store.
 func TestRequestsThatCrashServersAreKeptFromThem(t *testing.T) {
