Check in the soak that no workspace starves

Reports named no workspaces, and no check of the project set one beside all. The soak counts now for each workspace how many of the requests that it is owed are served: the budget covers them beside all that is in progress, by the users' margin, its keys are in force and its router is not shutting down; below a quarter of the share of all is a violation. New faults: a hot workspace, one whose callers all use one router, all keys revoked and a new one given, a budget lowered far below what is used and raised again.

TestNoWorkspaceStarves runs 1, 5 and 30 routers under them and outages, kills and restarts; a build that starves a workspace fails.

--- a/emulator/deployment.go
+++ b/emulator/deployment.go
@@ -5,6 +5,8 @@
 	"cmp"
 	_ "embed" // for the configuration's template
 	"fmt"
+	"maps"
+	"slices"
 	"text/template"
 	"time"
 
@@ -20,8 +22,6 @@
 const (
 	// DeploymentHost is the host of all routes.
 	DeploymentHost = "soak.example"
-	// DeploymentKeyPrefix is the prefix of a workspace's API key; the workspace's name follows.
-	DeploymentKeyPrefix = "key-"
 	// DeploymentTimeout is the request timeout of all routes.
 	DeploymentTimeout = 6 * time.Second
 	// DeploymentTokensPerEvent is the number of tokens in an event from an engine.
@@ -37,10 +37,39 @@
 	Number  int64            // the version of the configuration
 	Paths   []string         // the paths of further routes
 	Prepaid map[string]int64 // prepaid tokens by workspace
+	// Keys has the key of each workspace that does not have its first one; it is empty if the workspace has none.
+	Keys map[string]string
 	// PlainConnections is the limit of connections to each plain server; zero is the default.
 	PlainConnections int
 }
 
+// DeploymentKey returns a key of a workspace. The number of the first one is zero.
+func DeploymentKey(workspace string, number int) string {
+	if number == 0 {
+		return "key-" + workspace
+	}
+	return fmt.Sprintf("key-%s-%d", workspace, number)
+}
+
+// tenant is a workspace of the configuration.
+type tenant struct {
+	Name, Key string
+	Prepaid   int64
+}
+
+// Tenants returns the workspaces of the configuration, sorted by name.
+func (d Deployment) Tenants() []tenant {
+	var all []tenant
+	for _, name := range slices.Sorted(maps.Keys(d.Prepaid)) {
+		key, ok := d.Keys[name]
+		if !ok {
+			key = DeploymentKey(name, 0)
+		}
+		all = append(all, tenant{name, key, d.Prepaid[name]})
+	}
+	return all
+}
+
 // MaxPlainConnections returns the limit of connections to each plain server that the configuration has.
 func (d Deployment) MaxPlainConnections() int {
 	return cmp.Or(d.PlainConnections, defaultPlainConnections)
--- a/soaker/caller.go
+++ b/soaker/caller.go
@@ -81,6 +81,9 @@
 	// status is the HTTP status, zero if there was none, or statusWrongBody. events is the number of events received.
 	status, events int
 	err            error
+	// owed is set if the workspace had tokens left for the request. key is the key that it is sent with.
+	owed bool
+	key  string
 	// refusedForCrashes is set if the router refused the request because it crashes servers.
 	refusedForCrashes bool
 }
@@ -93,10 +96,12 @@
 
 // caller sends requests one after the other. It reuses its connection while that is open, unless keep-alive is disabled.
 type caller struct {
-	soak      *soakRun
-	random    *rand.Rand
-	name      string
-	sent      int
+	soak   *soakRun
+	random *rand.Rand
+	name   string
+	sent   int
+	// workspace is the workspace of all requests; if it is empty, each request is of one of workspaces.
+	workspace string
 	transport http.Transport
 }
 
@@ -152,6 +157,9 @@
 	}
 	if !r.anonymous {
 		q.workspace = workspaces[c.random.IntN(len(workspaces))]
+		if c.workspace != "" {
+			q.workspace = c.workspace
+		}
 	}
 	c.send(q, r.name)
 	for resumed := q; resumed.canResume(c.soak.events); {
@@ -206,6 +214,7 @@
 	q.parts = append(slices.Clone(q.parts), q.id)
 	c.soak.mu.Lock()
 	c.soak.requests[q.id] = q
+	c.soak.beginRequest(q)
 	c.soak.mu.Unlock()
 	q.sentAt, q.outcome = time.Now(), outcomeAnswered
 	q.err = c.exchange(q)
@@ -235,9 +244,7 @@
 	out := &http.Request{Method: http.MethodPost, URL: &url.URL{Scheme: "http", Host: emulator.DeploymentHost, Path: q.path}, ContentLength: int64(len(q.body))}
 	out.Body = io.NopCloser(strings.NewReader(q.body))
 	call := emulator.OpaqueCall{ID: q.id, TimeLeft: q.timeLimit, Metered: q.metered, Prompt: q.prompt, MaxOutput: q.declared, LastEvent: q.resumeAfter, Resumes: q.resumes, Parts: q.parts}
-	if q.workspace != "" {
-		call.Key = emulator.DeploymentKeyPrefix + q.workspace
-	}
+	call.Key = q.key
 	out.Header = call.Header()
 	in, err := c.transport.RoundTrip(out.WithContext(ctx))
 	if err != nil {
--- a/soaker/checks.go
+++ b/soaker/checks.go
@@ -45,6 +45,7 @@
 	promiseVersion   = "version"   // a stream goes on only at the software version that began it
 	promiseResumed   = "resumed"   // streams whose version serves are resumed
 	promiseGone      = "gone"      // requests of callers that have left are not sent on, and servers get no more time than is left
+	promiseFair      = "fair"      // no workspace with tokens left is served less than a quarter as often as all
 	promiseRepeats   = "repeats"   // all routers together keep to the retry budget, over all of their incarnations
 )
 
@@ -113,6 +114,8 @@
 // checkResponse counts a response and checks what can be checked without knowing what the servers ran.
 func (s *soakRun) checkResponse(q *request) {
 	s.mu.Lock()
+	s.endRequest(q)
+	isChanging := s.isChanging[q.workspace]
 	if q.outcome == outcomeAnswered && q.status == http.StatusOK {
 		s.served++
 	}
@@ -131,7 +134,7 @@
 			s.delivered[q.workspace] += tokens
 		}
 	}
-	got, abandoned, paid := s.delivered[q.workspace], s.abandoned[q.workspace], s.prepaid[q.workspace]
+	got, abandoned, paid := s.delivered[q.workspace], s.abandoned[q.workspace], s.maxPrepaid[q.workspace]
 	s.mu.Unlock()
 	if q.events > 0 && got > paid {
 		s.reportViolation(promiseBudget, "%s got %d tokens, but had prepaid %d, at request %s", q.workspace, got, paid, q)
@@ -146,12 +149,19 @@
 	case http.StatusBadRequest, http.StatusUnauthorized, http.StatusForbidden, http.StatusNotFound, http.StatusRequestEntityTooLarge:
 		// Every configuration has these routes and keys, and a router without a configuration answers 503. Probes, whose route
 		// has no name, also request paths that not every configuration has.
-		if q.name != "" {
+		if q.name != "" && !(q.status == http.StatusUnauthorized && (isChanging || s.mayLackKey(q))) {
 			s.reportViolation(promiseInForce, "refused, but every configuration allows it: %s", q)
 		}
 	}
 }
 
+// mayLackKey reports whether the router need not know the request's key: it is not the workspace's first one, and the router may have had
+// no contact with the store since it was accepted.
+func (s *soakRun) mayLackKey(q *request) bool {
+	from := q.sentAt.Add(-stabilityPeriod - s.maxApplyTime())
+	return q.key != emulator.DeploymentKey(q.workspace, 0) && !s.isUndisturbed(from, q.endedAt, contactTargets(q.router)...)
+}
+
 // checkRuns compares what servers ran with what callers sent and got.
 func (s *soakRun) checkRuns() {
 	runs := map[string][]emulator.OpaqueRun{}
@@ -179,6 +189,7 @@
 	}
 	s.checkSlowReads()
 	s.checkGone()
+	s.checkStarvedWorkspaces()
 }
 
 // checkRun checks a single run of a request.
--- a/soaker/deployment.go
+++ b/soaker/deployment.go
@@ -56,7 +56,7 @@
 func (s *soakRun) configure(more, paid int, to ...string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	v := version{Deployment: emulator.Deployment{Number: 1, Prepaid: s.prepaid}}
+	v := version{Deployment: emulator.Deployment{Number: 1, Prepaid: s.prepaid, Keys: s.keys}}
 	if s.SharesLoad {
 		v.PlainConnections = sharedPlainConnections
 	}
@@ -70,6 +70,9 @@
 	for _, workspace := range to {
 		s.prepaid[workspace] += int64(paid)
 	}
+	for workspace, tokens := range s.prepaid {
+		s.maxPrepaid[workspace] = max(s.maxPrepaid[workspace], tokens)
+	}
 	size, err := v.Put(s.rows)
 	if err != nil {
 		panic(err)
--- a/soaker/soak.go
+++ b/soaker/soak.go
@@ -100,7 +100,13 @@
 	all              []*emulator.OpaqueServer // all servers that have been started
 	limits           []limitInterval          // the ended intervals in which servers advertised rate limits
 	versions         []version
-	prepaid          map[string]int64          // tokens by workspace
+	prepaid          map[string]int64  // tokens by workspace
+	maxPrepaid       map[string]int64  // the most tokens that each workspace has had prepaid
+	pending          map[string]int64  // the most tokens that the requests in progress may cost, by workspace
+	keys             map[string]string // the current key of each workspace, empty while it has none
+	isChanging       map[string]bool   // workspaces whose keys or budgets are being changed
+	keysIssued       int
+	workspaceFaults  int                       // the number of faults with more callers of a workspace
 	delivered        map[string]int64          // tokens that callers got, by workspace, without abandoned answers
 	abandoned        map[string]int64          // tokens of answers that callers abandoned, by workspace
 	requests         map[string]*request       // by id
@@ -134,7 +140,7 @@
 		Soak: o, random: random, log: log, rows: rows, store: &http.Server{Handler: rows.Handler()}, ledger: &emulator.OpaqueRunLog{},
 		events: 2 + random.IntN(maxEvents-1), pause: randomUpTo(random, maxEventPause), work: randomUpTo(random, maxWork), grace: minGrace + time.Duration(random.IntN(2))*extraGrace,
 		servers: make([]*emulator.OpaqueServer, len(pools)), zones: map[string]string{}, slotVersions: firstVersions(slices.Contains(o.Kinds, releaseKind)), serverSpans: map[string]serverSpan{}, drainAcceptedAt: map[string]time.Time{}, drainAnnouncedAt: map[string]time.Time{}, delivered: map[string]int64{}, abandoned: map[string]int64{},
-		prepaid: map[string]int64{"thin": 4_000, "middle": 40_000, "wide": 50_000_000}, requests: map[string]*request{}, routers: map[string]int{}, disturbances: map[string][]interval{}, delays: map[int][]schedulingDelay{},
+		prepaid: map[string]int64{"thin": 4_000, "middle": 40_000, "wide": 50_000_000, singleWorkspace: 2_000_000}, maxPrepaid: map[string]int64{}, pending: map[string]int64{}, keys: firstKeys(), isChanging: map[string]bool{}, requests: map[string]*request{}, routers: map[string]int{}, disturbances: map[string][]interval{}, delays: map[int][]schedulingDelay{},
 	}
 	defer s.close()
 	if err := s.start(); err != nil {
@@ -152,6 +158,15 @@
 	return Report{Requests: len(s.requests), Served: s.served, Resumed: s.resumed, Sound: s.sound, Versions: len(s.versions), Faults: s.faultsDrawn, Starved: s.starvationCount(), Left: s.left, Waited: s.waited, WaitedAnswered: s.waitedAnswered, WaitedServed: s.waitedServed, Violations: s.violations}, ctx.Err()
 }
 
+// firstKeys returns the first key of each workspace.
+func firstKeys() map[string]string {
+	keys := map[string]string{}
+	for _, workspace := range append(slices.Clone(workspaces), singleWorkspace) {
+		keys[workspace] = emulator.DeploymentKey(workspace, 0)
+	}
+	return keys
+}
+
 // start starts the store, the servers and the routers, and waits until all routers are ready.
 func (s *soakRun) start() error {
 	listener := listen()
--- a/soaker/soaker_test.go
+++ b/soaker/soaker_test.go
@@ -170,6 +170,25 @@
 	assertPromisesKept(t, failedSeeds["servers slower than the latency objective, and faults"])
 }
 
+// TestNoWorkspaceStarves guards against a workspace that is hardly served while it has tokens left: a hot one, one whose callers all use
+// one router, one whose keys are all revoked before it gets a new one, and one whose budget is lowered and raised again.
+func TestNoWorkspaceStarves(t *testing.T) {
+	t.Parallel()
+	kinds := []string{"hot_workspace", "one_router", "keys_revoked", "budget_lowered", "store_cut", "store_busy", "freeze", "top_up"}
+	cases := map[string]soaker.Soak{
+		"one router":     {Seed: 801, Routers: 1, Kinds: kinds},
+		"five routers":   {Seed: 802, Routers: 5, Kinds: append(kinds, "term", "kill")},
+		"thirty routers": {Seed: 803, Routers: 30, Kinds: append(kinds, "term", "kill")},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			tc.Duration = 12 * time.Second
+			assertPromisesKept(t, tc)
+		})
+	}
+}
+
 // TestPromisesAreKeptWhileStoreLinksGoSilent guards against routers that take the silence of their own connections to the store for an
 // outage of it, and go on sending to servers that have left.
 func TestPromisesAreKeptWhileStoreLinksGoSilent(t *testing.T) {
@@ -381,6 +400,10 @@
 			"starter/callers.go", "c.arrivedAt = c.arrivedAt.Add(-i.SinceData)", "_ = i",
 			[]string{"callers_leave"}, "gone", false,
 		},
+		"starves a workspace": {
+			"forwarder/admit.go", "x.q.account, ok = d.Account(x.q.Key); !ok {", "x.q.account, ok = d.Account(x.q.Key); !ok || x.q.account.Workspace == \"wide\" {",
+			[]string{"hot_workspace"}, "fair", false,
+		},
 		"opens any number of connections": {
 			"sender/sender.go", "if limit > 0 && open >= limit {", "if limit > 0 && open >= 9*limit {",
 			[]string{"crowd"}, "connected", true,
