Charge abandoned answers that may have been what their callers wanted

Cause: the users' count has answers that end at their caller's time limit, and the router took such an end for a caller that gave up, as it did the end of streams that were garbled or whose router had been frozen.

--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -211,10 +211,18 @@
 	x.f.budgets.Settle(x.holdReply.ID, used)
 }
 
-// isAbandoned reports whether the caller has given up an answer that was arriving as the route promises. A caller whose connection
-// was reset, or whose stream paused for longer than that, may go on with it elsewhere, which relies on the charge for its prompt.
+// abandonMargin is how long before its time limit a caller must have left to have given up. A caller whose time was over has got what
+// was written to it.
+const abandonMargin = time.Second
+
+// isAbandoned reports whether the caller has given up an answer that had hardly begun: within the latency objective, and well before
+// the time limit that it had named. A caller whose connection was reset, or whose stream paused for longer than the route promises,
+// may go on with it elsewhere, which relies on the charge for its prompt.
 func (x *exchange) isAbandoned(ctx context.Context) bool {
-	return errors.Is(ctx.Err(), context.Canceled) && x.caller.HasClosed() && x.f.clock.Now().Sub(x.writtenAt) <= x.q.route.MaxEventGap
+	now := x.f.clock.Now()
+	isEarly := now.Sub(x.q.arrivedAt) <= x.q.route.LatencyObjective && x.q.TimeLeft > 0 && x.q.deadline.Sub(now) > abandonMargin
+	isStreaming := now.Sub(x.writtenAt) <= x.q.route.MaxEventGap
+	return errors.Is(ctx.Err(), context.Canceled) && x.caller.HasClosed() && isEarly && isStreaming
 }
 
 // maxTokens returns the maximum number of tokens that may be charged for the request.
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -688,14 +689,16 @@
 	qt.Assert(t, f.budgets.settledAmounts()[0] >= promptTokens, qt.IsTrue)
 }
 
-// TestAbandonedAnswerIsNotCharged guards against budgets that are found exhausted although their workspaces' callers got far less: an
-// answer that its caller gives up is charged only if the caller may go on with it, or more is given up than read to its end.
-func TestAbandonedAnswerIsNotCharged(t *testing.T) {
+// TestAbandonedAnswersAreNotCharged guards against budgets that are found exhausted although their workspaces' callers got far less, and
+// against answers that are not charged although their callers may have got what they wanted or may go on with them.
+func TestAbandonedAnswersAreNotCharged(t *testing.T) {
 	const maxGap = 5 * time.Second
 	cases := map[string]struct {
 		path           string
 		reset          bool
 		maxGap         time.Duration
+		timeLimit      string
+		objective      time.Duration
 		wholeAnswers   int
 		isChargeWaived bool
 	}{
@@ -703,6 +706,9 @@
 		"given up, may be resumed":      {path: "/resume/x", maxGap: maxGap, wholeAnswers: 2, isChargeWaived: true},
 		"connection reset":              {path: "/resume/x", maxGap: maxGap, reset: true, wholeAnswers: 2},
 		"given up after a long pause":   {path: "/stream/x", maxGap: time.Nanosecond, wholeAnswers: 2},
+		"left as its time was over":     {path: "/stream/x", maxGap: maxGap, timeLimit: "1000", wholeAnswers: 2},
+		"left late":                     {path: "/stream/x", maxGap: maxGap, objective: 100 * time.Millisecond, wholeAnswers: 2},
+		"named no time limit":           {path: "/stream/x", maxGap: maxGap, timeLimit: "0", wholeAnswers: 2},
 		"no answer was read to its end": {path: "/stream/x", maxGap: maxGap},
 	}
 	for name, tc := range cases {
@@ -710,6 +716,7 @@
 			f := newFixture(t, 1)
 			for i := range f.snapshot.Deployment.Routes {
 				f.snapshot.Deployment.Routes[i].MaxEventGap = tc.maxGap
+				f.snapshot.Deployment.Routes[i].LatencyObjective = cmp.Or(tc.objective, time.Minute)
 			}
 			f.snapshot.Deployment = f.snapshot.Deployment.WithIndex()
 			for range tc.wholeAnswers {
@@ -717,11 +724,14 @@
 			}
 			f.servers[0].SetStream(1000, 10*time.Millisecond)
 			f.callers.hasClosed.Store(!tc.reset)
-			ctx, leave := context.WithTimeout(t.Context(), 150*time.Millisecond)
-			defer leave()
-			f.do(ctx, "POST", tc.path)
-			f.failUnless("the hold is open", func() bool { return len(f.budgets.settledAmounts()) == tc.wholeAnswers+1 })
-			qt.Assert(t, f.budgets.settledAmounts()[tc.wholeAnswers] == 0, qt.Equals, tc.isChargeWaived)
+			// The first abandoned answer is always charged.
+			for i := range 2 {
+				ctx, leave := context.WithTimeout(t.Context(), 150*time.Millisecond)
+				defer leave()
+				f.do(ctx, "POST", tc.path, "X-Deadline-Ms", cmp.Or(tc.timeLimit, "20000"))
+				f.failUnless("the hold is open", func() bool { return len(f.budgets.settledAmounts()) == tc.wholeAnswers+1+i })
+				qt.Assert(t, f.budgets.settledAmounts()[tc.wholeAnswers+i] == 0, qt.Equals, tc.isChargeWaived && i > 0)
+			}
 		})
 	}
 }
