End a router that has said farewell

A router that left in an outage stayed until the end of its grace period although others had its farewell, so that more routers were away at a time while all are restarted. Witnesses that refused a report are forgotten with their incarnation. TestGrantsOfRouterThatLeavesInOutageAreClosed holds as before.

--- a/treasurer/farewell.go
+++ b/treasurer/farewell.go
@@ -12,7 +12,7 @@
 
 const (
 	// farewellDelay is how long a router that shuts down tries to return its tokens itself before it asks others to do so.
-	farewellDelay = 500 * time.Millisecond
+	farewellDelay = time.Second
 	// farewellRetryInterval is the pause between two attempts to reach enough routers, and farewellTimeout bounds one message.
 	farewellRetryInterval = 300 * time.Millisecond
 	farewellTimeout       = 200 * time.Millisecond
@@ -58,9 +58,9 @@
 	return false
 }
 
-// sayFarewell sends the farewell of this incarnation to other routers until enough of them have accepted it or the context is done. It
-// passes on the farewells that this router has accepted and not carried out.
-func (t *Treasurer) sayFarewell(ctx context.Context) {
+// sayFarewell sends the farewell of this incarnation to other routers, and passes on the farewells that this router has accepted and not
+// carried out. It returns true once enough routers have accepted each of them, and false if the context is done first.
+func (t *Treasurer) sayFarewell(ctx context.Context) bool {
 	t.mu.Lock()
 	own, ok := t.planner.Farewell()
 	farewells := []Farewell{own}
@@ -69,7 +69,7 @@
 	}
 	t.mu.Unlock()
 	if !ok {
-		return
+		return false
 	}
 	accepted := map[masticway.Incarnation]map[string]bool{}
 	for ctx.Err() == nil {
@@ -82,10 +82,11 @@
 			enough = enough && len(accepted[f.Sender]) >= farewellCopies
 		}
 		if enough {
-			return
+			return true
 		}
 		t.sleep(ctx, farewellRetryInterval)
 	}
+	return false
 }
 
 // sendFarewell sends a farewell to the routers that have not accepted it, until enough have. It adds their addresses to accepted.
--- a/treasurer/purse.go
+++ b/treasurer/purse.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -457,6 +458,9 @@
 	sameInstance := func(x, y Peer) bool { return x.Incarnation.Instance() == y.Incarnation.Instance() }
 	p.peersChanged = p.peersChanged || !slices.EqualFunc(others, p.peers, sameInstance)
 	p.peers = others
+	maps.DeleteFunc(p.refusedAt, func(i masticway.Incarnation, _ time.Time) bool {
+		return !slices.ContainsFunc(others, func(o Peer) bool { return o.Incarnation == i })
+	})
 	for _, a := range p.accounts {
 		a.candidates = nil
 	}
--- a/treasurer/treasurer.go
+++ b/treasurer/treasurer.go
@@ -501,21 +501,28 @@
 }
 
 // Close gives the free tokens of the grants back to the workspaces and starts to send unused loans back, and then writes the
-// final checkpoint. If that takes longer than farewellDelay, it also asks other routers to close the grants. It gives up if the context
-// is done or the router is sealed. If a hold is settled after Close, its unused tokens are not given back; they count as spent.
+// final checkpoint. If that takes longer than farewellDelay, it also asks other routers to close the grants, and returns once enough of
+// them will. It gives up if the context is done or the router is sealed. If a hold is settled after Close, its unused tokens are not
+// given back; they count as spent.
 func (t *Treasurer) Close(ctx context.Context) {
 	t.mu.Lock()
 	t.planner.Close()
+	hasStarted := t.planner.started
 	t.mu.Unlock()
+	if !hasStarted {
+		// There are no grants.
+		return
+	}
 	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
 	var farewell sync.WaitGroup
 	defer farewell.Wait()
+	defer cancel()
 	farewell.Go(func() {
 		t.sleep(ctx, farewellDelay)
-		t.sayFarewell(ctx)
+		if t.sayFarewell(ctx) {
+			cancel()
+		}
 	})
-	defer cancel()
 	for ctx.Err() == nil && !t.isSealed() {
 		t.mu.Lock()
 		final, ok := t.planner.FinalCheckpoint(t.clock.Now())
