Trust no traces in checkpoints of earlier builds

While builds are mixed, a witness of an earlier one acknowledges reports at any time and records nothing, so that its checkpoint excludes nothing. Checkpoints say now that their router keeps to the rule; a case of TestCheckpointTracesWitness failed before.

--- a/treasurer/rows.go
+++ b/treasurer/rows.go
@@ -225,8 +225,10 @@
 	Witnesses []Witness `json:"witnesses,omitempty"`
 	// Ended lists the earlier incarnations of the instance whose grants may not all be closed yet.
 	Ended []EndedIncarnation `json:"ended,omitempty"`
-	// AckedAt is when the incarnation last acknowledged another router's report, by the store's clock, or later.
-	AckedAt time.Duration `json:"acked_ns,omitempty"`
+	// AckedAt is when the incarnation last acknowledged another router's report, by the store's clock, or later. IsTraced is set if it
+	// keeps to minAckSilence and records AckedAt, which routers of earlier builds do not.
+	AckedAt  time.Duration `json:"acked_ns,omitempty"`
+	IsTraced bool          `json:"traced,omitempty"`
 	// Predecessors has the last earlier incarnations that listened at Address, at most maxPredecessors, oldest first.
 	Predecessors []Predecessor `json:"predecessors,omitempty"`
 }
@@ -290,14 +292,14 @@
 		})
 	}
 	return Checkpoint{
-		Incarnation: s.incarnation, Generation: c.Generation + 1, Era: s.era, Address: s.address, Basis: s.now, Ended: ended, Predecessors: c.predecessorsFor(s),
+		Incarnation: s.incarnation, Generation: c.Generation + 1, Era: s.era, Address: s.address, Basis: s.now, IsTraced: true, Ended: ended, Predecessors: c.predecessorsFor(s),
 	}
 }
 
 // predecessorsFor returns Checkpoint.Predecessors for the first checkpoint of a new incarnation.
 func (c Checkpoint) predecessorsFor(s startInfo) []Predecessor {
-	if c.Incarnation == "" || c.Address == "" || c.Address != s.address || c.Era != s.era {
-		// Nothing is known of when the other one ended, or it is by another clock.
+	if !c.IsTraced || c.Address == "" || c.Address != s.address || c.Era != s.era {
+		// Nothing is known of what the other one acknowledged or when it ended, or it is by another clock.
 		return nil
 	}
 	all := append(slices.Clone(c.Predecessors), Predecessor{Incarnation: c.Incarnation, EndedBy: c.endedBy(s), Basis: c.Basis, AckedAt: c.AckedAt})
--- a/treasurer/witness.go
+++ b/treasurer/witness.go
@@ -85,10 +85,10 @@
 }
 
 // TraceWitness returns the trace of a witness in the row of its instance's checkpoint. It returns an empty trace if the checkpoint is
-// of another era than the given one, whose clock is another.
+// of another era than the given one, whose clock is another, or of an earlier build.
 func TraceWitness(row masticway.StoredRow, witness masticway.Incarnation, era int64) WitnessTrace {
 	c, err := decode[Checkpoint](row)
-	if err != nil || c.Era != era {
+	if err != nil || !c.IsTraced || c.Era != era {
 		return WitnessTrace{}
 	}
 	if c.Incarnation == witness {
--- a/treasurer/witness_test.go
+++ b/treasurer/witness_test.go
@@ -312,4 +312,7 @@
 	b.now = b.now.Add(10 * time.Second)
 	b.startAt("edge~4", "here", b.now, 1000)
 	qt.Assert(t, b.trace("edge~2"), qt.Equals, trace, qt.Commentf("two incarnations later"))
+
+	row := masticway.StoredRow{Value: []byte(`{"incarnation":"old~1","sequence":3,"basis_ns":5}`)}
+	qt.Assert(t, treasurer.TraceWitness(row, "old~1", 0), qt.Equals, treasurer.WitnessTrace{}, qt.Commentf("an earlier build"))
 }
