--- a/forwarder/waivers.go
+++ b/forwarder/waivers.go
@@ -18,9 +18,9 @@
 // their callers abandoned, in tokens.
 type waiver struct{ charged, kept, waived int64 }
 
-// waivers decides which abandoned answers are not charged. The users' count of what a workspace got has whole answers and those that a
-// failure cut off, but no answer that its caller gave up. If all of these were charged, the budget of a workspace whose callers often
-// give up would be found exhausted early.
+// waivers decides which abandoned answers are not charged. A workspace pays for whole answers and for what a failure cut off, but not
+// for what its callers gave up. If all of that were charged, the budget of a workspace whose callers often give up would be found
+// exhausted early.
 type waivers struct {
 	mu          sync.Mutex
 	byWorkspace map[string]waiver
--- a/treasurer/doc.go
+++ b/treasurer/doc.go
@@ -41,6 +41,8 @@
 //     The holders are the candidates that keep a reserve of it now. All candidates are holders unless the budget is low, that is
 //     if too little is left for a reserve at each. Other routers borrow from holders.
 //   - part: one of the partitions over which the rows of a table are spread. A read returns all rows of a part.
+//   - trace: what the checkpoint of a witness's instance says about when that witness can have acknowledged reports.
+//   - farewell: the message with which a router that shuts down asks others to close its grants.
 //   - late, failing: the store is failing from the first call that it fails until it answers one. A checkpoint is late if it
 //     is in flight for longer than slowStoreLatency.
 //   - sealed: a router is sealed once it must not spend any more because it has a successor or a row cannot be decoded.
@@ -120,7 +122,10 @@
 // both cases the instance's next incarnation finds them. Checkpoint.successor lists an EndedIncarnation with the most that
 // may have been spent, the part of it that needed no witness, and the witnesses. Treasurer.closePredecessors then closes the
 // grants. Treasurer.presumeSpent (testimony.go) asks the witnesses, and EndedIncarnation.PresumedSpent combines their answers
-// with what the checkpoint says. If too few of them answer, the bound of the limits counts as spent. Treasurer.closeGrant
+// with what the checkpoint says. If too few of them have a record, it also uses the traces (TraceWitness) that the others'
+// checkpoints have of when they can have acknowledged reports. Only if a quorum of these can have done so late, the bound of the
+// limits counts as spent. A router that shuts down while the store is away sends a Farewell (farewell.go) to other routers, which
+// close its grants at what it says. Treasurer.closeGrant
 // makes the write that CloseGrant returns. In it Account.WithClosed removes the grant and adds what counts as spent to
 // Closed. The rest is in Account.Ungranted then, for any router. The token is settled now: it is in Closed.
 // Planner.ForgetPredecessors drops the EndedIncarnation from the next checkpoint. A late write of an ended incarnation
