--- a/relayer/ways.go
+++ b/relayer/ways.go
@@ -74,8 +74,8 @@
 
 // wait waits for the first definite result (see isDefinite) and returns it. If all attempts have ended without one, it returns
 // the worst result. It returns an unknown outcome if the direct attempt gets no result within directGrace after the relayed one
-// failed, or if the context ends or the store's calls are canceled. If more of a large answer arrives, it cancels the relayed attempt and postpones the hedge by
-// progressTimeout.
+// failed, or if the context ends or the store's calls are canceled. If more of a large answer arrives, it cancels the relayed attempt
+// and postpones the hedge by progressTimeout.
 func (p *callPaths) wait() (masticway.RowReading, error) {
 	for p.direct != nil || p.relayed != nil {
 		select {
--- a/soaker/soak.go
+++ b/soaker/soak.go
@@ -100,12 +100,12 @@
 	all              []*emulator.OpaqueServer // all servers that have been started
 	limits           []limitInterval          // the ended intervals in which servers advertised rate limits
 	versions         []version
-	prepaid          map[string]int64  // tokens by workspace
-	maxPrepaid       map[string]int64  // the most tokens that each workspace has had prepaid
-	pending          map[string]int64  // the most tokens that the requests in progress may cost, by workspace
-	keys             map[string]string // the current key of each workspace, empty while it has none
-	isChanging       map[string]bool   // workspaces whose keys or budgets are being changed
-	keysIssued       int
+	prepaid          map[string]int64          // tokens by workspace
+	maxPrepaid       map[string]int64          // the most tokens that each workspace has had prepaid
+	pending          map[string]int64          // the most tokens that the requests in progress may cost, by workspace
+	keys             map[string]string         // the current key of each workspace, empty while it has none
+	isChanging       map[string]bool           // workspaces whose keys or budgets are being changed
+	keysIssued       int                       // the number of keys that were given to workspaces later
 	workspaceFaults  int                       // the number of faults with more callers of a workspace
 	delivered        map[string]int64          // tokens that callers got, by workspace, without abandoned answers
 	abandoned        map[string]int64          // tokens of answers that callers abandoned, by workspace
--- a/treasurer/farewell.go
+++ b/treasurer/farewell.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -135,7 +134,7 @@
 		return
 	}
 	// Another router may have closed the grants, or the sender itself, while the store was away.
-	t.closeGrants(ctx, EndedIncarnation{Incarnation: f.Sender, MaxSpent: f.Taken, Era: f.Era}, maps.Clone(f.Taken))
+	t.closeGrants(ctx, EndedIncarnation{Incarnation: f.Sender, MaxSpent: f.Taken, Era: f.Era}, f.Taken)
 	if ctx.Err() != nil {
 		return
 	}
