Tell when a server was given up, and check that no two work on one request

Logs: server_given_up, request_sent_again, and whether this router closed a failed attempt's connection. Soak: callers try again as clients do, runs are counted over all tries (once), overlapping runs of one request are bounded by 0.4 s (single), resets pass the proxies, servers may notice a close late or only by a reset, and may stall; routers may be stopped just as they ask another server. The servers name the request in rejections, as the users' do.

--- a/emulator/opaque.go
+++ b/emulator/opaque.go
@@ -40,6 +40,12 @@
 	OpaqueUnframed OpaqueFault = "unframed"
 	// OpaqueUnframedTruncated does the same, but a stream ends in the middle of an event, and other answers with a reset.
 	OpaqueUnframedTruncated OpaqueFault = "unframed_cut"
+	// OpaqueStall runs the request and answers after the time that SetStall sets.
+	OpaqueStall OpaqueFault = "stall"
+	// OpaqueAnonymousRejection rejects the request like OpaqueOverloaded, but its answer does not name the request.
+	OpaqueAnonymousRejection OpaqueFault = "full_anonymous"
+	// OpaqueStrayRejection runs the request. Before the answer it sends one that rejects a request that it does not name.
+	OpaqueStrayRejection OpaqueFault = "extra_full"
 	// OpaqueHang runs the request and never answers. The server waits until the caller closes the connection.
 	OpaqueHang OpaqueFault = "hang"
 	// OpaqueUnsigned runs the request and answers without its signature.
@@ -73,6 +79,10 @@
 	HeadAt    time.Time
 	StartedAt time.Time
 	Fault     OpaqueFault
+	// EndedAt is when the server ceased to work on the request. It is zero while the server does.
+	EndedAt time.Time
+	// Reservation is the reservation with which the request came, if any (see OpaqueServer.Reservations).
+	Reservation string
 	// CallerDisconnected is set if an event of a stream could not be written because the connection had ended. Under
 	// OpaqueHang it is set when the connection ends.
 	CallerDisconnected bool
@@ -91,6 +101,13 @@
 	return append([]OpaqueRun(nil), l.runs...)
 }
 
+// IsRunning reports whether a server works on a request.
+func (l *OpaqueRunLog) IsRunning(id string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.ContainsFunc(l.runs, func(r OpaqueRun) bool { return r.ID == id && r.EndedAt.IsZero() })
+}
+
 // add appends a run and returns its index.
 func (l *OpaqueRunLog) add(r OpaqueRun) int {
 	l.mu.Lock()
@@ -99,6 +116,13 @@
 	return len(l.runs) - 1
 }
 
+// markEnded records that a server has ceased to work on a request.
+func (l *OpaqueRunLog) markEnded(i int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.runs[i].EndedAt = time.Now()
+}
+
 func (l *OpaqueRunLog) markDisconnected(i int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -144,7 +168,13 @@
 	draining  bool
 	// retryAfter is the Retry-After header of rejections, in seconds.
 	retryAfter string
-	arrivals   []OpaqueArrival
+	// closeNotice is how the server notices that a caller has closed a connection, stall how long it works before an answer with
+	// OpaqueStall, and readPause how long it waits between the head and the body of a request.
+	closeNotice      CloseNotice
+	stall, readPause time.Duration
+	// onArrival is called with the ID of each request that arrives, before anything else is done for it.
+	onArrival func(id string)
+	arrivals  []OpaqueArrival
 	// excesses holds the times at which more than maxConns connections were open after a new one; zero means no limit.
 	maxConns int
 	excesses []OpaqueExcess
@@ -336,6 +366,9 @@
 		if err != nil {
 			return
 		}
+		if tcp, ok := c.(*net.TCPConn); ok && s.pauseBeforeBody() > 0 {
+			_ = tcp.SetReadBuffer(smallReadBuffer)
+		}
 		s.mu.Lock()
 		s.conns[c] = true
 		if s.maxConns > 0 && len(s.conns) > s.maxConns {
@@ -360,6 +393,7 @@
 			return
 		}
 		headAt := arrivedAt(c)
+		time.Sleep(s.pauseBeforeBody())
 		body, err := io.ReadAll(r.Body)
 		if err != nil || !s.serveRequest(c, r, headAt, string(body)) {
 			return
@@ -396,20 +430,25 @@
 // serveRequest serves one request, whose head arrived at headAt. It returns whether the connection stays open.
 func (s *OpaqueServer) serveRequest(c net.Conn, r *http.Request, headAt time.Time, body string) bool {
 	id := r.Header.Get("X-Attempt-Id")
+	s.reportArrival(id)
 	fault, events, pause := s.recordArrival(arrivedAt(c), id, body, r.Header.Get("X-Prefix-Hash"))
+	named := "X-Attempt-Id: " + id + "\r\n"
 	switch {
 	case fault == OpaqueOverloaded:
+		return s.write(c, s.rejectionHeader()+named+"Content-Length: 0\r\n\r\n")
+	case fault == OpaqueAnonymousRejection:
 		return s.write(c, s.rejectionHeader()+"Content-Length: 0\r\n\r\n")
 	case fault == OpaqueWrongServer || r.Header.Get("X-Expect-Instance") != s.ID:
-		return s.write(c, "HTTP/1.1 421 Misdirected Request\r\nX-Instance-Id: "+s.ID+"\r\nContent-Length: 0\r\n\r\n")
+		return s.write(c, "HTTP/1.1 421 Misdirected Request\r\nX-Instance-Id: "+s.ID+"\r\n"+named+"Content-Length: 0\r\n\r\n")
 	}
 	timeLeft, _ := strconv.ParseInt(r.Header.Get("X-Deadline-Ms"), 10, 64)
 	run := s.runLog.add(OpaqueRun{
 		ID: id, Server: s.ID, Workspace: r.Header.Get("X-Tenant"), LastEvent: r.Header.Get("Last-Event-Id"), Path: r.RequestURI,
 		TimeLeft: time.Duration(timeLeft) * time.Millisecond, HasKey: r.Header.Get("Authorization") != "", Body: body, Prompt: r.Header.Get("X-Prefix-Hash"),
-		HeadAt: headAt, StartedAt: time.Now(), Fault: fault,
+		HeadAt: headAt, StartedAt: time.Now(), Fault: fault, Reservation: r.Header.Get("X-Kv-Hold"),
 	})
-	header := "X-Attempt-Id: " + id + "\r\nX-Server-Signature: " + signaturePrefix + s.ID + "\r\n" + s.serverHeader()
+	defer s.runLog.markEnded(run)
+	header := named + "X-Server-Signature: " + signaturePrefix + s.ID + "\r\n" + s.serverHeader()
 	switch fault {
 	case OpaqueCrash:
 		s.crash()
@@ -420,10 +459,16 @@
 		}
 		return false
 	case OpaqueHang:
-		// Wait until the caller closes the connection.
-		_, _ = c.Read(make([]byte, 1))
+		s.awaitClose(c)
 		s.runLog.markDisconnected(run)
 		return false
+	case OpaqueStall:
+		if !s.work(c, s.stallTime()) {
+			s.runLog.markDisconnected(run)
+			return false
+		}
+	case OpaqueStrayRejection:
+		s.write(c, s.rejectionHeader()+"Content-Length: 0\r\n\r\n")
 	case OpaqueError:
 		return s.write(c, "HTTP/1.1 500 Internal Server Error\r\n"+header+"Content-Length: 4\r\n\r\noops")
 	case OpaqueUnsigned:
@@ -447,7 +492,10 @@
 	}
 	text := "ok"
 	if echo, workTime := s.echoSettings(); echo {
-		time.Sleep(workTime)
+		if !s.work(c, workTime) {
+			s.runLog.markDisconnected(run)
+			return false
+		}
 		text = "ok " + id + " " + body
 	}
 	return s.write(c, fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", header, len(text), text))
@@ -488,7 +536,10 @@
 	}
 	received, _ := strconv.Atoi(lastEvent)
 	for i := received + 1; i <= events; i++ {
-		time.Sleep(pause)
+		if !s.work(c, pause) {
+			s.runLog.markDisconnected(run)
+			return false
+		}
 		event := fmt.Sprintf("id: %d\ndata: piece %d%s\n\n", i, i, suffix)
 		if cut && i == received+(events-received+1)/2+1 {
 			event = event[:len(event)/2]
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -60,6 +60,16 @@
 	answerRecorded bool
 	// coordinated is the run as it is reported to the coordinator.
 	coordinated coordinatedRun
+	// previous is the attempt before this one that may have run the request; its server is empty if there is none.
+	previous previousAttempt
+}
+
+// previousAttempt is an attempt of the request before another one.
+type previousAttempt struct {
+	server string
+	fate   masticway.Fate
+	// endedAt is when this router had closed the connection. It is zero while the connection is open.
+	endedAt time.Time
 }
 
 // runAttempt runs an attempt to its end and records its result in the load and health of its server. If the caller has left, the
@@ -69,6 +79,9 @@
 	x.server, x.version = a.server.ID, a.server.Version
 	events := x.events
 	out := a.run()
+	if !out.unsent {
+		x.previous = previousAttempt{server: a.server.ID, fate: out.fate, endedAt: x.f.clock.Now()}
+	}
 	a.coordinated.events = x.events - events
 	if errors.Is(ctx.Err(), context.Canceled) {
 		out.result = chooser.ResultNeutral
@@ -92,6 +105,9 @@
 		a.retry, x.retry = x.retry, retrier.Decision{}
 	}
 	a.excluded = maps.Clone(x.tried)
+	if !a.sent.Load() {
+		a.previous = x.previous
+	}
 	return a, outcome{}
 }
 
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -100,6 +100,8 @@
 	// otherRuns counts the handover candidates that may have run the request and were given up. pendingCandidates counts those of
 	// which it is not known yet whether the request is handed over to them.
 	otherRuns, pendingCandidates atomic.Int32
+	// previous is the last attempt that has ended after the request was sent.
+	previous previousAttempt
 	// tried holds the IDs of the servers of failed attempts, and cause the reason of the last failure.
 	tried map[string]bool
 	cause string
--- a/forwarder/handover.go
+++ b/forwarder/handover.go
@@ -53,6 +53,8 @@
 	droppedCandidates []string
 	// handedOver is set once the request has been handed over.
 	handedOver bool
+	// progressAt is when the silence timeout was set, which is when the server last made progress.
+	progressAt time.Time
 }
 
 // setSilenceTimeout replaces the silence timeout: if the server makes no progress within the timeout, the request is handed over
@@ -74,6 +76,7 @@
 		// A suspect must not run at two servers at once.
 		return
 	}
+	h.progressAt = a.x.f.clock.Now()
 	generation, headWritten, lastEvent := h.generation, a.x.headWritten, a.x.lastEvent
 	h.due = a.x.f.clock.Now().Add(timeout)
 	h.timer = time.AfterFunc(timeout, func() {
@@ -154,6 +157,7 @@
 	}
 	next := x.newAttempt(a.parent, c)
 	next.sendResults, next.retry = make(chan sendResult, 1), retry
+	next.previous = previousAttempt{server: a.server.ID, fate: masticway.FateUnknown}
 	if !a.beginHandover(generation, next.cancel) {
 		next.cancel(nil)
 		next.recordResult(chooser.ResultNeutral)
@@ -216,6 +220,11 @@
 	h.cancelCandidate, h.handedOver = nil, true
 	a.x.next.Store(next)
 	a.cancel(errSilent)
+	now := a.x.f.clock.Now()
+	a.x.f.log.WithFields(logrus.Fields{
+		"event": "server_given_up", "request": a.x.q.ID, "server": a.server.ID, "to": next.server.ID, "silent_ms": now.Sub(h.progressAt).Milliseconds(),
+		"asked_ms": now.Sub(next.sentAt).Milliseconds(), "to_sent": next.sent.Load(),
+	}).Info("silent server given up")
 	return true
 }
 
@@ -231,6 +240,7 @@
 	next.recordResult(out.result)
 	x.f.log.WithFields(logrus.Fields{
 		"event": "handover_refused", "request": x.q.ID, "server": next.server.ID, "stays_at": a.server.ID, "cause": out.reason,
+		"sent": next.sent.Load(), "asked_ms": x.f.clock.Now().Sub(next.sentAt).Milliseconds(),
 	}).Info("handover aborted")
 }
 
--- a/forwarder/report.go
+++ b/forwarder/report.go
@@ -104,6 +104,6 @@
 func (x *exchange) logFailedAttempt(server masticway.Server, out outcome, retry retryDecision) {
 	x.f.log.WithFields(retry.fields()).WithFields(logrus.Fields{
 		"event": "attempt_failed", "request": x.q.ID, "pool": x.q.pool.Name, "server": server.ID, "version": server.Version, "address": server.Address, "fate": out.fate,
-		"cause": out.reason, "events": x.events, "digest": x.suspects().Request, "path": x.q.path(), "workspace": x.q.account.Workspace, "ms": x.f.clock.Now().Sub(x.q.arrivedAt).Milliseconds(),
+		"cause": out.reason, "given_up": out.abandoned, "events": x.events, "digest": x.suspects().Request, "path": x.q.path(), "workspace": x.q.account.Workspace, "ms": x.f.clock.Now().Sub(x.q.arrivedAt).Milliseconds(),
 	}).Info("attempt failed")
 }
--- a/forwarder/sending.go
+++ b/forwarder/sending.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/masticway/masticway"
 	"github.com/masticway/masticway/chooser"
 	"github.com/masticway/masticway/retrier"
@@ -88,10 +90,26 @@
 	}
 	if !a.sent.Swap(true) {
 		x.sentAge.Store(int64(x.f.clock.Now().Sub(x.q.arrivedAt)))
+		a.logSentAgain()
 	}
 	return nil
 }
 
+// logSentAgain logs that the request is sent to another server than before, and how long after the connection to that one was closed.
+func (a *attempt) logSentAgain() {
+	p, x := a.previous, a.x
+	if p.server == "" {
+		return
+	}
+	fields := logrus.Fields{
+		"event": "request_sent_again", "request": x.q.ID, "server": a.server.ID, "previous": p.server, "previous_fate": p.fate, "previous_open": p.endedAt.IsZero(),
+	}
+	if !p.endedAt.IsZero() {
+		fields["after_ms"] = x.f.clock.Now().Sub(p.endedAt).Milliseconds()
+	}
+	x.f.log.WithFields(fields).Info("request sent to another server")
+}
+
 // unwantedOutcome returns the outcome of an attempt that was not sent because of an error of checkWanted. It says nothing about the
 // server.
 func unwantedOutcome(err error) outcome {
--- a/inspector/inspector.go
+++ b/inspector/inspector.go
@@ -8,8 +8,11 @@
 	"golang.org/x/sys/unix"
 )
 
-// stateEstablished is the state of a TCP connection that neither end has closed, as the kernel numbers it.
-const stateEstablished = 1
+// States of a TCP connection, as the kernel numbers them: neither end has closed it, and nothing is left of it.
+const (
+	stateEstablished = 1
+	stateClosed      = 7
+)
 
 // maxTick is the longest period of the kernel's timer, in whose units it records when data arrived.
 const maxTick = 10 * time.Millisecond
@@ -21,6 +24,8 @@
 	SinceData time.Duration
 	// PeerClosed is set if the peer has closed the connection, or its sending side, or if the connection was reset.
 	PeerClosed bool
+	// IsReset is set if the connection was reset, by the peer or because the peer could not be reached.
+	IsReset bool
 }
 
 // Inspect returns what the kernel knows about a connection. It returns false for connections that are not TCP connections or have
@@ -42,5 +47,6 @@
 	return Inspection{
 		SinceData:  max(0, time.Duration(info.Last_data_recv)*time.Millisecond-maxTick),
 		PeerClosed: info.State != stateEstablished,
+		IsReset:    info.State == stateClosed,
 	}, true
 }
--- a/soaker/caller.go
+++ b/soaker/caller.go
@@ -71,6 +71,10 @@
 	resumeAfter int
 	// resumes is the id of the request that began that answer.
 	resumes string
+	// firstTry is the id of the first try of what this request tries again; it is empty for a first try. retryAfter is the pause for
+	// which the answer asks.
+	firstTry   string
+	retryAfter time.Duration
 	// readPause is how long the caller does not read after the head of the answer, which arrived at headAt.
 	readPause time.Duration
 	headAt    time.Time
@@ -166,6 +170,7 @@
 		resumed = resumed.remainder()
 		c.send(resumed, r.name)
 	}
+	c.tryAgain(q)
 	return q.status
 }
 
@@ -237,6 +242,9 @@
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(i httptrace.GotConnInfo) {
 			q.reusedConn, q.router = i.Reused, c.soak.routers[i.Conn.RemoteAddr().String()]
+			c.soak.mu.Lock()
+			c.soak.routerOf[q.id] = q.router
+			c.soak.mu.Unlock()
 		},
 		WroteRequest: func(i httptrace.WroteRequestInfo) { q.written.Store(i.Err == nil) },
 	})
@@ -251,7 +259,7 @@
 		return err
 	}
 	defer in.Body.Close()
-	q.status = in.StatusCode
+	q.status, q.retryAfter = in.StatusCode, parseRetryAfter(in.Header)
 	q.answerID, q.signedBy = emulator.AnswerOrigin(in.Header)
 	if q.readPause > 0 && q.status == http.StatusOK {
 		q.headAt = time.Now()
--- a/soaker/checks.go
+++ b/soaker/checks.go
@@ -25,7 +25,8 @@
 // Names of the promises that are checked.
 const (
 	promiseBudget    = "budget"    // no workspace gets more than its prepaid tokens, without answers that its callers abandon
-	promiseOnce      = "once"      // a non-repeatable request runs at most once
+	promiseOnce      = "once"      // a non-repeatable request runs at most once, over all tries of its caller
+	promiseSingle    = "single"    // no two servers work on one request for longer than maxOverlap
 	promiseNotRun    = "not_run"   // a request that was reported as not run never ran
 	promiseWhole     = "whole"     // a caller gets the whole answer to its own request, and no partial answer looks complete
 	promiseUnchanged = "unchanged" // servers run what callers sent, for the caller's workspace, in the pool of the request's route
@@ -178,6 +179,8 @@
 		s.checkAnswered(q, runs[id])
 		s.checkVersion(q, runs[id])
 	}
+	s.checkTries(runs)
+	s.checkOverlaps(runs)
 	s.checkResumptions()
 	s.checkDeadlyRequests()
 	s.checkDeadlyParts()
--- a/soaker/faults.go
+++ b/soaker/faults.go
@@ -76,6 +76,8 @@
 	returnKind:          {0, maxReturnOutage - minDuration, (*soakRun).returnStore},
 	leavingKind:         {0, 0, (*soakRun).leave},
 	"router_throttled":  {0, 4 * time.Second, (*soakRun).throttle},
+	stallKind:           {0, maxStall - minDuration, (*soakRun).stallServer},
+	stopKind:            {0, maxStopWatch - minDuration, (*soakRun).stopInHandovers},
 	"servers_slow":      {0, maxServerDelay, (*soakRun).slowServers},
 	slowReadersKind:     {0, maxReadPause - minDuration, (*soakRun).readSlowly},
 	"crowd":             {0, 2 * time.Second, (*soakRun).crowd},
--- a/soaker/link.go
+++ b/soaker/link.go
@@ -1,9 +1,11 @@
 package soaker
 
 import (
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -95,14 +97,19 @@
 	_, _ = near.Close(), far.Close()
 }
 
-// forward forwards bytes in one direction until reading or writing fails. It then closes the write side of to, so that the
-// other end sees a reset of from as a normal end of the data.
+// forward forwards bytes in one direction until reading or writing fails. It then closes the write side of to, or resets to if from was
+// reset: the other end may conclude from a reset that something was not read.
 func (p *proxy) forward(direction int, to, from *net.TCPConn) {
 	defer to.CloseWrite()
 	buffer := make([]byte, chunkBytes)
 	silences := p.silences.Load()
 	for {
 		n, err := from.Read(buffer)
+		if errors.Is(err, syscall.ECONNRESET) {
+			_ = to.SetLinger(0)
+			_ = to.Close()
+			return
+		}
 		if err == nil && p.silences.Load() != silences {
 			continue
 		}
--- /dev/null
+++ b/soaker/overlaps.go
@@ -0,0 +1,112 @@
+package soaker
+
+import (
+	"slices"
+	"syscall"
+	"time"
+
+	"github.com/masticway/masticway/emulator"
+)
+
+const (
+	// maxOverlap is how long two servers may work on one request, as in the users' deployments.
+	maxOverlap = 400 * time.Millisecond
+	// stallKind is the fault in which a server works on without an answer, for at most maxStall.
+	stallKind, maxStall = "server_stalls", 3500 * time.Millisecond
+	// stalledRequests is the number of requests that such a fault affects.
+	stalledRequests = 12
+	// stopKind is the fault in which routers are stopped for handoverStop when they ask another server to take a request over.
+	// maxStopWatch is the longest time that it lasts.
+	stopKind, maxStopWatch, handoverStop = "stops_in_handovers", 5 * time.Second, 700 * time.Millisecond
+)
+
+// closeNotices are the ways in which servers notice that a router has closed a connection, in soaks with faults of stallKind.
+var closeNotices = []emulator.CloseNotice{
+	{Interval: 10 * time.Millisecond}, {Interval: 150 * time.Millisecond}, {Interval: 20 * time.Millisecond, OnlyReset: true}, {Interval: 100 * time.Millisecond, OnlyReset: true},
+}
+
+// watchesHandovers reports whether the soak's servers notice the end of connections while they work.
+func (s *soakRun) watchesHandovers() bool { return slices.Contains(s.Kinds, stallKind) }
+
+// stallServer makes a server stall with its next requests.
+func (s *soakRun) stallServer(e faultEvent) {
+	server, _ := s.targetServer(e)
+	server.SetStall(e.duration)
+	server.InjectFaults(slices.Repeat([]emulator.OpaqueFault{emulator.OpaqueStall}, stalledRequests)...)
+}
+
+// stopInHandovers stops routers in handovers for the duration of the fault.
+func (s *soakRun) stopInHandovers(e faultEvent) {
+	s.handoverStops.Add(1)
+	time.Sleep(e.duration)
+	s.handoverStops.Add(-1)
+}
+
+// onArrival is called when a request reaches a server. If another server works on it, and routers are to be stopped in handovers, it
+// stops the request's router.
+func (s *soakRun) onArrival(id string) {
+	if s.handoverStops.Load() == 0 || !s.ledger.IsRunning(id) {
+		return
+	}
+	s.mu.Lock()
+	router, ok := s.routerOf[id]
+	s.mu.Unlock()
+	if ok {
+		s.stopRouter(router)
+	}
+}
+
+// stopRouter stops a router for handoverStop, unless it is being stopped. It returns at once.
+func (s *soakRun) stopRouter(i int) {
+	p := s.processes[i]
+	if !p.stopMu.TryLock() {
+		return
+	}
+	end := s.beginDisturbance(stopKind, routerTarget(i), 0)
+	p.signal(syscall.SIGSTOP)
+	s.faults.Go(func() {
+		defer p.stopMu.Unlock()
+		time.Sleep(handoverStop)
+		p.signal(syscall.SIGCONT)
+		end()
+	})
+}
+
+// checkOverlaps checks that no two servers worked on one request for longer than maxOverlap. A stopped router is no excuse where servers
+// reserve capacity, since it need not have two servers at work at all.
+func (s *soakRun) checkOverlaps(runs map[string][]emulator.OpaqueRun) {
+	var longest time.Duration
+	for id, all := range runs {
+		q := s.requests[id]
+		if q == nil {
+			continue
+		}
+		for i, first := range all {
+			for _, second := range all[i+1:] {
+				overlap := overlapOf(first, second)
+				if !q.metered && !s.isUndisturbed(first.StartedAt, second.StartedAt.Add(overlap), routerTarget(q.router), starvedTarget(q.router)) {
+					continue
+				}
+				longest = max(longest, overlap)
+				if overlap > maxOverlap {
+					s.reportViolation(promiseSingle, "%s and %s both worked for %s: %s", first.Server, second.Server, overlap.Round(time.Millisecond), q)
+				}
+			}
+		}
+	}
+	s.logf("two servers worked on one request for at most %s", longest.Round(time.Millisecond))
+}
+
+// overlapOf returns how long two runs went on at the same time.
+func overlapOf(a, b emulator.OpaqueRun) time.Duration {
+	from, to := a.StartedAt, time.Now()
+	if b.StartedAt.After(from) {
+		from = b.StartedAt
+	}
+	for _, r := range []emulator.OpaqueRun{a, b} {
+		if !r.EndedAt.IsZero() && r.EndedAt.Before(to) {
+			to = r.EndedAt
+		}
+	}
+	return max(0, to.Sub(from))
+}
--- a/soaker/process.go
+++ b/soaker/process.go
@@ -38,6 +38,7 @@
 	files       string     // the path of its files without their extensions
 	proxies     [2]*proxy  // indexed by callerProxy and storeProxy
 	lifecycleMu sync.Mutex // held during a restart or reload; a fault that finds it held skips the router
+	stopMu      sync.Mutex // held while the router is stopped in a handover
 
 	mu            sync.Mutex
 	command       *exec.Cmd
--- a/soaker/soak.go
+++ b/soaker/soak.go
@@ -110,6 +110,7 @@
 	delivered        map[string]int64          // tokens that callers got, by workspace, without abandoned answers
 	abandoned        map[string]int64          // tokens of answers that callers abandoned, by workspace
 	requests         map[string]*request       // by id
+	routerOf         map[string]int            // the index of the router that each request was sent to, by id
 	disturbances     map[string][]interval     // by target: a router, a server or the store
 	delays           map[int][]schedulingDelay // by index of the router
 	violations       []Violation
@@ -119,8 +120,9 @@
 	resumed          int
 	faultsDrawn      int
 	activeParts      atomic.Int32
-	deadlyParts      int // the number of faults with a deadly part
-	leavingFaults    int // the number of faults in which callers leave
+	handoverStops    atomic.Int32 // the number of faults in which routers are stopped in handovers
+	deadlyParts      int          // the number of faults with a deadly part
+	leavingFaults    int          // the number of faults in which callers leave
 	// The number of requests whose callers left, of those whose callers waited, and of those of them that were answered and served.
 	left, waited, waitedAnswered, waitedServed int
 	sound                                      int // the number of sound requests beside them that were checked
@@ -140,7 +142,7 @@
 		Soak: o, random: random, log: log, rows: rows, store: &http.Server{Handler: rows.Handler()}, ledger: &emulator.OpaqueRunLog{},
 		events: 2 + random.IntN(maxEvents-1), pause: randomUpTo(random, maxEventPause), work: randomUpTo(random, maxWork), grace: minGrace + time.Duration(random.IntN(2))*extraGrace,
 		servers: make([]*emulator.OpaqueServer, len(pools)), zones: map[string]string{}, slotVersions: firstVersions(slices.Contains(o.Kinds, releaseKind)), serverSpans: map[string]serverSpan{}, drainAcceptedAt: map[string]time.Time{}, drainAnnouncedAt: map[string]time.Time{}, delivered: map[string]int64{}, abandoned: map[string]int64{},
-		prepaid: map[string]int64{"thin": 4_000, "middle": 40_000, "wide": 50_000_000, singleWorkspace: 2_000_000}, maxPrepaid: map[string]int64{}, pending: map[string]int64{}, keys: firstKeys(), isChanging: map[string]bool{}, requests: map[string]*request{}, routers: map[string]int{}, disturbances: map[string][]interval{}, delays: map[int][]schedulingDelay{},
+		prepaid: map[string]int64{"thin": 4_000, "middle": 40_000, "wide": 50_000_000, singleWorkspace: 2_000_000}, maxPrepaid: map[string]int64{}, pending: map[string]int64{}, keys: firstKeys(), isChanging: map[string]bool{}, requests: map[string]*request{}, routerOf: map[string]int{}, routers: map[string]int{}, disturbances: map[string][]interval{}, delays: map[int][]schedulingDelay{},
 	}
 	defer s.close()
 	if err := s.start(); err != nil {
--- /dev/null
+++ b/soaker/tries.go
@@ -0,0 +1,94 @@
+package soaker
+
+import (
+	"cmp"
+	"errors"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/masticway/masticway/emulator"
+)
+
+const (
+	// maxTries is how often a caller sends a request, with a new ID each time.
+	maxTries = 3
+	// retryAfterDivisor divides the time that a caller has left; it waits no longer than that before it tries again.
+	retryAfterDivisor = 3
+	// minRetryTime is the least time that a caller must have left to try again.
+	minRetryTime = 200 * time.Millisecond
+)
+
+// parseRetryAfter returns the pause, in seconds and possibly with fractions, for which an answer asks. It returns zero if it asks for
+// none.
+func parseRetryAfter(h http.Header) time.Duration {
+	seconds, err := strconv.ParseFloat(h.Get("Retry-After"), 64)
+	if err != nil {
+		return 0
+	}
+	return time.Duration(seconds * float64(time.Second))
+}
+
+// tryAgain sends a request again, on a new connection and within its caller's time, for as long as it fails and may be sent again.
+func (c *caller) tryAgain(q *request) {
+	until := q.sentAt.Add(q.timeLimit)
+	for range maxTries - 1 {
+		pause, left := q.retryAfter, time.Until(until)
+		if !c.mayTryAgain(q) || left < minRetryTime || pause > left/retryAfterDivisor {
+			return
+		}
+		time.Sleep(pause)
+		next := &request{
+			route: q.route, prompt: q.prompt, declared: q.declared, workspace: q.workspace, firstTry: cmp.Or(q.firstTry, q.id),
+			body: strings.Repeat("x", len(q.body)-len(q.id)), timeLimit: time.Until(until).Truncate(time.Millisecond),
+		}
+		next.waitTimeout = min(next.timeLimit, emulator.DeploymentTimeout) + answerSlack
+		c.transport.CloseIdleConnections()
+		c.send(next, q.name)
+		q = next
+	}
+}
+
+// mayTryAgain reports whether a request failed and may be sent again: if it is repeatable after any failure, otherwise only if the router
+// promised that it has not run, or closed the connection without having read the request. The kernel tells that by a reset.
+func (c *caller) mayTryAgain(q *request) bool {
+	switch {
+	case q.events > 0 || q.outcome == outcomeTimedOut:
+		return false
+	case q.outcome == outcomeAnswered:
+		hasPromise := slices.Contains([]int{http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable}, q.status)
+		return hasPromise || q.repeatable && q.status >= http.StatusInternalServerError
+	case q.repeatable:
+		return true
+	}
+	// A fault that resets callers' connections says nothing about what the router has read.
+	isReset := errors.Is(q.err, syscall.ECONNRESET) && c.soak.isUndisturbed(q.sentAt.Add(-timingSlack), q.endedAt, callerLinkTarget(q.router))
+	return q.outcome == outcomeUnsent && q.err != nil && errors.Is(q.err, syscall.ECONNREFUSED) || isReset && q.status == 0
+}
+
+// checkTries checks that a non-repeatable request ran at most once over all tries of its caller.
+func (s *soakRun) checkTries(runs map[string][]emulator.OpaqueRun) {
+	tries := map[string][]*request{}
+	for _, q := range s.requests {
+		if !q.repeatable && q.name != "" {
+			first := cmp.Or(q.firstTry, q.id)
+			tries[first] = append(tries[first], q)
+		}
+	}
+	again := 0
+	for _, all := range tries {
+		again += len(all) - 1
+		count := 0
+		for _, q := range all {
+			count += len(runs[q.id])
+		}
+		if len(all) > 1 && count > 1 {
+			slices.SortFunc(all, func(a, b *request) int { return a.sentAt.Compare(b.sentAt) })
+			s.reportViolation(promiseOnce, "ran %d times in %d tries: %v", count, len(all), all)
+		}
+	}
+	s.logf("%d non-repeatable requests were sent again", again)
+}
