Reset the connections of requests that are given up

What servers saw: a router that gave a request up (a handover, a caller that left, a time limit) closed the connection in the usual way. A server that takes this for the end of the sending side worked on, and a request whose body was still being sent reached the server whole, and ran, after the router had sent it elsewhere.

Cause: that a server is told was left to the side effects of close(2): the end of the connection queues behind what is not sent yet, and looks like a half-close until the server writes twice. Class: ends that are not told.

Now a connection whose answer is not complete, or whose body is not sent, is reset: nothing queues before a reset, the unsent rest is dropped, and no server can take it for anything else. Complete answers close as before.

--- a/inspector/inspector.go
+++ b/inspector/inspector.go
@@ -31,22 +31,31 @@
 // Inspect returns what the kernel knows about a connection. It returns false for connections that are not TCP connections or have
 // been closed by this process, and if the kernel does not tell.
 func Inspect(c net.Conn) (Inspection, bool) {
-	s, ok := c.(syscall.Conn)
+	info, ok := tcpInfo(c)
 	if !ok {
 		return Inspection{}, false
 	}
+	return Inspection{
+		SinceData:  max(0, time.Duration(info.Last_data_recv)*time.Millisecond-maxTick),
+		PeerClosed: info.State != stateEstablished,
+		IsReset:    info.State == stateClosed,
+	}, true
+}
+
+// tcpInfo returns the kernel's record of a TCP connection, or false if there is none.
+func tcpInfo(c net.Conn) (*unix.TCPInfo, bool) {
+	s, ok := c.(syscall.Conn)
+	if !ok {
+		return nil, false
+	}
 	raw, err := s.SyscallConn()
 	if err != nil {
-		return Inspection{}, false
+		return nil, false
 	}
 	var info *unix.TCPInfo
 	var infoErr error
 	if err := raw.Control(func(fd uintptr) { info, infoErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) }); err != nil || infoErr != nil {
-		return Inspection{}, false
+		return nil, false
 	}
-	return Inspection{
-		SinceData:  max(0, time.Duration(info.Last_data_recv)*time.Millisecond-maxTick),
-		PeerClosed: info.State != stateEstablished,
-		IsReset:    info.State == stateClosed,
-	}, true
+	return info, true
 }
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -124,7 +124,7 @@
 		return
 	}
 	a.closed = true
-	a.conn.release(a.complete && a.Framed)
+	a.conn.release(a.complete, a.Framed)
 }
 
 // Next discards the answer, reads the next one on the connection and returns it. It is for faulty servers that send an answer
@@ -181,11 +181,11 @@
 	// writeDone delivers the result of writing a large body concurrently; it is nil if there is none. requests is the number of
 	// requests sent on the connection.
 	writeDone chan error
-	// checkFailure is the error of Request.Check that ended the writing of a body.
-	checkFailure atomic.Pointer[error]
-	requests     int
-	idleSince    time.Time
-	idleTimeout  time.Duration
+	// failure is the error for which this process reset the connection while it waited for the server.
+	failure     atomic.Pointer[error]
+	requests    int
+	idleSince   time.Time
+	idleTimeout time.Duration
 	// ackTimeout is the acknowledgement timeout that is set on the socket.
 	ackTimeout time.Duration
 	// stop cancels the function that closes the connection when the current request's context ends. It returns false if that
@@ -227,17 +227,17 @@
 	}
 	c.requests++
 	c.method = r.Method
-	c.stop = context.AfterFunc(ctx, func() { _ = c.net.Close() })
-	if err := c.write(head, r); err != nil {
-		c.release(false)
-		return nil, &Error{Sent: true, Reused: c.requests > 1, Cause: errOr(ctx.Err(), err)}
+	c.stop = context.AfterFunc(ctx, c.reset)
+	err = c.write(head, r)
+	var a *Answer
+	if err == nil {
+		a, err = c.readAnswer()
 	}
-	a, err := c.readAnswer()
 	if err != nil {
-		if failure := c.checkFailure.Load(); failure != nil {
+		if failure := c.failure.Load(); failure != nil {
 			err = *failure
 		}
-		c.release(false)
+		c.release(false, false)
 		return nil, &Error{Sent: true, Reused: c.requests > 1, Cause: errOr(ctx.Err(), err)}
 	}
 	return a, nil
@@ -419,8 +419,8 @@
 	return err == nil && noInput
 }
 
-// setAckTimeout sets how long sent bytes may stay unacknowledged. A kernel acknowledges them even if its server process is busy,
-// so the timeout detects a machine without power or a silent connection, but not a slow server.
+// setAckTimeout sets how long sent bytes may stay unacknowledged or, because the server does not read, unsent until the kernel drops the
+// connection. The kernel tells the server nothing then.
 func (c *conn) setAckTimeout(timeout time.Duration) {
 	tcp, ok := c.net.(*net.TCPConn)
 	if !ok || timeout == c.ackTimeout {
@@ -476,13 +476,12 @@
 	return nil
 }
 
-// writeRest writes the rest of a body. It closes the connection if the request is not wanted any more: writing may take long, or the
+// writeRest writes the rest of a body. It resets the connection if the request is not wanted any more: writing may take long, or the
 // process may have waited for a processor.
 func (c *conn) writeRest(r Request, rest []byte) error {
 	for len(rest) > 0 {
 		if err := r.check(); err != nil {
-			c.checkFailure.Store(&err)
-			_ = c.net.Close()
+			c.fail(err)
 			return err
 		}
 		n := min(pieceBytes, len(rest))
@@ -512,25 +511,29 @@
 	}
 }
 
-// release ends a request. It returns the connection to the pool if the caller and the connection's state allow its reuse, and
-// closes it otherwise.
-func (c *conn) release(reusable bool) {
+// release ends a request, whose answer may be complete and framed. It returns the connection to the pool if its state allows its
+// reuse. Otherwise it closes the connection, or resets it if the server may still work on the request or wait for the rest of its body.
+func (c *conn) release(complete, framed bool) {
 	stopped := c.stop()
 	if c.writeDone != nil {
 		select {
 		case err := <-c.writeDone:
-			reusable = reusable && err == nil
+			complete = complete && err == nil
 		default:
 			// The server answered before it read the whole body. It would read the rest of the body as the next request.
-			reusable = false
+			complete = false
 		}
 		c.writeDone = nil
 	}
-	if !reusable || !stopped || c.willClose || c.tainted || c.reader.Buffered() > 0 {
+	switch {
+	case !complete:
+		c.reset()
+		c.forget()
+	case !framed || !stopped || c.willClose || c.tainted || c.reader.Buffered() > 0:
 		c.discard()
-		return
+	default:
+		c.keep()
 	}
-	c.keep()
 }
 
 // keep adds the connection to the pool's idle ones, or closes it if more connections than the limit are open.
@@ -549,6 +552,11 @@
 // discard closes a connection that is not in the pool's idle list.
 func (c *conn) discard() {
 	_ = c.net.Close()
+	c.forget()
+}
+
+// forget no longer counts a connection that is not in the pool's idle list as open.
+func (c *conn) forget() {
 	c.sender.mu.Lock()
 	defer c.sender.mu.Unlock()
 	c.sender.pool(c.address).open--
