Tell servers whose acknowledgements fail, and spare those that read slowly

What servers saw: when nothing was acknowledged for 0.7 s, the router sent a repeatable request elsewhere, and the server before worked on to the end of its answer if it could be reached again. A server that did not read a large body for 0.7 s was given up as dark although its machine answered.

Cause: TCP_USER_TIMEOUT. The kernel drops the connection on this side only, without a reset, and counts a closed window like missing acknowledgements.

Now the router asks the kernel when the last acknowledgement came, and resets the connection itself. Bytes that wait for the server's window do not count; the request's own time and handovers bound those. Where the kernel does not tell, its own timeout stays in use.

--- a/inspector/inspector.go
+++ b/inspector/inspector.go
@@ -28,6 +28,24 @@
 	IsReset bool
 }
 
+// Sending is what the kernel knows about the bytes that were sent on a connection.
+type Sending struct {
+	// IsUnacknowledged is set if bytes are on their way that the peer has not acknowledged. Bytes that wait because the peer reads too
+	// slowly do not count.
+	IsUnacknowledged bool
+	// SinceAck is the time since the peer last acknowledged anything. It is zero if the kernel does not tell.
+	SinceAck time.Duration
+}
+
+// InspectSending returns what the kernel knows about the bytes sent on a connection. It returns false if Inspect would.
+func InspectSending(c net.Conn) (Sending, bool) {
+	info, ok := tcpInfo(c)
+	if !ok {
+		return Sending{}, false
+	}
+	return Sending{IsUnacknowledged: info.Unacked > 0, SinceAck: time.Duration(info.Last_ack_recv) * time.Millisecond}, true
+}
+
 // Inspect returns what the kernel knows about a connection. It returns false for connections that are not TCP connections or have
 // been closed by this process, and if the kernel does not tell.
 func Inspect(c net.Conn) (Inspection, bool) {
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -52,7 +52,7 @@
 	// ConnectTimeout is the timeout for establishing a connection.
 	ConnectTimeout time.Duration
 	// AckTimeout is how long sent bytes may stay unacknowledged by the server's kernel before the connection is considered
-	// broken. Zero selects the system's default, which is minutes.
+	// broken (see watchAcks). Zero selects the system's default, which is minutes.
 	AckTimeout time.Duration
 	// Prepare returns the header to send. It is called once there is a connection. If it is nil, Header is sent.
 	Prepare func() http.Header
@@ -155,6 +155,9 @@
 	dial func(ctx context.Context, network, address string) (net.Conn, error)
 	now  func() time.Time
 
+	// reportsAcks is set once the kernel has told when a connection got its last acknowledgement.
+	reportsAcks atomic.Bool
+
 	mu    sync.Mutex
 	pools map[string]*connPool
 	dials int64
@@ -219,7 +222,11 @@
 	if err != nil {
 		return nil, err
 	}
-	c.setAckTimeout(r.AckTimeout)
+	if s.reportsAcks.Load() {
+		c.setAckTimeout(0)
+	} else {
+		c.setAckTimeout(r.AckTimeout)
+	}
 	head, err := s.prepare(r)
 	if err != nil {
 		c.keep()
@@ -229,6 +236,8 @@
 	c.method = r.Method
 	c.stop = context.AfterFunc(ctx, c.reset)
 	err = c.write(head, r)
+	watch := watchAcks(c, r.AckTimeout)
+	defer watch.stop()
 	var a *Answer
 	if err == nil {
 		a, err = c.readAnswer()
