Believe "not run" only of an answer that names the request

What servers saw: a request that may run once ran at a second server after the first one, which ran it too, had sent a rejection that names no request.

Cause: an answer without the request's ID passed for the answer to the request if it said "not executed" or had status 421, also on a connection that had served another request. Class: a proof that is taken from what may belong to something else.

Now only a rejection with the request's ID counts as "not run", for an attempt and for a candidate of a handover; otherwise the fate is unknown, and a request that may run once is answered 502.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -268,10 +268,14 @@
 	return masticway.ServerAnswer{}, answer, errors.New("the answers belong to other requests")
 }
 
+// isRejected reports whether an answer says that the server did not run the attempt's request. An answer that does not name the request
+// may belong to another one.
+func (a *attempt) isRejected(head masticway.ServerAnswer) bool { return head.NotRun && head.ID == a.x.q.ID }
+
 // handleAnswer relays an answer to the caller, unless the server did not run the request, or the answer lacks the request's ID or
 // a signature.
 func (a *attempt) handleAnswer(answer *sender.Answer, head masticway.ServerAnswer) outcome {
-	if head.NotRun {
+	if a.isRejected(head) {
 		_ = answer.Discard()
 		return a.notRunOutcome(answer.Status)
 	}
--- a/forwarder/handover.go
+++ b/forwarder/handover.go
@@ -292,7 +292,7 @@
 		return a.sendFailure(r.err), true
 	}
 	head := a.x.f.codec.ParseAnswer(r.answer.Status, r.answer.Header)
-	if !head.NotRun {
+	if !a.isRejected(head) {
 		return outcome{}, false
 	}
 	r.answer.Close()
--- a/forwarder/sending_test.go
+++ b/forwarder/sending_test.go
@@ -237,3 +237,29 @@
 		})
 	}
 }
+
+// TestRejectionWithoutRequestIDIsNoProof guards against a second run of a request that may run once, after an answer that says "not run"
+// without naming the request: it may belong to another one.
+func TestRejectionWithoutRequestIDIsNoProof(t *testing.T) {
+	for name, tc := range map[string]struct {
+		path   string
+		fault  emulator.OpaqueFault
+		status int
+		runs   int
+	}{
+		"a stray one, plain service":           {path: "/never/x", fault: emulator.OpaqueStrayRejection, status: 502, runs: 1},
+		"a stray one, stream":                  {path: "/stream/x", fault: emulator.OpaqueStrayRejection, status: 502, runs: 1},
+		"the answer to the request":            {path: "/never/x", fault: emulator.OpaqueAnonymousRejection, status: 502},
+		"a stray one, may run again":           {path: "/freely/x", fault: emulator.OpaqueStrayRejection, status: 200, runs: 2},
+		"one that names it":                    {path: "/never/x", fault: emulator.OpaqueOverloaded, status: 200, runs: 1},
+		"one of another server, that names it": {path: "/stream/x", fault: emulator.OpaqueWrongServer, status: 200, runs: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, 2)
+			f.setFaults(tc.fault, emulator.OpaqueNoFault)
+			got := f.do(t.Context(), "POST", tc.path)
+			qt.Assert(t, got.status, qt.Equals, tc.status, qt.Commentf("%s", got.body))
+			qt.Assert(t, f.ledger.Runs(), qt.HasLen, tc.runs)
+		})
+	}
+}
