Have the servers of all soaks notice closed connections, and count first tries

Servers that never notice a closed connection while they work made the check of overlapping runs fail in TestGraceCountsFromSignalToStoppedRouter and TestServersSlowerThanTheLatencyObjective: no router can end such a run. All servers of the soak notice now, two of four only by a reset, as servers of the users drop requests whose connection ends.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -270,7 +270,9 @@
 
 // isRejected reports whether an answer says that the server did not run the attempt's request. An answer that does not name the request
 // may belong to another one.
-func (a *attempt) isRejected(head masticway.ServerAnswer) bool { return head.NotRun && head.ID == a.x.q.ID }
+func (a *attempt) isRejected(head masticway.ServerAnswer) bool {
+	return head.NotRun && head.ID == a.x.q.ID
+}
 
 // handleAnswer relays an answer to the caller, unless the server did not run the request, or the answer lacks the request's ID or
 // a signature.
--- a/soaker/checks.go
+++ b/soaker/checks.go
@@ -120,6 +120,9 @@
 	if q.outcome == outcomeAnswered && q.status == http.StatusOK {
 		s.served++
 	}
+	if q.firstTry != "" {
+		s.retried++
+	}
 	if q.events > 0 {
 		// The workspace got the events, and with the first event also the prompt. If the request resumes an answer, the
 		// prompt was counted with the first request.
--- a/soaker/deployment.go
+++ b/soaker/deployment.go
@@ -107,10 +107,8 @@
 	server.Version = s.recordServer(server.ID, slot)
 	server.SetStream(s.events, s.pause)
 	server.EnableEcho(s.work)
-	if s.watchesHandovers() {
-		server.SetCloseNotice(closeNotices[slot%len(closeNotices)])
-		server.OnArrival(s.onArrival)
-	}
+	server.SetCloseNotice(closeNotices[slot%len(closeNotices)])
+	server.OnArrival(s.onArrival)
 	server.CrashOn(deadlyMark, s.crashHandler(slot))
 	server.CrashOnParts(s.crashHandler(slot), deadlyParts...)
 	if s.SharesLoad && pools[slot] == "plain" {
--- a/soaker/overlaps.go
+++ b/soaker/overlaps.go
@@ -20,14 +20,11 @@
 	stopKind, maxStopWatch, handoverStop = "stops_in_handovers", 5 * time.Second, 700 * time.Millisecond
 )
 
-// closeNotices are the ways in which servers notice that a router has closed a connection, in soaks with faults of stallKind.
+// closeNotices are the ways in which servers notice that a router has closed a connection.
 var closeNotices = []emulator.CloseNotice{
 	{Interval: 10 * time.Millisecond}, {Interval: 150 * time.Millisecond}, {Interval: 20 * time.Millisecond, OnlyReset: true}, {Interval: 100 * time.Millisecond, OnlyReset: true},
 }
 
-// watchesHandovers reports whether the soak's servers notice the end of connections while they work.
-func (s *soakRun) watchesHandovers() bool { return slices.Contains(s.Kinds, stallKind) }
-
 // stallServer makes a server stall with its next requests.
 func (s *soakRun) stallServer(e faultEvent) {
 	server, _ := s.targetServer(e)
--- a/soaker/soak.go
+++ b/soaker/soak.go
@@ -58,6 +58,8 @@
 	// with status 200. Resumed counts the requests that resumed an answer and got events. Versions counts the accepted
 	// versions of the configuration. Faults counts the faults that were drawn.
 	Requests, Served, Resumed, Versions, Faults int
+	// Retried counts the requests that try again one that failed.
+	Retried int
 	// Sound counts the sound requests beside those with a deadly part whose answers were checked.
 	Sound int
 	// Starved counts the polls at which a router or the soak had waited too long for a processor, once for each router
@@ -117,7 +119,7 @@
 	slowReads        []slowRead // the requests of slow readers that were served
 	loadStartedAt    time.Time  // when the callers started
 	served           int
-	resumed          int
+	resumed, retried int
 	faultsDrawn      int
 	activeParts      atomic.Int32
 	handoverStops    atomic.Int32 // the number of faults in which routers are stopped in handovers
@@ -157,7 +159,7 @@
 	close(done)
 	load.Wait()
 	s.checkRuns()
-	return Report{Requests: len(s.requests), Served: s.served, Resumed: s.resumed, Sound: s.sound, Versions: len(s.versions), Faults: s.faultsDrawn, Starved: s.starvationCount(), Left: s.left, Waited: s.waited, WaitedAnswered: s.waitedAnswered, WaitedServed: s.waitedServed, Violations: s.violations}, ctx.Err()
+	return Report{Requests: len(s.requests), Served: s.served, Resumed: s.resumed, Retried: s.retried, Sound: s.sound, Versions: len(s.versions), Faults: s.faultsDrawn, Starved: s.starvationCount(), Left: s.left, Waited: s.waited, WaitedAnswered: s.waitedAnswered, WaitedServed: s.waitedServed, Violations: s.violations}, ctx.Err()
 }
 
 // firstKeys returns the first key of each workspace.
