Give up a silent engine before another one gets its request

What servers saw: two engines worked on one stream for as long as the router that handed it over had to wait for a processor, plus 0.1 s; in a handover that was aborted, too.

Cause: the candidate got the request itself as the question whether it had capacity, and the connection to the silent engine was closed only after its reaction or 0.1 s. Nothing bounds the time between two steps of a process. Class: safety that rests on a process running between two of its steps.

Engines of the users reserve capacity on request. A candidate now reserves it, the silent engine's connection is reset, and only then the request is sent, whatever the router waits for in between. An aborted handover runs nowhere else and uses up no retry.

Plain servers reserve nothing and are asked as before (PLATFORM).

--- a/deployment.go
+++ b/deployment.go
@@ -1,6 +1,7 @@
 package masticway
 
 import (
+	"net/http"
 	"slices"
 	"strings"
 	"time"
@@ -68,6 +69,8 @@
 	TokensPerEvent int
 	// TokenCapacity is the number of tokens that an engine can hold for running requests and cached prompt parts.
 	TokenCapacity int
+	// MaxReservation is the longest time for which an engine reserves capacity for a request. It is zero if the servers reserve none.
+	MaxReservation time.Duration
 	// WarmUpTime is how long a server stays slow after it becomes cold, for example by a restart. MaxColdRate is the maximum
 	// number of requests per second that a cold server can handle.
 	WarmUpTime  time.Duration
@@ -218,6 +221,15 @@
 	Urgency    int
 	HasUrgency bool
 	LastEvent  string
+	// Reservation is the reservation of capacity that the request uses; it is empty if there is none.
+	Reservation string
+}
+
+// ServerCall is a call to a server that is no request of a caller.
+type ServerCall struct {
+	Method, Target string
+	Header         http.Header
+	Body           []byte
 }
 
 // RateLimit is the number of requests per second that a server accepts from all routers together. The zero value is no limit.
--- a/emulator/notice.go
+++ b/emulator/notice.go
@@ -48,7 +48,8 @@
 	s.readPause = d
 }
 
-// OnArrival makes the server call a function with the ID of each request that arrives, before it does anything for the request.
+// OnArrival makes the server call a function with the ID of each request that arrives, before it does anything for the request. For a
+// call that reserves capacity the ID is empty.
 func (s *OpaqueServer) OnArrival(f func(id string)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/emulator/opaque.go
+++ b/emulator/opaque.go
@@ -172,6 +172,8 @@
 	// OpaqueStall, and readPause how long it waits between the head and the body of a request.
 	closeNotice      CloseNotice
 	stall, readPause time.Duration
+	// reservations counts the requests for which the server reserved capacity.
+	reservations int
 	// onArrival is called with the ID of each request that arrives, before anything else is done for it.
 	onArrival func(id string)
 	arrivals  []OpaqueArrival
@@ -431,6 +433,9 @@
 func (s *OpaqueServer) serveRequest(c net.Conn, r *http.Request, headAt time.Time, body string) bool {
 	id := r.Header.Get("X-Attempt-Id")
 	s.reportArrival(id)
+	if r.URL.Path == reservationPath {
+		return s.reserve(c)
+	}
 	fault, events, pause := s.recordArrival(arrivedAt(c), id, body, r.Header.Get("X-Prefix-Hash"))
 	named := "X-Attempt-Id: " + id + "\r\n"
 	switch {
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -58,6 +58,8 @@
 	// sentAt is when the attempt began. answerRecorded is set by recordAnswer.
 	sentAt         time.Time
 	answerRecorded bool
+	// reservation is the capacity that the server has reserved for the attempt; it is empty if there is none.
+	reservation string
 	// coordinated is the run as it is reported to the coordinator.
 	coordinated coordinatedRun
 	// previous is the attempt before this one that may have run the request; its server is empty if there is none.
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -36,6 +36,12 @@
 	masticway.SystemClock
 	mu     sync.Mutex
 	offset time.Duration
+	// lateness is how much later than it should a wait ends, as if this process had to wait for a processor.
+	lateness time.Duration
+}
+
+func (c *offsetClock) After(d time.Duration) <-chan time.Time {
+	return c.SystemClock.After(d + c.lateness)
 }
 
 func (c *offsetClock) Now() time.Time {
--- a/forwarder/handover.go
+++ b/forwarder/handover.go
@@ -130,10 +130,11 @@
 	return !h.handedOver
 }
 
-// tryHandover sends the request to a candidate and waits, up to handoverTimeout, until the candidate takes or refuses the request
-// or fails. It then hands the request over, unless the candidate refused or failed, or the current server has made progress. The
-// wait avoids losing an answer in progress to a candidate without capacity. tryHandover returns false if the current server is
-// kept, also because there is no candidate or no retry left.
+// tryHandover asks a candidate and waits, up to handoverTimeout, until the candidate takes or refuses the request or fails. It then hands
+// the request over, unless the candidate refused or failed, or the current server has made progress. The wait avoids losing an answer in
+// progress to a candidate without capacity. A candidate that reserves capacity gets the request after the connection to the current server
+// was reset, so that no two servers work on it, however long this process has to wait for a processor; others get it at once. tryHandover
+// returns false if the current server is kept, also because there is no candidate or no retry left.
 func (a *attempt) tryHandover(generation int, lastEvent string) bool {
 	x := a.x
 	if x.checkWanted(a.parent) != nil {
@@ -156,7 +157,7 @@
 		return false
 	}
 	next := x.newAttempt(a.parent, c)
-	next.sendResults, next.retry = make(chan sendResult, 1), retry
+	next.retry = retry
 	next.previous = previousAttempt{server: a.server.ID, fate: masticway.FateUnknown}
 	if !a.beginHandover(generation, next.cancel) {
 		next.cancel(nil)
@@ -165,6 +166,16 @@
 		x.returnRetry(retry)
 		return false
 	}
+	if x.q.pool.MaxReservation > 0 {
+		return a.handOverReserved(generation, next)
+	}
+	return a.handOverSent(generation, next, lastEvent)
+}
+
+// handOverSent sends the request to the candidate while the current server works on it, and hands it over as described at tryHandover.
+func (a *attempt) handOverSent(generation int, next *attempt, lastEvent string) bool {
+	x := a.x
+	next.sendResults = make(chan sendResult, 1)
 	x.pendingCandidates.Add(1)
 	defer x.pendingCandidates.Add(-1)
 	go next.sendAsync(lastEvent)
@@ -195,6 +206,25 @@
 	return false
 }
 
+// handOverReserved makes the candidate reserve capacity and hands the request over as described at tryHandover.
+func (a *attempt) handOverReserved(generation int, next *attempt) bool {
+	patience := a.x.f.clock.After(handoverTimeout)
+	refused, ok := next.reserve()
+	if ok {
+		select {
+		case <-next.ctx.Done():
+		case <-patience:
+		}
+		if a.commitHandover(generation, next) {
+			return true
+		}
+		refused = outcome{result: chooser.ResultNeutral, reason: "the current server made progress"}
+	}
+	next.returnUnsent()
+	a.abortHandover(next, refused)
+	return false
+}
+
 // beginHandover records that a candidate is being asked. It returns false if the generation has changed, for example because the
 // current server has made progress.
 func (a *attempt) beginHandover(generation int, cancel context.CancelCauseFunc) bool {
@@ -266,6 +296,11 @@
 
 // discard gives up an attempt that was started as a candidate. It does not wait for the answer.
 func (a *attempt) discard() {
+	if a.sendResults == nil {
+		a.cancel(nil)
+		a.returnUnsent()
+		return
+	}
 	if a.mayBeAtFault() {
 		a.abandon()
 	}
--- a/forwarder/sending.go
+++ b/forwarder/sending.go
@@ -78,7 +78,7 @@
 	x := a.x
 	return x.f.codec.ServerHeaders(x.q.header, masticway.Delivery{
 		Server: a.server.ID, Workspace: x.q.account.Workspace, TimeLeft: x.q.deadline.Sub(x.f.clock.Now()),
-		Urgency: a.urgency, HasUrgency: x.q.pool.IsEngine, LastEvent: lastEvent,
+		Urgency: a.urgency, HasUrgency: x.q.pool.IsEngine, LastEvent: lastEvent, Reservation: a.reservation,
 	})
 }
 
--- a/rows.go
+++ b/rows.go
@@ -162,6 +162,10 @@
 	ServerHeaders(h http.Header, d Delivery) http.Header
 	// ParseAnswer parses the status and headers of a server's answer.
 	ParseAnswer(status int, h http.Header) ServerAnswer
+	// ReservationCall returns the call that reserves capacity at an engine for a request with a number of tokens, for a time.
+	ReservationCall(tokens int, lifetime time.Duration) ServerCall
+	// ParseReservation parses the answer to a ReservationCall. It returns false if nothing was reserved.
+	ParseReservation(status int, body []byte) (reservation string, ok bool)
 	// CallerHeaders returns the headers of a server's answer that are forwarded to the caller.
 	CallerHeaders(h http.Header) http.Header
 	// SetRefusal sets the headers of an answer in which the fleet refuses a request. id is the ID of the request that the caller
--- a/soaker/overlaps.go
+++ b/soaker/overlaps.go
@@ -39,10 +39,19 @@
 	s.handoverStops.Add(-1)
 }
 
-// onArrival is called when a request reaches a server. If another server works on it, and routers are to be stopped in handovers, it
-// stops the request's router.
+// onArrival is called when a request, or a call that reserves capacity, reaches a server. If routers are to be stopped in handovers, it
+// stops the router of a request on which another server works, and all routers when capacity is reserved.
 func (s *soakRun) onArrival(id string) {
-	if s.handoverStops.Load() == 0 || !s.ledger.IsRunning(id) {
+	switch {
+	case s.handoverStops.Load() == 0:
+		return
+	case id == "":
+		// It is not known which router asks for a reservation.
+		for i := range s.processes {
+			s.stopRouter(i)
+		}
+		return
+	case !s.ledger.IsRunning(id):
 		return
 	}
 	s.mu.Lock()
--- a/soaker/soaker_test.go
+++ b/soaker/soaker_test.go
@@ -142,6 +142,7 @@
 	stalls := []string{"server_stalls", "server_fails"}
 	ends := append([]string{"term", "kill", "hangup", "server_drains", "server_crashes", "servers_reject"}, stalls...)
 	for name, s := range map[string]soaker.Soak{
+		"routers stop in handovers":         {Seed: 904, Routers: 2, Kinds: append([]string{"stops_in_handovers"}, stalls...)},
 		"servers stall":                     {Seed: 901, Routers: 2, Kinds: stalls},
 		"servers stall, five routers":       {Seed: 905, Routers: 5, Kinds: stalls},
 		"routers and servers end":           {Seed: 911, Routers: 3, Kinds: ends},
