Write to the store, at intervals, by which version streams were begun

What callers saw: after all routers had been killed at once, each resumption was refused (stream_version_unknown) for as long as two versions served, while new streams were served at once.

Cause: only other routers knew by which version a stream was begun; the store knew the versions of a pool alone. Class: state that must outlive the fleet is kept in the fleet.

The version of a stream never changes, so that a row that is old or came back from a copy is not wrong. Streams of the last interval stay unknown and refused.

--- a/starter/versions_test.go
+++ b/starter/versions_test.go
@@ -11,6 +11,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/masticway/masticway/emulator"
+	"github.com/masticway/masticway/forwarder"
 	"github.com/masticway/masticway/starter"
 )
 
@@ -229,3 +230,78 @@
 		qt.Check(t, status, qt.Equals, http.StatusOK)
 	}
 }
+
+// TestStreamsOfTwoVersionsAreResumedAfterAllRoutersEnded guards against refusing to resume streams, while two versions serve, because all routers that
+// knew by which version they were begun have ended at once.
+func TestStreamsOfTwoVersionsAreResumedAfterAllRoutersEnded(t *testing.T) {
+	const streams, routers = 16, 3
+	for name, tc := range map[string]struct {
+		// beforeEnd is called before the routers end. resumed is whether the streams are resumed then.
+		beforeEnd func(p versionedPlatform)
+		resumed   bool
+	}{
+		"both versions serve": {resumed: true},
+		"one has just left": {resumed: true, beforeEnd: func(p versionedPlatform) {
+			for _, s := range p.engines {
+				if s.Version == "v1" {
+					s.Register(p.rows, "llm", "z", true)
+				}
+			}
+		}},
+		"the store has no rows": {beforeEnd: func(p versionedPlatform) {
+			p.rows.SetFaults(emulator.RowFaults{Unresponsive: true})
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p := newVersionedPlatform(t)
+			var settings []forwarder.Settings
+			var all []*starter.GatewayDaemon
+			for i := range routers {
+				settings = append(settings, p.settings(fmt.Sprintf("edge-%d", i+1)))
+				all = append(all, p.start(settings[i]))
+			}
+			time.Sleep(2 * time.Second)
+			if !tc.resumed {
+				tc.beforeEnd(p)
+			}
+			broken := p.breakStreams(all[0], streams, func() {
+				// Each router has written its row since then.
+				time.Sleep(time.Second)
+				if tc.resumed && tc.beforeEnd != nil {
+					tc.beforeEnd(p)
+				}
+				for _, d := range all {
+					d.Kill()
+				}
+			})
+			p.rows.SetFaults(emulator.RowFaults{})
+			for i := range routers {
+				all[i] = p.start(settings[i])
+				t.Cleanup(all[i].Kill)
+			}
+			resumed, refused := 0, 0
+			for i, b := range broken {
+				id := fmt.Sprintf("resumed-%d", i)
+				status, _ := p.resume(all[1], id, b.id, b.last)
+				switch status {
+				case http.StatusOK:
+					resumed++
+					qt.Check(t, p.runVersions(id), qt.DeepEquals, p.runVersions(b.id)[:1])
+				case http.StatusServiceUnavailable:
+					refused++
+				}
+			}
+			t.Logf("%d streams resumed, %d refused", resumed, refused)
+			switch {
+			case !tc.resumed:
+				qt.Check(t, refused, qt.Equals, streams)
+			case tc.beforeEnd == nil:
+				qt.Check(t, resumed, qt.Equals, streams)
+			default:
+				// The streams of the version that has left cannot be resumed.
+				qt.Check(t, resumed > 0, qt.IsTrue)
+			}
+		})
+	}
+}
--- a/versioner/doc.go
+++ b/versioner/doc.go
@@ -11,5 +11,9 @@
 // pool has had, so that a router knows it soon after it has started. A stream whose version cannot be told in either way is not
 // resumed.
 //
-// Notes and History decide without clock or network, and Versioner carries out.
+// If all routers end at once, no keeper is left. So each router also writes to the store, at intervals, which streams it has begun in
+// pools with servers of several versions: one row a router, whatever the number of streams. A resumption reads these rows if no router
+// knows the version.
+//
+// Notes, Ledger and History decide without clock or network, and Versioner carries out.
 package versioner
--- a/versioner/pools.go
+++ b/versioner/pools.go
@@ -153,6 +153,7 @@
 	for _, pool := range v.duePools() {
 		v.writePool(ctx, pool)
 	}
+	v.writeLedger(ctx)
 }
 
 // readPools reads the table. The result counts from before the call, because rows may change while it lasts.
--- a/versioner/resolve.go
+++ b/versioner/resolve.go
@@ -19,6 +19,8 @@
 	SourceRecorded Source = "recorded"
 	// SourceSettled means that the pool is settled on the version.
 	SourceSettled Source = "settled"
+	// SourceStored means that the store has the version.
+	SourceStored Source = "stored"
 	// SourceNone means that the version is unknown, and SourceConflict that routers know different ones.
 	SourceNone     Source = "none"
 	SourceConflict Source = "conflict"
--- a/versioner/versioner.go
+++ b/versioner/versioner.go
@@ -74,6 +74,9 @@
 	mu      sync.Mutex
 	notes   *Notes
 	history *History
+	ledger  Ledger
+	// nextLedgerAt is when this router may write its row of streams again, and nextLedgerReadAt when it may read those of all.
+	nextLedgerAt, nextLedgerReadAt time.Time
 	// nextReadAt is when the table of pools may be read again, and writePoolAt when this router writes the records of changed pools.
 	nextReadAt  time.Time
 	writePoolAt map[string]time.Time
@@ -146,6 +149,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	now := v.Clock.Now()
+	v.ledger.Add(now, r)
 	if settled, ok := v.history.Settled(now, r.Stream.Pool); ok && settled == r.Version {
 		v.notes.RecordUnsent(now, r)
 		return true
@@ -238,7 +242,12 @@
 		replies = append(replies, others...)
 	}
 	version, source := resolve(replies)
-	ok := source == SourceRecorded || source == SourceSettled
+	if source == SourceNone {
+		if stored, found := v.findStored(ctx, s); found {
+			version, source = stored, SourceStored
+		}
+	}
+	ok := source == SourceRecorded || source == SourceSettled || source == SourceStored
 	if ok {
 		v.Metrics.Add(metricFound, 1)
 	} else {
