--- a/sender/acks.go
+++ b/sender/acks.go
@@ -2,9 +2,12 @@
 
 import (
 	"fmt"
+	"net"
 	"sync"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/masticway/masticway/inspector"
 )
 
@@ -77,3 +80,21 @@
 		w.timer.Stop()
 	}
 }
+
+// setAckTimeout sets how long sent bytes may stay unacknowledged or, because the server does not read, unsent until the kernel drops the
+// connection. The kernel tells the server nothing then.
+func (c *conn) setAckTimeout(timeout time.Duration) {
+	tcp, ok := c.net.(*net.TCPConn)
+	if !ok || timeout == c.ackTimeout {
+		return
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return
+	}
+	c.ackTimeout = timeout
+	// If the option cannot be set, only the request's own deadline applies.
+	_ = raw.Control(func(fd uintptr) {
+		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
+	})
+}
