--- a/emulator/opaque.go
+++ b/emulator/opaque.go
@@ -168,10 +168,10 @@
 	draining  bool
 	// retryAfter is the Retry-After header of rejections, in seconds.
 	retryAfter string
-	// closeNotice is how the server notices that a caller has closed a connection, stall how long it works before an answer with
-	// OpaqueStall, and readPause how long it waits between the head and the body of a request.
-	closeNotice      CloseNotice
-	stall, readPause time.Duration
+	// closeNotice is how the server notices that a caller has closed a connection, and stall how long it works before an answer with
+	// OpaqueStall.
+	closeNotice CloseNotice
+	stall       time.Duration
 	// reservations counts the requests for which the server reserved capacity.
 	reservations int
 	// onArrival is called with the ID of each request that arrives, before anything else is done for it.
@@ -368,9 +368,6 @@
 		if err != nil {
 			return
 		}
-		if tcp, ok := c.(*net.TCPConn); ok && s.pauseBeforeBody() > 0 {
-			_ = tcp.SetReadBuffer(smallReadBuffer)
-		}
 		s.mu.Lock()
 		s.conns[c] = true
 		if s.maxConns > 0 && len(s.conns) > s.maxConns {
@@ -395,7 +392,6 @@
 			return
 		}
 		headAt := arrivedAt(c)
-		time.Sleep(s.pauseBeforeBody())
 		body, err := io.ReadAll(r.Body)
 		if err != nil || !s.serveRequest(c, r, headAt, string(body)) {
 			return
--- a/emulator/notice.go
+++ b/emulator/work.go
@@ -7,9 +7,6 @@
 	"github.com/masticway/masticway/inspector"
 )
 
-// smallReadBuffer is the size in bytes of the kernel's buffer for what arrives on a connection of a server that reads bodies late.
-const smallReadBuffer = 4 << 10
-
 // CloseNotice is how a server notices, while it works on a request, that the caller has closed the connection. The zero value means
 // that it notices only when it writes.
 type CloseNotice struct {
@@ -40,14 +37,6 @@
 	s.stall = d
 }
 
-// SetReadPause sets how long the server waits between the head and the body of a request, as if it were busy. The server's kernel takes
-// little of the body meanwhile.
-func (s *OpaqueServer) SetReadPause(d time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.readPause = d
-}
-
 // OnArrival makes the server call a function with the ID of each request that arrives, before it does anything for the request. For a
 // call that reserves capacity the ID is empty.
 func (s *OpaqueServer) OnArrival(f func(id string)) {
@@ -65,12 +54,6 @@
 	}
 }
 
-func (s *OpaqueServer) pauseBeforeBody() time.Duration {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.readPause
-}
-
 func (s *OpaqueServer) stallTime() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/soaker/tries.go
+++ b/soaker/tries.go
@@ -64,9 +64,10 @@
 	case q.repeatable:
 		return true
 	}
+	isRefused := q.outcome == outcomeUnsent && errors.Is(q.err, syscall.ECONNREFUSED)
 	// A fault that resets callers' connections says nothing about what the router has read.
-	isReset := errors.Is(q.err, syscall.ECONNRESET) && c.soak.isUndisturbed(q.sentAt.Add(-timingSlack), q.endedAt, callerLinkTarget(q.router))
-	return q.outcome == outcomeUnsent && q.err != nil && errors.Is(q.err, syscall.ECONNREFUSED) || isReset && q.status == 0
+	isUnread := q.status == 0 && errors.Is(q.err, syscall.ECONNRESET) && c.soak.isUndisturbed(q.sentAt.Add(-timingSlack), q.endedAt, callerLinkTarget(q.router))
+	return isRefused || isUnread
 }
 
 // checkTries checks that a non-repeatable request ran at most once over all tries of its caller.
