Ask once for each pool whether streams are due at the store

Five times a second each router went over all streams of the last minute, asked for each whether its pool is settled on a version, and built the lists for its row, also while nothing was to be written, as on every fleet with one version. It asks once for each pool now, and builds nothing if no new stream is due. What is written and when stays as it was.

The two resets of the soak's proxy are one function.

--- a/soaker/link.go
+++ b/soaker/link.go
@@ -61,11 +61,16 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, c := range p.conns {
-		_ = c.SetLinger(0)
-		_ = c.Close()
+		resetConn(c)
 	}
 }
 
+// resetConn ends a connection with a TCP reset.
+func resetConn(c *net.TCPConn) {
+	_ = c.SetLinger(0)
+	_ = c.Close()
+}
+
 // silence makes all open connections silent for good: what either end sends is lost, though it is acknowledged. New connections
 // work.
 func (p *proxy) silence() { p.silences.Add(1) }
@@ -106,8 +111,7 @@
 	for {
 		n, err := from.Read(buffer)
 		if errors.Is(err, syscall.ECONNRESET) {
-			_ = to.SetLinger(0)
-			_ = to.Close()
+			resetConn(to)
 			return
 		}
 		if err == nil && p.silences.Load() != silences {
--- a/versioner/ledger.go
+++ b/versioner/ledger.go
@@ -4,6 +4,7 @@
 	"encoding/base64"
 	"encoding/binary"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -102,16 +103,18 @@
 // isUnsettled returns true. It returns false if the row need not be written.
 func (l *Ledger) Unwritten(now time.Time, isUnsettled func(pool string) bool) (map[string][]streamHash, bool) {
 	l.prune(now)
-	streams, hasNew := map[string][]streamHash{}, false
+	// The streams of the predecessor have no pool.
+	isNew := func(e ledgerEntry) bool { return e.pool != "" && e.at.After(l.written) && isUnsettled(e.pool) }
+	if !slices.ContainsFunc(l.begun, isNew) {
+		return nil, false
+	}
+	streams := map[string][]streamHash{}
 	for _, e := range l.begun {
-		// Those of the predecessor have no pool.
-		if e.pool != "" && !isUnsettled(e.pool) {
-			continue
+		if e.pool == "" || isUnsettled(e.pool) {
+			streams[e.version] = append(streams[e.version], e.hash)
 		}
-		streams[e.version] = append(streams[e.version], e.hash)
-		hasNew = hasNew || e.pool != "" && e.at.After(l.written)
 	}
-	return streams, hasNew
+	return streams, true
 }
 
 // RecordWritten records that the row has the streams that had begun by a time.
--- a/versioner/ledgers.go
+++ b/versioner/ledgers.go
@@ -37,23 +37,18 @@
 // writeLedger writes this router's row if it has begun streams, in pools that are not settled on a version, that the row lacks. It does
 // so at intervals, however many streams begin.
 func (v *Versioner) writeLedger(ctx context.Context) {
-	v.mu.Lock()
-	now := v.Clock.Now()
-	_, hasNew := v.ledger.Unwritten(now, func(pool string) bool { return !v.isSettled(now, pool) })
-	isDue, isRead := hasNew && !now.Before(v.nextLedgerAt), !v.ledger.readAt.IsZero()
-	v.mu.Unlock()
-	if !isDue {
-		return
-	}
-	if !isRead {
+	now, streams, isRead := v.dueStreams()
+	if streams != nil && !isRead {
 		// The row may have streams of this router's predecessor.
 		v.readLedgers(ctx)
+		now, streams, isRead = v.dueStreams()
+	}
+	if streams == nil {
+		return
 	}
 	interval := max(minLedgerInterval, time.Duration(len(v.Members.RankedAddresses("", maxRouters)))*ledgerSpacing)
 	v.mu.Lock()
 	v.nextLedgerAt = now.Add(interval)
-	isRead = !v.ledger.readAt.IsZero()
-	streams, _ := v.ledger.Unwritten(now, func(pool string) bool { return !v.isSettled(now, pool) })
 	record := newLedgerRecord(v.ledger.storeNow(now), streams)
 	v.mu.Unlock()
 	if !isRead {
@@ -77,10 +72,25 @@
 	v.ledger.RecordWritten(now)
 }
 
-// isSettled reports whether a pool is settled on a version. The caller must hold the lock.
-func (v *Versioner) isSettled(now time.Time, pool string) bool {
-	_, ok := v.history.Settled(now, pool)
-	return ok
+// dueStreams returns the streams for this router's row as of now, or nil if the row need not or may not be written yet, and whether the
+// rows have been read.
+func (v *Versioner) dueStreams() (now time.Time, streams map[string][]streamHash, isRead bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	now, isRead = v.Clock.Now(), !v.ledger.readAt.IsZero()
+	if now.Before(v.nextLedgerAt) {
+		return now, nil, isRead
+	}
+	isSettled := map[string]bool{}
+	streams, _ = v.ledger.Unwritten(now, func(pool string) bool {
+		settled, known := isSettled[pool]
+		if !known {
+			_, settled = v.history.Settled(now, pool)
+			isSettled[pool] = settled
+		}
+		return !settled
+	})
+	return now, streams, isRead
 }
 
 func (v *Versioner) ledgerKey(address string) masticway.RowKey {
