Count the time left from when a request reaches its router's kernel

Cause: the check counted from before the soak's caller dialed. Dialing, the caller's goroutine and the soak's proxy, which accepts connections one after the other, come before the router's kernel has a byte, and the router counts from there. The check for starvation looks at threads and not at goroutines that wait for one.

Why this is as strict: proxies and direct connections record when they hand the bytes to the router's kernel, and the check counts from the first byte of the request there. The broken programs of this promise must still fail. If no delivery is known, the time counts as before.

--- a/soaker/caller.go
+++ b/soaker/caller.go
@@ -62,6 +62,7 @@
 	prompt, declared, router int
 	timeLimit, waitTimeout   time.Duration // the time limit that the caller sends; how long the caller waits
 	reusedConn               bool          // the connection had carried an earlier request
+	localAddress             string        // the caller's address on the connection
 	// recurringName is the name in path and body of all sends of a deadly request. It is empty for other requests, which
 	// have their id there.
 	recurringName string
@@ -114,7 +115,7 @@
 func (s *soakRun) newCaller(name string, stream int, addresses ...string) *caller {
 	c := &caller{soak: s, name: fmt.Sprintf("%s%d", name, stream), random: rand.New(rand.NewPCG(s.Seed, uint64(stream)))}
 	c.transport.DialContext = func(ctx context.Context, network, _ string) (net.Conn, error) {
-		return (&net.Dialer{Timeout: connectTimeout}).DialContext(ctx, network, addresses[rand.IntN(len(addresses))])
+		return s.dial(ctx, &net.Dialer{Timeout: connectTimeout}, network, addresses[rand.IntN(len(addresses))])
 	}
 	return c
 }
@@ -241,7 +242,7 @@
 	defer cancel()
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(i httptrace.GotConnInfo) {
-			q.reusedConn, q.router = i.Reused, c.soak.routers[i.Conn.RemoteAddr().String()]
+			q.reusedConn, q.router, q.localAddress = i.Reused, c.soak.routers[i.Conn.RemoteAddr().String()], i.Conn.LocalAddr().String()
 			c.soak.routerOf.Store(q.id, q.router)
 		},
 		WroteRequest: func(i httptrace.WroteRequestInfo) { q.written.Store(i.Err == nil) },
--- a/soaker/leaving.go
+++ b/soaker/leaving.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math"
 	"net"
 	"net/http"
@@ -9,6 +10,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -149,15 +152,24 @@
 func (s *soakRun) newLeavingCaller(stream int, address string, resets bool) *caller {
 	c := s.newCaller("l", stream, address)
 	c.transport.DialContext = func(ctx context.Context, network, _ string) (net.Conn, error) {
-		n, err := (&net.Dialer{Timeout: connectTimeout}).DialContext(ctx, network, address)
-		if tcp, ok := n.(*net.TCPConn); ok && resets {
-			_ = tcp.SetLinger(0)
+		d := &net.Dialer{Timeout: connectTimeout}
+		if resets {
+			d.Control = resetOnClose
 		}
-		return n, err
+		return s.dial(ctx, d, network, address)
 	}
 	return c
 }
 
+// resetOnClose makes the kernel reset a connection when it is closed.
+func resetOnClose(_, _ string, raw syscall.RawConn) error {
+	var err error
+	failed := raw.Control(func(fd uintptr) {
+		err = unix.SetsockoptLinger(int(fd), unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1})
+	})
+	return errors.Join(failed, err)
+}
+
 // leaveRepeatedly sends requests and leaves early until over is closed. Some of the requests declare how early, and some repeat at
 // once.
 func (c *caller) leaveRepeatedly(over <-chan struct{}) {
@@ -247,8 +259,8 @@
 		if q == nil {
 			continue
 		}
-		// The time that a server is told counts from the head of the request.
-		left := q.timeLimit - r.HeadAt.Sub(q.sentAt)
+		// The time that a server is told counts from the head of the request, that of the router from when its kernel had bytes of it.
+		left := q.timeLimit - r.HeadAt.Sub(s.deliveredAt(q))
 		if r.TimeLeft > max(0, left)+timingSlack && s.hasSeenCaller(q, r.HeadAt) {
 			s.reportViolation(promiseGone, "%s was given %s at %s, when %s were left: %s", r.Server, r.TimeLeft, r.HeadAt.UTC().Format(clockFormat), left, q)
 		}
--- a/soaker/link.go
+++ b/soaker/link.go
@@ -17,6 +17,12 @@
 	cutPollInterval = 5 * time.Millisecond
 )
 
+// The directions in which a proxy forwards.
+const (
+	toTarget = iota
+	fromTarget
+)
+
 // condition is how a proxy impairs its traffic. cut holds back all bytes, and delay delays each chunk. rate limits the bytes
 // per second in each direction, of all connections together; zero means no limit.
 type condition struct {
@@ -33,15 +39,17 @@
 	current atomic.Pointer[condition]
 	// silences is how often silence was called.
 	silences atomic.Int64
+	// deliveries records what is forwarded to the target. It is nil if that is not recorded.
+	deliveries *deliveries
 
 	mu     sync.Mutex
 	conns  []*net.TCPConn // both ends of all connections, including closed ones
 	freeAt [2]time.Time   // when the rate allows each direction its next bytes
 }
 
-// newProxy starts a proxy to a target.
-func newProxy(target string, c condition) *proxy {
-	p := &proxy{Listener: listen(), target: target, usual: c}
+// newProxy starts a proxy to a target. It records deliveries in d unless d is nil.
+func newProxy(target string, c condition, d *deliveries) *proxy {
+	p := &proxy{Listener: listen(), target: target, usual: c, deliveries: d}
 	p.current.Store(&c)
 	go p.accept()
 	return p
@@ -96,8 +104,8 @@
 	p.conns = append(p.conns, near, far)
 	p.mu.Unlock()
 	var wg sync.WaitGroup
-	wg.Go(func() { p.forward(0, far, near) })
-	wg.Go(func() { p.forward(1, near, far) })
+	wg.Go(func() { p.forward(toTarget, far, near) })
+	wg.Go(func() { p.forward(fromTarget, near, far) })
 	wg.Wait()
 	_, _ = near.Close(), far.Close()
 }
@@ -118,6 +126,9 @@
 			continue
 		}
 		time.Sleep(time.Until(p.waitTurn(direction, n)))
+		if direction == toTarget && n > 0 && p.deliveries != nil {
+			p.deliveries.record(from.RemoteAddr())
+		}
 		if _, failed := to.Write(buffer[:n]); err != nil || failed != nil {
 			return
 		}
--- a/soaker/process.go
+++ b/soaker/process.go
@@ -52,7 +52,7 @@
 // addRouter creates a router with its own IP address and its two proxies, and starts it.
 func (s *soakRun) addRouter(ip, store string, seeds []string, c condition) error {
 	address := func(port int) string { return fmt.Sprintf("%s:%d", ip, port) }
-	fromCallers, toStore := newProxy(address(callerPort), condition{}), newProxy(store, c)
+	fromCallers, toStore := newProxy(address(callerPort), condition{}, &s.deliveries), newProxy(store, c, nil)
 	i := len(s.processes)
 	s.routers[address(callerPort)], s.routers[fromCallers.Addr().String()] = i, i
 	p := &process{soak: s, files: filepath.Join(s.Directory, routerTarget(i)), proxies: [2]*proxy{fromCallers, toStore}, settings: forwarder.Settings{
--- a/soaker/slow.go
+++ b/soaker/slow.go
@@ -63,7 +63,7 @@
 	var wg sync.WaitGroup
 	for i := range readers {
 		c := s.newCaller("s", stream+i)
-		c.transport.DisableKeepAlives, c.transport.DialContext = true, slowReaderDial(address)
+		c.transport.DisableKeepAlives, c.transport.DialContext = true, s.slowReaderDial(address)
 		wg.Go(func() { c.readSlowly(r, pause) })
 	}
 	if readers == fewReaders {
@@ -77,7 +77,7 @@
 
 // slowReaderDial returns a function that connects to an address, with a receive buffer and segments so small that the kernels buffer
 // less than an answer.
-func slowReaderDial(address string) func(ctx context.Context, network, _ string) (net.Conn, error) {
+func (s *soakRun) slowReaderDial(address string) func(ctx context.Context, network, _ string) (net.Conn, error) {
 	d := &net.Dialer{Timeout: connectTimeout, Control: func(_, _ string, raw syscall.RawConn) error {
 		var err error
 		failed := raw.Control(func(fd uintptr) {
@@ -89,7 +89,7 @@
 		return errors.Join(failed, err)
 	}}
 	return func(ctx context.Context, network, _ string) (net.Conn, error) {
-		return d.DialContext(ctx, network, address)
+		return s.dial(ctx, d, network, address)
 	}
 }
 
--- a/soaker/soak.go
+++ b/soaker/soak.go
@@ -84,6 +84,7 @@
 	processes          []*process
 	routers            map[string]int // the index of each process, by its own address for callers and by its proxy's
 	routerOf           sync.Map       // the index of the router that each request was sent to, by id
+	deliveries         deliveries
 	faults             sync.WaitGroup // the faults that still last
 	crowdMu, slowMu    sync.Mutex     // held while there are additional callers, or slow readers
 	returnMu           sync.Mutex     // held from when a copy of the store is made until the store has returned from it
