--- a/starter/shutdown_test.go
+++ b/starter/shutdown_test.go
@@ -181,7 +181,7 @@
 					t.Errorf("%s, sent at %s, ended without a complete answer after %s: %v (reached a server: %t)\n%s", e.id, e.sentAt, e.took, e.err, ran[e.id], p.logLines("request="+e.id+" "))
 				}
 			}
-			qt.Check(t, answers[http.StatusOK] > 0, qt.IsTrue)
+			qt.Check(t, answers[http.StatusOK] > 0, qt.IsTrue, qt.Commentf("answers by status: %v\n%s", answers, p.logLines("event=request ")))
 		})
 	}
 }
