--- a/soaker/soaker_test.go
+++ b/soaker/soaker_test.go
@@ -469,7 +469,7 @@
 			// On a busy machine a single soak may find nothing, because what happens while a router is starved is no violation.
 			for seed := uint64(1); seed <= 6 && !found[tc.promise]; seed++ {
 				duration := 5 * time.Second
-				if slices.Contains(tc.kinds, "few_deadly_parts") {
+				if slices.Contains(tc.kinds, "few_deadly_parts") || slices.Contains(tc.kinds, "stops_in_handovers") {
 					duration = 14 * time.Second
 				}
 				report := soak(t, soaker.Soak{Seed: seed, Duration: duration, Routers: 2, Program: path, Directory: t.TempDir(), Kinds: tc.kinds, SharesLoad: tc.sharesLoad}, brokenTimeout)
