Send the requests of a test of shutdowns around when the router closes

Cause: a router that was kept from running just before it is told to end assumes that it was told at the beginning of that pause, so that it closes idle connections, 3.2 s after that, up to that much earlier. The test sent its requests from 2.4 s on after it had called Drain, when all connections were closed already.

The requests are now sent at the same distances from when the router says that its shutdown began. No bound changes.

--- a/starter/shutdown_test.go
+++ b/starter/shutdown_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"net/http"
+	"regexp"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -122,6 +124,9 @@
 			d := p.startStalling(p.settings("edge-1"), stall)
 			address, _ := d.Addresses()
 			began := time.Now().Add(time.Second)
+			// assumed is when the router assumes that its shutdown began. On a busy machine that is earlier.
+			assumed := make(chan time.Time, 1)
+			awaitAssumed := sync.OnceValue(func() time.Time { return <-assumed })
 			var (
 				mu  sync.Mutex
 				all []exchangeResult
@@ -137,7 +142,7 @@
 				if i%2 == 0 {
 					path, extra = "/draft/x", "X-Token-Count: 10,10\r\n"
 				}
-				at := began.Add(from + time.Duration(i)*interval)
+				after := from + time.Duration(i)*interval
 				wg.Go(func() {
 					c, err := net.Dial("tcp", address)
 					if !qt.Check(t, err, qt.IsNil) {
@@ -146,11 +151,11 @@
 					defer c.Close()
 					first := exchange(c, exchangeResult{id: fmt.Sprintf("before-%d", i), number: 1}, "/book/x", "", began)
 					qt.Check(t, first.err, qt.IsNil)
-					time.Sleep(time.Until(at))
+					time.Sleep(time.Until(awaitAssumed().Add(after)))
 					record(exchange(c, exchangeResult{id: fmt.Sprintf("kept-%d", i), number: 2}, path, extra, began))
 				})
 				wg.Go(func() {
-					time.Sleep(time.Until(at))
+					time.Sleep(time.Until(awaitAssumed().Add(after)))
 					c, err := net.Dial("tcp", address)
 					if err != nil {
 						return
@@ -160,6 +165,11 @@
 				})
 			}
 			time.Sleep(time.Until(began))
+			wg.Go(func() {
+				at := p.assumedStart(t)
+				t.Logf("the router assumes that its shutdown began %s early", began.Sub(at).Round(time.Millisecond))
+				assumed <- at
+			})
 			qt.Check(t, d.Drain(), qt.IsTrue)
 			wg.Wait()
 			ran := map[string]bool{}
@@ -181,11 +191,31 @@
 					t.Errorf("%s, sent at %s, ended without a complete answer after %s: %v (reached a server: %t)\n%s", e.id, e.sentAt, e.took, e.err, ran[e.id], p.logLines("request="+e.id+" "))
 				}
 			}
-			qt.Check(t, answers[http.StatusOK] > 0, qt.IsTrue, qt.Commentf("answers by status: %v\n%s", answers, p.logLines("event=request ")))
+			qt.Check(t, answers[http.StatusOK] > 0, qt.IsTrue, qt.Commentf("answers by status: %v\n%s", answers, p.logLines("event=stop")))
 		})
 	}
 }
 
+// assumedStart waits until a router shuts down and returns when it assumes that it was told to.
+func (p *testPlatform) assumedStart(t *testing.T) time.Time {
+	for range 1000 {
+		line := p.logLines("event=stopping ")
+		if found := lateness.FindStringSubmatch(line); found != nil {
+			at, err := time.Parse(time.RFC3339Nano, found[1])
+			qt.Check(t, err, qt.IsNil)
+			late, err := strconv.Atoi(found[2])
+			qt.Check(t, err, qt.IsNil)
+			return at.Add(-time.Duration(late) * time.Millisecond)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Errorf("the router has not logged that it stops")
+	return time.Now()
+}
+
+// lateness finds when a router logged that it stops, and how many milliseconds earlier it assumes that it was told to.
+var lateness = regexp.MustCompile(`time="([^"]*)".* late_ms=(\d+)`)
+
 // timedOut reports whether a router cut a request's answer off because the request's deadline had passed.
 func (p *testPlatform) timedOut(id string) bool {
 	return p.logLines("request="+id+" ", "outcome=broken_off", `cause="context deadline exceeded`) != ""
