Tell the soak's connections apart by both of their ends

The kernel may give connections to different proxies the same local address at the same time. A delivery of one would have counted for a request on the other: earlier than its own, so that the check was too strict, never too lax.

--- a/soaker/caller.go
+++ b/soaker/caller.go
@@ -62,7 +62,7 @@
 	prompt, declared, router int
 	timeLimit, waitTimeout   time.Duration // the time limit that the caller sends; how long the caller waits
 	reusedConn               bool          // the connection had carried an earlier request
-	localAddress             string        // the caller's address on the connection
+	conn                     callerConn    // the connection that carried it
 	// recurringName is the name in path and body of all sends of a deadly request. It is empty for other requests, which
 	// have their id there.
 	recurringName string
@@ -242,7 +242,8 @@
 	defer cancel()
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(i httptrace.GotConnInfo) {
-			q.reusedConn, q.router, q.localAddress = i.Reused, c.soak.routers[i.Conn.RemoteAddr().String()], i.Conn.LocalAddr().String()
+			q.reusedConn, q.conn = i.Reused, newCallerConn(i.Conn.LocalAddr(), i.Conn.RemoteAddr())
+			q.router = c.soak.routers[q.conn.remote]
 			c.soak.routerOf.Store(q.id, q.router)
 		},
 		WroteRequest: func(i httptrace.WroteRequestInfo) { q.written.Store(i.Err == nil) },
--- a/soaker/deliveries.go
+++ b/soaker/deliveries.go
@@ -8,28 +8,38 @@
 	"time"
 )
 
-// deliveries records when bytes of callers were passed to the kernels of routers, by the address of the caller's connection. A router
-// can't count the time that callers and proxies of the soak need until then.
+// callerConn identifies a connection of a caller by the addresses of its ends, because several may have the same local address.
+type callerConn struct {
+	local, remote string
+}
+
+// newCallerConn returns the connection between two addresses.
+func newCallerConn(local, remote net.Addr) callerConn {
+	return callerConn{local.String(), remote.String()}
+}
+
+// deliveries records when bytes of callers were passed to the kernels of routers. A router can't count the time that callers and
+// proxies of the soak need until then.
 type deliveries struct {
 	mu  sync.Mutex
-	all map[string][]time.Time
+	all map[callerConn][]time.Time
 }
 
-// record records that bytes from a caller's address are passed to a router now.
-func (d *deliveries) record(caller net.Addr) {
+// record records that bytes from a caller's connection are passed to a router now.
+func (d *deliveries) record(c callerConn) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.all == nil {
-		d.all = map[string][]time.Time{}
+		d.all = map[callerConn][]time.Time{}
 	}
-	d.all[caller.String()] = append(d.all[caller.String()], time.Now())
+	d.all[c] = append(d.all[c], time.Now())
 }
 
-// firstSince returns when the first bytes from a caller's address since a time were passed to a router, and false if none were.
-func (d *deliveries) firstSince(caller string, since time.Time) (time.Time, bool) {
+// firstSince returns when the first bytes from a caller's connection since a time were passed to a router, and false if none were.
+func (d *deliveries) firstSince(c callerConn, since time.Time) (time.Time, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	times := d.all[caller]
+	times := d.all[c]
 	i := slices.IndexFunc(times, func(t time.Time) bool { return !t.Before(since) })
 	if i < 0 {
 		return time.Time{}, false
@@ -45,7 +55,7 @@
 
 // Write implements net.Conn.
 func (c deliveringConn) Write(b []byte) (int, error) {
-	c.deliveries.record(c.LocalAddr())
+	c.deliveries.record(newCallerConn(c.LocalAddr(), c.RemoteAddr()))
 	return c.Conn.Write(b)
 }
 
@@ -61,7 +71,7 @@
 
 // deliveredAt returns when the first bytes of a request were passed to its router, or when the request was sent if that is not known.
 func (s *soakRun) deliveredAt(q *request) time.Time {
-	if at, ok := s.deliveries.firstSince(q.localAddress, q.sentAt); ok {
+	if at, ok := s.deliveries.firstSince(q.conn, q.sentAt); ok {
 		return at
 	}
 	return q.sentAt
--- a/soaker/deliveries_test.go
+++ b/soaker/deliveries_test.go
@@ -43,7 +43,7 @@
 			defer far.Close()
 			// Each request counts from its own first byte, the second one of the connection too.
 			for range 2 {
-				q := &request{localAddress: c.LocalAddr().String(), sentAt: time.Now()}
+				q := &request{conn: newCallerConn(c.LocalAddr(), c.RemoteAddr()), sentAt: time.Now()}
 				_, err = c.Write([]byte("request"))
 				qt.Assert(t, err, qt.IsNil)
 				_, err = far.Read(make([]byte, 100))
@@ -53,7 +53,7 @@
 				qt.Assert(t, at.Sub(q.sentAt) >= tc.delay, qt.IsTrue, qt.Commentf("%s after it was sent", at.Sub(q.sentAt)))
 				qt.Assert(t, at.After(receivedAt), qt.IsFalse)
 			}
-			unsent := &request{localAddress: c.LocalAddr().String(), sentAt: time.Now()}
+			unsent := &request{conn: newCallerConn(c.LocalAddr(), c.RemoteAddr()), sentAt: time.Now()}
 			qt.Assert(t, s.deliveredAt(unsent), qt.Equals, unsent.sentAt)
 		})
 	}
--- a/soaker/link.go
+++ b/soaker/link.go
@@ -127,7 +127,7 @@
 		}
 		time.Sleep(time.Until(p.waitTurn(direction, n)))
 		if direction == toTarget && n > 0 && p.deliveries != nil {
-			p.deliveries.record(from.RemoteAddr())
+			p.deliveries.record(newCallerConn(from.RemoteAddr(), from.LocalAddr()))
 		}
 		if _, failed := to.Write(buffer[:n]); err != nil || failed != nil {
 			return
