Ask for the number of routers instead of ranking all of them to count them

Before each write of its row of streams, versioner ranked up to 10,000 addresses by their weights only for the length of the list. The membership has that number (Members), which coordinator, throttler and apportioner use already. awaitMembers, which ranked one address to see whether any router is known, asks for it too. What is decided stays the same: RankedAddresses returns none exactly while Members is zero.

--- a/versioner/ledgerstore.go
+++ b/versioner/ledgerstore.go
@@ -24,8 +24,6 @@
 	// ledgerReadTimeout is the timeout of reading all rows for a resumption, and ledgerReadInterval the least time between two reads.
 	ledgerReadTimeout  = 300 * time.Millisecond
 	ledgerReadInterval = 250 * time.Millisecond
-	// maxRouters is more than the number of routers of any fleet.
-	maxRouters = 10_000
 )
 
 // Names of metrics.
@@ -46,7 +44,7 @@
 	if streams == nil {
 		return
 	}
-	interval := max(minLedgerInterval, time.Duration(len(v.Members.RankedAddresses("", maxRouters)))*ledgerSpacing)
+	interval := max(minLedgerInterval, time.Duration(v.Members.Members())*ledgerSpacing)
 	v.mu.Lock()
 	v.nextLedgerAt = now.Add(interval)
 	record := newLedgerRecord(v.ledger.storeNow(now), streams)
--- a/versioner/messages_test.go
+++ b/versioner/messages_test.go
@@ -32,6 +32,8 @@
 // rankedMembers ranks a number of routers in a fixed order, this one first.
 type rankedMembers int
 
+func (m rankedMembers) Members() int { return int(m) }
+
 func (m rankedMembers) RankedAddresses(_ string, limit int) (addresses []string) {
 	for i := range min(limit, int(m)) {
 		addresses = append(addresses, fmt.Sprint(i))
@@ -94,6 +96,13 @@
 	from time.Time
 }
 
+func (m lateMembers) Members() int {
+	if time.Now().Before(m.from) {
+		return 0
+	}
+	return m.rankedMembers.Members()
+}
+
 func (m lateMembers) RankedAddresses(key string, limit int) []string {
 	if time.Now().Before(m.from) {
 		return nil
--- a/versioner/versioner.go
+++ b/versioner/versioner.go
@@ -47,6 +47,8 @@
 
 // Members provides the membership of the routers.
 type Members interface {
+	// Members returns the number of known routers, or zero if it is unknown.
+	Members() int
 	// RankedAddresses returns the addresses of up to max routers, those with the highest rendezvous weights for a key, highest
 	// first. This router may be among them.
 	RankedAddresses(key string, max int) []string
@@ -264,7 +266,7 @@
 func (v *Versioner) awaitMembers(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, membersTimeout)
 	defer cancel()
-	for len(v.Members.RankedAddresses("", 1)) == 0 {
+	for v.Members.Members() == 0 {
 		select {
 		case <-ctx.Done():
 			return
--- a/versioner/world_test.go
+++ b/versioner/world_test.go
@@ -125,17 +125,24 @@
 	return to.reply(s), nil
 }
 
-// RankedAddresses ranks all routers that have been up within 12 s.
-func (r *simRouter) RankedAddresses(key string, limit int) []string {
-	w := r.world
+// known returns the addresses of the routers that have been up within 12 s, in no order.
+func (w *world) known() (addresses []string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	var known []string
-	for address, other := range w.routers {
-		if time.Until(other.downUntil) < time.Hour {
-			known = append(known, address)
+	for address, r := range w.routers {
+		if time.Until(r.downUntil) < time.Hour {
+			addresses = append(addresses, address)
 		}
 	}
+	return addresses
+}
+
+// Members counts the routers that RankedAddresses ranks.
+func (r *simRouter) Members() int { return len(r.world.known()) }
+
+// RankedAddresses ranks all routers that have been up within 12 s.
+func (r *simRouter) RankedAddresses(key string, limit int) []string {
+	known := r.world.known()
 	slices.SortFunc(known, func(x, y string) int { return int(weight(key, y)>>1) - int(weight(key, x)>>1) })
 	return known[:min(limit, len(known))]
 }
