Tell unreachable servers in one place

sendFailure and reservationFailure each asked whether a call failed before it was sent, and had the server checked if it refused the connection. Both call isUnreachable now. Their outcomes stay as they were.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -211,12 +211,10 @@
 	return time.Duration(gapHandoverFactor * float64(x.q.route.MaxEventGap))
 }
 
-// sendFailure returns the outcome of an attempt that got no answer. If the server refused the connection, it may also start a
-// check of the server.
+// sendFailure returns the outcome of an attempt that got no answer.
 func (a *attempt) sendFailure(err error) outcome {
-	failure, isFailure := errors.AsType[*sender.Error](err)
 	if _, ok := errors.AsType[*unwantedError](err); ok {
-		if isFailure && failure.Sent {
+		if failure, ok := errors.AsType[*sender.Error](err); ok && failure.Sent {
 			return outcome{fate: masticway.FateUnknown, result: chooser.ResultNeutral, reason: err.Error(), abandoned: true}
 		}
 		a.x.f.throttler.ReturnPermit(a.server.Incarnation(), a.sentAt)
@@ -225,15 +223,25 @@
 	if _, ok := errors.AsType[*sender.ConnectionLimitError](err); ok {
 		return outcome{fate: masticway.FateNotRun, result: chooser.ResultNeutral, reason: err.Error(), isFull: true, unsent: true}
 	}
-	if isFailure && !failure.Sent {
-		if errors.Is(err, syscall.ECONNREFUSED) {
-			a.x.f.checkUnreachable(a.server)
-		}
+	if a.isUnreachable(err) {
 		return outcome{fate: masticway.FateNotRun, result: chooser.ResultUnreachable, reason: err.Error(), unsent: true}
 	}
 	return a.connectionFailure(err)
 }
 
+// isUnreachable reports whether a call to the server failed because there was no connection, not because it was unwanted. If the server
+// refused the connection, isUnreachable may also start a check of the server.
+func (a *attempt) isUnreachable(err error) bool {
+	failure, ok := errors.AsType[*sender.Error](err)
+	if _, unwanted := errors.AsType[*unwantedError](err); !ok || failure.Sent || unwanted {
+		return false
+	}
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		a.x.f.checkUnreachable(a.server)
+	}
+	return true
+}
+
 // failure returns the outcome of an attempt that may have run and got no usable answer. The attempt counts as abandoned if its
 // context has ended.
 func (a *attempt) failure(err error) outcome {
--- a/forwarder/reservation.go
+++ b/forwarder/reservation.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"net/http"
 	"strconv"
-	"syscall"
 	"time"
 
 	"github.com/masticway/masticway/chooser"
@@ -57,13 +55,8 @@
 // asked for a short time only says nothing about it, but a connection that it does not accept does.
 func (a *attempt) reservationFailure(err error) outcome {
 	out := outcome{result: chooser.ResultNeutral, reason: "asking for a reservation: " + err.Error()}
-	if failure, ok := errors.AsType[*sender.Error](err); ok && !failure.Sent && a.ctx.Err() == nil {
-		if _, unwanted := errors.AsType[*unwantedError](err); !unwanted {
-			out.result = chooser.ResultUnreachable
-		}
-		if errors.Is(err, syscall.ECONNREFUSED) {
-			a.x.f.checkUnreachable(a.server)
-		}
+	if a.ctx.Err() == nil && a.isUnreachable(err) {
+		out.result = chooser.ResultUnreachable
 	}
 	return out
 }
