--- a/emulator/opaque.go
+++ b/emulator/opaque.go
@@ -455,9 +455,7 @@
 		s.crash()
 		return false
 	case OpaqueReset:
-		if tcp, ok := c.(*net.TCPConn); ok {
-			_ = tcp.SetLinger(0)
-		}
+		resetOnClose(c)
 		return false
 	case OpaqueHang:
 		s.awaitClose(c)
@@ -506,8 +504,8 @@
 func (s *OpaqueServer) answerUnframed(c net.Conn, r *http.Request, header string, events int, pause time.Duration, cut bool) {
 	if r.Header.Get("X-Token-Count") == "" {
 		s.write(c, "HTTP/1.1 200 OK\r\n"+header+"Connection: close\r\n\r\nok")
-		if tcp, ok := c.(*net.TCPConn); ok && cut {
-			_ = tcp.SetLinger(0)
+		if cut {
+			resetOnClose(c)
 		}
 		return
 	}
--- a/emulator/truncated.go
+++ b/emulator/truncated.go
@@ -62,7 +62,14 @@
 	_, _ = io.Copy(io.Discard, r.Body)
 	text := strings.ReplaceAll(a.Text, attemptMark, r.Header.Get("X-Attempt-Id"))
 	_, _ = io.WriteString(c, text[:min(len(text), a.Length)])
-	if tcp, ok := c.(*net.TCPConn); ok && a.Resets {
+	if a.Resets {
+		resetOnClose(c)
+	}
+}
+
+// resetOnClose makes the kernel reset a connection when it is closed.
+func resetOnClose(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0)
 	}
 }
