Check that requests ran at most once over all tries in one place

checkFate counted the runs of each request that may run once, and checkTries those of several tries of one. The second covers both: one try is a group of one, and requests without a route's name count too. Nothing that was a violation ceases to be one.

--- a/soaker/checks.go
+++ b/soaker/checks.go
@@ -211,12 +211,8 @@
 	}
 }
 
-// checkFate checks that the status and the origin of an answer agree with the runs of its request, and that a non-repeatable
-// request ran at most once.
+// checkFate checks that the status and the origin of an answer agree with the runs of its request.
 func (s *soakRun) checkFate(q *request, runs []emulator.OpaqueRun) {
-	if len(runs) > 1 && !q.repeatable {
-		s.reportViolation(promiseOnce, "ran %d times: %s", len(runs), q)
-	}
 	switch q.status {
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusPaymentRequired:
 		if len(runs) > 0 {
--- a/soaker/tries.go
+++ b/soaker/tries.go
@@ -74,7 +74,7 @@
 func (s *soakRun) checkTries(runs map[string][]emulator.OpaqueRun) {
 	tries := map[string][]*request{}
 	for _, q := range s.requests {
-		if !q.repeatable && q.name != "" {
+		if !q.repeatable {
 			first := cmp.Or(q.firstTry, q.id)
 			tries[first] = append(tries[first], q)
 		}
@@ -86,7 +86,7 @@
 		for _, q := range all {
 			count += len(runs[q.id])
 		}
-		if len(all) > 1 && count > 1 {
+		if count > 1 {
 			slices.SortFunc(all, func(a, b *request) int { return a.sentAt.Compare(b.sentAt) })
 			s.reportViolation(promiseOnce, "ran %d times in %d tries: %v", count, len(all), all)
 		}
