--- a/starter/shutdown_test.go
+++ b/starter/shutdown_test.go
@@ -124,10 +124,11 @@
 			d := p.startStalling(p.settings("edge-1"), stall)
 			address, _ := d.Addresses()
 			began := time.Now().Add(time.Second)
-			// assumed is when the router assumes that its shutdown began. On a busy machine that is earlier.
-			assumed := make(chan time.Time, 1)
-			awaitAssumed := sync.OnceValue(func() time.Time { return <-assumed })
 			var (
+				// assumed is when the router assumes that its shutdown began. On a busy machine that is earlier.
+				assumed  time.Time
+				draining = make(chan struct{})
+
 				mu  sync.Mutex
 				all []exchangeResult
 				wg  sync.WaitGroup
@@ -151,11 +152,13 @@
 					defer c.Close()
 					first := exchange(c, exchangeResult{id: fmt.Sprintf("before-%d", i), number: 1}, "/book/x", "", began)
 					qt.Check(t, first.err, qt.IsNil)
-					time.Sleep(time.Until(awaitAssumed().Add(after)))
+					<-draining
+					time.Sleep(time.Until(assumed.Add(after)))
 					record(exchange(c, exchangeResult{id: fmt.Sprintf("kept-%d", i), number: 2}, path, extra, began))
 				})
 				wg.Go(func() {
-					time.Sleep(time.Until(awaitAssumed().Add(after)))
+					<-draining
+					time.Sleep(time.Until(assumed.Add(after)))
 					c, err := net.Dial("tcp", address)
 					if err != nil {
 						return
@@ -165,12 +168,12 @@
 				})
 			}
 			time.Sleep(time.Until(began))
-			wg.Go(func() {
-				at := p.assumedStart(t)
-				t.Logf("the router assumes that its shutdown began %s early", began.Sub(at).Round(time.Millisecond))
-				assumed <- at
-			})
-			qt.Check(t, d.Drain(), qt.IsTrue)
+			drained := make(chan bool, 1)
+			go func() { drained <- d.Drain() }()
+			assumed = p.assumedStart()
+			t.Logf("the router assumes that its shutdown began %s early", began.Sub(assumed).Round(time.Millisecond))
+			close(draining)
+			qt.Check(t, <-drained, qt.IsTrue)
 			wg.Wait()
 			ran := map[string]bool{}
 			for _, r := range p.ledger.Runs() {
@@ -197,20 +200,16 @@
 }
 
 // assumedStart waits until a router shuts down and returns when it assumes that it was told to.
-func (p *testPlatform) assumedStart(t *testing.T) time.Time {
-	for range 1000 {
-		line := p.logLines("event=stopping ")
-		if found := lateness.FindStringSubmatch(line); found != nil {
-			at, err := time.Parse(time.RFC3339Nano, found[1])
-			qt.Check(t, err, qt.IsNil)
-			late, err := strconv.Atoi(found[2])
-			qt.Check(t, err, qt.IsNil)
-			return at.Add(-time.Duration(late) * time.Millisecond)
-		}
-		time.Sleep(10 * time.Millisecond)
-	}
-	t.Errorf("the router has not logged that it stops")
-	return time.Now()
+func (p *testPlatform) assumedStart() time.Time {
+	p.waitForLog("event=stopping ")
+	line := p.logLines("event=stopping ")
+	found := lateness.FindStringSubmatch(line)
+	qt.Assert(p.t, found, qt.HasLen, 3, qt.Commentf("%s", line))
+	at, err := time.Parse(time.RFC3339Nano, found[1])
+	qt.Assert(p.t, err, qt.IsNil)
+	late, err := strconv.Atoi(found[2])
+	qt.Assert(p.t, err, qt.IsNil)
+	return at.Add(-time.Duration(late) * time.Millisecond)
 }
 
 // lateness finds when a router logged that it stops, and how many milliseconds earlier it assumes that it was told to.
