Log where each part of a stream came from and how its end was detected

No line told which server, run and version each part of a stream came from, nor whether its end was known by a length, by the last chunk or by the end of the connection, so that the hypotheses on streams out of order could not be told apart. stream_part has these for every stream that was not answered by one server from its start to a framed end, at most one line an attempt; lines of answers that were broken off have the caller's protocol. No decision changes.

--- a/forwarder/admit.go
+++ b/forwarder/admit.go
@@ -65,6 +65,7 @@
 	account              masticway.Account
 	configurationVersion int64
 	method               string
+	protocol             string
 	target               string
 	host                 string
 	header               http.Header
@@ -103,7 +104,7 @@
 // exchange, which the log needs; the caller must call release on it.
 func (f *Forwarder) admit(w http.ResponseWriter, r *http.Request) (*exchange, *masticway.RefusalError) {
 	x := &exchange{f: f, w: w, caller: masticway.CallerConnectionOf(r.Context()), state: deliveryChart.Initial(), fate: masticway.FateNotRun, tried: map[string]bool{}}
-	x.q = request{method: r.Method, target: r.RequestURI, host: r.Host, header: r.Header, readAt: f.clock.Now()}
+	x.q = request{method: r.Method, protocol: r.Proto, target: r.RequestURI, host: r.Host, header: r.Header, readAt: f.clock.Now()}
 	x.q.arrivedAt = x.q.readAt
 	if at := x.caller.ArrivedAt(); !at.IsZero() {
 		x.q.arrivedAt = at
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -60,6 +61,8 @@
 	answerRecorded bool
 	// reservation is the capacity that the server has reserved for the attempt; it is empty if there is none.
 	reservation string
+	// part is what the attempt contributed to the caller's stream.
+	part streamPart
 	// coordinated is the run as it is reported to the coordinator.
 	coordinated coordinatedRun
 	// previous is the attempt before this one that may have run the request; its server is empty if there is none.
@@ -166,6 +169,7 @@
 // send sends the request to the attempt's server, waits for the head of the answer and records what the head reports about the
 // server. A stream resumes after lastEvent (see serverRequest).
 func (a *attempt) send(lastEvent string) (*sender.Answer, error) {
+	a.part.after = cmp.Or(lastEvent, a.x.q.LastEvent)
 	answer, err := a.x.f.sender.Send(a.ctx, a.server.Address, a.x.maxConnections(), a.serverRequest(lastEvent))
 	if err == nil {
 		a.observeServer(answer)
--- /dev/null
+++ b/forwarder/part.go
@@ -0,0 +1,48 @@
+package forwarder
+
+import (
+	"github.com/sirupsen/logrus"
+
+	"github.com/masticway/masticway/sender"
+)
+
+// streamPart describes what one attempt contributed to the stream that the caller gets.
+type streamPart struct {
+	// after is the ID of the event after which the server was asked to continue. It is empty if the stream began here.
+	after string
+	// first and last are the IDs of the first and the last event that were written. They are empty if no such event had an ID.
+	first, last string
+	// events counts the events that were written, unnumbered those of them without an ID, and skipped those that the caller had already.
+	events, unnumbered, skipped int
+}
+
+// add records an event that was written to the caller.
+func (p *streamPart) add(id string, hasID bool) {
+	p.events++
+	if !hasID {
+		p.unnumbered++
+		return
+	}
+	if p.first == "" {
+		p.first = id
+	}
+	p.last = id
+}
+
+// logPart logs where a part of a stream came from and how its end was detected. A stream that one server answered from its start to its
+// framed end is logged only as its request is.
+func (a *attempt) logPart(answer *sender.Answer, out outcome) {
+	x, p := a.x, a.part
+	if out.done && answer.IsFramed() && p.after == "" && x.tries == 0 {
+		return
+	}
+	end := string(answer.Framing)
+	if !out.done {
+		end = out.reason
+	}
+	x.f.log.WithFields(logrus.Fields{
+		"event": "stream_part", "request": x.q.ID, "resumes": x.q.Resumes, "pool": x.q.pool.Name, "server": a.server.ID, "version": a.server.Version,
+		"try": x.tries, "after": p.after, "first": p.first, "last": p.last, "events": p.events, "unnumbered": p.unnumbered, "skipped": p.skipped,
+		"framing": answer.Framing, "complete": out.done, "end": end, "ms": x.f.clock.Now().Sub(a.sentAt).Milliseconds(),
+	}).Info("part of a stream relayed")
+}
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -18,6 +18,12 @@
 
 // relayStream relays an event stream as it arrives, in whole events, until the stream ends, fails or is handed over.
 func (a *attempt) relayStream(answer *sender.Answer) outcome {
+	out := a.relayEvents(answer)
+	a.logPart(answer, out)
+	return out
+}
+
+func (a *attempt) relayEvents(answer *sender.Answer) outcome {
 	x := a.x
 	var pending []byte
 	kept := x.f.answerBytes.account()
@@ -46,7 +52,7 @@
 			a.setSilenceTimeout(x.eventGapTimeout())
 		}
 		isAtEnd := errors.Is(err, io.EOF) && len(bytes.TrimSpace(pending)) == 0
-		if isAtEnd && !x.headWritten && answer.Framed && x.q.isResumption() {
+		if isAtEnd && !x.headWritten && answer.IsFramed() && x.q.isResumption() {
 			// The caller has all events of the stream already.
 			if fault := a.writeEvents(answer, nil); fault != nil {
 				return outcome{fate: masticway.FateRan, result: chooser.ResultNeutral, reason: fault.Error()}
@@ -92,12 +98,14 @@
 		id, ok := eventID(event)
 		if ok && x.lastEvent != "" && !isLaterID(id, x.lastEvent) {
 			// The server resumed earlier in the stream than it was asked to.
+			a.part.skipped++
 			continue
 		}
 		if _, err := x.w.Write(event); err != nil {
 			return fmt.Errorf("writing to the caller: %w", err)
 		}
 		x.events++
+		a.part.add(id, ok)
 		if ok {
 			x.lastEvent = id
 		}
--- a/forwarder/report.go
+++ b/forwarder/report.go
@@ -98,7 +98,7 @@
 func (f *Forwarder) recordBroken(x *exchange, refused *masticway.RefusalError) {
 	f.metrics.Add(metricBroken, 1)
 	f.tally.Add(x.end(codeBrokenOff))
-	x.logEntry(codeBrokenOff).WithFields(logrus.Fields{"run": refused.Fate, "cause": x.cause}).Info("answer aborted")
+	x.logEntry(codeBrokenOff).WithFields(logrus.Fields{"run": refused.Fate, "cause": x.cause, "protocol": x.q.protocol}).Info("answer aborted")
 }
 
 func (x *exchange) logFailedAttempt(server masticway.Server, out outcome, retry retryDecision) {
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -78,18 +78,41 @@
 	return fmt.Sprintf("%d connections to %s are in use", e.Open, e.Address)
 }
 
+// Framing is how an answer delimits its body.
+type Framing string
+
+// The framings of answers. An answer with FramingConnection lasts until its connection ends.
+const (
+	FramingLength     Framing = "length"
+	FramingChunks     Framing = "chunks"
+	FramingConnection Framing = "connection"
+)
+
+// framingOf returns the framing of an answer.
+func framingOf(r *http.Response) Framing {
+	switch {
+	case r.ContentLength >= 0:
+		return FramingLength
+	case len(r.TransferEncoding) > 0:
+		return FramingChunks
+	}
+	return FramingConnection
+}
+
 // Answer is a server's answer. The caller must call Close.
 type Answer struct {
-	Status int
-	Header http.Header
-	// Framed is set if the answer delimits its body, by Content-Length or a transfer encoding.
-	Framed   bool
+	Status   int
+	Header   http.Header
+	Framing  Framing
 	body     io.ReadCloser
 	conn     *conn
 	complete bool
 	closed   bool
 }
 
+// IsFramed reports whether the answer delimits its body by itself, so that its end is not known by that of the connection alone.
+func (a *Answer) IsFramed() bool { return a.Framing != FramingConnection }
+
 // Read reads the body. It returns io.EOF only at the end of a complete body, or at the end of the connection if the body is not
 // framed.
 func (a *Answer) Read(b []byte) (int, error) {
@@ -110,7 +133,7 @@
 		return
 	}
 	a.closed = true
-	a.conn.release(a.complete, a.Framed)
+	a.conn.release(a.complete, a.IsFramed())
 }
 
 // Next discards the answer, reads the next one on the connection and returns it. It is for faulty servers that send an answer
@@ -118,7 +141,7 @@
 // caller must close the new answer and not the old one; otherwise it must close the old one.
 func (a *Answer) Next() (*Answer, error) {
 	a.conn.tainted = true
-	if err := a.skip(maxSkippedBytes); err != nil || !a.Framed {
+	if err := a.skip(maxSkippedBytes); err != nil || !a.IsFramed() {
 		return nil, &Error{Sent: true, Reused: a.conn.requests > 1, Cause: fmt.Errorf("skipping an answer to another request: %w", errOr(err, io.ErrUnexpectedEOF))}
 	}
 	next, err := a.conn.readAnswer()
@@ -322,9 +345,8 @@
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
-		framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
 		c.willClose = response.Close
-		return &Answer{Status: response.StatusCode, Header: response.Header, Framed: framed, body: response.Body, conn: c}, nil
+		return &Answer{Status: response.StatusCode, Header: response.Header, Framing: framingOf(response), body: response.Body, conn: c}, nil
 	}
 }
 
