Show that an answer is taken for whole when its server is killed

An answer with neither a length nor chunks ends with its connection, which the kernel of a killed process closes in order. The router passed such answers on as complete, streams after 3 of 5 events and calls alike, resumable or not.

--- a/emulator/opaque.go
+++ b/emulator/opaque.go
@@ -40,6 +40,9 @@
 	OpaqueUnframed OpaqueFault = "unframed"
 	// OpaqueUnframedTruncated does the same, but a stream ends in the middle of an event, and other answers with a reset.
 	OpaqueUnframedTruncated OpaqueFault = "unframed_cut"
+	// OpaqueUnframedEnded does the same, but the server ends in the middle of the answer, between two events of a stream. Its connections
+	// are closed in order, as the kernel does for a process that is killed.
+	OpaqueUnframedEnded OpaqueFault = "unframed_ended"
 	// OpaqueStall runs the request and answers after the time that SetStall sets.
 	OpaqueStall OpaqueFault = "stall"
 	// OpaqueAnonymousRejection rejects the request like OpaqueOverloaded, but its answer does not name the request.
@@ -478,8 +481,8 @@
 			return false
 		}
 	}
-	if fault == OpaqueUnframed || fault == OpaqueUnframedTruncated {
-		s.answerUnframed(c, r, header, events, pause, fault == OpaqueUnframedTruncated)
+	if fault == OpaqueUnframed || fault == OpaqueUnframedTruncated || fault == OpaqueUnframedEnded {
+		s.answerUnframed(c, r, header, events, pause, fault)
 		return false
 	}
 	if r.Header.Get("X-Token-Count") != "" {
@@ -500,23 +503,31 @@
 	return s.write(c, fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", header, len(text), text))
 }
 
-// answerUnframed sends an answer that ends with its connection, which the caller must close. If cut is set, the answer is incomplete.
-func (s *OpaqueServer) answerUnframed(c net.Conn, r *http.Request, header string, events int, pause time.Duration, cut bool) {
+// answerUnframed sends an answer that ends with its connection, which the caller must close. The fault tells how the answer ends.
+func (s *OpaqueServer) answerUnframed(c net.Conn, r *http.Request, header string, events int, pause time.Duration, fault OpaqueFault) {
 	if r.Header.Get("X-Token-Count") == "" {
 		s.write(c, "HTTP/1.1 200 OK\r\n"+header+"Connection: close\r\n\r\nok")
-		if cut {
+		switch fault {
+		case OpaqueUnframedTruncated:
 			resetOnClose(c)
+		case OpaqueUnframedEnded:
+			s.Close()
 		}
 		return
 	}
 	s.write(c, "HTTP/1.1 200 OK\r\n"+header+"Content-Type: text/event-stream\r\nConnection: close\r\n\r\n")
 	received, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	last := received + (events-received+1)/2
 	for i := received + 1; i <= events; i++ {
 		time.Sleep(pause)
 		event := fmt.Sprintf("id: %d\ndata: piece %d\n\n", i, i)
-		if cut && i == received+(events-received+1)/2+1 {
+		switch {
+		case fault == OpaqueUnframedTruncated && i > last:
 			s.write(c, event[:len(event)/2])
 			return
+		case fault == OpaqueUnframedEnded && i > last:
+			s.Close()
+			return
 		}
 		s.write(c, event)
 	}
