Take an answer that ends with its connection for whole only if its server still serves

Callers saw streams that ended as complete before their last piece. An answer with neither a length nor chunks ends with its connection, and the kernel of a process that is killed closes its connections in order, as a server does at the end of an answer. The router took every such end for the end of the answer, in streams and in whole answers.

The router now makes a new connection to the server after such an end. If it is refused, or none can be made, the answer counts as broken: what may run again goes on at another server, anything else is broken off. Checks that began earlier are not reused, since the server may have ended since, and a connection that is reset at once is tried again: a kernel that ends a process closes the listener and the connections one after the other. A server that closes one connection early and goes on serving cannot be told from one whose answer is whole.

TestAnswerThatEndsWithItsServerIsNotWhole failed before in the four cases in which the server ends, and passes; the cases in which it serves hold before and after, as does TestAnswersThatEndWithTheirConnection.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -361,6 +361,8 @@
 		return a.failure(err)
 	case err != nil:
 		return a.connectionFailure(fmt.Errorf("reading the answer: %w", err))
+	case !a.isWhole(answer):
+		return a.connectionFailure(errEndedWithServer)
 	}
 	a.recordFirstPart()
 	isServerError := answer.Status >= http.StatusInternalServerError
--- a/forwarder/ends.go
+++ b/forwarder/ends.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -12,6 +13,7 @@
 
 	"github.com/masticway/masticway"
 	"github.com/masticway/masticway/follower"
+	"github.com/masticway/masticway/sender"
 )
 
 const (
@@ -20,8 +22,14 @@
 	checkTimeout = 100 * time.Millisecond
 	// checkTTL is how long the result of a check is reused, for example for other connections that broke at the same time.
 	checkTTL = 250 * time.Millisecond
+	// settleTime is how long a check waits for the kernel of a server that is ending: it closes the listener and the connections one
+	// after the other, and resets what it had accepted in between.
+	settleTime = 10 * time.Millisecond
 )
 
+// errEndedWithServer ends an attempt whose answer, of a framing that does not tell, may have ended because its server did.
+var errEndedWithServer = errors.New("the connection ended, and the server does not serve any more")
+
 // condition is the state of a server as found by a connection attempt.
 type condition string
 
@@ -38,6 +46,9 @@
 // check is a connection attempt that determines whether one incarnation of a server has ended. The other fields are valid after
 // done has been closed.
 type check struct {
+	startedAt time.Time
+	// settles is set if the check waits for settleTime before it takes a connection for a server that serves.
+	settles    bool
 	done       chan struct{}
 	result     condition
 	finishedAt time.Time
@@ -58,13 +69,23 @@
 
 // start returns the server's latest check if it is current (see isCurrent). Otherwise it starts a new one. It does not block.
 func (c *checks) start(s masticway.Server) *check {
+	return c.startUnless(s, false, func(k *check) bool { return k.isCurrent(c.clock.Now()) })
+}
+
+// startSettling returns a check of the server that settles and began after the given time. It does not block.
+func (c *checks) startSettling(s masticway.Server, after time.Time) *check {
+	return c.startUnless(s, true, func(k *check) bool { return k.settles && !k.startedAt.Before(after) })
+}
+
+// startUnless returns the server's latest check if it is usable. Otherwise it starts a new one.
+func (c *checks) startUnless(s masticway.Server, settles bool, isUsable func(*check) bool) *check {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	incarnation := s.Incarnation()
-	if k, ok := c.byServer[incarnation]; ok && k.isCurrent(c.clock.Now()) {
+	if k, ok := c.byServer[incarnation]; ok && isUsable(k) {
 		return k
 	}
-	k := &check{done: make(chan struct{})}
+	k := &check{startedAt: c.clock.Now(), settles: settles, done: make(chan struct{})}
 	c.byServer[incarnation] = k
 	go c.run(s, k)
 	return k
@@ -84,6 +105,11 @@
 	ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
 	defer cancel()
 	n, err := c.dial(ctx, "tcp", s.Address)
+	if err == nil && k.settles && isClosedWithin(n, settleTime) {
+		// The server is ending, or it has too many connections.
+		_ = n.Close()
+		n, err = c.dial(ctx, "tcp", s.Address)
+	}
 	switch {
 	case err == nil:
 		_ = n.Close()
@@ -97,12 +123,36 @@
 	close(k.done)
 	c.log.WithFields(logrus.Fields{
 		"event": "server_checked", "server": s.ID, "address": s.Address, "pool": s.Pool, "found": k.result, "error": err,
-	}).Info("server checked after a connection broke")
+	}).Info("server checked after a connection ended")
 	if k.result == conditionEnded {
 		c.onEnded(s.Incarnation())
 	}
 }
 
+// isClosedWithin reports whether the other side ends a connection within a time.
+func isClosedWithin(n net.Conn, d time.Duration) bool {
+	_ = n.SetReadDeadline(time.Now().Add(d))
+	_, err := n.Read(make([]byte, 1))
+	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
+}
+
+// isWhole reports whether an answer that was read to its end is whole. If its end is known only by that of its connection, the server
+// must still serve: the kernel of a server that was killed ends its connections in the same way. It may block for checkTimeout.
+func (a *attempt) isWhole(answer *sender.Answer) bool {
+	if answer.IsFramed() {
+		return true
+	}
+	// The server has sent all that it will.
+	a.setSilenceTimeout(0)
+	k := a.x.f.checks.startSettling(a.server, a.x.f.clock.Now())
+	select {
+	case <-k.done:
+		return k.result == conditionAnswers
+	case <-a.ctx.Done():
+		return false
+	}
+}
+
 // retain drops the checks of server incarnations that are not in the snapshot.
 func (c *checks) retain(snapshot follower.Snapshot) {
 	c.mu.Lock()
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -52,6 +52,9 @@
 			a.setSilenceTimeout(x.eventGapTimeout())
 		}
 		isAtEnd := errors.Is(err, io.EOF) && len(bytes.TrimSpace(pending)) == 0
+		if isAtEnd && x.headWritten && !a.isWhole(answer) {
+			return a.streamFailure(errEndedWithServer, 0)
+		}
 		if isAtEnd && !x.headWritten && answer.IsFramed() && x.q.isResumption() {
 			// The caller has all events of the stream already.
 			if fault := a.writeEvents(answer, nil); fault != nil {
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -91,7 +91,7 @@
 // framingOf returns the framing of an answer.
 func framingOf(r *http.Response) Framing {
 	switch {
-	case r.ContentLength >= 0:
+	case r.ContentLength >= 0 || r.Body == http.NoBody:
 		return FramingLength
 	case len(r.TransferEncoding) > 0:
 		return FramingChunks
