Show that continuations of streams are passed on as they come

A server that is asked to continue after an event may begin anew, an event earlier, or two events later. The router passed on everything of a stream that the caller resumed; after a break within one answer it left out events with IDs that the caller had, but neither events without an ID nor a gap.

--- a/emulator/opaque.go
+++ b/emulator/opaque.go
@@ -43,6 +43,11 @@
 	// OpaqueUnframedEnded does the same, but the server ends in the middle of the answer, between two events of a stream. Its connections
 	// are closed in order, as the kernel does for a process that is killed.
 	OpaqueUnframedEnded OpaqueFault = "unframed_ended"
+	// OpaqueRestart, OpaqueRewind and OpaqueSkip answer a request that resumes a stream wrongly: from the first event, from one event
+	// earlier, and from two events later than asked.
+	OpaqueRestart OpaqueFault = "restart"
+	OpaqueRewind  OpaqueFault = "rewind"
+	OpaqueSkip    OpaqueFault = "skip"
 	// OpaqueStall runs the request and answers after the time that SetStall sets.
 	OpaqueStall OpaqueFault = "stall"
 	// OpaqueAnonymousRejection rejects the request like OpaqueOverloaded, but its answer does not name the request.
@@ -486,7 +491,8 @@
 		return false
 	}
 	if r.Header.Get("X-Token-Count") != "" {
-		return s.streamEvents(c, run, id, header, r.Header.Get("Last-Event-Id"), events, pause, fault == OpaqueTruncated)
+		received, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+		return s.streamEvents(c, run, id, header, fault.resumeAfter(received), events, pause, fault == OpaqueTruncated)
 	}
 	if fault == OpaqueTruncated {
 		s.write(c, "HTTP/1.1 200 OK\r\n"+header+"Content-Length: 100\r\n\r\nhalf")
@@ -533,10 +539,23 @@
 	}
 }
 
-// streamEvents sends the events after lastEvent, which is the ID of the last event that the caller has received. If cut is
-// set and more than one event is left, the stream ends in the middle of an event. It returns whether the connection stays
-// open.
-func (s *OpaqueServer) streamEvents(c net.Conn, run int, id, header, lastEvent string, events int, pause time.Duration, cut bool) bool {
+// resumeAfter returns the number of the event after which a stream goes on that is asked to go on after the event received.
+func (f OpaqueFault) resumeAfter(received int) int {
+	switch {
+	case received == 0:
+	case f == OpaqueRestart:
+		return 0
+	case f == OpaqueRewind:
+		return received - 1
+	case f == OpaqueSkip:
+		return received + 2
+	}
+	return received
+}
+
+// streamEvents sends the events after the one with the number received. If cut is set and more than one event is left, the stream ends
+// in the middle of an event. It returns whether the connection stays open.
+func (s *OpaqueServer) streamEvents(c net.Conn, run int, id, header string, received, events int, pause time.Duration, cut bool) bool {
 	if !s.write(c, "HTTP/1.1 200 OK\r\n"+header+"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n") {
 		return false
 	}
@@ -544,7 +563,6 @@
 	if echo, _ := s.echoSettings(); echo {
 		suffix = " of " + id
 	}
-	received, _ := strconv.Atoi(lastEvent)
 	for i := received + 1; i <= events; i++ {
 		if !s.work(c, pause) {
 			s.runLog.markDisconnected(run)
