Leave out what the caller has also when it resumes a stream itself

Callers saw event numbers go back from one try to the next: a server that is asked to continue after an event may begin anew or earlier, and the router passed it all on. Within one answer it left such events out, because it knew the last event that it had written; a request that resumes a stream began without one, although it names it.

The exchange now begins with the event that the caller names. TestResumedStreamLeavesOutWhatCallerHas failed before for servers that begin anew and one event earlier, and passes.

--- a/forwarder/versions.go
+++ b/forwarder/versions.go
@@ -25,7 +25,7 @@
 	return q.ID
 }
 
-// bindResumption binds a request that resumes a stream to the version that began the stream. It returns a refusal if that version is
+// bindResumption binds a request that resumes a stream to the version that began the stream, and to the last event that its caller has. It returns a refusal if that version is
 // unknown or has no server.
 func (x *exchange) bindResumption(ctx context.Context) *masticway.RefusalError {
 	if !x.q.isResumption() {
@@ -36,6 +36,7 @@
 		return refusal(http.StatusServiceUnavailable, codeStreamUnknown, "it is not known which version began the stream", retryAfterResumption)
 	}
 	x.streamVersion.Store(&version)
+	x.lastEvent = x.q.LastEvent
 	if len(x.candidates(nil)) == 0 {
 		return refusal(http.StatusServiceUnavailable, codeStreamVersionGone, "no server has the version that began the stream", retryAfterResumption)
 	}
