Do not pass on a continuation of a stream that leaves events out

Callers saw a piece missing after a break: nothing checked that a server which is asked to continue after an event begins right after it. Where that holds, a continuation that begins later counts as a failed attempt before anything of it is written: another server may continue, or the answer breaks off. It holds within one answer and over a caller's tries.

The streams of the test are longer than as it was committed: after the break of a stream of five events a server that begins two events late has nothing left, and an empty continuation that is whole by its framing cannot be told from the end of the stream.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -81,6 +81,8 @@
 	servers *chooser.Servers
 	// allowances holds the retry allowance of each pool.
 	allowances map[string]*retrier.Allowance
+	// numberings holds how the servers of each pool number the events of their streams.
+	numberings map[string]*numbering
 
 	// drainState is nil until the router is asked to drain.
 	drainState atomic.Pointer[drain]
@@ -124,7 +126,7 @@
 		settings:    s, clock: d.Clock, log: d.Log, metrics: d.Metrics, tally: d.Tally, codec: d.Codec, budgets: d.Budgets, snapshot: d.Snapshot,
 		examiner: d.Examiner, rotation: d.Rotation, throttler: d.Throttler, coordinator: d.Coordinator, connections: d.Connections, streamVersions: d.StreamVersions, onDraining: d.OnDraining,
 		checks: &checks{dial: d.Dial, clock: d.Clock, log: d.Log, byServer: map[masticway.ServerIncarnation]*check{}},
-		sender: sender.New(d.Dial, d.Clock.Now), servers: chooser.NewServers(s.serverPolicy()), allowances: map[string]*retrier.Allowance{}, startedAt: d.Clock.Now(),
+		sender: sender.New(d.Dial, d.Clock.Now), servers: chooser.NewServers(s.serverPolicy()), allowances: map[string]*retrier.Allowance{}, numberings: map[string]*numbering{}, startedAt: d.Clock.Now(),
 	}
 	if f.coordinator == nil {
 		f.coordinator = uncoordinated{}
--- a/forwarder/order_test.go
+++ b/forwarder/order_test.go
@@ -33,7 +33,10 @@
 // TestContinuationWithGapIsNotPassedOn guards against streams with a piece missing: a server that is asked to go on after an event begins
 // later than that.
 func TestContinuationWithGapIsNotPassedOn(t *testing.T) {
-	const skip, cut = emulator.OpaqueSkip, emulator.OpaqueTruncated
+	const (
+		skip, cut = emulator.OpaqueSkip, emulator.OpaqueTruncated
+		events    = 9
+	)
 	cases := map[string]struct {
 		header        []string
 		first, second emulator.OpaqueFault
@@ -41,15 +44,18 @@
 		broken        bool
 		runs          int
 	}{
-		"after a break":              {first: cut, second: skip, body: eventStream(1, 3), broken: true, runs: 2},
-		"over tries, then a server":  {header: []string{"Last-Event-Id", "2", "Resumes", "a0"}, first: skip, body: eventStream(3, 5), runs: 2},
+		"after a break":              {first: cut, second: skip, body: eventStream(1, 5), broken: true, runs: 2},
+		"over tries, then a server":  {header: []string{"Last-Event-Id", "2", "Resumes", "a0"}, first: skip, body: eventStream(3, events), runs: 2},
 		"over tries, no other left":  {header: []string{"Last-Event-Id", "2", "Resumes", "a0"}, first: skip, second: skip, runs: 2},
-		"after a break, in sequence": {first: cut, body: eventStream(1, 5), runs: 2},
+		"after a break, in sequence": {first: cut, body: eventStream(1, events), runs: 2},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
 			f := newFixture(t, 2)
 			f.versions.byAttempt.Store("a0", "")
+			for _, s := range f.servers {
+				s.SetStream(events, 0)
+			}
 			for range 6 {
 				// The router learns how the servers number events.
 				f.do(t.Context(), "POST", "/resume/x")
--- a/forwarder/part.go
+++ b/forwarder/part.go
@@ -14,6 +14,20 @@
 	first, last string
 	// events counts the events that were written, unnumbered those of them without an ID, and skipped those that the caller had already.
 	events, unnumbered, skipped int
+	// numbering counts the steps between the events that the server sent, the last of which has the ID lastSent.
+	numbering numbering
+	lastSent  string
+}
+
+// recordSent records an event with an ID that the server sent.
+func (p *streamPart) recordSent(id string) {
+	if step, ok := eventStep(p.lastSent, id); ok && step >= 1 {
+		p.numbering.steps++
+		if step > 1 {
+			p.numbering.jumps++
+		}
+	}
+	p.lastSent = id
 }
 
 // add records an event that was written to the caller.
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -19,6 +19,7 @@
 // relayStream relays an event stream as it arrives, in whole events, until the stream ends, fails or is handed over.
 func (a *attempt) relayStream(answer *sender.Answer) outcome {
 	out := a.relayEvents(answer)
+	a.x.recordNumbering(a.part.numbering)
 	a.logPart(answer, out)
 	return out
 }
@@ -43,7 +44,14 @@
 				// The next server was asked to resume before these events, so it will send them.
 				return a.streamFailure(errSilent, len(pending))
 			}
-			if fault := a.writeEvents(answer, pending[:complete]); fault != nil {
+			fault := a.writeEvents(answer, pending[:complete])
+			if _, ok := errors.AsType[*GapError](fault); ok {
+				// The missing events may come from another server.
+				out := a.failure(fault)
+				out.fate = masticway.FateRan
+				return out
+			}
+			if fault != nil {
 				return outcome{fate: masticway.FateRan, result: chooser.ResultNeutral, reason: fault.Error()}
 			}
 			pending = append(pending[:0], pending[complete:]...)
@@ -57,9 +65,11 @@
 		}
 		if isAtEnd && !x.headWritten && answer.IsFramed() && x.q.isResumption() {
 			// The caller has all events of the stream already.
-			if fault := a.writeEvents(answer, nil); fault != nil {
-				return outcome{fate: masticway.FateRan, result: chooser.ResultNeutral, reason: fault.Error()}
+			if !a.awaitClearance() {
+				return outcome{fate: masticway.FateRan, result: chooser.ResultNeutral, reason: errHoldNotCleared.Error()}
 			}
+			a.recordFirstPart()
+			a.beginStream(answer)
 		}
 		if isAtEnd && x.headWritten {
 			x.fate = masticway.FateRan
@@ -89,21 +99,24 @@
 	if !a.awaitClearance() {
 		return errHoldNotCleared
 	}
-	if !x.headWritten {
-		x.bindStream(a.ctx, a.server)
-		x.beginAnswer(answer)
-		x.w.WriteHeader(answer.Status)
-	}
 	for len(events) > 0 {
 		end := firstEventEnd(events)
 		event := events[:end]
 		events = events[end:]
 		id, ok := eventID(event)
+		isFirst := a.part.lastSent == ""
+		if ok {
+			a.part.recordSent(id)
+		}
 		if ok && x.lastEvent != "" && !isLaterID(id, x.lastEvent) {
 			// The server resumed earlier in the stream than it was asked to.
 			a.part.skipped++
 			continue
 		}
+		if ok && isFirst && x.hasGap(x.lastEvent, id) {
+			return &GapError{After: x.lastEvent, First: id}
+		}
+		a.beginStream(answer)
 		if _, err := x.w.Write(event); err != nil {
 			return fmt.Errorf("writing to the caller: %w", err)
 		}
@@ -113,6 +126,9 @@
 			x.lastEvent = id
 		}
 	}
+	if !x.headWritten {
+		return nil
+	}
 	if err := http.NewResponseController(x.w).Flush(); err != nil {
 		return fmt.Errorf("writing to the caller: %w", err)
 	}
@@ -120,6 +136,17 @@
 	return nil
 }
 
+// beginStream writes the head of the caller's answer, unless that has been done.
+func (a *attempt) beginStream(answer *sender.Answer) {
+	x := a.x
+	if x.headWritten {
+		return
+	}
+	x.bindStream(a.ctx, a.server)
+	x.beginAnswer(answer)
+	x.w.WriteHeader(answer.Status)
+}
+
 // errHoldNotCleared ends an answer whose hold was not cleared before the attempt's context ended.
 var errHoldNotCleared = errors.New("the store did not take the promise for this answer's money in time")
 
