Leave out events without an ID that the caller has

Callers got events twice after a break: events with an ID were compared with the last one that had been written, events without one were passed on always. What follows an ID that the caller has is now left out with it, and of the events that follow the last ID as many as the caller has got. Comments, which have no ID either, are no events and are passed on.

--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -114,14 +114,16 @@
 	headWritten bool
 	// chargeable is set when an answer with a status below 300 begins to be written.
 	chargeable bool
-	// events counts the events that were written to the caller, and lastEvent is the ID of the last one that has an ID. firstAt
+	// events counts the events that were written to the caller, lastEvent is the ID of the last one that has an ID, or of the last one
+	// that the caller had before, and unnumbered counts those after it. firstAt
 	// is when the first part of an answer arrived from any server. server is the ID of the server of the last attempt, and version
 	// its software version.
-	events    int
-	lastEvent string
-	firstAt   time.Time
-	server    string
-	version   string
+	events     int
+	lastEvent  string
+	unnumbered int
+	firstAt    time.Time
+	server     string
+	version    string
 	// writtenAt is when the last events were written to the caller. waived is what was not charged of them because the caller gave
 	// up the answer.
 	writtenAt time.Time
--- a/forwarder/order_test.go
+++ b/forwarder/order_test.go
@@ -102,6 +102,7 @@
 		"server begins with the last ID": {id(1) + id(2) + plain("b") + "CUT", id(2) + plain("b") + plain("c") + id(3), id(1) + id(2) + plain("b") + plain("c") + id(3)},
 		"server goes on after the ID":    {id(1) + id(2) + plain("b") + "CUT", plain("b") + plain("c") + id(3), id(1) + id(2) + plain("b") + plain("c") + id(3)},
 		"nothing was sent after the ID":  {id(1) + id(2) + "CUT", plain("b") + id(3), id(1) + id(2) + plain("b") + id(3)},
+		"comments are no events":         {id(1) + ": ping\n\n" + "CUT", plain("a") + id(2), id(1) + ": ping\n\n" + plain("a") + id(2)},
 		"same ID twice":                  {id(1) + id(1) + id(2), "", id(1) + id(2)},
 	}
 	for name, tc := range cases {
--- a/forwarder/part.go
+++ b/forwarder/part.go
@@ -17,6 +17,10 @@
 	// numbering counts the steps between the events that the server sent, the last of which has the ID lastSent.
 	numbering numbering
 	lastSent  string
+	// isBehind is set while the server sends what comes before the caller's last event. unnumberedLeft is the number of events without
+	// an ID that the caller has already of those that follow its last event.
+	isBehind       bool
+	unnumberedLeft int
 }
 
 // recordSent records an event with an ID that the server sent.
@@ -30,6 +34,23 @@
 	p.lastSent = id
 }
 
+// skips reports whether the caller has an event already, because the server continues the stream earlier than it was asked to. last is
+// the ID of the last event with an ID that the caller has, and unnumbered the number of events that it has after that one.
+func (p *streamPart) skips(id string, hasID bool, last string, unnumbered int) bool {
+	switch {
+	case !hasID && p.isBehind:
+		return true
+	case !hasID && p.unnumberedLeft > 0:
+		p.unnumberedLeft--
+		return true
+	case !hasID || last == "" || isLaterID(id, last):
+		p.isBehind, p.unnumberedLeft = false, 0
+		return false
+	}
+	p.isBehind, p.unnumberedLeft = id != last, unnumbered
+	return true
+}
+
 // add records an event that was written to the caller.
 func (p *streamPart) add(id string, hasID bool) {
 	p.events++
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -26,6 +26,7 @@
 
 func (a *attempt) relayEvents(answer *sender.Answer) outcome {
 	x := a.x
+	a.part.unnumberedLeft = x.unnumbered
 	var pending []byte
 	kept := x.f.answerBytes.account()
 	defer kept.release()
@@ -108,8 +109,8 @@
 		if ok {
 			a.part.recordSent(id)
 		}
-		if ok && x.lastEvent != "" && !isLaterID(id, x.lastEvent) {
-			// The server resumed earlier in the stream than it was asked to.
+		isComment := !ok && isCommentBlock(event)
+		if !isComment && a.part.skips(id, ok, x.lastEvent, x.unnumbered) {
 			a.part.skipped++
 			continue
 		}
@@ -122,8 +123,11 @@
 		}
 		x.events++
 		a.part.add(id, ok)
-		if ok {
-			x.lastEvent = id
+		switch {
+		case ok:
+			x.lastEvent, x.unnumbered = id, 0
+		case !isComment:
+			x.unnumbered++
 		}
 	}
 	if !x.headWritten {
@@ -211,3 +215,13 @@
 	}
 	return "", false
 }
+
+// isCommentBlock reports whether a part of a stream that looks like an event holds comments only, which keep a connection in use.
+func isCommentBlock(event []byte) bool {
+	for line := range bytes.SplitSeq(event, []byte("\n")) {
+		if line = bytes.TrimSpace(line); len(line) > 0 && line[0] != ':' {
+			return false
+		}
+	}
+	return true
+}
