Reset the connection of a caller of HTTP/1.0 whose answer breaks off

Callers of HTTP/1.0 saw streams end as complete in the middle: an answer without a length ends for them when the connection is closed in order, and so the router closed it when a server broke off, at the end of its grace period, and its kernel when it was killed.

While such a request is served, closing its connection resets it; once the answer is whole, that is taken back. It is a socket option, so that it also holds for a process that is killed. Every HTTP server of the routers has it, also those of the path with sidecars. Callers of HTTP/1.1 see the missing last chunk as before.

A router that is killed by a signal was not run.

--- a/starter/callers.go
+++ b/starter/callers.go
@@ -1,7 +1,6 @@
 package starter
 
 import (
-	"context"
 	"io"
 	"net"
 	"net/http"
@@ -52,15 +51,6 @@
 	return c, nil
 }
 
-// connContext adds a caller's connection to the context of its requests; it is the ConnContext hook of the HTTP server.
-func connContext(ctx context.Context, n net.Conn) context.Context {
-	c, ok := n.(masticway.CallerConnection)
-	if !ok {
-		c = plainConn{n}
-	}
-	return masticway.WithCallerConnection(ctx, c)
-}
-
 // plainConn is a connection whose requests are not tracked.
 type plainConn struct{ net.Conn }
 
@@ -197,6 +187,15 @@
 	return nil
 }
 
+// SetLinger sets whether the connection is reset when it is closed, as net.TCPConn does. It does nothing if the connection does not
+// support that.
+func (c *callerConn) SetLinger(seconds int) error {
+	if tcp, ok := c.Conn.(lingerSetter); ok {
+		return tcp.SetLinger(seconds)
+	}
+	return nil
+}
+
 // beginRequest marks a request as open, unless one is already.
 func (c *callerConn) beginRequest() {
 	c.mu.Lock()
--- a/starter/server.go
+++ b/starter/server.go
@@ -59,8 +59,9 @@
 	})
 }
 
-// serveWith starts to serve HTTP on a listener with a given server, and returns at once.
+// serveWith starts to serve HTTP on a listener with a given server, and returns at once. The server must have connContext as a hook.
 func (s *serverGroup) serveWith(l net.Listener, server *http.Server) {
+	server.Handler = resettingBrokenAnswers(server.Handler)
 	s.mu.Lock()
 	s.list = append(s.list, server)
 	s.mu.Unlock()
