Show that a router out of step tells a wrong version for a stream

A router that no other router answers tells the version of a stream by its own reading of the servers, which may be up to 3 s old.

--- a/versioner/world_test.go
+++ b/versioner/world_test.go
@@ -32,9 +32,9 @@
 	*Versioner
 	world   *world
 	address string
-	// The router is down until downUntil. It reaches neither the store nor other routers until cutUntil, and the store until
-	// storeAwayUntil.
-	downUntil, cutUntil, storeAwayUntil time.Time
+	// The router is down until downUntil. It reaches neither the store nor other routers until cutUntil, the store not until
+	// storeAwayUntil, and other routers not until aloneUntil.
+	downUntil, cutUntil, storeAwayUntil, aloneUntil time.Time
 	// seen is the router's view of the versions that serve.
 	seen []string
 	// stop ends the incarnation's background work.
@@ -98,7 +98,7 @@
 	w.mu.Lock()
 	w.messages++
 	to, now := w.routers[address], time.Now()
-	reachable := to != nil && now.After(to.downUntil) && now.After(to.cutUntil) && now.After(l.from.cutUntil)
+	reachable := to != nil && now.After(to.downUntil) && now.After(to.cutUntil) && now.After(l.from.cutUntil) && now.After(to.aloneUntil) && now.After(l.from.aloneUntil)
 	delay := time.Duration(1+w.rng.IntN(5)) * time.Millisecond
 	w.mu.Unlock()
 	if !reachable {
@@ -168,7 +168,7 @@
 	w.mu.Lock()
 	if old := w.routers[address]; old != nil {
 		old.stop()
-		r.cutUntil, r.storeAwayUntil = old.cutUntil, old.storeAwayUntil
+		r.cutUntil, r.storeAwayUntil, r.aloneUntil = old.cutUntil, old.storeAwayUntil, old.aloneUntil
 	}
 	w.routers[address] = r
 	w.mu.Unlock()
