Tell the version of a settled pool only by what is newer than the resumption

Callers that resumed a stream at a router that was cut off for some seconds got the rest of it from a server of another version. A router that no other router answered took the version on which its own last reading of the servers was settled, up to 3 s old, while others had begun streams at a version that came after it.

Such a version now counts if so many of the asked routers replied that a keeper of the stream is among them, or by a reading of the servers whose call began after the resumption: a stream that others began earlier has a server that such a reading has. The router waits for the next reading of its loop, and refuses the stream as not run once it no longer reads or after 2 s. The follower reports when the call of a reading began, after it has published what it read: an answer may wait in a router that stands still. Calm routers neither wait nor call the store for it, and pools without versions do as before.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -61,8 +61,8 @@
 	reportedCold map[string]time.Time
 	// tables are the tables that are watched for other components of the router.
 	tables []Table
-	// onServersRead is called with the time of each reading of the servers.
-	onServersRead func(now time.Time)
+	// onServersRead is called after each reading of the servers, with the time at which its call began.
+	onServersRead func(began time.Time)
 }
 
 // Table describes one part, that is, partition, of a table of the store. The follower watches it for another component of the
@@ -80,9 +80,9 @@
 // AddTable adds a table to watch; it must be called before Run.
 func (f *Follower) AddTable(t Table) { f.tables = append(f.tables, t) }
 
-// OnServersRead sets a function that is called with the time of each reading of the servers, changed or not. It must be called before
-// Run. The function must not call MarkDraining.
-func (f *Follower) OnServersRead(read func(now time.Time)) { f.onServersRead = read }
+// OnServersRead sets a function that is called after each reading of the servers, changed or not, with the time at which its call began.
+// A changed snapshot is published before. It must be called before Run.
+func (f *Follower) OnServersRead(read func(began time.Time)) { f.onServersRead = read }
 
 // New returns a follower that calls onChange with each new snapshot, one call at a time. onChange must not call MarkDraining,
 // because it runs with the follower's lock held. fallback is the same store with a longer timeout. The timeout of store is short,
@@ -110,7 +110,7 @@
 		},
 	}
 	// Registrations can expire while the store is unreachable, so the server table is read in full after an outage.
-	servers := &tableWatcher{Follower: f, table: f.decoder.ServerTable(), interval: serverPollInterval, maxWait: maxWatchWait, relistInterval: relistInterval, rowsExpire: true, apply: f.applyServers}
+	servers := &tableWatcher{Follower: f, table: f.decoder.ServerTable(), interval: serverPollInterval, maxWait: maxWatchWait, relistInterval: relistInterval, rowsExpire: true, apply: f.applyServers, onRead: f.onServersRead}
 	watchers := []*tableWatcher{configuration, servers}
 	for _, t := range f.tables {
 		watchers = append(watchers, &tableWatcher{Follower: f, table: t.Name, part: t.Part, interval: configurationPollInterval, maxWait: t.MaxWait, relistInterval: t.RelistInterval, apply: t.Apply})
@@ -197,7 +197,6 @@
 		if changed {
 			f.reportServers()
 		}
-		f.onServersRead(now)
 		return changed
 	})
 }
--- a/follower/mirror.go
+++ b/follower/mirror.go
@@ -46,6 +46,8 @@
 	// apply is called with the result of each read. If full is set, the reading holds all rows of the part. Otherwise it holds
 	// changes of all parts of the table.
 	apply func(full bool, reading masticway.RowReading)
+	// onRead, if set, is called after apply with the time at which the call began.
+	onRead func(began time.Time)
 
 	// failing is set when a read with the usual timeout fails, until one succeeds.
 	failing atomic.Bool
@@ -120,6 +122,7 @@
 	full = isRelistDue()
 	watch := masticway.WatchRequest{Table: m.table, Since: m.currentVersion(), MaxWait: m.maxWait, MaxBytes: maxWatchBytes}
 	m.metrics.Add(metricCalls, 1)
+	began := m.clock.Now()
 	var reading masticway.RowReading
 	if full {
 		reading, err = store.Read(ctx, m.table, m.part)
@@ -134,13 +137,13 @@
 		return full, errors.Join(err, context.Cause(ctx))
 	}
 	m.metrics.Add(metricBytes, reading.Bytes())
-	m.accept(full, reading)
+	m.accept(full, reading, began)
 	return full, nil
 }
 
-// accept applies the result of a read. It drops a full read that is older than the changes that have already been applied,
+// accept applies the result of a read whose call began at a time. It drops a full read that is older than the changes that have already been applied,
 // because it would undo them, and everything that was read in an earlier era.
-func (m *tableWatcher) accept(full bool, reading masticway.RowReading) {
+func (m *tableWatcher) accept(full bool, reading masticway.RowReading, began time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if full && reading.Version < m.applied || masticway.StoreEra(reading.Version) < masticway.StoreEra(m.applied) {
@@ -151,6 +154,9 @@
 		m.log.WithFields(m.versionFields("store_era", reading)).Info("the store's era has changed")
 	}
 	m.apply(full, reading)
+	if m.onRead != nil {
+		m.onRead(began)
+	}
 	m.version = max(m.version, reading.Version)
 	m.applied = m.version
 	if full {
--- a/versioner/history.go
+++ b/versioner/history.go
@@ -22,7 +22,9 @@
 	// since is when the servers were first read in a row of readings without a gap of more than maxReadingAge, and readAt when they were
 	// read last. Until the first reading both are zero.
 	since, readAt time.Time
-	pools         map[string]poolHistory
+	// confirmedAt is when the call of the newest reading began. What a reading has is not older than its call, however late it arrives.
+	confirmedAt time.Time
+	pools       map[string]poolHistory
 	// recorded is what the store has of the versions.
 	recorded recordedPools
 }
@@ -69,6 +71,13 @@
 	h.readAt = now
 }
 
+// Confirm records that the servers were read by a call that began at a time.
+func (h *History) Confirm(began time.Time) {
+	if began.After(h.confirmedAt) {
+		h.confirmedAt = began
+	}
+}
+
 // isCurrent reports whether the servers were read lately.
 func (h *History) isCurrent(now time.Time) bool {
 	return !h.readAt.IsZero() && now.Sub(h.readAt) <= maxReadingAge
--- a/versioner/versioner.go
+++ b/versioner/versioner.go
@@ -29,6 +29,9 @@
 	// membersTimeout is how long a resumption waits until a router that has just started knows the others. It looks for them every
 	// membersInterval.
 	membersTimeout, membersInterval = 500 * time.Millisecond, 20 * time.Millisecond
+	// confirmTimeout is how long a resumption that too few routers answer waits for a reading of the servers that began after it. The
+	// call before may still be waiting for changes, and so may that call, each for about a second if no server changes its row.
+	confirmTimeout, confirmInterval = 2 * time.Second, 20 * time.Millisecond
 	// flushInterval is how often Run looks for pools that are no longer settled or whose versions have changed.
 	flushInterval = 200 * time.Millisecond
 	// maxBatch is the maximum number of versions in one message.
@@ -102,11 +105,12 @@
 	v.history.Update(v.Clock.Now(), d, servers)
 }
 
-// RecordReading records that the servers were read at a time.
-func (v *Versioner) RecordReading(now time.Time) {
+// RecordReading records that the servers were read by a call that began at a time. It must be called after Update with what was read.
+func (v *Versioner) RecordReading(began time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.history.RecordReading(now)
+	v.history.RecordReading(v.Clock.Now())
+	v.history.Confirm(began)
 }
 
 // Record records the version at which an attempt of a caller began a stream. It returns once another router has the version, or after
@@ -244,6 +248,10 @@
 		replies = append(replies, others...)
 	}
 	version, source := resolve(replies)
+	if source == SourceSettled && version != "" && !isAnswered(asked, len(replies)-1) {
+		// A version may have come since this router, or those few that replied, read the servers.
+		version, source = v.confirm(ctx, pool, began)
+	}
 	if source == SourceNone {
 		if stored, found := v.findStored(ctx, s); found {
 			version, source = stored, SourceStored
@@ -303,6 +311,35 @@
 	return replies, len(keepers)
 }
 
+// isAnswered reports whether enough of the asked routers replied that one of a stream's keepers is among them.
+func isAnswered(asked, replied int) bool {
+	return replied > 0 && asked-replied < min(asked, keeperCount)
+}
+
+// confirm returns the version on which a pool is settled according to a reading of the servers that began no earlier than a resumption.
+// It waits for one while this router reads the servers, for confirmTimeout at most.
+func (v *Versioner) confirm(ctx context.Context, pool string, resumed time.Time) (string, Source) {
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	for {
+		v.mu.Lock()
+		version, ok := v.history.Settled(v.Clock.Now(), pool)
+		isConfirmed := !v.history.confirmedAt.Before(resumed)
+		v.mu.Unlock()
+		switch {
+		case !ok:
+			return "", SourceNone
+		case isConfirmed:
+			return version, SourceSettled
+		}
+		select {
+		case <-ctx.Done():
+			return "", SourceNone
+		case <-v.Clock.After(confirmInterval):
+		}
+	}
+}
+
 // keep keeps versions for another router.
 func (v *Versioner) keep(records []Record) {
 	v.Metrics.Add(metricKept, int64(len(records)))
