Refuse requests of which a draining router has seen that they can't end in time

Callers on open connections whose requests came in the first seconds after SIGTERM were cut off at the end of the grace period. For 2.5 s the router accepted any deadline, so that it refused nothing while the load balancer still sends new connections.

A request whose deadline is before the router's end is taken as before. One with a later deadline is now taken only if it can be expected to end in time: the router remembers how long the latest 64 answers of each route lasted, from their admission to their end, and the longest must fit with a margin of a tenth, or a quarter for requests that may run once. Answers that were cut off count if they lasted longer than all others. With none seen, a stream is expected to keep the objective and the pauses that its route promises for its tokens, and for anything else the deadline decides. A refused request gets 503 shutting_down, is not run and closes its connection, so its caller is back at another router at once, which costs it less than an answer that is cut; requests with far deadlines that usually fit are still served while the load balancer has not noticed yet.

--- a/forwarder/admit.go
+++ b/forwarder/admit.go
@@ -137,10 +137,10 @@
 
 // checkDrain returns a refusal if the shutdown of this router is likely to cut off the request.
 func (x *exchange) checkDrain() *masticway.RefusalError {
-	if !x.f.drainState.Load().wouldCutOff(x.f.clock.Now(), x.q.deadline) {
+	if !x.f.drainState.Load().refuses(x, x.f.clock.Now()) {
 		return nil
 	}
-	return refusal(http.StatusServiceUnavailable, codeShuttingDown, "this router ends before the answer would", retryAfterReconnect)
+	return refusal(http.StatusServiceUnavailable, codeShuttingDown, errOutlastsRouter.Error(), retryAfterReconnect)
 }
 
 // admitLoad reserves capacity of the router for the request, or refuses it. It must be called before the body is read: reading
--- a/forwarder/drain_test.go
+++ b/forwarder/drain_test.go
@@ -58,6 +58,7 @@
 		"runs once, deadline in time":               {path: "/never/x", seen: 2900 * time.Millisecond, after: 500 * time.Millisecond, deadline: "3600"},
 		"runs once, nothing seen":                   {path: "/never/x", after: 1900 * time.Millisecond, deadline: "3600", refused: true},
 		"runs once, only cut off ones seen":         {path: "/never/x", seen: 2900 * time.Millisecond, timedOut: true, after: 1900 * time.Millisecond, deadline: "3600", refused: true},
+		"runs once, only one seen that broke early": {path: "/never/x", seen: time.Millisecond, timedOut: true, after: 1900 * time.Millisecond, deadline: "3600", refused: true},
 		"runs once, little more left than it needs": {path: "/never/x", seen: 2500 * time.Millisecond, after: 1750 * time.Millisecond, deadline: "3600", refused: true},
 		"may run again, little more left":           {path: "/freely/x", seen: 2500 * time.Millisecond, after: 1750 * time.Millisecond, deadline: "3600"},
 		"may run again, usually too long":           {path: "/freely/x", seen: 2900 * time.Millisecond, after: 1900 * time.Millisecond, deadline: "3600", refused: true},
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -79,6 +79,8 @@
 	sentAge atomic.Int64
 	// retry is a granted retry that no attempt has used yet.
 	retry retrier.Decision
+	// admittedAt is when the request had been admitted, with its whole body.
+	admittedAt time.Time
 	// state is the request's current state in the delivery chart.
 	state charter.State
 	// fate combines the fates of all attempts: "ran" if any attempt ran, otherwise "unknown" if any may have run, otherwise "not
@@ -147,6 +149,7 @@
 // run serves an admitted request: it holds budget, runs attempts and settles the hold. If the request gets no answer, it is
 // refused, see finish. Like finish, run may panic with http.ErrAbortHandler.
 func (x *exchange) run(ctx context.Context) {
+	x.admittedAt = x.f.clock.Now()
 	ctx, cancel := context.WithTimeout(ctx, x.q.deadline.Sub(x.f.clock.Now()))
 	defer cancel()
 	ctx, x.leave = context.WithCancelCause(ctx)
@@ -388,6 +391,7 @@
 // completed, it aborts the connection with a panic. Both also apply to a caller that has left, because it may have closed its sending
 // side only and still read.
 func (x *exchange) finish(ctx context.Context, refused *masticway.RefusalError) {
+	x.recordDuration(refused == nil && x.chargeable)
 	if refused == nil {
 		x.f.recordServed(x)
 		return
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -38,10 +38,6 @@
 	OwnsKey(key string) bool
 }
 
-// drainNotice is how long a draining router still accepts requests with any deadline, unless StopForwarding is called earlier.
-// The load balancer needs two failed checks, a second apart, to send new connections elsewhere.
-const drainNotice = 2500 * time.Millisecond
-
 // Forwarder serves the requests of callers.
 type Forwarder struct {
 	settings Settings
@@ -84,6 +80,8 @@
 
 	// drainState is nil until the router is asked to drain.
 	drainState atomic.Pointer[drain]
+	// durations tells how long requests may be expected to last.
+	durations routeDurations
 	// servedCount counts the served requests, to log one of every Settings.LogEvery.
 	servedCount atomic.Int64
 }
@@ -125,6 +123,7 @@
 		examiner: d.Examiner, rotation: d.Rotation, throttler: d.Throttler, coordinator: d.Coordinator, connections: d.Connections, streamVersions: d.StreamVersions, onDraining: d.OnDraining,
 		checks: &checks{dial: d.Dial, clock: d.Clock, log: d.Log, byServer: map[masticway.ServerIncarnation]*check{}},
 		sender: sender.New(d.Dial, d.Clock.Now), servers: chooser.NewServers(s.serverPolicy()), allowances: map[string]*retrier.Allowance{}, startedAt: d.Clock.Now(),
+		durations: routeDurations{byRoute: map[string]*seenDurations{}},
 	}
 	if f.coordinator == nil {
 		f.coordinator = uncoordinated{}
@@ -155,6 +154,7 @@
 	}
 	f.sender.Retain(addresses)
 	f.checks.retain(snapshot)
+	f.durations.retain(snapshot)
 }
 
 // Ready reports whether the load balancer should send new connections to this router: it knows its configuration and the servers,
@@ -163,20 +163,6 @@
 	return f.drainState.Load() == nil && f.snapshot().IsReady() && !f.rotation.IsOut()
 }
 
-// drain is the state of a router that shuts down: when the drain began, and when the shutdown ends.
-type drain struct {
-	since time.Time
-	until time.Time
-	// closing is set once connections are being closed. From then on all new requests are refused.
-	closing atomic.Bool
-}
-
-// wouldCutOff reports whether the shutdown is likely to cut off a new request. This is the case if connections are being closed,
-// or if drainNotice has passed and the request's deadline is after the end of the shutdown. A nil drain cuts off nothing.
-func (d *drain) wouldCutOff(now, deadline time.Time) bool {
-	return d != nil && (d.closing.Load() || now.Sub(d.since) > drainNotice && deadline.After(d.until))
-}
-
 // Drain starts a shutdown that ends at the given time. From then on Ready returns false, and each answer whose head has not been
 // written yet closes its connection.
 func (f *Forwarder) Drain(until time.Time) {
