Judge requests by what is left of a drain just before they are sent

Requests that waited for budget or a connection, or that were to be sent again or handed over, were sent however little was left of the grace period, and cut at its end: the router judged them at their admission only.

They are judged again just before they are written, by the same expectation: not run, they get 503 shutting_down, and the caller's next connection reaches another router. Neither a retry nor a handover begins that can't end in time; the server that works on the request is kept. What has begun goes on: a stream of which the caller has a part, a candidate for which a silent server has been given up, and a request that is being written.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -50,6 +50,9 @@
 	// retry is the retry that was granted for the attempt. sent is set once the request is about to be written.
 	retry retrier.Decision
 	sent  atomic.Bool
+	// continues is set if a drain doesn't keep the request from being sent: an answer has begun, or a silent server has been given up for
+	// this one.
+	continues bool
 	// quarantined is set if the attempt runs a suspect in quarantine. It is unset by clearSuspect or, when the attempt has ended,
 	// by reportToExaminer.
 	quarantined bool
@@ -106,7 +109,7 @@
 			return nil, none
 		}
 		a = x.newAttempt(ctx, c)
-		a.quarantined = c.quarantined
+		a.quarantined, a.continues = c.quarantined, x.headWritten
 		a.retry, x.retry = x.retry, retrier.Decision{}
 	}
 	a.excluded = maps.Clone(x.tried)
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -271,7 +271,7 @@
 	// this router gave up the attempt.
 	connectionBroken, abandoned bool
 	// retryAfter is how long no server will take the request, and code is the refusal code for this case. retryAfter is zero if
-	// that time is unknown.
+	// that time is unknown. code is codeShuttingDown if this router ends too early for the request.
 	retryAfter time.Duration
 	code       string
 	// suspect is the examiner's status of the request if the request may not run now because it is a suspect.
@@ -369,6 +369,8 @@
 		return refusal(http.StatusServiceUnavailable, codeSuspectWaiting, out.reason, retryAfterDefault)
 	case x.fate == masticway.FateNotRun && expired:
 		return refusal(http.StatusServiceUnavailable, codeNotInTime, "no server took the request in time: "+out.reason, retryAfterDefault)
+	case x.fate == masticway.FateNotRun && out.code == codeShuttingDown:
+		return refusal(http.StatusServiceUnavailable, codeShuttingDown, out.reason, retryAfterReconnect)
 	case x.fate == masticway.FateNotRun && out.retryAfter > 0:
 		return refusal(http.StatusServiceUnavailable, out.code, "the servers take nothing now: "+out.reason, max(retryAfterDefault, out.retryAfter))
 	case x.fate == masticway.FateNotRun && out.isFull:
--- a/forwarder/handover.go
+++ b/forwarder/handover.go
@@ -137,7 +137,7 @@
 // returns false if the current server is kept, also because there is no candidate or no retry left.
 func (a *attempt) tryHandover(generation int, lastEvent string) bool {
 	x := a.x
-	if x.checkWanted(a.parent) != nil {
+	if x.checkWanted(a.parent) != nil || x.checkTimeLeft() != nil {
 		return false
 	}
 	if x.suspectStatus().Suspicion != masticway.SuspicionNone {
@@ -157,7 +157,7 @@
 		return false
 	}
 	next := x.newAttempt(a.parent, c)
-	next.retry = retry
+	next.retry, next.continues = retry, true
 	next.previous = previousAttempt{server: a.server.ID, fate: masticway.FateUnknown}
 	if !a.beginHandover(generation, next.cancel) {
 		next.cancel(nil)
--- a/forwarder/retries.go
+++ b/forwarder/retries.go
@@ -50,6 +50,9 @@
 	if x.checkWanted(ctx) != nil || x.tries >= maxTries {
 		return retryDecision{verdict: retryFinal}
 	}
+	if x.next.Load() == nil && !x.headWritten && x.checkTimeLeft() != nil {
+		return retryDecision{verdict: retryFinal}
+	}
 	if out.fate != masticway.FateNotRun {
 		if x.possibleRuns() >= x.q.route.MaxServers || !x.isRepeatable() {
 			return retryDecision{verdict: retryFinal}
--- a/forwarder/sending.go
+++ b/forwarder/sending.go
@@ -18,9 +18,10 @@
 // errCallerLeft is the cause with which the context of an exchange ends if the kernel reports that the caller has left.
 var errCallerLeft = errors.New("the caller has left")
 
-// unwantedError reports that a request was not sent to a server because nobody waits for its answer any more.
+// unwantedError reports that a request was not sent to a server because nobody waits for its answer any more,
+// or nobody could pass it on.
 type unwantedError struct {
-	// Cause is why: the caller has left, the deadline has passed, or another attempt serves the request.
+	// Cause is why: the caller has left, the deadline has passed, another attempt serves the request, or this router ends too early.
 	Cause error
 	// Age is the time since the request arrived.
 	Age time.Duration
@@ -82,12 +83,27 @@
 	})
 }
 
-// checkSending returns an error if the request is not wanted any more. If it returns none, the request counts as sent.
+// checkTimeLeft returns an unwantedError if the shutdown of this router is likely to cut off the request if it is sent now. It must not be
+// asked for the continuation of an answer that has begun: what is left may suffice, and without it the answer is broken for certain.
+func (x *exchange) checkTimeLeft() error {
+	now := x.f.clock.Now()
+	if !x.f.drainState.Load().wouldCutOff(x, now) {
+		return nil
+	}
+	return &unwantedError{Cause: errOutlastsRouter, Age: now.Sub(x.q.arrivedAt)}
+}
+
+// checkSending returns an error if the request is not wanted any more, or if this router is likely to end before its answer. If it returns none, the request counts as sent.
 func (a *attempt) checkSending() error {
 	x := a.x
 	if err := x.checkWanted(a.ctx); err != nil {
 		return err
 	}
+	if !a.sent.Load() && !a.continues {
+		if err := x.checkTimeLeft(); err != nil {
+			return err
+		}
+	}
 	if !a.sent.Swap(true) {
 		x.sentAge.Store(int64(x.f.clock.Now().Sub(x.q.arrivedAt)))
 		a.logSentAgain()
@@ -113,7 +129,11 @@
 // unwantedOutcome returns the outcome of an attempt that was not sent because of an error of checkWanted. It says nothing about the
 // server.
 func unwantedOutcome(err error) outcome {
-	return outcome{fate: masticway.FateNotRun, result: chooser.ResultNeutral, reason: err.Error(), unsent: true}
+	out := outcome{fate: masticway.FateNotRun, result: chooser.ResultNeutral, reason: err.Error(), unsent: true}
+	if errors.Is(err, errOutlastsRouter) {
+		out.code = codeShuttingDown
+	}
+	return out
 }
 
 // unusedRetry returns the retry that was granted for the attempt, unless the request was sent.
