--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -79,6 +79,8 @@
 	sentAge atomic.Int64
 	// retry is a granted retry that no attempt has used yet.
 	retry retrier.Decision
+	// admittedAt is when the request had been admitted, with its whole body.
+	admittedAt time.Time
 	// state is the request's current state in the delivery chart.
 	state charter.State
 	// fate combines the fates of all attempts: "ran" if any attempt ran, otherwise "unknown" if any may have run, otherwise "not
@@ -149,6 +151,7 @@
 // run serves an admitted request: it holds budget, runs attempts and settles the hold. If the request gets no answer, it is
 // refused, see finish. Like finish, run may panic with http.ErrAbortHandler.
 func (x *exchange) run(ctx context.Context) {
+	x.admittedAt = x.f.clock.Now()
 	ctx, cancel := context.WithTimeout(ctx, x.q.deadline.Sub(x.f.clock.Now()))
 	defer cancel()
 	ctx, x.leave = context.WithCancelCause(ctx)
@@ -270,7 +273,7 @@
 	// this router gave up the attempt.
 	connectionBroken, abandoned bool
 	// retryAfter is how long no server will take the request, and code is the refusal code for this case. retryAfter is zero if
-	// that time is unknown.
+	// that time is unknown. code is codeShuttingDown if this router ends too early for the request.
 	retryAfter time.Duration
 	code       string
 	// suspect is the examiner's status of the request if the request may not run now because it is a suspect.
@@ -368,6 +371,8 @@
 		return refusal(http.StatusServiceUnavailable, codeSuspectWaiting, out.reason, retryAfterDefault)
 	case x.fate == masticway.FateNotRun && expired:
 		return refusal(http.StatusServiceUnavailable, codeNotInTime, "no server took the request in time: "+out.reason, retryAfterDefault)
+	case x.fate == masticway.FateNotRun && out.code == codeShuttingDown:
+		return refusal(http.StatusServiceUnavailable, codeShuttingDown, out.reason, retryAfterReconnect)
 	case x.fate == masticway.FateNotRun && out.retryAfter > 0:
 		return refusal(http.StatusServiceUnavailable, out.code, "the servers take nothing now: "+out.reason, max(retryAfterDefault, out.retryAfter))
 	case x.fate == masticway.FateNotRun && out.isFull:
@@ -390,6 +395,7 @@
 // completed, it aborts the connection with a panic. Both also apply to a caller that has left, because it may have closed its sending
 // side only and still read.
 func (x *exchange) finish(ctx context.Context, refused *masticway.RefusalError) {
+	x.recordDuration(refused == nil && x.chargeable)
 	if refused == nil {
 		x.f.recordServed(x)
 		return
