Take a service answer that ends with its connection for whole only if the service still serves

Callers of a service behind a sidecar got the first part of an answer as the whole one, and it was recorded and billed as the outcome of the run, if the service was killed amid an answer with neither a length nor chunks: the kernel of a killed process closes its connections in order, as a service does at the end of such an answer.

After such an end the sidecar now makes a new connection to the service. If it is refused, ended at once twice, or can't be made, the run has failed after its start, so that its fate is unknown and only a repeatable call runs again. An accepted connection is watched for 10 ms, since the kernel of a process that ends closes its sockets one after the other. A compressed answer tells its end by itself. The address of a service without a port in its URL now has the port of the scheme, which the check of a broken run lacked. A service that ends a connection early and goes on serving cannot be told from one whose answer is whole.

--- a/connector/upstream.go
+++ b/connector/upstream.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"os"
 	"strings"
 	"syscall"
 	"time"
@@ -27,6 +28,9 @@
 	// probeTimeout is the timeout of a connection attempt to the upstream. A sidecar makes it after a run has broken off, to
 	// check whether the upstream still listens.
 	probeTimeout = 100 * time.Millisecond
+	// settleTime is how long a check whether the upstream serves waits for the kernel of an upstream that is ending: it closes the
+	// listener and the connections one after the other, and resets what it had accepted in between.
+	settleTime = 10 * time.Millisecond
 )
 
 // noTimeouts are the limits of calls that only the context of the caller ends. They still limit the size of the answer.
@@ -56,11 +60,22 @@
 	}
 	// If the base is not a URL, each call fails.
 	if parsed, err := url.Parse(base); err == nil {
-		u.address = parsed.Host
+		u.address = addressOf(parsed)
 	}
 	return u
 }
 
+// addressOf returns the address that a URL names, with its port.
+func addressOf(base *url.URL) string {
+	switch {
+	case base.Host == "" || base.Port() != "":
+		return base.Host
+	case base.Scheme == "https":
+		return net.JoinHostPort(base.Hostname(), "443")
+	}
+	return net.JoinHostPort(base.Hostname(), "80")
+}
+
 // Run performs a call and passes the answer to the sink. If a run fails that may have started, Run checks whether the upstream
 // still listens, and sets the error's NotListening if not.
 func (u Upstream) Run(ctx context.Context, c masticway.Call, s masticway.Sink) (masticway.Outcome, error) {
@@ -86,6 +101,36 @@
 	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
+// serves reports whether the upstream accepts connections and does not end them at once. It may block for probeTimeout.
+func (u Upstream) serves(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	conn, err := u.dial(ctx, "tcp", u.address)
+	if err == nil && isClosedWithin(conn, settleTime) {
+		// The upstream is ending, or it has too many connections.
+		_ = conn.Close()
+		conn, err = u.dial(ctx, "tcp", u.address)
+	}
+	if err != nil {
+		return false
+	}
+	_ = conn.Close()
+	return true
+}
+
+// isClosedWithin reports whether the other side ends a connection within a time.
+func isClosedWithin(c net.Conn, d time.Duration) bool {
+	_ = c.SetReadDeadline(time.Now().Add(d))
+	_, err := c.Read(make([]byte, 1))
+	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
+}
+
+// isFramed reports whether an answer delimits its body by itself, so that its end is not known by that of the connection alone. A
+// compressed body has an end mark.
+func isFramed(r *http.Response) bool {
+	return r.ContentLength >= 0 || r.Body == http.NoBody || len(r.TransferEncoding) > 0 || r.Uncompressed
+}
+
 // withIdleTimeout returns a context that is canceled if the upstream sends nothing for idleTimeout. Each call of reset restarts
 // the timeout. stop ends it and cancels the context.
 func (u Upstream) withIdleTimeout(ctx context.Context) (watched context.Context, reset func(), stop func()) {
@@ -209,6 +254,10 @@
 	if err != nil {
 		return masticway.Outcome{}, &masticway.UpstreamError{Reason: err.Error(), Started: true}
 	}
+	if !isFramed(response) && !u.serves(ctx) {
+		// The kernel of an upstream that was killed ends the answer as the upstream does at its end.
+		return masticway.Outcome{}, &masticway.UpstreamError{Reason: "the connection ended, and the upstream does not serve any more", Started: true}
+	}
 	s.Chunk(masticway.Chunk{Text: string(body)})
 	return masticway.Outcome{Status: response.StatusCode, ContentType: response.Header.Get("Content-Type")}, nil
 }
