Take an error that an engine reports amid a stream for the end of the run

Callers got an answer with the finish reason "stop" although the engine had reported an error and not finished it, and the run was recorded as complete: the sidecar read only the choices and the usage of an event, and after an error engines send the same last event as after a whole answer.

The run now fails at the error event, as one whose connection breaks, so that the answer goes on at another engine or is broken off without its last event. The reason holds at most 4096 bytes of the event, like that of other answers.

TestErrorAmidStreamOfEngineIsNotItsEnd failed in its three cases with an error, and passes; the case whose error is null holds before and after.

--- a/connector/upstream.go
+++ b/connector/upstream.go
@@ -25,6 +25,8 @@
 	lineLimit = 1 << 20
 	// noTimeout is longer than any process runs. It is for calls such as orders, which may take as long as loading a model.
 	noTimeout = 100 * 365 * 24 * time.Hour
+	// errorLimit is how much of the error that an upstream reports is kept, in bytes.
+	errorLimit = 4096
 	// probeTimeout is the timeout of a connection attempt to the upstream. A sidecar makes it after a run has broken off, to
 	// check whether the upstream still listens.
 	probeTimeout = 100 * time.Millisecond
@@ -171,7 +173,7 @@
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
-		text, _ := io.ReadAll(io.LimitReader(response.Body, 4096))
+		text, _ := io.ReadAll(io.LimitReader(response.Body, errorLimit))
 		return masticway.Outcome{}, &masticway.UpstreamError{Reason: string(text), Status: response.StatusCode}
 	}
 	return readStream(response.Body, s, reset)
@@ -191,6 +193,8 @@
 			Cached int `json:"cached_tokens"`
 		} `json:"prompt_tokens_details"`
 	} `json:"usage"`
+	// Error is set if the engine could not finish the answer. It is a text or an object.
+	Error any `json:"error"`
 }
 
 func readStream(body io.Reader, s masticway.Sink, reset func()) (masticway.Outcome, error) {
@@ -211,6 +215,10 @@
 		if err := json.Unmarshal([]byte(data), &e); err != nil {
 			return outcome, &masticway.UpstreamError{Reason: "unreadable event: " + err.Error(), Started: true}
 		}
+		if e.Error != nil {
+			// Engines send the same last event after an error as after a whole answer.
+			return outcome, &masticway.UpstreamError{Reason: "error event: " + strings.ToValidUTF8(data[:min(len(data), errorLimit)], ""), Started: true}
+		}
 		if e.Usage != nil {
 			outcome.Usage = e.Usage.Usage
 			if !promptCounted {
