Keep a link up that carries bytes that are no UTF-8

A service answer such as an image, or a path, a content type or an idempotency key of a caller, broke the link between a router and a sidecar if it held bytes that are no UTF-8: it is sent as a text of CBOR, and the decoder rejects such texts by default.

The decoder of links now accepts such texts and leaves their bytes as they are.

--- a/linker/conn.go
+++ b/linker/conn.go
@@ -228,7 +228,7 @@
 		}
 		c.identity.count(CounterReceived, len(data))
 		var batch []Message
-		if err := cbor.Unmarshal(data, &batch); err != nil {
+		if err := decoder.Unmarshal(data, &batch); err != nil {
 			break
 		}
 		for _, m := range batch {
@@ -330,10 +330,21 @@
 	return message.Close()
 }
 
+// decoder also accepts texts that are no UTF-8: answers, paths, headers and keys have the bytes that callers and upstreams chose.
+var decoder = mustDecoder()
+
+func mustDecoder() cbor.DecMode {
+	m, err := cbor.DecOptions{UTF8: cbor.UTF8DecodeInvalid}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return m
+}
+
 // Decode decodes a batch of messages as a link does. It is exported for fuzzing.
 func Decode(data []byte) ([]Message, error) {
 	var batch []Message
-	if err := cbor.Unmarshal(data, &batch); err != nil {
+	if err := decoder.Unmarshal(data, &batch); err != nil {
 		return nil, fmt.Errorf("decoding messages: %w", err)
 	}
 	return batch, nil
