Show that a stream of an engine without a finish reason is taken for whole

In the chat-completions shape the engine names the reason why an answer ends before the last event of the stream. The sidecar took a stream with the last event alone for whole, and the router wrote "stop" as its finish reason.

--- a/connector/ends_test.go
+++ b/connector/ends_test.go
@@ -52,3 +52,24 @@
 		})
 	}
 }
+
+// TestStreamOfEngineWithoutFinishReasonIsNotWhole guards against answers that reach callers with a made-up finish reason although the
+// engine ended them before it knew why they end.
+func TestStreamOfEngineWithoutFinishReasonIsNotWhole(t *testing.T) {
+	for name, tc := range map[string]struct {
+		body   string
+		broken bool
+	}{
+		"whole":                    {body: pieceEvent + finishEvent + doneEvent},
+		"usage after finish":       {body: pieceEvent + finishEvent + usageEvent + doneEvent},
+		"no finish reason":         {body: pieceEvent + doneEvent, broken: true},
+		"usage, no finish reason":  {body: pieceEvent + usageEvent + doneEvent, broken: true},
+		"no piece":                 {body: doneEvent, broken: true},
+		"finish reason, no end":    {body: pieceEvent + finishEvent, broken: true},
+		"no finish reason, no end": {body: pieceEvent, broken: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			qt.Assert(t, runStream(t, tc.body) != nil, qt.Equals, tc.broken)
+		})
+	}
+}
