Take a stream of an engine for whole only if it names the reason why the answer ends

Callers got an answer with the finish reason "stop", and the run was recorded as complete, if an engine ended its stream with the last event but without a finish reason, for example without any piece: the sidecar asked only for the last event.

Such a run now fails as one whose connection breaks, and the answer goes on at another engine or is broken off without its last event. TestStreamOfEngineWithoutFinishReasonIsNotWhole failed in its three cases, and passes; the streams with a finish reason and without a last event hold before and after.

--- a/connector/upstream.go
+++ b/connector/upstream.go
@@ -209,6 +209,9 @@
 			continue
 		}
 		if data == "[DONE]" {
+			if outcome.Reason == "" {
+				return outcome, &masticway.UpstreamError{Reason: "stream ended without a finish reason", Started: true}
+			}
 			return outcome, nil
 		}
 		var e streamEvent
