Let messages between routers hold bytes that are no UTF-8

A router rejected a message of another one with status 400 if a caller had chosen an ID of a request, or of a part of its prompt, with bytes that are no UTF-8: IDs are texts of CBOR, and the decoder rejects such texts by default. Whatever else the message held was lost with it, for example the versions of other callers' streams.

The decoder of messages now accepts such texts and leaves their bytes as they are. TestBytesThatAreNoTextReachRouters failed in the three cases that are no UTF-8, and passes. That a resumption went wrong for it was not shown.

--- a/messenger/binary_test.go
+++ b/messenger/binary_test.go
@@ -13,8 +13,7 @@
 )
 
 // TestBytesThatAreNoTextReachRouters guards against messages that other routers reject, with all that they hold of other callers,
-// because one caller sent bytes that are no UTF-8 as the ID of a request or of a part of its prompt. A router then kept the versions
-// of the streams in the message to itself.
+// because one caller sent bytes that are no UTF-8 as the ID of a request or of a part of its prompt.
 func TestBytesThatAreNoTextReachRouters(t *testing.T) {
 	mux := http.NewServeMux()
 	messenger.Handle(mux, "/peer/echo", func(_ context.Context, q question) question { return q })
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -78,6 +78,17 @@
 // Fetch, are not observed. ObserveCalls must be called before the first call.
 func (c *Client) ObserveCalls(observe func(took time.Duration, answered bool)) { c.observe = observe }
 
+// decoder also accepts texts that are no UTF-8: IDs of requests and of parts of prompts have the bytes that callers chose.
+var decoder = mustDecoder()
+
+func mustDecoder() cbor.DecMode {
+	m, err := cbor.DecOptions{UTF8: cbor.UTF8DecodeInvalid}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return m
+}
+
 // Call sends a message to the router at an address and decodes its answer. It fails with StatusError if the router answers with a
 // status other than 200, and otherwise with an error that wraps that of the transport or the codec.
 func Call[A any](ctx context.Context, c *Client, address, path string, message any) (A, error) {
@@ -109,7 +120,7 @@
 	if response.Status != http.StatusOK {
 		return answer, &StatusError{Address: address, Path: path, Status: response.Status}
 	}
-	if err := cbor.Unmarshal(response.Body, &answer); err != nil {
+	if err := decoder.Unmarshal(response.Body, &answer); err != nil {
 		return answer, fmt.Errorf("decoding the answer of %s to %s: %w", address, path, err)
 	}
 	return answer, nil
@@ -122,7 +133,7 @@
 		var message M
 		data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxMessageBytes))
 		if err == nil {
-			err = cbor.Unmarshal(data, &message)
+			err = decoder.Unmarshal(data, &message)
 		}
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
