--- a/router/callers.go
+++ b/router/callers.go
@@ -325,13 +325,16 @@
 	if err != nil {
 		return err
 	}
-	if kind, _, err := mime.ParseMediaType(out.outcome.ContentType); err == nil && kind != "" {
-		c.to.Header().Set("Content-Type", out.outcome.ContentType)
-	}
-	c.to.WriteHeader(out.outcome.Status)
-	_, err = io.WriteString(c.to, w.text.String())
-	if err != nil {
-		return nil
-	}
+	writeOutcome(c.to, out.outcome, w.text.String())
 	return nil
 }
+
+// writeOutcome writes the answer of a service. Write errors are ignored: the request has run, and the caller notices the broken
+// connection.
+func writeOutcome(to http.ResponseWriter, o masticway.Outcome, text string) {
+	if kind, _, err := mime.ParseMediaType(o.ContentType); err == nil && kind != "" {
+		to.Header().Set("Content-Type", o.ContentType)
+	}
+	to.WriteHeader(o.Status)
+	_, _ = io.WriteString(to, text)
+}
