Write whole answers of the sidecar path with their length

A caller of HTTP/1.0 got the first part of an answer as the whole one if the router was killed amid it: chat completions that are not streamed, answers of services and refusals of more than 2 KB had no length, and without chunks the caller knows their end by that of the connection alone, which the kernel of a killed process closes in order.

All three are in memory before they are written, and now have their length, except with the statuses that allow no body. TestWholeAnswersTellTheirLength failed in all six cases, and passes, as do the tests of answers without a body and of broken streams.

--- a/router/answers.go
+++ b/router/answers.go
@@ -136,7 +136,6 @@
 	}
 	w.to.Header().Set("Content-Type", "application/json")
 	w.to.Header().Set("Date", time.Now().UTC().Format(http.TimeFormat))
-	// A write error is ignored: the request has run, and the caller notices the broken connection.
-	_, _ = w.to.Write(data)
+	writeBody(w.to, http.StatusOK, string(data))
 	return nil
 }
--- a/router/callers.go
+++ b/router/callers.go
@@ -124,8 +124,19 @@
 		seconds := (e.RetryAfter + time.Second - 1) / time.Second
 		w.Header().Set("Retry-After", strconv.FormatInt(int64(seconds), 10))
 	}
-	w.WriteHeader(e.Status)
-	_ = json.NewEncoder(w).Encode(errorBody(e))
+	// The body consists of texts and numbers, which can be encoded.
+	data, _ := json.Marshal(errorBody(e))
+	writeBody(w, e.Status, string(data)+"\n")
+}
+
+// writeBody writes a status and a whole body with its length, without which a caller of HTTP/1.0 cannot tell whether the body is
+// whole. Write errors are ignored: the caller notices the broken connection.
+func writeBody(to http.ResponseWriter, status int, body string) {
+	if status != http.StatusNoContent && status != http.StatusNotModified {
+		to.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	}
+	to.WriteHeader(status)
+	_, _ = io.WriteString(to, body)
 }
 
 func errorBody(e *masticway.RefusalError) any {
@@ -329,12 +340,10 @@
 	return nil
 }
 
-// writeOutcome writes the answer of a service. Write errors are ignored: the request has run, and the caller notices the broken
-// connection.
+// writeOutcome writes the answer of a service.
 func writeOutcome(to http.ResponseWriter, o masticway.Outcome, text string) {
 	if kind, _, err := mime.ParseMediaType(o.ContentType); err == nil && kind != "" {
 		to.Header().Set("Content-Type", o.ContentType)
 	}
-	to.WriteHeader(o.Status)
-	_, _ = io.WriteString(to, text)
+	writeBody(to, o.Status, text)
 }
