--- a/router/callers.go
+++ b/router/callers.go
@@ -124,8 +124,19 @@
 		seconds := (e.RetryAfter + time.Second - 1) / time.Second
 		w.Header().Set("Retry-After", strconv.FormatInt(int64(seconds), 10))
 	}
-	w.WriteHeader(e.Status)
-	_ = json.NewEncoder(w).Encode(errorBody(e))
+	// The body consists of texts and numbers, which can be encoded.
+	data, _ := json.Marshal(errorBody(e))
+	writeBody(w, e.Status, string(data)+"\n")
+}
+
+// writeBody writes a status and a whole body with its length, without which a caller of HTTP/1.0 cannot tell whether the body is
+// whole. Write errors are ignored: the caller notices the broken connection.
+func writeBody(to http.ResponseWriter, status int, body string) {
+	if status != http.StatusNoContent && status != http.StatusNotModified {
+		to.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	}
+	to.WriteHeader(status)
+	_, _ = io.WriteString(to, body)
 }
 
 func errorBody(e *masticway.RefusalError) any {
@@ -325,13 +336,14 @@
 	if err != nil {
 		return err
 	}
-	if kind, _, err := mime.ParseMediaType(out.outcome.ContentType); err == nil && kind != "" {
-		c.to.Header().Set("Content-Type", out.outcome.ContentType)
-	}
-	c.to.WriteHeader(out.outcome.Status)
-	_, err = io.WriteString(c.to, w.text.String())
-	if err != nil {
-		return nil
-	}
+	writeOutcome(c.to, out.outcome, w.text.String())
 	return nil
 }
+
+// writeOutcome writes the answer of a service.
+func writeOutcome(to http.ResponseWriter, o masticway.Outcome, text string) {
+	if kind, _, err := mime.ParseMediaType(o.ContentType); err == nil && kind != "" {
+		to.Header().Set("Content-Type", o.ContentType)
+	}
+	writeBody(to, o.Status, text)
+}
