Bound the head of a link's handshake

A peer that answered the request for a link with a line or header lines without end filled the memory of the process that opened the link, for the 2 s that a handshake may take, again and again: the parser of heads has no limit of its own. At most 64 KB are read now until the answer is complete, and Connect fails with an error that wraps HeadTooLargeError.

--- a/linker/endless_test.go
+++ b/linker/endless_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -12,6 +13,8 @@
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/masticway/masticway/linker"
 )
 
 // countingConn counts the bytes that are read from a connection.
@@ -30,13 +33,17 @@
 // process filled its memory until the time for the handshake was over.
 func TestHandshakesWithoutEndAreGivenUp(t *testing.T) {
 	const maxTaken = 256 << 10
-	cases := map[string]struct{ begin, repeated string }{
+	cases := map[string]struct {
+		begin, repeated string
+		// isRefused is set if the answer has an end at which it is refused.
+		isRefused bool
+	}{
 		"no line":               {repeated: "x"},
 		"status line":           {begin: "HTTP/1.1 101 ", repeated: "x"},
 		"header line":           {begin: "HTTP/1.1 101 Switching\r\nX-A: ", repeated: "x"},
 		"headers":               {begin: "HTTP/1.1 101 Switching\r\n", repeated: "X-A: b\r\n"},
-		"informational answers": {repeated: "HTTP/1.1 103 Early Hints\r\n\r\n"},
-		"body":                  {begin: "HTTP/1.1 200 OK\r\n\r\n", repeated: "x"},
+		"informational answers": {repeated: "HTTP/1.1 103 Early Hints\r\n\r\n", isRefused: true},
+		"body":                  {begin: "HTTP/1.1 200 OK\r\n\r\n", repeated: "x", isRefused: true},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -58,6 +65,8 @@
 			}
 			_, err = d.Connect(t.Context(), l.Addr().String())
 			qt.Check(t, err, qt.IsNotNil)
+			_, isTooLarge := errors.AsType[*linker.HeadTooLargeError](err)
+			qt.Check(t, isTooLarge, qt.Equals, !tc.isRefused, qt.Commentf("%.200v", err))
 			qt.Check(t, taken.Load() < maxTaken, qt.IsTrue, qt.Commentf("%d bytes were taken: %.200v", taken.Load(), err))
 		})
 	}
--- a/linker/handshake.go
+++ b/linker/handshake.go
@@ -7,6 +7,7 @@
 	"crypto/sha256"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -249,17 +250,27 @@
 }
 
 // Connect opens a link and authenticates both ends. The caller must pass the link to Serve. Until then, no messages are read
-// or written.
+// or written. Connect fails with an error that wraps HeadTooLargeError if the peer's answer does not end.
 func (d Dialer) Connect(ctx context.Context, address string) (*Conn, error) {
+	var head *headConn
 	w := websocket.Dialer{
-		NetDialContext: d.Dial, HandshakeTimeout: handshakeTimeout,
-		ReadBufferSize: bufferBytes, WriteBufferSize: bufferBytes, WriteBufferPool: &writeBuffers,
+		NetDialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			n, err := d.Dial(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			head = &headConn{Conn: n, left: maxHeadBytes}
+			return head, nil
+		},
+		HandshakeTimeout: handshakeTimeout,
+		ReadBufferSize:   bufferBytes, WriteBufferSize: bufferBytes, WriteBufferPool: &writeBuffers,
 	}
 	socket, response, err := w.DialContext(ctx, "ws://"+address+Path, nil)
 	if err != nil {
 		return nil, fmt.Errorf("dialing link %s: %w", address, err)
 	}
 	_ = response.Body.Close()
+	head.end()
 	peer, err := d.authenticate(socket)
 	if err != nil {
 		_ = socket.Close()
