Check the order of streams over all tries of callers under drawn faults

OpaqueSkip leaves an event, since an empty continuation cannot be told from the end of a stream. -seeds sets the number of seeds.

--- a/emulator/opaque.go
+++ b/emulator/opaque.go
@@ -492,7 +492,7 @@
 	}
 	if r.Header.Get("X-Token-Count") != "" {
 		received, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-		return s.streamEvents(c, run, id, header, fault.resumeAfter(received), events, pause, fault == OpaqueTruncated)
+		return s.streamEvents(c, run, id, header, fault.resumeAfter(received, events), events, pause, fault == OpaqueTruncated)
 	}
 	if fault == OpaqueTruncated {
 		s.write(c, "HTTP/1.1 200 OK\r\n"+header+"Content-Length: 100\r\n\r\nhalf")
@@ -539,15 +539,16 @@
 	}
 }
 
-// resumeAfter returns the number of the event after which a stream goes on that is asked to go on after the event received.
-func (f OpaqueFault) resumeAfter(received int) int {
+// resumeAfter returns the number of the event after which a stream of so many events goes on that is asked to go on after the event
+// received. OpaqueSkip leaves at least one event, since nobody can tell an empty continuation from the end of the stream.
+func (f OpaqueFault) resumeAfter(received, events int) int {
 	switch {
 	case received == 0:
 	case f == OpaqueRestart:
 		return 0
 	case f == OpaqueRewind:
 		return received - 1
-	case f == OpaqueSkip:
+	case f == OpaqueSkip && received+2 < events:
 		return received + 2
 	}
 	return received
--- a/forwarder/order_test.go
+++ b/forwarder/order_test.go
@@ -1,12 +1,19 @@
 package forwarder_test
 
 import (
+	"cmp"
+	"flag"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -123,3 +130,93 @@
 		})
 	}
 }
+
+// seeds is the number of seeds with which tests that draw faults are run.
+var seeds = flag.Uint64("seeds", 4, "number of seeds of tests that draw faults")
+
+// TestStreamsKeepTheirOrderUnderFaults guards against events that are missing, come twice or go back, and against streams that look
+// complete too early, within one answer and over all tries of a caller, while servers break off, end, pause and continue wrongly.
+func TestStreamsKeepTheirOrderUnderFaults(t *testing.T) {
+	const (
+		servers, callers, streams = 8, 12, 10
+		events, maxTries          = 12, 8
+	)
+	faults := []emulator.OpaqueFault{
+		emulator.OpaqueNoFault, emulator.OpaqueTruncated, emulator.OpaqueUnframed, emulator.OpaqueUnframedTruncated, emulator.OpaqueReset,
+		emulator.OpaqueRestart, emulator.OpaqueRewind, emulator.OpaqueSkip, emulator.OpaqueStall, emulator.OpaqueOverloaded,
+	}
+	for seed := range *seeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			rng := rand.New(rand.NewPCG(seed, 0))
+			f := newFixture(t, servers)
+			for i, s := range f.servers {
+				// A pause between events is at times as long as the router waits before it hands a stream over.
+				s.SetStream(events, time.Duration(rng.IntN(3))*time.Millisecond)
+				if i == 0 {
+					s.SetStream(events, 290*time.Millisecond)
+				}
+				s.SetStall(time.Duration(500+rng.IntN(200)) * time.Millisecond)
+				var drawn []emulator.OpaqueFault
+				for range 4 * callers * streams / servers {
+					drawn = append(drawn, faults[rng.IntN(len(faults))])
+				}
+				if i > servers/2 {
+					drawn[rng.IntN(len(drawn)/2)] = emulator.OpaqueUnframedEnded
+				}
+				s.InjectFaults(drawn...)
+			}
+			for range 4 {
+				f.do(t.Context(), "POST", "/resume/x", "X-Attempt-Id", "learn")
+			}
+			var several, whole atomic.Int64
+			var wg sync.WaitGroup
+			for i := range callers {
+				wg.Go(func() {
+					for k := range streams {
+						first := fmt.Sprintf("%d-%d-%d", seed, i, k)
+						got, tries, complete := f.readStream(t, first, maxTries)
+						if tries > 1 && got != "" {
+							several.Add(1)
+						}
+						if complete {
+							whole.Add(1)
+							qt.Check(t, got, qt.Equals, eventStream(1, events), qt.Commentf("stream %s after %d tries", first, tries))
+						} else {
+							qt.Check(t, strings.HasPrefix(eventStream(1, events), got), qt.IsTrue, qt.Commentf("stream %s after %d tries: %q", first, tries, got))
+						}
+					}
+				})
+			}
+			wg.Wait()
+			t.Logf("%d of %d streams whole, %d over several tries", whole.Load(), callers*streams, several.Load())
+			qt.Check(t, whole.Load() > callers*streams/4, qt.IsTrue, qt.Commentf("%d whole", whole.Load()))
+		})
+	}
+}
+
+// readStream reads a stream as a caller does that resumes it until it is complete, and returns all whole events that it got, the number
+// of tries, and whether the stream is complete.
+func (f *fixture) readStream(t *testing.T, first string, maxTries int) (got string, tries int, complete bool) {
+	last, begun := 0, ""
+	for tries = 1; tries <= maxTries; tries++ {
+		id := fmt.Sprintf("%s-%d", first, tries)
+		header := []string{"X-Attempt-Id", id, "X-Deadline-Ms", "15000"}
+		if last > 0 {
+			header = append(header, "Last-Event-Id", strconv.Itoa(last), "Resumes", begun)
+		}
+		a := f.do(t.Context(), "POST", "/resume/x", header...)
+		if a.status != http.StatusOK {
+			continue
+		}
+		if end := strings.LastIndex(a.body, "\n\n") + 2; end > 1 {
+			got += a.body[:end]
+			begun = cmp.Or(begun, id)
+			_, _ = fmt.Sscanf(a.body[strings.LastIndex(a.body[:end], "id: "):], "id: %d", &last)
+		}
+		if a.err == nil {
+			return got, tries, true
+		}
+	}
+	return got, maxTries, false
+}
