Don't infer the version of a stream from a pool to which its route has been moved

Callers that resumed a stream after its route had been moved to another service, or its weights had changed, could get the rest from a server of the other service: the present configuration picks the pool of a resumption, and where no router had recorded the stream in that pool, the version on which it is settled was taken, or none if its servers report none.

A pool from or to which a change of the configuration moves requests is not settled for as long as streams of before may be resumed. Routers record what they have begun there, streams are recorded as in a release, and a stream that nobody has recorded in its pool is refused as not run. A router that knows of the change says so when it is asked, as others may not have it yet or have started after it. Rows in the store are written as before, and changes that leave alone where requests go have no effect.

--- a/versioner/history.go
+++ b/versioner/history.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/masticway/masticway"
@@ -25,6 +26,7 @@
 	// confirmedAt is when the call of the newest reading began. What a reading has is not older than its call, however late it arrives.
 	confirmedAt time.Time
 	pools       map[string]poolHistory
+	deployment  masticway.Deployment
 	// recorded is what the store has of the versions.
 	recorded recordedPools
 }
@@ -36,6 +38,9 @@
 	// current holds the versions of the servers that may get new work, and lastSeen when a version ceased to be current.
 	current  map[string]bool
 	lastSeen map[string]time.Time
+	// movedAt is when requests were moved from this pool to another one, or from another one to this pool, by a change of the
+	// configuration. It is zero if they never were.
+	movedAt time.Time
 }
 
 // NewHistory returns an empty history.
@@ -43,10 +48,17 @@
 
 // Update applies a change of the configuration or the servers.
 func (h *History) Update(now time.Time, d masticway.Deployment, servers map[string][]masticway.Server) {
-	pools := map[string]poolHistory{}
+	pools, moved := map[string]poolHistory{}, map[string]bool{}
+	if d.Version != h.deployment.Version {
+		moved = movedPools(h.deployment, d)
+	}
+	h.deployment = d
 	for pool, span := range resumptionSpans(d) {
 		p := h.pools[pool]
 		p.span = span
+		if moved[pool] {
+			p.movedAt = now
+		}
 		if p.lastSeen == nil {
 			p.lastSeen = map[string]time.Time{}
 		}
@@ -85,8 +97,23 @@
 
 // Settled returns the only version that the servers of a pool have had for as long as a stream may be resumed. It returns false if
 // there were several, or if this router does not read the servers now. If it has not read them for so long, it relies on the store's
-// record for the time before, and returns false if there is none. A pool whose servers all report no version is always settled.
+// record for the time before, and returns false if there is none. A pool whose servers all report no version is always settled. A pool
+// is not settled while a stream may be resumed that began before requests were moved from or to it.
 func (h *History) Settled(now time.Time, pool string) (version string, ok bool) {
+	if h.isMoved(now, pool) {
+		return "", false
+	}
+	return h.onlyVersion(now, pool)
+}
+
+// isMoved reports whether requests were moved from or to a pool, so that a stream may be resumed in another pool than it began in.
+func (h *History) isMoved(now time.Time, pool string) bool {
+	p := h.pools[pool]
+	return !p.movedAt.IsZero() && now.Sub(p.movedAt) <= p.span
+}
+
+// onlyVersion is Settled for a pool from or to which no requests were moved.
+func (h *History) onlyVersion(now time.Time, pool string) (version string, ok bool) {
 	p := h.pools[pool]
 	versions := maps.Clone(p.current)
 	for version, at := range p.lastSeen {
@@ -139,6 +166,38 @@
 	return changed
 }
 
+// movedPools returns the pools from or to which a change of the configuration moves requests.
+func movedPools(before, after masticway.Deployment) map[string]bool {
+	type path struct{ host, prefix string }
+	shares := map[path][]masticway.TrafficShare{}
+	for _, r := range before.Routes {
+		shares[path{r.Host, r.Prefix}] = r.Shares
+	}
+	changed := map[path]bool{}
+	for _, r := range after.Routes {
+		p := path{r.Host, r.Prefix}
+		if old, ok := shares[p]; !ok || !slices.Equal(old, r.Shares) {
+			changed[p] = true
+		}
+		delete(shares, p)
+	}
+	for p := range shares {
+		changed[p] = true
+	}
+	moved := map[string]bool{}
+	for p := range changed {
+		// Where one of them has no such route, it has one with a shorter prefix, or no stream was begun or is resumed.
+		old, wasRouted := before.Route(p.host, p.prefix)
+		now, isRouted := after.Route(p.host, p.prefix)
+		if wasRouted && isRouted && !slices.Equal(old.Shares, now.Shares) {
+			for _, s := range slices.Concat(old.Shares, now.Shares) {
+				moved[s.Pool] = true
+			}
+		}
+	}
+	return moved
+}
+
 // resumptionSpans returns, for each pool to which routes with resumable streams lead, the time in which callers may resume a stream
 // since it began.
 func resumptionSpans(d masticway.Deployment) map[string]time.Duration {
--- a/versioner/ledgerstore.go
+++ b/versioner/ledgerstore.go
@@ -83,7 +83,7 @@
 	streams, _ = v.ledger.Unwritten(now, func(pool string) bool {
 		settled, known := isSettled[pool]
 		if !known {
-			_, settled = v.history.Settled(now, pool)
+			_, settled = v.history.onlyVersion(now, pool)
 			isSettled[pool] = settled
 		}
 		return !settled
--- a/versioner/moved_test.go
+++ b/versioner/moved_test.go
@@ -41,7 +41,7 @@
 					servers := map[string][]masticway.Server{"a": {{Pool: "a", Version: version}}, "b": {{Pool: "b", Version: version}}}
 					update := func(number int64, routes []masticway.Route) {
 						for _, r := range w.up() {
-							r.Update(masticway.Deployment{Version: number, Routes: routes}, servers)
+							r.Update(masticway.Deployment{Version: number, Routes: routes}.WithIndex(), servers)
 						}
 					}
 					// find returns how many streams are taken for ones of a pool at a router.
--- a/versioner/resolve.go
+++ b/versioner/resolve.go
@@ -8,6 +8,8 @@
 	// Settled is the version on which the stream's pool is settled (see History.Settled), if IsSettled is set.
 	Settled   string `cbor:"3,keyasint,omitempty"`
 	IsSettled bool   `cbor:"4,keyasint,omitempty"`
+	// IsMoved is set if the stream may have begun in another pool, because the configuration has moved requests lately.
+	IsMoved bool `cbor:"5,keyasint,omitempty"`
 }
 
 // Source tells by what the version of a stream is known.
@@ -30,6 +32,7 @@
 // the source is SourceNone or SourceConflict.
 func resolve(replies []Reply) (string, Source) {
 	var recorded, settled []string
+	isMoved := false
 	for _, r := range replies {
 		if r.Recorded {
 			recorded = append(recorded, r.Version)
@@ -37,11 +40,13 @@
 		if r.IsSettled {
 			settled = append(settled, r.Settled)
 		}
+		isMoved = isMoved || r.IsMoved
 	}
 	switch {
 	case len(recorded) > 0:
 		return agreed(recorded, SourceRecorded)
-	case len(settled) > 0:
+	// A router that has not seen the change yet, or started after it, takes the pool for settled.
+	case len(settled) > 0 && !isMoved:
 		return agreed(settled, SourceSettled)
 	}
 	return "", SourceNone
--- a/versioner/versioner.go
+++ b/versioner/versioner.go
@@ -358,5 +358,6 @@
 	var r Reply
 	r.Version, r.Recorded = v.notes.Find(now, s)
 	r.Settled, r.IsSettled = v.history.Settled(now, s.Pool)
+	r.IsMoved = v.history.isMoved(now, s.Pool)
 	return r
 }
