--- a/starter/gateway_test.go
+++ b/starter/gateway_test.go
@@ -49,8 +49,9 @@
 	rows   *emulator.RowStore
 	store  string
 	ledger *emulator.OpaqueRunLog
-	engine *emulator.OpaqueServer
-	log    *lockedBuffer
+	// engine and plain are the servers.
+	engine, plain *emulator.OpaqueServer
+	log           *lockedBuffer
 }
 
 func newTestPlatform(t *testing.T, prepaid int64) *testPlatform {
@@ -64,6 +65,8 @@
 		t.Cleanup(s.Close)
 		if pool == "llm" {
 			p.engine = s
+		} else {
+			p.plain = s
 		}
 		entry, _ := json.Marshal(map[string]any{"service": pool, "address": s.Address(), "zone": "z", "slots": 4, "state": "ready"})
 		p.rows.Put(masticway.RowKey{Table: "servers", Key: s.ID}, entry)
