Show that a stopped router extends the notice of its drain

A router that did not run when SIGTERM may have been sent counts its grace period from then, but the time for which it accepts requests that may outlast it from its own notice.

--- a/starter/late_requests_test.go
+++ b/starter/late_requests_test.go
@@ -7,10 +7,15 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/masticway/masticway"
+	"github.com/masticway/masticway/platform"
+	"github.com/masticway/masticway/starter"
 )
 
 // lateCall is a request that callers with open connections send while a router shuts down.
@@ -114,3 +119,54 @@
 		})
 	}
 }
+
+// leapingClock is the system clock plus an offset that a test advances, as if the process had been stopped for that time.
+type leapingClock struct {
+	masticway.SystemClock
+	offset atomic.Int64
+}
+
+// Now returns the time of the system clock plus the offset.
+func (c *leapingClock) Now() time.Time {
+	return c.SystemClock.Now().Add(time.Duration(c.offset.Load()))
+}
+
+// TestNoticeOfStoppedRouterIsNotExtended guards against a router that was stopped while SIGTERM was sent, and counts from its own notice
+// of it for how long it accepts requests that may outlast it.
+func TestNoticeOfStoppedRouterIsNotExtended(t *testing.T) {
+	for name, tc := range map[string]struct {
+		stopped time.Duration
+		status  int
+	}{
+		"it ran":                 {status: http.StatusOK},
+		"it was stopped shortly": {stopped: time.Second, status: http.StatusOK},
+		"it was stopped":         {stopped: 2600 * time.Millisecond, status: http.StatusServiceUnavailable},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newTestPlatform(t, 1<<40)
+			clock := &leapingClock{}
+			s := p.settings("edge-1")
+			l, err := starter.ListenGateway(s)
+			qt.Assert(t, err, qt.IsNil)
+			store := platform.NewStore(p.store, time.Second)
+			d, err := starter.NewGateway(s, l, store, store, platform.Decoder{}, platform.HeaderCodec{}, clock, p.log)
+			qt.Assert(t, err, qt.IsNil)
+			p.run(d, s)
+			call := lateCall{path: "/draft/x", tokens: "10,15", limit: 5 * time.Second}
+			c, err := net.Dial("tcp", l.Caller.Addr().String())
+			qt.Assert(t, err, qt.IsNil)
+			defer c.Close()
+			status, err := call.send(c, "before")
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, status, qt.Equals, http.StatusOK)
+			clock.offset.Add(int64(tc.stopped))
+			drained := make(chan bool, 1)
+			go func() { drained <- d.Drain() }()
+			p.assumedStart()
+			status, err = call.send(c, "late")
+			qt.Check(t, err, qt.IsNil)
+			qt.Check(t, status, qt.Equals, tc.status, qt.Commentf("%s", p.logLines("request=late ")))
+			qt.Check(t, <-drained, qt.IsTrue)
+		})
+	}
+}
