Count the notice of a drain from when SIGTERM may have been sent

A router that was stopped when SIGTERM came counts its grace period from the start of the pause, but counted from its own notice for how long it accepts requests that may outlast it. The load balancer has got no answer to its checks meanwhile, and less of the grace period is left, so requests with a far deadline were accepted up to the closing of connections. Drain is told when it was asked for.

The fault in the router that the soak's own test plants keeps its place, with the text of the changed call.

--- a/forwarder/drain.go
+++ b/forwarder/drain.go
@@ -31,7 +31,7 @@
 // errOutlastsRouter is why a request is not sent to a server by a draining router.
 var errOutlastsRouter = errors.New("this router ends before the answer would")
 
-// drain is the state of a router that shuts down: when the drain began, and when the shutdown ends.
+// drain is the state of a router that shuts down: when it was asked to, and when the shutdown ends.
 type drain struct {
 	since time.Time
 	until time.Time
--- a/forwarder/drain_test.go
+++ b/forwarder/drain_test.go
@@ -74,7 +74,7 @@
 				f.see(tc.path, tc.seen, tc.timedOut)
 			}
 			before := len(f.ledger.Runs())
-			f.router.Drain(f.clock.Now().Add(drainTime))
+			f.router.Drain(f.clock.Now(), f.clock.Now().Add(drainTime))
 			f.clock.advance(tc.after)
 			extra := []string{"X-Deadline-Ms", tc.deadline}
 			if tc.tokens != "" {
@@ -137,7 +137,7 @@
 					f.servers[1-i].InjectFaults()
 				})
 			}
-			f.router.Drain(f.clock.Now().Add(drainTime))
+			f.router.Drain(f.clock.Now(), f.clock.Now().Add(drainTime))
 			got := f.do(t.Context(), "POST", tc.path, "X-Deadline-Ms", "15000")
 			qt.Assert(t, got.err, qt.IsNil)
 			qt.Check(t, got.status, qt.Equals, tc.status)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -164,9 +164,9 @@
 }
 
 // Drain starts a shutdown that ends at the given time. From then on Ready returns false, and each answer whose head has not been
-// written yet closes its connection.
-func (f *Forwarder) Drain(until time.Time) {
-	f.drainState.Store(&drain{since: f.clock.Now(), until: until})
+// written yet closes its connection. The shutdown was asked for at began, which may have been while this process was stopped.
+func (f *Forwarder) Drain(began, until time.Time) {
+	f.drainState.Store(&drain{since: began, until: until})
 }
 
 // StopForwarding makes a draining router refuse all new requests; it has no effect before Drain. Requests in progress continue.
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -69,7 +69,7 @@
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
 			f := newFixture(t, 1)
-			f.router.Drain(f.clock.Now().Add(7500 * time.Millisecond))
+			f.router.Drain(f.clock.Now(), f.clock.Now().Add(7500*time.Millisecond))
 			f.clock.advance(tc.after)
 			got := f.do(t.Context(), "POST", "/stream/x", "X-Deadline-Ms", tc.deadlineMS)
 			qt.Assert(t, got.err, qt.IsNil)
@@ -88,7 +88,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := newFixture(t, 1)
-			f.router.Drain(f.clock.Now().Add(7500 * time.Millisecond))
+			f.router.Drain(f.clock.Now(), f.clock.Now().Add(7500*time.Millisecond))
 			c, err := net.Dial("tcp", strings.TrimPrefix(f.frontend.URL, "http://"))
 			qt.Assert(t, err, qt.IsNil)
 			defer c.Close()
@@ -674,7 +674,7 @@
 			for _, s := range f.servers {
 				s.SetStream(3, 400*time.Millisecond)
 			}
-			end := time.AfterFunc(after, func() { f.router.Drain(f.clock.Now().Add(time.Minute)) })
+			end := time.AfterFunc(after, func() { f.router.Drain(f.clock.Now(), f.clock.Now().Add(time.Minute)) })
 			defer end.Stop()
 			got := f.do(t.Context(), "POST", "/resume/x")
 			qt.Assert(t, got.err, qt.IsNil)
@@ -776,7 +776,7 @@
 // closed: its connection would be closed and its answer lost.
 func TestNothingIsForwardedWhileConnectionsClose(t *testing.T) {
 	f := newFixture(t, 1)
-	f.router.Drain(f.clock.Now().Add(time.Minute))
+	f.router.Drain(f.clock.Now(), f.clock.Now().Add(time.Minute))
 	qt.Assert(t, f.do(t.Context(), "POST", "/never/x").status, qt.Equals, 200)
 	f.router.StopForwarding()
 	got := f.do(t.Context(), "POST", "/never/x")
@@ -788,7 +788,7 @@
 func TestDrainClosesConnections(t *testing.T) {
 	f := newFixture(t, 1)
 	qt.Assert(t, f.router.Ready(), qt.IsTrue)
-	f.router.Drain(time.Now().Add(time.Minute))
+	f.router.Drain(time.Now(), time.Now().Add(time.Minute))
 	qt.Assert(t, f.router.Ready(), qt.IsFalse)
 	c, err := net.Dial("tcp", strings.TrimPrefix(f.frontend.URL, "http://"))
 	qt.Assert(t, err, qt.IsNil)
--- a/soaker/soaker_test.go
+++ b/soaker/soaker_test.go
@@ -370,7 +370,7 @@
 			[]string{"hangup"}, "budget", false,
 		},
 		"exits at once on SIGTERM": {
-			"starter/gateway.go", "d.forwarder.Drain(began.Add(grace - exitBefore))", "d.Kill()",
+			"starter/gateway.go", "d.forwarder.Drain(began, began.Add(grace-exitBefore))", "d.Kill()",
 			[]string{"term"}, "answered", false,
 		},
 		"keeps its first configuration": {
--- a/starter/gateway.go
+++ b/starter/gateway.go
@@ -403,7 +403,7 @@
 	began := d.stalls.earliest(now)
 	grace := time.Duration(d.settings.GraceSeconds * float64(time.Second))
 	d.draining.Store(true)
-	d.forwarder.Drain(began.Add(grace - exitBefore))
+	d.forwarder.Drain(began, began.Add(grace-exitBefore))
 	d.log.WithFields(logrus.Fields{"event": "stopping", "open": d.callerListener.OpenRequests(), "grace": grace, "late_ms": now.Sub(began).Milliseconds()}).Info("gateway stopping")
 	d.wait(began.Add(minUnreadyTime), began.Add(minUnreadyTime), d.isIdle)
 	// Requests that arrive later on connections that are idle now would be cut off by the shutdown. The callers should connect to
