Replay a recorded answer with the bytes that the service sent

A caller that repeated a request that is not repeatable got other bytes than the first time if the answer was no UTF-8, such as an image: the record is JSON, which replaces such bytes. The record now holds such an answer in a field of its own, which JSON encodes as bytes; texts stay where they were, so that records of both builds can be read. A router of an earlier build replays the new field as an empty answer. TestRecordedAnswerIsReplayedByteByByte failed in its two cases that are no UTF-8, and passes.

--- a/router/claims.go
+++ b/router/claims.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net/http"
 	"time"
+	"unicode/utf8"
 
 	"github.com/sirupsen/logrus"
 
@@ -45,7 +46,9 @@
 	ContentType string                `json:"content_type,omitempty"`
 	Reason      string                `json:"reason,omitempty"`
 	Body        string                `json:"body,omitempty"`
-	Usage       masticway.Usage       `json:"usage"`
+	// Bytes is the answer instead of Body if it is no UTF-8, of which JSON would replace bytes.
+	Bytes []byte          `json:"bytes,omitempty"`
+	Usage masticway.Usage `json:"usage"`
 }
 
 // claim is the claim row of an exchange and the row's key in the table.
@@ -104,7 +107,7 @@
 // replayClaim answers the caller with the recorded outcome in a claim row.
 func (x *exchange) replayClaim(row claimRow) result {
 	x.step(eventFinished)
-	x.relay(masticway.Chunk{Text: row.Body, Tokens: row.Usage.Completion})
+	x.relay(masticway.Chunk{Text: row.Body + string(row.Bytes), Tokens: row.Usage.Completion})
 	return result{
 		outcome: masticway.Outcome{Status: row.Status, ContentType: row.ContentType, Reason: row.Reason},
 		usage:   row.Usage,
@@ -183,8 +186,12 @@
 	row.ContentType = out.outcome.ContentType
 	row.Reason = out.outcome.Reason
 	row.Usage = out.usage
-	if x.text.Len() <= maxRecordedBody {
-		row.Body = x.text.String()
+	switch body := x.text.String(); {
+	case len(body) > maxRecordedBody:
+	case utf8.ValidString(body):
+		row.Body = body
+	default:
+		row.Bytes = []byte(body)
 	}
 	if isRefusal {
 		row.Status = refused.Status
