Show that an answer that is too large to be recorded is replayed as an empty one

Of an answer of more than 256 KB to a request that is not repeatable, the record keeps no body. A caller that repeats the request gets an empty answer with the status of the whole one, and cannot tell that it lacks all of it.

--- a/router/claims.go
+++ b/router/claims.go
@@ -78,7 +78,8 @@
 	x.settle()
 	x.step(eventAttached)
 	if existing.State == claimDone {
-		return x.replayClaim(existing), true, nil
+		out, err := x.replayClaim(existing)
+		return out, true, err
 	}
 	if x.findRun(ctx) {
 		x.state = x.chart.Initial()
@@ -104,14 +105,14 @@
 	return true
 }
 
-// replayClaim answers the caller with the recorded outcome in a claim row.
-func (x *exchange) replayClaim(row claimRow) result {
+// replayClaim answers the caller with the recorded outcome in a claim row. Its error is a RefusalError.
+func (x *exchange) replayClaim(row claimRow) (result, error) {
 	x.step(eventFinished)
 	x.relay(masticway.Chunk{Text: row.Body + string(row.Bytes), Tokens: row.Usage.Completion})
 	return result{
 		outcome: masticway.Outcome{Status: row.Status, ContentType: row.ContentType, Reason: row.Reason},
 		usage:   row.Usage,
-	}
+	}, nil
 }
 
 // insertClaim writes the claim row if the table has none for its key, and returns the row that is then in the table. It returns
--- a/router/claims_test.go
+++ b/router/claims_test.go
@@ -1,7 +1,9 @@
 package router
 
 import (
+	"errors"
 	"net/http"
+	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -13,7 +15,7 @@
 )
 
 // replayed records an answer of a request that is not repeatable, and returns what a later request with its key is answered.
-func replayed(t *testing.T, body string) (string, result) {
+func replayed(t *testing.T, body string) (string, result, error) {
 	r := New(Settings{}, Secrets{}, masticway.SystemClock{}, logger.Discard(), Platform{Table: emulator.NewTable()}, nil, measurer.New())
 	t.Cleanup(r.Close)
 	q := request{id: "first", identity: "w/k", hasCallerKey: true, nonRepeatable: true}
@@ -30,8 +32,8 @@
 	second.step(eventAdmitted)
 	second.step(eventAttached)
 	qt.Assert(t, second.findRecorded(t.Context()), qt.IsTrue)
-	out := second.replayClaim(*second.replay)
-	return w.text.String(), out
+	out, err := second.replayClaim(*second.replay)
+	return w.text.String(), out, err
 }
 
 // TestRecordedAnswerIsReplayedByteByByte guards against answers that come changed to a caller that repeats its request, because the
@@ -41,9 +43,31 @@
 		"text": "booked ä", "replacement character": "\ufffd", "empty": "", "image": "\x89PNG\r\n\x1a\n\x00\xff\xc3", "cut text": "ä"[:1],
 	} {
 		t.Run(name, func(t *testing.T) {
-			got, out := replayed(t, body)
+			got, out, err := replayed(t, body)
+			qt.Assert(t, err, qt.IsNil)
 			qt.Check(t, got, qt.Equals, body)
 			qt.Check(t, out.outcome.Status, qt.Equals, http.StatusOK)
 		})
 	}
 }
+
+// TestAnswerThatIsTooLargeToRecordIsNotReplayedEmpty guards against an empty answer with the status of the whole one, for a caller that
+// repeats a request of which the record holds no body.
+func TestAnswerThatIsTooLargeToRecordIsNotReplayedEmpty(t *testing.T) {
+	for name, size := range map[string]int{"empty": 0, "largest that is kept": maxRecordedBody, "too large": maxRecordedBody + 1} {
+		t.Run(name, func(t *testing.T) {
+			body := strings.Repeat("x", size)
+			got, out, err := replayed(t, body)
+			if size <= maxRecordedBody {
+				qt.Assert(t, err, qt.IsNil)
+				qt.Check(t, got == body, qt.IsTrue)
+				qt.Check(t, out.outcome.Status, qt.Equals, http.StatusOK)
+				return
+			}
+			refused, ok := errors.AsType[*masticway.RefusalError](err)
+			qt.Assert(t, ok, qt.IsTrue, qt.Commentf("status %d, %d bytes", out.outcome.Status, len(got)))
+			qt.Check(t, refused.Fate, qt.Equals, masticway.FateRan)
+			qt.Check(t, got, qt.Equals, "")
+		})
+	}
+}
--- a/router/exchange.go
+++ b/router/exchange.go
@@ -208,7 +208,7 @@
 	}
 	if x.replay != nil {
 		x.step(eventAttached)
-		return x.replayClaim(*x.replay), nil
+		return x.replayClaim(*x.replay)
 	}
 	if x.q.nonRepeatable && x.q.hasCallerKey {
 		out, done, err := x.claimRun(ctx)
