Refuse to replay an answer that was too large to be recorded

A caller that repeated a request that is not repeatable got an empty answer with the status of the whole one if that had more than 256 KB, since the record keeps no body of such an answer. The record now says so, and the caller gets status 502, code answer_not_kept and the fate that the request has run. Records of earlier builds do not say it and are replayed as before. TestAnswerThatIsTooLargeToRecordIsNotReplayedEmpty failed in the case of such an answer, and passes; empty answers and the largest that are kept are replayed before and after.

--- a/router/claims.go
+++ b/router/claims.go
@@ -22,8 +22,8 @@
 	recordTimeout = 5 * time.Second
 	// claimRetryInterval is the interval between attempts to read or write a claim row.
 	claimRetryInterval = 100 * time.Millisecond
-	// maxRecordedBody is the maximum size in bytes of a recorded answer. A longer answer is recorded without its body, so its
-	// replay has no body.
+	// maxRecordedBody is the maximum size in bytes of a recorded answer. A longer answer is recorded without its body, so that it
+	// cannot be replayed.
 	maxRecordedBody = 256 << 10
 )
 
@@ -47,8 +47,10 @@
 	Reason      string                `json:"reason,omitempty"`
 	Body        string                `json:"body,omitempty"`
 	// Bytes is the answer instead of Body if it is no UTF-8, of which JSON would replace bytes.
-	Bytes []byte          `json:"bytes,omitempty"`
-	Usage masticway.Usage `json:"usage"`
+	Bytes []byte `json:"bytes,omitempty"`
+	// TooLarge is set if the answer is not recorded because it is longer than maxRecordedBody.
+	TooLarge bool            `json:"too_large,omitempty"`
+	Usage    masticway.Usage `json:"usage"`
 }
 
 // claim is the claim row of an exchange and the row's key in the table.
@@ -108,6 +110,12 @@
 // replayClaim answers the caller with the recorded outcome in a claim row. Its error is a RefusalError.
 func (x *exchange) replayClaim(row claimRow) (result, error) {
 	x.step(eventFinished)
+	if row.TooLarge {
+		return result{}, &masticway.RefusalError{
+			Status: http.StatusBadGateway, Code: "answer_not_kept", Fate: masticway.FateRan,
+			Message: "the request has run, but its answer was too large to be kept",
+		}
+	}
 	x.relay(masticway.Chunk{Text: row.Body + string(row.Bytes), Tokens: row.Usage.Completion})
 	return result{
 		outcome: masticway.Outcome{Status: row.Status, ContentType: row.ContentType, Reason: row.Reason},
@@ -189,6 +197,7 @@
 	row.Usage = out.usage
 	switch body := x.text.String(); {
 	case len(body) > maxRecordedBody:
+		row.TooLarge = true
 	case utf8.ValidString(body):
 		row.Body = body
 	default:
