Show that a broken chat answer is replayed as a complete one

The record of a chat request that is not repeatable and broke off holds the first part of the answer and the code of the error. A caller that repeats the request gets that part with status 200, the code as its finish reason and the last event of a stream.

--- a/router/claims_test.go
+++ b/router/claims_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 
@@ -71,3 +72,53 @@
 		})
 	}
 }
+
+// TestBrokenAnswerIsReplayedAsBroken guards against a broken chat answer that comes as complete to a caller that repeats its request:
+// its first part with a finish reason and, in a stream, the last event.
+func TestBrokenAnswerIsReplayedAsBroken(t *testing.T) {
+	for name, stream := range map[string]bool{"stream": true, "whole": false} {
+		for recorded, refused := range map[string]*masticway.RefusalError{
+			"complete": nil,
+			"broken":   {Status: http.StatusBadGateway, Code: "upstream_failed", Message: "ended", Fate: masticway.FateRan},
+		} {
+			t.Run(name+", "+recorded, func(t *testing.T) {
+				r := New(Settings{}, Secrets{}, masticway.SystemClock{}, logger.Discard(), Platform{Table: emulator.NewTable()}, nil, measurer.New())
+				defer r.Close()
+				q := request{id: "first", identity: "w/k", hasCallerKey: true, nonRepeatable: true, call: masticway.Call{Model: "m"}}
+				first := r.newExchange(t.Context(), q, &bufferedWriter{})
+				first.claim = &claim{key: claimPrefix + string(q.identity), row: claimRow{Request: q.id, State: claimOpen}}
+				_, err := r.insertClaim(t.Context(), first.claim)
+				qt.Assert(t, err, qt.IsNil)
+				first.relay(masticway.Chunk{Text: "first part", Tokens: 2})
+				if refused == nil {
+					first.completeClaim(t.Context(), result{outcome: masticway.Outcome{Reason: "stop"}}, nil)
+				} else {
+					first.completeClaim(t.Context(), result{}, refused)
+				}
+
+				to := httptest.NewRecorder()
+				w := newChatWriter(to, q, stream)
+				second := r.newExchange(t.Context(), q, w)
+				second.step(eventAdmitted)
+				second.step(eventAttached)
+				qt.Assert(t, second.findRecorded(t.Context()), qt.IsTrue)
+				out, err := second.replayClaim(*second.replay)
+				err = w.finish(out, err)
+				body := to.Body.String()
+				if refused == nil {
+					qt.Assert(t, err, qt.IsNil)
+					qt.Check(t, body, qt.Contains, "first part")
+					qt.Check(t, body, qt.Contains, `"finish_reason":"stop"`)
+					return
+				}
+				qt.Check(t, body, qt.Not(qt.Contains), "[DONE]")
+				qt.Check(t, body, qt.Not(qt.Contains), `"finish_reason":"`)
+				got, ok := errors.AsType[*masticway.RefusalError](err)
+				qt.Assert(t, ok, qt.IsTrue, qt.Commentf("%s", body))
+				qt.Check(t, got.Status, qt.Equals, refused.Status)
+				qt.Check(t, got.Code, qt.Equals, refused.Code)
+				qt.Check(t, got.Fate, qt.Equals, masticway.FateRan)
+			})
+		}
+	}
+}
