Replay a broken chat answer as the error that it ended with

A caller that repeated a chat request that is not repeatable and had broken off got its first part as a complete answer, with status 200, the code of the error as its finish reason and the last event of a stream: the router replayed every record as an outcome. The caller now gets this status and code, and the fate that the request has run. Records of services are replayed with the status as before.

The requests of the two other tests of records are now calls of a service, as the status 200 in their records says.

--- a/router/claims.go
+++ b/router/claims.go
@@ -110,6 +110,12 @@
 // replayClaim answers the caller with the recorded outcome in a claim row. Its error is a RefusalError.
 func (x *exchange) replayClaim(row claimRow) (result, error) {
 	x.step(eventFinished)
+	if x.q.call.Service == "" && row.Status != 0 {
+		// Only a refusal has a status, since the engine's is not recorded. The answer broke off.
+		return result{}, &masticway.RefusalError{
+			Status: row.Status, Code: row.Reason, Fate: masticway.FateRan, Message: "the upstream did not finish the answer",
+		}
+	}
 	if row.TooLarge {
 		return result{}, &masticway.RefusalError{
 			Status: http.StatusBadGateway, Code: "answer_not_kept", Fate: masticway.FateRan,
--- a/router/claims_test.go
+++ b/router/claims_test.go
@@ -19,7 +19,7 @@
 func replayed(t *testing.T, body string) (string, result, error) {
 	r := New(Settings{}, Secrets{}, masticway.SystemClock{}, logger.Discard(), Platform{Table: emulator.NewTable()}, nil, measurer.New())
 	t.Cleanup(r.Close)
-	q := request{id: "first", identity: "w/k", hasCallerKey: true, nonRepeatable: true}
+	q := request{id: "first", identity: "w/k", hasCallerKey: true, nonRepeatable: true, call: masticway.Call{Service: "s"}}
 	first := r.newExchange(t.Context(), q, &bufferedWriter{})
 	first.claim = &claim{key: claimPrefix + string(q.identity), row: claimRow{Request: q.id, State: claimOpen}}
 	_, err := r.insertClaim(t.Context(), first.claim)
