Do not count a run as not run that its sidecar had accepted and dropped

A request that is not repeatable could run twice, with the pieces of the second run after those of the first, if the sidecar had dropped the answer of the ended run before the router had fetched all of it: the router took "I do not have the run" for "it never started", which holds only for a run that was not accepted.

If a part of the answer has come, such a run now counts as run, and if it was accepted, as unknown, which ends a request that is not repeatable; a repeatable one goes on after the last piece, with a counted retry. The router does not ask for the fate later, since it would take the same reply for "not run" and delete the claim. Nothing is charged for such a run, as before.

--- a/router/attempt.go
+++ b/router/attempt.go
@@ -98,7 +98,7 @@
 		x.hold.charges = append(x.hold.charges, keeper.Charge{Sidecar: f.sidecar, Amount: d.Bound, Presumed: true})
 		x.hold.presumed += d.Bound
 		x.settleAs(biller.KindPart)
-	case e.fate == masticway.FateUnknown:
+	case e.fate == masticway.FateUnknown && !e.dropped:
 		// The attempt may still run, so its hold stays open until its fate is known.
 		h := x.hold
 		x.hold = nil
@@ -176,13 +176,29 @@
 	case e.final != nil:
 		return x.handleFinal(f, e.final)
 	case e.missing:
-		return attemptResult{fate: masticway.FateNotRun, cause: retrier.CauseLinkLost, reason: "run not found"}, true
+		return x.handleMissing(f), true
 	case e.linkDown:
 		return x.resolve(ctx, f)
 	}
 	return attemptResult{}, false
 }
 
+// handleMissing returns the result of an attempt whose run the sidecar does not have. If the sidecar has accepted it before, or a part of
+// its answer has come, the run has ended and the sidecar has dropped it. Otherwise it has not run.
+func (x *exchange) handleMissing(f *feed) attemptResult {
+	e := attemptResult{fate: masticway.FateNotRun, cause: retrier.CauseLinkLost, reason: "run not found"}
+	switch {
+	case x.nextChunk > f.firstIndex:
+		e.fate, e.dropped = masticway.FateRan, true
+	case x.found == nil && x.state != stateSent:
+		e.fate, e.dropped = masticway.FateUnknown, true
+	}
+	if e.dropped {
+		e.reason = "answer not kept"
+	}
+	return e
+}
+
 // handleChunk relays c if it is the next chunk of the answer. It drops a chunk that was already relayed. If chunks are missing
 // before c, it drops c and asks for all chunks from the first missing one on.
 func (x *exchange) handleChunk(f *feed, c masticway.Chunk, work chooser.Request) {
@@ -305,7 +321,7 @@
 // the run, resolve asks for its chunks and returns false, because the attempt continues. Otherwise it returns the attempt's
 // result and true. If the sidecar does not answer within LostAfter, the fate counts as unknown.
 //
-// The fate "not run" is final, because a sidecar that does not have the run at the query refuses it from then on.
+// The fate of a run that the sidecar does not have is final, because the sidecar refuses the run from then on.
 func (x *exchange) resolve(ctx context.Context, f *feed) (attemptResult, bool) {
 	deadline := x.r.clock.Now().Add(x.r.settings.LostAfter.Std())
 	for x.r.clock.Now().Before(deadline) && x.r.ctx.Err() == nil {
@@ -315,7 +331,7 @@
 			x.excluded[f.instance] = true
 			return attemptResult{fate: x.fateIfSidecarGone(), cause: retrier.CauseDisrupted, sidecarGone: true, upstreamEnded: true, reason: "sidecar is gone"}, true
 		case answered && !status.Found:
-			return attemptResult{fate: masticway.FateNotRun, cause: retrier.CauseLinkLost, reason: "never taken"}, true
+			return x.handleMissing(f), true
 		case answered:
 			x.fetchMissing(f)
 			return attemptResult{}, false
--- a/router/exchange.go
+++ b/router/exchange.go
@@ -267,6 +267,8 @@
 	needsNewHold bool
 	// sidecarGone is set if the sidecar's process has ended, so that nothing can report what it ran.
 	sidecarGone bool
+	// dropped is set if the sidecar has had the run and dropped it, so that nothing will be known of it later.
+	dropped bool
 	// upstreamEnded is set if the upstream's process has ended, and not only the run.
 	upstreamEnded bool
 	reason        string
