--- a/router/claims.go
+++ b/router/claims.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net/http"
 	"time"
+	"unicode/utf8"
 
 	"github.com/sirupsen/logrus"
 
@@ -21,8 +22,8 @@
 	recordTimeout = 5 * time.Second
 	// claimRetryInterval is the interval between attempts to read or write a claim row.
 	claimRetryInterval = 100 * time.Millisecond
-	// maxRecordedBody is the maximum size in bytes of a recorded answer. A longer answer is recorded without its body, so its
-	// replay has no body.
+	// maxRecordedBody is the maximum size in bytes of a recorded answer. A longer answer is recorded without its body, so that it
+	// cannot be replayed.
 	maxRecordedBody = 256 << 10
 )
 
@@ -45,7 +46,11 @@
 	ContentType string                `json:"content_type,omitempty"`
 	Reason      string                `json:"reason,omitempty"`
 	Body        string                `json:"body,omitempty"`
-	Usage       masticway.Usage       `json:"usage"`
+	// Bytes is the answer instead of Body if it is no UTF-8, of which JSON would replace bytes.
+	Bytes []byte `json:"bytes,omitempty"`
+	// TooLarge is set if the answer is not recorded because it is longer than maxRecordedBody.
+	TooLarge bool            `json:"too_large,omitempty"`
+	Usage    masticway.Usage `json:"usage"`
 }
 
 // claim is the claim row of an exchange and the row's key in the table.
@@ -75,7 +80,8 @@
 	x.settle()
 	x.step(eventAttached)
 	if existing.State == claimDone {
-		return x.replayClaim(existing), true, nil
+		out, err := x.replayClaim(existing)
+		return out, true, err
 	}
 	if x.findRun(ctx) {
 		x.state = x.chart.Initial()
@@ -101,14 +107,26 @@
 	return true
 }
 
-// replayClaim answers the caller with the recorded outcome in a claim row.
-func (x *exchange) replayClaim(row claimRow) result {
+// replayClaim answers the caller with the recorded outcome in a claim row. Its error is a RefusalError.
+func (x *exchange) replayClaim(row claimRow) (result, error) {
 	x.step(eventFinished)
-	x.relay(masticway.Chunk{Text: row.Body, Tokens: row.Usage.Completion})
+	if x.q.call.Service == "" && row.Status != 0 {
+		// Only a refusal has a status, since the engine's is not recorded. The answer broke off.
+		return result{}, &masticway.RefusalError{
+			Status: row.Status, Code: row.Reason, Fate: masticway.FateRan, Message: "the upstream did not finish the answer",
+		}
+	}
+	if row.TooLarge {
+		return result{}, &masticway.RefusalError{
+			Status: http.StatusBadGateway, Code: "answer_not_kept", Fate: masticway.FateRan,
+			Message: "the request has run, but its answer was too large to be kept",
+		}
+	}
+	x.relay(masticway.Chunk{Text: row.Body + string(row.Bytes), Tokens: row.Usage.Completion})
 	return result{
 		outcome: masticway.Outcome{Status: row.Status, ContentType: row.ContentType, Reason: row.Reason},
 		usage:   row.Usage,
-	}
+	}, nil
 }
 
 // insertClaim writes the claim row if the table has none for its key, and returns the row that is then in the table. It returns
@@ -183,8 +201,13 @@
 	row.ContentType = out.outcome.ContentType
 	row.Reason = out.outcome.Reason
 	row.Usage = out.usage
-	if x.text.Len() <= maxRecordedBody {
-		row.Body = x.text.String()
+	switch body := x.text.String(); {
+	case len(body) > maxRecordedBody:
+		row.TooLarge = true
+	case utf8.ValidString(body):
+		row.Body = body
+	default:
+		row.Bytes = []byte(body)
 	}
 	if isRefusal {
 		row.Status = refused.Status
--- a/router/exchange.go
+++ b/router/exchange.go
@@ -208,7 +208,7 @@
 	}
 	if x.replay != nil {
 		x.step(eventAttached)
-		return x.replayClaim(*x.replay), nil
+		return x.replayClaim(*x.replay)
 	}
 	if x.q.nonRepeatable && x.q.hasCallerKey {
 		out, done, err := x.claimRun(ctx)
@@ -267,6 +267,8 @@
 	needsNewHold bool
 	// sidecarGone is set if the sidecar's process has ended, so that nothing can report what it ran.
 	sidecarGone bool
+	// dropped is set if the sidecar has had the run and dropped it, so that nothing will be known of it later.
+	dropped bool
 	// upstreamEnded is set if the upstream's process has ended, and not only the run.
 	upstreamEnded bool
 	reason        string
