Bound what messages of other routers take, and their pauses

Routers that began messages and did not end them made another router keep up to 4 MB for each of any number of connections, as long as these lasted: a message had a limit, but neither its pauses nor all messages together had one. A piece of 16 KB of a message must now arrive within 2 s, as in answers, or the connection is given up. All messages that a process reads or answers may take 32 MB together; one that exceeds this is refused with status 503, unless it has at most 64 KB.

--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"time"
@@ -116,13 +115,19 @@
 }
 
 // Handle registers serve for the messages that arrive at a path. A message that is too large or cannot be decoded is answered
-// with status 400.
+// with status 400, and one for which there is no room beside the others with status 503.
 func Handle[M, A any](mux *http.ServeMux, path string, serve func(ctx context.Context, message M) A) {
 	mux.HandleFunc("POST "+path, func(w http.ResponseWriter, r *http.Request) {
 		var message M
-		data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxMessageBytes))
+		var in inbound
+		defer in.release()
+		err := in.read(w, r)
 		if err == nil {
-			err = cbor.Unmarshal(data, &message)
+			err = cbor.Unmarshal(in.data, &message)
+		}
+		if _, ok := errors.AsType[*MessagesTooLargeError](err); ok {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			return
 		}
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
