--- a/forwarder/order_test.go
+++ b/forwarder/order_test.go
@@ -24,7 +24,7 @@
 // TestResumedStreamLeavesOutWhatCallerHas guards against event numbers that go back over a caller's tries: a server that is asked to go
 // on after an event began anew or earlier, and the router passed everything on.
 func TestResumedStreamLeavesOutWhatCallerHas(t *testing.T) {
-	for _, fault := range []emulator.OpaqueFault{emulator.OpaqueNoFault, emulator.OpaqueRewind, emulator.OpaqueRestart} {
+	for _, fault := range []emulator.OpaqueFault{emulator.OpaqueNoFault, emulator.OpaqueContinuesEarly, emulator.OpaqueContinuesAnew} {
 		t.Run("server "+string(fault), func(t *testing.T) {
 			f := newFixture(t, 2)
 			f.versions.byAttempt.Store("a0", "")
@@ -41,7 +41,7 @@
 // later than that.
 func TestContinuationWithGapIsNotPassedOn(t *testing.T) {
 	const (
-		skip, cut = emulator.OpaqueSkip, emulator.OpaqueTruncated
+		skip, cut = emulator.OpaqueContinuesLate, emulator.OpaqueTruncated
 		events    = 9
 	)
 	cases := map[string]struct {
@@ -143,7 +143,7 @@
 	)
 	faults := []emulator.OpaqueFault{
 		emulator.OpaqueNoFault, emulator.OpaqueTruncated, emulator.OpaqueUnframed, emulator.OpaqueUnframedTruncated, emulator.OpaqueReset,
-		emulator.OpaqueRestart, emulator.OpaqueRewind, emulator.OpaqueSkip, emulator.OpaqueStall, emulator.OpaqueOverloaded,
+		emulator.OpaqueContinuesAnew, emulator.OpaqueContinuesEarly, emulator.OpaqueContinuesLate, emulator.OpaqueStall, emulator.OpaqueOverloaded,
 	}
 	for seed := range *seeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
