Refuse idempotency keys that are no UTF-8

A request with such a key could be answered with the outcome of another request of the workspace, whose key differed only in bytes that are no UTF-8, since the store keeps both records under the same row. The caller now gets status 422, code bad_idempotency_key. TestKeyThatIsNoTextIsRefused failed in both cases with such a key, and passes; other keys, with umlauts too, are taken as before.

--- a/router/callers.go
+++ b/router/callers.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"github.com/emicklei/go-restful/v3"
 	"github.com/google/uuid"
@@ -170,6 +171,9 @@
 	key := c.http.Header.Get(headerKey)
 	q.hasCallerKey = key != ""
 	switch {
+	case !utf8.ValidString(key):
+		// The store would not tell it from other such keys.
+		return q, refusal(http.StatusUnprocessableEntity, "bad_idempotency_key", "the key is no UTF-8", 0)
 	case len(key) > maxKeyBytes || strings.ContainsAny(key, "\r\n/"):
 		return q, refusal(http.StatusUnprocessableEntity, "bad_idempotency_key", "the key is too long or holds a slash", 0)
 	case key == "" && c.contract.RequireIdempotencyKey:
