Give up callers' bodies that don't come by the request's deadline

Callers that did not end a request's body made a router wait as long as the connection lasted, with the bytes and the capacity reserved for the request: nothing bounded the time in which a body comes. The connection's read deadline is now that of the request until its body has come; after it the request is refused with status 503 as not in time, since a router that had to wait for a processor may be the cause, and the connection ends. Requests without a body are as before.

--- a/forwarder/admit.go
+++ b/forwarder/admit.go
@@ -240,13 +240,16 @@
 	}
 }
 
-// readBody reads the whole body, so that it can be sent more than once. It refuses the request if the body is too large or cannot
-// be read to its end.
+// readBody reads the whole body, so that it can be sent more than once. It refuses the request if the body is too large, cannot be
+// read to its end, or has not come by the request's deadline.
 func (x *exchange) readBody(w http.ResponseWriter, r *http.Request, limits masticway.CallerLimits) *masticway.RefusalError {
 	limit := maxBodyBytes(limits)
 	if r.ContentLength == 0 {
 		return nil
 	}
+	// A writer without deadlines is not that of a connection.
+	connection := http.NewResponseController(w)
+	_ = connection.SetReadDeadline(time.Now().Add(x.q.deadline.Sub(x.f.clock.Now())))
 	var err error
 	if n := r.ContentLength; n > 0 && n <= limit {
 		x.q.body = make([]byte, n)
@@ -257,8 +260,12 @@
 	if _, ok := errors.AsType[*http.MaxBytesError](err); ok {
 		return refusal(http.StatusRequestEntityTooLarge, codeTooLarge, "the body is over the limit", 0)
 	}
+	if err != nil && !x.f.clock.Now().Before(x.q.deadline) {
+		return refusal(http.StatusServiceUnavailable, codeNotInTime, "the body did not come in time", retryAfterDefault)
+	}
 	if err != nil {
 		return refusal(http.StatusBadRequest, codeBodyUnreadable, "the body ended early: "+err.Error(), 0)
 	}
+	_ = connection.SetReadDeadline(time.Time{})
 	return nil
 }
--- a/forwarder/endless_test.go
+++ b/forwarder/endless_test.go
@@ -28,17 +28,19 @@
 		begin, repeated string
 		// pause is the time before each repetition.
 		pause time.Duration
+		// isLate is set if the answer says that the body did not come in time.
+		isLate bool
 	}{
-		"length, stalls":           {begin: key + "Content-Length: 1000\r\n\r\nbo"},
+		"length, stalls":           {begin: key + "Content-Length: 1000\r\n\r\nbo", isLate: true},
 		"length, a byte at a time": {begin: key + "Content-Length: 1000\r\n\r\nbo", repeated: "x", pause: 50 * time.Millisecond},
-		"chunk, stalls":            {begin: key + chunked + "400\r\nbo"},
+		"chunk, stalls":            {begin: key + chunked + "400\r\nbo", isLate: true},
 		"chunks, one at a time":    {begin: key + chunked, repeated: "1\r\nx\r\n", pause: 50 * time.Millisecond},
 		"chunks":                   {begin: key + chunked, repeated: chunk},
 		"chunk size":               {begin: key + chunked, repeated: "0"},
 		"chunk extension":          {begin: key + chunked + "1;", repeated: "x"},
 		"trailer line":             {begin: key + chunked + "0\r\nX-A: ", repeated: "x"},
 		"trailers":                 {begin: key + chunked + "0\r\n", repeated: "X-A: b\r\n"},
-		"trailers, stall":          {begin: key + chunked + "0\r\n"},
+		"trailers, stall":          {begin: key + chunked + "0\r\n", isLate: true},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -68,8 +70,12 @@
 			}()
 			began := time.Now()
 			qt.Assert(t, c.SetReadDeadline(began.Add(maxTime)), qt.IsNil)
-			_, _ = c.Read(make([]byte, 1))
+			answer, _ := io.ReadAll(c)
 			qt.Check(t, time.Since(began) < maxTime, qt.IsTrue, qt.Commentf("not given up after %s", time.Since(began)))
+			if tc.isLate {
+				qt.Check(t, string(answer), qt.Contains, " 503 Service Unavailable\r\n")
+				qt.Check(t, string(answer), qt.Contains, "\r\nRetry-After: ")
+			}
 			qt.Check(t, taken.Load() < maxTaken, qt.IsTrue, qt.Commentf("%d bytes were taken", taken.Load()))
 			qt.Check(t, f.ledger.Runs(), qt.HasLen, 0)
 		})
