Bound the events and the head of an engine's answer

An engine that sent events, or comment lines, without end filled a sidecar's memory, since only each line had a limit; and of each head that did not end, of an engine or a service, 10 MB were taken, the default of the transport. The events of an answer may now have 64 MB together, as a whole body may, and a head 64 KB. A run whose answer is larger fails with an UpstreamError joined with a TooLargeError, also if the limit cuts an event, which would else be reported as unreadable.

TestAnswersOfUpstreamsWithoutEndAreGivenUp failed before in six of twelve cases, with 268 MB and 10 MB taken, and passes with at most 65 MB of events and 256 KB of a head.

--- a/connector/client.go
+++ b/connector/client.go
@@ -18,6 +18,9 @@
 // can pass for a complete one.
 const bodyLimit = 64 << 20
 
+// maxHeaderBytes bounds the head of an answer, together with the informational answers before it.
+const maxHeaderBytes = 64 << 10
+
 // DialFunc opens a connection to an address.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
@@ -27,9 +30,10 @@
 		dial = (&net.Dialer{}).DialContext
 	}
 	return &http.Client{Transport: &http.Transport{
-		DialContext:         dial,
-		MaxIdleConnsPerHost: 64,
-		IdleConnTimeout:     30 * time.Second,
+		DialContext:            dial,
+		MaxIdleConnsPerHost:    64,
+		IdleConnTimeout:        30 * time.Second,
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}}
 }
 
--- a/connector/endless_test.go
+++ b/connector/endless_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -15,6 +16,7 @@
 
 	"github.com/masticway/masticway"
 	"github.com/masticway/masticway/connector"
+	"github.com/masticway/masticway/receiver"
 )
 
 // TestAnswersOfUpstreamsWithoutEndAreGivenUp guards against an engine or a service that answers a sidecar with bytes without end, all
@@ -36,19 +38,21 @@
 		call            masticway.Call
 		begin, repeated string
 		limit           int64
+		// isTooLarge is set if the error names the limit of the whole answer.
+		isTooLarge bool
 	}{
 		"header line":             {call: model, begin: "HTTP/1.1 200 OK\r\nX-A: ", repeated: "x", limit: maxHead},
 		"headers":                 {call: model, begin: "HTTP/1.1 200 OK\r\n", repeated: "X-A: b\r\n", limit: maxHead},
 		"informational answers":   {call: model, repeated: "HTTP/1.1 103 Early Hints\r\nX-A: b\r\n\r\n", limit: maxHead},
 		"chunk extension":         {call: model, begin: "HTTP/1.1 200 OK\r\n" + chunked + "1;", repeated: "x", limit: maxHead},
 		"line of an event":        {call: model, begin: "HTTP/1.1 200 OK\r\n\r\ndata: ", repeated: "x", limit: maxBody},
-		"events":                  {call: model, begin: "HTTP/1.1 200 OK\r\n\r\n", repeated: long, limit: maxBody},
-		"comments":                {call: model, begin: "HTTP/1.1 200 OK\r\n\r\n", repeated: ":" + strings.Repeat("x", 64<<10) + "\n", limit: maxBody},
+		"events":                  {call: model, begin: "HTTP/1.1 200 OK\r\n\r\n", repeated: long, limit: maxBody, isTooLarge: true},
+		"comments":                {call: model, begin: "HTTP/1.1 200 OK\r\n\r\n", repeated: ":" + strings.Repeat("x", 64<<10) + "\n", limit: maxBody, isTooLarge: true},
 		"body of a refusal":       {call: model, begin: "HTTP/1.1 503 Busy\r\n\r\n", repeated: event, limit: maxHead},
 		"service's header line":   {call: service, begin: "HTTP/1.1 200 OK\r\nX-A: ", repeated: "x", limit: maxHead},
-		"service's body":          {call: service, begin: "HTTP/1.1 200 OK\r\n\r\n", repeated: "body", limit: maxBody},
+		"service's body":          {call: service, begin: "HTTP/1.1 200 OK\r\n\r\n", repeated: "body", limit: maxBody, isTooLarge: true},
 		"service's trailers":      {call: service, begin: "HTTP/1.1 200 OK\r\n" + chunked + "0\r\n", repeated: "X-A: b\r\n", limit: maxHead},
-		"body of a 500 (service)": {call: service, begin: "HTTP/1.1 500 Broken\r\n\r\n", repeated: "body", limit: maxBody},
+		"body of a 500 (service)": {call: service, begin: "HTTP/1.1 500 Broken\r\n\r\n", repeated: "body", limit: maxBody, isTooLarge: true},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -62,7 +66,10 @@
 				return countingConn{Conn: c, bytes: &taken}, err
 			}
 			_, err = connector.NewUpstream("http://"+l.Addr().String(), dial, 2*time.Second).Run(t.Context(), tc.call, discardSink{})
-			qt.Check(t, err, qt.IsNotNil)
+			_, isFailure := errors.AsType[*masticway.UpstreamError](err)
+			qt.Check(t, isFailure, qt.IsTrue, qt.Commentf("%.200v", err))
+			_, isTooLarge := errors.AsType[*receiver.TooLargeError](err)
+			qt.Check(t, isTooLarge, qt.Equals, tc.isTooLarge, qt.Commentf("%.200v", err))
 			qt.Check(t, taken.Load() < tc.limit, qt.IsTrue, qt.Commentf("%d bytes were taken: %.200v", taken.Load(), err))
 		})
 	}
--- a/connector/upstream.go
+++ b/connector/upstream.go
@@ -148,10 +148,12 @@
 	} `json:"usage"`
 }
 
+// readStream passes the events of an answer to the sink. It fails with an UpstreamError, which is joined with a TooLargeError if the
+// events together are larger than bodyLimit.
 func readStream(body io.Reader, s masticway.Sink, reset func()) (masticway.Outcome, error) {
 	var outcome masticway.Outcome
 	promptCounted := false
-	lines := bufio.NewScanner(body)
+	lines := bufio.NewScanner(&boundedReader{Reader: body, left: bodyLimit})
 	lines.Buffer(nil, lineLimit)
 	for lines.Scan() {
 		reset()
@@ -164,6 +166,10 @@
 		}
 		var e streamEvent
 		if err := json.Unmarshal([]byte(data), &e); err != nil {
+			if broken := lines.Err(); broken != nil {
+				// The event is the rest of what could be read.
+				return outcome, brokenAnswer(broken)
+			}
 			return outcome, &masticway.UpstreamError{Reason: "unreadable event: " + err.Error(), Started: true}
 		}
 		if e.Usage != nil {
@@ -182,11 +188,36 @@
 			}
 		}
 	}
-	reason := "stream ended early"
 	if err := lines.Err(); err != nil {
-		reason = err.Error()
+		return outcome, brokenAnswer(err)
+	}
+	return outcome, &masticway.UpstreamError{Reason: "stream ended early", Started: true}
+}
+
+// brokenAnswer returns an UpstreamError for an answer that could not be read to its end, joined with the cause if that is a
+// TooLargeError.
+func brokenAnswer(cause error) error {
+	failure := &masticway.UpstreamError{Reason: cause.Error(), Started: true}
+	if tooLarge, ok := errors.AsType[*receiver.TooLargeError](cause); ok {
+		return errors.Join(failure, tooLarge)
 	}
-	return outcome, &masticway.UpstreamError{Reason: reason, Started: true}
+	return failure
+}
+
+// boundedReader fails with TooLargeError instead of reading more than bodyLimit.
+type boundedReader struct {
+	io.Reader
+	// left is how many bytes may still be read.
+	left int
+}
+
+func (r *boundedReader) Read(data []byte) (int, error) {
+	if r.left <= 0 {
+		return 0, &receiver.TooLargeError{Limit: bodyLimit}
+	}
+	n, err := r.Reader.Read(data[:min(len(data), r.left)])
+	r.left -= n
+	return n, err
 }
 
 func (u Upstream) runService(ctx context.Context, c masticway.Call, s masticway.Sink) (masticway.Outcome, error) {
@@ -207,7 +238,7 @@
 	defer response.Body.Close()
 	body, err := readAll(response.Body, reset)
 	if err != nil {
-		return masticway.Outcome{}, &masticway.UpstreamError{Reason: err.Error(), Started: true}
+		return masticway.Outcome{}, brokenAnswer(err)
 	}
 	s.Chunk(masticway.Chunk{Text: string(body)})
 	return masticway.Outcome{Status: response.StatusCode, ContentType: response.Header.Get("Content-Type")}, nil
