Check streams over all tries in the soak, with servers that go on at the wrong event

The soak was blind for streams that break: its callers compared each answer with that of a sound server, but every server of the soak went on at the right event, and none ended between two events of a stream that ends with its connection.

Callers now keep what each try brought. After the load, the promise "order" holds every event's ID and body against the one before it, from try to try, and wants the last event before an end that looks complete. The comparison of single answers stays as it is. The log and the report count the streams of which several tries brought events. New kinds, drawn only if named: server_ends (a server ends between two events of unframed streams, its connections closed in order), continues_anew, continues_early and continues_late (engines that begin anew, with the last event again, or leave out two), release_stopped and release_alone (one router, or all but one, stopped just before servers of a new version appear, callers cut off soon after). Resumptions at servers that leave events out do not count among those that must go on (promise "resumed"): no sound router can pass them on.

Unframed answers of the emulator now repeat the request where other answers do, notice that their caller has left, and stop when the server has ended; without that the soak blamed routers for two servers at work on one request.

Programs that take every unframed stream for whole, or forget after which event a caller resumes, break "order" in TestBrokenProgramsFail.

--- a/commander/soak.go
+++ b/commander/soak.go
@@ -55,7 +55,7 @@
 			if err != nil {
 				return err
 			}
-			fmt.Fprintf(e.out, "seed %d: %d requests, %d served, %d resumed, %d left, %d waited for a stopped router (%d answered, %d served), %d versions, %d faults\n", seed, report.Requests, report.Served, report.Resumed, report.Left, report.Waited, report.WaitedAnswered, report.WaitedServed, report.Versions, report.Faults)
+			fmt.Fprintf(e.out, "seed %d: %d requests, %d served, %d resumed, %d streams checked over several tries, %d left, %d waited for a stopped router (%d answered, %d served), %d versions, %d faults\n", seed, report.Requests, report.Served, report.Resumed, report.Continued, report.Left, report.Waited, report.WaitedAnswered, report.WaitedServed, report.Versions, report.Faults)
 			for _, v := range report.Violations {
 				fmt.Fprintf(e.out, "  %s: %s\n", v.Promise, v.Text)
 				err = &checkError{failures: []string{fmt.Sprintf("%d violation(s), see %s", len(report.Violations), directory)}}
--- a/emulator/opaque.go
+++ b/emulator/opaque.go
@@ -60,6 +60,12 @@
 	// OpaqueCrash crashes the server crashDelay after it has started to run the request. This breaks all its other requests
 	// too.
 	OpaqueCrash OpaqueFault = "crash"
+	// OpaqueContinuesAnew runs the request. If that resumes a stream, the server begins the stream anew.
+	OpaqueContinuesAnew OpaqueFault = "continues_anew"
+	// OpaqueContinuesEarly does the same, but begins with the last event that the caller has already.
+	OpaqueContinuesEarly OpaqueFault = "continues_early"
+	// OpaqueContinuesLate does the same, but leaves out the next two events. It never leaves out the last event of the stream.
+	OpaqueContinuesLate OpaqueFault = "continues_late"
 )
 
 // crashDelay is the time from the start of a request that crashes the server to the crash.
@@ -171,6 +177,8 @@
 	draining  bool
 	// retryAfter is the Retry-After header of rejections, in seconds.
 	retryAfter string
+	// continuation is the fault of requests that resume a stream and have no other fault.
+	continuation OpaqueFault
 	// closeNotice is how the server notices that a caller has closed a connection, and stall how long it works before an answer with
 	// OpaqueStall.
 	closeNotice CloseNotice
@@ -254,9 +262,8 @@
 	})
 }
 
-// crash waits for crashDelay, calls onCrash if it has not been called, and closes the server.
+// crash calls onCrash if it has not been called, and closes the server.
 func (s *OpaqueServer) crash() {
-	time.Sleep(crashDelay)
 	s.mu.Lock()
 	crashed := s.onCrash
 	s.onCrash = nil
@@ -296,6 +303,13 @@
 	s.retryAfter = seconds
 }
 
+// SetContinuation sets the fault of all requests that resume a stream and have no other fault.
+func (s *OpaqueServer) SetContinuation(fault OpaqueFault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.continuation = fault
+}
+
 // rejectionHeader returns the status line and headers of an answer that rejects a request without running it.
 func (s *OpaqueServer) rejectionHeader() string {
 	header := "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n" + s.serverHeader()
@@ -410,7 +424,7 @@
 
 // recordArrival records that a request arrived at a time and takes the request's fault from the list. It returns the fault and the
 // current settings for streams.
-func (s *OpaqueServer) recordArrival(at time.Time, id, body, prompt string) (fault OpaqueFault, events int, pause time.Duration) {
+func (s *OpaqueServer) recordArrival(at time.Time, id, lastEvent, body, prompt string) (fault OpaqueFault, events int, pause time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
@@ -420,6 +434,9 @@
 		fault = s.faults[0]
 		s.faults = s.faults[1:]
 	}
+	if fault == OpaqueNoFault && lastEvent != "" {
+		fault = s.continuation
+	}
 	arrival := OpaqueArrival{ID: id, ReceivedAt: at}
 	if fault == OpaqueOverloaded {
 		arrival.RetryAfter = s.retryAfter
@@ -435,7 +452,7 @@
 	if r.URL.Path == reservationPath {
 		return s.reserve(c)
 	}
-	fault, events, pause := s.recordArrival(arrivedAt(c), id, body, r.Header.Get("X-Prefix-Hash"))
+	fault, events, pause := s.recordArrival(arrivedAt(c), id, r.Header.Get("Last-Event-Id"), body, r.Header.Get("X-Prefix-Hash"))
 	named := "X-Attempt-Id: " + id + "\r\n"
 	switch {
 	case fault == OpaqueOverloaded:
@@ -455,6 +472,7 @@
 	header := named + "X-Server-Signature: " + signaturePrefix + s.ID + "\r\n" + s.serverHeader()
 	switch fault {
 	case OpaqueCrash:
+		time.Sleep(crashDelay)
 		s.crash()
 		return false
 	case OpaqueReset:
@@ -482,11 +500,12 @@
 		}
 	}
 	if fault == OpaqueUnframed || fault == OpaqueUnframedTruncated || fault == OpaqueUnframedEnded {
-		s.answerUnframed(c, r, header, events, pause, fault)
+		s.answerUnframed(c, run, r, header, body, events, pause, fault)
 		return false
 	}
 	if r.Header.Get("X-Token-Count") != "" {
-		return s.streamEvents(c, run, id, header, r.Header.Get("Last-Event-Id"), events, pause, fault == OpaqueTruncated)
+		received := fault.received(r.Header.Get("Last-Event-Id"), events)
+		return s.streamEvents(c, run, id, header, received, events, pause, fault == OpaqueTruncated)
 	}
 	if fault == OpaqueTruncated {
 		s.write(c, "HTTP/1.1 200 OK\r\n"+header+"Content-Length: 100\r\n\r\nhalf")
@@ -504,39 +523,74 @@
 }
 
 // answerUnframed sends an answer that ends with its connection, which the caller must close. The fault tells how the answer ends.
-func (s *OpaqueServer) answerUnframed(c net.Conn, r *http.Request, header string, events int, pause time.Duration, fault OpaqueFault) {
+func (s *OpaqueServer) answerUnframed(c net.Conn, run int, r *http.Request, header, body string, events int, pause time.Duration, fault OpaqueFault) {
+	id := r.Header.Get("X-Attempt-Id")
+	echo, workTime := s.echoSettings()
 	if r.Header.Get("X-Token-Count") == "" {
-		s.write(c, "HTTP/1.1 200 OK\r\n"+header+"Connection: close\r\n\r\nok")
+		text := "ok"
+		if echo {
+			if !s.work(c, workTime) {
+				s.runLog.markDisconnected(run)
+				return
+			}
+			text = "ok " + id + " " + body
+		}
+		s.write(c, "HTTP/1.1 200 OK\r\n"+header+"Connection: close\r\n\r\n"+text)
 		switch fault {
 		case OpaqueUnframedTruncated:
 			resetOnClose(c)
 		case OpaqueUnframedEnded:
-			s.Close()
+			s.crash()
 		}
 		return
 	}
 	s.write(c, "HTTP/1.1 200 OK\r\n"+header+"Content-Type: text/event-stream\r\nConnection: close\r\n\r\n")
-	received, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	suffix := ""
+	if echo {
+		suffix = " of " + id
+	}
+	received := fault.received(r.Header.Get("Last-Event-Id"), events)
 	last := received + (events-received+1)/2
 	for i := received + 1; i <= events; i++ {
-		time.Sleep(pause)
-		event := fmt.Sprintf("id: %d\ndata: piece %d\n\n", i, i)
+		if !s.work(c, pause) {
+			s.runLog.markDisconnected(run)
+			return
+		}
+		event := fmt.Sprintf("id: %d\ndata: piece %d%s\n\n", i, i, suffix)
 		switch {
 		case fault == OpaqueUnframedTruncated && i > last:
 			s.write(c, event[:len(event)/2])
 			return
 		case fault == OpaqueUnframedEnded && i > last:
-			s.Close()
+			s.crash()
+			return
+		}
+		if !s.write(c, event) {
+			s.runLog.markDisconnected(run)
 			return
 		}
-		s.write(c, event)
 	}
 }
 
-// streamEvents sends the events after lastEvent, which is the ID of the last event that the caller has received. If cut is
+// received returns the number of the event after which a server with the fault goes on, when a caller names the last event that it
+// has of a stream.
+func (f OpaqueFault) received(lastEvent string, events int) int {
+	received, _ := strconv.Atoi(lastEvent)
+	switch {
+	case received == 0 || f == OpaqueContinuesAnew:
+		return 0
+	case f == OpaqueContinuesEarly:
+		return received - 1
+	case f == OpaqueContinuesLate:
+		return max(received, min(received+2, events-1))
+	}
+	return received
+}
+
+// streamEvents sends the events after the number received, which is that of the last event that the caller has. If cut is
 // set and more than one event is left, the stream ends in the middle of an event. It returns whether the connection stays
 // open.
-func (s *OpaqueServer) streamEvents(c net.Conn, run int, id, header, lastEvent string, events int, pause time.Duration, cut bool) bool {
+func (s *OpaqueServer) streamEvents(c net.Conn, run int, id, header string, received, events int, pause time.Duration, cut bool) bool {
 	if !s.write(c, "HTTP/1.1 200 OK\r\n"+header+"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n") {
 		return false
 	}
@@ -544,7 +598,6 @@
 	if echo, _ := s.echoSettings(); echo {
 		suffix = " of " + id
 	}
-	received, _ := strconv.Atoi(lastEvent)
 	for i := received + 1; i <= events; i++ {
 		if !s.work(c, pause) {
 			s.runLog.markDisconnected(run)
--- a/soaker/caller.go
+++ b/soaker/caller.go
@@ -86,6 +86,11 @@
 	// status is the HTTP status, zero if there was none, or statusWrongBody. events is the number of events received.
 	status, events int
 	err            error
+	// headStatus is the HTTP status; stream is what the caller got of a stream, and isComplete whether the answer was complete
+	// according to the protocol.
+	headStatus int
+	stream     string
+	isComplete bool
 	// owed is set if the workspace had tokens left for the request. key is the key that it is sent with.
 	owed bool
 	key  string
@@ -270,6 +275,10 @@
 	if q.refusedForCrashes && q.recurringName == "" && !q.isBesideDeadlyPart() {
 		c.soak.reportViolation(promiseSpared, "refused as a request that crashes servers, but it does not: %s", q)
 	}
+	q.headStatus, q.isComplete = q.status, err == nil
+	if q.metered {
+		q.stream = string(body)
+	}
 	if q.status == http.StatusOK {
 		err = q.checkBody(string(body), c.soak.events, err)
 	}
--- a/soaker/checks.go
+++ b/soaker/checks.go
@@ -47,6 +47,7 @@
 	promiseResumed   = "resumed"   // streams whose version serves are resumed
 	promiseGone      = "gone"      // requests of callers that have left are not sent on, and servers get no more time than is left
 	promiseFair      = "fair"      // no workspace with tokens left is served less than a quarter as often as all
+	promiseOrder     = "order"     // the events of a stream come in order and once over all tries of its caller, the last one before the end
 	promiseRepeats   = "repeats"   // all routers together keep to the retry budget, over all of their incarnations
 )
 
@@ -184,7 +185,8 @@
 	}
 	s.checkTries(runs)
 	s.checkOverlaps(runs)
-	s.checkResumptions()
+	s.checkOrder()
+	s.checkResumptions(runs)
 	s.checkDeadlyRequests()
 	s.checkDeadlyParts()
 	s.checkRateLimits()
--- a/soaker/soak.go
+++ b/soaker/soak.go
@@ -60,6 +60,8 @@
 	Requests, Served, Resumed, Versions, Faults int
 	// Retried counts the requests that try again one that failed.
 	Retried int
+	// Continued counts the streams of which several tries of a caller brought events; their order was checked over all of these.
+	Continued int
 	// Sound counts the sound requests beside those with a deadly part whose answers were checked.
 	Sound int
 	// Starved counts the polls at which a router or the soak had waited too long for a processor, once for each router
@@ -121,6 +123,7 @@
 	loadStartedAt    time.Time  // when the callers started
 	served           int
 	resumed, retried int
+	continued        int // the number of streams of which several tries brought events
 	faultsDrawn      int
 	activeParts      atomic.Int32
 	handoverStops    atomic.Int32 // the number of faults in which routers are stopped in handovers
@@ -144,7 +147,7 @@
 	s := &soakRun{
 		Soak: o, random: random, log: log, rows: rows, store: &http.Server{Handler: rows.Handler()}, ledger: &emulator.OpaqueRunLog{},
 		events: 2 + random.IntN(maxEvents-1), pause: randomUpTo(random, maxEventPause), work: randomUpTo(random, maxWork), grace: minGrace + time.Duration(random.IntN(2))*extraGrace,
-		servers: make([]*emulator.OpaqueServer, len(pools)), zones: map[string]string{}, slotVersions: firstVersions(slices.Contains(o.Kinds, releaseKind)), serverSpans: map[string]serverSpan{}, drainAcceptedAt: map[string]time.Time{}, drainAnnouncedAt: map[string]time.Time{}, delivered: map[string]int64{}, abandoned: map[string]int64{},
+		servers: make([]*emulator.OpaqueServer, len(pools)), zones: map[string]string{}, slotVersions: firstVersions(o.hasReleases()), serverSpans: map[string]serverSpan{}, drainAcceptedAt: map[string]time.Time{}, drainAnnouncedAt: map[string]time.Time{}, delivered: map[string]int64{}, abandoned: map[string]int64{},
 		prepaid: map[string]int64{"thin": 4_000, "middle": 40_000, "wide": 50_000_000, singleWorkspace: 2_000_000}, maxPrepaid: map[string]int64{}, pending: map[string]int64{}, keys: firstKeys(), isChanging: map[string]bool{}, requests: map[string]*request{}, routers: map[string]int{}, disturbances: map[string][]interval{}, delays: map[int][]schedulingDelay{},
 	}
 	defer s.close()
@@ -160,7 +163,7 @@
 	close(done)
 	load.Wait()
 	s.checkRuns()
-	return Report{Requests: len(s.requests), Served: s.served, Resumed: s.resumed, Retried: s.retried, Sound: s.sound, Versions: len(s.versions), Faults: s.faultsDrawn, Starved: s.starvationCount(), Left: s.left, Waited: s.waited, WaitedAnswered: s.waitedAnswered, WaitedServed: s.waitedServed, Violations: s.violations}, ctx.Err()
+	return Report{Requests: len(s.requests), Served: s.served, Resumed: s.resumed, Retried: s.retried, Continued: s.continued, Sound: s.sound, Versions: len(s.versions), Faults: s.faultsDrawn, Starved: s.starvationCount(), Left: s.left, Waited: s.waited, WaitedAnswered: s.waitedAnswered, WaitedServed: s.waitedServed, Violations: s.violations}, ctx.Err()
 }
 
 // firstKeys returns the first key of each workspace.
--- a/soaker/soaker_test.go
+++ b/soaker/soaker_test.go
@@ -328,6 +328,50 @@
 	qt.Assert(t, report.Resumed > 0, qt.IsTrue)
 }
 
+// assertStreamsChecked asserts that a soak checked streams over several tries. Otherwise the soak would not show what it is for.
+func assertStreamsChecked(t *testing.T, s soaker.Soak) {
+	report := assertPromisesKept(t, s)
+	qt.Assert(t, report.Continued > 0, qt.IsTrue)
+}
+
+// TestStreamsOfEndedServersAreNotTakenForWhole guards against streams that end as complete before their last event because the server
+// was killed between two events, and its kernel closed the connection in order.
+func TestStreamsOfEndedServersAreNotTakenForWhole(t *testing.T) {
+	t.Parallel()
+	assertStreamsChecked(t, soaker.Soak{Seed: 2, Duration: 12 * time.Second, Routers: 3, Kinds: []string{"server_ends", "server_fails", "callers_reset", "kill"}})
+}
+
+// TestEventsComeOnceWhenServersGoOnTooEarly guards against events that come twice, within an answer and over the tries of a caller, when
+// servers that are asked to go on after an event begin anew or with that event.
+func TestEventsComeOnceWhenServersGoOnTooEarly(t *testing.T) {
+	t.Parallel()
+	for _, kind := range []string{"continues_anew", "continues_early"} {
+		t.Run(kind, func(t *testing.T) {
+			t.Parallel()
+			assertStreamsChecked(t, soaker.Soak{Seed: 26, Duration: 12 * time.Second, Routers: 3, Kinds: []string{kind, "callers_reset", "server_ends", "kill"}})
+		})
+	}
+}
+
+// TestNoEventIsMissingWhenServersGoOnTooLate guards against events that are missing, within an answer and over the tries of a caller, when
+// servers that are asked to go on after an event leave out the next two.
+func TestNoEventIsMissingWhenServersGoOnTooLate(t *testing.T) {
+	t.Parallel()
+	assertStreamsChecked(t, soaker.Soak{Seed: 26, Duration: 12 * time.Second, Routers: 3, Kinds: []string{"continues_late", "callers_reset", "server_ends", "kill"}})
+}
+
+// TestStreamsKeepTheirVersionWhileRoutersAreStopped guards against streams that go on at another version because a router was stopped or
+// alone just when servers of that version appeared.
+func TestStreamsKeepTheirVersionWhileRoutersAreStopped(t *testing.T) {
+	t.Parallel()
+	for _, kind := range []string{"release_stopped", "release_alone"} {
+		t.Run(kind, func(t *testing.T) {
+			t.Parallel()
+			assertStreamsChecked(t, soaker.Soak{Seed: 2, Duration: 12 * time.Second, Routers: 3, Kinds: []string{kind, "callers_reset"}})
+		})
+	}
+}
+
 // sharedKinds are the faults of a deployment whose routers share load: those that end, delay or replace the routers that own a group
 // of engines, a pool's connections or a zone, and callers that crowd into one zone.
 var sharedKinds = []string{"kill", "term", "freeze", "crowd", "server_drains", "server_crashes", "callers_slow", "store_cut", "configure"}
@@ -409,6 +453,14 @@
 			"forwarder/relay.go", "if isAtEnd && x.headWritten {", "if errors.Is(err, io.ErrUnexpectedEOF) && x.headWritten || isAtEnd && x.headWritten {",
 			[]string{"server_crashes"}, "whole", false,
 		},
+		"takes a stream for whole when its server has ended": {
+			"forwarder/ends.go", "\tif answer.IsFramed() {\n\t\treturn true", "\tif answer != nil {\n\t\treturn true",
+			[]string{"server_ends"}, "order", false,
+		},
+		"begins resumed streams anew": {
+			"platform/dialect.go", "LastEvent: h.Get(headerLastEvent), ", "",
+			[]string{"callers_reset", "kill"}, "order", false,
+		},
 		"holds any number of requests for slow readers": {
 			"rotator/admission.go", "if a.maxHeldBytes > 0 && a.heldBytes+bytes > a.maxHeldBytes {", "if a.maxHeldBytes > 0 && a.heldBytes > 9*a.maxHeldBytes {",
 			[]string{"slow_readers"}, "bounded", false,
--- a/soaker/versions.go
+++ b/soaker/versions.go
@@ -105,7 +105,7 @@
 
 // checkResumptions checks that at routers in contact with the store, while two servers of the stream's version serve, resumptions go
 // on at least half as often as new streams begin.
-func (s *soakRun) checkResumptions() {
+func (s *soakRun) checkResumptions(runs map[string][]emulator.OpaqueRun) {
 	var begun, fresh, resumed, resumptions int
 	for _, q := range s.requests {
 		if !q.metered || !q.repeatable || q.outcome == outcomeUnsent || !s.isUndisturbed(q.sentAt.Add(-stabilityPeriod), q.endedAt, contactTargets(q.router)...) {
@@ -119,6 +119,10 @@
 			}
 			continue
 		}
+		if slices.ContainsFunc(runs[q.id], func(r emulator.OpaqueRun) bool { return r.Fault == emulator.OpaqueContinuesLate }) {
+			// What such a server leaves out must not be missing from the answer.
+			continue
+		}
 		if began, ok := s.serverSpans[s.origin(q).signedBy]; ok && s.serving(q, began.version) >= 2 {
 			resumptions++
 			if answered {
