--- a/connector/upstream.go
+++ b/connector/upstream.go
@@ -11,12 +11,12 @@
 	"net"
 	"net/http"
 	"net/url"
-	"os"
 	"strings"
 	"syscall"
 	"time"
 
 	"github.com/masticway/masticway"
+	"github.com/masticway/masticway/inspector"
 	"github.com/masticway/masticway/receiver"
 )
 
@@ -30,9 +30,6 @@
 	// probeTimeout is the timeout of a connection attempt to the upstream. A sidecar makes it after a run has broken off, to
 	// check whether the upstream still listens.
 	probeTimeout = 100 * time.Millisecond
-	// settleTime is how long a check whether the upstream serves waits for the kernel of an upstream that is ending: it closes the
-	// listener and the connections one after the other, and resets what it had accepted in between.
-	settleTime = 10 * time.Millisecond
 )
 
 // noTimeouts are the limits of calls that only the context of the caller ends. They still limit the size of the answer.
@@ -107,24 +104,7 @@
 func (u Upstream) serves(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	conn, err := u.dial(ctx, "tcp", u.address)
-	if err == nil && isClosedWithin(conn, settleTime) {
-		// The upstream is ending, or it has too many connections.
-		_ = conn.Close()
-		conn, err = u.dial(ctx, "tcp", u.address)
-	}
-	if err != nil {
-		return false
-	}
-	_ = conn.Close()
-	return true
-}
-
-// isClosedWithin reports whether the other side ends a connection within a time.
-func isClosedWithin(c net.Conn, d time.Duration) bool {
-	_ = c.SetReadDeadline(time.Now().Add(d))
-	_, err := c.Read(make([]byte, 1))
-	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
+	return inspector.CheckServing(ctx, u.dial, u.address) == nil
 }
 
 // isFramed reports whether an answer delimits its body by itself, so that its end is not known by that of the connection alone. A
--- a/forwarder/ends.go
+++ b/forwarder/ends.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net"
-	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -13,6 +12,7 @@
 
 	"github.com/masticway/masticway"
 	"github.com/masticway/masticway/follower"
+	"github.com/masticway/masticway/inspector"
 	"github.com/masticway/masticway/sender"
 )
 
@@ -22,9 +22,6 @@
 	checkTimeout = 100 * time.Millisecond
 	// checkTTL is how long the result of a check is reused, for example for other connections that broke at the same time.
 	checkTTL = 250 * time.Millisecond
-	// settleTime is how long a check waits for the kernel of a server that is ending: it closes the listener and the connections one
-	// after the other, and resets what it had accepted in between.
-	settleTime = 10 * time.Millisecond
 )
 
 // errEndedWithServer ends an attempt whose answer, of a framing that does not tell, may have ended because its server did.
@@ -47,7 +44,7 @@
 // done has been closed.
 type check struct {
 	startedAt time.Time
-	// settles is set if the check waits for settleTime before it takes a connection for a server that serves.
+	// settles is set if the check does not take a connection that ends at once for a server that serves (see inspector.CheckServing).
 	settles    bool
 	done       chan struct{}
 	result     condition
@@ -104,15 +101,9 @@
 func (c *checks) run(s masticway.Server, k *check) {
 	ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
 	defer cancel()
-	n, err := c.dial(ctx, "tcp", s.Address)
-	if err == nil && k.settles && isClosedWithin(n, settleTime) {
-		// The server is ending, or it has too many connections.
-		_ = n.Close()
-		n, err = c.dial(ctx, "tcp", s.Address)
-	}
+	err := c.connect(ctx, s.Address, k.settles)
 	switch {
 	case err == nil:
-		_ = n.Close()
 		k.result = conditionAnswers
 	case errors.Is(err, syscall.ECONNREFUSED):
 		k.result = conditionEnded
@@ -129,11 +120,16 @@
 	}
 }
 
-// isClosedWithin reports whether the other side ends a connection within a time.
-func isClosedWithin(n net.Conn, d time.Duration) bool {
-	_ = n.SetReadDeadline(time.Now().Add(d))
-	_, err := n.Read(make([]byte, 1))
-	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
+// connect makes a connection to a server, and closes it if it could be made.
+func (c *checks) connect(ctx context.Context, address string, settles bool) error {
+	if settles {
+		return inspector.CheckServing(ctx, c.dial, address)
+	}
+	n, err := c.dial(ctx, "tcp", address)
+	if err == nil {
+		_ = n.Close()
+	}
+	return err
 }
 
 // isWhole reports whether an answer that was read to its end is whole. If its end is known only by that of its connection, the server
--- /dev/null
+++ b/inspector/serving.go
@@ -0,0 +1,36 @@
+package inspector
+
+import (
+	"context"
+	"errors"
+	"net"
+	"os"
+	"time"
+)
+
+// settleTime is how long CheckServing waits for the kernel of a server that is ending: it closes the listener and the connections one
+// after the other, and resets what it had accepted in between.
+const settleTime = 10 * time.Millisecond
+
+// CheckServing returns nil if the server at an address accepts a connection and does not end it at once, and otherwise the error of the
+// last attempt to connect. It tells an answer that ended with its connection from one whose server was killed.
+func CheckServing(ctx context.Context, dial func(ctx context.Context, network, address string) (net.Conn, error), address string) error {
+	c, err := dial(ctx, "tcp", address)
+	if err == nil && isClosedWithin(c, settleTime) {
+		// The server is ending, or it has too many connections.
+		_ = c.Close()
+		c, err = dial(ctx, "tcp", address)
+	}
+	if err != nil {
+		return err
+	}
+	_ = c.Close()
+	return nil
+}
+
+// isClosedWithin reports whether the other side ends a connection within a time.
+func isClosedWithin(c net.Conn, d time.Duration) bool {
+	_ = c.SetReadDeadline(time.Now().Add(d))
+	_, err := c.Read(make([]byte, 1))
+	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
+}
