Take events for numbered consecutively until a router has learned otherwise

Until it has seen 16 steps from one event to the next, a router now assumes consecutive numbers. In a pool whose servers leave numbers out, a router that has started just now thus refuses resumptions until it has relayed a stream.

TestContinuationWithGapIsNotPassedOn has a case in which nothing was learned, which failed before. TestSparseNumbersAreNoGap holds before and after.

--- a/forwarder/numbering.go
+++ b/forwarder/numbering.go
@@ -6,7 +6,8 @@
 )
 
 const (
-	// minSteps is the number of steps from one event to the next from which on a pool's numbering is known.
+	// minSteps is the number of steps from one event to the next from which on a pool's numbering is known. Before, its events are
+	// assumed to be numbered consecutively.
 	minSteps = 16
 	// jumpDivisor is the least number of steps for each jump with which a pool counts as numbering its events consecutively. A faulty
 	// server must not keep gaps from being detected.
@@ -28,10 +29,8 @@
 	}
 }
 
-// isConsecutive reports whether the number of each event is that of the one before plus one. It returns false if too little is known.
-func (n *numbering) isConsecutive() bool {
-	return n.steps >= minSteps && n.jumps*jumpDivisor <= n.steps
-}
+// isSparse reports whether the servers are known to leave numbers out.
+func (n *numbering) isSparse() bool { return n.steps >= minSteps && n.jumps*jumpDivisor > n.steps }
 
 // GapError reports that a server was asked to continue a stream and began with a later event than the next.
 type GapError struct {
@@ -65,7 +64,7 @@
 	f.numberings[x.q.pool.Name].add(n)
 }
 
-// hasGap reports whether events are missing between two IDs: the pool numbers events consecutively, and these are not.
+// hasGap reports whether events are missing between two IDs: they are not consecutive, and the pool is not known to leave numbers out.
 func (x *exchange) hasGap(last, id string) bool {
 	step, ok := eventStep(last, id)
 	if !ok || step <= 1 {
@@ -75,5 +74,5 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	n := f.numberings[x.q.pool.Name]
-	return n != nil && n.isConsecutive()
+	return n == nil || !n.isSparse()
 }
--- a/forwarder/order_test.go
+++ b/forwarder/order_test.go
@@ -5,7 +5,6 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -50,11 +49,14 @@
 		body          string
 		broken        bool
 		runs          int
+		// learned is the number of streams from which the router has learned how the servers number events.
+		learned int
 	}{
-		"after a break":              {first: cut, second: skip, body: eventStream(1, 5), broken: true, runs: 2},
-		"over tries, then a server":  {header: []string{"Last-Event-Id", "2", "Resumes", "a0"}, first: skip, body: eventStream(3, events), runs: 2},
-		"over tries, no other left":  {header: []string{"Last-Event-Id", "2", "Resumes", "a0"}, first: skip, second: skip, runs: 2},
-		"after a break, in sequence": {first: cut, body: eventStream(1, events), runs: 2},
+		"after a break":               {first: cut, second: skip, body: eventStream(1, 5), broken: true, runs: 2, learned: 6},
+		"over tries, then a server":   {header: []string{"Last-Event-Id", "2", "Resumes", "a0"}, first: skip, body: eventStream(3, events), runs: 2, learned: 6},
+		"over tries, no other left":   {header: []string{"Last-Event-Id", "2", "Resumes", "a0"}, first: skip, second: skip, runs: 2, learned: 6},
+		"over tries, nothing learned": {header: []string{"Last-Event-Id", "2", "Resumes", "a0"}, first: skip, body: eventStream(3, events), runs: 2},
+		"after a break, in sequence":  {first: cut, body: eventStream(1, events), runs: 2, learned: 6},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -63,8 +65,7 @@
 			for _, s := range f.servers {
 				s.SetStream(events, 0)
 			}
-			for range 6 {
-				// The router learns how the servers number events.
+			for range tc.learned {
 				f.do(t.Context(), "POST", "/resume/x")
 			}
 			before := len(f.ledger.Runs())
@@ -81,6 +82,35 @@
 	}
 }
 
+// TestSparseNumbersAreNoGap guards against streams that are broken off although nothing is missing, because their servers leave numbers
+// out.
+func TestSparseNumbersAreNoGap(t *testing.T) {
+	text := func(from, to int) (text string) {
+		for i := from; i <= to; i++ {
+			text += fmt.Sprintf("id: %d\ndata: piece %d\n\n", 10*i, i)
+		}
+		return text
+	}
+	f := newFixture(t, 0)
+	f.setStreams(text(1, 20), text(1, 3)+"CUT", text(4, 9))
+	f.do(t.Context(), "POST", "/resume/x")
+	got := f.do(t.Context(), "POST", "/resume/x")
+	qt.Assert(t, got.err, qt.IsNil)
+	qt.Assert(t, got.body, qt.Equals, text(1, 9))
+}
+
+// setStreams makes two servers answer the requests in their order with texts of a streamServer.
+func (f *fixture) setStreams(texts ...string) {
+	h := &streamServer{texts: texts}
+	var servers []masticway.Server
+	for i := range 2 {
+		s := httptest.NewServer(h)
+		f.t.Cleanup(s.Close)
+		servers = append(servers, masticway.Server{ID: fmt.Sprintf("i-%d", i), Pool: "llm", Address: s.Listener.Addr().String(), State: masticway.ServerReady})
+	}
+	f.setServers("llm", servers)
+}
+
 // streamServer answers the n-th request, counted from zero, with a text that it then breaks off or ends.
 type streamServer struct {
 	texts []string
@@ -115,15 +145,7 @@
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
 			f := newFixture(t, 0)
-			h := &streamServer{texts: []string{tc.first, tc.second}}
-			var servers []masticway.Server
-			for i := range 2 {
-				s := httptest.NewServer(h)
-				t.Cleanup(s.Close)
-				address := s.Listener.Addr().(*net.TCPAddr)
-				servers = append(servers, masticway.Server{ID: fmt.Sprintf("i-%d", i), Pool: "llm", Address: address.String(), State: masticway.ServerReady})
-			}
-			f.setServers("llm", servers)
+			f.setStreams(tc.first, tc.second)
 			got := f.do(t.Context(), "POST", "/resume/x")
 			qt.Check(t, got.err, qt.IsNil)
 			qt.Check(t, got.body, qt.Equals, tc.want)
