--- a/forwarder/reservation_test.go
+++ b/forwarder/reservation_test.go
@@ -72,7 +72,7 @@
 			// The first engine goes on between its silence timeout and the end of the wait for that.
 			f.clock.lateness = 700 * time.Millisecond
 			f.setFaults(emulator.OpaqueNoFault, tc.second)
-			f.servers[1].SetStream(2, 600*time.Millisecond)
+			f.servers[1].SetStream(2, 650*time.Millisecond)
 			if tc.isClosed {
 				f.servers[0].Close()
 			}
