Don't infer the version of a stream where one router knows of several, and record again what no keeper acknowledged

Streams that a router began at a new version while it was cut off went on at the old one elsewhere: no keeper had the version, and the reply of a single router that had not read the servers since outweighed that of routers that knew of both versions, even of the one that resumes. What no keeper had acknowledged was never sent again.

A router that knows of several versions, read lately, now says so, and then only a recorded version counts; otherwise the stream is refused as not run. Versions that no keeper has acknowledged stay unsent, so that Run sends them again.

--- a/versioner/history.go
+++ b/versioner/history.go
@@ -112,6 +112,22 @@
 	return !p.movedAt.IsZero() && now.Sub(p.movedAt) <= p.span
 }
 
+// isMixed reports whether this router knows that a stream may have begun in another pool, or that the pool has had servers of several
+// versions for a part of the time in which a stream may be resumed. It may know this while it does not read the servers.
+func (h *History) isMixed(now time.Time, pool string) bool {
+	p := h.pools[pool]
+	versions := map[string]bool{}
+	if !h.readAt.IsZero() && now.Sub(h.readAt) <= p.span {
+		maps.Copy(versions, p.current)
+	}
+	for version, at := range p.lastSeen {
+		if now.Sub(at) <= p.span {
+			versions[version] = true
+		}
+	}
+	return len(versions) > 1 || h.isMoved(now, pool)
+}
+
 // onlyVersion is Settled for a pool from or to which no requests were moved.
 func (h *History) onlyVersion(now time.Time, pool string) (version string, ok bool) {
 	p := h.pools[pool]
--- a/versioner/history_test.go
+++ b/versioner/history_test.go
@@ -99,8 +99,8 @@
 		"settled at a keeper":           {replies: []Reply{{}, {}, settled("v1")}, version: "v1", source: SourceSettled},
 		"settled on different versions": {replies: []Reply{settled("v1"), settled("v2")}, source: SourceConflict},
 		"no versions are reported":      {replies: []Reply{settled("")}, source: SourceSettled},
-		"moved":                         {replies: []Reply{settled("v1"), {IsMoved: true}, settled("v1")}, source: SourceNone},
-		"moved and recorded":            {replies: []Reply{{IsMoved: true}, settled("v2"), recorded("v1")}, version: "v1", source: SourceRecorded},
+		"one knows of several":          {replies: []Reply{settled("v1"), {IsMixed: true}, settled("v1")}, source: SourceNone},
+		"several and recorded":          {replies: []Reply{{IsMixed: true}, settled("v2"), recorded("v1")}, version: "v1", source: SourceRecorded},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/versioner/notes.go
+++ b/versioner/notes.go
@@ -57,11 +57,18 @@
 // RecordUnsent is like Record, and remembers that other routers have not got the version.
 func (n *Notes) RecordUnsent(now time.Time, r Record) {
 	n.Record(now, r)
-	pool := r.Stream.Pool
-	if n.unsent[pool] == nil {
-		n.unsent[pool] = map[string]bool{}
+	n.MarkUnsent(r.Stream)
+}
+
+// MarkUnsent remembers that other routers have not got the version of a stream, if it is kept.
+func (n *Notes) MarkUnsent(s Stream) {
+	if _, ok := n.versions[s]; !ok {
+		return
+	}
+	if n.unsent[s.Pool] == nil {
+		n.unsent[s.Pool] = map[string]bool{}
 	}
-	n.unsent[pool][r.Stream.Attempt] = true
+	n.unsent[s.Pool][s.Attempt] = true
 }
 
 // Pools returns the pools that have unsent versions.
--- a/versioner/resolve.go
+++ b/versioner/resolve.go
@@ -8,8 +8,9 @@
 	// Settled is the version on which the stream's pool is settled (see History.Settled), if IsSettled is set.
 	Settled   string `cbor:"3,keyasint,omitempty"`
 	IsSettled bool   `cbor:"4,keyasint,omitempty"`
-	// IsMoved is set if the stream may have begun in another pool, because the configuration has moved requests lately.
-	IsMoved bool `cbor:"5,keyasint,omitempty"`
+	// IsMixed is set if the router knows that the pool has had several versions lately, or that the stream may have begun in another
+	// pool, because the configuration has moved requests.
+	IsMixed bool `cbor:"5,keyasint,omitempty"`
 }
 
 // Source tells by what the version of a stream is known.
@@ -32,7 +33,7 @@
 // the source is SourceNone or SourceConflict.
 func resolve(replies []Reply) (string, Source) {
 	var recorded, settled []string
-	isMoved := false
+	isMixed := false
 	for _, r := range replies {
 		if r.Recorded {
 			recorded = append(recorded, r.Version)
@@ -40,13 +41,13 @@
 		if r.IsSettled {
 			settled = append(settled, r.Settled)
 		}
-		isMoved = isMoved || r.IsMoved
+		isMixed = isMixed || r.IsMixed
 	}
 	switch {
 	case len(recorded) > 0:
 		return agreed(recorded, SourceRecorded)
-	// A router that has not seen the change yet, or started after it, takes the pool for settled.
-	case len(settled) > 0 && !isMoved:
+	// A router that has not seen a change yet, or started after it, takes the pool for settled.
+	case len(settled) > 0 && !isMixed:
 		return agreed(settled, SourceSettled)
 	}
 	return "", SourceNone
--- a/versioner/versioner.go
+++ b/versioner/versioner.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -122,15 +123,25 @@
 	}
 	keepers := v.keepers(attempt, keeperCount)
 	kept := make(chan bool, len(keepers))
+	var acknowledged atomic.Bool
 	background, cancel := context.WithTimeout(context.WithoutCancel(ctx), deliveryTimeout)
 	var deliveries sync.WaitGroup
 	for _, address := range keepers {
 		v.Metrics.Add(metricMessages, 1)
-		deliveries.Go(func() { kept <- v.Routers.Record(background, address, []Record{r}) == nil })
+		deliveries.Go(func() {
+			ok := v.Routers.Record(background, address, []Record{r}) == nil
+			if ok {
+				acknowledged.Store(true)
+			}
+			kept <- ok
+		})
 	}
 	go func() {
 		deliveries.Wait()
 		cancel()
+		if !acknowledged.Load() {
+			v.keepUnsent([]Record{r})
+		}
 	}()
 	timeout := v.Clock.After(recordTimeout)
 	for range keepers {
@@ -185,17 +196,9 @@
 	}
 }
 
-// flush sends the unsent versions of the pools that are not settled to their keepers.
+// flush sends the unsent versions of the pools that are not settled to their keepers. What none of them acknowledges stays unsent.
 func (v *Versioner) flush(ctx context.Context) {
-	v.mu.Lock()
-	now := v.Clock.Now()
-	var records []Record
-	for _, pool := range v.notes.Pools() {
-		if _, ok := v.history.Settled(now, pool); !ok {
-			records = append(records, v.notes.TakeUnsent(now, pool)...)
-		}
-	}
-	v.mu.Unlock()
+	records := v.dueRecords()
 	if len(records) == 0 {
 		return
 	}
@@ -205,19 +208,58 @@
 			batches[address] = append(batches[address], r)
 		}
 	}
-	v.Log.WithFields(logrus.Fields{"event": "streams_recorded_late", "streams": len(records), "keepers": len(batches)}).Info("a pool is no longer settled on one software version")
+	v.Log.WithFields(logrus.Fields{"event": "streams_recorded_late", "streams": len(records), "keepers": len(batches)}).Info("a pool is not settled on one software version")
 	ctx, cancel := context.WithTimeout(ctx, deliveryTimeout)
 	defer cancel()
 	var deliveries sync.WaitGroup
+	var mu sync.Mutex
+	kept := map[Stream]bool{}
 	for address, batch := range batches {
 		deliveries.Go(func() {
 			for part := range slices.Chunk(batch, maxBatch) {
 				v.Metrics.Add(metricMessages, 1)
-				_ = v.Routers.Record(ctx, address, part)
+				if v.Routers.Record(ctx, address, part) != nil {
+					continue
+				}
+				mu.Lock()
+				for _, r := range part {
+					kept[r.Stream] = true
+				}
+				mu.Unlock()
 			}
 		})
 	}
 	deliveries.Wait()
+	v.keepUnsent(slices.DeleteFunc(records, func(r Record) bool { return kept[r.Stream] }))
+}
+
+// dueRecords returns the unsent versions of the pools that are not settled, if there are other routers. They are no longer unsent.
+func (v *Versioner) dueRecords() (records []Record) {
+	v.mu.Lock()
+	now := v.Clock.Now()
+	pools := slices.DeleteFunc(v.notes.Pools(), func(pool string) bool {
+		_, ok := v.history.Settled(now, pool)
+		return ok
+	})
+	v.mu.Unlock()
+	if len(pools) == 0 || len(v.keepers(pools[0], 1)) == 0 {
+		return nil
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, pool := range pools {
+		records = append(records, v.notes.TakeUnsent(now, pool)...)
+	}
+	return records
+}
+
+// keepUnsent has flush send versions again that no keeper has acknowledged.
+func (v *Versioner) keepUnsent(records []Record) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, r := range records {
+		v.notes.MarkUnsent(r.Stream)
+	}
 }
 
 func (v *Versioner) reportUnrecorded(r Record, keepers int) {
@@ -358,6 +400,6 @@
 	var r Reply
 	r.Version, r.Recorded = v.notes.Find(now, s)
 	r.Settled, r.IsSettled = v.history.Settled(now, s.Pool)
-	r.IsMoved = v.history.isMoved(now, s.Pool)
+	r.IsMixed = v.history.isMixed(now, s.Pool)
 	return r
 }
