Hold the fleet's lock where a test disturbs its routers

The routers' background work reads until when they are cut off while TestRouterOutOfStepTellsNoWrongVersion sets it, which go test -race reported. The cases and what they check are the same; with -race the test passes.

--- a/versioner/outofstep_test.go
+++ b/versioner/outofstep_test.go
@@ -73,17 +73,37 @@
 		// isKnown is set if the router reaches the others when streams are resumed at it, and reads if it reaches the store then.
 		isKnown, reads bool
 	}{
-		"cut off from the others": {begin: func(_ *world, r *simRouter, until time.Time) { r.aloneUntil = until.Add(10 * time.Second) }, reads: true},
-		"cut off from the others, its reading late": {begin: func(_ *world, r *simRouter, until time.Time) {
+		"cut off from the others": {begin: func(w *world, r *simRouter, until time.Time) {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			r.aloneUntil = until.Add(10 * time.Second)
+		}, reads: true},
+		"cut off from the others, its reading late": {begin: func(w *world, r *simRouter, until time.Time) {
+			w.mu.Lock()
+			defer w.mu.Unlock()
 			r.aloneUntil, r.storeAwayUntil = until.Add(10*time.Second), until.Add(200*time.Millisecond)
 		}, reads: true},
-		"cut off from the store":                {begin: func(_ *world, r *simRouter, until time.Time) { r.storeAwayUntil = until.Add(10 * time.Second) }, isKnown: true},
-		"cut off from the others and the store": {begin: func(_ *world, r *simRouter, until time.Time) { r.cutUntil = until.Add(10 * time.Second) }},
+		"cut off from the store": {begin: func(w *world, r *simRouter, until time.Time) {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			r.storeAwayUntil = until.Add(10 * time.Second)
+		}, isKnown: true},
+		"cut off from the others and the store": {begin: func(w *world, r *simRouter, until time.Time) {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			r.cutUntil = until.Add(10 * time.Second)
+		}},
 		// What was sent to it meanwhile was given up, and it has read nothing when the resumption arrives.
-		"standing still": {begin: func(_ *world, r *simRouter, until time.Time) { r.cutUntil = until.Add(-time.Nanosecond) }, isKnown: true},
+		"standing still": {begin: func(w *world, r *simRouter, until time.Time) {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			r.cutUntil = until.Add(-time.Nanosecond)
+		}, isKnown: true},
 		"just started": {begin: func(w *world, r *simRouter, until time.Time) {
 			w.start(r.address)
+			w.mu.Lock()
 			w.routers[r.address].downUntil = until.Add(-300 * time.Millisecond)
+			w.mu.Unlock()
 		}, isKnown: true},
 	}
 	releases := map[string]struct{ before, after []string }{
@@ -111,9 +131,11 @@
 						w.readFor(delay - 200*time.Millisecond)
 						versions := map[string]string{}
 						for k := range streams {
+							w.mu.Lock()
 							first := w.routers[fmt.Sprint(1+w.rng.IntN(routers-1))]
 							id := fmt.Sprintf("%d-%d", seed, k)
 							versions[id] = first.seen[w.rng.IntN(len(first.seen))]
+							w.mu.Unlock()
 							go first.Versioner.Record(context.Background(), "p", id, versions[id])
 						}
 						w.readFor(time.Until(until))
