--- a/linker/endless_test.go
+++ b/linker/endless_test.go
@@ -14,7 +14,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/masticway/masticway/linker"
+	"github.com/masticway/masticway/receiver"
 )
 
 // countingConn counts the bytes that are read from a connection.
@@ -65,7 +65,7 @@
 			}
 			_, err = d.Connect(t.Context(), l.Addr().String())
 			qt.Check(t, err, qt.IsNotNil)
-			_, isTooLarge := errors.AsType[*linker.HeadTooLargeError](err)
+			_, isTooLarge := errors.AsType[*receiver.HeadTooLargeError](err)
 			qt.Check(t, isTooLarge, qt.Equals, !tc.isRefused, qt.Commentf("%.200v", err))
 			qt.Check(t, taken.Load() < maxTaken, qt.IsTrue, qt.Commentf("%d bytes were taken: %.200v", taken.Load(), err))
 		})
--- a/linker/handshake.go
+++ b/linker/handshake.go
@@ -16,6 +16,7 @@
 	"github.com/gorilla/websocket"
 
 	"github.com/masticway/masticway"
+	"github.com/masticway/masticway/receiver"
 )
 
 const (
@@ -250,16 +251,16 @@
 }
 
 // Connect opens a link and authenticates both ends. The caller must pass the link to Serve. Until then, no messages are read
-// or written. Connect fails with an error that wraps HeadTooLargeError if the peer's answer does not end.
+// or written. Connect fails with an error that wraps receiver.HeadTooLargeError if the peer's answer does not end.
 func (d Dialer) Connect(ctx context.Context, address string) (*Conn, error) {
-	var head *headConn
+	var head *receiver.HeadConn
 	w := websocket.Dialer{
 		NetDialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			n, err := d.Dial(ctx, network, address)
 			if err != nil {
 				return nil, err
 			}
-			head = &headConn{Conn: n, left: maxHeadBytes}
+			head = receiver.NewHeadConn(n)
 			return head, nil
 		},
 		HandshakeTimeout: handshakeTimeout,
@@ -270,7 +271,7 @@
 		return nil, fmt.Errorf("dialing link %s: %w", address, err)
 	}
 	_ = response.Body.Close()
-	head.end()
+	head.EndHead()
 	peer, err := d.authenticate(socket)
 	if err != nil {
 		_ = socket.Close()
--- a/sender/pool.go
+++ b/sender/pool.go
@@ -7,6 +7,8 @@
 	"net"
 	"syscall"
 	"time"
+
+	"github.com/masticway/masticway/receiver"
 )
 
 const (
@@ -113,7 +115,7 @@
 		s.mu.Unlock()
 		return nil, &Error{Cause: err}
 	}
-	head := &headReader{Conn: n}
+	head := receiver.NewHeadConn(n)
 	return &conn{sender: s, address: address, net: n, head: head, reader: bufio.NewReaderSize(head, readBufferSize)}, nil
 }
 
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -12,6 +12,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/masticway/masticway/receiver"
 )
 
 const (
@@ -179,7 +181,7 @@
 	net     net.Conn
 	reader  *bufio.Reader
 	// head limits what reader reads for the head of an answer.
-	head *headReader
+	head *receiver.HeadConn
 	// writeDone delivers the result of writing a large body concurrently; it is nil if there is none. requests is the number of
 	// requests sent on the connection.
 	writeDone chan error
@@ -333,10 +335,10 @@
 	return nil
 }
 
-// readAnswer reads the head of the next answer and skips informational ones. It fails with HeadTooLargeError if they are too large.
+// readAnswer reads the head of the next answer and skips informational ones. It fails with receiver.HeadTooLargeError if they are too large.
 func (c *conn) readAnswer() (*Answer, error) {
-	c.head.begin()
-	defer c.head.end()
+	c.head.BeginHead()
+	defer c.head.EndHead()
 	for {
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: c.method})
 		if err != nil {
