Compare the first event that a server adds with the last one that the caller has

A server that sent the caller's last event again and then left events out was passed on with the gap: only the first event that the server sent was compared, which is left out, and not the first one that is written. TestGapAfterRepeatedEventIsNotPassedOn failed before and passes.

--- a/forwarder/order_test.go
+++ b/forwarder/order_test.go
@@ -82,6 +82,16 @@
 	}
 }
 
+// TestGapAfterRepeatedEventIsNotPassedOn guards against a piece that is missing because a server that is asked to go on after an event
+// sends that one again and leaves out the next ones.
+func TestGapAfterRepeatedEventIsNotPassedOn(t *testing.T) {
+	f := newFixture(t, 0)
+	f.setStreams(eventStream(1, 3)+"CUT", eventStream(3, 3)+eventStream(6, 9))
+	got := f.do(t.Context(), "POST", "/resume/x")
+	qt.Check(t, got.err, qt.IsNotNil)
+	qt.Check(t, got.body, qt.Equals, eventStream(1, 3))
+}
+
 // TestSparseNumbersAreNoGap guards against streams that are broken off although nothing is missing, because their servers leave numbers
 // out.
 func TestSparseNumbersAreNoGap(t *testing.T) {
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -105,7 +105,6 @@
 		event := events[:end]
 		events = events[end:]
 		id, ok := eventID(event)
-		isFirst := a.part.lastSent == ""
 		if ok {
 			a.part.recordSent(id)
 		}
@@ -114,7 +113,7 @@
 			a.part.skipped++
 			continue
 		}
-		if ok && isFirst && x.hasGap(x.lastEvent, id) {
+		if ok && a.part.first == "" && x.hasGap(x.lastEvent, id) {
 			return &GapError{After: x.lastEvent, First: id}
 		}
 		a.beginStream(answer)
