Do not take the end of a shorter run for the end of a stream

A server that begins a stream anew and ends it before the last event that the caller has made the stream look complete: all that it sent was left out, and its end counted. Such an end is a failure of the server now. TestShorterRunDoesNotEndStream failed before in both cases, within an answer and over tries, and passes.

--- a/forwarder/order_test.go
+++ b/forwarder/order_test.go
@@ -92,6 +92,24 @@
 	qt.Check(t, got.body, qt.Equals, eventStream(1, 3))
 }
 
+// TestShorterRunDoesNotEndStream guards against a stream that ends as complete since a server that began it anew ended before the last
+// event that the caller has.
+func TestShorterRunDoesNotEndStream(t *testing.T) {
+	cases := map[string]struct{ texts, header []string }{
+		"after a break": {texts: []string{eventStream(1, 5) + "CUT", eventStream(1, 3)}},
+		"over tries":    {texts: []string{eventStream(1, 3), eventStream(1, 3)}, header: []string{"Last-Event-Id", "5", "Resumes", "a0"}},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, 0)
+			f.versions.byAttempt.Store("a0", "")
+			f.setStreams(tc.texts...)
+			got := f.do(t.Context(), "POST", "/resume/x", tc.header...)
+			qt.Assert(t, got.status == http.StatusOK && got.err == nil, qt.IsFalse, qt.Commentf("%q looks complete", got.body))
+		})
+	}
+}
+
 // TestSparseNumbersAreNoGap guards against streams that are broken off although nothing is missing, because their servers leave numbers
 // out.
 func TestSparseNumbersAreNoGap(t *testing.T) {
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -61,6 +61,10 @@
 			a.setSilenceTimeout(x.eventGapTimeout())
 		}
 		isAtEnd := errors.Is(err, io.EOF) && len(bytes.TrimSpace(pending)) == 0
+		if isAtEnd && a.part.isBehind {
+			// The server has ended another run of the stream, which is shorter than what the caller has.
+			return a.streamFailure(io.ErrUnexpectedEOF, 0)
+		}
 		if isAtEnd && x.headWritten && !a.isWhole(answer) {
 			return a.streamFailure(errEndedWithServer, 0)
 		}
