Learn from the first jump that servers leave event numbers out

A router that had just started broke off streams whose servers leave numbers out, since it assumed consecutive numbers until it had seen 16 steps, though the events that it had just passed on showed otherwise. A jump counts from the first one now; later a few jumps in many steps are a server's fault as before. A resumption is still refused where the router has passed on no stream of the pool at all.

--- a/forwarder/numbering.go
+++ b/forwarder/numbering.go
@@ -6,11 +6,11 @@
 )
 
 const (
-	// minSteps is the number of steps from one event to the next from which on a pool's numbering is known. Before, its events are
-	// assumed to be numbered consecutively.
+	// minSteps is the number of steps from one event to the next up to which a single jump shows that a pool leaves numbers out. Without
+	// any jump, its events are assumed to be numbered consecutively.
 	minSteps = 16
-	// jumpDivisor is the least number of steps for each jump with which a pool counts as numbering its events consecutively. A faulty
-	// server must not keep gaps from being detected.
+	// jumpDivisor is the least number of steps for each jump with which a pool counts as numbering its events consecutively later on. A
+	// faulty server must not keep gaps from being detected.
 	jumpDivisor = 64
 	// maxSteps is the number of steps at which the counts are halved, so that they follow changes.
 	maxSteps = 1 << 12
@@ -30,7 +30,9 @@
 }
 
 // isSparse reports whether the servers are known to leave numbers out.
-func (n *numbering) isSparse() bool { return n.steps >= minSteps && n.jumps*jumpDivisor > n.steps }
+func (n *numbering) isSparse() bool {
+	return n.jumps > 0 && (n.steps < minSteps || n.jumps*jumpDivisor > n.steps)
+}
 
 // GapError reports that a server was asked to continue a stream and began with a later event than the next.
 type GapError struct {
