Leave out an event whose ID, which is no number, the caller has

The last event came twice after a break if IDs are no numbers: only numbers were compared. An ID that is equal to the caller's last one is left out now, and what the code kept of unnumbered events twice is kept once. TestEventsWithoutIDsAreNotRepeated has a case for it, which failed before; TestAnswerOfUnreachableServerIsNotWhole holds before and after, and fails if a server that cannot be reached counts as serving.

--- a/forwarder/order_test.go
+++ b/forwarder/order_test.go
@@ -179,6 +179,7 @@
 		"server goes on after the ID":    {id(1) + id(2) + plain("b") + "CUT", plain("b") + plain("c") + id(3), id(1) + id(2) + plain("b") + plain("c") + id(3)},
 		"nothing was sent after the ID":  {id(1) + id(2) + "CUT", plain("b") + id(3), id(1) + id(2) + plain("b") + id(3)},
 		"comments are no events":         {id(1) + ": ping\n\n" + "CUT", plain("a") + id(2), id(1) + ": ping\n\n" + plain("a") + id(2)},
+		"IDs that are no numbers":        {"id: x\ndata: 1\n\nid: y\ndata: 2\n\nCUT", "id: y\ndata: 2\n\nid: z\ndata: 3\n\n", "id: x\ndata: 1\n\nid: y\ndata: 2\n\nid: z\ndata: 3\n\n"},
 		"same ID twice":                  {id(1) + id(1) + id(2), "", id(1) + id(2)},
 	}
 	for name, tc := range cases {
--- a/forwarder/part.go
+++ b/forwarder/part.go
@@ -35,19 +35,19 @@
 }
 
 // skips reports whether the caller has an event already, because the server continues the stream earlier than it was asked to. last is
-// the ID of the last event with an ID that the caller has, and unnumbered the number of events that it has after that one.
-func (p *streamPart) skips(id string, hasID bool, last string, unnumbered int) bool {
+// the ID of the last event with an ID that the caller has.
+func (p *streamPart) skips(id string, hasID bool, last string) bool {
 	switch {
 	case !hasID && p.isBehind:
 		return true
 	case !hasID && p.unnumberedLeft > 0:
 		p.unnumberedLeft--
 		return true
-	case !hasID || last == "" || isLaterID(id, last):
+	case !hasID || last == "" || id != last && isLaterID(id, last):
 		p.isBehind, p.unnumberedLeft = false, 0
 		return false
 	}
-	p.isBehind, p.unnumberedLeft = id != last, unnumbered
+	p.isBehind = id != last
 	return true
 }
 
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -113,7 +113,7 @@
 			a.part.recordSent(id)
 		}
 		isComment := !ok && isCommentBlock(event)
-		if !isComment && a.part.skips(id, ok, x.lastEvent, x.unnumbered) {
+		if !isComment && a.part.skips(id, ok, x.lastEvent) {
 			a.part.skipped++
 			continue
 		}
--- a/forwarder/unframed_test.go
+++ b/forwarder/unframed_test.go
@@ -1,11 +1,15 @@
 package forwarder_test
 
 import (
+	"context"
+	"net"
+	"sync/atomic"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
 
 	"github.com/masticway/masticway/emulator"
+	"github.com/masticway/masticway/forwarder"
 )
 
 // TestAnswerThatEndsWithItsServerIsNotWhole guards against answers that look complete to the caller although their server was killed
@@ -43,3 +47,24 @@
 		})
 	}
 }
+
+// TestAnswerOfUnreachableServerIsNotWhole guards against answers without a length that look complete although nobody can tell whether
+// their server still serves.
+func TestAnswerOfUnreachableServerIsNotWhole(t *testing.T) {
+	var dials atomic.Int64
+	f := newFixtureWith(t, 1, forwarder.Settings{Retries: forwarder.RetriesSettings{Ratio: 0.2, FixedRetries: 50, WindowSeconds: 10}}, func(d *forwarder.Dependencies) {
+		d.Examiner = noSuspects{}
+		dial := d.Dial
+		d.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+			if dials.Add(1) > 1 {
+				<-ctx.Done()
+				return nil, ctx.Err()
+			}
+			return dial(ctx, network, address)
+		}
+	})
+	f.servers[0].InjectFaults(emulator.OpaqueUnframed)
+	got := f.do(t.Context(), "POST", "/stream/x")
+	qt.Check(t, got.err, qt.IsNotNil)
+	qt.Check(t, got.body, qt.Equals, eventStream(1, 5), qt.Commentf("status %d, %v, %d dials", got.status, got.err, dials.Load()))
+}
