Hold the connections of a test until all requests are sent

A request held its connection for 400 ms, and sending all of them, 4 ms apart, takes 0.26 s alone; the case took 0.84 s, 0.2 s more than it does otherwise. Requests now hold theirs for 1.5 s. What is expected is the same.

--- a/forwarder/connections_test.go
+++ b/forwarder/connections_test.go
@@ -35,7 +35,7 @@
 		t.Run(name, func(t *testing.T) {
 			f := newFixture(t, 1)
 			f.connections.allowed.Store(tc.allowed)
-			f.servers[0].EnableEcho(400 * time.Millisecond)
+			f.servers[0].EnableEcho(1500 * time.Millisecond)
 			var served atomic.Int32
 			var wg sync.WaitGroup
 			for range tc.requests {
