--- a/sender/sender_test.go
+++ b/sender/sender_test.go
@@ -390,15 +390,15 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			_, address := startServer(t, &scriptedServer{answers: []string{"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"}})
-			dials := 0
+			dials, now := 0, time.Now()
 			s := sender.New(func(ctx context.Context, network, address string) (net.Conn, error) {
 				if dials++; dials == 1 {
 					<-ctx.Done()
-					time.Sleep(tc.delay)
+					now = now.Add(time.Second + tc.delay)
 					return nil, ctx.Err()
 				}
 				return (&net.Dialer{}).DialContext(ctx, network, address)
-			}, time.Now)
+			}, func() time.Time { return now })
 			_, _, err := get(t.Context(), s, address)
 			qt.Assert(t, err != nil, qt.Equals, tc.fails)
 			qt.Assert(t, dials, qt.Equals, tc.dials)
