Count a message before its buffer grows

Messages that were not ended took up to 136 MB together, where 96 MB are the most that the test allows for the bound of 32 MB: a buffer was allocated before it was counted, so that each of 64 connections could have one that was then refused, and while a buffer grows the message takes both the old and the new one.

--- a/messenger/bounds.go
+++ b/messenger/bounds.go
@@ -49,10 +49,13 @@
 	awaited := 0
 	for {
 		if len(m.data) == cap(m.data) {
-			m.data = slices.Grow(m.data, max(minBufferBytes, len(m.data)))
-			if !m.keep(int64(cap(m.data))) {
+			more := max(minBufferBytes, len(m.data))
+			// While the message is copied, it takes both buffers.
+			if !m.keep(int64(2*len(m.data) + more)) {
 				return &MessagesTooLargeError{Limit: maxMessagesBytes}
 			}
+			m.data = slices.Grow(m.data, more)
+			m.keep(int64(cap(m.data)))
 		}
 		if len(m.data) >= awaited {
 			awaited = len(m.data) + pieceBytes
