Ask the kernel whether a server has ended when the check itself was late

A router that had to wait for a processor took a server that was ending for serving: the time to wait for a reset was over before it had read, and the reset that had arrived did not count. The kernel is asked then.

--- a/inspector/serving.go
+++ b/inspector/serving.go
@@ -28,9 +28,14 @@
 	return nil
 }
 
-// isClosedWithin reports whether the other side ends a connection within a time.
+// isClosedWithin reports whether the other side ends a connection within a time. A process that had to wait for a processor may find the
+// time over before it has read; the kernel still knows.
 func isClosedWithin(c net.Conn, d time.Duration) bool {
 	_ = c.SetReadDeadline(time.Now().Add(d))
 	_, err := c.Read(make([]byte, 1))
-	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		i, ok := Inspect(c)
+		return ok && i.PeerClosed
+	}
+	return err != nil
 }
--- a/inspector/serving_test.go
+++ b/inspector/serving_test.go
@@ -16,14 +16,18 @@
 // closed the listener.
 func TestServersThatEndAreNotServing(t *testing.T) {
 	cases := map[string]struct {
-		// serve acts as the server after a connection was established.
-		serve  func(l net.Listener)
-		serves bool
+		// serve acts as the server after a connection was established, and beforeRead before the connection is read, late if isLate is
+		// set.
+		serve      func(l net.Listener)
+		beforeRead func(l net.Listener)
+		isLate     bool
+		serves     bool
 	}{
-		"serves":              {serve: func(l net.Listener) { _, _ = l.Accept() }, serves: true},
-		"does not accept yet": {serve: func(net.Listener) {}, serves: true},
-		"ended":               {serve: func(l net.Listener) { _ = l.Close() }},
-		"ends a little later": {serve: func(l net.Listener) { time.AfterFunc(2*time.Millisecond, func() { _ = l.Close() }) }},
+		"serves":                              {serve: func(l net.Listener) { _, _ = l.Accept() }, serves: true},
+		"does not accept yet":                 {serve: func(net.Listener) {}, serves: true},
+		"ended":                               {serve: func(l net.Listener) { _ = l.Close() }},
+		"ends a little later":                 {beforeRead: func(l net.Listener) { _ = l.Close() }},
+		"ends a little later, found out late": {beforeRead: func(l net.Listener) { _ = l.Close() }, isLate: true},
 		"has too many, and serves": {serve: func(l net.Listener) {
 			c, err := l.Accept()
 			if err == nil {
@@ -39,11 +43,21 @@
 			begun := false
 			dial := func(ctx context.Context, network, address string) (net.Conn, error) {
 				c, err := (&net.Dialer{}).DialContext(ctx, network, address)
-				if !begun {
-					begun = true
+				if err != nil || begun {
+					return c, err
+				}
+				begun = true
+				if tc.serve != nil {
 					go tc.serve(l)
 				}
-				return c, err
+				return &hookedConn{TCPConn: c.(*net.TCPConn), beforeRead: func() {
+					if tc.beforeRead != nil {
+						tc.beforeRead(l)
+					}
+					if tc.isLate {
+						time.Sleep(50 * time.Millisecond)
+					}
+				}}, nil
 			}
 			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 			defer cancel()
@@ -56,3 +70,14 @@
 		})
 	}
 }
+
+// hookedConn is a connection that calls a function before it is read.
+type hookedConn struct {
+	*net.TCPConn
+	beforeRead func()
+}
+
+func (c *hookedConn) Read(b []byte) (int, error) {
+	c.beforeRead()
+	return c.TCPConn.Read(b)
+}
