Let callers of the soak not try again once their time is over

The time left was looked at before the pause that a refusal asks for, and taken anew after it; a soak that has to wait for a processor is late by then. It is looked at after the pause as well; callers that have time left try again as before.

--- a/soaker/tries.go
+++ b/soaker/tries.go
@@ -41,9 +41,13 @@
 			return
 		}
 		time.Sleep(pause)
+		if left = time.Until(until); left < minRetryTime {
+			// The soak had to wait for a processor.
+			return
+		}
 		next := &request{
 			route: q.route, prompt: q.prompt, declared: q.declared, workspace: q.workspace, firstTry: cmp.Or(q.firstTry, q.id),
-			body: strings.Repeat("x", len(q.body)-len(q.id)), timeLimit: time.Until(until).Truncate(time.Millisecond),
+			body: strings.Repeat("x", len(q.body)-len(q.id)), timeLimit: left.Truncate(time.Millisecond),
 		}
 		next.waitTimeout = min(next.timeLimit, emulator.DeploymentTimeout) + answerSlack
 		c.transport.CloseIdleConnections()
