--- a/sender/sender_test.go
+++ b/sender/sender_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -390,15 +391,16 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			_, address := startServer(t, &scriptedServer{answers: []string{"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"}})
-			dials, now := 0, time.Now()
+			dials, began := 0, time.Now()
+			var passed atomic.Int64
 			s := sender.New(func(ctx context.Context, network, address string) (net.Conn, error) {
 				if dials++; dials == 1 {
 					<-ctx.Done()
-					now = now.Add(time.Second + tc.delay)
+					passed.Store(int64(time.Second + tc.delay))
 					return nil, ctx.Err()
 				}
 				return (&net.Dialer{}).DialContext(ctx, network, address)
-			}, func() time.Time { return now })
+			}, func() time.Time { return began.Add(time.Duration(passed.Load())) })
 			_, _, err := get(t.Context(), s, address)
 			qt.Assert(t, err != nil, qt.Equals, tc.fails)
 			qt.Assert(t, dials, qt.Equals, tc.dials)
