Work out once after which event a server is asked to continue, and parse event IDs in one place

The event after which an attempt continues was worked out for the log and again for the request; isLaterID parsed IDs beside the new steps between them. gapError is not used outside the package.

--- a/follower/mirror.go
+++ b/follower/mirror.go
@@ -141,8 +141,8 @@
 	return full, nil
 }
 
-// accept applies the result of a read whose call began at a time. It drops a full read that is older than the changes that have already been applied,
-// because it would undo them, and everything that was read in an earlier era.
+// accept applies the result of a read whose call began at a time. It drops a full read that is older than the changes that have already
+// been applied, because it would undo them, and everything that was read in an earlier era.
 func (m *tableWatcher) accept(full bool, reading masticway.RowReading, began time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -170,10 +170,10 @@
 }
 
 // send sends the request to the attempt's server, waits for the head of the answer and records what the head reports about the
-// server. A stream resumes after lastEvent (see serverRequest).
+// server. A stream resumes after the event with the ID lastEvent or, if that is empty, after the one that the caller named, if any.
 func (a *attempt) send(lastEvent string) (*sender.Answer, error) {
 	a.part.after = cmp.Or(lastEvent, a.x.q.LastEvent)
-	answer, err := a.x.f.sender.Send(a.ctx, a.server.Address, a.x.maxConnections(), a.serverRequest(lastEvent))
+	answer, err := a.x.f.sender.Send(a.ctx, a.server.Address, a.x.maxConnections(), a.serverRequest())
 	if err == nil {
 		a.observeServer(answer)
 	}
--- a/forwarder/handover.go
+++ b/forwarder/handover.go
@@ -288,7 +288,7 @@
 	return asked
 }
 
-// sendAsync sends the request and delivers the result to sendResults. A stream resumes after lastEvent (see serverRequest).
+// sendAsync sends the request and delivers the result to sendResults. A stream resumes after lastEvent (see send).
 func (a *attempt) sendAsync(lastEvent string) {
 	answer, err := a.send(lastEvent)
 	a.sendResults <- sendResult{answer: answer, err: err}
--- a/forwarder/numbering.go
+++ b/forwarder/numbering.go
@@ -34,22 +34,28 @@
 	return n.jumps > 0 && (n.steps < minSteps || n.jumps*jumpDivisor > n.steps)
 }
 
-// GapError reports that a server was asked to continue a stream and began with a later event than the next.
-type GapError struct {
-	// After is the ID of the event after which the stream was to continue, and First that of the first event that came.
-	After, First string
+// gapError reports that a server was asked to continue a stream and began with a later event than the next.
+type gapError struct {
+	// after is the ID of the event after which the stream was to continue, and first that of the first event that came.
+	after, first string
 }
 
 // Error describes the gap.
-func (e *GapError) Error() string {
-	return fmt.Sprintf("the stream was to continue after event %s, but event %s came", e.After, e.First)
+func (e *gapError) Error() string {
+	return fmt.Sprintf("the stream was to continue after event %s, but event %s came", e.after, e.first)
 }
 
 // eventStep returns the difference of two event IDs. It returns false if one of them is not a number.
 func eventStep(last, id string) (step int64, ok bool) {
+	a, b, ok := eventNumbers(last, id)
+	return b - a, ok
+}
+
+// eventNumbers returns two event IDs as numbers. It returns false if one of them is not a number.
+func eventNumbers(last, id string) (a, b int64, ok bool) {
 	a, errLast := strconv.ParseInt(last, 10, 64)
 	b, errID := strconv.ParseInt(id, 10, 64)
-	return b - a, errLast == nil && errID == nil
+	return a, b, errLast == nil && errID == nil
 }
 
 // recordNumbering adds how an answer numbered its events to what is known of its pool.
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"strconv"
 
 	"github.com/masticway/masticway"
 	"github.com/masticway/masticway/chooser"
@@ -46,7 +45,7 @@
 				return a.streamFailure(errSilent, len(pending))
 			}
 			fault := a.writeEvents(answer, pending[:complete])
-			if _, ok := errors.AsType[*GapError](fault); ok {
+			if _, ok := errors.AsType[*gapError](fault); ok {
 				// The missing events may come from another server.
 				out := a.failure(fault)
 				out.fate = masticway.FateRan
@@ -118,7 +117,7 @@
 			continue
 		}
 		if ok && a.part.first == "" && x.hasGap(x.lastEvent, id) {
-			return &GapError{After: x.lastEvent, First: id}
+			return &gapError{after: x.lastEvent, first: id}
 		}
 		a.beginStream(answer)
 		if _, err := x.w.Write(event); err != nil {
@@ -174,12 +173,8 @@
 // isLaterID reports whether an event's ID comes after the ID last: whether it is the larger number. It returns true if either ID
 // is not a number.
 func isLaterID(id, last string) bool {
-	a, err := strconv.ParseInt(id, 10, 64)
-	if err != nil {
-		return true
-	}
-	b, err := strconv.ParseInt(last, 10, 64)
-	return err != nil || a > b
+	a, b, ok := eventNumbers(last, id)
+	return !ok || b > a
 }
 
 // eventDelimiters are the blank lines that end an event, of at most maxDelimiter bytes.
--- a/forwarder/sending.go
+++ b/forwarder/sending.go
@@ -18,8 +18,8 @@
 // errCallerLeft is the cause with which the context of an exchange ends if the kernel reports that the caller has left.
 var errCallerLeft = errors.New("the caller has left")
 
-// unwantedError reports that a request was not sent to a server because nobody waits for its answer any more,
-// or nobody could pass it on.
+// unwantedError reports that a request was not sent to a server because nobody waits for its answer any more, or nobody
+// could pass it on.
 type unwantedError struct {
 	// Cause is why: the caller has left, the deadline has passed, another attempt serves the request, or this router ends too early.
 	Cause error
@@ -53,16 +53,12 @@
 	return &unwantedError{Cause: cause, Age: x.f.clock.Now().Sub(x.q.arrivedAt)}
 }
 
-// serverRequest returns the request of an attempt. A stream resumes after the event with the ID lastEvent. If lastEvent is empty, the
-// stream resumes after the event that the caller named, if any.
-func (a *attempt) serverRequest(lastEvent string) sender.Request {
+// serverRequest returns the request of an attempt.
+func (a *attempt) serverRequest() sender.Request {
 	q := &a.x.q
-	if lastEvent == "" {
-		lastEvent = q.LastEvent
-	}
 	r := sender.Request{
 		Method: q.method, Target: q.target, Host: q.host, Body: q.body, ConnectTimeout: connectTimeout,
-		Prepare: func() http.Header { return a.serverHeader(lastEvent) },
+		Prepare: func() http.Header { return a.serverHeader() },
 		Check:   a.checkSending,
 	}
 	if q.route.RetryPolicy == masticway.RetryNever {
@@ -75,11 +71,11 @@
 
 // serverHeader returns the header of the attempt's request. It is called when the request is about to be written, so that the time left
 // is not that of before the attempt had to wait.
-func (a *attempt) serverHeader(lastEvent string) http.Header {
+func (a *attempt) serverHeader() http.Header {
 	x := a.x
 	return x.f.codec.ServerHeaders(x.q.header, masticway.Delivery{
 		Server: a.server.ID, Workspace: x.q.account.Workspace, TimeLeft: x.q.deadline.Sub(x.f.clock.Now()),
-		Urgency: a.urgency, HasUrgency: x.q.pool.IsEngine, LastEvent: lastEvent, Reservation: a.reservation,
+		Urgency: a.urgency, HasUrgency: x.q.pool.IsEngine, LastEvent: a.part.after, Reservation: a.reservation,
 	})
 }
 
@@ -93,7 +89,8 @@
 	return &unwantedError{Cause: errOutlastsRouter, Age: now.Sub(x.q.arrivedAt)}
 }
 
-// checkSending returns an error if the request is not wanted any more, or if this router is likely to end before its answer. If it returns none, the request counts as sent.
+// checkSending returns an error if the request is not wanted any more, or if this router is likely to end before its answer. If it
+// returns none, the request counts as sent.
 func (a *attempt) checkSending() error {
 	x := a.x
 	if err := x.checkWanted(a.ctx); err != nil {
--- a/forwarder/versions.go
+++ b/forwarder/versions.go
@@ -25,8 +25,8 @@
 	return q.ID
 }
 
-// bindResumption binds a request that resumes a stream to the version that began the stream, and to the last event that its caller has. It returns a refusal if that version is
-// unknown or has no server.
+// bindResumption binds a request that resumes a stream to the version that began the stream, and to the last event that its caller has.
+// It returns a refusal if that version is unknown or has no server.
 func (x *exchange) bindResumption(ctx context.Context) *masticway.RefusalError {
 	if !x.q.isResumption() {
 		return nil
