--- a/emulator/answer.go
+++ b/emulator/answer.go
@@ -75,29 +75,17 @@
 		s.write(c, "HTTP/1.1 200 OK\r\n"+header+"Content-Length: 100\r\n\r\nhalf")
 		return false
 	}
-	text := "ok"
-	if echo, workTime := s.echoSettings(); echo {
-		if !s.work(c, workTime) {
-			s.runLog.markDisconnected(run)
-			return false
-		}
-		text = "ok " + id + " " + body
-	}
-	return s.write(c, fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", header, len(text), text))
+	text, ok := s.workOn(c, run, id, body)
+	return ok && s.write(c, fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", header, len(text), text))
 }
 
 // answerUnframed sends an answer that ends with its connection, which the caller must close. The fault tells how the answer ends.
 func (s *OpaqueServer) answerUnframed(c net.Conn, run int, r *http.Request, header, body string, events int, pause time.Duration, fault OpaqueFault) {
 	id := r.Header.Get("X-Attempt-Id")
-	echo, workTime := s.echoSettings()
 	if r.Header.Get("X-Token-Count") == "" {
-		text := "ok"
-		if echo {
-			if !s.work(c, workTime) {
-				s.runLog.markDisconnected(run)
-				return
-			}
-			text = "ok " + id + " " + body
+		text, ok := s.workOn(c, run, id, body)
+		if !ok {
+			return
 		}
 		s.write(c, "HTTP/1.1 200 OK\r\n"+header+"Connection: close\r\n\r\n"+text)
 		switch fault {
@@ -109,10 +97,7 @@
 		return
 	}
 	s.write(c, "HTTP/1.1 200 OK\r\n"+header+"Content-Type: text/event-stream\r\nConnection: close\r\n\r\n")
-	suffix := ""
-	if echo {
-		suffix = " of " + id
-	}
+	suffix := s.eventSuffix(id)
 	received := fault.received(r.Header.Get("Last-Event-Id"), events)
 	last := received + (events-received+1)/2
 	for i := received + 1; i <= events; i++ {
@@ -136,17 +121,34 @@
 	}
 }
 
-// streamEvents sends the events after the number received, which is that of the last event that the caller has. If cut is
-// set and more than one event is left, the stream ends in the middle of an event. It returns whether the connection stays
-// open.
+// workOn works for the time of a plain answer and returns its text, or false if the caller has closed the connection meanwhile.
+func (s *OpaqueServer) workOn(c net.Conn, run int, id, body string) (text string, ok bool) {
+	echo, workTime := s.echoSettings()
+	if !echo {
+		return "ok", true
+	}
+	if !s.work(c, workTime) {
+		s.runLog.markDisconnected(run)
+		return "", false
+	}
+	return "ok " + id + " " + body, true
+}
+
+// eventSuffix returns the end of the data of each event of a stream.
+func (s *OpaqueServer) eventSuffix(id string) string {
+	if echo, _ := s.echoSettings(); echo {
+		return " of " + id
+	}
+	return ""
+}
+
+// streamEvents sends the events after the number received, which is that of the last event that the caller has. If cut is set and
+// more than one event is left, the stream ends in the middle of an event. It returns whether the connection stays open.
 func (s *OpaqueServer) streamEvents(c net.Conn, run int, id, header string, received, events int, pause time.Duration, cut bool) bool {
 	if !s.write(c, "HTTP/1.1 200 OK\r\n"+header+"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n") {
 		return false
 	}
-	suffix := ""
-	if echo, _ := s.echoSettings(); echo {
-		suffix = " of " + id
-	}
+	suffix := s.eventSuffix(id)
 	for i := received + 1; i <= events; i++ {
 		if !s.work(c, pause) {
 			s.runLog.markDisconnected(run)
