Decode messages between processes in one place

linker and messenger each had a decoder that accepts texts that are no UTF-8; it is package decoder now.

--- a/linker/conn.go
+++ b/linker/conn.go
@@ -16,6 +16,7 @@
 	"github.com/gorilla/websocket"
 
 	"github.com/masticway/masticway"
+	"github.com/masticway/masticway/decoder"
 )
 
 const (
@@ -330,17 +331,6 @@
 	return message.Close()
 }
 
-// decoder also accepts texts that are no UTF-8: answers, paths, headers and keys have the bytes that callers and upstreams chose.
-var decoder = mustDecoder()
-
-func mustDecoder() cbor.DecMode {
-	m, err := cbor.DecOptions{UTF8: cbor.UTF8DecodeInvalid}.DecMode()
-	if err != nil {
-		panic(err)
-	}
-	return m
-}
-
 // Decode decodes a batch of messages as a link does. It is exported for fuzzing.
 func Decode(data []byte) ([]Message, error) {
 	var batch []Message
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -11,6 +11,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/masticway/masticway/decoder"
 	"github.com/masticway/masticway/receiver"
 )
 
@@ -77,17 +78,6 @@
 // Fetch, are not observed. ObserveCalls must be called before the first call.
 func (c *Client) ObserveCalls(observe func(took time.Duration, answered bool)) { c.observe = observe }
 
-// decoder also accepts texts that are no UTF-8: IDs of requests and of parts of prompts have the bytes that callers chose.
-var decoder = mustDecoder()
-
-func mustDecoder() cbor.DecMode {
-	m, err := cbor.DecOptions{UTF8: cbor.UTF8DecodeInvalid}.DecMode()
-	if err != nil {
-		panic(err)
-	}
-	return m
-}
-
 // Call sends a message to the router at an address and decodes its answer. It fails with StatusError if the router answers with a
 // status other than 200, and otherwise with an error that wraps that of the transport or the codec.
 func Call[A any](ctx context.Context, c *Client, address, path string, message any) (A, error) {
