--- a/starter/callers.go
+++ b/starter/callers.go
@@ -1,6 +1,7 @@
 package starter
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -51,6 +52,15 @@
 	return c, nil
 }
 
+// connContext adds a caller's connection to the context of its requests; it is the ConnContext hook of the HTTP server.
+func connContext(ctx context.Context, n net.Conn) context.Context {
+	c, ok := n.(masticway.CallerConnection)
+	if !ok {
+		c = plainConn{n}
+	}
+	return masticway.WithCallerConnection(ctx, c)
+}
+
 // plainConn is a connection whose requests are not tracked.
 type plainConn struct{ net.Conn }
 
@@ -63,6 +73,9 @@
 // HasClosed returns false, because reads are not tracked.
 func (plainConn) HasClosed() bool { return false }
 
+// SetLinger sets whether the connection is reset when it is closed, as net.TCPConn does, if the connection supports that.
+func (c plainConn) SetLinger(seconds int) error { return setLinger(c.Conn, seconds) }
+
 // isClosedByPeer reports whether the kernel knows that the peer has closed a connection or its sending side, or has reset it.
 func isClosedByPeer(c net.Conn) bool {
 	i, ok := inspector.Inspect(c)
@@ -187,14 +200,8 @@
 	return nil
 }
 
-// SetLinger sets whether the connection is reset when it is closed, as net.TCPConn does. It does nothing if the connection does not
-// support that.
-func (c *callerConn) SetLinger(seconds int) error {
-	if tcp, ok := c.Conn.(lingerSetter); ok {
-		return tcp.SetLinger(seconds)
-	}
-	return nil
-}
+// SetLinger sets whether the connection is reset when it is closed, as net.TCPConn does, if the connection supports that.
+func (c *callerConn) SetLinger(seconds int) error { return setLinger(c.Conn, seconds) }
 
 // beginRequest marks a request as open, unless one is already.
 func (c *callerConn) beginRequest() {
--- a/starter/reset.go
+++ b/starter/reset.go
@@ -1,16 +1,12 @@
 package starter
 
 import (
-	"context"
 	"net"
 	"net/http"
 
 	"github.com/masticway/masticway"
 )
 
-// connKey is the context key of the connection of a request.
-type connKey struct{}
-
 // lingerSetter is a connection that can be reset when it is closed, as TCP connections can.
 type lingerSetter interface{ SetLinger(seconds int) error }
 
@@ -22,7 +18,7 @@
 // such a caller, an answer without a length lasts until its connection is closed in order. Callers of later versions see the missing end.
 func resettingBrokenAnswers(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		c, ok := r.Context().Value(connKey{}).(lingerSetter)
+		c, ok := masticway.CallerConnectionOf(r.Context()).(lingerSetter)
 		if !ok || r.ProtoAtLeast(1, 1) {
 			h.ServeHTTP(w, r)
 			return
@@ -34,12 +30,10 @@
 	})
 }
 
-// connContext adds a connection to the context of its requests; it is the ConnContext hook of the HTTP servers.
-func connContext(ctx context.Context, n net.Conn) context.Context {
-	ctx = context.WithValue(ctx, connKey{}, n)
-	c, ok := n.(masticway.CallerConnection)
-	if !ok {
-		c = plainConn{n}
+// setLinger sets whether a connection is reset when it is closed. It does nothing if the connection does not support that.
+func setLinger(c net.Conn, seconds int) error {
+	if tcp, ok := c.(lingerSetter); ok {
+		return tcp.SetLinger(seconds)
 	}
-	return masticway.WithCallerConnection(ctx, c)
+	return nil
 }
