Let the emulated server of a test close the channel that it sends on

The cleanup closed the channel of accepted connections while the server might still be about to send one on it; a test that ends before its server has noted the connection shows it.

Now the server closes the channel once its listener is closed, and the cleanup waits for that.

--- a/sender/sender_test.go
+++ b/sender/sender_test.go
@@ -33,6 +33,7 @@
 }
 
 func (s *scriptedServer) serve() {
+	defer close(s.accepted)
 	for {
 		c, err := s.l.Accept()
 		if err != nil {
@@ -72,7 +73,6 @@
 	go s.serve()
 	t.Cleanup(func() {
 		_ = l.Close()
-		close(s.accepted)
 		for c := range s.accepted {
 			_ = c.Close()
 		}
