Resume streams in the test of unrecorded versions only once their callers can have an event

The test resumed streams 0.2 s after they began, whether or not the router had given their first event out: a caller without an event cannot resume. It now resumes each stream 0.2 s after its version counts as recorded, over the whole time of the disruption, and bounds how long the first event may wait for that.

--- a/versioner/outofstep_test.go
+++ b/versioner/outofstep_test.go
@@ -46,17 +46,10 @@
 	var wg sync.WaitGroup
 	for id, version := range versions {
 		wg.Go(func() {
-			found, ok := r.Find(context.Background(), "p", id)
+			one := w.resume(r, id, version)
 			mu.Lock()
 			defer mu.Unlock()
-			switch {
-			case !ok:
-				o.unknown++
-			case found != version:
-				o.mixed++
-			default:
-				o.resumed++
-			}
+			o.add(one)
 		})
 	}
 	w.readFor(5 * time.Second)
@@ -64,6 +57,20 @@
 	return o
 }
 
+// resume resumes a stream of a version at a router and returns what became of it.
+func (w *world) resume(r *simRouter, id, version string) (o outcome) {
+	found, ok := r.Find(context.Background(), "p", id)
+	switch {
+	case !ok:
+		o.unknown++
+	case found != version:
+		o.mixed++
+	default:
+		o.resumed++
+	}
+	return o
+}
+
 // TestRouterOutOfStepTellsNoWrongVersion guards against streams that go on at another version at a router that was out of step with the
 // others for some seconds while servers of a new version came. Where the router can know the version, it must tell it.
 func TestRouterOutOfStepTellsNoWrongVersion(t *testing.T) {
@@ -140,7 +147,7 @@
 						}
 						w.readFor(time.Until(until))
 						o := w.resumeAt(w.routers["0"], versions)
-						total.resumed, total.mixed, total.unknown = total.resumed+o.resumed, total.mixed+o.mixed, total.unknown+o.unknown
+						total.add(o)
 					})
 				}
 				t.Logf("%+v", total)
--- a/versioner/unrecorded_test.go
+++ b/versioner/unrecorded_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -64,7 +65,7 @@
 	}
 }
 
-// run resumes streams of a new version and checks that they are not told another one.
+// run resumes streams of a new version once their first event may go to their callers, and checks that they are not told another one.
 func (c unrecordedCase) run(t *testing.T) {
 	const routers, streams = 30, 12
 	var total outcome
@@ -76,20 +77,29 @@
 			c.begin(w, time.Now().Add(10*time.Second))
 			w.versions = []string{"v1", "v2"}
 			w.mu.Unlock()
+			joinedAt := time.Now()
 			w.readFor(800 * time.Millisecond)
-			versions := map[string]string{}
+			var mu sync.Mutex
+			var wg sync.WaitGroup
 			for k := range streams {
-				id := fmt.Sprintf("%d-%d", seed, k)
-				versions[id] = "v2"
-				go w.routers["5"].Versioner.Record(context.Background(), "p", id, "v2")
+				wg.Go(func() {
+					id := fmt.Sprintf("%d-%d", seed, k)
+					w.routers["5"].Versioner.Record(context.Background(), "p", id, "v2")
+					qt.Check(t, time.Since(joinedAt) <= maxReadingAge+time.Second, qt.IsTrue, qt.Commentf("the first event waited until %v after the version came", time.Since(joinedAt)))
+					time.Sleep(140*time.Millisecond + c.pause)
+					o := w.resume(w.routers["0"], id, "v2")
+					mu.Lock()
+					defer mu.Unlock()
+					total.add(o)
+				})
 			}
-			w.readFor(200*time.Millisecond + c.pause)
-			o := w.resumeAt(w.routers["0"], versions)
-			total.resumed, total.mixed, total.unknown = total.resumed+o.resumed, total.mixed+o.mixed, total.unknown+o.unknown
+			w.readFor(9 * time.Second)
+			wg.Wait()
 		})
 	}
 	t.Logf("%+v", total)
 	qt.Check(t, total.mixed, qt.Equals, 0)
+	qt.Check(t, total.resumed+total.mixed+total.unknown, qt.Equals, 4*streams)
 	if c.pause > 0 {
 		qt.Check(t, total.unknown, qt.Equals, 0, qt.Commentf("the router that began them can record them again"))
 	}
--- a/versioner/world_test.go
+++ b/versioner/world_test.go
@@ -259,6 +259,11 @@
 // outcome counts what became of the streams that were resumed.
 type outcome struct{ resumed, mixed, unknown int }
 
+// add adds what became of other streams.
+func (o *outcome) add(other outcome) {
+	o.resumed, o.mixed, o.unknown = o.resumed+other.resumed, o.mixed+other.mixed, o.unknown+other.unknown
+}
+
 // serveStreams begins a stream, resumes it at other routers once or twice, and returns what became of it.
 func (w *world) serveStream(id string) (o outcome) {
 	routers := w.up()
@@ -280,16 +285,10 @@
 		w.mu.Lock()
 		at := routers[w.rng.IntN(len(routers))]
 		w.mu.Unlock()
-		found, ok := at.Find(context.Background(), "p", id)
-		switch {
-		case !ok:
-			o.unknown++
-			return o
-		case found != version:
-			o.mixed++
+		o.add(w.resume(at, id, version))
+		if o.mixed+o.unknown > 0 {
 			return o
 		}
-		o.resumed++
 		at.Versioner.Record(context.Background(), "p", id, version)
 	}
 	return o
@@ -328,7 +327,7 @@
 									o := w.serveStream(fmt.Sprintf("%d-%d", at, k))
 									mu.Lock()
 									defer mu.Unlock()
-									total.resumed, total.mixed, total.unknown = total.resumed+o.resumed, total.mixed+o.mixed, total.unknown+o.unknown
+									total.add(o)
 								})
 							}
 							time.Sleep(500 * time.Millisecond)
