Hold back the first event of a stream that no other router can know of while others may take its pool for settled

Callers that resumed a stream got the rest of it from a server of another version, if the router that began it was cut off from all others just after servers of a new version had come, and these did not read the store then: nobody that could be asked knew of the version, and for 3 s all took the pool for settled on the one before. The router gave the first event out after 60 ms, whether or not anybody had the version.

That a pool is settled is a lease of 3 s, counted from the last reading of the servers. So an event of a version that joined less than 3 s ago goes to its caller only once another router has the version, or once these leases have ended; if the request ends first, it ends without an event, so that nothing can be resumed. Flush tells which streams a router has acknowledged later. For this to hold a lease counts from when the call of the reading began, not from when it arrived. Nothing changes for versions that joined longer ago, for settled pools and where a keeper acknowledges.

--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -278,8 +278,9 @@
 // fakeVersions is a StreamVersions in one process. It holds the versions of streams by attempt.
 type fakeVersions struct{ byAttempt sync.Map }
 
-func (v *fakeVersions) Record(_ context.Context, _, attempt, version string) {
+func (v *fakeVersions) Record(_ context.Context, _, attempt, version string) bool {
 	v.byAttempt.Store(attempt, version)
+	return true
 }
 
 func (v *fakeVersions) Find(_ context.Context, _, attempt string) (string, bool) {
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -73,7 +73,9 @@
 				return outcome{fate: masticway.FateRan, result: chooser.ResultNeutral, reason: errHoldNotCleared.Error()}
 			}
 			a.recordFirstPart()
-			a.beginStream(answer)
+			if err := a.beginStream(answer); err != nil {
+				return outcome{fate: masticway.FateRan, result: chooser.ResultNeutral, reason: err.Error()}
+			}
 		}
 		if isAtEnd && x.headWritten {
 			x.fate = masticway.FateRan
@@ -119,7 +121,9 @@
 		if ok && a.part.first == "" && x.hasGap(x.lastEvent, id) {
 			return &gapError{after: x.lastEvent, first: id}
 		}
-		a.beginStream(answer)
+		if err := a.beginStream(answer); err != nil {
+			return err
+		}
 		if _, err := x.w.Write(event); err != nil {
 			return fmt.Errorf("writing to the caller: %w", err)
 		}
@@ -142,15 +146,21 @@
 	return nil
 }
 
+// errVersionUnrecorded ends a stream whose version no other router had recorded before the attempt's context ended.
+var errVersionUnrecorded = errors.New("no other router has recorded the stream's software version in time")
+
 // beginStream writes the head of the caller's answer, unless that has been done.
-func (a *attempt) beginStream(answer *sender.Answer) {
+func (a *attempt) beginStream(answer *sender.Answer) error {
 	x := a.x
 	if x.headWritten {
-		return
+		return nil
+	}
+	if !x.bindStream(a.ctx, a.server) {
+		return errVersionUnrecorded
 	}
-	x.bindStream(a.ctx, a.server)
 	x.beginAnswer(answer)
 	x.w.WriteHeader(answer.Status)
+	return nil
 }
 
 // errHoldNotCleared ends an answer whose hold was not cleared before the attempt's context ended.
--- a/forwarder/versions.go
+++ b/forwarder/versions.go
@@ -44,13 +44,13 @@
 }
 
 // bindStream binds the continuation of the stream to the software version of the server that begins its answer, and makes it known to
-// other routers. It must be called before the first event is written.
-func (x *exchange) bindStream(ctx context.Context, s masticway.Server) {
+// other routers. It must be called before the first event is written, which must not be written if it returns false.
+func (x *exchange) bindStream(ctx context.Context, s masticway.Server) bool {
 	if x.q.route.RetryPolicy != masticway.RetryByResuming {
-		return
+		return true
 	}
 	x.streamVersion.CompareAndSwap(nil, &s.Version)
-	x.f.streamVersions.Record(ctx, x.q.pool.Name, x.q.streamAttempt(), s.Version)
+	return x.f.streamVersions.Record(ctx, x.q.pool.Name, x.q.streamAttempt(), s.Version)
 }
 
 // canContinueStream reports whether a server can continue the stream: it has the software version that began the stream, or no event
--- a/versioner/history.go
+++ b/versioner/history.go
@@ -38,6 +38,8 @@
 	// current holds the versions of the servers that may get new work, and lastSeen when a version ceased to be current.
 	current  map[string]bool
 	lastSeen map[string]time.Time
+	// joinedAt holds when the versions became current, the last time if several.
+	joinedAt map[string]time.Time
 	// movedAt is when requests were moved from this pool to another one, or from another one to this pool, by a change of the
 	// configuration. It is zero if they never were.
 	movedAt time.Time
@@ -60,39 +62,50 @@
 			p.movedAt = now
 		}
 		if p.lastSeen == nil {
-			p.lastSeen = map[string]time.Time{}
+			p.lastSeen, p.joinedAt = map[string]time.Time{}, map[string]time.Time{}
 		}
-		for version := range p.current {
+		before := p.current
+		for version := range before {
 			p.lastSeen[version] = now
 		}
 		p.current = map[string]bool{}
 		for _, s := range servers[pool] {
-			p.current[s.Version] = true
+			if p.current[s.Version] = true; !before[s.Version] {
+				p.joinedAt[s.Version] = now
+			}
 		}
 		pools[pool] = p
 	}
 	h.pools = pools
 }
 
-// RecordReading records that the servers were read. A reading that comes too late after the one before begins the history anew:
+// RecordReading records that the servers were read by a call that began at a time. A reading that comes too late after the one before begins the history anew:
 // versions may have come and gone meanwhile.
-func (h *History) RecordReading(now time.Time) {
-	if !h.isCurrent(now) {
+func (h *History) RecordReading(now, began time.Time) {
+	if h.readAt.IsZero() || now.Sub(h.readAt) > maxReadingAge {
 		h.since = now
 	}
 	h.readAt = now
-}
-
-// Confirm records that the servers were read by a call that began at a time.
-func (h *History) Confirm(began time.Time) {
 	if began.After(h.confirmedAt) {
 		h.confirmedAt = began
 	}
 }
 
-// isCurrent reports whether the servers were read lately.
+// isCurrent reports whether the servers were read lately, by a call that began lately: a reading may arrive late, and has no change that
+// came after its call.
 func (h *History) isCurrent(now time.Time) bool {
-	return !h.readAt.IsZero() && now.Sub(h.readAt) <= maxReadingAge
+	return !h.confirmedAt.IsZero() && now.Sub(h.confirmedAt) <= maxReadingAge
+}
+
+// KnownAt returns when every router has noticed that a version has joined a pool, or that requests were moved to it, or has ceased to
+// take any pool for settled because it does not read the servers.
+func (h *History) KnownAt(pool, version string) time.Time {
+	p := h.pools[pool]
+	changedAt := p.joinedAt[version]
+	if p.movedAt.After(changedAt) {
+		changedAt = p.movedAt
+	}
+	return changedAt.Add(maxReadingAge)
 }
 
 // Settled returns the only version that the servers of a pool have had for as long as a stream may be resumed. It returns false if
--- a/versioner/history_test.go
+++ b/versioner/history_test.go
@@ -70,7 +70,7 @@
 					h.Update(now, testDeployment, serversOf(changes[0].versions...))
 					changes = changes[1:]
 				}
-				h.RecordReading(now)
+				h.RecordReading(now, now)
 			}
 			version, ok := h.Settled(now, "p")
 			qt.Assert(t, ok, qt.Equals, tc.isSettled)
@@ -149,13 +149,13 @@
 func TestVersionsThatLeftAreRecordedAgainAfterReturnOfStore(t *testing.T) {
 	start := time.Unix(1_800_000_000, 0)
 	h := NewHistory()
-	h.RecordReading(start)
+	h.RecordReading(start, start)
 	h.Update(start, testDeployment, serversOf("v1", "v2"))
 	left := start.Add(2 * time.Second)
-	h.RecordReading(left)
+	h.RecordReading(left, left)
 	h.Update(left, testDeployment, serversOf("v1"))
 	now := left.Add(time.Second)
-	h.RecordReading(now)
+	h.RecordReading(now, now)
 	h.recorded = recordedPools{readAt: now, storeTime: time.Minute, pools: map[string]storedPool{"p": {version: 7, record: PoolRecord{Versions: map[string]int64{"v1": 0, "v2": 59_000}}}}}
 	qt.Assert(t, h.changedPools(now), qt.HasLen, 0)
 
--- a/versioner/notes.go
+++ b/versioner/notes.go
@@ -35,13 +35,15 @@
 	// ends holds the ends of the notes in their order. A stream that was recorded again has several, and counts has how many.
 	ends   []noteEnd
 	counts map[Stream]int
-	// unsent holds, by pool, the streams that were begun here and have not been recorded at other routers.
-	unsent map[string]map[string]bool
+	// unsent holds, by pool, the streams that were begun here and have not been recorded at other routers, and acknowledged those that
+	// another router has recorded.
+	unsent       map[string]map[string]bool
+	acknowledged map[Stream]bool
 }
 
 // NewNotes returns empty notes.
 func NewNotes() *Notes {
-	return &Notes{versions: map[Stream]string{}, counts: map[Stream]int{}, unsent: map[string]map[string]bool{}}
+	return &Notes{versions: map[Stream]string{}, counts: map[Stream]int{}, unsent: map[string]map[string]bool{}, acknowledged: map[Stream]bool{}}
 }
 
 // Record keeps the version of a stream. If the stream has another version already, that one stays.
@@ -71,6 +73,16 @@
 	n.unsent[s.Pool][s.Attempt] = true
 }
 
+// Acknowledge remembers that another router has got the version of a stream, if it is kept.
+func (n *Notes) Acknowledge(s Stream) {
+	if _, ok := n.versions[s]; ok {
+		n.acknowledged[s] = true
+	}
+}
+
+// IsAcknowledged reports whether another router has got the version of a stream.
+func (n *Notes) IsAcknowledged(s Stream) bool { return n.acknowledged[s] }
+
 // Pools returns the pools that have unsent versions.
 func (n *Notes) Pools() (pools []string) {
 	for pool := range n.unsent {
@@ -107,6 +119,7 @@
 		}
 		delete(n.counts, s)
 		delete(n.versions, s)
+		delete(n.acknowledged, s)
 		if unsent := n.unsent[s.Pool]; unsent != nil {
 			delete(unsent, s.Attempt)
 			if len(unsent) == 0 {
--- a/versioner/versioner.go
+++ b/versioner/versioner.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -110,20 +109,34 @@
 func (v *Versioner) RecordReading(began time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.history.RecordReading(v.Clock.Now())
-	v.history.Confirm(began)
+	v.history.RecordReading(v.Clock.Now(), began)
 }
 
-// Record records the version at which an attempt of a caller began a stream. It returns once another router has the version, or after
-// recordTimeout. While the pool is settled on the version, it is kept here only.
-func (v *Versioner) Record(ctx context.Context, pool, attempt, version string) {
+// Record records the version at which an attempt of a caller began a stream, and reports whether the stream may go to the caller. It
+// returns once another router has the version, or, if none acknowledges it within recordTimeout, once no other router can take the pool
+// for settled on a version that came before, or false if the context ends first. While the pool is settled on the version, it is kept
+// here only.
+func (v *Versioner) Record(ctx context.Context, pool, attempt, version string) bool {
 	r := Record{Stream: Stream{Pool: pool, Attempt: attempt}, Version: version}
 	if v.recordSettled(r) {
-		return
+		return true
 	}
 	keepers := v.keepers(attempt, keeperCount)
+	if len(keepers) == 0 {
+		return true
+	}
+	if v.deliver(ctx, keepers, r) {
+		v.Metrics.Add(metricRecorded, 1)
+		return true
+	}
+	v.reportUnrecorded(r, len(keepers))
+	return v.awaitKnown(ctx, r)
+}
+
+// deliver sends a version to its keepers and reports whether one of them acknowledged it within recordTimeout. The others have
+// deliveryTimeout. What none of them acknowledges by then is sent again by flush.
+func (v *Versioner) deliver(ctx context.Context, keepers []string, r Record) bool {
 	kept := make(chan bool, len(keepers))
-	var acknowledged atomic.Bool
 	background, cancel := context.WithTimeout(context.WithoutCancel(ctx), deliveryTimeout)
 	var deliveries sync.WaitGroup
 	for _, address := range keepers {
@@ -131,7 +144,7 @@
 		deliveries.Go(func() {
 			ok := v.Routers.Record(background, address, []Record{r}) == nil
 			if ok {
-				acknowledged.Store(true)
+				v.acknowledge([]Record{r})
 			}
 			kept <- ok
 		})
@@ -139,25 +152,37 @@
 	go func() {
 		deliveries.Wait()
 		cancel()
-		if !acknowledged.Load() {
-			v.keepUnsent([]Record{r})
-		}
+		v.keepUnsent([]Record{r})
 	}()
 	timeout := v.Clock.After(recordTimeout)
 	for range keepers {
 		select {
 		case ok := <-kept:
 			if ok {
-				v.Metrics.Add(metricRecorded, 1)
-				return
+				return true
 			}
 		case <-timeout:
-			v.reportUnrecorded(r, len(keepers))
-			return
+			return false
 		}
 	}
-	if len(keepers) > 0 {
-		v.reportUnrecorded(r, len(keepers))
+	return false
+}
+
+// awaitKnown waits until another router has acknowledged a version or none can take the pool for settled on an earlier one. It returns
+// false if the context ends first.
+func (v *Versioner) awaitKnown(ctx context.Context, r Record) bool {
+	for {
+		v.mu.Lock()
+		isKnown := v.notes.IsAcknowledged(r.Stream) || !v.Clock.Now().Before(v.history.KnownAt(r.Stream.Pool, r.Version))
+		v.mu.Unlock()
+		if isKnown {
+			return true
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-v.Clock.After(confirmInterval):
+		}
 	}
 }
 
@@ -212,25 +237,18 @@
 	ctx, cancel := context.WithTimeout(ctx, deliveryTimeout)
 	defer cancel()
 	var deliveries sync.WaitGroup
-	var mu sync.Mutex
-	kept := map[Stream]bool{}
 	for address, batch := range batches {
 		deliveries.Go(func() {
 			for part := range slices.Chunk(batch, maxBatch) {
 				v.Metrics.Add(metricMessages, 1)
-				if v.Routers.Record(ctx, address, part) != nil {
-					continue
-				}
-				mu.Lock()
-				for _, r := range part {
-					kept[r.Stream] = true
+				if v.Routers.Record(ctx, address, part) == nil {
+					v.acknowledge(part)
 				}
-				mu.Unlock()
 			}
 		})
 	}
 	deliveries.Wait()
-	v.keepUnsent(slices.DeleteFunc(records, func(r Record) bool { return kept[r.Stream] }))
+	v.keepUnsent(records)
 }
 
 // dueRecords returns the unsent versions of the pools that are not settled, if there are other routers. They are no longer unsent.
@@ -253,12 +271,23 @@
 	return records
 }
 
-// keepUnsent has flush send versions again that no keeper has acknowledged.
+// acknowledge records that a keeper has versions.
+func (v *Versioner) acknowledge(records []Record) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, r := range records {
+		v.notes.Acknowledge(r.Stream)
+	}
+}
+
+// keepUnsent has flush send those versions again that no keeper has acknowledged.
 func (v *Versioner) keepUnsent(records []Record) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	for _, r := range records {
-		v.notes.MarkUnsent(r.Stream)
+		if !v.notes.IsAcknowledged(r.Stream) {
+			v.notes.MarkUnsent(r.Stream)
+		}
 	}
 }
 
