Log for how long the first event of an unrecorded stream was held back

stream_unrecorded said only that no other router had acknowledged a version in time. It is now written once the event goes to its caller or the request ends, with held_ms and given.

--- a/versioner/versioner.go
+++ b/versioner/versioner.go
@@ -137,8 +137,10 @@
 		v.Metrics.Add(metricRecorded, 1)
 		return true
 	}
-	v.reportUnrecorded(r, len(keepers))
-	return v.awaitKnown(ctx, r)
+	began := v.Clock.Now()
+	ok := v.awaitKnown(ctx, r)
+	v.reportUnrecorded(r, len(keepers), v.Clock.Now().Sub(began), ok)
+	return ok
 }
 
 // deliver sends a version to its keepers and reports whether one of them acknowledged it within recordTimeout. The others have
@@ -299,10 +301,13 @@
 	}
 }
 
-func (v *Versioner) reportUnrecorded(r Record, keepers int) {
+// reportUnrecorded logs that no keeper acknowledged a version in time. isGiven is set if the stream goes to its caller, whose first event
+// was held back for a time.
+func (v *Versioner) reportUnrecorded(r Record, keepers int, held time.Duration, isGiven bool) {
 	v.Metrics.Add(metricUnrecorded, 1)
 	v.Log.WithFields(logrus.Fields{
 		"event": "stream_unrecorded", "attempt": r.Stream.Attempt, "pool": r.Stream.Pool, "version": r.Version, "keepers": keepers,
+		"held_ms": held.Milliseconds(), "given": isGiven,
 	}).Info("no other router has acknowledged the version of a stream in time")
 }
 
