Kill server and router processes in a test of the order of streams

No test ended a server by SIGKILL: the kernel of a killed process chooses how its connections end. Server and router processes are the test binary, started again; callers of HTTP/1.0 and 1.1 check every event, the framing and the end over all their tries.

--- a/starter/main_test.go
+++ b/starter/main_test.go
@@ -9,6 +9,12 @@
 )
 
 func TestMain(m *testing.M) {
+	if settings := os.Getenv(serverVariable); settings != "" {
+		serveUntilKilled(settings)
+	}
+	if settings := os.Getenv(routerVariable); settings != "" {
+		routeUntilTerminated(settings)
+	}
 	release, err := emulator.LockMachine()
 	if err != nil {
 		log.Fatal(err)
