Start no process while a test looks for a free port

Tests look for a port by listening on it; a process that is started by another test just then has a copy of the listener until it executes its program.

--- a/starter/gateway_test.go
+++ b/starter/gateway_test.go
@@ -12,6 +12,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -102,8 +103,7 @@
 func freeAddress(t *testing.T) string {
 	for range maxProcesses * portsPerProcess {
 		address := fmt.Sprintf("127.0.0.1:%d", lastPort.Add(1))
-		if l, err := net.Listen("tcp", address); err == nil {
-			l.Close()
+		if isFree(address) {
 			return address
 		}
 	}
@@ -111,6 +111,18 @@
 	return ""
 }
 
+// isFree reports whether nothing listens at an address. No process is started meanwhile: it would have a copy of the listener until it
+// executes its program, and the address would stay in use.
+func isFree(address string) bool {
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return false
+	}
+	return l.Close() == nil
+}
+
 // gateway starts a gateway with the default settings of the tests and waits until it is ready.
 func (p *testPlatform) gateway(instance string) *starter.GatewayDaemon {
 	return p.start(p.settings(instance))
