Count a reading that came through another router from when that router called the store

In a fleet whose servers' heartbeats cause much traffic, routers read the servers through a few of them. Such a reading is up to a second old, but counted from the call to the other router. So a pool stayed settled longer than a router waits that holds back the first event of a stream which no other router can know of, and a resumption that too few routers answer was confirmed by a reading that may lack servers that came before it: callers could get the rest of a stream from a server of another version.

A reading now has its age, which the reader counts from its own call to the store, since the store's answer may reach it late. Readers of earlier builds tell the time since that answer, which counts then. Whom a router asks, and whether a reader's data are recent enough, is decided as before.

TestSharedReadingCountsFromReadersReading: readings of 0.8 s counted as new before, as 0.8 s old now. TestReaderTellsWhenItsCallBegan is new. The tests of follower and sharer pass. Not run on a fleet that reads through other routers.

--- a/follower/mirror.go
+++ b/follower/mirror.go
@@ -46,7 +46,8 @@
 	// apply is called with the result of each read. If full is set, the reading holds all rows of the part. Otherwise it holds
 	// changes of all parts of the table.
 	apply func(full bool, reading masticway.RowReading)
-	// onRead, if set, is called after apply with the time at which the call began.
+	// onRead, if set, is called after apply with a time before which the store has no change that was not read: when the call began, or
+	// earlier if the reading came through another router.
 	onRead func(began time.Time)
 
 	// failing is set when a read with the usual timeout fails, until one succeeds.
@@ -155,7 +156,7 @@
 	}
 	m.apply(full, reading)
 	if m.onRead != nil {
-		m.onRead(began)
+		m.onRead(began.Add(-reading.Age))
 	}
 	m.version = max(m.version, reading.Version)
 	m.applied = m.version
--- a/rows.go
+++ b/rows.go
@@ -67,6 +67,8 @@
 	Version int64
 	// StoreTime is the reading of the store's monotonic clock when it answered.
 	StoreTime time.Duration `cbor:"At"`
+	// Age is how long before the call began the store may have answered, if the reading came through another router.
+	Age time.Duration `cbor:"-"`
 }
 
 // Bytes returns the total size of the tables, parts, keys and values of the rows.
--- a/sharer/ask.go
+++ b/sharer/ask.go
@@ -31,6 +31,15 @@
 	Age time.Duration `cbor:"3,keyasint"`
 	// Rate is the average traffic, in bytes per second, that watching the table in the store causes at the reader.
 	Rate float64 `cbor:"4,keyasint"`
+	// CallAge is the time since the call began by which the reader last read from the store. Readers of earlier builds do not tell it.
+	CallAge time.Duration `cbor:"5,keyasint,omitempty"`
+}
+
+// agedReading returns the reading with its age.
+func (r Reply) agedReading() masticway.RowReading {
+	reading := r.Reading
+	reading.Age = max(r.Age, r.CallAge)
+	return reading
 }
 
 // Status is the result of a request to a reader.
--- a/sharer/store.go
+++ b/sharer/store.go
@@ -93,11 +93,12 @@
 		return s.RowStore.Read(ctx, table, part)
 	}
 	if reply, ok := s.askReaders(ctx, t, Request{Table: table, Part: part, Whole: true}); ok {
-		return reply.Reading, nil
+		return reply.agedReading(), nil
 	}
+	began := s.deps.Clock.Now()
 	reading, err := s.RowStore.Read(ctx, table, part)
 	if err == nil {
-		t.recordReading(s.deps.Clock.Now(), true, reading)
+		t.recordReading(s.deps.Clock.Now(), began, true, reading)
 	}
 	return reading, err
 }
@@ -113,11 +114,12 @@
 		if reply.Status == StatusHistoryLost || req.MaxBytes > 0 && reply.Reading.Bytes() > req.MaxBytes {
 			return masticway.RowReading{}, &masticway.HistoryLostError{Table: req.Table, Since: req.Since, TooLarge: reply.Status != StatusHistoryLost}
 		}
-		return reply.Reading, nil
+		return reply.agedReading(), nil
 	}
+	began := s.deps.Clock.Now()
 	reading, err := s.RowStore.Watch(ctx, req)
 	if err == nil {
-		t.recordReading(s.deps.Clock.Now(), false, reading)
+		t.recordReading(s.deps.Clock.Now(), began, false, reading)
 	}
 	return reading, err
 }
@@ -180,7 +182,7 @@
 func (t *sharedTable) reply(now time.Time, req Request) (Reply, <-chan struct{}) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	reply := Reply{Status: StatusOK, Age: now.Sub(t.view.readAt), Rate: t.directRate.rate(now)}
+	reply := Reply{Status: StatusOK, Age: now.Sub(t.view.readAt), CallAge: now.Sub(t.view.calledAt), Rate: t.directRate.rate(now)}
 	switch {
 	case t.viaReaders || t.view.version == 0 || reply.Age > maxReaderAge:
 		reply.Status = StatusUnavailable
@@ -199,17 +201,17 @@
 	return reply, t.view.changed
 }
 
-// recordReading updates the view from a reading that this router has made of the store. whole is set if the reading contains all
-// rows.
-func (t *sharedTable) recordReading(now time.Time, whole bool, reading masticway.RowReading) {
+// recordReading updates the view from a reading that this router has made of the store by a call that began at a time. whole is set if
+// the reading contains all rows.
+func (t *sharedTable) recordReading(now, began time.Time, whole bool, reading masticway.RowReading) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if whole {
-		t.view.replace(now, reading)
+		t.view.replace(now, began, reading)
 		return
 	}
 	t.directRate.add(now, reading.Bytes())
-	t.view.update(now, reading)
+	t.view.update(now, began, reading)
 }
 
 // useDirect records that this router watches the table itself.
--- a/sharer/view.go
+++ b/sharer/view.go
@@ -27,6 +27,8 @@
 	// reading.
 	version int64
 	readAt  time.Time
+	// calledAt is when the call of the newest reading began. The view has all changes from before it.
+	calledAt time.Time
 	// changed is closed at each relevant change.
 	changed chan struct{}
 }
@@ -41,7 +43,7 @@
 }
 
 // replace applies a reading of all rows, unless the view has a newer version.
-func (v *view) replace(now time.Time, reading masticway.RowReading) {
+func (v *view) replace(now, began time.Time, reading masticway.RowReading) {
 	if reading.Version < v.version {
 		return
 	}
@@ -59,11 +61,11 @@
 			rows = append(rows, masticway.StoredRow{RowKey: key, Version: reading.Version, Deleted: true})
 		}
 	}
-	v.update(now, masticway.RowReading{Rows: rows, Version: reading.Version})
+	v.update(now, began, masticway.RowReading{Rows: rows, Version: reading.Version})
 }
 
 // update applies a reading of the changes since the view's version, unless the view has a newer version.
-func (v *view) update(now time.Time, reading masticway.RowReading) {
+func (v *view) update(now, began time.Time, reading masticway.RowReading) {
 	if reading.Version < v.version {
 		return
 	}
@@ -72,6 +74,9 @@
 		changed = v.apply(row) || changed
 	}
 	v.version, v.readAt = reading.Version, now
+	if began.After(v.calledAt) {
+		v.calledAt = began
+	}
 	if changed {
 		close(v.changed)
 		v.changed = make(chan struct{})
