Take no pool for settled without a recent reading of the configuration

Callers that resumed a stream after a change of their route got the rest of it from the pool before, if the router that began it was cut off and the others had not read the configuration since. That router holds back the first event until the others have ceased to take the pool for settled, which they only did for lack of readings of the servers, and never if no server reports a version.

A pool is now settled only while the configuration, too, was read by a call that began less than 3 s ago. Where it cannot, streams are recorded at other routers, as they were without readings of the servers. The price: pools without versions send these messages while the store is away, and their streams are then resumed by records only.

Checks that change: TestHistory and TestMessagesPerStream also read the configuration, as routers do; the first has three more cases.

--- a/versioner/doc.go
+++ b/versioner/doc.go
@@ -6,10 +6,10 @@
 // that they are resumed while it is away.
 //
 // While a pool is settled on one version, because its servers have had no other for longer than any stream lasts, nothing is sent: a
-// stream that no keeper knows was begun at that version. A router knows this only as long as it reads the servers' table. Once it no
-// longer does, or servers of another version come, it records the streams that it has begun since. The store has which versions each
-// pool has had, and when requests were last moved from or to it by the configuration, so that a router knows it soon after it has
-// started. A stream whose version cannot be told in either way is not resumed.
+// stream that no keeper knows was begun at that version. A router knows this only as long as it reads the servers' table and the
+// configuration. Once it no longer does, or servers of another version come, it records the streams that it has begun since. The store
+// has which versions each pool has had, and when requests were last moved from or to it by the configuration, so that a router knows it
+// soon after it has started. A stream whose version cannot be told in either way is not resumed.
 //
 // That a pool is settled is thus a lease of maxReadingAge. A router that cannot make a stream of a new version known to others holds
 // back its first event until these leases have ended.
--- a/versioner/history.go
+++ b/versioner/history.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	// maxReadingAge is how old the last reading of the servers may be for a pool to be settled.
+	// maxReadingAge is how old the last readings of the servers and the configuration may be for a pool to be settled.
 	maxReadingAge = 3 * time.Second
 	// defaultStreamLifetime is how long a stream may last on a route without a timeout.
 	defaultStreamLifetime = 30 * time.Second
@@ -124,7 +124,7 @@
 }
 
 // KnownAt returns when every router has noticed that a version has joined a pool, or that requests were moved to it, or has ceased to
-// take any pool for settled because it does not read the servers.
+// take any pool for settled because it does not read the servers, or the configuration.
 func (h *History) KnownAt(pool, version string) time.Time {
 	p := h.pools[pool]
 	changedAt := p.joinedAt[version]
@@ -138,9 +138,9 @@
 // there were several, or if this router does not read the servers now. If it has not read them for so long, it relies on the store's
 // record for the time before, and returns false if there is none. It need not read the servers for a pool whose servers all report no
 // version. A pool is not settled while a stream may be resumed that began before requests were moved from or to it, nor while this
-// router does not know whether they were.
+// router does not know whether they were, as it does not if it has not read the configuration lately.
 func (h *History) Settled(now time.Time, pool string) (version string, ok bool) {
-	if h.isMoved(now, pool) || !h.knowsMoves(now, pool) {
+	if h.isMoved(now, pool) || !h.knowsMoves(now, pool) || now.Sub(h.configuredAt) > maxReadingAge {
 		return "", false
 	}
 	return h.onlyVersion(now, pool)
--- a/versioner/history_test.go
+++ b/versioner/history_test.go
@@ -34,31 +34,36 @@
 		changes []change
 		// The servers are read every 0.5 s until the end, but not from gapFrom to gapTo.
 		until, gapFrom, gapTo int
+		// The configuration is read every 0.5 s until configuredTo, or until the end if it is zero.
+		configuredTo int
 		// isRecordRead is set if the store's record, which has nothing of the pool, was read at the start.
 		isRecordRead bool
 		// settled is the version on which the pool is settled then, if isSettled is set.
 		settled   string
 		isSettled bool
 	}{
-		"one version, just seen":           {changes: []change{{0, v1}}, until: 20},
-		"one version":                      {changes: []change{{0, v1}}, until: 25, settled: "v1", isSettled: true},
-		"another one has come":             {changes: []change{{0, v1}, {30, both}}, until: 31},
-		"another one came long ago":        {changes: []change{{0, v1}, {30, both}}, until: 90},
-		"the first one has just left":      {changes: []change{{0, v1}, {30, both}, {50, v2}}, until: 70},
-		"the first one left long ago":      {changes: []change{{0, v1}, {30, both}, {50, v2}}, until: 75, settled: "v2", isSettled: true},
-		"two since the start":              {changes: []change{{0, both}}, until: 60},
-		"all servers have left":            {changes: []change{{0, v1}, {30, nil}}, until: 35, settled: "v1", isSettled: true},
-		"a server of the version restarts": {changes: []change{{0, v1}, {30, nil}, {32, v1}}, until: 34, settled: "v1", isSettled: true},
-		"no readings now":                  {changes: []change{{0, v1}}, until: 40, gapFrom: 35, gapTo: 1000},
-		"readings after a gap":             {changes: []change{{0, v1}}, until: 50, gapFrom: 30, gapTo: 35},
-		"readings long after a gap":        {changes: []change{{0, v1}}, until: 60, gapFrom: 30, gapTo: 35, settled: "v1", isSettled: true},
-		"readings after a short gap":       {changes: []change{{0, v1}}, until: 35, gapFrom: 30, gapTo: 32, settled: "v1", isSettled: true},
-		"no versions, just started":        {changes: []change{{0, []string{"", ""}}}, until: 1},
-		"no versions, the record was read": {changes: []change{{0, []string{"", ""}}}, until: 1, isRecordRead: true, isSettled: true},
-		"no versions":                      {changes: []change{{0, []string{"", ""}}}, until: 25, isSettled: true},
-		"no versions, no readings now":     {changes: []change{{0, []string{"", ""}}}, until: 40, gapFrom: 35, gapTo: 1000, isSettled: true},
-		"some servers report no version":   {changes: []change{{0, []string{"", "v1"}}}, until: 60},
-		"no server":                        {until: 60},
+		"one version, just seen":                     {changes: []change{{0, v1}}, until: 20},
+		"one version":                                {changes: []change{{0, v1}}, until: 25, settled: "v1", isSettled: true},
+		"another one has come":                       {changes: []change{{0, v1}, {30, both}}, until: 31},
+		"another one came long ago":                  {changes: []change{{0, v1}, {30, both}}, until: 90},
+		"the first one has just left":                {changes: []change{{0, v1}, {30, both}, {50, v2}}, until: 70},
+		"the first one left long ago":                {changes: []change{{0, v1}, {30, both}, {50, v2}}, until: 75, settled: "v2", isSettled: true},
+		"two since the start":                        {changes: []change{{0, both}}, until: 60},
+		"all servers have left":                      {changes: []change{{0, v1}, {30, nil}}, until: 35, settled: "v1", isSettled: true},
+		"a server of the version restarts":           {changes: []change{{0, v1}, {30, nil}, {32, v1}}, until: 34, settled: "v1", isSettled: true},
+		"no readings now":                            {changes: []change{{0, v1}}, until: 40, gapFrom: 35, gapTo: 1000},
+		"readings after a gap":                       {changes: []change{{0, v1}}, until: 50, gapFrom: 30, gapTo: 35},
+		"readings long after a gap":                  {changes: []change{{0, v1}}, until: 60, gapFrom: 30, gapTo: 35, settled: "v1", isSettled: true},
+		"readings after a short gap":                 {changes: []change{{0, v1}}, until: 35, gapFrom: 30, gapTo: 32, settled: "v1", isSettled: true},
+		"no versions, just started":                  {changes: []change{{0, []string{"", ""}}}, until: 1},
+		"no versions, the record was read":           {changes: []change{{0, []string{"", ""}}}, until: 1, isRecordRead: true, isSettled: true},
+		"no versions":                                {changes: []change{{0, []string{"", ""}}}, until: 25, isSettled: true},
+		"no versions, no readings now":               {changes: []change{{0, []string{"", ""}}}, until: 40, gapFrom: 35, gapTo: 1000, isSettled: true},
+		"no versions, no configuration now":          {changes: []change{{0, []string{"", ""}}}, until: 40, configuredTo: 36},
+		"no versions, the configuration read lately": {changes: []change{{0, []string{"", ""}}}, until: 40, configuredTo: 37, isSettled: true},
+		"one version, no configuration now":          {changes: []change{{0, v1}}, until: 40, configuredTo: 36},
+		"some servers report no version":             {changes: []change{{0, []string{"", "v1"}}}, until: 60},
+		"no server":                                  {until: 60},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -71,6 +76,9 @@
 			}
 			for half := range 2*tc.until + 1 {
 				now = began.Add(time.Duration(half) * time.Second / 2)
+				if tc.configuredTo == 0 || half <= 2*tc.configuredTo {
+					h.RecordConfigurationReading(now)
+				}
 				if half >= 2*tc.gapFrom && half < 2*tc.gapTo {
 					continue
 				}
--- a/versioner/messages_test.go
+++ b/versioner/messages_test.go
@@ -70,6 +70,7 @@
 				v.Update(testDeployment, serversOf(tc.versions...))
 				for range 60 {
 					v.RecordReading(time.Now())
+					v.RecordConfigurationReading(time.Now())
 					time.Sleep(time.Second)
 				}
 				for i := range streams {
