--- a/forwarder/endless_test.go
+++ b/forwarder/endless_test.go
@@ -1,15 +1,24 @@
 package forwarder_test
 
 import (
+	"bufio"
+	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"net"
+	"net/http"
+	"runtime"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/masticway/masticway"
+	"github.com/masticway/masticway/forwarder"
 )
 
 // TestRequestBodiesWithoutEndAreGivenUp guards against callers that don't end the body of a request, with which a router waited, and
@@ -81,3 +90,80 @@
 		})
 	}
 }
+
+// TestLargeAnswersTogetherStayWithinMemory guards against answers whose buffers were allocated before they were counted, so that many
+// large ones at once took far more than a router may keep of unfinished answers.
+func TestLargeAnswersTogetherStayWithinMemory(t *testing.T) {
+	const (
+		answers = 4
+		maxTime = 20 * time.Second
+	)
+	cases := map[string]struct {
+		path, begin string
+		// buffer is the size of the buffer that each answer fills almost, before the last one needs a larger one.
+		buffer int
+		// memoryMB is the memory of the machine. A quarter of it has room for all buffers, even while one is copied into the last of
+		// them, but not for a buffer of twice the size.
+		memoryMB int64
+	}{
+		"whole answers": {path: "/never/x", buffer: 4 << 20, memoryMB: 84},
+		"events":        {path: "/stream/x", begin: "data: ", buffer: 512 << 10, memoryMB: 11},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			retries := forwarder.RetriesSettings{Ratio: 0.2, FixedRetries: 50, WindowSeconds: 10}
+			f := newFixtureWithSettings(t, 1, forwarder.Settings{MemoryMB: tc.memoryMB, Retries: retries})
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			qt.Assert(t, err, qt.IsNil)
+			defer l.Close()
+			f.setServers(f.poolOf(tc.path), []masticway.Server{{ID: "s", Address: l.Addr().String(), State: masticway.ServerReady}})
+			ctx, cancel := context.WithTimeout(t.Context(), maxTime)
+			var asking sync.WaitGroup
+			defer asking.Wait()
+			defer cancel()
+			text := bytes.Repeat([]byte("x"), tc.buffer*63/64)
+			ended := make(chan answer, answers)
+			var last net.Conn
+			for i := range answers {
+				before := allocatedBytes()
+				id := fmt.Sprintf("a%d", i)
+				asking.Go(func() { ended <- f.do(ctx, "POST", tc.path, "X-Attempt-Id", id, "X-Deadline-Ms", "20000") })
+				last = acceptRequest(t, l)
+				defer last.Close()
+				fmt.Fprintf(last, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Server-Signature: s\r\nContent-Length: 8000000\r\n\r\n%s", id, tc.begin)
+				_, err := last.Write(text)
+				qt.Assert(t, err, qt.IsNil)
+				// The buffers before the last one take as much together as the last one.
+				for allocatedBytes()-before < int64(tc.buffer)*3/2 {
+					qt.Assert(t, ctx.Err(), qt.IsNil)
+					time.Sleep(10 * time.Millisecond)
+				}
+				time.Sleep(100 * time.Millisecond)
+			}
+			qt.Assert(t, ended, qt.HasLen, 0)
+			before := allocatedBytes()
+			_, _ = last.Write(text)
+			got := <-ended
+			allocated := allocatedBytes() - before
+			qt.Check(t, got.status, qt.Equals, http.StatusBadGateway, qt.Commentf("%v", got.err))
+			qt.Check(t, allocated < int64(tc.buffer)/2, qt.IsTrue, qt.Commentf("%d bytes were allocated for an answer that was given up", allocated))
+		})
+	}
+}
+
+// allocatedBytes returns how many bytes this process has allocated.
+func allocatedBytes() int64 {
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.TotalAlloc)
+}
+
+// acceptRequest reads the request on the next connection, which must be closed by the caller.
+func acceptRequest(t *testing.T, l net.Listener) net.Conn {
+	c, err := l.Accept()
+	qt.Assert(t, err, qt.IsNil)
+	request, err := http.ReadRequest(bufio.NewReader(c))
+	qt.Assert(t, err, qt.IsNil)
+	_, _ = io.Copy(io.Discard, request.Body)
+	return c
+}
