Count answers before their buffers grow

A router took more memory than its bound for unfinished answers: a buffer was allocated first and counted afterwards, so that each answer could have one that was then refused, and while a buffer is copied, the old one wasn't counted. What append and slices.Grow allocate is also up to 2.4 times what was there. Now the account of an answer counts both buffers, allocates one of exactly the counted size, and refuses without allocating. Whole answers and events get no larger buffers than the largest ones need.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -8,7 +8,6 @@
 	"io"
 	"maps"
 	"net/http"
-	"slices"
 	"strconv"
 	"sync/atomic"
 	"syscall"
@@ -334,10 +333,12 @@
 	var body []byte
 	for {
 		if len(body) == cap(body) {
-			body = slices.Grow(body, max(minAnswerPiece, len(body)))
-		}
-		if !kept.set(int64(cap(body))) {
-			return nil, errAnswersTooLarge
+			// One byte more than allowed tells that the answer is too large.
+			grown, ok := kept.grow(body, min(max(minAnswerPiece, len(body)), maxAnswerBytes+1-len(body)))
+			if !ok {
+				return nil, errAnswersTooLarge
+			}
+			body = grown
 		}
 		n, err := answer.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
--- a/forwarder/memory.go
+++ b/forwarder/memory.go
@@ -33,12 +33,25 @@
 	bytes  int64
 }
 
-// set changes the number of bytes that are kept of the answer. It returns false if there is no room for so many.
-func (a *answerAccount) set(bytes int64) bool {
-	grows := bytes > a.bytes
+// grow returns the bytes with space for some more. The space is counted before it is allocated, and while the bytes are copied, they take
+// both buffers. grow returns false if there is no memory left for that.
+func (a *answerAccount) grow(b []byte, more int) ([]byte, bool) {
+	size := len(b) + more
+	if kept := a.set(int64(cap(b) + size)); kept > a.memory.limit && size > answerAllowance {
+		a.set(int64(cap(b)))
+		return b, false
+	}
+	grown := make([]byte, len(b), size)
+	copy(grown, b)
+	a.set(int64(size))
+	return grown, true
+}
+
+// set changes the number of bytes that are kept of the answer. It returns that of all answers.
+func (a *answerAccount) set(bytes int64) int64 {
 	kept := a.memory.kept.Add(bytes - a.bytes)
 	a.bytes = bytes
-	return !grows || bytes <= answerAllowance || kept <= a.memory.limit
+	return kept
 }
 
 // release records that nothing is kept of the answer any more.
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -32,6 +32,13 @@
 	buffer := make([]byte, 4<<10)
 	for {
 		n, err := answer.Read(buffer)
+		if len(pending)+n > cap(pending) {
+			grown, ok := kept.grow(pending, min(max(len(buffer), 2*cap(pending)-len(pending)), maxEventBytes+len(buffer)-len(pending)))
+			if !ok {
+				return a.streamFailure(errAnswersTooLarge, len(pending))
+			}
+			pending = grown
+		}
 		pending = append(pending, buffer[:n]...)
 		// The bytes before the new ones contain no more than the start of a delimiter.
 		seen := max(0, len(pending)-n-maxDelimiter+1)
@@ -81,9 +88,6 @@
 			x.fate = masticway.FateRan
 			return outcome{done: true, fate: masticway.FateRan, result: chooser.ResultSuccess}
 		}
-		if err == nil && !kept.set(int64(cap(pending))) {
-			err = errAnswersTooLarge
-		}
 		if err != nil || len(pending) > maxEventBytes {
 			return a.streamFailure(err, len(pending))
 		}
