Test that reservations without end are given up

No test guarded what a router reads of an engine that is asked to take over a stream. Nothing had to be mended: heads, chunk extensions and trailers are bounded, and 4 KB of the body are read.

--- a/forwarder/endless_test.go
+++ b/forwarder/endless_test.go
@@ -151,6 +151,75 @@
 	}
 }
 
+// TestReservationsWithoutEndAreGivenUp guards against an engine that is asked to take over a stream and answers with bytes without end,
+// all of which a router would read until the time for that is over.
+func TestReservationsWithoutEndAreGivenUp(t *testing.T) {
+	const (
+		chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+		// maxTaken is what fits into the sockets' buffers.
+		maxTaken = 24 << 20
+	)
+	cases := map[string]struct{ begin, repeated string }{
+		"status line":           {begin: "HTTP/1.1 200 ", repeated: "x"},
+		"headers":               {begin: "HTTP/1.1 200 OK\r\n", repeated: "X-A: b\r\n"},
+		"informational answers": {repeated: "HTTP/1.1 103 Early Hints\r\n\r\n"},
+		"chunk extension":       {begin: chunked + "1;", repeated: "x"},
+		"trailers":              {begin: chunked + "0\r\n", repeated: "X-A: b\r\n"},
+		"chunks":                {begin: chunked, repeated: "400\r\n" + strings.Repeat(" ", 1<<10) + "\r\n"},
+		"body":                  {begin: "HTTP/1.1 200 OK\r\n\r\n", repeated: " "},
+		"refusal's body":        {begin: "HTTP/1.1 503 Busy\r\n\r\n", repeated: " "},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFixtureWithReservations(t, 2)
+			var servers []masticway.Server
+			var asked, taken atomic.Int64
+			for i := range 2 {
+				l, err := net.Listen("tcp", "127.0.0.1:0")
+				qt.Assert(t, err, qt.IsNil)
+				defer l.Close()
+				servers = append(servers, masticway.Server{ID: fmt.Sprintf("s-%d", i), Pool: "llm", Address: l.Addr().String(), State: masticway.ServerReady})
+				go serveEndlessReservations(l, tc.begin, tc.repeated, &asked, &taken)
+			}
+			f.setServers("llm", servers)
+			got := f.do(t.Context(), "POST", "/resume/x", "X-Deadline-Ms", "1500")
+			qt.Check(t, got.status >= 500, qt.IsTrue, qt.Commentf("status %d: %v", got.status, got.err))
+			qt.Check(t, asked.Load() > 0, qt.IsTrue)
+			qt.Check(t, taken.Load() < maxTaken*asked.Load(), qt.IsTrue, qt.Commentf("%d bytes of %d answers were taken", taken.Load(), asked.Load()))
+		})
+	}
+}
+
+// serveEndlessReservations answers no stream, and each call for a reservation with a text that goes on with another one until the connection
+// is closed.
+func serveEndlessReservations(l net.Listener, begin, repeated string, asked, taken *atomic.Int64) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer c.Close()
+			request, err := http.ReadRequest(bufio.NewReader(c))
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, request.Body)
+			if strings.HasPrefix(request.URL.Path, "/resume/") {
+				_, _ = io.Copy(io.Discard, c)
+				return
+			}
+			asked.Add(1)
+			piece := []byte(strings.Repeat(repeated, 1+32<<10/len(repeated)))
+			for _, err = io.WriteString(c, begin); err == nil; {
+				var n int
+				n, err = c.Write(piece)
+				taken.Add(int64(n))
+			}
+		}()
+	}
+}
+
 // allocatedBytes returns how many bytes this process has allocated.
 func allocatedBytes() int64 {
 	var m runtime.MemStats
