--- a/linker/endless_test.go
+++ b/linker/endless_test.go
@@ -87,3 +87,47 @@
 		_, err = c.Write(piece)
 	}
 }
+
+// TestMessagesOfLinkWithoutEndAreGivenUp guards against a peer that doesn't end a message, all of which the other end of the link would keep.
+func TestMessagesOfLinkWithoutEndAreGivenUp(t *testing.T) {
+	const (
+		// maxTaken is the limit of a message, 16 MB, and what fits into the sockets' buffers.
+		maxTaken = 56 << 20
+		// maxWritten ends a case that would not end.
+		maxWritten = 256 << 20
+		isBinary   = "\x02"
+		// masked is the second byte of a frame with a length of eight bytes and a mask, noMask the mask that changes nothing.
+		masked = "\xff"
+		noMask = "\x00\x00\x00\x00"
+	)
+	text := strings.Repeat("x", 64<<10)
+	length := "\x00\x00\x00\x00\x00\x01\x00\x00"
+	cases := map[string]struct{ begin, repeated string }{
+		"one frame": {begin: isBinary + masked + "\x00\x00\x00\xff\x00\x00\x00\x00" + noMask, repeated: text},
+		"frames":    {begin: isBinary + masked + length + noMask + text, repeated: "\x00" + masked + length + noMask + text},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			address, _, _ := serve(t, "0123456789abcdef")
+			var raw net.Conn
+			d := dialer("0123456789abcdef")
+			dial := d.Dial
+			d.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+				var err error
+				raw, err = dial(ctx, network, address)
+				return raw, err
+			}
+			// The link isn't served, so that nothing else is written on its connection.
+			_, err := d.Connect(t.Context(), address)
+			qt.Assert(t, err, qt.IsNil)
+			defer raw.Close()
+			taken, err := io.WriteString(raw, tc.begin)
+			for piece := []byte(tc.repeated); err == nil && taken < maxWritten; {
+				var n int
+				n, err = raw.Write(piece)
+				taken += n
+			}
+			qt.Check(t, taken < maxTaken, qt.IsTrue, qt.Commentf("%d bytes were taken: %v", taken, err))
+		})
+	}
+}
