--- a/follower/follower.go
+++ b/follower/follower.go
@@ -82,8 +82,7 @@
 func (f *Follower) AddTable(t Table) { f.tables = append(f.tables, t) }
 
 // OnServersRead sets a function that is called after each reading of the servers, changed or not, with the time at which the call to the
-// store began, or an earlier time if another router made it.
-// A changed snapshot is published before. It must be called before Run.
+// store began, or an earlier time if another router made it. A changed snapshot is published before. It must be called before Run.
 func (f *Follower) OnServersRead(read func(began time.Time)) { f.onServersRead = read }
 
 // OnConfigurationRead is like OnServersRead for the configuration.
--- a/versioner/history.go
+++ b/versioner/history.go
@@ -23,11 +23,11 @@
 	// since is when the servers were first read in a row of readings without a gap of more than maxReadingAge, and readAt when they were
 	// read last. Until the first reading both are zero.
 	since, readAt time.Time
-	// confirmedAt is when the call of the newest reading began. What a reading has is not older than its call, however late it arrives.
-	confirmedAt time.Time
-	// configuredAt is when the call of the newest reading of the configuration began.
-	configuredAt time.Time
-	pools        map[string]poolHistory
+	// serversAsOf is when the call of the newest reading began. What a reading has is not older than its call, however late it arrives.
+	serversAsOf time.Time
+	// configurationAsOf is when the call of the newest reading of the configuration began.
+	configurationAsOf time.Time
+	pools             map[string]poolHistory
 	// deployment is the newest configuration, and deployedAt when this router got its first one.
 	deployment masticway.Deployment
 	deployedAt time.Time
@@ -93,34 +93,34 @@
 	h.pools = pools
 }
 
-// RecordReading records that the servers were read by a call that began at a time. A reading that comes too late after the one before begins the history anew:
-// versions may have come and gone meanwhile.
+// RecordReading records that the servers were read by a call that began at a time. A reading that comes too late after the one before
+// begins the history anew: versions may have come and gone meanwhile.
 func (h *History) RecordReading(now, began time.Time) {
 	if h.readAt.IsZero() || now.Sub(h.readAt) > maxReadingAge {
 		h.since = now
 	}
 	h.readAt = now
-	if began.After(h.confirmedAt) {
-		h.confirmedAt = began
+	if began.After(h.serversAsOf) {
+		h.serversAsOf = began
 	}
 }
 
 // RecordConfigurationReading records that the configuration was read by a call that began at a time.
 func (h *History) RecordConfigurationReading(began time.Time) {
-	if began.After(h.configuredAt) {
-		h.configuredAt = began
+	if began.After(h.configurationAsOf) {
+		h.configurationAsOf = began
 	}
 }
 
 // isConfirmed reports whether the configuration and the servers were read by calls that began no earlier than a time.
 func (h *History) isConfirmed(since time.Time) bool {
-	return !h.confirmedAt.Before(since) && !h.configuredAt.Before(since)
+	return !h.serversAsOf.Before(since) && !h.configurationAsOf.Before(since)
 }
 
 // isCurrent reports whether the servers were read lately, by a call that began lately: a reading may arrive late, and has no change that
 // came after its call.
 func (h *History) isCurrent(now time.Time) bool {
-	return !h.confirmedAt.IsZero() && now.Sub(h.confirmedAt) <= maxReadingAge
+	return !h.serversAsOf.IsZero() && now.Sub(h.serversAsOf) <= maxReadingAge
 }
 
 // KnownAt returns when every router has noticed that a version has joined a pool, or that requests were moved to it, or has ceased to
@@ -140,7 +140,7 @@
 // version. A pool is not settled while a stream may be resumed that began before requests were moved from or to it, nor while this
 // router does not know whether they were, as it does not if it has not read the configuration lately.
 func (h *History) Settled(now time.Time, pool string) (version string, ok bool) {
-	if h.isMoved(now, pool) || !h.knowsMoves(now, pool) || now.Sub(h.configuredAt) > maxReadingAge {
+	if h.isMoved(now, pool) || !h.knowsMoves(now, pool) || now.Sub(h.configurationAsOf) > maxReadingAge {
 		return "", false
 	}
 	return h.onlyVersion(now, pool)
