Test odd entries among the servers

Another writer's row with a start far in the future makes a router take what the live server writes afterwards for late rows of an earlier incarnation, so that it never sees it drain (TestStartInTheFutureHidesNoServer fails in all three cases).

--- a/follower/beliefs_test.go
+++ b/follower/beliefs_test.go
@@ -318,6 +318,32 @@
 	}
 }
 
+// TestStartInTheFutureHidesNoServer guards against a server that is no longer followed: another writer overwrites its row with a
+// start that is far in the future, after which the server's own rows must not count as late ones of an earlier incarnation.
+func TestStartInTheFutureHidesNoServer(t *testing.T) {
+	started := epoch.Add(-time.Minute)
+	for name, future := range map[string]time.Time{
+		"two days ahead": epoch.AddDate(0, 0, 2), "the year 5138": time.UnixMilli(99_999_999_999_999), "the year 9999": time.Date(9999, 1, 1, 0, 0, 0, 0, time.UTC),
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := follower.NewRegistry(decoder{})
+			apply := func(row masticway.StoredRow) (invalid int) {
+				_, regErrs := r.Update(epoch, []masticway.StoredRow{row})
+				return len(regErrs)
+			}
+			qt.Assert(t, apply(incarnationRow(1, started, masticway.ServerReady)), qt.Equals, 0)
+			qt.Check(t, apply(incarnationRow(2, future, masticway.ServerReady)), qt.Equals, 1)
+			qt.Check(t, apply(incarnationRow(3, started, masticway.ServerReady)), qt.Equals, 0)
+			qt.Check(t, r.Snapshot().Servers["p"], qt.HasLen, 1)
+			qt.Check(t, apply(incarnationRow(4, started, masticway.ServerDraining)), qt.Equals, 0)
+			qt.Check(t, r.Snapshot().Servers["p"], qt.HasLen, 0)
+		})
+	}
+	r := follower.NewRegistry(decoder{})
+	_, regErrs := r.Update(epoch, []masticway.StoredRow{incarnationRow(1, epoch.Add(time.Hour), masticway.ServerReady)})
+	qt.Check(t, regErrs, qt.HasLen, 0, qt.Commentf("the clocks of machines differ"))
+}
+
 // TestInvalidRegistrationIsReportedOnce puts a row of another writer among the registrations. It must be reported once per
 // version, however often the table is read, and must not affect the other rows.
 func TestInvalidRegistrationIsReportedOnce(t *testing.T) {
