--- a/follower/beliefs.go
+++ b/follower/beliefs.go
@@ -17,6 +17,8 @@
 	outageThreshold = 1900 * time.Millisecond
 	// recoveryGrace is the grace period: how long after an outage the registrations that expired during it may take to reappear.
 	recoveryGrace = 2 * time.Second
+	// maxClockSkew is the longest time by which the clock of a server's machine may be ahead of this router's.
+	maxClockSkew = 24 * time.Hour
 )
 
 // Snapshot is a router's view of its deployment at one moment. It is immutable.
@@ -198,6 +200,10 @@
 		return false, nil
 	}
 	s, err := r.decoder.Server(row.Key, row.Value)
+	if err == nil && s.StartedAt.After(now.Add(maxClockSkew)) {
+		// The server's own rows would seem to come from an earlier incarnation.
+		err = fmt.Errorf("server %s starts in the future, at %v", row.Key, s.StartedAt)
+	}
 	if err != nil {
 		// An invalid row registers no server, even if another writer has overwritten a valid registration with it.
 		r.invalid[row.Key] = row.Version
