Log how each voter voted on leaving the rotation

A router of a drowned zone asked ten times for a lease in vain, and the log told only the number of votes. The line names the voters that granted the lease, that had none left, that were overloaded themselves and that did not answer. Requests name their election: a lease that is given back late no longer ends one of a later election.

--- a/rotator/absence.go
+++ b/rotator/absence.go
@@ -10,6 +10,8 @@
 	// span is the planned duration of the current or last absence, and endedAt is when the last one ended.
 	span    time.Duration
 	endedAt time.Time
+	// election identifies the election that allowed the current or last absence.
+	election uint64
 	// pending delivers the result of the current election. It is nil if there is none.
 	pending chan election
 	// retryAt is the earliest time of the next election after the last lost one.
@@ -25,8 +27,9 @@
 	return min(maxOutTime, 2*s.span)
 }
 
-func (s *absence) start(now time.Time, span time.Duration) {
-	s.out, s.span, s.until = true, span, now.Add(span)
+// start begins the absence for which an election was won.
+func (s *absence) start(e election) {
+	s.out, s.span, s.until, s.election = true, e.span, e.began.Add(e.span), e.id
 }
 
 func (s *absence) end(now time.Time) { s.out, s.endedAt = false, now }
--- a/rotator/rotator.go
+++ b/rotator/rotator.go
@@ -94,7 +94,7 @@
 
 // New returns a rotator for a router that is in rotation.
 func New(s Settings, p Dependencies) *Rotator {
-	return &Rotator{settings: s, deps: p, load: NewLoad(), admission: admission{maxHeldBytes: int64(bodyMemoryShare * float64(s.Memory))}}
+	return &Rotator{settings: s, deps: p, load: NewLoad(), granted: grantedLeases{}, admission: admission{maxHeldBytes: int64(bodyMemoryShare * float64(s.Memory))}}
 }
 
 // IsOut reports whether the router is out of rotation.
@@ -270,18 +270,15 @@
 	}
 	r.absence.pending = nil
 	now := r.deps.Clock.Now()
-	line := r.deps.Log.WithFields(logrus.Fields{
-		"event": "rotation", "routers": e.routers, "voters": e.voters, "votes": e.votes, "for_ms": e.span.Milliseconds(),
-		"took_ms": now.Sub(e.began).Milliseconds(),
-	})
+	line := r.deps.Log.WithFields(e.fields()).WithField("took_ms", now.Sub(e.began).Milliseconds())
+	r.returnLeases(ctx, e.unneeded(), e.id)
 	if !e.isWon() {
-		r.returnLease(ctx)
 		// A random delay keeps routers that asked at the same time from splitting the votes again.
 		r.absence.retryAt = now.Add(leaseRetryInterval + rand.N(leaseRetryInterval))
 		line.Info("cannot get a lease to leave the rotation")
 		return
 	}
-	r.absence.start(e.began, e.span)
+	r.absence.start(e)
 	r.out.Store(true)
 	r.deps.Metrics.Gauge(metricOut, 1)
 	line.Warn("leaving the rotation")
@@ -294,12 +291,5 @@
 	r.out.Store(false)
 	r.deps.Metrics.Gauge(metricOut, 0)
 	r.deps.Log.WithFields(logrus.Fields{"event": "rotation"}).Warn("back in rotation")
-	r.returnLease(ctx)
-}
-
-// returnLease starts a goroutine that gives this router's lease back to the voters.
-func (r *Rotator) returnLease(ctx context.Context) {
-	r.wg.Go(func() {
-		r.collectVotes(ctx, selectVoters(r.settings.Zone, r.zoneRouters()), LeaseRequest{Instance: r.settings.Instance})
-	})
+	r.returnLeases(ctx, selectVoters(r.settings.Zone, r.zoneRouters()), r.absence.election)
 }
--- a/rotator/rotator_test.go
+++ b/rotator/rotator_test.go
@@ -107,17 +107,17 @@
 }
 
 // Ask sends a lease request to a voter.
-func (z *simZone) Ask(_ context.Context, address string, req rotator.LeaseRequest) (bool, error) {
+func (z *simZone) Ask(_ context.Context, address string, req rotator.LeaseRequest) (rotator.LeaseReply, error) {
 	time.Sleep(usualCallTime)
 	if z.isCut {
-		return false, errCut
+		return rotator.LeaseReply{}, errCut
 	}
 	for _, m := range z.routers {
 		if m.name == address {
 			return m.rotator.Vote(req), nil
 		}
 	}
-	return false, errCut
+	return rotator.LeaseReply{}, errCut
 }
 
 func newZone(ctx context.Context, routers int) *simZone {
--- a/rotator/votes.go
+++ b/rotator/votes.go
@@ -37,23 +37,28 @@
 	return (maxOut*majority + majority - 1) / voters
 }
 
-// grantedLeases holds the leases that one voter has granted, and when they expire.
-type grantedLeases struct {
-	expiry map[string]time.Time
+// grantedLeases holds the leases that one voter has granted, by the instance that holds the lease.
+type grantedLeases map[string]lease
+
+// lease is a lease that a voter has granted: for which election, and when it expires.
+type lease struct {
+	election uint64
+	expiry   time.Time
 }
 
 // grant grants or renews an instance's lease. It returns false if other instances hold all of the maxLeases leases.
-func (v *grantedLeases) grant(now time.Time, instance string, span time.Duration, maxLeases int) bool {
-	maps.DeleteFunc(v.expiry, func(_ string, until time.Time) bool { return !now.Before(until) })
-	if _, renewal := v.expiry[instance]; !renewal && len(v.expiry) >= maxLeases {
+func (g grantedLeases) grant(now time.Time, req LeaseRequest, maxLeases int) bool {
+	maps.DeleteFunc(g, func(_ string, l lease) bool { return !now.Before(l.expiry) })
+	if _, renewal := g[req.Instance]; !renewal && len(g) >= maxLeases {
 		return false
 	}
-	if v.expiry == nil {
-		v.expiry = map[string]time.Time{}
-	}
-	v.expiry[instance] = now.Add(span)
+	g[req.Instance] = lease{election: req.Election, expiry: now.Add(req.Duration)}
 	return true
 }
 
-// revoke ends an instance's lease.
-func (v *grantedLeases) revoke(instance string) { delete(v.expiry, instance) }
+// revoke ends an instance's lease of an election.
+func (g grantedLeases) revoke(instance string, election uint64) {
+	if g[instance].election == election {
+		delete(g, instance)
+	}
+}
