Test that half of a zone's routers may leave the rotation one after the other

Fails in zones of five to nine and of twelve routers: the next router gets too few votes, because the winners before it hold a lease of every voter, or because the voters' leases do not add up to enough.

--- a/rotator/rotator_test.go
+++ b/rotator/rotator_test.go
@@ -352,6 +352,29 @@
 	}
 }
 
+// TestHalfOfAZoneMayLeave guards against leases that a winner does not need but keeps: routers that become overloaded one after
+// the other must all be able to leave, as long as at least half of the zone stays in rotation.
+func TestHalfOfAZoneMayLeave(t *testing.T) {
+	for _, routers := range []int{3, 4, 5, 6, 7, 8, 9, 12} {
+		t.Run(fmt.Sprint(routers), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, stop := context.WithCancel(t.Context())
+				z := newZone(ctx, routers)
+				z.advance(2 * time.Second)
+				maxOut := (routers - 1) / 2
+				for i := range maxOut + 1 {
+					z.addCallers(i, 260)
+					z.advance(3 * time.Second)
+					z.callerGroups = nil
+					qt.Check(t, z.routers[i].rotator.IsOut(), qt.Equals, i < maxOut, qt.Commentf("router %d of %d", i+1, routers))
+				}
+				qt.Check(t, z.minReady, qt.Equals, routers-maxOut)
+				z.close(stop)
+			})
+		})
+	}
+}
+
 // TestRouterRejoinsAfterOverload removes the callers of an overloaded router. Its listener must resume at once, it must return to
 // the rotation when its lease ends, and the next overload must keep it out for longer only if it begins soon.
 func TestRouterRejoinsAfterOverload(t *testing.T) {
