Give back the leases that a winner does not need

Cause: a winner held a lease of every voter that its request reached, not of a majority, so two winners could hold all of them; and rounding down the leases of each voter lost up to a majority of them in zones of nine routers and more. The winner keeps a majority, of the voters that can still grant most, and gives the others back. The voters' leases add up to what the number of absent routers needs, and to less than one router more would. Half of the zone always stays: any set of majorities for one router more needs more leases than there are.

--- a/rotator/ballot.go
+++ b/rotator/ballot.go
@@ -1,6 +1,7 @@
 package rotator
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net/http"
@@ -66,7 +67,13 @@
 // router is overloaded, because the other router's callers would come to this one.
 func (r *Rotator) Vote(req LeaseRequest) LeaseReply {
 	all := r.zoneRouters()
-	maxLeases := leasesPerVoter(len(all), min(maxVoters, len(all)))
+	zoneVoters := selectVoters(r.settings.Zone, all)
+	rank := slices.IndexFunc(zoneVoters, func(n Neighbour) bool { return n.Instance == r.settings.Instance })
+	if rank < 0 {
+		// The other router knows fewer routers of the zone.
+		rank = len(zoneVoters)
+	}
+	maxLeases := voterLeases(len(all), len(zoneVoters), rank)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	switch {
@@ -116,13 +123,20 @@
 func (e election) isWon() bool { return len(e.granted()) >= e.majority() }
 
 // unneeded returns the voters that may have granted a lease which the router does not need: all of them if the election is lost.
+// The winner keeps the leases of the voters that can still grant most, because other routers need leases from a majority as well.
 func (e election) unneeded() []Neighbour {
+	granted := e.granted()
+	slices.SortStableFunc(granted, func(x, y vote) int { return cmp.Compare(y.reply.Remaining, x.reply.Remaining) })
+	kept := 0
 	if e.isWon() {
-		return nil
+		kept = e.majority()
 	}
 	var voters []Neighbour
+	for _, v := range granted[kept:] {
+		voters = append(voters, v.voter)
+	}
 	for _, v := range e.votes {
-		if v.reply.Granted || v.err != nil {
+		if v.err != nil {
 			voters = append(voters, v.voter)
 		}
 	}
@@ -166,8 +180,9 @@
 	for v := range r.askVoters(ctx, zoneVoters, req) {
 		e.votes = append(e.votes, v)
 		if v.reply.Granted && len(e.granted()) == e.majority() {
-			// The canceled requests may still reach voters, which then grant leases that expire.
-			cancel()
+			// The other votes no longer matter, but a winner that knows them can choose whose leases it keeps.
+			timer := time.AfterFunc(surplusTimeout, cancel)
+			defer timer.Stop()
 		}
 	}
 	return e
--- a/rotator/rotator.go
+++ b/rotator/rotator.go
@@ -25,6 +25,8 @@
 	maxOutTime = 160 * time.Second
 	// leaseTimeout is the timeout of an election. It is long enough for a saturated link.
 	leaseTimeout = 3 * time.Second
+	// surplusTimeout is how long a router waits for the other votes of an election that it has won.
+	surplusTimeout = 50 * time.Millisecond
 	// leaseRetryInterval is the minimum time from a lost election to the next. A random time of up to the same length is added.
 	leaseRetryInterval = 500 * time.Millisecond
 	// maxPauseWithoutLease is how long after the start of an overload the listener may be paused while the router has no lease.
--- a/rotator/votes.go
+++ b/rotator/votes.go
@@ -27,14 +27,19 @@
 	return sorted[:min(maxVoters, len(sorted))]
 }
 
-// leasesPerVoter returns how many leases each voter may grant in a zone with the given number of routers. At least half of the
-// routers must stay in rotation, because with fewer the load balancer would use all of them. A router that is out of rotation has
-// leases from a majority of the voters. So the maximum number of routers that are out is the number of leases that all voters
-// together may grant, divided by the majority.
-func leasesPerVoter(routers, voters int) int {
+// voterLeases returns how many leases the voter with the given rank may grant in a zone with the given number of routers. At least
+// half of the routers must stay in rotation, because with fewer the load balancer would use all of them. A router that is out of
+// rotation has leases from a majority of the voters. So the maximum number of routers that are out is the number of leases that
+// all voters together may grant, divided by the majority.
+func voterLeases(routers, voters, rank int) int {
 	majority := voters/2 + 1
 	maxOut := (routers - 1) / 2
-	return (maxOut*majority + majority - 1) / voters
+	all := maxOut*majority + majority - 1
+	leases := all / voters
+	if rank < all%voters {
+		leases++
+	}
+	return leases
 }
 
 // grantedLeases holds the leases that one voter has granted, by the instance that holds the lease.
