Accept connections at the rate that an overloaded router carries

Cause: congestion collapse. A request takes the link before it can be refused. After 1.5 s of overload without a lease the listener stayed open; the link filled, the router's own calls queued behind bodies of requests to be refused and were given up after 240 ms, so that the few admitted requests failed as well, and the limit on unanswered requests shrank to 4 and stayed there. The valve counts connections as they are accepted, and pauses the listener for hundredths of a second. While own calls are delayed, the rate is 0.9 to 0.4 of the requests read during the last second, which is the capacity of a full link whatever arrives; without delay it grows, slowly beyond the last known capacity. Needs no lease, as no router refuses all. A router that refuses counts as overloaded, since its calls are only fast because it does.

--- a/diverter/callers_test.go
+++ b/diverter/callers_test.go
@@ -108,6 +108,7 @@
 			continue
 		}
 		if !m.down.Load() && !m.paused.Load() {
+			m.rotator.MarkConnection()
 			return m
 		}
 		if tries++; tries > 1 {
@@ -127,7 +128,8 @@
 		if c.conn != nil && c.conn.down.Load() {
 			c.conn = nil
 		}
-		if c.conn == nil {
+		kept := c.conn != nil
+		if !kept {
 			c.conn = w.connect(c, refused)
 		}
 		m := c.conn
@@ -138,6 +140,7 @@
 			// The answer closes the connection.
 			c.conn = nil
 		}
+		m.rotator.MarkRequest(kept)
 		if m.diverter.Admit(0, 1000) {
 			m.queue = append(m.queue, queued{at: now, from: c})
 			return
--- a/diverter/world_test.go
+++ b/diverter/world_test.go
@@ -261,8 +261,8 @@
 }
 
 // Ask implements rotator.Voters; Report and Divert implement diverter.Messages.
-func (m *simRouter) Ask(ctx context.Context, address string, req rotator.LeaseRequest) (bool, error) {
-	return call(ctx, m, address, func(o *simRouter) bool { return o.rotator.Vote(req) })
+func (m *simRouter) Ask(ctx context.Context, address string, req rotator.LeaseRequest) (rotator.LeaseReply, error) {
+	return call(ctx, m, address, func(o *simRouter) rotator.LeaseReply { return o.rotator.Vote(req) })
 }
 
 func (m *simRouter) Report(ctx context.Context, address string, r diverter.Report) (diverter.Reply, error) {
--- a/rotator/admission.go
+++ b/rotator/admission.go
@@ -1,15 +1,13 @@
 package rotator
 
-import "math"
+import (
+	"math"
+	"time"
+)
 
 const (
-	// While the router is overloaded, each check multiplies the limit on unanswered requests by shrinkFactor if it finds the
-	// router's own calls delayed, or else by growFactor. The limit halves within 0.7 s and doubles within 1.5 s.
-	shrinkFactor = 0.9
-	growFactor   = 1.05
-	// minLimit is the minimum limit on unanswered requests. Some requests must be admitted to find out how much the router can
-	// handle.
-	minLimit = 4
+	// maxUnansweredTime is the time within which an overloaded router must be able to carry all unanswered requests.
+	maxUnansweredTime = 500 * time.Millisecond
 	// rankShare is the share of the limit that is withheld from a request for each rank below the most urgent. largeShare is the
 	// share that is withheld from requests that are larger than the average. It lets many small requests be served instead of a
 	// few large ones.
@@ -62,17 +60,5 @@
 func (a *admission) markAnswered()       { a.unanswered-- }
 func (a *admission) release(bytes int64) { a.heldBytes -= max(0, bytes) }
 
-// adjust updates the limit on unanswered requests, and must be called at each check of the load. It removes the limit if the
-// router is not overloaded. delayed is set if the router's own calls are currently delayed.
-func (a *admission) adjust(overloaded, delayed bool) {
-	switch {
-	case !overloaded:
-		a.limit = 0
-	case a.limit == 0:
-		a.limit = math.Max(minLimit, float64(a.unanswered)/2)
-	case delayed:
-		a.limit = math.Max(minLimit, a.limit*shrinkFactor)
-	default:
-		a.limit *= growFactor
-	}
-}
+// setLimit sets the limit on unanswered requests of a router that can carry rate requests per second. Zero removes the limit.
+func (a *admission) setLimit(rate float64) { a.limit = rate * maxUnansweredTime.Seconds() }
--- a/rotator/doc.go
+++ b/rotator/doc.go
@@ -19,12 +19,16 @@
 // overloaded router reaches late, or not at all in a network partition. Because
 // any two majorities share a voter, at least half of the zone's routers always
 // stay in rotation; below that, a load balancer would send traffic to all of them
-// again. A router that becomes overloaded again soon after its return stays out
+// again. A winner gives the leases that it does not need back, because other
+// routers need them. A router that becomes overloaded again soon after its return stays out
 // for longer the next time.
 //
-// While a router is overloaded, Rotator also limits the number of requests
-// without an answer, and pauses the listener for a time. Load, grantedLeases,
-// admission and absence make the decisions. They use neither a clock nor the
+// A request takes capacity of the link even if it is then refused. So while a
+// router is overloaded, the valve pauses the listener for short times, such that
+// connections are accepted at the rate at which the router can carry their
+// requests. The load balancer sends the other callers to other routers. Rotator
+// also limits the number of requests without an answer. Load, valve, admission,
+// grantedLeases and absence make the decisions. They use neither a clock nor the
 // network: Rotator passes them the time, and exchanges messages with the other
 // routers.
 package rotator
--- a/rotator/load.go
+++ b/rotator/load.go
@@ -1,6 +1,10 @@
 package rotator
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 const (
 	// overloadDelay is the excess over the baseline at which a kind of call counts as delayed. With a longer delay, another
@@ -62,14 +66,14 @@
 	return all
 }
 
-// Update updates the load from the recent calls and reports whether the router is overloaded. The caller must call it several
-// times per second.
-func (l *Load) Update(now time.Time) bool {
+// Update updates the load from the recent calls and reports whether the router is overloaded. A router that refuses connections
+// remains overloaded, because its calls are only fast as long as it does. The caller must call Update several times per second.
+func (l *Load) Update(now time.Time, refuses bool) bool {
 	threshold, minDuration := overloadDelay, overloadAfter
 	if l.overloaded {
 		threshold, minDuration = recoveryDelay, recoveryAfter
 	}
-	if l.isDelayedBy(now, threshold) == l.overloaded {
+	if (l.Delay(now) >= threshold || l.overloaded && refuses) == l.overloaded {
 		l.changingSince = time.Time{}
 		return l.overloaded
 	}
@@ -82,15 +86,11 @@
 	return l.overloaded
 }
 
-// IsDelayed reports whether at least minDelayedKinds kinds of the router's own calls are currently delayed.
-func (l *Load) IsDelayed(now time.Time) bool { return l.isDelayedBy(now, overloadDelay) }
-
-func (l *Load) isDelayedBy(now time.Time, threshold time.Duration) bool {
-	delayed := 0
-	for _, d := range l.Delays(now) {
-		if d >= threshold {
-			delayed++
-		}
+// Delay returns by how much at least minDelayedKinds kinds of the router's own calls are currently delayed.
+func (l *Load) Delay(now time.Time) time.Duration {
+	delays := slices.Sorted(maps.Values(l.Delays(now)))
+	if len(delays) < minDelayedKinds {
+		return 0
 	}
-	return delayed >= minDelayedKinds
+	return delays[len(delays)-minDelayedKinds]
 }
--- a/rotator/pressure_test.go
+++ b/rotator/pressure_test.go
@@ -23,14 +23,8 @@
 		qt.Assert(t, paused, qt.Equals, time.Duration(0))
 
 		z.addCallers(0, 400)
-		var pausedFor time.Duration
-		for range 300 {
-			wasPaused := z.routers[0].isPaused()
-			z.advance(step)
-			if wasPaused {
-				pausedFor += step
-			}
-		}
+		z.advance(3 * time.Second)
+		pausedFor := z.routers[0].totalPause()
 		overloaded, _, paused = r.Pressure()
 		qt.Assert(t, overloaded, qt.IsTrue)
 		qt.Assert(t, pausedFor > 500*time.Millisecond, qt.IsTrue)
--- a/rotator/rotator.go
+++ b/rotator/rotator.go
@@ -29,8 +29,8 @@
 	surplusTimeout = 50 * time.Millisecond
 	// leaseRetryInterval is the minimum time from a lost election to the next. A random time of up to the same length is added.
 	leaseRetryInterval = 500 * time.Millisecond
-	// maxPauseWithoutLease is how long after the start of an overload the listener may be paused while the router has no lease.
-	maxPauseWithoutLease = 1500 * time.Millisecond
+	// loadLogInterval is the interval at which an overloaded router logs its load.
+	loadLogInterval = time.Second
 )
 
 // Names of metrics.
@@ -82,21 +82,26 @@
 	load      *Load
 	granted   grantedLeases
 	admission admission
+	valve     valve
 	// pausedSince is since when the listener has been paused; it is zero while it is not. pausedTime is the total time of the
 	// earlier pauses.
 	pausedSince time.Time
 	pausedTime  time.Duration
 
-	// absence, paused and stateSince belong to the goroutine of Run. stateSince is when the router became, or ceased to be,
-	// overloaded.
-	absence    absence
-	paused     bool
-	stateSince time.Time
+	// spent wakes Run when the valve has no tokens left.
+	spent chan struct{}
+
+	// The fields below belong to the goroutine of Run. refuses is set if the listener was paused since the last check, and
+	// loadLoggedAt is when the load was last logged.
+	absence      absence
+	paused       bool
+	refuses      bool
+	loadLoggedAt time.Time
 }
 
 // New returns a rotator for a router that is in rotation.
 func New(s Settings, p Dependencies) *Rotator {
-	return &Rotator{settings: s, deps: p, load: NewLoad(), granted: grantedLeases{}, admission: admission{maxHeldBytes: int64(bodyMemoryShare * float64(s.Memory))}}
+	return &Rotator{settings: s, deps: p, spent: make(chan struct{}, 1), load: NewLoad(), granted: grantedLeases{}, admission: admission{maxHeldBytes: int64(bodyMemoryShare * float64(s.Memory))}}
 }
 
 // IsOut reports whether the router is out of rotation.
@@ -117,6 +122,35 @@
 	return r.load.overloaded, r.admission.unanswered, paused
 }
 
+// MarkConnection records that a caller's connection was accepted, on which a request is about to arrive. While the router is
+// overloaded, it pauses the listener when more arrive than the router can carry.
+func (r *Rotator) MarkConnection() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.takeToken()
+}
+
+// MarkRequest records that the first byte of a request was read. kept is set if the connection had carried a request before.
+func (r *Rotator) MarkRequest(kept bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.valve.read()
+	if kept {
+		r.takeToken()
+	}
+}
+
+// takeToken takes a token of the valve, and wakes Run if the listener must be paused. The caller must hold r.mu.
+func (r *Rotator) takeToken() {
+	if !r.valve.arrive() {
+		return
+	}
+	select {
+	case r.spent <- struct{}{}:
+	default:
+	}
+}
+
 // Admit admits and counts a request. It returns false if the request must be refused because the router is overloaded or because
 // the request does not fit into memory. The caller must call MarkAnswered and Release once for each admitted request. rank is
 // zero for the most urgent requests.
@@ -163,38 +197,52 @@
 // Run controls the rotation, the listener and the limit on unanswered requests until the context ends.
 func (r *Rotator) Run(ctx context.Context) {
 	wasOverloaded := false
+	nextCheck := r.deps.Clock.Now()
 	for ctx.Err() == nil {
-		overloaded, delayed := r.measure()
-		if overloaded != wasOverloaded {
-			r.stateSince = r.deps.Clock.Now()
-			r.logOverload(overloaded)
-			wasOverloaded = overloaded
+		now := r.deps.Clock.Now()
+		if !now.Before(nextCheck) {
+			overloaded := r.measure(now)
+			if overloaded != wasOverloaded {
+				r.logOverload(overloaded)
+				wasOverloaded = overloaded
+			}
+			if overloaded && now.Sub(r.loadLoggedAt) >= loadLogInterval {
+				r.loadLoggedAt = now
+				r.logLoad()
+			}
+			r.updateRotation(ctx, overloaded)
+			nextCheck = now.Add(checkInterval)
 		}
-		r.updateListener(overloaded && delayed)
-		r.updateRotation(ctx, overloaded)
+		wait := r.updateListener(now)
 		select {
 		case <-ctx.Done():
-		case <-r.deps.Clock.After(checkInterval):
+		case <-r.spent:
+		case <-r.deps.Clock.After(min(wait, nextCheck.Sub(now))):
 		}
 	}
 	r.wg.Wait()
 }
 
-// updateListener pauses the listener while overloaded is set, that is, while more traffic arrives than the router can handle. If
-// the router is not out of rotation, it resumes the listener at the latest maxPauseWithoutLease after the start of the overload.
-// Otherwise all routers of the zone could remain paused, and callers would not even receive a refusal with a time to retry.
-func (r *Rotator) updateListener(overloaded bool) {
-	pause := overloaded && (r.absence.out || r.deps.Clock.Now().Sub(r.stateSince) < maxPauseWithoutLease)
+// updateListener pauses or resumes the listener as the valve requires. It returns how long the listener needs no change, unless
+// requests come.
+func (r *Rotator) updateListener(now time.Time) (wait time.Duration) {
+	r.mu.Lock()
+	open, wait := r.valve.refill(now, r.paused)
+	r.mu.Unlock()
+	if open {
+		wait = checkInterval
+	}
 	switch {
-	case pause && !r.paused:
+	case !open && !r.paused:
 		r.deps.Listener.Pause()
-		r.paused = true
-	case !pause && r.paused:
+		r.paused, r.refuses = true, true
+	case open && r.paused:
 		r.paused = !r.deps.Listener.Resume()
 	default:
-		return
+		return wait
 	}
 	r.measurePause()
+	return wait
 }
 
 // measurePause updates the time for which the listener has been paused after the field paused has changed.
@@ -211,16 +259,28 @@
 	}
 }
 
-// measure updates the load and the limit on unanswered requests. It reports whether the router is overloaded, and whether its own
-// calls are currently delayed.
-func (r *Rotator) measure() (overloaded, delayed bool) {
+// measure updates the load and the limits. It reports whether the router is overloaded.
+func (r *Rotator) measure(now time.Time) (overloaded bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now := r.deps.Clock.Now()
-	overloaded, delayed = r.load.Update(now), r.load.IsDelayed(now)
-	r.admission.adjust(overloaded, delayed)
+	overloaded = r.load.Update(now, r.refuses)
+	r.refuses = r.paused
+	r.valve.adjust(overloaded, r.load.Delay(now))
+	r.admission.setLimit(r.valve.rate)
 	r.overloaded.Store(overloaded)
-	return overloaded, delayed
+	return overloaded
+}
+
+// logLoad logs what an overloaded router carries, and what it accepts.
+func (r *Rotator) logLoad() {
+	_, unanswered, paused := r.Pressure()
+	r.mu.Lock()
+	fields := logrus.Fields{
+		"event": "load", "carried_per_s": int(r.valve.carried()), "accepted_per_s": int(r.valve.rate), "unanswered": unanswered,
+		"delay_ms": r.load.Delay(r.deps.Clock.Now()).Milliseconds(), "paused_ms": paused.Milliseconds(), "out": r.absence.out,
+	}
+	r.mu.Unlock()
+	r.deps.Log.WithFields(fields).Info("load of an overloaded router")
 }
 
 // logOverload logs the start or the end of an overload, and sets the metric.
--- a/rotator/rotator_test.go
+++ b/rotator/rotator_test.go
@@ -48,12 +48,15 @@
 
 	mu     sync.Mutex
 	paused bool
+	// changedAt is when the listener was last paused or resumed, and pausedTime the total time of the pauses that have ended.
+	changedAt  time.Time
+	pausedTime time.Duration
 	// backlog is the number of requests that wait for the link.
 	backlog float64
-	// due holds when the admitted requests that wait for their answers are answered. carried is the part of the next request that
-	// the link has carried.
-	due     []time.Time
-	carried float64
+	// due holds when the admitted requests that wait for their answers are answered. arrived and carried are the parts of the next
+	// request that have arrived and that the link has carried.
+	due              []time.Time
+	arrived, carried float64
 	// misses is the number of successive failed readiness probes. leaveCount is the number of times that the router left the
 	// rotation, and wasOut whether it was out at the last step.
 	misses     int
@@ -71,7 +74,17 @@
 func (m *simRouter) set(paused bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.paused = paused
+	now := time.Now()
+	if m.paused {
+		m.pausedTime += now.Sub(m.changedAt)
+	}
+	m.paused, m.changedAt = paused, now
+}
+
+// totalPause returns the total time for which the listener has been paused.
+func (m *simRouter) totalPause() time.Duration {
+	m.set(m.isPaused())
+	return m.pausedTime
 }
 
 func (m *simRouter) isPaused() bool {
@@ -226,6 +239,9 @@
 // same capacity of the link whether it is served or refused.
 func (m *simRouter) receive(requests float64) {
 	m.backlog += requests
+	for m.arrived += requests; m.arrived >= 1; m.arrived-- {
+		m.rotator.MarkConnection()
+	}
 }
 
 // answer admits the requests that the link has carried. An admitted one is served unless a call that the router makes for it is
@@ -238,6 +254,7 @@
 		m.due = m.due[1:]
 	}
 	for m.carried += requests; m.carried >= 1; m.carried-- {
+		m.rotator.MarkRequest(false)
 		if !m.rotator.Admit(0, bodySize) {
 			m.zone.lost++
 			continue
--- a/starter/callers.go
+++ b/starter/callers.go
@@ -16,6 +16,15 @@
 // pastDeadline is a deadline in the past, which makes reads fail at once.
 var pastDeadline = time.Unix(1, 0)
 
+// callerLoad measures the load of a gateway's callers.
+type callerLoad interface {
+	// MarkConnection is called for each connection that is accepted.
+	MarkConnection()
+	// MarkRequest is called when the first byte of a request has been read. kept is set if the connection had carried a request
+	// before.
+	MarkRequest(kept bool)
+}
+
 // callerListener accepts the connections of a gateway's callers and counts their open requests. A request is open from when its
 // first byte is read until net/http has written the end of its response. The connection states of net/http do not show this,
 // because a connection stays idle there until the next request's header has been parsed. The running handlers do not show it
@@ -23,6 +32,7 @@
 type callerListener struct {
 	net.Listener
 	clock        masticway.Clock
+	load         callerLoad
 	openRequests atomic.Int64
 	// closingIdle is set if connections that have answered a request and have no open one must be closed. shuttingDown is set if
 	// connections on which no request has arrived yet must be closed too.
@@ -32,8 +42,8 @@
 	conns map[*callerConn]bool
 }
 
-func newCallerListener(l net.Listener, clock masticway.Clock) *callerListener {
-	return &callerListener{Listener: l, clock: clock, conns: map[*callerConn]bool{}}
+func newCallerListener(l net.Listener, clock masticway.Clock, load callerLoad) *callerListener {
+	return &callerListener{Listener: l, clock: clock, load: load, conns: map[*callerConn]bool{}}
 }
 
 // Accept waits for the next connection and returns it. After shutdown it returns http.ErrServerClosed.
@@ -45,6 +55,7 @@
 	case err != nil:
 		return nil, err
 	}
+	s.load.MarkConnection()
 	c := &callerConn{Conn: n, listener: s}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -212,6 +223,7 @@
 	}
 	c.hasRequest = true
 	c.listener.openRequests.Add(1)
+	c.listener.load.MarkRequest(c.hasAnswered)
 	c.arrivedAt = c.listener.clock.Now()
 	if i, ok := inspector.Inspect(c.Conn); ok {
 		c.arrivedAt = c.arrivedAt.Add(-i.SinceData)
--- a/starter/callers_test.go
+++ b/starter/callers_test.go
@@ -14,7 +14,7 @@
 func acceptCaller(t *testing.T) (*callerConn, *net.TCPConn) {
 	l, err := Listen("127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
-	listener := newCallerListener(l, masticway.SystemClock{})
+	listener := newCallerListener(l, masticway.SystemClock{}, noLoad{})
 	t.Cleanup(listener.shutdown)
 	caller, err := net.Dial("tcp", l.Addr().String())
 	qt.Assert(t, err, qt.IsNil)
@@ -113,7 +113,7 @@
 		t.Run(name, func(t *testing.T) {
 			l, err := net.Listen("tcp", "127.0.0.1:0")
 			qt.Assert(t, err, qt.IsNil)
-			callers := newCallerListener(l, masticway.SystemClock{})
+			callers := newCallerListener(l, masticway.SystemClock{}, noLoad{})
 			defer callers.Close()
 			caller, err := net.Dial("tcp", l.Addr().String())
 			qt.Assert(t, err, qt.IsNil)
@@ -128,3 +128,9 @@
 		})
 	}
 }
+
+// noLoad measures nothing.
+type noLoad struct{}
+
+func (noLoad) MarkConnection()  {}
+func (noLoad) MarkRequest(bool) {}
--- a/starter/gateway.go
+++ b/starter/gateway.go
@@ -224,7 +224,7 @@
 		Clock: clock, Log: entry, Metrics: metrics, Tally: d.tally, Codec: codec, Budgets: d.treasurer, Snapshot: d.follower.Snapshot, Examiner: d.examiner,
 		Rotation: d.diverter, Throttler: d.throttler, StreamVersions: d.versioner, Coordinator: d.coordinator, Connections: d.apportioner, OnDraining: d.follower.MarkDraining, Dial: d.rotator.MeasureDial(dialer.DialContext),
 	})
-	d.callerListener = newCallerListener(d.pausable, clock)
+	d.callerListener = newCallerListener(d.pausable, clock, d.rotator)
 	d.callerServer = &http.Server{
 		Handler: d.forwarder, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxGatewayHeaderBytes, IdleTimeout: callerIdleTimeout,
 		ConnState: d.callerListener.trackState, ConnContext: connContext,
