Soak with odd rows among those of the servers

A fault that is drawn only by name leaves rows of another writer in the table of servers, 20,000 levels deep, with numbers and ports out of range, without text or of 60 KB, beside the servers' rows and in place of one; that server writes its row anew soon after. TestOddRowsAmongServersEndNoRouter: 1, 5 and 16 routers with drains, crashes, signals and cuts, no promise broken, no process ended.

--- a/emulator/deployment.go
+++ b/emulator/deployment.go
@@ -95,6 +95,9 @@
 	rows.Put(s.registrationKey(), fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":%q,"version":%q,"slots":32,"state":%q}`, pool, s.Address(), zone, s.Version, state))
 }
 
+// Overwrite replaces a server's registration row by what another writer left there.
+func (s *OpaqueServer) Overwrite(rows *RowStore, value []byte) { rows.Put(s.registrationKey(), value) }
+
 // Deregister removes a server's registration row.
 func (s *OpaqueServer) Deregister(rows *RowStore) { rows.Delete(s.registrationKey()) }
 
--- a/soaker/faults.go
+++ b/soaker/faults.go
@@ -81,6 +81,7 @@
 	"servers_slow":      {0, maxServerDelay, (*soakRun).slowServers},
 	slowReadersKind:     {0, maxReadPause - minDuration, (*soakRun).readSlowly},
 	"crowd":             {0, 2 * time.Second, (*soakRun).crowd},
+	"odd_rows":          {0, 2 * time.Second, (*soakRun).writeOddRows},
 	"server_drains":     {4, 0, (*soakRun).drain},
 	"server_crashes":    {3, 0, (*soakRun).crash},
 	"deadly_request":    {0, maxDeadlyDuration, (*soakRun).deadlyRequest},
--- a/soaker/soaker_test.go
+++ b/soaker/soaker_test.go
@@ -226,6 +226,21 @@
 	assertPromisesKept(t, soaker.Soak{Seed: 803, Duration: 12 * time.Second, Routers: 30, Kinds: append(workspaceKinds, "term", "kill")})
 }
 
+// TestOddRowsAmongServersEndNoRouter guards against routers that end, or that stop following the servers, when another writer leaves odd
+// rows in the table of servers, also in place of a server's own.
+func TestOddRowsAmongServersEndNoRouter(t *testing.T) {
+	t.Parallel()
+	for seed, routers := range map[uint64]int{901: 1, 902: 5, 903: 16} {
+		t.Run(fmt.Sprintf("%d/%d routers", seed, routers), func(t *testing.T) {
+			t.Parallel()
+			assertPromisesKept(t, soaker.Soak{
+				Seed: seed, Duration: 10 * time.Second, Routers: routers,
+				Kinds: []string{"odd_rows", "odd_rows", "server_drains", "server_crashes", "term", "kill", "store_cut", "configure"},
+			})
+		})
+	}
+}
+
 // TestPromisesAreKeptWhileStoreLinksGoSilent guards against routers that take the silence of their own connections to the store for an
 // outage of it, and go on sending to servers that have left.
 func TestPromisesAreKeptWhileStoreLinksGoSilent(t *testing.T) {
