--- a/soaker/oddrows.go
+++ b/soaker/oddrows.go
@@ -25,14 +25,14 @@
 	"\x00\xff\n", "", "[]", "null", "1e999",
 }
 
-// writeOddRows writes odd rows beside those of the servers until the fault ends, and overwrites the row of one server with each of
-// them. The server writes its row anew soon after.
+// writeOddRows overwrites the row of one server with an odd one, and writes others beside the rows of the servers until the fault
+// ends. The server writes its row anew soon after.
 func (s *soakRun) writeOddRows(e faultEvent) {
 	s.beginDisturbance(e.kind, "store", 0)()
+	s.overwriteRow(e, []byte(oddRows[e.target/len(pools)%len(oddRows)]))
 	for n, end := e.target, time.Now().Add(e.duration); time.Now().Before(end); n++ {
 		key := masticway.RowKey{Table: "servers", Key: fmt.Sprintf("odd-%d", n%len(oddRows))}
 		s.rows.Put(key, []byte(oddRows[n%len(oddRows)]))
-		s.overwriteRow(e, []byte(oddRows[n%len(oddRows)]))
 		time.Sleep(oddRowInterval)
 		s.rows.Delete(key)
 	}
