--- a/rotator/valve.go
+++ b/rotator/connlimiter.go
@@ -28,10 +28,10 @@
 	newestSamples = 3
 )
 
-// valve limits the rate at which an overloaded router accepts connections. A request takes capacity of the link when it arrives,
-// even if it is then refused. So a router must refuse the connections of the requests that it can't carry. The valve counts
-// connections and requests, and tells when to pause the listener.
-type valve struct {
+// connLimiter is a token bucket that limits the rate at which an overloaded router accepts connections. A request takes capacity
+// of the link when it arrives, even if it is then refused. So a router must refuse the connections of the requests that it can't
+// carry. The limiter counts connections and requests, and tells when to pause the listener.
+type connLimiter struct {
 	// rate is the limit in requests per second; zero is no limit.
 	rate float64
 	// tokens is the number of requests that may arrive before the listener is paused, as of updatedAt.
@@ -47,61 +47,61 @@
 
 // arrive takes a token for a request that has arrived, or that is about to arrive on a new connection. It reports whether the
 // listener must be paused.
-func (v *valve) arrive() (mustPause bool) {
-	v.tokens--
-	return v.rate > 0 && v.tokens < 1
+func (l *connLimiter) arrive() (mustPause bool) {
+	l.tokens--
+	return l.rate > 0 && l.tokens < 1
 }
 
 // read counts a request that the link has carried.
-func (v *valve) read() { v.count++ }
+func (l *connLimiter) read() { l.count++ }
 
 // carried returns the rate at which requests were read during the last checks. It is the higher of the rates during all of them
 // and during the newest few, because the traffic may have begun in between.
-func (v *valve) carried() float64 { return max(v.average(rateSamples), v.average(newestSamples)) }
+func (l *connLimiter) carried() float64 { return max(l.average(rateSamples), l.average(newestSamples)) }
 
 // average returns the rate at which requests were read during the last n checks.
-func (v *valve) average(n int) float64 {
+func (l *connLimiter) average(n int) float64 {
 	sum := 0
-	for i := range min(n, v.checks) {
-		sum += v.counts[(v.checks-1-i)%rateSamples]
+	for i := range min(n, l.checks) {
+		sum += l.counts[(l.checks-1-i)%rateSamples]
 	}
 	return float64(sum) / (float64(n) * checkInterval.Seconds())
 }
 
 // adjust updates the rate. It must be called at each check of the load with the current delay of the router's own calls, and
 // removes the limit if the router is not overloaded.
-func (v *valve) adjust(overloaded bool, delay time.Duration) {
-	v.counts[v.checks%rateSamples] = v.count
-	v.checks++
-	v.count = 0
+func (l *connLimiter) adjust(overloaded bool, delay time.Duration) {
+	l.counts[l.checks%rateSamples] = l.count
+	l.checks++
+	l.count = 0
 	switch {
 	case !overloaded:
-		v.rate, v.capacity = 0, 0
+		l.rate, l.capacity = 0, 0
 	case delay >= targetDelay:
 		// While packets wait for the link, requests are read at the rate that it carries, whatever the limit is.
-		v.capacity = v.carried()
+		l.capacity = l.carried()
 		excess := min(1, float64(delay-targetDelay)/float64(drainDelay-targetDelay))
-		v.rate = math.Max(minRate, v.capacity*(maxDrainShare-excess*(maxDrainShare-minDrainShare)))
-	case v.rate*growFactor <= v.capacity*probeShare:
-		v.rate *= growFactor
+		l.rate = math.Max(minRate, l.capacity*(maxDrainShare-excess*(maxDrainShare-minDrainShare)))
+	case l.rate*growFactor <= l.capacity*probeShare:
+		l.rate *= growFactor
 	default:
-		v.rate *= probeFactor
+		l.rate *= probeFactor
 	}
 }
 
 // refill adds the tokens for the time since the last call. It returns whether connections may be accepted, and if not, for how
 // long the listener must be paused.
-func (v *valve) refill(now time.Time, paused bool) (open bool, wait time.Duration) {
-	elapsed := now.Sub(v.updatedAt).Seconds()
-	v.updatedAt = now
-	if v.rate == 0 {
-		v.tokens = 0
+func (l *connLimiter) refill(now time.Time, paused bool) (open bool, wait time.Duration) {
+	elapsed := now.Sub(l.updatedAt).Seconds()
+	l.updatedAt = now
+	if l.rate == 0 {
+		l.tokens = 0
 		return true, 0
 	}
-	burst := math.Max(1, v.rate*maxBurst.Seconds())
-	v.tokens = math.Min(burst, v.tokens+v.rate*elapsed)
-	if v.tokens >= burst || !paused && v.tokens >= 1 {
+	burst := math.Max(1, l.rate*maxBurst.Seconds())
+	l.tokens = math.Min(burst, l.tokens+l.rate*elapsed)
+	if l.tokens >= burst || !paused && l.tokens >= 1 {
 		return true, 0
 	}
-	return false, max(minPause, time.Duration((burst-v.tokens)/v.rate*float64(time.Second)))
+	return false, max(minPause, time.Duration((burst-l.tokens)/l.rate*float64(time.Second)))
 }
--- a/rotator/doc.go
+++ b/rotator/doc.go
@@ -24,11 +24,11 @@
 // for longer the next time.
 //
 // A request takes capacity of the link even if it is then refused. So while a
-// router is overloaded, the valve pauses the listener for short times, such that
+// router is overloaded, connLimiter pauses the listener for short times, such that
 // connections are accepted at the rate at which the router can carry their
-// requests. The load balancer sends the other callers to other routers. Rotator
-// also limits the number of requests without an answer. Load, valve, admission,
-// grantedLeases and absence make the decisions. They use neither a clock nor the
-// network: Rotator passes them the time, and exchanges messages with the other
-// routers.
+// requests. A load balancer may send the other callers to other routers. Rotator
+// also limits the number of requests without an answer. Load, connLimiter,
+// admission, grantedLeases and absence make the decisions. They use neither a
+// clock nor the network: Rotator passes them the time, and exchanges messages with
+// the other routers.
 package rotator
--- a/rotator/rotator.go
+++ b/rotator/rotator.go
@@ -82,13 +82,13 @@
 	load      *Load
 	granted   grantedLeases
 	admission admission
-	valve     valve
+	limiter   connLimiter
 	// pausedSince is since when the listener has been paused; it is zero while it is not. pausedTime is the total time of the
 	// earlier pauses.
 	pausedSince time.Time
 	pausedTime  time.Duration
 
-	// spent wakes Run when the valve has no tokens left.
+	// spent wakes Run when the limiter has no tokens left.
 	spent chan struct{}
 
 	// The fields below belong to the goroutine of Run. refuses is set if the listener was paused since the last check, and
@@ -134,15 +134,15 @@
 func (r *Rotator) MarkRequest(kept bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.valve.read()
+	r.limiter.read()
 	if kept {
 		r.takeToken()
 	}
 }
 
-// takeToken takes a token of the valve, and wakes Run if the listener must be paused. The caller must hold r.mu.
+// takeToken takes a token of the limiter, and wakes Run if the listener must be paused. The caller must hold r.mu.
 func (r *Rotator) takeToken() {
-	if !r.valve.arrive() {
+	if !r.limiter.arrive() {
 		return
 	}
 	select {
@@ -223,11 +223,11 @@
 	r.wg.Wait()
 }
 
-// updateListener pauses or resumes the listener as the valve requires. It returns how long the listener needs no change, unless
+// updateListener pauses or resumes the listener as the limiter requires. It returns how long the listener needs no change, unless
 // requests come.
 func (r *Rotator) updateListener(now time.Time) (wait time.Duration) {
 	r.mu.Lock()
-	open, wait := r.valve.refill(now, r.paused)
+	open, wait := r.limiter.refill(now, r.paused)
 	r.mu.Unlock()
 	if open {
 		wait = checkInterval
@@ -265,8 +265,8 @@
 	defer r.mu.Unlock()
 	overloaded = r.load.Update(now, r.refuses)
 	r.refuses = r.paused
-	r.valve.adjust(overloaded, r.load.Delay(now))
-	r.admission.setLimit(r.valve.rate)
+	r.limiter.adjust(overloaded, r.load.Delay(now))
+	r.admission.setLimit(r.limiter.rate)
 	r.overloaded.Store(overloaded)
 	return overloaded
 }
@@ -276,7 +276,7 @@
 	_, unanswered, paused := r.Pressure()
 	r.mu.Lock()
 	fields := logrus.Fields{
-		"event": "load", "carried_per_s": int(r.valve.carried()), "accepted_per_s": int(r.valve.rate), "unanswered": unanswered,
+		"event": "load", "carried_per_s": int(r.limiter.carried()), "accepted_per_s": int(r.limiter.rate), "unanswered": unanswered,
 		"delay_ms": r.load.Delay(r.deps.Clock.Now()).Milliseconds(), "paused_ms": paused.Milliseconds(), "out": r.absence.out,
 	}
 	r.mu.Unlock()
