--- a/rotator/ballot.go
+++ b/rotator/ballot.go
@@ -173,16 +173,17 @@
 	all := r.zoneRouters()
 	zoneVoters := selectVoters(r.settings.Zone, all)
 	e := election{id: rand.Uint64(), began: began, span: span, routers: len(all), voters: len(zoneVoters)}
-	ctx, cancel := context.WithTimeout(ctx, leaseTimeout)
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	timer := time.AfterFunc(leaseTimeout, cancel)
+	defer timer.Stop()
 	// The lease lasts leaseTimeout longer than the absence, so it does not expire earlier, whenever the request arrives.
 	req := LeaseRequest{Instance: r.settings.Instance, Duration: span + leaseTimeout, Election: e.id}
 	for v := range r.askVoters(ctx, zoneVoters, req) {
 		e.votes = append(e.votes, v)
 		if v.reply.Granted && len(e.granted()) == e.majority() {
 			// The other votes no longer matter, but a winner that knows them can choose whose leases it keeps.
-			timer := time.AfterFunc(surplusTimeout, cancel)
-			defer timer.Stop()
+			timer.Reset(surplusTimeout)
 		}
 	}
 	return e
