Keep the connections that are established when the listener is paused

Closing the listener makes the kernel reset what it has established and the router has not accepted; an overloaded router pauses its listener many times a second, and is slow to accept. The router accepts what waits in the kernel before it closes the listener. TestPauseKeepsEstablishedConnections: 0 of 20 connections were accepted before, all are answered now.

--- a/starter/listener.go
+++ b/starter/listener.go
@@ -4,7 +4,9 @@
 	"errors"
 	"fmt"
 	"net"
+	"os"
 	"sync"
+	"syscall"
 
 	"github.com/sirupsen/logrus"
 )
@@ -15,9 +17,11 @@
 	log *logrus.Logger
 
 	mu sync.Mutex
-	// listener is nil while the pausableListener is paused or closed.
-	listener net.Listener
-	address  net.Addr
+	// listener is nil while the pausableListener is paused or closed. established holds the connections that were established but
+	// not accepted when it was paused.
+	listener    net.Listener
+	established []net.Conn
+	address     net.Addr
 	// changed is closed and replaced whenever listener or closed changes.
 	changed chan struct{}
 	closed  bool
@@ -36,6 +40,9 @@
 		if closed {
 			return nil, net.ErrClosed
 		}
+		if conn := p.takeEstablished(); conn != nil {
+			return conn, nil
+		}
 		if l == nil {
 			<-changed
 			continue
@@ -49,6 +56,18 @@
 	}
 }
 
+// takeEstablished returns a connection that was established before a pause, or nil if there is none.
+func (p *pausableListener) takeEstablished() net.Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.established) == 0 {
+		return nil
+	}
+	conn := p.established[0]
+	p.established = p.established[1:]
+	return conn
+}
+
 // state returns the fields listener, changed and closed.
 func (p *pausableListener) state() (l net.Listener, changed chan struct{}, closed bool) {
 	p.mu.Lock()
@@ -64,14 +83,21 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.closed = true
+	for _, c := range p.established {
+		_ = c.Close()
+	}
+	p.established = nil
 	return p.pause()
 }
 
-// Pause closes the port, so that new connections are refused until Resume is called. Connections that have been accepted stay
-// open.
+// Pause closes the port, so that new connections are refused until Resume is called. Connections that have been established stay
+// open: the caller may have sent a request on them.
 func (p *pausableListener) Pause() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.listener != nil {
+		p.established = append(p.established, acceptEstablished(p.listener)...)
+	}
 	if err := p.pause(); err != nil {
 		p.log.WithFields(logrus.Fields{"event": "listener", "error": err}).Error("failed to close the listener")
 	}
@@ -114,3 +140,38 @@
 	close(p.changed)
 	p.changed = make(chan struct{})
 }
+
+// maxEstablished is the maximum number of connections that acceptEstablished accepts.
+const maxEstablished = 512
+
+// acceptEstablished accepts the connections that wait in the kernel, without waiting for further ones. The kernel would reset them
+// when the listener is closed. It returns none if the listener is not a TCP listener.
+func acceptEstablished(l net.Listener) []net.Conn {
+	tcp, ok := l.(*net.TCPListener)
+	if !ok {
+		return nil
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return nil
+	}
+	var conns []net.Conn
+	// An error means that the listener is closed already.
+	_ = raw.Control(func(listener uintptr) {
+		for range maxEstablished {
+			fd, _, err := syscall.Accept4(int(listener), syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
+			if err == syscall.EINTR || err == syscall.ECONNABORTED {
+				continue
+			}
+			if err != nil {
+				return
+			}
+			file := os.NewFile(uintptr(fd), "caller")
+			if conn, err := net.FileConn(file); err == nil {
+				conns = append(conns, conn)
+			}
+			_ = file.Close()
+		}
+	})
+	return conns
+}
