Count what an overloaded router refuses before it reads anything

The load line of an overloaded router now has both (refused_connections is an estimate from the connections that come while the listener is open, unread_connections is exact), and what the callers' requests take of the link (link_percent), for which the router is told its link's capacity (link_mbps). No decision depends on them yet.

--- a/forwarder/settings.go
+++ b/forwarder/settings.go
@@ -29,6 +29,8 @@
 	Processors float64 `json:"processors,omitempty"`
 	// MemoryMB is the memory of the router's machine in megabytes; zero means unknown.
 	MemoryMB int64 `json:"memory_mb,omitempty"`
+	// LinkMbps is the capacity of the network link of the router's machine in megabits per second; zero means unknown.
+	LinkMbps float64 `json:"link_mbps,omitempty"`
 	// GraceSeconds is how long the process may take to shut down.
 	GraceSeconds float64         `json:"grace_seconds"`
 	Budgets      BudgetSettings  `json:"money"`
--- /dev/null
+++ b/rotator/linkuse.go
@@ -0,0 +1,40 @@
+package rotator
+
+// useSamples is the number of checks over which the use of the link is averaged.
+const useSamples = 2
+
+// linkUse measures what callers' requests use of the router's link. A request passes the link twice in each direction: its body
+// comes from the caller and goes to a server, its answer comes from the server and goes to the caller. So the bytes that are read
+// from callers and those that are written to them together are what each direction carries.
+type linkUse struct {
+	// rate is the capacity of the link in bytes per second in each direction; zero means unknown.
+	rate float64
+	// samples holds the numbers of bytes between the last checks, and total the number of bytes at the last one.
+	samples [useSamples]int64
+	checks  int
+	total   int64
+}
+
+// update records a check. total is the total number of bytes so far.
+func (u *linkUse) update(total int64) {
+	u.samples[u.checks%useSamples] = total - u.total
+	u.checks++
+	u.total = total
+}
+
+// bytesPerSecond returns the rate of bytes during the last checks.
+func (u *linkUse) bytesPerSecond() float64 {
+	sum := int64(0)
+	for _, n := range u.samples {
+		sum += n
+	}
+	return float64(sum) / (useSamples * checkInterval.Seconds())
+}
+
+// share returns the share of the link's capacity that was used during the last checks, or zero if the capacity is unknown.
+func (u *linkUse) share() float64 {
+	if u.rate == 0 {
+		return 0
+	}
+	return u.bytesPerSecond() / u.rate
+}
--- a/rotator/rotator.go
+++ b/rotator/rotator.go
@@ -47,6 +47,8 @@
 	// Memory is the memory of the router in bytes; zero means unknown. Request bodies may use the share bodyMemoryShare of it.
 	// They are not limited if it is unknown.
 	Memory int64
+	// LinkRate is the capacity of the router's network link in bytes per second in each direction; zero means unknown.
+	LinkRate float64
 }
 
 // Listener accepts the connections of callers.
@@ -83,11 +85,19 @@
 	granted   grantedLeases
 	admission admission
 	limiter   connLimiter
+	use       linkUse
+	refusals  refusals
+	// measuredAt is when the load was last measured, and unread is the number of connections that have ended before a request was
+	// read from them.
+	measuredAt time.Time
+	unread     int
 	// pausedSince is since when the listener has been paused; it is zero while it is not. pausedTime is the total time of the
 	// earlier pauses.
 	pausedSince time.Time
 	pausedTime  time.Duration
 
+	// callerBytes is the number of bytes that were read from callers or written to them.
+	callerBytes atomic.Int64
 	// spent wakes Run when the limiter has no tokens left.
 	spent chan struct{}
 
@@ -101,7 +111,7 @@
 
 // New returns a rotator for a router that is in rotation.
 func New(s Settings, p Dependencies) *Rotator {
-	return &Rotator{settings: s, deps: p, spent: make(chan struct{}, 1), load: NewLoad(), granted: grantedLeases{}, admission: admission{maxHeldBytes: int64(bodyMemoryShare * float64(s.Memory))}}
+	return &Rotator{settings: s, deps: p, spent: make(chan struct{}, 1), load: NewLoad(), granted: grantedLeases{}, admission: admission{maxHeldBytes: int64(bodyMemoryShare * float64(s.Memory))}, use: linkUse{rate: s.LinkRate}}
 }
 
 // IsOut reports whether the router is out of rotation.
@@ -115,11 +125,15 @@
 func (r *Rotator) Pressure() (overloaded bool, unanswered int, paused time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	paused = r.pausedTime
-	if !r.pausedSince.IsZero() {
-		paused += r.deps.Clock.Now().Sub(r.pausedSince)
+	return r.load.overloaded, r.admission.unanswered, r.totalPause(r.deps.Clock.Now())
+}
+
+// totalPause returns the total time for which the listener has been paused. The caller must hold r.mu.
+func (r *Rotator) totalPause(now time.Time) time.Duration {
+	if r.pausedSince.IsZero() {
+		return r.pausedTime
 	}
-	return r.load.overloaded, r.admission.unanswered, paused
+	return r.pausedTime + now.Sub(r.pausedSince)
 }
 
 // MarkConnection records that a caller's connection was accepted, on which a request is about to arrive. While the router is
@@ -127,9 +141,20 @@
 func (r *Rotator) MarkConnection() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.refusals.accept()
 	r.takeToken()
 }
 
+// MarkUnread records that a caller's connection has ended before a request was read from it.
+func (r *Rotator) MarkUnread() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.unread++
+}
+
+// MarkBytes records that n bytes were read from callers or written to them.
+func (r *Rotator) MarkBytes(n int) { r.callerBytes.Add(int64(n)) }
+
 // MarkRequest records that the first byte of a request was read. kept is set if the connection had carried a request before.
 func (r *Rotator) MarkRequest(kept bool) {
 	r.mu.Lock()
@@ -263,6 +288,11 @@
 func (r *Rotator) measure(now time.Time) (overloaded bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.use.update(r.callerBytes.Load())
+	if !r.measuredAt.IsZero() {
+		r.refusals.update(now.Sub(r.measuredAt), r.totalPause(now))
+	}
+	r.measuredAt = now
 	overloaded = r.load.Update(now, r.refuses)
 	r.refuses = r.paused
 	r.limiter.adjust(overloaded, r.load.Delay(now))
@@ -271,13 +301,14 @@
 	return overloaded
 }
 
-// logLoad logs what an overloaded router carries, and what it accepts.
+// logLoad logs what an overloaded router carries, what it accepts, and what it refuses before reading anything.
 func (r *Rotator) logLoad() {
-	_, unanswered, paused := r.Pressure()
 	r.mu.Lock()
+	now := r.deps.Clock.Now()
 	fields := logrus.Fields{
-		"event": "load", "carried_per_s": int(r.limiter.carried()), "accepted_per_s": int(r.limiter.rate), "unanswered": unanswered,
-		"delay_ms": r.load.Delay(r.deps.Clock.Now()).Milliseconds(), "paused_ms": paused.Milliseconds(), "out": r.absence.out,
+		"event": "load", "carried_per_s": int(r.limiter.carried()), "accepted_per_s": int(r.limiter.rate), "unanswered": r.admission.unanswered,
+		"delay_ms": r.load.Delay(now).Milliseconds(), "paused_ms": r.totalPause(now).Milliseconds(), "out": r.absence.out,
+		"link_percent": int(100 * r.use.share()), "refused_connections": int(r.refusals.total), "unread_connections": r.unread,
 	}
 	r.mu.Unlock()
 	r.deps.Log.WithFields(fields).Info("load of an overloaded router")
--- a/rotator/rotator_test.go
+++ b/rotator/rotator_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
 	"github.com/sirupsen/logrus/hooks/test"
 
 	"github.com/masticway/masticway/emulator"
@@ -59,7 +60,9 @@
 	arrived, carried float64
 	// misses is the number of successive failed readiness probes. leaveCount is the number of times that the router left the
 	// rotation, and wasOut whether it was out at the last step.
-	misses     int
+	misses int
+	// refused is the number of requests whose connections were refused.
+	refused    float64
 	leaveCount int
 	wasOut     bool
 }
@@ -109,6 +112,7 @@
 
 // simZone is an availability zone behind a load balancer that selects a router by the caller.
 type simZone struct {
+	logger       *logrus.Logger
 	routers      []*simRouter
 	callerGroups []callerGroup
 	// isCut is set if the routers cannot reach each other.
@@ -142,8 +146,8 @@
 }
 
 func newZone(ctx context.Context, routers int) *simZone {
-	z := &simZone{minReady: routers}
 	log, _ := test.NewNullLogger()
+	z := &simZone{minReady: routers, logger: log}
 	for i := range routers {
 		m := &simRouter{zone: z, name: fmt.Sprintf("edge-%d", i), capacity: routerCapacity}
 		z.routers = append(z.routers, m)
@@ -228,6 +232,7 @@
 			m.receive(requests)
 			return
 		}
+		m.refused += requests
 		if tries++; tries > 1 {
 			break
 		}
--- a/starter/callers.go
+++ b/starter/callers.go
@@ -23,6 +23,10 @@
 	// MarkRequest is called when the first byte of a request has been read. kept is set if the connection had carried a request
 	// before.
 	MarkRequest(kept bool)
+	// MarkUnread is called for each connection that ends before a byte has been read.
+	MarkUnread()
+	// MarkBytes is called when n bytes have been read from a caller or written to one.
+	MarkBytes(n int)
 }
 
 // callerListener accepts the connections of a gateway's callers and counts their open requests. A request is open from when its
@@ -188,11 +192,19 @@
 		c.hasClosed.Store(true)
 	}
 	if n > 0 {
+		c.listener.load.MarkBytes(n)
 		c.beginRequest()
 	}
 	return n, err
 }
 
+// Write writes to the connection.
+func (c *callerConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.listener.load.MarkBytes(n)
+	return n, err
+}
+
 // SetReadDeadline sets the read deadline. If the connection must be closed, it sets a deadline in the past instead.
 func (c *callerConn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
@@ -234,6 +246,9 @@
 func (c *callerConn) endRequest(closed bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if closed && !c.hasRequest && !c.hasAnswered {
+		c.listener.load.MarkUnread()
+	}
 	c.hasAnswered, c.closed = true, closed
 	if c.hasRequest {
 		c.hasRequest = false
--- a/starter/callers_test.go
+++ b/starter/callers_test.go
@@ -1,7 +1,11 @@
 package starter
 
 import (
+	"io"
 	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -134,3 +138,42 @@
 
 func (noLoad) MarkConnection()  {}
 func (noLoad) MarkRequest(bool) {}
+func (noLoad) MarkUnread()      {}
+func (noLoad) MarkBytes(int)    {}
+
+// countedLoad counts the bytes and unread connections of callers.
+type countedLoad struct {
+	noLoad
+	bytes, unread atomic.Int64
+}
+
+func (l *countedLoad) MarkBytes(n int) { l.bytes.Add(int64(n)) }
+func (l *countedLoad) MarkUnread()     { l.unread.Add(1) }
+
+// TestBytesAndUnreadConnectionsAreCounted guards against a router that does not know what its callers take of its link, or how many
+// of them gave up before anything was read.
+func TestBytesAndUnreadConnectionsAreCounted(t *testing.T) {
+	l, err := Listen("127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	load := &countedLoad{}
+	callers := newCallerListener(l, masticway.SystemClock{}, load)
+	server := &http.Server{ConnState: callers.trackState, Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})}
+	var wg sync.WaitGroup
+	wg.Go(func() { _ = server.Serve(callers) })
+	for _, sent := range []string{"", "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n", ""} {
+		before := load.bytes.Load()
+		caller, err := net.Dial("tcp", l.Addr().String())
+		qt.Assert(t, err, qt.IsNil)
+		_, err = io.WriteString(caller, sent)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, caller.(*net.TCPConn).CloseWrite(), qt.IsNil)
+		answer, err := io.ReadAll(caller)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, load.bytes.Load()-before, qt.Equals, int64(len(sent)+len(answer)))
+		_ = caller.Close()
+	}
+	callers.shutdown()
+	wg.Wait()
+	_ = server.Close()
+	qt.Check(t, load.unread.Load(), qt.Equals, int64(2))
+}
--- a/starter/gateway.go
+++ b/starter/gateway.go
@@ -63,6 +63,8 @@
 	// suspensionCheckInterval is the interval at which the gateway checks whether the machine has been suspended. Suspensions are
 	// only logged and counted.
 	suspensionCheckInterval = time.Second
+	// bytesPerMbit is the number of bytes in a megabit.
+	bytesPerMbit = 1e6 / 8
 	// minUnreadyTime is how long a router that shuts down, and reports that it is not ready, still accepts connections and
 	// forwards requests. The load balancer checks its readiness once a second and takes it out of rotation after two failed
 	// checks.
@@ -177,7 +179,7 @@
 		Name: examiner.Table, Part: examiner.Part, MaxWait: suspectsMaxWait, RelistInterval: suspectsRelistInterval, Apply: d.examiner.ApplyReading,
 	})
 	d.pausable = newPausableListener(l.Caller, log)
-	d.rotator = rotator.New(rotator.Settings{Instance: s.Instance, Zone: s.Zone, Memory: s.MemoryMB << 20}, rotator.Dependencies{
+	d.rotator = rotator.New(rotator.Settings{Instance: s.Instance, Zone: s.Zone, Memory: s.MemoryMB << 20, LinkRate: s.LinkMbps * bytesPerMbit}, rotator.Dependencies{
 		Listener: d.pausable, Voters: rotator.NewClient(messenger.NewSlowLinkClient()), Clock: clock, Log: entry, Metrics: metrics, Neighbours: d.zonePeers,
 	})
 	d.diverter = diverter.New(diverter.Settings{
