Resume a paused listener only when nothing waits for the link

Cause: closing the listener loses every connection whose handshake waits for the link, behind the bodies of others. Their bodies still take the link, and are never read. If the listener is opened meanwhile, all callers that connect behind them come at once, a few are accepted, and the next pause loses the rest.

Now the listener stays paused until a call that began after the pause, one of the router's own or a probe of other routers, is answered within 30 ms.

--- a/rotator/ballot.go
+++ b/rotator/ballot.go
@@ -21,7 +21,8 @@
 // LeaseRequest asks a voter for a lease for an instance, or returns the instance's lease.
 type LeaseRequest struct {
 	Instance string `cbor:"1,keyasint"`
-	// Duration is the requested duration of the lease. If it is zero, the lease is returned.
+	// Duration is the requested duration of the lease. If it is zero, the lease is returned. A request without Duration and Election
+	// changes nothing: the time until its reply shows how long packets wait for the link.
 	Duration time.Duration `cbor:"2,keyasint"`
 	// Election identifies the election for which the lease is requested. A request that returns a lease only ends the lease of the
 	// same election, because it may arrive after the request of a later one.
@@ -77,6 +78,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	switch {
+	case req.Duration <= 0 && req.Election == 0:
+		return LeaseReply{}
 	case req.Duration <= 0:
 		r.granted.revoke(req.Instance, req.Election)
 		return LeaseReply{Granted: true}
--- a/rotator/rotator.go
+++ b/rotator/rotator.go
@@ -85,6 +85,7 @@
 	granted   grantedLeases
 	admission admission
 	limiter   connLimiter
+	drain     drain
 	use       linkUse
 	refusals  refusals
 	// measuredAt is when the load was last measured, and unread is the number of connections that have ended before a request was
@@ -203,7 +204,11 @@
 func (r *Rotator) RecordCall(k Kind, took time.Duration, answered bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.load.Record(r.deps.Clock.Now(), k, took, answered)
+	now := r.deps.Clock.Now()
+	r.load.Record(now, k, took, answered)
+	if answered {
+		r.drain.record(now, took)
+	}
 }
 
 // MeasureDial wraps a dial function so that the durations of successful calls are recorded, and those of calls that fail after
@@ -238,7 +243,7 @@
 			r.updateRotation(ctx, overloaded)
 			nextCheck = now.Add(checkInterval)
 		}
-		wait := r.updateListener(now)
+		wait := r.updateListener(ctx, now)
 		select {
 		case <-ctx.Done():
 		case <-r.spent:
@@ -248,9 +253,9 @@
 	r.wg.Wait()
 }
 
-// updateListener pauses or resumes the listener as the limiter requires. It returns how long the listener needs no change, unless
-// requests come.
-func (r *Rotator) updateListener(now time.Time) (wait time.Duration) {
+// updateListener pauses or resumes the listener as the limiter requires. A paused listener is not resumed while packets wait for the
+// link. updateListener returns how long the listener needs no change, unless requests come.
+func (r *Rotator) updateListener(ctx context.Context, now time.Time) (wait time.Duration) {
 	r.mu.Lock()
 	open, wait := r.limiter.refill(now, r.paused)
 	r.mu.Unlock()
@@ -261,6 +266,11 @@
 	case !open && !r.paused:
 		r.deps.Listener.Pause()
 		r.paused, r.refuses = true, true
+		r.measurePause()
+		r.wg.Go(func() { r.probeLink(ctx) })
+		return wait
+	case open && r.paused && !r.isDrained():
+		return minPause
 	case open && r.paused:
 		r.paused = !r.deps.Listener.Resume()
 	default:
@@ -278,9 +288,11 @@
 	switch {
 	case r.paused && r.pausedSince.IsZero():
 		r.pausedSince = now
+		r.drain.begin(now)
 	case !r.paused && !r.pausedSince.IsZero():
 		r.pausedTime += now.Sub(r.pausedSince)
 		r.pausedSince = time.Time{}
+		r.drain = drain{}
 	}
 }
 
