Notice a full link before calls are late

Callers of a hot workspace sent four seconds of a thin router's link's work before the router counted as overloaded, 0.8 s after its link was full: it takes the least time of its calls in the last 0.6 s, and calls that wait end late. The rate at which it then accepted connections fell with what it read, to 10 a second, while the link could carry 250.

A router that is told its link's capacity now counts as overloaded when they take 90% of it for 0.2 s and wait for 0.2 s on average, and takes the rate that it read then for what the link carries.

--- a/rotator/connlimiter.go
+++ b/rotator/connlimiter.go
@@ -17,6 +17,8 @@
 	growFactor  = 1.05
 	probeFactor = 1.01
 	probeShare  = 1.1
+	// fullRateDecay is by how much fullRate falls with each check with congestion: the link may have come to carry less.
+	fullRateDecay = 0.99
 	// minRate is the minimum rate in requests per second. Some requests must arrive to find out how much the router can carry.
 	minRate = 10
 	// maxBurst limits the requests that may arrive at once after a pause, as a time at the current rate.
@@ -37,8 +39,9 @@
 	// tokens is the number of requests that may arrive before the listener is paused, as of updatedAt.
 	tokens    float64
 	updatedAt time.Time
-	// capacity is the rate that the router carried when its link was last congested.
-	capacity float64
+	// capacity is the rate that the router carried when its link was last congested. fullRate is the rate at which the requests of
+	// its callers filled the link; it is zero if they did not in this overload.
+	capacity, fullRate float64
 	// counts holds the numbers of requests that were read between the last checks, and count the number since the last one.
 	counts [rateSamples]int
 	checks int
@@ -68,20 +71,27 @@
 	return float64(sum) / (float64(n) * checkInterval.Seconds())
 }
 
-// adjust updates the rate. It must be called at each check of the load with the current delay of the router's own calls, and
-// removes the limit if the router is not overloaded.
-func (l *connLimiter) adjust(overloaded bool, delay time.Duration) {
+// adjust updates the rate. It must be called at each check of the load with the current delay of the router's own calls and with
+// the result of linkUse.fullRate. It removes the limit if the router is not overloaded.
+func (l *connLimiter) adjust(overloaded bool, delay time.Duration, fullRate float64) {
 	l.counts[l.checks%rateSamples] = l.count
 	l.checks++
 	l.count = 0
+	if fullRate > 0 {
+		l.fullRate = fullRate
+	}
 	switch {
 	case !overloaded:
-		l.rate, l.capacity = 0, 0
+		l.rate, l.capacity, l.fullRate = 0, 0, 0
 	case delay >= targetDelay:
-		// While packets wait for the link, requests are read at the rate that it carries, whatever the limit is.
-		l.capacity = l.carried()
+		// While packets wait for the link, requests are read at the rate that it carries, unless it carries what is never read.
+		l.capacity = max(l.carried(), l.fullRate)
+		l.fullRate *= fullRateDecay
 		excess := min(1, float64(delay-targetDelay)/float64(drainDelay-targetDelay))
 		l.rate = math.Max(minRate, l.capacity*(maxDrainShare-excess*(maxDrainShare-minDrainShare)))
+	case l.rate == 0:
+		l.capacity = l.fullRate
+		l.rate = math.Max(minRate, maxDrainShare*l.capacity)
 	case l.rate*growFactor <= l.capacity*probeShare:
 		l.rate *= growFactor
 	default:
--- a/rotator/doc.go
+++ b/rotator/doc.go
@@ -9,7 +9,8 @@
 // shortest recent call of each kind exceeds the kind's baseline. A slow store,
 // an unavailable server or a lossy link delays one kind of call, or some calls
 // of each kind. Only a saturated link or a router without CPU time delays every
-// call of several kinds.
+// call of several kinds. If the capacity of the link is known, linkUse shows sooner
+// that callers' requests fill it.
 //
 // An overloaded router asks some routers of its availability zone, the voters, for
 // a lease. Each voter grants a limited number of leases for a limited time. A
--- a/rotator/linkuse.go
+++ b/rotator/linkuse.go
@@ -1,7 +1,17 @@
 package rotator
 
-// useSamples is the number of checks over which the use of the link is averaged.
-const useSamples = 2
+import "time"
+
+const (
+	// useSamples is the number of checks over which the use of the link is averaged.
+	useSamples = 2
+	// fullShare is the share of the link's capacity from which callers' requests fill it. The rest is needed for packets without
+	// them and for the router's own calls.
+	fullShare = 0.9
+	// minFullWait is how long requests must wait for their answers, on average, for a full link to be an overload. A few large
+	// requests may fill the link without delaying others.
+	minFullWait = 200 * time.Millisecond
+)
 
 // linkUse measures what callers' requests use of the router's link. A request passes the link twice in each direction: its body
 // comes from the caller and goes to a server, its answer comes from the server and goes to the caller. So the bytes that are read
@@ -38,3 +48,13 @@
 	}
 	return u.bytesPerSecond() / u.rate
 }
+
+// fullRate returns the number of requests per second that fills the link. It returns zero if requests do not fill it, or if they
+// are answered soon. carried is the number of requests that are read per second, and unanswered the number of those without an
+// answer.
+func (u *linkUse) fullRate(carried float64, unanswered int) float64 {
+	if u.share() < fullShare || float64(unanswered) < carried*minFullWait.Seconds() {
+		return 0
+	}
+	return carried
+}
--- a/rotator/load.go
+++ b/rotator/load.go
@@ -66,9 +66,15 @@
 	return all
 }
 
-// Update updates the load from the recent calls and reports whether the router is overloaded. A router that refuses connections
-// remains overloaded, because its calls are only fast as long as it does. The caller must call Update several times per second.
-func (l *Load) Update(now time.Time, refuses bool) bool {
+// Update updates the load from the recent calls and reports whether the router is overloaded. linkFull is set if requests of callers
+// fill the link; the router is overloaded at once then, because its calls are late only when much waits for the link. A router that
+// refuses connections remains overloaded, because its calls are only fast as long as it does. The caller must call Update several
+// times per second.
+func (l *Load) Update(now time.Time, refuses, linkFull bool) bool {
+	if linkFull {
+		l.overloaded, l.changingSince = true, time.Time{}
+		return true
+	}
 	threshold, minDuration := overloadDelay, overloadAfter
 	if l.overloaded {
 		threshold, minDuration = recoveryDelay, recoveryAfter
--- a/rotator/rotator.go
+++ b/rotator/rotator.go
@@ -305,9 +305,10 @@
 		r.refusals.update(now.Sub(r.measuredAt), r.totalPause(now))
 	}
 	r.measuredAt = now
-	overloaded = r.load.Update(now, r.refuses)
+	fullRate := r.use.fullRate(r.limiter.carried(), r.admission.unanswered)
+	overloaded = r.load.Update(now, r.refuses, fullRate > 0)
 	r.refuses = r.paused
-	r.limiter.adjust(overloaded, r.load.Delay(now))
+	r.limiter.adjust(overloaded, r.load.Delay(now), fullRate)
 	r.admission.setLimit(r.limiter.rate)
 	r.overloaded.Store(overloaded)
 	return overloaded
