Report that a router is not ready while it asks for a lease

Callers of a hot workspace stayed at each thin router for two probes of the load balancer after its lease was granted, so each of three routers in turn cost them 2.5 to 3 s. A load balancer needs two failed probes a second apart, so the first one may fail while the votes are on their way: a router that asks for a lease reports for 0.9 s at most, and not again for 5 s, that it is not ready. If it gets no lease, it is ready for the next probe, and stays in rotation.

--- a/rotator/absence.go
+++ b/rotator/absence.go
@@ -2,6 +2,15 @@
 
 import "time"
 
+const (
+	// forewarning is how long a router that asks for a lease already reports that it is not ready. A load balancer takes a router
+	// out of rotation after two failed probes, which are a second apart, so the forewarning alone has no effect. With it, the router
+	// is out a probe sooner once the lease is granted.
+	forewarning = 900 * time.Millisecond
+	// forewarningInterval is the minimum time between two forewarnings. They must not fail two probes in a row.
+	forewarningInterval = 5 * time.Second
+)
+
 // absence is the state of a router's absence from the rotation. out is set while the router is out of rotation, until is when it
 // may return.
 type absence struct {
@@ -14,6 +23,8 @@
 	election uint64
 	// pending delivers the result of the current election. It is nil if there is none.
 	pending chan election
+	// forewarnedAt is when the router last reported that it was not ready before the election had ended.
+	forewarnedAt time.Time
 	// retryAt is the earliest time of the next election after the last lost one.
 	retryAt time.Time
 }
@@ -27,6 +38,15 @@
 	return min(maxOutTime, 2*s.span)
 }
 
+// forewarn begins a forewarning unless the last one was recent, and returns when it ends.
+func (s *absence) forewarn(now time.Time) (until time.Time, ok bool) {
+	if !s.forewarnedAt.IsZero() && now.Sub(s.forewarnedAt) < forewarningInterval {
+		return time.Time{}, false
+	}
+	s.forewarnedAt = now
+	return now.Add(forewarning), true
+}
+
 // start begins the absence for which an election was won.
 func (s *absence) start(e election) {
 	s.out, s.span, s.until, s.election = true, e.span, e.began.Add(e.span), e.id
--- a/rotator/doc.go
+++ b/rotator/doc.go
@@ -16,7 +16,8 @@
 // a lease. Each voter grants a limited number of leases for a limited time. A
 // router that has leases from a majority of the voters may leave the rotation: it
 // reports that it is not ready, and its answers close their connections, so that
-// callers reconnect to other routers. The voters need no store, which an
+// callers reconnect to other routers. It reports that for a short time already while
+// it asks, because a load balancer needs two failed probes. The voters need no store, which an
 // overloaded router reaches late, or not at all in a network partition. Because
 // any two majorities share a voter, at least half of the zone's routers always
 // stay in rotation; below that, a load balancer would send traffic to all of them
--- a/rotator/rotator.go
+++ b/rotator/rotator.go
@@ -76,6 +76,8 @@
 	settings Settings
 	deps     Dependencies
 	out      atomic.Bool
+	// forewarnedUntil is when the current or last forewarning ends, in nanoseconds since the Unix epoch.
+	forewarnedUntil atomic.Int64
 	// overloaded is the result of the last check of the load.
 	overloaded atomic.Bool
 	wg         sync.WaitGroup
@@ -118,6 +120,11 @@
 // IsOut reports whether the router is out of rotation.
 func (r *Rotator) IsOut() bool { return r.out.Load() }
 
+// IsReady reports whether new callers should use the router: it is in rotation, and does not forewarn of leaving it.
+func (r *Rotator) IsReady() bool {
+	return !r.IsOut() && r.deps.Clock.Now().UnixNano() >= r.forewarnedUntil.Load()
+}
+
 // IsOverloaded reports whether the last check of the load found that the router is overloaded.
 func (r *Rotator) IsOverloaded() bool { return r.overloaded.Load() }
 
@@ -362,6 +369,9 @@
 	r.absence.pending = pending
 	now := r.deps.Clock.Now()
 	span := r.absence.nextSpan(now)
+	if until, ok := r.absence.forewarn(now); ok {
+		r.forewarnedUntil.Store(until.UnixNano())
+	}
 	r.wg.Go(func() { pending <- r.elect(ctx, now, span) })
 }
 
@@ -379,6 +389,7 @@
 	line := r.deps.Log.WithFields(e.fields()).WithField("took_ms", now.Sub(e.began).Milliseconds())
 	r.returnLeases(ctx, e.unneeded(), e.id)
 	if !e.isWon() {
+		r.forewarnedUntil.Store(0)
 		// A random delay keeps routers that asked at the same time from splitting the votes again.
 		r.absence.retryAt = now.Add(leaseRetryInterval + rand.N(leaseRetryInterval))
 		line.Info("cannot get a lease to leave the rotation")
--- a/starter/gateway.go
+++ b/starter/gateway.go
@@ -375,7 +375,7 @@
 
 // readiness answers the load balancer's readiness check with status 200 or 503.
 func (d *GatewayDaemon) readiness(w http.ResponseWriter, _ *http.Request) {
-	if d.forwarder.Ready() {
+	if d.forwarder.Ready() && d.rotator.IsReady() {
 		w.WriteHeader(http.StatusOK)
 		return
 	}
