Count requests as owed whose connection a router refuses in the soak

The soak's check that no workspace starves passed over every request that was not wholly written, so also those that a router had refused by closing their connection. Only requests without any connection are passed over now.

--- a/soaker/workspaces.go
+++ b/soaker/workspaces.go
@@ -130,12 +130,14 @@
 	q.owed = q.owed && !s.isChanging[q.workspace]
 }
 
-// checkStarvedWorkspaces checks that no workspace starves: with tokens left, it is served at least a quarter as often as all.
+// checkStarvedWorkspaces checks that no workspace starves: with tokens left, it is served at least a quarter as often as all. Requests
+// whose connection a router refused or broke count as not served.
 func (s *soakRun) checkStarvedWorkspaces() {
 	type count struct{ owed, served int }
 	byWorkspace, all := map[string]count{}, count{}
 	for _, q := range s.requests {
-		if !q.owed || q.outcome == outcomeUnsent || q.waitTimeout < min(q.timeLimit, emulator.DeploymentTimeout) {
+		hasRouter := q.conn != callerConn{}
+		if !q.owed || !hasRouter || q.waitTimeout < min(q.timeLimit, emulator.DeploymentTimeout) {
 			continue
 		}
 		// A router that shuts down is not ready, so that a load balancer sends its callers to others. The proxies do not.
