Sum up in the account what routers have not read

A workspace behind a router that refuses connections looks better served in requests_by_workspace than it is.

--- a/accountant/account.go
+++ b/accountant/account.go
@@ -30,6 +30,7 @@
 	money    money
 	versions versions
 	outages  outages
+	unread   unread
 	joined   joinedRequests
 	trace    trace
 }
@@ -43,6 +44,7 @@
 		served: rows{}, servers: rows{}, changed: rows{}, others: rows{},
 		tallies: tallies{},
 		money:   money{workspaces: rows{}, routers: rows{}, last: map[string]Counts{}}, versions: versions{current: map[string]int64{}},
+		unread:  unread{byTime: rows{}, last: map[string]Counts{}},
 		outages: outages{open: map[outageKey]Line{}, done: rows{}}, joined: joinedRequests{ids: map[string]*joinedRequest{}},
 		trace: trace{request: request, states: map[string]map[string]Line{}},
 	}
@@ -97,6 +99,7 @@
 func (a *Analyzer) addEvent(l Line, outageMS int64) {
 	a.versions.add(l)
 	a.money.add(l)
+	a.unread.add(Key{At: a.bucketStart(l), Name: l.Router}, l)
 	fields, ok := listedEvents[l.Event]
 	if !ok {
 		a.others.add(Key{Name: l.Event}, l, 0)
@@ -128,6 +131,7 @@
 		{Name: "not_served_by_workspace", Rows: a.workspaces.list()},
 		{Name: "not_served_by_router", Rows: a.routers.list()},
 		{Name: "not_served_by_time", Rows: a.times.list(), chronological: true},
+		{Name: "not_read_by_time_and_router", Rows: a.unread.byTime.list(), chronological: true},
 		{Name: "served_sampled_by_route", Rows: a.served.list()},
 		{Name: "money_refused_by_workspace", Rows: a.money.workspaces.list()},
 		{Name: "money_starts_and_counters_by_router", Rows: a.money.routers.list()},
--- a/accountant/account_test.go
+++ b/accountant/account_test.go
@@ -193,6 +193,20 @@
 	}
 }
 
+// TestConnectionsThatWereNotReadAreSummedUp guards against reports that hide callers of whom routers have read nothing.
+func TestConnectionsThatWereNotReadAreSummedUp(t *testing.T) {
+	load := func(router string, ms, refused, unread int) string {
+		return line(router, ms, fmt.Sprintf("event=load refused_connections=%d unread_connections=%d", refused, unread))
+	}
+	r := account(t,
+		[]string{load("edge-1", 100, 10, 1), load("edge-1", 1100, 25, 1), line("edge-1", 2000, "event=started"), load("edge-1", 3100, 5, 0)},
+		[]string{load("edge-2", 1200, 0, 4)},
+	)
+	qt.Assert(t, summary(t, r, "not_read_by_time_and_router"), qt.DeepEquals, []string{
+		"edge-1 11 refused_connections=10 unread_connections=1", "edge-1 15 refused_connections=15", "edge-2 4 unread_connections=4", "edge-1 5 refused_connections=5",
+	})
+}
+
 func TestOutagesAndChanges(t *testing.T) {
 	r := account(t, []string{
 		line("edge-1", 0, "event=store_lost table=op"), line("edge-1", 100, "event=store_lost table=op"), line("edge-1", 400, "event=store_regained table=op"),
