--- a/rotator/starvation_test.go
+++ b/rotator/starvation_test.go
@@ -27,6 +27,9 @@
 	farTime, nearTime = 6 * time.Millisecond, 3 * time.Millisecond
 	// callTimeout is the timeout of a router's own calls.
 	callTimeout = 250 * time.Millisecond
+	// maxWait is the longest time for which packets may wait for the link of a router that resumes its listener, unless it has been
+	// paused for maxPause.
+	maxWait, maxPause = 40 * time.Millisecond, time.Second
 )
 
 // packet is what waits for a router's link. arrive is called when the link has carried it.
@@ -55,15 +58,35 @@
 	// listens is the number of times that the listener was resumed. A connection belongs to the listener that got its first packet.
 	listens int
 	misses  int
+	// pausedAt is when the listener was last paused. earlyResumes is the number of times that it was resumed less than maxPause
+	// later while packets waited for longer than maxWait.
+	pausedAt     time.Time
+	earlyResumes int
 }
 
-func (m *queuedRouter) Pause() { m.zone.do(func() { m.paused = true }) }
+func (m *queuedRouter) Pause() {
+	m.zone.do(func() { m.paused, m.pausedAt = true, time.Now() })
+}
 
 func (m *queuedRouter) Resume() bool {
-	m.zone.do(func() { m.paused, m.listens = false, m.listens+1 })
+	m.zone.do(func() {
+		m.paused, m.listens = false, m.listens+1
+		if m.wait() > maxWait && time.Since(m.pausedAt) < maxPause {
+			m.earlyResumes++
+		}
+	})
 	return true
 }
 
+// wait returns how long a new packet would wait for the link.
+func (m *queuedRouter) wait() time.Duration {
+	bytes := 0.0
+	for _, p := range m.queue {
+		bytes += p.bytes
+	}
+	return time.Duration(bytes / m.rate * float64(time.Second))
+}
+
 // send queues a packet that is on its way to the router.
 func (m *queuedRouter) send(bytes float64, arrive func()) {
 	m.queue = append(m.queue, packet{bytes, arrive})
@@ -348,3 +371,25 @@
 		}
 	}
 }
+
+// TestPausedListenerWaitsForItsLink guards against routers that resume their listener while what was sent before the pause still
+// waits for the link: all callers that connect behind it come at once, and the next pause loses them.
+func TestPausedListenerWaitsForItsLink(t *testing.T) {
+	for name, linkRate := range map[string]float64{"capacity is known": thinLink, "capacity is unknown": 0} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, stop := context.WithCancel(t.Context())
+				z := newQueuedZone(ctx, 0, thinLink, linkRate)
+				m := z.routers[1]
+				m.rate = thinLink
+				z.advance(2 * time.Second)
+				z.workspaces = []*queuedWorkspace{{name: "hot", order: []int{1}, perSecond: 600}}
+				z.advance(8 * time.Second)
+				t.Logf("resumed %d times, %d of them early", m.listens, m.earlyResumes)
+				qt.Check(t, m.listens > 10, qt.IsTrue)
+				qt.Check(t, m.earlyResumes, qt.Equals, 0)
+				z.stop(stop)
+			})
+		})
+	}
+}
