Log what a connection had carried before an answer came on it

A refusal that was believed left one line with its status, whatever came before on its connection, so that the copy of an earlier refusal could not be told from a true one. Lines of failed attempts and refused handovers now name the connection, the requests and rejections before, and whether the same request was sent on it before; answers that are skipped get a line of their own. No decision is changed.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -63,6 +63,8 @@
 	answerRecorded bool
 	// reservation is the capacity that the server has reserved for the attempt; it is empty if there is none.
 	reservation string
+	// history is that of the connection on which the last answer came.
+	history sender.History
 	// part is what the attempt contributed to the caller's stream.
 	part streamPart
 	// coordinated is the run as it is reported to the coordinator.
@@ -174,6 +176,7 @@
 	a.part.after = cmp.Or(lastEvent, a.x.q.LastEvent)
 	answer, err := a.x.f.sender.Send(a.ctx, a.server.Address, a.x.maxConnections(), a.serverRequest())
 	if err == nil {
+		a.history = answer.History
 		a.observeServer(answer)
 	}
 	return answer, err
@@ -275,6 +278,7 @@
 		if head.ID == a.x.q.ID || head.ID == "" {
 			return head, answer, nil
 		}
+		a.logSkipped(answer.Status, head)
 		next, err := answer.Next()
 		if err != nil {
 			return head, answer, err
@@ -294,7 +298,7 @@
 // a signature.
 func (a *attempt) handleAnswer(answer *sender.Answer, head masticway.ServerAnswer) outcome {
 	if a.isRejected(head) {
-		_ = answer.Discard()
+		_ = answer.DiscardRejection()
 		return a.notRunOutcome(answer.Status)
 	}
 	if head.ID == "" || !head.Signed {
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -310,7 +310,7 @@
 		}
 		x.tried[a.server.ID] = true
 		retry := x.decideRetry(ctx, out)
-		x.logFailedAttempt(a.server, out, retry)
+		x.logFailedAttempt(a, out, retry)
 		if !retry.isAllowed() {
 			return x.refusalFor(ctx, out)
 		}
--- a/forwarder/handover.go
+++ b/forwarder/handover.go
@@ -268,7 +268,7 @@
 	h.droppedCandidates = append(h.droppedCandidates, next.server.ID)
 	h.mu.Unlock()
 	next.recordResult(out.result)
-	x.f.log.WithFields(logrus.Fields{
+	x.f.log.WithFields(connectionFields(next.history)).WithFields(logrus.Fields{
 		"event": "handover_refused", "request": x.q.ID, "server": next.server.ID, "stays_at": a.server.ID, "cause": out.reason,
 		"sent": next.sent.Load(), "asked_ms": x.f.clock.Now().Sub(next.sentAt).Milliseconds(),
 	}).Info("handover aborted")
--- a/forwarder/report.go
+++ b/forwarder/report.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/masticway/masticway"
+	"github.com/masticway/masticway/sender"
 	"github.com/masticway/masticway/tallier"
 )
 
@@ -101,9 +102,27 @@
 	x.logEntry(codeBrokenOff).WithFields(logrus.Fields{"run": refused.Fate, "cause": x.cause, "protocol": x.q.protocol}).Info("answer aborted")
 }
 
-func (x *exchange) logFailedAttempt(server masticway.Server, out outcome, retry retryDecision) {
-	x.f.log.WithFields(retry.fields()).WithFields(logrus.Fields{
+func (x *exchange) logFailedAttempt(a *attempt, out outcome, retry retryDecision) {
+	server := a.server
+	x.f.log.WithFields(retry.fields()).WithFields(connectionFields(a.history)).WithFields(logrus.Fields{
 		"event": "attempt_failed", "request": x.q.ID, "pool": x.q.pool.Name, "server": server.ID, "version": server.Version, "address": server.Address, "fate": out.fate,
 		"cause": out.reason, "given_up": out.abandoned, "events": x.events, "digest": x.suspects().Request, "path": x.q.path(), "workspace": x.q.account.Workspace, "ms": x.f.clock.Now().Sub(x.q.arrivedAt).Milliseconds(),
 	}).Info("attempt failed")
 }
+
+// logSkipped logs that an answer to another request came where the answer to the attempt's request was expected.
+func (a *attempt) logSkipped(status int, head masticway.ServerAnswer) {
+	a.x.f.log.WithFields(connectionFields(a.history)).WithFields(logrus.Fields{
+		"event": "answer_skipped", "request": a.x.q.ID, "server": a.server.ID, "answers": head.ID, "status": status, "not_run": head.NotRun,
+	}).Info("answer to another request skipped")
+}
+
+// connectionFields returns the log fields of the connection on which an answer came. There are none if no answer came.
+func connectionFields(h sender.History) logrus.Fields {
+	if h.Local == "" {
+		return nil
+	}
+	return logrus.Fields{
+		"connection": h.Local, "connection_requests": h.Requests, "connection_rejections": h.Rejections, "connection_repeated": h.Repeated,
+	}
+}
--- a/forwarder/sending.go
+++ b/forwarder/sending.go
@@ -57,7 +57,7 @@
 func (a *attempt) serverRequest() sender.Request {
 	q := &a.x.q
 	r := sender.Request{
-		Method: q.method, Target: q.target, Host: q.host, Body: q.body, ConnectTimeout: connectTimeout,
+		ID: q.ID, Method: q.method, Target: q.target, Host: q.host, Body: q.body, ConnectTimeout: connectTimeout,
 		Prepare: func() http.Header { return a.serverHeader() },
 		Check:   a.checkSending,
 	}
--- a/sender/bounds.go
+++ b/sender/bounds.go
@@ -14,9 +14,10 @@
 	maxSkippedBytes = 8 << 20
 )
 
-// Discard reads an answer that is of no use to its end, so that its connection can be reused. It gives up, so that the connection is
-// closed, if the answer does not end soon.
-func (a *Answer) Discard() error {
+// DiscardRejection reads an answer that rejects its request to its end, so that its connection can be reused. It gives up, so that the
+// connection is closed, if the answer does not end soon.
+func (a *Answer) DiscardRejection() error {
+	a.conn.rejections++
 	if err := a.conn.net.SetReadDeadline(time.Now().Add(maxDiscardTime)); err != nil {
 		return err
 	}
--- a/sender/pool.go
+++ b/sender/pool.go
@@ -116,7 +116,7 @@
 		return nil, &Error{Cause: err}
 	}
 	head := receiver.NewHeadConn(n)
-	return &conn{sender: s, address: address, net: n, head: head, reader: bufio.NewReaderSize(head, readBufferSize)}, nil
+	return &conn{sender: s, address: address, local: n.LocalAddr().String(), net: n, head: head, reader: bufio.NewReaderSize(head, readBufferSize)}, nil
 }
 
 // dialInTime connects to a server within a timeout. If the timeout is noticed late, this process had to wait for a processor and the
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -29,6 +29,8 @@
 
 // Request is a request to one server.
 type Request struct {
+	// ID is the ID that the answer repeats. It is empty if the answer names no request.
+	ID     string
 	Method string
 	// Target is the request target as the caller sent it.
 	Target string
@@ -103,9 +105,11 @@
 
 // Answer is a server's answer. The caller must call Close.
 type Answer struct {
-	Status   int
-	Header   http.Header
-	Framing  Framing
+	Status  int
+	Header  http.Header
+	Framing Framing
+	// History is what the connection had carried before the request.
+	History  History
 	body     io.ReadCloser
 	conn     *conn
 	complete bool
@@ -186,8 +190,14 @@
 	// requests sent on the connection.
 	writeDone chan error
 	// failure is the error for which this process reset the connection while it waited for the server.
-	failure     atomic.Pointer[error]
-	requests    int
+	failure  atomic.Pointer[error]
+	requests int
+	// rejections is the number of answers that were discarded as rejections. carried holds the IDs of the requests, and history is the
+	// connection's state before the current one. local is the address of this side.
+	local       string
+	rejections  int
+	carried     requestIDs
+	history     History
 	idleSince   time.Time
 	idleTimeout time.Duration
 	// ackTimeout is the acknowledgement timeout that is set on the socket.
@@ -233,8 +243,7 @@
 		c.keep()
 		return nil, &Error{Cause: err}
 	}
-	c.requests++
-	c.method = r.Method
+	c.begin(r)
 	c.stop = context.AfterFunc(ctx, c.reset)
 	err = c.write(head, r)
 	watch := watchAcks(c, r.AckTimeout)
@@ -348,7 +357,7 @@
 			continue
 		}
 		c.willClose = response.Close
-		return &Answer{Status: response.StatusCode, Header: response.Header, Framing: framingOf(response), body: response.Body, conn: c}, nil
+		return &Answer{Status: response.StatusCode, Header: response.Header, Framing: framingOf(response), History: c.history, body: response.Body, conn: c}, nil
 	}
 }
 
