Show that copies of refusals make requests run twice

Servers of the emulator can send the copies of a refusal when the next request has arrived on the connection: one or more, at once or late, of 503, 429, 421 and of refused reservations.

--- a/emulator/answer.go
+++ b/emulator/answer.go
@@ -9,6 +9,9 @@
 	"time"
 )
 
+// statusOverloaded is the status of a server without capacity.
+const statusOverloaded = "503 Service Unavailable"
+
 // serveRequest serves one request, whose head arrived at headAt. It returns whether the connection stays open.
 func (s *OpaqueServer) serveRequest(c net.Conn, r *http.Request, headAt time.Time, body string) bool {
 	id := r.Header.Get("X-Attempt-Id")
@@ -20,11 +23,13 @@
 	named := "X-Attempt-Id: " + id + "\r\n"
 	switch {
 	case fault == OpaqueOverloaded:
-		return s.write(c, s.rejectionHeader()+named+"Content-Length: 0\r\n\r\n")
+		return s.refuse(c, s.rejectionHeader(statusOverloaded)+named+"Content-Length: 0\r\n\r\n")
+	case fault == OpaqueRateLimited:
+		return s.refuse(c, s.rejectionHeader("429 Too Many Requests")+named+"Content-Length: 0\r\n\r\n")
 	case fault == OpaqueAnonymousRejection:
-		return s.write(c, s.rejectionHeader()+"Content-Length: 0\r\n\r\n")
+		return s.refuse(c, s.rejectionHeader(statusOverloaded)+"Content-Length: 0\r\n\r\n")
 	case fault == OpaqueWrongServer || r.Header.Get("X-Expect-Instance") != s.ID:
-		return s.write(c, "HTTP/1.1 421 Misdirected Request\r\nX-Instance-Id: "+s.ID+"\r\n"+named+"Content-Length: 0\r\n\r\n")
+		return s.refuse(c, "HTTP/1.1 421 Misdirected Request\r\nX-Instance-Id: "+s.ID+"\r\n"+named+"Content-Length: 0\r\n\r\n")
 	}
 	timeLeft, _ := strconv.ParseInt(r.Header.Get("X-Deadline-Ms"), 10, 64)
 	run := s.runLog.add(OpaqueRun{
@@ -33,6 +38,7 @@
 		HeadAt: headAt, StartedAt: time.Now(), Fault: fault, Reservation: r.Header.Get("X-Kv-Hold"),
 	})
 	defer s.runLog.markEnded(run)
+	s.sendLateCopies(c)
 	header := named + "X-Server-Signature: " + signaturePrefix + s.ID + "\r\n" + s.serverHeader()
 	switch fault {
 	case OpaqueCrash:
@@ -52,7 +58,7 @@
 			return false
 		}
 	case OpaqueStrayRejection:
-		s.write(c, s.rejectionHeader()+"Content-Length: 0\r\n\r\n")
+		s.write(c, s.rejectionHeader(statusOverloaded)+"Content-Length: 0\r\n\r\n")
 	case OpaqueError:
 		return s.write(c, "HTTP/1.1 500 Internal Server Error\r\n"+header+"Content-Length: 4\r\n\r\noops")
 	case OpaqueUnsigned:
--- a/emulator/fault.go
+++ b/emulator/fault.go
@@ -14,6 +14,8 @@
 	OpaqueNoFault OpaqueFault = ""
 	// OpaqueOverloaded rejects the request with 503 without running it.
 	OpaqueOverloaded OpaqueFault = "full"
+	// OpaqueRateLimited rejects the request with 429 without running it.
+	OpaqueRateLimited OpaqueFault = "rate"
 	// OpaqueWrongServer answers with 421, as if the request were meant for another server, without running it.
 	OpaqueWrongServer OpaqueFault = "other"
 	// OpaqueError runs the request and answers with a signed 500.
--- a/emulator/opaque.go
+++ b/emulator/opaque.go
@@ -112,6 +112,9 @@
 	echo     bool
 	workTime time.Duration
 	conns    map[net.Conn]bool
+	// lateCopies is what SendLateCopies sets. owedCopies holds the refusals whose copies have not been sent, by connection.
+	lateCopies LateCopies
+	owedCopies map[net.Conn]string
 	// A request crashes the server if its body contains crashText, or if one of crashParts is a part of its prompt, except the last
 	// one. onCrash is called before the server closes.
 	crashText  string
@@ -156,7 +159,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("listening for %s: %w", id, err)
 	}
-	s := &OpaqueServer{ID: id, runLog: runLog, listener: listener, events: 5, pause: time.Millisecond, conns: map[net.Conn]bool{}}
+	s := &OpaqueServer{ID: id, runLog: runLog, listener: listener, events: 5, pause: time.Millisecond, conns: map[net.Conn]bool{}, owedCopies: map[net.Conn]string{}}
 	go s.accept()
 	return s, nil
 }
@@ -256,9 +259,10 @@
 	s.continuation = fault
 }
 
-// rejectionHeader returns the status line and headers of an answer that rejects a request without running it.
-func (s *OpaqueServer) rejectionHeader() string {
-	header := "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n" + s.serverHeader()
+// rejectionHeader returns the status line and headers of an answer that rejects a request without running it. status is the code and
+// its text.
+func (s *OpaqueServer) rejectionHeader(status string) string {
+	header := "HTTP/1.1 " + status + "\r\nX-Not-Executed: 1\r\n" + s.serverHeader()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.retryAfter != "" {
@@ -345,6 +349,7 @@
 	defer func() {
 		s.mu.Lock()
 		delete(s.conns, c)
+		delete(s.owedCopies, c)
 		s.mu.Unlock()
 		_ = c.Close()
 	}()
@@ -384,7 +389,7 @@
 		fault = s.continuation
 	}
 	arrival := OpaqueArrival{ID: id, ReceivedAt: at}
-	if fault == OpaqueOverloaded {
+	if fault == OpaqueOverloaded || fault == OpaqueRateLimited {
 		arrival.RetryAfter = s.retryAfter
 	}
 	s.arrivals = append(s.arrivals, arrival)
--- a/emulator/reservation.go
+++ b/emulator/reservation.go
@@ -22,10 +22,11 @@
 	if len(s.faults) > 0 && s.faults[0] == OpaqueOverloaded {
 		s.faults = s.faults[1:]
 		s.mu.Unlock()
-		return s.write(c, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+		return s.refuse(c, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
 	}
 	s.reservations++
 	body := fmt.Sprintf(`{"hold":"%s-%d"}`, s.ID, s.reservations)
 	s.mu.Unlock()
+	s.sendLateCopies(c)
 	return s.write(c, fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body))
 }
--- /dev/null
+++ b/sender/history_test.go
@@ -0,0 +1,127 @@
+package sender_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/masticway/masticway/sender"
+)
+
+// send sends a request with an ID and reads its answer.
+func send(ctx context.Context, s *sender.Sender, address string, limit int, id string) (sender.History, error) {
+	a, err := s.Send(ctx, address, limit, sender.Request{ID: id, Method: "GET", Target: "/", Host: "h", ConnectTimeout: time.Second})
+	if err != nil {
+		return sender.History{}, err
+	}
+	defer a.Close()
+	_, err = io.Copy(io.Discard, a)
+	return a.History, err
+}
+
+// serveOK answers all requests on a connection.
+func serveOK(c *net.TCPConn) {
+	defer c.Close()
+	for r := bufio.NewReader(c); ; {
+		if _, err := http.ReadRequest(r); err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, okAnswer)
+	}
+}
+
+// TestConnectionCarriesRequestOnce guards against a request that is sent again on the connection on which an answer to its earlier sending
+// may still come, and against requests whose answers name none beside others.
+func TestConnectionCarriesRequestOnce(t *testing.T) {
+	for name, tc := range map[string]struct {
+		limit int
+		ids   []string
+		dials int64
+	}{
+		"other requests":                     {ids: []string{"a", "b", "c"}, dials: 1},
+		"the same request":                   {ids: []string{"a", "a"}, dials: 2},
+		"the same request, at the limit":     {limit: 1, ids: []string{"a", "a"}, dials: 2},
+		"the same request after others":      {ids: []string{"a", "b", "c", "a", "b"}, dials: 2},
+		"three times":                        {ids: []string{"a", "a", "a", "b"}, dials: 3},
+		"answers that name none":             {ids: []string{"", ""}, dials: 2},
+		"answers that name none, then one":   {ids: []string{"", "a"}, dials: 2},
+		"answers that name none, after one":  {ids: []string{"a", "", "b"}, dials: 2},
+		"answers that name none, at a limit": {limit: 1, ids: []string{"a", "", "b"}, dials: 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := sender.New((&net.Dialer{}).DialContext, time.Now)
+			address := accept(t, serveOK)
+			for _, id := range tc.ids {
+				h, err := send(t.Context(), s, address, tc.limit, id)
+				qt.Assert(t, err, qt.IsNil)
+				qt.Assert(t, h.Repeated, qt.IsFalse)
+			}
+			qt.Assert(t, s.Dials(), qt.Equals, tc.dials)
+		})
+	}
+}
+
+// TestConnectionIsNotReusedForever guards against connections that have forgotten the requests that they carried.
+func TestConnectionIsNotReusedForever(t *testing.T) {
+	const requests = 5000
+	s := sender.New((&net.Dialer{}).DialContext, time.Now)
+	address := accept(t, serveOK)
+	locals := map[string]map[string]bool{}
+	for i := range requests {
+		id := fmt.Sprint(i)
+		h, err := send(t.Context(), s, address, 0, id)
+		qt.Assert(t, err, qt.IsNil)
+		if locals[h.Local] == nil {
+			locals[h.Local] = map[string]bool{}
+		}
+		locals[h.Local][id] = true
+		if i%1000 != 0 {
+			continue
+		}
+		for first := range locals[h.Local] {
+			again, err := send(t.Context(), s, address, 0, first)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, again.Local, qt.Not(qt.Equals), h.Local)
+			break
+		}
+	}
+	qt.Assert(t, s.Dials() < requests/100, qt.IsTrue, qt.Commentf("%d connections", s.Dials()))
+}
+
+// TestRequestBehindCopiesIsReset guards against a server that works on because its connection ends in the usual way when its answer is
+// given up behind answers to other requests.
+func TestRequestBehindCopiesIsReset(t *testing.T) {
+	for name, after := range map[string]string{
+		"nothing follows":          "",
+		"half a head follows":      "HTTP/1.1 200",
+		"too large a head follows": "HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", 4<<20),
+		"no head follows":          "no head\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			ctx, giveUp := context.WithTimeout(t.Context(), 300*time.Millisecond)
+			defer giveUp()
+			wasReset := make(chan bool, 1)
+			address := accept(t, func(c *net.TCPConn) {
+				defer c.Close()
+				_, _ = http.ReadRequest(bufio.NewReader(c))
+				_, _ = io.WriteString(c, okAnswer+after)
+				wasReset <- awaitReset(c)
+			})
+			s := sender.New((&net.Dialer{}).DialContext, time.Now)
+			a, err := s.Send(ctx, address, 0, sender.Request{ID: "a", Method: "GET", Target: "/", Host: "h", ConnectTimeout: time.Second})
+			qt.Assert(t, err, qt.IsNil)
+			_, err = a.Next()
+			qt.Assert(t, err, qt.IsNotNil)
+			a.Close()
+			qt.Assert(t, <-wasReset, qt.IsTrue)
+		})
+	}
+}
