Send a request on a connection that has not carried it before

The pool gives out the connection that was used last, so a request that comes to an address again, because its caller repeats the ID or because a restarted server is registered under two IDs, gets the connection on which it was refused. A copy of that refusal names the request and comes before the answer to the second sending.

Connections now remember the requests that they carried, as hashes, and are passed over for these. After 1,024 requests they are closed, which bounds the memory. At the limit of connections, a new one takes the place of one that was passed over. A refusal on a connection that had carried the request before would still leave its fate unknown.

Tests of the sender give their requests IDs, since requests without one are the same request; they check what they checked before.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -289,18 +289,21 @@
 }
 
 // isRejected reports whether an answer says that the server did not run the attempt's request. An answer that does not name the request
-// may belong to another one.
-func (a *attempt) isRejected(head masticway.ServerAnswer) bool {
-	return head.NotRun && head.ID == a.x.q.ID
+// may belong to another one, and one on a connection that had carried the request before to its earlier sending.
+func (a *attempt) isRejected(head masticway.ServerAnswer, h sender.History) bool {
+	return head.NotRun && head.ID == a.x.q.ID && !h.Repeated
 }
 
 // handleAnswer relays an answer to the caller, unless the server did not run the request, or the answer lacks the request's ID or
 // a signature.
 func (a *attempt) handleAnswer(answer *sender.Answer, head masticway.ServerAnswer) outcome {
-	if a.isRejected(head) {
+	if a.isRejected(head, answer.History) {
 		_ = answer.DiscardRejection()
 		return a.notRunOutcome(answer.Status)
 	}
+	if head.NotRun && answer.History.Repeated {
+		return a.failure(fmt.Errorf("status %d, perhaps of an earlier sending on this connection", answer.Status))
+	}
 	if head.ID == "" || !head.Signed {
 		return a.failure(fmt.Errorf("status %d without the request's id or a signature", answer.Status))
 	}
--- a/forwarder/handover.go
+++ b/forwarder/handover.go
@@ -327,7 +327,7 @@
 		return a.sendFailure(r.err), true
 	}
 	head := a.x.f.codec.ParseAnswer(r.answer.Status, r.answer.Header)
-	if !a.isRejected(head) {
+	if !a.isRejected(head, r.answer.History) {
 		return outcome{}, false
 	}
 	r.answer.Close()
--- a/sender/acks_test.go
+++ b/sender/acks_test.go
@@ -24,7 +24,7 @@
 		time.Sleep(4 * timeout)
 		_, _ = io.WriteString(c, okAnswer)
 	})
-	a, err := s.Send(t.Context(), address, 0, sender.Request{Method: "GET", Target: "/", Host: "h", ConnectTimeout: time.Second, AckTimeout: timeout})
+	a, err := s.Send(t.Context(), address, 0, sender.Request{ID: nextID(), Method: "GET", Target: "/", Host: "h", ConnectTimeout: time.Second, AckTimeout: timeout})
 	qt.Assert(t, err, qt.IsNil)
 	a.Close()
 }
@@ -51,7 +51,7 @@
 			if learned {
 				learnAcks(t, s, timeout)
 			}
-			a, err := s.Send(t.Context(), address, 0, sender.Request{Method: "POST", Target: "/", Host: "h", Body: []byte(body), ConnectTimeout: time.Second, AckTimeout: timeout})
+			a, err := s.Send(t.Context(), address, 0, sender.Request{ID: nextID(), Method: "POST", Target: "/", Host: "h", Body: []byte(body), ConnectTimeout: time.Second, AckTimeout: timeout})
 			qt.Assert(t, err, qt.IsNil)
 			a.Close()
 			qt.Assert(t, <-read, qt.Equals, int64(len(body)))
@@ -91,7 +91,7 @@
 	learnAcks(t, s, timeout)
 	began := time.Now()
 	_, err := s.Send(t.Context(), address, 0, sender.Request{
-		Method: "GET", Target: "/", Host: "h", ConnectTimeout: time.Second, AckTimeout: timeout, Check: func() error { return <-filtered },
+		ID: nextID(), Method: "GET", Target: "/", Host: "h", ConnectTimeout: time.Second, AckTimeout: timeout, Check: func() error { return <-filtered },
 	})
 	qt.Assert(t, err, qt.IsNotNil)
 	took := time.Since(began)
@@ -119,7 +119,7 @@
 	})
 	s := sender.New((&net.Dialer{}).DialContext, time.Now)
 	for range 2 {
-		a, err := s.Send(t.Context(), address, 0, sender.Request{Method: "GET", Target: "/", Host: "h", ConnectTimeout: time.Second, AckTimeout: timeout})
+		a, err := s.Send(t.Context(), address, 0, sender.Request{ID: nextID(), Method: "GET", Target: "/", Host: "h", ConnectTimeout: time.Second, AckTimeout: timeout})
 		qt.Assert(t, err, qt.IsNil)
 		_, _ = io.Copy(io.Discard, a)
 		a.Close()
--- a/sender/history.go
+++ b/sender/history.go
@@ -5,7 +5,7 @@
 	"slices"
 )
 
-// maxRequestIDs is the number of IDs of requests that a connection remembers.
+// maxRequestIDs is the number of requests after which a connection is not reused, which bounds what it has to remember.
 const maxRequestIDs = 1024
 
 // History describes a connection at the time at which a request is sent on it.
@@ -21,20 +21,22 @@
 // hashSeed is the seed of the hashes in requestIDs.
 var hashSeed = maphash.MakeSeed()
 
-// requestIDs holds the hashes of the last maxRequestIDs IDs of requests.
+// requestIDs holds the hashes of the IDs of requests. Requests whose hashes are the same by chance are taken for one.
 type requestIDs struct{ hashes []uint64 }
 
-func (r *requestIDs) add(id string) {
-	if len(r.hashes) == maxRequestIDs {
-		r.hashes = slices.Delete(r.hashes, 0, maxRequestIDs/2)
-	}
-	r.hashes = append(r.hashes, maphash.String(hashSeed, id))
-}
+func (r *requestIDs) add(id string) { r.hashes = append(r.hashes, maphash.String(hashSeed, id)) }
+
+// isFull reports whether there are maxRequestIDs IDs.
+func (r *requestIDs) isFull() bool { return len(r.hashes) >= maxRequestIDs }
 
 func (r *requestIDs) has(id string) bool {
 	return slices.Contains(r.hashes, maphash.String(hashSeed, id))
 }
 
+// mayConfuse reports whether an answer to an earlier request on the connection may be taken for the answer to a request with the given
+// ID. A server may send an answer again when the next request has arrived.
+func (c *conn) mayConfuse(id string) bool { return c.carried.has(id) }
+
 // begin records that a request is about to be sent on the connection.
 func (c *conn) begin(r Request) {
 	c.history = History{Local: c.local, Requests: c.requests, Rejections: c.rejections, Repeated: c.carried.has(r.ID)}
--- a/sender/history_test.go
+++ b/sender/history_test.go
@@ -71,11 +71,11 @@
 
 // TestConnectionIsNotReusedForever guards against connections that have forgotten the requests that they carried.
 func TestConnectionIsNotReusedForever(t *testing.T) {
-	const requests = 5000
+	const total = 5000
 	s := sender.New((&net.Dialer{}).DialContext, time.Now)
 	address := accept(t, serveOK)
 	locals := map[string]map[string]bool{}
-	for i := range requests {
+	for i := range total {
 		id := fmt.Sprint(i)
 		h, err := send(t.Context(), s, address, 0, id)
 		qt.Assert(t, err, qt.IsNil)
@@ -93,7 +93,7 @@
 			break
 		}
 	}
-	qt.Assert(t, s.Dials() < requests/100, qt.IsTrue, qt.Commentf("%d connections", s.Dials()))
+	qt.Assert(t, s.Dials() < total/100, qt.IsTrue, qt.Commentf("%d connections", s.Dials()))
 }
 
 // TestRequestBehindCopiesIsReset guards against a server that works on because its connection ends in the usual way when its answer is
--- a/sender/limits.go
+++ b/sender/limits.go
@@ -9,8 +9,7 @@
 	for address, p := range s.pools {
 		p.limit = limits[address]
 		if surplus := min(p.open-p.limit, len(p.idle)); p.limit > 0 && surplus > 0 {
-			p.closeConns(p.idle[:surplus])
-			p.idle = p.idle[surplus:]
+			p.closeIdle(0, surplus)
 		}
 	}
 }
--- a/sender/pool.go
+++ b/sender/pool.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"syscall"
 	"time"
 
@@ -39,7 +40,7 @@
 // needed and limit or more connections are open.
 func (s *Sender) acquire(ctx context.Context, address string, limit int, r Request) (*conn, error) {
 	for {
-		c, open := s.acquireIdle(address, r.MaxIdle)
+		c, open := s.acquireIdle(address, limit, r)
 		if c == nil {
 			if limit > 0 && open >= limit {
 				s.recordDenied(address)
@@ -54,35 +55,47 @@
 	}
 }
 
-// acquireIdle removes the connection that was used last from the idle ones and returns it. It returns nil if there is none, if
-// that connection has expired (see conn.maxIdle), or if it has been idle for longer than maxIdle. If maxIdle is zero, only expiry
-// counts. acquireIdle also closes expired connections, and returns the number of open ones.
-func (s *Sender) acquireIdle(address string, maxIdle time.Duration) (*conn, int) {
+// acquireIdle removes a connection from the idle ones and returns it: of those on which no answer to an earlier request can be taken for
+// the answer to this one (see conn.mayConfuse), the one that was used last. It returns nil if there is none, if it has expired (see
+// conn.maxIdle), or if it has been idle for longer than the request's MaxIdle. acquireIdle also closes expired connections and, at the
+// limit, one that cannot be used for this request, so that a new one may take its place. It returns the number of open ones.
+func (s *Sender) acquireIdle(address string, limit int, r Request) (*conn, int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := s.pool(address)
-	if len(p.idle) == 0 {
-		return nil, p.open
-	}
 	now := s.now()
 	if len(p.idle) > sweepThreshold && now.Sub(p.idle[0].idleSince) > p.idle[0].maxIdle() {
-		p.closeConns(p.idle[:1])
-		p.idle = p.idle[1:]
-	}
-	c := p.idle[len(p.idle)-1]
-	age := now.Sub(c.idleSince)
-	if age > c.maxIdle() {
-		// The other connections have been idle for longer.
-		p.closeConns(p.idle)
-		p.idle = nil
-		return nil, p.open
+		p.closeIdle(0, 1)
+	}
+	confusing := -1
+	for i, c := range slices.Backward(p.idle) {
+		age := now.Sub(c.idleSince)
+		if age > c.maxIdle() {
+			// The connections before it have been idle for longer.
+			p.closeIdle(0, i+1)
+			confusing -= i + 1
+			break
+		}
+		if r.MaxIdle > 0 && age > r.MaxIdle {
+			break
+		}
+		if !c.mayConfuse(r.ID) {
+			p.idle = slices.Delete(p.idle, i, i+1)
+			p.recordPeak()
+			return c, p.open
+		}
+		confusing = i
 	}
-	if maxIdle > 0 && age > maxIdle {
-		return nil, p.open
+	if confusing >= 0 && limit > 0 && p.open >= limit {
+		p.closeIdle(confusing, confusing+1)
 	}
-	p.idle = p.idle[:len(p.idle)-1]
-	p.recordPeak()
-	return c, p.open
+	return nil, p.open
+}
+
+// closeIdle closes the idle connections with indexes from i to j-1.
+func (p *connPool) closeIdle(i, j int) {
+	p.closeConns(p.idle[i:j])
+	p.idle = slices.Delete(p.idle, i, j)
 }
 
 func (p *connPool) closeConns(conns []*conn) {
@@ -185,13 +198,14 @@
 	return err == nil && noInput
 }
 
-// keep adds the connection to the pool's idle ones, or closes it if more connections than the limit are open.
+// keep adds the connection to the pool's idle ones. It closes the connection instead if more than the limit are open, or if the
+// connection cannot remember further requests.
 func (c *conn) keep() {
 	c.sender.mu.Lock()
 	defer c.sender.mu.Unlock()
 	c.idleSince = c.sender.now()
 	p := c.sender.pool(c.address)
-	if p.limit > 0 && p.open > p.limit {
+	if p.limit > 0 && p.open > p.limit || c.carried.isFull() {
 		p.closeConns([]*conn{c})
 		return
 	}
--- a/sender/reset_test.go
+++ b/sender/reset_test.go
@@ -73,7 +73,7 @@
 				wasReset <- err == nil && awaitReset(c)
 			})
 			s := sender.New((&net.Dialer{}).DialContext, time.Now)
-			a, err := s.Send(ctx, address, 0, sender.Request{Method: "POST", Target: "/", Host: "h", Body: []byte(tc.body), ConnectTimeout: time.Second})
+			a, err := s.Send(ctx, address, 0, sender.Request{ID: nextID(), Method: "POST", Target: "/", Host: "h", Body: []byte(tc.body), ConnectTimeout: time.Second})
 			if err == nil {
 				_, err = io.Copy(io.Discard, a)
 				a.Close()
@@ -94,7 +94,7 @@
 		wasReset <- awaitReset(c)
 	})
 	s := sender.New((&net.Dialer{}).DialContext, time.Now)
-	a, err := s.Send(t.Context(), address, 0, sender.Request{Method: "GET", Target: "/", Host: "h", ConnectTimeout: time.Second})
+	a, err := s.Send(t.Context(), address, 0, sender.Request{ID: nextID(), Method: "GET", Target: "/", Host: "h", ConnectTimeout: time.Second})
 	qt.Assert(t, err, qt.IsNil)
 	a.Close()
 	qt.Assert(t, <-wasReset, qt.IsTrue)
--- a/sender/sender_test.go
+++ b/sender/sender_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -80,8 +81,14 @@
 	return sender.New((&net.Dialer{}).DialContext, time.Now), l.Addr().String()
 }
 
+// requests counts the requests that have got an ID.
+var requests atomic.Int64
+
+// nextID returns the ID of the next request.
+func nextID() string { return strconv.FormatInt(requests.Add(1), 10) }
+
 func get(ctx context.Context, s *sender.Sender, address string) (status int, body string, err error) {
-	a, err := s.Send(ctx, address, 0, sender.Request{Method: "GET", Target: "/", Host: "h", ConnectTimeout: time.Second})
+	a, err := s.Send(ctx, address, 0, sender.Request{ID: nextID(), Method: "GET", Target: "/", Host: "h", ConnectTimeout: time.Second})
 	if err != nil {
 		return 0, "", err
 	}
@@ -158,7 +165,7 @@
 func TestNextSkipsAnswerToOtherRequest(t *testing.T) {
 	foreign := "HTTP/1.1 200 OK\r\nX-For: other\r\nContent-Length: 5\r\n\r\nother"
 	s, address := startServer(t, &scriptedServer{answers: []string{foreign + okAnswer, okAnswer}})
-	a, err := s.Send(t.Context(), address, 0, sender.Request{Method: "GET", Target: "/", Host: "h", ConnectTimeout: time.Second})
+	a, err := s.Send(t.Context(), address, 0, sender.Request{ID: nextID(), Method: "GET", Target: "/", Host: "h", ConnectTimeout: time.Second})
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, a.Header.Get("X-For"), qt.Equals, "other")
 	a, err = a.Next()
@@ -176,7 +183,7 @@
 	s, address := startServer(t, &scriptedServer{answers: []string{okAnswer, okAnswer}, ignoreBodies: true})
 	for range 2 {
 		a, err := s.Send(t.Context(), address, 0, sender.Request{
-			Method: "POST", Target: "/", Host: "h", ConnectTimeout: time.Second, Body: []byte(strings.Repeat("x", 8<<20)),
+			ID: nextID(), Method: "POST", Target: "/", Host: "h", ConnectTimeout: time.Second, Body: []byte(strings.Repeat("x", 8<<20)),
 		})
 		qt.Assert(t, err, qt.IsNil)
 		_, err = io.ReadAll(a)
@@ -188,9 +195,9 @@
 
 func TestConnectionLimit(t *testing.T) {
 	s, address := startServer(t, &scriptedServer{answers: []string{okAnswer, okAnswer}})
-	a, err := s.Send(t.Context(), address, 1, sender.Request{Method: "GET", Target: "/", Host: "h", ConnectTimeout: time.Second})
+	a, err := s.Send(t.Context(), address, 1, sender.Request{ID: nextID(), Method: "GET", Target: "/", Host: "h", ConnectTimeout: time.Second})
 	qt.Assert(t, err, qt.IsNil)
-	_, err = s.Send(t.Context(), address, 1, sender.Request{Method: "GET", Target: "/", Host: "h", ConnectTimeout: time.Second})
+	_, err = s.Send(t.Context(), address, 1, sender.Request{ID: nextID(), Method: "GET", Target: "/", Host: "h", ConnectTimeout: time.Second})
 	var full *sender.ConnectionLimitError
 	qt.Assert(t, err, qt.ErrorAs, &full)
 	_, err = io.ReadAll(a)
@@ -206,7 +213,7 @@
 	_, _, err := get(t.Context(), s, address)
 	qt.Assert(t, err, qt.IsNil)
 	time.Sleep(30 * time.Millisecond)
-	a, err := s.Send(t.Context(), address, 0, sender.Request{Method: "GET", Target: "/", Host: "h", ConnectTimeout: time.Second, MaxIdle: 5 * time.Millisecond})
+	a, err := s.Send(t.Context(), address, 0, sender.Request{ID: nextID(), Method: "GET", Target: "/", Host: "h", ConnectTimeout: time.Second, MaxIdle: 5 * time.Millisecond})
 	qt.Assert(t, err, qt.IsNil)
 	a.Close()
 	qt.Assert(t, s.Dials(), qt.Equals, int64(2))
@@ -225,7 +232,7 @@
 	}, time.Now)
 	for _, timeout := range []time.Duration{700 * time.Millisecond, 0} {
 		a, err := s.Send(t.Context(), address, 0, sender.Request{
-			Method: "GET", Target: "/", Host: "h", ConnectTimeout: time.Second, AckTimeout: timeout,
+			ID: nextID(), Method: "GET", Target: "/", Host: "h", ConnectTimeout: time.Second, AckTimeout: timeout,
 		})
 		qt.Assert(t, err, qt.IsNil)
 		_, err = io.Copy(io.Discard, a)
@@ -245,7 +252,7 @@
 // hold sends a request and returns its answer, which keeps the connection in use until it is read and closed.
 func hold(t *testing.T, s *sender.Sender, address string) *sender.Answer {
 	t.Helper()
-	a, err := s.Send(t.Context(), address, 0, sender.Request{Method: "GET", Target: "/", Host: "h", ConnectTimeout: time.Second})
+	a, err := s.Send(t.Context(), address, 0, sender.Request{ID: nextID(), Method: "GET", Target: "/", Host: "h", ConnectTimeout: time.Second})
 	qt.Assert(t, err, qt.IsNil)
 	return a
 }
@@ -284,7 +291,7 @@
 			s.LimitConnections(map[string]int{address: tc.limit, "127.0.0.1:1": 1})
 			// openCount returns the number of open connections, which a request beyond them reports.
 			openCount := func() int {
-				_, err := s.Send(t.Context(), address, 1, sender.Request{Method: "GET", Target: "/", Host: "h", MaxIdle: time.Nanosecond, ConnectTimeout: time.Second})
+				_, err := s.Send(t.Context(), address, 1, sender.Request{ID: nextID(), Method: "GET", Target: "/", Host: "h", MaxIdle: time.Nanosecond, ConnectTimeout: time.Second})
 				var full *sender.ConnectionLimitError
 				qt.Assert(t, err, qt.ErrorAs, &full)
 				return full.Open
@@ -318,7 +325,7 @@
 func TestUseOfConnections(t *testing.T) {
 	s, address := startServer(t, &scriptedServer{answers: []string{okAnswer, okAnswer}})
 	a, b := hold(t, s, address), hold(t, s, address)
-	_, err := s.Send(t.Context(), address, 2, sender.Request{Method: "GET", Target: "/", Host: "h", ConnectTimeout: time.Second})
+	_, err := s.Send(t.Context(), address, 2, sender.Request{ID: nextID(), Method: "GET", Target: "/", Host: "h", ConnectTimeout: time.Second})
 	qt.Assert(t, err, qt.IsNotNil)
 	for _, o := range []*sender.Answer{a, b} {
 		_, err := io.ReadAll(o)
@@ -347,7 +354,7 @@
 	server := &scriptedServer{answers: []string{"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"}}
 	s, address := startServer(t, server)
 	for range 2 {
-		_, err := s.Send(t.Context(), address, 0, sender.Request{Method: "GET", Target: "/", Host: "h", ConnectTimeout: time.Second, Check: func() error { return errUnwanted }})
+		_, err := s.Send(t.Context(), address, 0, sender.Request{ID: nextID(), Method: "GET", Target: "/", Host: "h", ConnectTimeout: time.Second, Check: func() error { return errUnwanted }})
 		failure, ok := errors.AsType[*sender.Error](err)
 		qt.Assert(t, ok, qt.IsTrue)
 		qt.Assert(t, failure.Sent, qt.IsFalse)
@@ -364,7 +371,7 @@
 	s, address := startServer(t, &scriptedServer{answers: []string{"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"}})
 	checks := 0
 	_, err := s.Send(t.Context(), address, 0, sender.Request{
-		Method: "POST", Target: "/", Host: "h", Body: make([]byte, 256<<10), ConnectTimeout: time.Second,
+		ID: nextID(), Method: "POST", Target: "/", Host: "h", Body: make([]byte, 256<<10), ConnectTimeout: time.Second,
 		Check: func() error {
 			if checks++; checks > 2 {
 				return errUnwanted
@@ -416,7 +423,7 @@
 			s, address := startServer(t, &scriptedServer{answers: []string{okAnswer}})
 			checks, prepared := 0, 0
 			_, err := s.Send(t.Context(), address, 0, sender.Request{
-				Method: "GET", Target: "/", Host: "h", ConnectTimeout: time.Second,
+				ID: nextID(), Method: "GET", Target: "/", Host: "h", ConnectTimeout: time.Second,
 				Check: func() error {
 					if checks++; checks > 1 && unwanted {
 						return errUnwanted
--- a/sender/truncated_test.go
+++ b/sender/truncated_test.go
@@ -25,7 +25,7 @@
 					l, err := emulator.StartTruncatedServer(emulator.TruncatedAnswer{Text: text, Length: n, Resets: resets})
 					qt.Assert(t, err, qt.IsNil)
 					s := sender.New((&net.Dialer{}).DialContext, time.Now)
-					a, err := s.Send(t.Context(), l.Addr().String(), 0, sender.Request{Method: "GET", Target: "/", Host: "h", ConnectTimeout: time.Second})
+					a, err := s.Send(t.Context(), l.Addr().String(), 0, sender.Request{ID: nextID(), Method: "GET", Target: "/", Host: "h", ConnectTimeout: time.Second})
 					if err == nil {
 						_, err = io.Copy(io.Discard, a)
 						a.Close()
