Reserve capacity on a connection of its own

Handovers never happened (504) where servers send copies of refusals: the answer to a reservation names no request, so that the copy of a refused request was taken for it, and the copy of a refused reservation for the answer to the next request, which then ran at two servers.

A request whose answer names none now gets a new connection, which is closed after it. Handovers are rare and a connection costs a round trip of the 250 ms that a reservation may take.

--- a/sender/pool.go
+++ b/sender/pool.go
@@ -198,14 +198,14 @@
 	return err == nil && noInput
 }
 
-// keep adds the connection to the pool's idle ones. It closes the connection instead if more than the limit are open, or if the
-// connection cannot remember further requests.
+// keep adds the connection to the pool's idle ones. It closes the connection instead if more than the limit are open, or if it must not
+// carry further requests.
 func (c *conn) keep() {
 	c.sender.mu.Lock()
 	defer c.sender.mu.Unlock()
 	c.idleSince = c.sender.now()
 	p := c.sender.pool(c.address)
-	if p.limit > 0 && p.open > p.limit || c.carried.isFull() {
+	if p.limit > 0 && p.open > p.limit || c.isExhausted() {
 		p.closeConns([]*conn{c})
 		return
 	}
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -29,7 +29,7 @@
 
 // Request is a request to one server.
 type Request struct {
-	// ID is the ID that the answer repeats. It is empty if the answer names no request.
+	// ID is the ID that the answer repeats. It is empty if the answer names no request; the connection then carries no other request.
 	ID     string
 	Method string
 	// Target is the request target as the caller sent it.
