Use an answer that comes behind several copies of others

Callers got 502 for requests that ran where a server sends two or more copies of a refusal: an attempt failed at the third answer on its connection, though the answers name their requests and the third was its own (TestAnswerBehindCopiesIsUsed, 3 of 4 cases, and TestReservationIsNotAnsweredByCopy with two copies). Up to 16 answers to other requests are now skipped, within the request's deadline and a bound on their size as before.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -24,8 +24,9 @@
 	maxAnswerBytes = 8 << 20
 	// minAnswerPiece is the least number of bytes for which there is room when more of an answer is read.
 	minAnswerPiece = 512
-	// maxForeignAnswers is the number of answers to other requests, on one connection, after which an attempt fails.
-	maxForeignAnswers = 2
+	// maxForeignAnswers is the number of answers to other requests, on one connection, after which an attempt fails. A server that sends
+	// answers again may owe several of them.
+	maxForeignAnswers = 16
 )
 
 // attempt is an attempt to serve the request at one server.
