Reset a connection whose answer is given up behind another one

A server could work on after its request had been given up: once an answer to another request had been read whole, the connection counted as answered and was closed in the usual way, which a server may take for the end of the sending side only (TestRequestBehindCopiesIsReset, where no head follows, waited 2 s for a reset). Answer.Next now leaves the answer incomplete if none follows, so that Close resets the connection.

--- a/sender/sender.go
+++ b/sender/sender.go
@@ -152,6 +152,8 @@
 	}
 	next, err := a.conn.readAnswer()
 	if err != nil {
+		// Only the discarded answer is complete. The server may still work on the request.
+		a.complete = false
 		return nil, &Error{Sent: true, Reused: a.conn.requests > 1, Cause: err}
 	}
 	return next, nil
