Take no request for rest from an answer to another request

A server got nothing for as long as an earlier refusal had asked for (servers_resting) although that time was over: the copy of the refusal came before the answer to a later request, and its rate limit and rest were taken for new ones. TestCopyOfRefusalAsksForNoRest failed before. Only answers that name no other request now set either; that a server drains is still learnt from any.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -191,7 +191,10 @@
 		return
 	}
 	head := a.x.f.codec.ParseAnswer(answer.Status, answer.Header)
-	a.x.f.throttler.Observe(a.server.Incarnation(), head)
+	if !a.isForeign(head) {
+		// The copy of an earlier answer says what the server wanted then.
+		a.x.f.throttler.Observe(a.server.Incarnation(), head)
+	}
 	if head.Draining {
 		a.x.f.onDraining(a.server)
 	}
@@ -270,13 +273,16 @@
 	return out
 }
 
+// isForeign reports whether an answer names another request.
+func (a *attempt) isForeign(head masticway.ServerAnswer) bool { return head.ID != "" && head.ID != a.x.q.ID }
+
 // skipForeignAnswers returns the first answer that has this request's ID or no ID. It skips answers to other requests: a faulty
 // server may send an answer twice, and the copy then precedes the answer to the next request on the connection. It fails after
 // maxForeignAnswers skipped answers.
 func (a *attempt) skipForeignAnswers(answer *sender.Answer) (masticway.ServerAnswer, *sender.Answer, error) {
 	for range maxForeignAnswers {
 		head := a.x.f.codec.ParseAnswer(answer.Status, answer.Header)
-		if head.ID == a.x.q.ID || head.ID == "" {
+		if !a.isForeign(head) {
 			return head, answer, nil
 		}
 		a.logSkipped(answer.Status, head)
@@ -285,6 +291,7 @@
 			return head, answer, err
 		}
 		answer = next
+		a.observeServer(answer)
 	}
 	return masticway.ServerAnswer{}, answer, errors.New("the answers belong to other requests")
 }
--- a/forwarder/copies_test.go
+++ b/forwarder/copies_test.go
@@ -139,3 +139,19 @@
 	}
 	qt.Assert(t, f.ledger.Runs(), qt.HasLen, 5)
 }
+
+// TestCopyOfRefusalAsksForNoRest guards against servers that get nothing because the copy of an earlier refusal, which asked for a rest that
+// is over, comes before an answer.
+func TestCopyOfRefusalAsksForNoRest(t *testing.T) {
+	f := newFixture(t, 1)
+	f.servers[0].SendLateCopies(emulator.LateCopies{Count: 1})
+	f.servers[0].SetRetryAfter("1")
+	f.servers[0].InjectFaults(emulator.OpaqueOverloaded)
+	got := f.do(t.Context(), "POST", "/freely/x", "X-Attempt-Id", "refused")
+	qt.Assert(t, got.status, qt.Equals, 503)
+	f.clock.advance(1100 * time.Millisecond)
+	for i := range 2 {
+		got = f.do(t.Context(), "POST", "/freely/x", "X-Attempt-Id", fmt.Sprint("served-", i))
+		qt.Assert(t, got.status, qt.Equals, 200, qt.Commentf("%s", got.body))
+	}
+}
