--- a/sender/history.go
+++ b/sender/history.go
@@ -29,22 +29,6 @@
 // isFull reports whether there are maxRequestIDs IDs.
 func (r *requestIDs) isFull() bool { return len(r.hashes) >= maxRequestIDs }
 
-// isExhausted reports whether the connection must not carry further requests: it cannot remember them, or it has carried one whose answer
-// names no request.
-func (c *conn) isExhausted() bool { return c.carried.isFull() || c.carried.has("") }
-
 func (r *requestIDs) has(id string) bool {
 	return slices.Contains(r.hashes, maphash.String(hashSeed, id))
 }
-
-// mayConfuse reports whether an answer to an earlier request on the connection may be taken for the answer to a request with the given
-// ID. A server may send an answer again when the next request has arrived.
-func (c *conn) mayConfuse(id string) bool { return id == "" && c.requests > 0 || c.carried.has(id) }
-
-// begin records that a request is about to be sent on the connection.
-func (c *conn) begin(r Request) {
-	c.history = History{Local: c.local, Requests: c.requests, Rejections: c.rejections, Repeated: c.carried.has(r.ID)}
-	c.requests++
-	c.carried.add(r.ID)
-	c.method = r.Method
-}
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -1,19 +1,14 @@
 package sender
 
 import (
-	"bufio"
 	"context"
-	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
-
-	"github.com/masticway/masticway/receiver"
 )
 
 const (
@@ -82,91 +77,6 @@
 	return fmt.Sprintf("%d connections to %s are in use", e.Open, e.Address)
 }
 
-// Framing is how an answer delimits its body.
-type Framing string
-
-// The framings of answers. An answer with FramingConnection lasts until its connection ends.
-const (
-	FramingLength     Framing = "length"
-	FramingChunks     Framing = "chunks"
-	FramingConnection Framing = "connection"
-)
-
-// framingOf returns the framing of an answer.
-func framingOf(r *http.Response) Framing {
-	switch {
-	case r.ContentLength >= 0 || r.Body == http.NoBody:
-		return FramingLength
-	case len(r.TransferEncoding) > 0:
-		return FramingChunks
-	}
-	return FramingConnection
-}
-
-// Answer is a server's answer. The caller must call Close.
-type Answer struct {
-	Status  int
-	Header  http.Header
-	Framing Framing
-	// History is what the connection had carried before the request.
-	History  History
-	body     io.ReadCloser
-	conn     *conn
-	complete bool
-	closed   bool
-}
-
-// IsFramed reports whether the answer delimits its body by itself, so that its end is not known by that of the connection alone.
-func (a *Answer) IsFramed() bool { return a.Framing != FramingConnection }
-
-// Read reads the body. It returns io.EOF only at the end of a complete body, or at the end of the connection if the body is not
-// framed.
-func (a *Answer) Read(b []byte) (int, error) {
-	n, err := a.body.Read(b)
-	if errors.Is(err, io.EOF) {
-		a.complete = true
-	}
-	return n, err
-}
-
-// SetIdleTimeout sets how long the server keeps the connection open while it is idle. Zero selects defaultIdleTimeout.
-func (a *Answer) SetIdleTimeout(d time.Duration) { a.conn.idleTimeout = d }
-
-// Close ends the answer. The connection is kept for reuse only if the whole answer was read and nothing unexpected happened on
-// it. Further calls have no effect.
-func (a *Answer) Close() {
-	if a.closed {
-		return
-	}
-	a.closed = true
-	a.conn.release(a.complete, a.IsFramed())
-}
-
-// Next discards the answer, reads the next one on the connection and returns it. It is for faulty servers that send an answer
-// twice, so that the copy precedes the answer to the next request. The connection is not reused afterwards. If Next succeeds, the
-// caller must close the new answer and not the old one; otherwise it must close the old one.
-func (a *Answer) Next() (*Answer, error) {
-	a.conn.tainted = true
-	if err := a.skip(maxSkippedBytes); err != nil || !a.IsFramed() {
-		return nil, &Error{Sent: true, Reused: a.conn.requests > 1, Cause: fmt.Errorf("skipping an answer to another request: %w", errOr(err, io.ErrUnexpectedEOF))}
-	}
-	next, err := a.conn.readAnswer()
-	if err != nil {
-		// Only the discarded answer is complete. The server may still work on the request.
-		a.complete = false
-		return nil, &Error{Sent: true, Reused: a.conn.requests > 1, Cause: err}
-	}
-	return next, nil
-}
-
-// errOr returns err, or other if err is nil.
-func errOr(err, other error) error {
-	if err != nil {
-		return err
-	}
-	return other
-}
-
 // Sender holds the connections to all servers.
 type Sender struct {
 	dial func(ctx context.Context, network, address string) (net.Conn, error)
@@ -180,40 +90,6 @@
 	dials int64
 }
 
-// conn is a connection; it serves one request at a time.
-type conn struct {
-	sender  *Sender
-	address string
-	net     net.Conn
-	reader  *bufio.Reader
-	// head limits what reader reads for the head of an answer.
-	head *receiver.HeadConn
-	// writeDone delivers the result of writing a large body concurrently; it is nil if there is none. requests is the number of
-	// requests sent on the connection.
-	writeDone chan error
-	// failure is the error for which this process reset the connection while it waited for the server.
-	failure  atomic.Pointer[error]
-	requests int
-	// rejections is the number of answers that were discarded as rejections. carried holds the IDs of the requests, and history is the
-	// connection's state before the current one. local is the address of this side.
-	local       string
-	rejections  int
-	carried     requestIDs
-	history     History
-	idleSince   time.Time
-	idleTimeout time.Duration
-	// ackTimeout is the acknowledgement timeout that is set on the socket.
-	ackTimeout time.Duration
-	// stop cancels the function that closes the connection when the current request's context ends. It returns false if that
-	// function has already been started. method is the method of the current request.
-	stop   func() bool
-	method string
-	// willClose is set if the server announced that it closes the connection.
-	willClose bool
-	// tainted is set if anything unexpected happened on the connection.
-	tainted bool
-}
-
 // New returns a Sender that connects with dial and reads the time from now.
 func New(dial func(ctx context.Context, network, address string) (net.Conn, error), now func() time.Time) *Sender {
 	return &Sender{dial: dial, now: now, pools: map[string]*connPool{}}
@@ -315,75 +191,3 @@
 	head = append(head, "\r\n"...)
 	return head
 }
-
-// write sends the request. It writes the head and up to maxInlineBody bytes of the body at once, and the rest of a larger body in a
-// goroutine, so that the answer can be read meanwhile.
-func (c *conn) write(head []byte, r Request) error {
-	n := min(maxInlineBody, len(r.Body))
-	if _, err := c.net.Write(append(head, r.Body[:n]...)); err != nil || n == len(r.Body) {
-		return err
-	}
-	done := make(chan error, 1)
-	c.writeDone = done
-	go func() { done <- c.writeRest(r, r.Body[n:]) }()
-	return nil
-}
-
-// writeRest writes the rest of a body. It resets the connection if the request is not wanted any more: writing may take long, or the
-// process may have waited for a processor.
-func (c *conn) writeRest(r Request, rest []byte) error {
-	for len(rest) > 0 {
-		if err := r.check(); err != nil {
-			c.fail(err)
-			return err
-		}
-		n := min(pieceBytes, len(rest))
-		if _, err := c.net.Write(rest[:n]); err != nil {
-			return err
-		}
-		rest = rest[n:]
-	}
-	return nil
-}
-
-// readAnswer reads the head of the next answer and skips informational ones. It fails with receiver.HeadTooLargeError if they are too large.
-func (c *conn) readAnswer() (*Answer, error) {
-	c.head.BeginHead()
-	defer c.head.EndHead()
-	for {
-		response, err := http.ReadResponse(c.reader, &http.Request{Method: c.method})
-		if err != nil {
-			return nil, err
-		}
-		if response.StatusCode < http.StatusOK {
-			continue
-		}
-		c.willClose = response.Close
-		return &Answer{Status: response.StatusCode, Header: response.Header, Framing: framingOf(response), History: c.history, body: response.Body, conn: c}, nil
-	}
-}
-
-// release ends a request, whose answer may be complete and framed. It returns the connection to the pool if its state allows its
-// reuse. Otherwise it closes the connection, or resets it if the server may still work on the request or wait for the rest of its body.
-func (c *conn) release(complete, framed bool) {
-	stopped := c.stop()
-	if c.writeDone != nil {
-		select {
-		case err := <-c.writeDone:
-			complete = complete && err == nil
-		default:
-			// The server answered before it read the whole body. It would read the rest of the body as the next request.
-			complete = false
-		}
-		c.writeDone = nil
-	}
-	switch {
-	case !complete:
-		c.reset()
-		c.forget()
-	case !framed || !stopped || c.willClose || c.tainted || c.reader.Buffered() > 0:
-		c.discard()
-	default:
-		c.keep()
-	}
-}
