Deny a request at the limit whose connection would replace another one

A request that may run once got 502 although its server was well: at the limit of connections, one that had carried the request was closed and another one opened at once, which a server at its own limit resets when it has not noticed the end of the first.

The request is now denied as unsent and goes to another server; the next one finds room. Room is made for as many as are too many, not for one. TestFullServerIsNotSentMore, TestRepeatedRequestLeavesNoIdleConnections and two cases of TestConnectionCarriesRequestOnce failed before.

--- a/sender/conn.go
+++ b/sender/conn.go
@@ -28,8 +28,10 @@
 	requests int
 	// rejections is the number of answers that were discarded as rejections.
 	rejections int
-	// carried holds the IDs of the requests, and history is the connection's state before the current one.
+	// carried holds the IDs of the requests, and unnamed is set if one had none. history is the connection's state before the current
+	// request.
 	carried     requestIDs
+	unnamed     bool
 	history     History
 	idleSince   time.Time
 	idleTimeout time.Duration
@@ -47,18 +49,26 @@
 
 // isExhausted reports whether the connection must not carry further requests: it cannot remember them, or it has carried one whose answer
 // names no request.
-func (c *conn) isExhausted() bool { return c.carried.isFull() || c.carried.has("") }
+func (c *conn) isExhausted() bool { return c.unnamed || c.carried.isFull() }
 
-// mayConfuse reports whether an answer to an earlier request on the connection may be taken for the answer to a request with the given
-// ID. A server may send an answer again when the next request has arrived.
-func (c *conn) mayConfuse(id string) bool { return id == "" && c.requests > 0 || c.carried.has(id) }
+// mayConfuse reports whether an answer to an earlier request on the connection may be taken for the answer to a request. A server may send an answer again when the next request has arrived.
+func (c *conn) mayConfuse(r Request) bool {
+	if c.requests == 0 {
+		return false
+	}
+	return r.ID == "" || c.carried.has(r.ID)
+}
 
 // begin records that a request is about to be sent on the connection.
 func (c *conn) begin(r Request) {
 	c.history = History{Local: c.local, Requests: c.requests, Rejections: c.rejections, Repeated: c.carried.has(r.ID)}
 	c.requests++
-	c.carried.add(r.ID)
 	c.method = r.Method
+	if r.ID == "" {
+		c.unnamed = true
+		return
+	}
+	c.carried.add(r.ID)
 }
 
 // write sends the request. It writes the head and up to maxInlineBody bytes of the body at once, and the rest of a larger body in a
--- a/sender/pool.go
+++ b/sender/pool.go
@@ -55,10 +55,12 @@
 	}
 }
 
-// acquireIdle removes a connection from the idle ones and returns it: of those on which no answer to an earlier request can be taken for
-// the answer to this one (see conn.mayConfuse), the one that was used last. It returns nil if there is none, if it has expired (see
-// conn.maxIdle), or if it has been idle for longer than the request's MaxIdle. acquireIdle also closes expired connections and, at the
-// limit, one that cannot be used for this request, so that a new one may take its place. It returns the number of open ones.
+// acquireIdle removes the idle connection that was used last and may carry the request (see conn.mayConfuse), and returns it. It returns
+// nil if there is none, if it has expired (see conn.maxIdle), or if it has been idle for longer than the request's MaxIdle. It also
+// returns the number of open connections.
+//
+// acquireIdle closes expired connections, those that have carried the request and, at the limit, as many of those that may not carry it
+// that a new one has room. The latter two still count as open, because the server may not have noticed yet that they are closed.
 func (s *Sender) acquireIdle(address string, limit int, r Request) (*conn, int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -67,29 +69,33 @@
 	if len(p.idle) > sweepThreshold && now.Sub(p.idle[0].idleSince) > p.idle[0].maxIdle() {
 		p.closeIdle(0, 1)
 	}
-	confusing := -1
+	confusing, closed := 0, 0
 	for i, c := range slices.Backward(p.idle) {
 		age := now.Sub(c.idleSince)
 		if age > c.maxIdle() {
 			// The connections before it have been idle for longer.
 			p.closeIdle(0, i+1)
-			confusing -= i + 1
 			break
 		}
 		if r.MaxIdle > 0 && age > r.MaxIdle {
 			break
 		}
-		if !c.mayConfuse(r.ID) {
+		if !c.mayConfuse(r) {
 			p.idle = slices.Delete(p.idle, i, i+1)
 			p.recordPeak()
 			return c, p.open
 		}
-		confusing = i
+		confusing++
+		if c.carried.has(r.ID) {
+			p.closeIdle(i, i+1)
+			closed++
+		}
 	}
-	if confusing >= 0 && limit > 0 && p.open >= limit {
-		p.closeIdle(confusing, confusing+1)
+	if surplus := min(p.open+1-limit, confusing-closed); limit > 0 && surplus > 0 {
+		p.closeIdle(0, surplus)
+		closed += surplus
 	}
-	return nil, p.open
+	return nil, p.open + closed
 }
 
 // closeIdle closes the idle connections with indexes from i to j-1.
