Keep answers without bodies on connections of their own

A copy of an answer was read with the method of the next request: after HEAD, the copy of an answer to GET left its body where a head was expected, so that a request that ran got 502. Connections carry either HEAD or other requests. TestAnswerWithoutBodyIsReadAlone failed before.

--- a/sender/conn.go
+++ b/sender/conn.go
@@ -51,12 +51,13 @@
 // names no request.
 func (c *conn) isExhausted() bool { return c.unnamed || c.carried.isFull() }
 
-// mayConfuse reports whether an answer to an earlier request on the connection may be taken for the answer to a request. A server may send an answer again when the next request has arrived.
+// mayConfuse reports whether an answer to an earlier request on the connection may be taken for the answer to a request, or be read in the
+// wrong way because answers to HEAD have no body. A server may send an answer again when the next request has arrived.
 func (c *conn) mayConfuse(r Request) bool {
 	if c.requests == 0 {
 		return false
 	}
-	return r.ID == "" || c.carried.has(r.ID)
+	return r.ID == "" || c.carried.has(r.ID) || (r.Method == http.MethodHead) != (c.method == http.MethodHead)
 }
 
 // begin records that a request is about to be sent on the connection.
--- a/sender/history_test.go
+++ b/sender/history_test.go
@@ -128,6 +128,33 @@
 	qt.Assert(t, most.Load() < 50, qt.IsTrue, qt.Commentf("%d connections", most.Load()))
 }
 
+// TestAnswerWithoutBodyIsReadAlone guards against answers that are read as if they had a body, or none, because they belong to a request of
+// another method.
+func TestAnswerWithoutBodyIsReadAlone(t *testing.T) {
+	s := sender.New((&net.Dialer{}).DialContext, time.Now)
+	address := accept(t, func(c *net.TCPConn) {
+		defer c.Close()
+		for r := bufio.NewReader(c); ; {
+			q, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n")
+			if q.Method != "HEAD" {
+				_, _ = io.WriteString(c, "ok")
+			}
+		}
+	})
+	for i, method := range []string{"GET", "HEAD", "HEAD", "POST"} {
+		a, err := s.Send(t.Context(), address, 0, sender.Request{ID: nextID(), Method: method, Target: "/", Host: "h", ConnectTimeout: time.Second})
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, a.History.Requests, qt.Equals, []int{0, 0, 1, 1}[i])
+		_, err = io.Copy(io.Discard, a)
+		qt.Assert(t, err, qt.IsNil)
+		a.Close()
+	}
+}
+
 // TestConnectionIsNotReusedForever guards against connections that have forgotten the requests that they carried.
 func TestConnectionIsNotReusedForever(t *testing.T) {
 	const total = 5000
