Hand the history of a connection over with the answer

The log line of an aborted handover read what the candidate's goroutine may still write; the race detector reports it when the answer arrives just then (TestAbortedHandoverReadsNoAnswer, which failed before). The history now comes over the channel with the answer. Lines of attempts that got none have it too.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -64,7 +64,7 @@
 	answerRecorded bool
 	// reservation is the capacity that the server has reserved for the attempt; it is empty if there is none.
 	reservation string
-	// history is that of the connection on which the last answer came.
+	// history is that of the connection on which the request was sent, once its answer has come or failed to come.
 	history sender.History
 	// part is what the attempt contributed to the caller's stream.
 	part streamPart
@@ -164,11 +164,14 @@
 // awaitAnswer sends the request and returns the head of the answer. If the attempt began as a handover candidate, its request has
 // been sent already; awaitAnswer then only waits for the result.
 func (a *attempt) awaitAnswer() (*sender.Answer, error) {
+	r := sendResult{}
 	if a.sendResults != nil {
-		r := <-a.sendResults
-		return r.answer, r.err
+		r = <-a.sendResults
+	} else {
+		r.answer, r.err = a.send(a.x.lastEvent)
 	}
-	return a.send(a.x.lastEvent)
+	a.history = r.history()
+	return r.answer, r.err
 }
 
 // send sends the request to the attempt's server, waits for the head of the answer and records what the head reports about the
@@ -177,7 +180,6 @@
 	a.part.after = cmp.Or(lastEvent, a.x.q.LastEvent)
 	answer, err := a.x.f.sender.Send(a.ctx, a.server.Address, a.x.maxConnections(), a.serverRequest())
 	if err == nil {
-		a.history = answer.History
 		a.observeServer(answer)
 	}
 	return answer, err
@@ -274,7 +276,9 @@
 }
 
 // isForeign reports whether an answer names another request.
-func (a *attempt) isForeign(head masticway.ServerAnswer) bool { return head.ID != "" && head.ID != a.x.q.ID }
+func (a *attempt) isForeign(head masticway.ServerAnswer) bool {
+	return head.ID != "" && head.ID != a.x.q.ID
+}
 
 // skipForeignAnswers returns the first answer that has this request's ID or no ID. It skips answers to other requests: a faulty
 // server may send an answer twice, and the copy then precedes the answer to the next request on the connection. It fails after
--- a/forwarder/copies_test.go
+++ b/forwarder/copies_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -9,6 +11,8 @@
 
 	"github.com/masticway/masticway"
 	"github.com/masticway/masticway/emulator"
+	"github.com/masticway/masticway/forwarder"
+	"github.com/masticway/masticway/platform"
 )
 
 // TestCopyOfRefusalIsNoProof guards against a second run of a request that may run once: its caller sends the ID of a refused request
@@ -155,3 +159,30 @@
 		qt.Assert(t, got.status, qt.Equals, 200, qt.Commentf("%s", got.body))
 	}
 }
+
+// slowCodec takes a while to parse the answers of one server.
+type slowCodec struct {
+	platform.HeaderCodec
+	server string
+}
+
+func (c slowCodec) ParseAnswer(status int, h http.Header) masticway.ServerAnswer {
+	if strings.Contains(h.Get("X-Server-Signature"), c.server) {
+		time.Sleep(80 * time.Millisecond)
+	}
+	return c.HeaderCodec.ParseAnswer(status, h)
+}
+
+// TestAbortedHandoverReadsNoAnswer guards against a data race: the candidate's answer arrives while the handover is being aborted.
+func TestAbortedHandoverReadsNoAnswer(t *testing.T) {
+	f := newFixtureWith(t, 2, forwarder.Settings{Retries: forwarder.RetriesSettings{Ratio: 1, FixedRetries: 500, WindowSeconds: 10}}, func(d *forwarder.Dependencies) {
+		d.Examiner, d.Codec = noSuspects{}, slowCodec{server: "i-0"}
+	})
+	for i := range 3 {
+		f.setFaults(emulator.OpaqueStall, emulator.OpaqueStall)
+		f.servers[1].SetStall(245 * time.Millisecond)
+		f.servers[0].SetStall(time.Millisecond)
+		got := f.do(t.Context(), "POST", "/freely/x", "X-Attempt-Id", fmt.Sprint("a", i))
+		qt.Assert(t, got.status, qt.Equals, 200, qt.Commentf("%s", got.body))
+	}
+}
--- a/forwarder/handover.go
+++ b/forwarder/handover.go
@@ -36,6 +36,17 @@
 	err    error
 }
 
+// history returns the history of the connection on which the request was sent. It is empty if the request was not sent.
+func (r sendResult) history() sender.History {
+	if failure, ok := errors.AsType[*sender.Error](r.err); ok {
+		return failure.History
+	}
+	if r.answer == nil {
+		return sender.History{}
+	}
+	return r.answer.History
+}
+
 // handoverState hands the request of an attempt over to another server, the candidate, if the attempt's server is silent for too
 // long. The silent server is given up when the candidate has taken the request, or has not refused it within handoverTimeout.
 // Until then, progress of the silent server aborts the handover.
@@ -181,6 +192,7 @@
 	go next.sendAsync(lastEvent)
 	select {
 	case r := <-next.sendResults:
+		next.history = r.history()
 		if out, refused := next.refusalOutcome(r); refused {
 			if out.connectionBroken && next.mayBeAtFault() {
 				next.reportIfEnded()
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -50,9 +50,10 @@
 type Error struct {
 	// Sent is set if the server may have received the request.
 	Sent bool
-	// Reused is set if the connection had served an earlier request.
-	Reused bool
-	Cause  error
+	// Reused is set if the connection had served an earlier request. History is its history if the request was sent.
+	Reused  bool
+	History History
+	Cause   error
 }
 
 // Error describes whether connecting failed, or sending the request or reading the answer, and why.
@@ -135,7 +136,7 @@
 			err = *failure
 		}
 		c.release(false, false)
-		return nil, &Error{Sent: true, Reused: c.requests > 1, Cause: errOr(ctx.Err(), err)}
+		return nil, &Error{Sent: true, Reused: c.requests > 1, History: c.history, Cause: errOr(ctx.Err(), err)}
 	}
 	return a, nil
 }
