Skip copies before it is judged whether a candidate takes a request

A sound run was thrown away and its caller got 502 after 0.2 s: a candidate that was asked to take a plain request over sent the copy of another request's refusal before its own, which was taken for the beginning of an answer, so that the working server was given up. TestCandidateBehindCopyIsNotTaken failed with one and two copies, on the code before this work too. Answers to other requests are now skipped where a request is sent, for candidates too, and a candidate whose answer cannot be relayed does not take the request.

TestRequestThatIsNotSentTakesNoRetry sends requests with IDs of their own: those of one ID share no connection, and it is about others.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -151,12 +151,8 @@
 	if err != nil {
 		return a.sendFailure(err)
 	}
-	defer func() { answer.Close() }()
-	head, expected, err := a.skipForeignAnswers(answer)
-	if err != nil {
-		return a.failure(err)
-	}
-	answer = expected
+	defer answer.Close()
+	head := x.f.codec.ParseAnswer(answer.Status, answer.Header)
 	answer.SetIdleTimeout(head.IdleTimeout)
 	return a.handleAnswer(answer, head)
 }
@@ -164,25 +160,30 @@
 // awaitAnswer sends the request and returns the head of the answer. If the attempt began as a handover candidate, its request has
 // been sent already; awaitAnswer then only waits for the result.
 func (a *attempt) awaitAnswer() (*sender.Answer, error) {
-	r := sendResult{}
+	var r sendResult
 	if a.sendResults != nil {
 		r = <-a.sendResults
 	} else {
-		r.answer, r.err = a.send(a.x.lastEvent)
+		r = a.send(a.x.lastEvent)
 	}
-	a.history = r.history()
+	a.history = r.history
 	return r.answer, r.err
 }
 
-// send sends the request to the attempt's server, waits for the head of the answer and records what the head reports about the
-// server. A stream resumes after the event with the ID lastEvent or, if that is empty, after the one that the caller named, if any.
-func (a *attempt) send(lastEvent string) (*sender.Answer, error) {
+// send sends the request to the attempt's server and waits for the head of the answer (see skipForeignAnswers). A stream resumes after the
+// event with the ID lastEvent or, if that is empty, after the one that the caller named, if any.
+func (a *attempt) send(lastEvent string) sendResult {
 	a.part.after = cmp.Or(lastEvent, a.x.q.LastEvent)
 	answer, err := a.x.f.sender.Send(a.ctx, a.server.Address, a.x.maxConnections(), a.serverRequest())
-	if err == nil {
-		a.observeServer(answer)
+	if failure, ok := errors.AsType[*sender.Error](err); ok {
+		return sendResult{err: err, history: failure.History}
 	}
-	return answer, err
+	if err != nil {
+		return sendResult{err: err}
+	}
+	r := sendResult{history: answer.History}
+	r.answer, r.err = a.skipForeignAnswers(answer)
+	return r
 }
 
 // observeServer evaluates what the head of an answer reports about its server. It passes the rate limit and backoff to the
@@ -238,6 +239,9 @@
 	if _, ok := errors.AsType[*sender.ConnectionLimitError](err); ok {
 		return outcome{fate: masticway.FateNotRun, result: chooser.ResultNeutral, reason: err.Error(), isFull: true, unsent: true}
 	}
+	if _, ok := errors.AsType[*foreignAnswersError](err); ok {
+		return a.failure(err)
+	}
 	if a.isUnreachable(err) {
 		return outcome{fate: masticway.FateNotRun, result: chooser.ResultUnreachable, reason: err.Error(), unsent: true}
 	}
@@ -280,32 +284,64 @@
 	return head.ID != "" && head.ID != a.x.q.ID
 }
 
-// skipForeignAnswers returns the first answer that has this request's ID or no ID. It skips answers to other requests: a faulty
-// server may send an answer twice, and the copy then precedes the answer to the next request on the connection. It fails after
-// maxForeignAnswers skipped answers.
-func (a *attempt) skipForeignAnswers(answer *sender.Answer) (masticway.ServerAnswer, *sender.Answer, error) {
+// skipForeignAnswers returns the first answer that has this request's ID or no ID, and records what the skipped ones and this one report
+// about the server. It skips answers to other requests: a faulty server may send an answer twice, and the copy then precedes the answer to
+// the next request on the connection. It fails with foreignAnswersError if none follows or after maxForeignAnswers skipped answers, and
+// then closes the connection.
+func (a *attempt) skipForeignAnswers(answer *sender.Answer) (*sender.Answer, error) {
 	for range maxForeignAnswers {
+		a.observeServer(answer)
 		head := a.x.f.codec.ParseAnswer(answer.Status, answer.Header)
 		if !a.isForeign(head) {
-			return head, answer, nil
+			return answer, nil
 		}
-		a.logSkipped(answer.Status, head)
+		a.logSkipped(answer, head)
 		next, err := answer.Next()
 		if err != nil {
-			return head, answer, err
+			answer.Close()
+			return nil, &foreignAnswersError{cause: err}
 		}
 		answer = next
-		a.observeServer(answer)
 	}
-	return masticway.ServerAnswer{}, answer, errors.New("the answers belong to other requests")
+	answer.Close()
+	return nil, &foreignAnswersError{}
+}
+
+// foreignAnswersError reports that a request got only answers to other requests.
+type foreignAnswersError struct {
+	// cause is why no further answer could be read. It is nil if there were too many.
+	cause error
+}
+
+// Error describes why no further answer was read.
+func (e *foreignAnswersError) Error() string {
+	if e.cause == nil {
+		return "the answers belong to other requests"
+	}
+	return fmt.Sprintf("after an answer to another request: %v", e.cause)
 }
 
+// Unwrap returns the cause.
+func (e *foreignAnswersError) Unwrap() error { return e.cause }
+
 // isRejected reports whether an answer says that the server did not run the attempt's request. An answer that does not name the request
 // may belong to another one, and one on a connection that had carried the request before to its earlier sending.
 func (a *attempt) isRejected(head masticway.ServerAnswer, h sender.History) bool {
 	return head.NotRun && head.ID == a.x.q.ID && !h.Repeated
 }
 
+// checkAnswer returns an error if an answer that does not reject the request cannot be relayed: it cannot be told to which sending of which
+// request it belongs, or it is not signed.
+func checkAnswer(answer *sender.Answer, head masticway.ServerAnswer) error {
+	if head.NotRun && answer.History.Repeated {
+		return fmt.Errorf("status %d, perhaps of an earlier sending on this connection", answer.Status)
+	}
+	if head.ID == "" || !head.Signed {
+		return fmt.Errorf("status %d without the request's id or a signature", answer.Status)
+	}
+	return nil
+}
+
 // handleAnswer relays an answer to the caller, unless the server did not run the request, or the answer lacks the request's ID or
 // a signature.
 func (a *attempt) handleAnswer(answer *sender.Answer, head masticway.ServerAnswer) outcome {
@@ -313,11 +349,8 @@
 		_ = answer.DiscardRejection()
 		return a.notRunOutcome(answer.Status)
 	}
-	if head.NotRun && answer.History.Repeated {
-		return a.failure(fmt.Errorf("status %d, perhaps of an earlier sending on this connection", answer.Status))
-	}
-	if head.ID == "" || !head.Signed {
-		return a.failure(fmt.Errorf("status %d without the request's id or a signature", answer.Status))
+	if err := checkAnswer(answer, head); err != nil {
+		return a.failure(err)
 	}
 	a.x.step(eventAnswered)
 	if a.x.q.route.IsStream && answer.Status == http.StatusOK {
--- a/forwarder/copies_test.go
+++ b/forwarder/copies_test.go
@@ -186,3 +186,25 @@
 		qt.Assert(t, got.status, qt.Equals, 200, qt.Commentf("%s", got.body))
 	}
 }
+
+// TestCandidateBehindCopyIsNotTaken guards against a server that is given up, although it works, for a candidate that refuses the request:
+// the copy of another request's refusal precedes the candidate's.
+func TestCandidateBehindCopyIsNotTaken(t *testing.T) {
+	for _, copies := range []int{0, 1, 2} {
+		t.Run(fmt.Sprint(copies), func(t *testing.T) {
+			f := newFixture(t, 2)
+			for _, s := range f.servers {
+				s.SendLateCopies(emulator.LateCopies{Count: copies})
+				s.InjectFaults(emulator.OpaqueOverloaded)
+			}
+			got := f.do(t.Context(), "POST", "/freely/x", "X-Attempt-Id", "refused")
+			qt.Assert(t, got.status, qt.Equals, 503)
+			f.servers[1].SetStall(600 * time.Millisecond)
+			f.setFaults(emulator.OpaqueStall, emulator.OpaqueOverloaded)
+			got = f.do(t.Context(), "POST", "/freely/x", "X-Attempt-Id", "served")
+			qt.Assert(t, got.status, qt.Equals, 200, qt.Commentf("%s", got.body))
+			qt.Assert(t, f.ledger.Runs(), qt.HasLen, 1)
+			qt.Assert(t, f.servers[0].Arrivals(), qt.HasLen, 2, qt.Commentf("no handover was tried"))
+		})
+	}
+}
--- a/forwarder/handover.go
+++ b/forwarder/handover.go
@@ -30,21 +30,12 @@
 // errSilent is the cancellation cause of an attempt that was handed over because its server was silent for too long.
 var errSilent = errors.New("nothing came for too long")
 
-// sendResult is the result of sending the request to a candidate: the head of its answer, or an error.
+// sendResult is the result of sending the request: the head of its answer, or an error.
 type sendResult struct {
 	answer *sender.Answer
 	err    error
-}
-
-// history returns the history of the connection on which the request was sent. It is empty if the request was not sent.
-func (r sendResult) history() sender.History {
-	if failure, ok := errors.AsType[*sender.Error](r.err); ok {
-		return failure.History
-	}
-	if r.answer == nil {
-		return sender.History{}
-	}
-	return r.answer.History
+	// history is that of the connection on which the request was sent, if any.
+	history sender.History
 }
 
 // handoverState hands the request of an attempt over to another server, the candidate, if the attempt's server is silent for too
@@ -192,7 +183,7 @@
 	go next.sendAsync(lastEvent)
 	select {
 	case r := <-next.sendResults:
-		next.history = r.history()
+		next.history = r.history
 		if out, refused := next.refusalOutcome(r); refused {
 			if out.connectionBroken && next.mayBeAtFault() {
 				next.reportIfEnded()
@@ -302,8 +293,7 @@
 
 // sendAsync sends the request and delivers the result to sendResults. A stream resumes after lastEvent (see send).
 func (a *attempt) sendAsync(lastEvent string) {
-	answer, err := a.send(lastEvent)
-	a.sendResults <- sendResult{answer: answer, err: err}
+	a.sendResults <- a.send(lastEvent)
 }
 
 // discard gives up an attempt that was started as a candidate. It does not wait for the answer.
@@ -339,9 +329,13 @@
 		return a.sendFailure(r.err), true
 	}
 	head := a.x.f.codec.ParseAnswer(r.answer.Status, r.answer.Header)
-	if !a.isRejected(head, r.answer.History) {
-		return outcome{}, false
+	if a.isRejected(head, r.history) {
+		r.answer.Close()
+		return a.notRunOutcome(r.answer.Status), true
+	}
+	if err := checkAnswer(r.answer, head); err != nil {
+		r.answer.Close()
+		return a.failure(err), true
 	}
-	r.answer.Close()
-	return a.notRunOutcome(r.answer.Status), true
+	return outcome{}, false
 }
--- a/forwarder/report.go
+++ b/forwarder/report.go
@@ -111,9 +111,9 @@
 }
 
 // logSkipped logs that an answer to another request came where the answer to the attempt's request was expected.
-func (a *attempt) logSkipped(status int, head masticway.ServerAnswer) {
-	a.x.f.log.WithFields(connectionFields(a.history)).WithFields(logrus.Fields{
-		"event": "answer_skipped", "request": a.x.q.ID, "server": a.server.ID, "answers": head.ID, "status": status, "not_run": head.NotRun,
+func (a *attempt) logSkipped(answer *sender.Answer, head masticway.ServerAnswer) {
+	a.x.f.log.WithFields(connectionFields(answer.History)).WithFields(logrus.Fields{
+		"event": "answer_skipped", "request": a.x.q.ID, "server": a.server.ID, "answers": head.ID, "status": answer.Status, "not_run": head.NotRun,
 	}).Info("answer to another request skipped")
 }
 
--- a/forwarder/retries_test.go
+++ b/forwarder/retries_test.go
@@ -1,6 +1,7 @@
 package forwarder_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -63,7 +64,7 @@
 	f.do(t.Context(), "POST", "/never/x")
 	// The connection to the first server is then too old for a request that may run only once, and no other one is allowed.
 	time.Sleep(500 * time.Millisecond)
-	for range 4 {
-		qt.Assert(t, f.do(t.Context(), "POST", "/never/x").status, qt.Equals, 200)
+	for i := range 4 {
+		qt.Assert(t, f.do(t.Context(), "POST", "/never/x", "X-Attempt-Id", fmt.Sprint("b", i)).status, qt.Equals, 200)
 	}
 }
