Call upstreams on a connection of its own each

Runs that an engine carried out counted as rejected (status 503, not started), so that the router could send them to another engine; counts, load reports and orders failed likewise. The upstream's answers name no call, and the client kept a connection after a rejection: its copy, which comes when the next call has arrived there, was taken for that call's answer.

On a connection that carries one call there is no other answer. Calls to plain services were sent so already.

--- a/connector/upstream.go
+++ b/connector/upstream.go
@@ -37,13 +37,13 @@
 
 // Upstream is a client of a model engine or a plain service over HTTP.
 type Upstream struct {
-	base   string
+	base string
+	// client sends no request twice, and each on a connection of its own. Answers name no request, and a server may send one again when the
+	// next request has arrived on the connection.
 	client *http.Client
 	// dial and address are used to check whether the upstream still listens after a run that failed.
 	dial    DialFunc
 	address string
-	// noRetry sends service calls, which must never be sent twice.
-	noRetry *http.Client
 	// idleTimeout is the maximum time until the first piece of the answer to a run, and between two pieces. The total time is not
 	// limited.
 	idleTimeout time.Duration
@@ -53,7 +53,7 @@
 
 // NewUpstream returns a client of the upstream at a base URL. A run fails if the upstream sends nothing for idleTimeout.
 func NewUpstream(base string, dial DialFunc, idleTimeout time.Duration) Upstream {
-	u := Upstream{base: base, client: NewHTTPClient(dial), noRetry: NewNoRetryHTTPClient(dial), dial: dial, idleTimeout: idleTimeout}
+	u := Upstream{base: base, client: NewNoRetryHTTPClient(dial), dial: dial, idleTimeout: idleTimeout}
 	if u.dial == nil {
 		u.dial = (&net.Dialer{}).DialContext
 	}
@@ -267,7 +267,7 @@
 		request.Header.Set("Content-Type", c.ContentType)
 	}
 	request.Header.Set("Idempotency-Key", c.Key)
-	response, err := u.noRetry.Do(request)
+	response, err := u.client.Do(request)
 	if err != nil {
 		return masticway.Outcome{}, asUpstreamError(err)
 	}
