Reset a broken HTTP/1.0 answer only once it has begun

A caller of HTTP/1.0 whose router ended while a server worked on its request saw its connection reset before any byte of an answer, which callers take for a sign that the request was not passed on: a request that may run once was sent again.

Such an answer may last until its connection is closed, so that a broken one is reset. The option was set when the request arrived; now it is set with the first write of the answer. Before that, a connection that is closed in order can't be taken for a whole answer, because an answer begins with a status line.

TestRequestThatRanIsNotReset: of 20 requests that a server worked on, the connections of 20 were reset when the router ended and 20 when its grace period ended; now 0 and 0. TestBrokenAnswerIsResetForCallersOfHTTP10 and TestNothingRanWhoseConnectionWasReset pass as before.

--- a/starter/callers.go
+++ b/starter/callers.go
@@ -60,7 +60,7 @@
 		return nil, err
 	}
 	s.load.MarkConnection()
-	c := &callerConn{Conn: n, listener: s}
+	c := &callerConn{Conn: &answerConn{Conn: n}, listener: s}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.conns[c] = true
@@ -88,8 +88,8 @@
 // HasClosed returns false, because reads are not tracked.
 func (plainConn) HasClosed() bool { return false }
 
-// SetLinger sets whether the connection is reset when it is closed, as net.TCPConn does, if the connection supports that.
-func (c plainConn) SetLinger(seconds int) error { return setLinger(c.Conn, seconds) }
+// ResetIfBroken sets whether the connection is reset when it is closed in the middle of an answer, if it supports that.
+func (c plainConn) ResetIfBroken(on bool) { resetIfBroken(c.Conn, on) }
 
 // isClosedByPeer reports whether the kernel knows that the peer has closed a connection or its sending side, or has reset it.
 func isClosedByPeer(c net.Conn) bool {
@@ -223,8 +223,8 @@
 	return nil
 }
 
-// SetLinger sets whether the connection is reset when it is closed, as net.TCPConn does, if the connection supports that.
-func (c *callerConn) SetLinger(seconds int) error { return setLinger(c.Conn, seconds) }
+// ResetIfBroken sets whether the connection is reset when it is closed in the middle of an answer, if it supports that.
+func (c *callerConn) ResetIfBroken(on bool) { resetIfBroken(c.Conn, on) }
 
 // beginRequest marks a request as open, unless one is already.
 func (c *callerConn) beginRequest() {
--- a/starter/server.go
+++ b/starter/server.go
@@ -53,7 +53,7 @@
 // serve starts to serve HTTP on a listener and returns at once. The server has the limits maxHeaderBytes, readHeaderTimeout and
 // idleTimeout. It adds the connections to the contexts of the requests (see connContext).
 func (s *serverGroup) serve(l net.Listener, h http.Handler) {
-	s.serveWith(l, &http.Server{
+	s.serveWith(answerListener{l}, &http.Server{
 		Handler: h, ConnContext: connContext, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: idleTimeout,
 		ErrorLog: nil,
 	})
