Replace a connection at the limit once its server has closed it

Such a connection now keeps its place while this side of it is closed and the server's end is awaited, for 50 ms at most, before another one is opened in its place. Connections that must not carry further requests are replaced likewise instead of being closed when they become idle.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -229,6 +229,9 @@
 
 // sendFailure returns the outcome of an attempt that got no answer.
 func (a *attempt) sendFailure(err error) outcome {
+	if _, ok := errors.AsType[*foreignAnswersError](err); ok {
+		return a.failure(err)
+	}
 	if _, ok := errors.AsType[*unwantedError](err); ok {
 		if failure, ok := errors.AsType[*sender.Error](err); ok && failure.Sent {
 			return outcome{fate: masticway.FateUnknown, result: chooser.ResultNeutral, reason: err.Error(), abandoned: true}
@@ -239,9 +242,6 @@
 	if _, ok := errors.AsType[*sender.ConnectionLimitError](err); ok {
 		return outcome{fate: masticway.FateNotRun, result: chooser.ResultNeutral, reason: err.Error(), isFull: true, unsent: true}
 	}
-	if _, ok := errors.AsType[*foreignAnswersError](err); ok {
-		return a.failure(err)
-	}
 	if a.isUnreachable(err) {
 		return outcome{fate: masticway.FateNotRun, result: chooser.ResultUnreachable, reason: err.Error(), unsent: true}
 	}
--- a/sender/conn.go
+++ b/sender/conn.go
@@ -57,7 +57,7 @@
 	if c.requests == 0 {
 		return false
 	}
-	return r.ID == "" || c.carried.has(r.ID) || (r.Method == http.MethodHead) != (c.method == http.MethodHead)
+	return r.ID == "" || c.isExhausted() || c.carried.has(r.ID) || (r.Method == http.MethodHead) != (c.method == http.MethodHead)
 }
 
 // begin records that a request is about to be sent on the connection.
--- a/sender/pool.go
+++ b/sender/pool.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"slices"
 	"syscall"
@@ -19,6 +20,8 @@
 	defaultIdleTimeout = 4 * time.Second
 	// idleFraction is the part of a server's idle timeout after which a connection is no longer reused.
 	idleFraction = 0.7
+	// maxEndTime is how long a server may take to close a connection that this router has closed before another one takes its place.
+	maxEndTime = 50 * time.Millisecond
 	// maxTimeoutDelay is how late the timeout of a connection attempt may be noticed by a process that runs.
 	maxTimeoutDelay = 30 * time.Millisecond
 	// sweepThreshold is a number of idle connections to a server. If there are more, acquireIdle also checks the one that has
@@ -36,31 +39,31 @@
 	peak, denied int
 }
 
-// acquire returns a usable idle connection or, if there is none, a new one. It fails with ConnectionLimitError if a new one is
-// needed and limit or more connections are open.
+// acquire returns a usable idle connection or, if there is none, a new one, which may take the place of another one (see acquireIdle). It
+// fails with ConnectionLimitError if a new one is needed, limit or more connections are open and none can be replaced.
 func (s *Sender) acquire(ctx context.Context, address string, limit int, r Request) (*conn, error) {
 	for {
 		c, open := s.acquireIdle(address, limit, r)
-		if c == nil {
-			if limit > 0 && open >= limit {
-				s.recordDenied(address)
-				return nil, &ConnectionLimitError{Address: address, Open: open}
-			}
-			return s.connect(ctx, address, r.ConnectTimeout)
-		}
-		if c.hasNoInput() {
+		isFull := limit > 0 && open >= limit
+		switch {
+		case c == nil && isFull:
+			s.recordDenied(address)
+			return nil, &ConnectionLimitError{Address: address, Open: open}
+		case c == nil:
+			return s.connect(ctx, address, r.ConnectTimeout, nil)
+		case c.mayConfuse(r) && isFull:
+			return s.connect(ctx, address, r.ConnectTimeout, c)
+		case !c.mayConfuse(r) && c.hasNoInput():
 			return c, nil
 		}
 		c.discard()
 	}
 }
 
-// acquireIdle removes the idle connection that was used last and may carry the request (see conn.mayConfuse), and returns it. It returns
-// nil if there is none, if it has expired (see conn.maxIdle), or if it has been idle for longer than the request's MaxIdle. It also
-// returns the number of open connections.
-//
-// acquireIdle closes expired connections, those that have carried the request and, at the limit, as many of those that may not carry it
-// that a new one has room. The latter two still count as open, because the server may not have noticed yet that they are closed.
+// acquireIdle removes the idle connection that was used last and may carry the request (see conn.mayConfuse), and returns it. If there is
+// none, it removes and returns one that is to be closed, and that a new connection may replace at the limit. It returns nil if there is none of these either, or if they have
+// expired (see conn.maxIdle) or been idle for longer than the request's MaxIdle. It also closes expired connections, and returns the
+// number of open ones.
 func (s *Sender) acquireIdle(address string, limit int, r Request) (*conn, int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -69,33 +72,38 @@
 	if len(p.idle) > sweepThreshold && now.Sub(p.idle[0].idleSince) > p.idle[0].maxIdle() {
 		p.closeIdle(0, 1)
 	}
-	confusing, closed := 0, 0
+	useless := -1
 	for i, c := range slices.Backward(p.idle) {
 		age := now.Sub(c.idleSince)
 		if age > c.maxIdle() {
 			// The connections before it have been idle for longer.
 			p.closeIdle(0, i+1)
+			useless -= i + 1
 			break
 		}
 		if r.MaxIdle > 0 && age > r.MaxIdle {
 			break
 		}
 		if !c.mayConfuse(r) {
-			p.idle = slices.Delete(p.idle, i, i+1)
-			p.recordPeak()
-			return c, p.open
+			return p.takeIdle(i), p.open
 		}
-		confusing++
-		if c.carried.has(r.ID) {
-			p.closeIdle(i, i+1)
-			closed++
+		// Below the limit too, or a request that comes again and again leaves a connection each time.
+		if limit > 0 && p.open >= limit || c.isExhausted() || c.carried.has(r.ID) {
+			useless = i
 		}
 	}
-	if surplus := min(p.open+1-limit, confusing-closed); limit > 0 && surplus > 0 {
-		p.closeIdle(0, surplus)
-		closed += surplus
+	if useless < 0 {
+		return nil, p.open
 	}
-	return nil, p.open + closed
+	return p.takeIdle(useless), p.open
+}
+
+// takeIdle removes the idle connection with an index from the idle ones and returns it.
+func (p *connPool) takeIdle(i int) *conn {
+	c := p.idle[i]
+	p.idle = slices.Delete(p.idle, i, i+1)
+	p.recordPeak()
+	return c
 }
 
 // closeIdle closes the idle connections with indexes from i to j-1.
@@ -120,11 +128,17 @@
 	return p
 }
 
-func (s *Sender) connect(ctx context.Context, address string, timeout time.Duration) (*conn, error) {
+// connect opens a connection. If it replaces another one, it ends that one first and takes over its place among the open ones.
+func (s *Sender) connect(ctx context.Context, address string, timeout time.Duration, replaced *conn) (*conn, error) {
+	if replaced != nil {
+		replaced.end()
+	}
 	s.mu.Lock()
 	p := s.pool(address)
-	p.open++
-	p.recordPeak()
+	if replaced == nil {
+		p.open++
+		p.recordPeak()
+	}
 	s.dials++
 	s.mu.Unlock()
 	n, err := s.dialInTime(ctx, address, timeout)
@@ -204,20 +218,30 @@
 	return err == nil && noInput
 }
 
-// keep adds the connection to the pool's idle ones. It closes the connection instead if more than the limit are open, or if it must not
-// carry further requests.
+// keep adds the connection to the pool's idle ones, or closes it if more connections than the limit are open.
 func (c *conn) keep() {
 	c.sender.mu.Lock()
 	defer c.sender.mu.Unlock()
 	c.idleSince = c.sender.now()
 	p := c.sender.pool(c.address)
-	if p.limit > 0 && p.open > p.limit || c.isExhausted() {
+	if p.limit > 0 && p.open > p.limit {
 		p.closeConns([]*conn{c})
 		return
 	}
 	p.idle = append(p.idle, c)
 }
 
+// end closes a connection on which nothing is under way, and waits a while until the server has closed it too. A server that has not yet
+// noticed the end may reset a connection that takes its place, because it has too many.
+func (c *conn) end() {
+	defer c.net.Close()
+	tcp, ok := c.net.(*net.TCPConn)
+	if !ok || tcp.CloseWrite() != nil || tcp.SetReadDeadline(time.Now().Add(maxEndTime)) != nil {
+		return
+	}
+	_, _ = io.CopyN(io.Discard, tcp, maxDiscardedBytes)
+}
+
 // discard closes a connection that is not in the pool's idle list.
 func (c *conn) discard() {
 	_ = c.net.Close()
