Let soaked servers copy refusals and callers repeat IDs

Soaks saw nothing of requests that ran twice because a router took the late copy of a refusal for an answer: no server sent copies, no address had two servers, and callers never sent an ID again.

Two kinds are among the usual ones: refusals_copied (servers of a pool refuse requests and reservations with 503, 429 and 421 and send one or two copies at once or up to 5 ms late) and server_restarts (a server starts again at its address under a new ID while its old row stays). Two of three callers send what was refused with 503 or 429 again under its ID, one of them at once on the same connection.

Checks know sendings by ID and path, which differs between the sendings of an ID, so that each run and arrival counts for its own sending. `once` counts the runs of all sendings, `single` compares them and excuses no overlap of two sendings; `not_run` now holds for 408 and 421 too. The retry budget still counts each arrival beyond the first of a sending.

--- a/emulator/answer.go
+++ b/emulator/answer.go
@@ -9,8 +9,12 @@
 	"time"
 )
 
-// statusOverloaded is the status of a server without capacity.
-const statusOverloaded = "503 Service Unavailable"
+// The statuses of refusals: of a server without capacity, of one beyond its rate limit, and of one that the request is not meant for.
+const (
+	statusOverloaded  = "503 Service Unavailable"
+	statusRateLimited = "429 Too Many Requests"
+	statusMisdirected = "421 Misdirected Request"
+)
 
 // serveRequest serves one request, whose head arrived at headAt. It returns whether the connection stays open.
 func (s *OpaqueServer) serveRequest(c net.Conn, r *http.Request, headAt time.Time, body string) bool {
@@ -19,17 +23,17 @@
 	if r.URL.Path == reservationPath {
 		return s.reserve(c)
 	}
-	fault, events, pause := s.recordArrival(arrivedAt(c), id, r.Header.Get("Last-Event-Id"), body, r.Header.Get("X-Prefix-Hash"))
+	fault, events, pause := s.recordArrival(arrivedAt(c), id, r.RequestURI, r.Header.Get("Last-Event-Id"), body, r.Header.Get("X-Prefix-Hash"))
 	named := "X-Attempt-Id: " + id + "\r\n"
 	switch {
 	case fault == OpaqueOverloaded:
 		return s.refuse(c, s.rejectionHeader(statusOverloaded)+named+"Content-Length: 0\r\n\r\n")
 	case fault == OpaqueRateLimited:
-		return s.refuse(c, s.rejectionHeader("429 Too Many Requests")+named+"Content-Length: 0\r\n\r\n")
+		return s.refuse(c, s.rejectionHeader(statusRateLimited)+named+"Content-Length: 0\r\n\r\n")
 	case fault == OpaqueAnonymousRejection:
 		return s.refuse(c, s.rejectionHeader(statusOverloaded)+"Content-Length: 0\r\n\r\n")
 	case fault == OpaqueWrongServer || r.Header.Get("X-Expect-Instance") != s.ID:
-		return s.refuse(c, "HTTP/1.1 421 Misdirected Request\r\nX-Instance-Id: "+s.ID+"\r\n"+named+"Content-Length: 0\r\n\r\n")
+		return s.refuse(c, "HTTP/1.1 "+statusMisdirected+"\r\nX-Instance-Id: "+s.ID+"\r\n"+named+"Content-Length: 0\r\n\r\n")
 	}
 	timeLeft, _ := strconv.ParseInt(r.Header.Get("X-Deadline-Ms"), 10, 64)
 	run := s.runLog.add(OpaqueRun{
--- a/emulator/opaque.go
+++ b/emulator/opaque.go
@@ -86,7 +86,7 @@
 
 // OpaqueArrival is a request that has reached a server, which may have rejected it.
 type OpaqueArrival struct {
-	ID string
+	ID, Path string
 	// ReceivedAt is when the last byte of the request arrived, for the kernel.
 	ReceivedAt time.Time
 	// RetryAfter is the Retry-After value, in seconds, in the rejection of the request. It is empty if there was none.
@@ -375,7 +375,7 @@
 
 // recordArrival records that a request arrived at a time and takes the request's fault from the list. It returns the fault and the
 // current settings for streams.
-func (s *OpaqueServer) recordArrival(at time.Time, id, lastEvent, body, prompt string) (fault OpaqueFault, events int, pause time.Duration) {
+func (s *OpaqueServer) recordArrival(at time.Time, id, path, lastEvent, body, prompt string) (fault OpaqueFault, events int, pause time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
@@ -388,7 +388,7 @@
 	if fault == OpaqueNoFault && lastEvent != "" {
 		fault = s.continuation
 	}
-	arrival := OpaqueArrival{ID: id, ReceivedAt: at}
+	arrival := OpaqueArrival{ID: id, Path: path, ReceivedAt: at}
 	if fault == OpaqueOverloaded || fault == OpaqueRateLimited {
 		arrival.RetryAfter = s.retryAfter
 	}
--- a/emulator/reservation.go
+++ b/emulator/reservation.go
@@ -15,14 +15,19 @@
 	return s.reservations
 }
 
-// reserve answers a call that reserves capacity. It refuses if the fault of the next request is OpaqueOverloaded. It returns whether the
-// connection stays open.
+// refusedReservations has the statuses of refused calls that reserve capacity, by the fault of the next request.
+var refusedReservations = map[OpaqueFault]string{OpaqueOverloaded: statusOverloaded, OpaqueRateLimited: statusRateLimited, OpaqueWrongServer: statusMisdirected}
+
+// reserve answers a call that reserves capacity. It refuses if the fault of the next request is one that refuses requests. It returns
+// whether the connection stays open.
 func (s *OpaqueServer) reserve(c net.Conn) bool {
 	s.mu.Lock()
-	if len(s.faults) > 0 && s.faults[0] == OpaqueOverloaded {
-		s.faults = s.faults[1:]
-		s.mu.Unlock()
-		return s.refuse(c, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+	if len(s.faults) > 0 {
+		if status := refusedReservations[s.faults[0]]; status != "" {
+			s.faults = s.faults[1:]
+			s.mu.Unlock()
+			return s.refuse(c, "HTTP/1.1 "+status+"\r\nContent-Length: 0\r\n\r\n")
+		}
 	}
 	s.reservations++
 	body := fmt.Sprintf(`{"hold":"%s-%d"}`, s.ID, s.reservations)
--- a/soaker/caller.go
+++ b/soaker/caller.go
@@ -70,8 +70,10 @@
 	parts []string
 	// resumeAfter is the number of the last event of the answer that the request resumes. It is zero if it resumes none.
 	resumeAfter int
-	// resumes is the id of the request that began that answer.
-	resumes string
+	// began is the request that began that answer.
+	began *request
+	// again is the number of times that the id was sent before, each of which was refused.
+	again int
 	// firstTry is the id of the first try of what this request tries again; it is empty for a first try. retryAfter is the pause for
 	// which the answer asks.
 	firstTry   string
@@ -98,6 +100,22 @@
 	refusedForCrashes bool
 }
 
+// sending identifies one sending of a request, because callers may send an ID again. The path tells the sendings of an ID apart.
+type sending struct{ id, path string }
+
+func (q *request) sending() sending { return sending{q.id, q.path} }
+
+// sendingOf returns the sending that a server ran.
+func sendingOf(r emulator.OpaqueRun) sending { return sending{r.ID, r.Path} }
+
+// resumes returns the id of the request that began the answer that the request resumes. It is empty if it resumes none.
+func (q *request) resumes() string {
+	if q.began == nil {
+		return ""
+	}
+	return q.began.id
+}
+
 // String describes the request and its outcome.
 func (q *request) String() string {
 	return fmt.Sprintf("%s at router-%d, sent %s (connection reused %t), time limit %s, %s with status %d and %d events after %s: %v", q.path, q.router,
@@ -113,12 +131,17 @@
 	// workspace is the workspace of all requests; if it is empty, each request is of one of workspaces.
 	workspace string
 	transport http.Transport
+	// repeatsID is set if the caller sends what was refused again with the same ID, and keepsConn if it does so at once and on the same
+	// connection.
+	repeatsID, keepsConn bool
 }
 
 // newCaller returns a caller that opens each connection to one of the addresses at random. Its other random choices come
 // from the seed and the number stream.
 func (s *soakRun) newCaller(name string, stream int, addresses ...string) *caller {
 	c := &caller{soak: s, name: fmt.Sprintf("%s%d", name, stream), random: rand.New(rand.NewPCG(s.Seed, uint64(stream)))}
+	habit := (s.Seed + uint64(stream)) % 3
+	c.repeatsID, c.keepsConn = habit > 0, habit > 1
 	c.transport.DialContext = func(ctx context.Context, network, _ string) (net.Conn, error) {
 		return s.dial(ctx, &net.Dialer{Timeout: connectTimeout}, network, addresses[rand.IntN(len(addresses))])
 	}
@@ -195,7 +218,7 @@
 func (q *request) remainder() *request {
 	return &request{
 		route: q.route, workspace: q.workspace, declared: q.declared, timeLimit: q.timeLimit, waitTimeout: min(q.timeLimit, emulator.DeploymentTimeout) + answerSlack,
-		resumeAfter: q.resumeAfter + q.events, resumes: cmp.Or(q.resumes, q.id), prompt: q.prompt,
+		resumeAfter: q.resumeAfter + q.events, began: cmp.Or(q.began, q), prompt: q.prompt,
 	}
 }
 
@@ -212,19 +235,21 @@
 
 // send sends a request to a path, records it with its outcome and checks what can be checked at once.
 func (c *caller) send(q *request, path string) {
-	c.sent++
-	q.id = fmt.Sprintf("%s-%d", c.name, c.sent)
-	name := q.id
-	if q.recurringName != "" {
-		name = q.recurringName
+	if q.again == 0 {
+		c.sent++
+		q.id = fmt.Sprintf("%s-%d", c.name, c.sent)
 	}
+	name := cmp.Or(q.recurringName, q.id)
 	q.path, q.body = "/"+path+"/"+name, name+q.body
+	if q.again > 0 {
+		q.path += fmt.Sprintf("-again-%d", q.again)
+	}
 	if q.parts == nil {
 		q.parts = commonParts
 	}
 	q.parts = append(slices.Clone(q.parts), q.id)
 	c.soak.mu.Lock()
-	c.soak.requests[q.id] = q
+	c.soak.requests[q.sending()] = q
 	c.soak.beginRequest(q)
 	c.soak.mu.Unlock()
 	q.sentAt, q.outcome = time.Now(), outcomeAnswered
@@ -256,7 +281,7 @@
 	// The request has no GetBody, so the transport does not retry it by itself.
 	out := &http.Request{Method: http.MethodPost, URL: &url.URL{Scheme: "http", Host: emulator.DeploymentHost, Path: q.path}, ContentLength: int64(len(q.body))}
 	out.Body = io.NopCloser(strings.NewReader(q.body))
-	call := emulator.OpaqueCall{ID: q.id, TimeLeft: q.timeLimit, Metered: q.metered, Prompt: q.prompt, MaxOutput: q.declared, LastEvent: q.resumeAfter, Resumes: q.resumes, Parts: q.parts}
+	call := emulator.OpaqueCall{ID: q.id, TimeLeft: q.timeLimit, Metered: q.metered, Prompt: q.prompt, MaxOutput: q.declared, LastEvent: q.resumeAfter, Resumes: q.resumes(), Parts: q.parts}
 	call.Key = q.key
 	out.Header = call.Header()
 	in, err := c.transport.RoundTrip(out.WithContext(ctx))
--- a/soaker/checks.go
+++ b/soaker/checks.go
@@ -27,7 +27,7 @@
 	promiseBudget    = "budget"    // no workspace gets more than its prepaid tokens, without answers that its callers abandon
 	promiseOnce      = "once"      // a non-repeatable request runs at most once, over all tries of its caller
 	promiseSingle    = "single"    // no two servers work on one request for longer than maxOverlap
-	promiseNotRun    = "not_run"   // a request that was reported as not run never ran
+	promiseNotRun    = "not_run"   // a sending that was reported as not run never ran
 	promiseWhole     = "whole"     // a caller gets the whole answer to its own request, and no partial answer looks complete
 	promiseUnchanged = "unchanged" // servers run what callers sent, for the caller's workspace, in the pool of the request's route
 	promiseAnswered  = "answered"  // an undisturbed router answers what it forwarded, also around its graceful shutdown
@@ -124,6 +124,9 @@
 	if q.firstTry != "" {
 		s.retried++
 	}
+	if q.again > 0 {
+		s.repeated++
+	}
 	if q.events > 0 {
 		// The workspace got the events, and with the first event also the prompt. If the request resumes an answer, the
 		// prompt was counted with the first request.
@@ -169,13 +172,13 @@
 
 // checkRuns compares what servers ran with what callers sent and got.
 func (s *soakRun) checkRuns() {
-	runs := map[string][]emulator.OpaqueRun{}
+	runs := map[sending][]emulator.OpaqueRun{}
 	for _, r := range s.ledger.Runs() {
-		runs[r.ID] = append(runs[r.ID], r)
-		if q, sent := s.requests[r.ID]; sent {
+		runs[sendingOf(r)] = append(runs[sendingOf(r)], r)
+		if q, sent := s.requests[sendingOf(r)]; sent {
 			s.checkRun(r, q)
 		} else {
-			s.reportViolation(promiseUnchanged, "%s ran %s, which no caller sent", r.Server, r.ID)
+			s.reportViolation(promiseUnchanged, "%s ran %s at %s, which no caller sent", r.Server, r.ID, r.Path)
 		}
 	}
 	for id, q := range s.requests {
@@ -184,7 +187,7 @@
 		s.checkVersion(q, runs[id])
 	}
 	s.checkTries(runs)
-	s.checkOverlaps(runs)
+	s.checkOverlaps()
 	s.checkOrder()
 	s.checkResumptions(runs)
 	s.checkDeadlyRequests()
@@ -216,7 +219,7 @@
 // checkFate checks that the status and the origin of an answer agree with the runs of its request.
 func (s *soakRun) checkFate(q *request, runs []emulator.OpaqueRun) {
 	switch q.status {
-	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusPaymentRequired:
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusPaymentRequired, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
 		if len(runs) > 0 {
 			s.reportViolation(promiseNotRun, "ran at %s: %s", runs[0].Server, q)
 		}
--- a/soaker/deadly.go
+++ b/soaker/deadly.go
@@ -73,7 +73,7 @@
 func (s *soakRun) checkDeadlyRequests() {
 	runs := map[string][]emulator.OpaqueRun{}
 	for _, r := range s.ledger.Runs() {
-		if q := s.requests[r.ID]; q != nil && q.recurringName != "" && r.Fault == emulator.OpaqueCrash {
+		if q := s.requests[sendingOf(r)]; q != nil && q.recurringName != "" && r.Fault == emulator.OpaqueCrash {
 			runs[q.recurringName] = append(runs[q.recurringName], r)
 		}
 	}
@@ -84,7 +84,7 @@
 		slices.SortFunc(all, func(x, y emulator.OpaqueRun) int { return x.StartedAt.Compare(y.StartedAt) })
 		known := all[minDeadlyCrashes-1].StartedAt.Add(stabilityPeriod)
 		late := slices.DeleteFunc(slices.Clone(all), func(r emulator.OpaqueRun) bool {
-			return !r.StartedAt.After(known) || !s.isUndisturbed(r.StartedAt.Add(-stabilityPeriod), r.StartedAt, contactTargets(s.requests[r.ID].router)...)
+			return !r.StartedAt.After(known) || !s.isUndisturbed(r.StartedAt.Add(-stabilityPeriod), r.StartedAt, contactTargets(s.requests[sendingOf(r)].router)...)
 		})
 		s.logf("%s crashed %d servers, sent %d times after it had to be known", name, len(all), len(late))
 		if len(late) > maxDeadlySends {
--- a/soaker/deployment.go
+++ b/soaker/deployment.go
@@ -97,13 +97,21 @@
 
 // startServer starts a new server in a slot and registers it as ready. It does not stop the server that the slot had.
 func (s *soakRun) startServer(slot int) {
+	if err := s.startServerAt("127.0.0.1:0", slot); err != nil {
+		panic(err)
+	}
+}
+
+// startServerAt does the same at an address.
+func (s *soakRun) startServerAt(address string, slot int) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.incarnations++
-	server, err := emulator.StartOpaqueServer(fmt.Sprintf("%s-%d", pools[slot], s.incarnations), s.ledger)
+	server, err := emulator.StartOpaqueServerAt(address, fmt.Sprintf("%s-%d", pools[slot], s.incarnations), s.ledger)
 	if err != nil {
-		panic(err)
+		return err
 	}
+	server.SendLateCopies(s.lateCopies[pools[slot]])
 	server.Version = s.recordServer(server.ID, slot)
 	server.SetStream(s.events, s.pause)
 	server.EnableEcho(s.work)
@@ -118,6 +126,7 @@
 	s.all = append(s.all, server)
 	s.zones[server.ID] = s.zone(slot)
 	s.register(server, false)
+	return nil
 }
 
 // register writes a server's row, as ready or as draining.
--- a/soaker/faults.go
+++ b/soaker/faults.go
@@ -99,6 +99,8 @@
 	"continues_late":    {0, 3 * time.Second, continueWrongly(emulator.OpaqueContinuesLate)},
 	"servers_reject":    {0, 4 * time.Second, (*soakRun).rejectRequests},
 	"server_fails":      {5, 0, (*soakRun).failServer},
+	copiesKind:          {6, 5 * time.Second, (*soakRun).copyRefusals},
+	restartKind:         {4, 0, (*soakRun).restartServer},
 	"configure":         {5, 0, func(s *soakRun, _ faultEvent) { s.configure(0, 0) }},
 	"grow":              {4, 0, func(s *soakRun, e faultEvent) { s.configure(e.scaled(maxRoutes), 0) }},
 	"top_up":            {4, 0, func(s *soakRun, e faultEvent) { s.configure(0, e.scaled(maxTopUp), workspaces[e.target%2]) }},
--- a/soaker/leaving.go
+++ b/soaker/leaving.go
@@ -245,7 +245,7 @@
 	}
 	for _, server := range s.all {
 		for _, a := range server.Arrivals() {
-			q := s.requests[a.ID]
+			q := s.requests[sending{a.ID, a.Path}]
 			if q == nil || q.outcome != outcomeTimedOut && q.outcome != outcomeUnsent {
 				continue
 			}
@@ -255,7 +255,7 @@
 		}
 	}
 	for _, r := range s.ledger.Runs() {
-		q := s.requests[r.ID]
+		q := s.requests[sendingOf(r)]
 		if q == nil {
 			continue
 		}
--- a/soaker/limits.go
+++ b/soaker/limits.go
@@ -73,12 +73,12 @@
 // must not have ended. The router that sent the run must have been in contact with the store and must have received the
 // limit with an earlier answer.
 func (s *soakRun) countsForLimit(r emulator.OpaqueRun, l limitInterval) bool {
-	q := s.requests[r.ID]
+	q := s.requests[sendingOf(r)]
 	if q == nil || r.StartedAt.Before(l.from.Add(stabilityPeriod)) || r.StartedAt.After(l.to) || !s.isUndisturbed(r.StartedAt.Add(-limitWindow-stabilityPeriod), r.StartedAt, contactTargets(q.router)...) {
 		return false
 	}
 	return slices.ContainsFunc(s.ledger.Runs(), func(o emulator.OpaqueRun) bool {
-		other := s.requests[o.ID]
+		other := s.requests[sendingOf(o)]
 		return o.Server == l.server && other != nil && other.router == q.router && o.StartedAt.After(l.from) && o.StartedAt.Add(s.work+limitDelay).Before(r.StartedAt)
 	})
 }
--- a/soaker/order.go
+++ b/soaker/order.go
@@ -1,7 +1,6 @@
 package soaker
 
 import (
-	"cmp"
 	"fmt"
 	"net/http"
 	"slices"
@@ -51,7 +50,7 @@
 	tries := map[string][]*request{}
 	for _, q := range s.requests {
 		if q.metered && q.headStatus == http.StatusOK {
-			first := cmp.Or(q.resumes, q.id)
+			first := q.origin().id
 			tries[first] = append(tries[first], q)
 		}
 	}
--- a/soaker/overlaps.go
+++ b/soaker/overlaps.go
@@ -76,18 +76,22 @@
 }
 
 // checkOverlaps checks that no two servers worked on one request for longer than maxOverlap. A stopped router is no excuse where servers
-// reserve capacity, since it need not have two servers at work at all.
-func (s *soakRun) checkOverlaps(runs map[string][]emulator.OpaqueRun) {
+// reserve capacity, since it need not have two servers at work at all. Nor is it where the servers worked on two sendings of an ID, since
+// the first of these was refused.
+func (s *soakRun) checkOverlaps() {
 	var longest time.Duration
-	for id, all := range runs {
-		q := s.requests[id]
-		if q == nil {
-			continue
+	runs := map[string][]emulator.OpaqueRun{}
+	for _, r := range s.ledger.Runs() {
+		if s.requests[sendingOf(r)] != nil {
+			runs[r.ID] = append(runs[r.ID], r)
 		}
+	}
+	for _, all := range runs {
 		for i, first := range all {
 			for _, second := range all[i+1:] {
 				overlap := overlapOf(first, second)
-				if !q.metered && !s.isUndisturbed(first.StartedAt, second.StartedAt.Add(overlap), routerTarget(q.router), starvedTarget(q.router)) {
+				q := s.requests[sendingOf(first)]
+				if sendingOf(first) == sendingOf(second) && !q.metered && !s.isUndisturbed(first.StartedAt, second.StartedAt.Add(overlap), routerTarget(q.router), starvedTarget(q.router)) {
 					continue
 				}
 				longest = max(longest, overlap)
--- a/soaker/parts.go
+++ b/soaker/parts.go
@@ -95,7 +95,7 @@
 	for _, part := range deadlyParts {
 		var runs []emulator.OpaqueRun
 		for _, r := range s.ledger.Runs() {
-			if q := s.requests[r.ID]; q != nil && slices.Contains(q.parts, part) {
+			if q := s.requests[sendingOf(r)]; q != nil && slices.Contains(q.parts, part) {
 				runs = append(runs, r)
 			}
 		}
@@ -107,7 +107,7 @@
 		if len(runs) >= minPartCrashes {
 			late := slices.DeleteFunc(slices.Clone(runs), func(r emulator.OpaqueRun) bool {
 				return !r.StartedAt.After(found.Add(stabilityPeriod)) ||
-					!s.isUndisturbed(r.StartedAt.Add(-stabilityPeriod), r.StartedAt, contactTargets(s.requests[r.ID].router)...)
+					!s.isUndisturbed(r.StartedAt.Add(-stabilityPeriod), r.StartedAt, contactTargets(s.requests[sendingOf(r)].router)...)
 			})
 			s.logf("part %s crashed %d servers, sent %d times after it had to be known", part, len(runs), len(late))
 			if len(late) > maxDeadlySends {
--- a/soaker/repeats.go
+++ b/soaker/repeats.go
@@ -39,7 +39,7 @@
 	time.Sleep(e.duration)
 }
 
-// checkRepeats checks for each pool that in no window its servers got more arrivals beyond the first of each request than the retry
+// checkRepeats checks for each pool that in no window its servers got more arrivals beyond the first of each sending than the retry
 // budget allows, whatever routers sent them. It allows for the requests that callers sent in the window, in the one before it or in
 // the one half a window before it, whichever has most.
 func (s *soakRun) checkRepeats() {
@@ -71,7 +71,7 @@
 	}
 }
 
-// repeats returns the times of the arrivals at a pool's servers beyond the first of each request, sorted. Arrivals that a server
+// repeats returns the times of the arrivals at a pool's servers beyond the first of each sending, sorted. Arrivals that a server
 // rejected are counted too.
 func (s *soakRun) repeats(pool string) []time.Time {
 	var arrivals []emulator.OpaqueArrival
@@ -82,12 +82,13 @@
 	}
 	slices.SortFunc(arrivals, func(a, b emulator.OpaqueArrival) int { return a.ReceivedAt.Compare(b.ReceivedAt) })
 	var repeats []time.Time
-	known := map[string]bool{}
+	known := map[sending]bool{}
 	for _, a := range arrivals {
-		if known[a.ID] {
+		key := sending{a.ID, a.Path}
+		if known[key] {
 			repeats = append(repeats, a.ReceivedAt)
 		}
-		known[a.ID] = true
+		known[key] = true
 	}
 	return repeats
 }
--- a/soaker/soak.go
+++ b/soaker/soak.go
@@ -60,6 +60,8 @@
 	Requests, Served, Resumed, Versions, Faults int
 	// Retried counts the requests that try again one that failed.
 	Retried int
+	// Repeated counts those of them that have the ID of the refused one.
+	Repeated int
 	// Continued counts the streams of which several tries of a caller brought events; their order was checked over all of these.
 	Continued int
 	// Sound counts the sound requests beside those with a deadly part whose answers were checked.
@@ -115,7 +117,7 @@
 	workspaceFaults  int                       // the number of faults with more callers of a workspace
 	delivered        map[string]int64          // tokens that callers got, by workspace, without abandoned answers
 	abandoned        map[string]int64          // tokens of answers that callers abandoned, by workspace
-	requests         map[string]*request       // by id
+	requests         map[sending]*request      // by id and path
 	disturbances     map[string][]interval     // by target: a router, a server or the store
 	delays           map[int][]schedulingDelay // by index of the router
 	violations       []Violation
@@ -123,12 +125,15 @@
 	loadStartedAt    time.Time  // when the callers started
 	served           int
 	resumed, retried int
+	repeated         int // the number of requests that have the ID of a refused one
 	continued        int // the number of streams of which several tries brought events
 	faultsDrawn      int
-	activeParts      atomic.Int32
-	handoverStops    atomic.Int32 // the number of faults in which routers are stopped in handovers
-	deadlyParts      int          // the number of faults with a deadly part
-	leavingFaults    int          // the number of faults in which callers leave
+	// The copies of refusals that servers send, by pool.
+	lateCopies    map[string]emulator.LateCopies
+	activeParts   atomic.Int32
+	handoverStops atomic.Int32 // the number of faults in which routers are stopped in handovers
+	deadlyParts   int          // the number of faults with a deadly part
+	leavingFaults int          // the number of faults in which callers leave
 	// The number of requests whose callers left, of those whose callers waited, and of those of them that were answered and served.
 	left, waited, waitedAnswered, waitedServed int
 	sound                                      int // the number of sound requests beside them that were checked
@@ -148,7 +153,8 @@
 		Soak: o, random: random, log: log, rows: rows, store: &http.Server{Handler: rows.Handler()}, ledger: &emulator.OpaqueRunLog{},
 		events: 2 + random.IntN(maxEvents-1), pause: randomUpTo(random, maxEventPause), work: randomUpTo(random, maxWork), grace: minGrace + time.Duration(random.IntN(2))*extraGrace,
 		servers: make([]*emulator.OpaqueServer, len(pools)), zones: map[string]string{}, slotVersions: firstVersions(o.hasReleases()), serverSpans: map[string]serverSpan{}, drainAcceptedAt: map[string]time.Time{}, drainAnnouncedAt: map[string]time.Time{}, delivered: map[string]int64{}, abandoned: map[string]int64{},
-		prepaid: map[string]int64{"thin": 4_000, "middle": 40_000, "wide": 50_000_000, singleWorkspace: 2_000_000}, maxPrepaid: map[string]int64{}, pending: map[string]int64{}, keys: firstKeys(), isChanging: map[string]bool{}, requests: map[string]*request{}, routers: map[string]int{}, disturbances: map[string][]interval{}, delays: map[int][]schedulingDelay{},
+		prepaid: map[string]int64{"thin": 4_000, "middle": 40_000, "wide": 50_000_000, singleWorkspace: 2_000_000}, maxPrepaid: map[string]int64{}, pending: map[string]int64{}, keys: firstKeys(), isChanging: map[string]bool{}, requests: map[sending]*request{}, routers: map[string]int{}, disturbances: map[string][]interval{}, delays: map[int][]schedulingDelay{},
+		lateCopies: map[string]emulator.LateCopies{},
 	}
 	defer s.close()
 	if err := s.start(); err != nil {
@@ -163,7 +169,7 @@
 	close(done)
 	load.Wait()
 	s.checkRuns()
-	return Report{Requests: len(s.requests), Served: s.served, Resumed: s.resumed, Retried: s.retried, Continued: s.continued, Sound: s.sound, Versions: len(s.versions), Faults: s.faultsDrawn, Starved: s.starvationCount(), Left: s.left, Waited: s.waited, WaitedAnswered: s.waitedAnswered, WaitedServed: s.waitedServed, Violations: s.violations}, ctx.Err()
+	return Report{Requests: len(s.requests), Served: s.served, Resumed: s.resumed, Retried: s.retried, Repeated: s.repeated, Continued: s.continued, Sound: s.sound, Versions: len(s.versions), Faults: s.faultsDrawn, Starved: s.starvationCount(), Left: s.left, Waited: s.waited, WaitedAnswered: s.waitedAnswered, WaitedServed: s.waitedServed, Violations: s.violations}, ctx.Err()
 }
 
 // firstKeys returns the first key of each workspace.
--- a/soaker/tries.go
+++ b/soaker/tries.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	// maxTries is how often a caller sends a request, with a new ID each time.
+	// maxTries is how often a caller sends a request.
 	maxTries = 3
 	// retryAfterDivisor divides the time that a caller has left; it waits no longer than that before it tries again.
 	retryAfterDivisor = 3
@@ -32,11 +32,15 @@
 	return time.Duration(seconds * float64(time.Second))
 }
 
-// tryAgain sends a request again, on a new connection and within its caller's time, for as long as it fails and may be sent again.
+// tryAgain sends a request again within its caller's time, for as long as it fails and may be sent again. Callers that repeat IDs do so
+// after refusals; all else gets a new ID and a new connection.
 func (c *caller) tryAgain(q *request) {
 	until := q.sentAt.Add(q.timeLimit)
 	for range maxTries - 1 {
-		pause, left := q.retryAfter, time.Until(until)
+		pause, left, repeats := q.retryAfter, time.Until(until), c.repeatsID && q.isRefused()
+		if repeats && c.keepsConn {
+			pause = 0
+		}
 		if !c.mayTryAgain(q) || left < minRetryTime || pause > left/retryAfterDivisor {
 			return
 		}
@@ -50,12 +54,22 @@
 			body: strings.Repeat("x", len(q.body)-len(q.id)), timeLimit: left.Truncate(time.Millisecond),
 		}
 		next.waitTimeout = min(next.timeLimit, emulator.DeploymentTimeout) + answerSlack
-		c.transport.CloseIdleConnections()
+		if repeats {
+			next.id, next.again = q.id, q.again+1
+		}
+		if !repeats || !c.keepsConn {
+			c.transport.CloseIdleConnections()
+		}
 		c.send(next, q.name)
 		q = next
 	}
 }
 
+// isRefused reports whether the router promised with 503 or 429 that the request has not run.
+func (q *request) isRefused() bool {
+	return q.outcome == outcomeAnswered && (q.status == http.StatusServiceUnavailable || q.status == http.StatusTooManyRequests)
+}
+
 // mayTryAgain reports whether a request failed and may be sent again: if it is repeatable after any failure, otherwise only if the router
 // promised that it has not run, or closed the connection without having read the request. The kernel tells that by a reset.
 func (c *caller) mayTryAgain(q *request) bool {
@@ -75,7 +89,7 @@
 }
 
 // checkTries checks that a non-repeatable request ran at most once over all tries of its caller.
-func (s *soakRun) checkTries(runs map[string][]emulator.OpaqueRun) {
+func (s *soakRun) checkTries(runs map[sending][]emulator.OpaqueRun) {
 	tries := map[string][]*request{}
 	for _, q := range s.requests {
 		if !q.repeatable {
@@ -88,12 +102,12 @@
 		again += len(all) - 1
 		count := 0
 		for _, q := range all {
-			count += len(runs[q.id])
+			count += len(runs[q.sending()])
 		}
 		if count > 1 {
 			slices.SortFunc(all, func(a, b *request) int { return a.sentAt.Compare(b.sentAt) })
 			s.reportViolation(promiseOnce, "ran %d times in %d tries: %v", count, len(all), all)
 		}
 	}
-	s.logf("%d non-repeatable requests were sent again", again)
+	s.logf("%d non-repeatable requests were sent again; %d requests had the ID of a refused one", again, s.repeated)
 }
--- a/soaker/versions.go
+++ b/soaker/versions.go
@@ -1,6 +1,7 @@
 package soaker
 
 import (
+	"cmp"
 	"fmt"
 	"net/http"
 	"slices"
@@ -81,17 +82,14 @@
 }
 
 // origin returns the request that began the stream which a request resumes, or the request itself.
-func (s *soakRun) origin(q *request) *request {
-	if first, ok := s.requests[q.resumes]; ok {
-		return first
-	}
-	return q
+func (q *request) origin() *request {
+	return cmp.Or(q.began, q)
 }
 
 // checkVersion checks that a stream goes on only at servers of the software version that began it, in one answer and over the
 // attempts of its caller.
 func (s *soakRun) checkVersion(q *request, runs []emulator.OpaqueRun) {
-	first := s.origin(q)
+	first := q.origin()
 	began, ok := s.serverSpans[first.signedBy]
 	if !ok {
 		return
@@ -105,7 +103,7 @@
 
 // checkResumptions checks that at routers in contact with the store, while two servers of the stream's version serve, resumptions go
 // on at least half as often as new streams begin.
-func (s *soakRun) checkResumptions(runs map[string][]emulator.OpaqueRun) {
+func (s *soakRun) checkResumptions(runs map[sending][]emulator.OpaqueRun) {
 	var begun, fresh, resumed, resumptions int
 	for _, q := range s.requests {
 		if !q.metered || !q.repeatable || q.outcome == outcomeUnsent || !s.isUndisturbed(q.sentAt.Add(-stabilityPeriod), q.endedAt, contactTargets(q.router)...) {
@@ -119,11 +117,11 @@
 			}
 			continue
 		}
-		if slices.ContainsFunc(runs[q.id], func(r emulator.OpaqueRun) bool { return r.Fault == emulator.OpaqueContinuesLate }) {
+		if slices.ContainsFunc(runs[q.sending()], func(r emulator.OpaqueRun) bool { return r.Fault == emulator.OpaqueContinuesLate }) {
 			// What such a server leaves out must not be missing from the answer.
 			continue
 		}
-		if began, ok := s.serverSpans[s.origin(q).signedBy]; ok && s.serving(q, began.version) >= 2 {
+		if began, ok := s.serverSpans[q.origin().signedBy]; ok && s.serving(q, began.version) >= 2 {
 			resumptions++
 			if answered {
 				resumed++
--- a/soaker/words.go
+++ b/soaker/words.go
@@ -56,7 +56,7 @@
 func (s *soakRun) checkBackoff(server *emulator.OpaqueServer) {
 	arrivals := server.Arrivals()
 	for _, refused := range arrivals {
-		q := s.requests[refused.ID]
+		q := s.requests[sending{refused.ID, refused.Path}]
 		seconds, err := strconv.ParseFloat(refused.RetryAfter, 64)
 		if q == nil || err != nil {
 			continue
@@ -64,7 +64,7 @@
 		until := refused.ReceivedAt.Add(time.Duration(seconds * float64(time.Second)))
 		sent := 0
 		for _, a := range arrivals {
-			if other := s.requests[a.ID]; other != nil && other.router == q.router && a.ReceivedAt.After(refused.ReceivedAt.Add(backoffDelay)) && a.ReceivedAt.Before(until) {
+			if other := s.requests[sending{a.ID, a.Path}]; other != nil && other.router == q.router && a.ReceivedAt.After(refused.ReceivedAt.Add(backoffDelay)) && a.ReceivedAt.Before(until) {
 				sent++
 			}
 		}
@@ -83,7 +83,7 @@
 		return
 	}
 	for _, o := range s.ledger.Runs() {
-		other := s.requests[o.ID]
+		other := s.requests[sendingOf(o)]
 		if o.Server != r.Server || other == nil || other.router != q.router || other.signedBy != r.Server || o.StartedAt.Before(announcedAt) {
 			continue
 		}
