Soak copies of refusals with several routers

Callers that repeated IDs were told 503 although their request ran, a request that may run once ran twice, and requests that ran got 502. TestCopiesOfRefusalsAreNotTakenForAnswers soaks four seeds with two to five routers, restarts of servers at their address, kills, stops and stalls.

--- a/soaker/soaker_test.go
+++ b/soaker/soaker_test.go
@@ -163,6 +163,23 @@
 	}
 }
 
+// TestCopiesOfRefusalsAreNotTakenForAnswers guards against second runs of requests, and refusals of requests that run, because a router
+// takes the late copy of a refusal for the answer to a request that its caller sends again under the same ID, or to one that it sends to
+// a server that started again at its address.
+func TestCopiesOfRefusalsAreNotTakenForAnswers(t *testing.T) {
+	t.Parallel()
+	for seed, routers := range map[uint64]int{4011: 5, 4012: 3, 4014: 5, 4025: 2} {
+		t.Run(fmt.Sprintf("%d/%d routers", seed, routers), func(t *testing.T) {
+			t.Parallel()
+			report := assertPromisesKept(t, soaker.Soak{
+				Seed: seed, Duration: 10 * time.Second, Routers: routers,
+				Kinds: []string{"refusals_copied", "server_restarts", "kill", "term", "server_stalls", "server_drains", "stops_in_handovers"},
+			})
+			qt.Assert(t, report.Repeated > 0, qt.IsTrue)
+		})
+	}
+}
+
 // TestPromisesAreKeptByThirtyRoutersWhileStoreReturns is the same at thirty routers.
 func TestPromisesAreKeptByThirtyRoutersWhileStoreReturns(t *testing.T) {
 	t.Parallel()
