--- a/connector/copies_test.go
+++ b/connector/copies_test.go
@@ -131,8 +131,8 @@
 	"order": func(ctx context.Context, u connector.Upstream) error { return u.Order(ctx, masticway.Order{}) },
 }
 
-// A run, a count or an order that the upstream carried out was reported as rejected, since the copy of an earlier rejection was taken for
-// its answer.
+// TestCopyOfRejectionIsNoUpstreamAnswer guards against runs, counts and orders that are reported as rejected although the upstream carried
+// them out, because the copy of an earlier rejection is taken for their answer.
 func TestCopyOfRejectionIsNoUpstreamAnswer(t *testing.T) {
 	for firstName, first := range upstreamCalls {
 		for nextName, next := range upstreamCalls {
