--- a/soaker/copies.go
+++ b/soaker/copies.go
@@ -16,7 +16,7 @@
 	maxCopies, maxCopyDelay = 2, 5 * time.Millisecond
 	// All servers of the pool refuse up to maxRefusals requests, again every refusalInterval. Routers choose a server that has refused
 	// requests again if the others have too.
-	maxRefusals, refusalInterval = 3, 400 * time.Millisecond
+	maxRefusals, refusalInterval = 2, 400 * time.Millisecond
 )
 
 // copiedRefusals are the ways in which servers refuse requests whose refusals are copied. Routers use a server no more for a while after
@@ -26,8 +26,8 @@
 }
 
 // copyRefusals makes all servers of a pool refuse some of their requests and reservations for a while, and send copies of the refusals
-// at once or late. Servers that start meanwhile send copies too. If two such faults of a pool overlap, the later replaces the earlier,
-// and the first to end ends both.
+// at once or late. Servers that start meanwhile send copies too. If two such faults of a pool overlap, each replaces the refusals of
+// the other, and the copies end for a moment with the first.
 func (s *soakRun) copyRefusals(e faultEvent) {
 	_, slot := s.targetServer(e)
 	copies := emulator.LateCopies{Count: 1 + e.target/len(pools)%maxCopies}
@@ -38,7 +38,7 @@
 	random := rand.New(rand.NewPCG(uint64(e.target), 0))
 	for until := time.Now().Add(e.duration); time.Now().Before(until); time.Sleep(refusalInterval) {
 		for _, server := range s.setLateCopies(pools[slot], copies) {
-			faults := make([]emulator.OpaqueFault, 1+random.IntN(e.scaled(maxRefusals-1)))
+			faults := make([]emulator.OpaqueFault, 1+random.IntN(e.scaled(maxRefusals)))
 			for i := range faults {
 				faults[i] = copiedRefusals[random.IntN(len(copiedRefusals))]
 			}
