Plant the fault of unbounded connections where the limit is judged now

TestBrokenProgramsFail changes the source of the pool, which reads otherwise since connections are replaced; its check is the same, and it finds the fault.

--- a/soaker/soaker_test.go
+++ b/soaker/soaker_test.go
@@ -168,7 +168,7 @@
 // a server that started again at its address.
 func TestCopiesOfRefusalsAreNotTakenForAnswers(t *testing.T) {
 	t.Parallel()
-	for seed, routers := range map[uint64]int{4011: 5, 4012: 3, 4014: 5, 4025: 2} {
+	for seed, routers := range map[uint64]int{4011: 5, 4012: 3, 4014: 5, 4015: 2, 4021: 3, 4025: 2} {
 		t.Run(fmt.Sprintf("%d/%d routers", seed, routers), func(t *testing.T) {
 			t.Parallel()
 			report := assertPromisesKept(t, soaker.Soak{
@@ -534,7 +534,7 @@
 			[]string{"server_stalls"}, "single", false,
 		},
 		"opens any number of connections": {
-			"sender/pool.go", "if limit > 0 && open >= limit {", "if limit > 0 && open >= 9*limit {",
+			"sender/pool.go", "isFull := limit > 0 && open >= limit", "isFull := limit > 0 && open >= 9*limit",
 			[]string{"crowd"}, "connected", true,
 		},
 	}
