--- a/sender/pool.go
+++ b/sender/pool.go
@@ -61,9 +61,9 @@
 }
 
 // acquireIdle removes the idle connection that was used last and may carry the request (see conn.mayConfuse), and returns it. If there is
-// none, it removes and returns one that is to be closed, and that a new connection may replace at the limit. It returns nil if there is none of these either, or if they have
-// expired (see conn.maxIdle) or been idle for longer than the request's MaxIdle. It also closes expired connections, and returns the
-// number of open ones.
+// none, it removes and returns one that the caller must close, and may replace. It returns nil if there is none of these either, or if they
+// have expired (see conn.maxIdle) or been idle for longer than the request's MaxIdle. It also closes expired connections, and returns the
+// number of open ones, the returned one included.
 func (s *Sender) acquireIdle(address string, limit int, r Request) (*conn, int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -78,6 +78,7 @@
 		if age > c.maxIdle() {
 			// The connections before it have been idle for longer.
 			p.closeIdle(0, i+1)
+			// The index has moved. It stays negative if there is none.
 			useless -= i + 1
 			break
 		}
