--- a/soaker/soaker_test.go
+++ b/soaker/soaker_test.go
@@ -167,8 +167,19 @@
 // takes the late copy of a refusal for the answer to a request that its caller sends again under the same ID, or to one that it sends to
 // a server that started again at its address.
 func TestCopiesOfRefusalsAreNotTakenForAnswers(t *testing.T) {
+	soakCopiesOfRefusals(t, map[uint64]int{4011: 5, 4012: 3, 4014: 5, 4021: 3, 4025: 2})
+}
+
+// TestEnoughIsServedBesideCopiesOfRefusals guards against the same where two routers end most of the time, and against routers that serve
+// too little then.
+func TestEnoughIsServedBesideCopiesOfRefusals(t *testing.T) {
+	soakCopiesOfRefusals(t, map[uint64]int{4015: 2})
+}
+
+// soakCopiesOfRefusals soaks routers, whose numbers are given by seed, beside servers that send copies of their refusals and start again.
+func soakCopiesOfRefusals(t *testing.T, routersOf map[uint64]int) {
 	t.Parallel()
-	for seed, routers := range map[uint64]int{4011: 5, 4012: 3, 4014: 5, 4015: 2, 4021: 3, 4025: 2} {
+	for seed, routers := range routersOf {
 		t.Run(fmt.Sprintf("%d/%d routers", seed, routers), func(t *testing.T) {
 			t.Parallel()
 			report := assertPromisesKept(t, soaker.Soak{
