--- a/forwarder/report.go
+++ b/forwarder/report.go
@@ -117,7 +117,7 @@
 	}).Info("answer to another request skipped")
 }
 
-// connectionFields returns the log fields of the connection on which an answer came. There are none if no answer came.
+// connectionFields returns the log fields of the connection on which a request was sent. There are none if it was not sent.
 func connectionFields(h sender.History) logrus.Fields {
 	if h.Local == "" {
 		return nil
--- a/soaker/copies.go
+++ b/soaker/copies.go
@@ -51,7 +51,7 @@
 }
 
 // setLateCopies sets which copies of refusals the servers of a pool send, and returns the current ones.
-func (s *soakRun) setLateCopies(pool string, copies emulator.LateCopies) (affected []*emulator.OpaqueServer) {
+func (s *soakRun) setLateCopies(pool string, copies emulator.LateCopies) []*emulator.OpaqueServer {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lateCopies[pool] = copies
@@ -60,12 +60,7 @@
 			server.SendLateCopies(copies)
 		}
 	}
-	for i, server := range s.servers {
-		if pools[i] == pool {
-			affected = append(affected, server)
-		}
-	}
-	return affected
+	return s.currentServers(pool)
 }
 
 // restartServer ends a server and starts another one at its address at once. The row of the old one stays for silenceTimeout, so that
--- a/soaker/deployment.go
+++ b/soaker/deployment.go
@@ -137,6 +137,16 @@
 // poolOf returns the pool of a server from its id.
 func poolOf(id string) string { return id[:strings.IndexByte(id, '-')] }
 
+// currentServers returns the current servers of a pool's slots. The caller must hold the lock.
+func (s *soakRun) currentServers(pool string) (servers []*emulator.OpaqueServer) {
+	for i, server := range s.servers {
+		if pools[i] == pool {
+			servers = append(servers, server)
+		}
+	}
+	return servers
+}
+
 // targetServer returns the current server of the slot that a fault affects, and the slot.
 func (s *soakRun) targetServer(e faultEvent) (server *emulator.OpaqueServer, slot int) {
 	s.mu.Lock()
--- a/soaker/repeats.go
+++ b/soaker/repeats.go
@@ -17,13 +17,8 @@
 // rejectRequests makes all servers of a pool reject most of their requests for a while.
 func (s *soakRun) rejectRequests(e faultEvent) {
 	_, slot := s.targetServer(e)
-	var affected []*emulator.OpaqueServer
 	s.mu.Lock()
-	for i, server := range s.servers {
-		if pools[i] == pools[slot] {
-			affected = append(affected, server)
-		}
-	}
+	affected := s.currentServers(pools[slot])
 	s.mu.Unlock()
 	faults := make([]emulator.OpaqueFault, maxRejections)
 	for i := range faults {
