--- a/review/stage/gateway.go
+++ b/review/stage/gateway.go
@@ -52,7 +52,7 @@
 	for i, g := range all {
 		// The values are those of the deploy template for a small installation.
 		data, err := json.MarshalIndent(map[string]any{
-			"instance": g.name, "zone": fmt.Sprintf("zone-%d", i+1), "log_level": "info", "log_every": 50, "caller_address": g.caller,
+			"instance": g.name, "zone": fmt.Sprintf("zone-%d", i%2+1), "log_level": "info", "log_every": 50, "caller_address": g.caller,
 			"readiness_address": g.readiness, "metrics_address": g.metrics, "peer_address": g.peer, "peer_seeds": seeds, "store_address": g.storeAddr,
 			"processors": 0.304, "memory_mb": 284, "link_mbps": 1000.0, "grace_seconds": 8,
 			"money": map[string]any{"parts": 64, "reserve": "30s"}, "regions": map[string]string{"zone-1": "region", "zone-2": "region"},
--- a/review/stage/money.go
+++ b/review/stage/money.go
@@ -100,3 +100,74 @@
 	}
 	return nil, nil
 }
+
+func init() { cases["removed"] = playRemoved }
+
+const (
+	// A request of this case makes 30 tokens, in 10 events.
+	removedOutput = 30
+	// Calls before and after the loss.
+	callsBefore, callsAfter = 40, 130
+	// afterLoss is how long the case waits after the loss; stable_ms is 3 s and recovery_s 12 s.
+	afterLoss = 30 * time.Second
+)
+
+// playRemoved removes one of two gateways for good while part of a tenant's tokens are used, adds another one at a new address, and
+// sends the tenant's further requests to the two that are left.
+func playRemoved(s *stage) ([]string, error) {
+	s.store.put("op", "", "config", manifest(7, prepaid))
+	if err := s.addServers(3, &server{service: "model", slots: 96, beforeFirst: 40 * time.Millisecond, betweenEvents: 5 * time.Millisecond}); err != nil {
+		return nil, err
+	}
+	if err := s.addGateways("edge-1", "edge-2"); err != nil {
+		return nil, err
+	}
+	time.Sleep(4 * time.Second)
+	got, byStatus := 0, map[int]int{}
+	send := func(n int, g *gateway) *call {
+		c := &call{
+			Attempt: fmt.Sprintf("9c41d07b%08x", n), Host: "shop.example", Path: "/draft/2f", Key: "key-tailors", Prompt: prompt, Output: removedOutput, Deadline: 6 * time.Second,
+		}
+		c.do(g.caller)
+		if c.Status == http.StatusOK && c.Events > 0 {
+			got += c.Prompt + c.Events*stride
+		}
+		s.note("%s at %s: status %d, %d events, whole %t, %d tokens so far %s", c.Attempt, g.name, c.Status, c.Events, c.Whole, got, c.Err)
+		return c
+	}
+	n := 0
+	for ; n < callsBefore; n++ {
+		send(n, s.gateways[n%2])
+	}
+	if s.trouble {
+		s.note("edge-1 is removed for good, with SIGKILL")
+		s.gateways[0].kill()
+	}
+	time.Sleep(5 * time.Second)
+	more, err := newGateways(s.folder, s.address, "edge-3")
+	if err != nil {
+		return nil, err
+	}
+	s.gateways = append(s.gateways, more...)
+	s.note("edge-3 is added at a new address")
+	if err := more[0].start(s.folder); err != nil {
+		return nil, err
+	}
+	if err := more[0].awaitReady(15 * time.Second); err != nil {
+		return nil, err
+	}
+	time.Sleep(afterLoss)
+	denied := 0
+	for ; n < callsBefore+callsAfter; n++ {
+		c := send(n, s.gateways[1+n%2])
+		byStatus[c.Status]++
+		if c.Status == http.StatusPaymentRequired && got+prompt+removedOutput <= prepaid*97/100 {
+			denied++
+		}
+	}
+	s.note("statuses after the loss: %v; the tenant got %d of %d tokens; answered 402 although they fit into 97 in 100: %d", byStatus, got, prepaid, denied)
+	if denied > 5+n/500 {
+		return []string{fmt.Sprintf("%d of %d requests were answered 402 although the tenant had got %d of its %d prepaid tokens", denied, n, got, prepaid)}, nil
+	}
+	return nil, nil
+}
