--- a/review/stage/client.go
+++ b/review/stage/client.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"fmt"
 	"io"
 	"net"
@@ -12,8 +13,13 @@
 	"time"
 )
 
+// body is that of all requests that have one.
+const body = "{}"
+
 // call is a request of a client and what the client saw of its answer.
 type call struct {
+	// Method is POST if it is empty; GET has no body.
+	Method                            string
 	Attempt, Host, Path, Key, Gateway string
 	Prompt, Output                    int
 	Deadline                          time.Duration
@@ -40,21 +46,25 @@
 	}
 	defer conn.Close()
 	_ = conn.SetDeadline(c.SentAt.Add(c.Deadline))
+	method := cmp.Or(c.Method, http.MethodPost)
 	var b strings.Builder
-	fmt.Fprintf(&b, "POST %s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: %d\r\nAuthorization: Token %s\r\n", c.Path, c.Host, c.Attempt, c.Deadline.Milliseconds(), c.Key)
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: %d\r\nAuthorization: Token %s\r\n", method, c.Path, c.Host, c.Attempt, c.Deadline.Milliseconds(), c.Key)
 	if c.Output > 0 {
 		fmt.Fprintf(&b, "X-Model: m\r\nX-Token-Count: %d,%d\r\nX-Prefix-Hash: %s:%d\r\n", c.Prompt, c.Output, c.Attempt[len(c.Attempt)-8:], c.Prompt)
 	}
 	if c.LastEvent != "" {
 		fmt.Fprintf(&b, "Last-Event-Id: %s\r\n", c.LastEvent)
 	}
-	body := "{}"
-	fmt.Fprintf(&b, "Content-Length: %d\r\n\r\n%s", len(body), body)
+	if method == http.MethodPost {
+		fmt.Fprintf(&b, "Content-Length: %d\r\n\r\n%s", len(body), body)
+	} else {
+		b.WriteString("\r\n")
+	}
 	if _, err := io.WriteString(conn, b.String()); err != nil {
 		c.Err = err.Error()
 		return
 	}
-	r, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: http.MethodPost})
+	r, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: method})
 	if err != nil {
 		c.Err = err.Error()
 		return
--- a/review/stage/gateway.go
+++ b/review/stage/gateway.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -24,14 +25,19 @@
 	exited                                      chan error
 }
 
-// freeAddress returns a loopback address with a free port.
+// freeAddress returns a loopback address with a free port, below those that the kernel gives to connections.
 func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	var last error
+	for range 100 {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", 12000+rand.IntN(18000)))
+		if err != nil {
+			last = err
+			continue
+		}
+		defer l.Close()
+		return l.Addr().String(), nil
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return "", last
 }
 
 // newGateways returns gateways that know each other as seeds.
--- a/review/stage/server.go
+++ b/review/stage/server.go
@@ -34,7 +34,9 @@
 	mu    sync.Mutex
 	runs  []*run
 	state string
-	http  *http.Server
+	// hangs and lost are the disturbance (see disturb).
+	hangs, lost float64
+	http        *http.Server
 }
 
 func (s *server) start(store *rowStore) error {
@@ -93,10 +95,20 @@
 		s.mu.Unlock()
 	}()
 	if r.Header.Get("X-Token-Count") == "" {
+		work, hangs, isLost := s.draw()
+		if hangs {
+			<-r.Context().Done()
+			return
+		}
 		select {
 		case <-r.Context().Done():
 			return
-		case <-time.After(s.work):
+		case <-time.After(work):
+		}
+		if isLost {
+			whole = true
+			reset(w)
+			return
 		}
 		_, err := fmt.Fprintf(w, "done %s\n", attempt)
 		whole = err == nil
@@ -158,3 +170,15 @@
 	}
 	return out
 }
+
+// reset resets the connection of a request.
+func reset(w http.ResponseWriter) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
