--- a/review/stage/store.go
+++ b/review/stage/store.go
@@ -11,6 +11,9 @@
 	"time"
 )
 
+// maxRowBytes is max_row_bytes of the pages' settings.
+const maxRowBytes = 65536
+
 // historyLength is how many changes the store keeps for rows-feed.
 const historyLength = 20000
 
@@ -40,10 +43,20 @@
 	version int64
 	began   time.Time
 	changed chan struct{}
+	// rejected counts the rows that were too large, by table, and largest is the largest one that was written.
+	rejected map[string]int
+	largest  map[string]int
+}
+
+// reject records a row that is larger than maxRowBytes.
+func (s *rowStore) reject(r row) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rejected[r.Table]++
 }
 
 func newRowStore() *rowStore {
-	return &rowStore{rows: map[rowKey]row{}, began: time.Now(), changed: make(chan struct{})}
+	return &rowStore{rows: map[rowKey]row{}, began: time.Now(), changed: make(chan struct{}), rejected: map[string]int{}, largest: map[string]int{}}
 }
 
 // put writes a row as the operator or a server does.
@@ -63,6 +76,7 @@
 // set stores a row; s.mu must be held.
 func (s *rowStore) set(r row) {
 	k := rowKey{r.Table, r.Part, r.Key}
+	s.largest[r.Table] = max(s.largest[r.Table], len(r.Value))
 	if r.Deleted {
 		delete(s.rows, k)
 	} else {
@@ -116,6 +130,13 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	for _, p := range tx.Puts {
+		if len(p.Value) > maxRowBytes {
+			s.reject(p)
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+	}
 	time.Sleep(3 * time.Millisecond)
 	s.mu.Lock()
 	defer s.mu.Unlock()
