--- a/review/stage/gateway.go
+++ b/review/stage/gateway.go
@@ -113,8 +113,6 @@
 	return fmt.Errorf("%s is not ready after %v", g.name, limit)
 }
 
-func (g *gateway) signal(s syscall.Signal) { _ = g.process.Process.Signal(s) }
-
 // kill ends the process if it still runs.
 func (g *gateway) kill() {
 	if g.process == nil || g.process.Process == nil {
