--- a/review/stage/tenants.go
+++ b/review/stage/tenants.go
@@ -5,6 +5,8 @@
 import (
 	"fmt"
 	"net/http"
+	"os"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -12,17 +14,48 @@
 func init() { cases["tenants"] = playTenants }
 
 const (
-	// tenants is the number of tenants, of which each has tenantPrepaid.
-	tenants, tenantPrepaid = 700, 1_000_000
-	// callsEach is the number of calls before the fault, two for each tenant, and callsRecovered that after it.
-	callsEach, callsRecovered, tenantClients = 2 * tenants, 256, 32
-	// recovery is recovery_s, and downTime how long the processes are down.
-	recovery = 12 * time.Second
-	downTime = time.Second
+	// defaultTenants and defaultKills hold unless TENANTS and KILLS say otherwise.
+	defaultTenants, defaultKills = 650, 1
+	// tenantPrepaid is what each tenant has prepaid, and tenantPrompt what a request reads of it.
+	tenantPrepaid, tenantPrompt = 20_000_000, 9_000
+	// callsRecovered is the number of calls after the fault. Before it each tenant makes two.
+	callsRecovered, tenantClients = 128, 32
+	// recovery is recovery_s, downTime how long the processes are down, and killAgain how long they run until a further kill.
+	recovery  = 12 * time.Second
+	downTime  = time.Second
+	killAgain = time.Second
 )
 
+// number returns the number that an environment variable holds, or another one.
+func number(name string, other int) int {
+	if n, err := strconv.Atoi(os.Getenv(name)); err == nil {
+		return n
+	}
+	return other
+}
+
+// restartAll kills all gateways and starts them again.
+func (s *stage) restartAll() error {
+	s.note("all gateways are killed")
+	for _, g := range s.gateways {
+		g.kill()
+		<-g.exited
+	}
+	time.Sleep(downTime)
+	for _, g := range s.gateways {
+		if err := g.start(s.folder); err != nil {
+			return err
+		}
+	}
+	s.note("they are started again")
+	return nil
+}
+
 // playTenants kills both gateways of an installation with many tenants and starts them again.
 func playTenants(s *stage) ([]string, error) {
+	tenants, kills := number("TENANTS", defaultTenants), number("KILLS", defaultKills)
+	callsEach := 2 * tenants
+	s.note("%d tenants, %d kills", tenants, kills)
 	m := manifest(7, 0)
 	var list []any
 	for i := range tenants {
@@ -47,7 +80,7 @@
 			wg.Go(func() {
 				for n := first + client; n < first+more; n += tenantClients {
 					c := &call{
-						Attempt: fmt.Sprintf("9c41d07b%08x", n), Host: "shop.example", Path: "/draft/2f", Key: fmt.Sprintf("key%04d", n/2%tenants), Prompt: 200, Output: removedOutput,
+						Attempt: fmt.Sprintf("9c41d07b%08x", n), Host: "shop.example", Path: "/draft/2f", Key: fmt.Sprintf("key%04d", n/2%tenants), Prompt: tenantPrompt, Output: removedOutput,
 						Deadline: 6 * time.Second,
 					}
 					g := s.gateways[n%2]
@@ -72,18 +105,14 @@
 		return nil, fmt.Errorf("only %d of %d requests were served before the fault", before, callsEach)
 	}
 	if s.trouble {
-		s.note("all gateways are killed")
-		for _, g := range s.gateways {
-			g.kill()
-			<-g.exited
-		}
-		time.Sleep(downTime)
-		for _, g := range s.gateways {
-			if err := g.start(s.folder); err != nil {
+		for kill := range kills {
+			if kill > 0 {
+				time.Sleep(killAgain)
+			}
+			if err := s.restartAll(); err != nil {
 				return nil, err
 			}
 		}
-		s.note("they are started again")
 	}
 	time.Sleep(recovery + 3*time.Second)
 	after := send(callsRecovered)
