Review: one request takes all of a tenant's prepaid tokens (case 5)

Disruption: one client asks once for output tokens; the servers reject the request as larger than their memory. The sum of the two numbers overflows, the hold is negative, and the router draws all that is left of the balance and can use none of it.

--- a/review/stage/server.go
+++ b/review/stage/server.go
@@ -15,6 +15,19 @@
 // stride is the number of output tokens in one event of a stream.
 const stride = 3
 
+// kvTotal is the memory of a model server, in tokens.
+const kvTotal = 273304
+
+// needsMoreThan reports whether a request's X-Token-Count names more tokens than a number, in its prompt or as its output.
+func needsMoreThan(count string, most int) bool {
+	for text := range strings.SplitSeq(count, ",") {
+		if n, err := strconv.ParseFloat(strings.TrimSpace(text), 64); err == nil && n > float64(most) {
+			return true
+		}
+	}
+	return false
+}
+
 // run is what a server did for one request.
 type run struct {
 	Attempt, Server, Tenant string
@@ -84,6 +97,11 @@
 		return
 	}
 	h.Set("X-Server-Signature", "sig."+s.id+"."+attempt)
+	if needsMoreThan(r.Header.Get("X-Token-Count"), kvTotal) {
+		h.Set("X-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	this := &run{Attempt: attempt, Server: s.id, Tenant: r.Header.Get("X-Tenant"), Began: time.Now()}
 	s.mu.Lock()
 	s.runs = append(s.runs, this)
@@ -146,7 +164,7 @@
 	case "/-/report":
 		answer(w, http.StatusOK, map[string]any{
 			"stage": "colocated", "models": []any{map[string]any{"name": "m", "version": 1, "adapters": []string{}}}, "busy": false,
-			"seq_no": 1, "queued": 0, "running": 0, "kv_used": 0, "kv_total": 273304, "kv_handles": 0, "pinned": 0, "held": 0, "runs": []any{},
+			"seq_no": 1, "queued": 0, "running": 0, "kv_used": 0, "kv_total": kvTotal, "kv_handles": 0, "pinned": 0, "held": 0, "runs": []any{},
 		})
 	case "/-/hold-take":
 		w.WriteHeader(http.StatusServiceUnavailable)
