Treasurer: divide checkpoints into rows that the store takes

Cause: an instance's checkpoint was one row with an entry for each workspace, and three maps of all workspaces for each predecessor that was not closed. The store rejects rows over max_row_bytes, which nothing read, and the rejected take-over was repeated every 100 ms while requests waited.

Why it works: the checkpoint's own row has nothing that grows; spend limits are in rows that are filled by the most that an entry can take, and ended incarnations in one small row each that refers to the spend limits as they were. One transaction writes all and expects the version of the first row, so a successor fences all rows by replacing it. A checkpoint names no more workspaces than one transaction takes; others are borrowed for or refused at once. A write that the store does not take is a typed error, logged, counted and tried again after 5 s.

--- a/emulator/rows.go
+++ b/emulator/rows.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"context"
+	"encoding/base64"
+	"errors"
 	"maps"
 	"slices"
 	"strings"
@@ -226,7 +228,34 @@
 	return s.apply(w)
 }
 
+// The store takes values of at most maxRowBytes, and writes with at most maxWriteEntries entries and maxWriteBytes bytes of values.
+const (
+	maxRowBytes     = 64 << 10
+	maxWriteEntries = 100
+	maxWriteBytes   = 1_000_000
+)
+
+// rejected returns the error for a write that is larger than the store takes, else nil.
+func rejected(w masticway.RowWrite) error {
+	e := &masticway.WriteRejectedError{Rows: len(w.Puts), Reason: "too large"}
+	encoded := 0
+	for _, p := range w.Puts {
+		e.WriteBytes += len(p.Value)
+		encoded += base64.StdEncoding.EncodedLen(len(p.Value))
+		if len(p.Value) >= e.Bytes {
+			e.Row, e.Bytes = p.RowKey, len(p.Value)
+		}
+	}
+	if e.Bytes <= maxRowBytes && encoded <= maxWriteBytes && len(w.Expected)+len(w.Puts)+len(w.Deletes) <= maxWriteEntries {
+		return nil
+	}
+	return errors.Join(&masticway.UnavailableError{Service: "rows", Reason: e.Reason}, e)
+}
+
 func (s *RowStore) apply(w masticway.RowWrite) (masticway.RowReading, error) {
+	if err := rejected(w); err != nil {
+		return masticway.RowReading{}, err
+	}
 	var current []masticway.StoredRow
 	matches := true
 	for _, e := range w.Expected {
--- a/emulator/rowserver.go
+++ b/emulator/rowserver.go
@@ -103,7 +103,7 @@
 }
 
 // writeRows answers with rows, or with the status for an error: 412 and the current rows for a conflict, 410 if the history
-// is lost, and 503 otherwise. If the error is an OutcomeUnknownError, it aborts the connection instead.
+// is lost, 400 if the write is too large, and 503 otherwise. If the error is an OutcomeUnknownError, it aborts the connection instead.
 func (s *RowStore) writeRows(w http.ResponseWriter, out masticway.RowReading, hasMore bool, err error) {
 	status := http.StatusOK
 	conflict, ok := errors.AsType[*masticway.RowConflictError](err)
@@ -114,6 +114,8 @@
 	} else if _, unknown := errors.AsType[*masticway.OutcomeUnknownError](err); unknown {
 		// The outcome must remain unknown to the caller, so abort the connection without an answer.
 		panic(http.ErrAbortHandler)
+	} else if _, isRejected := errors.AsType[*masticway.WriteRejectedError](err); isRejected {
+		status = http.StatusBadRequest
 	} else if err != nil {
 		status = http.StatusServiceUnavailable
 	}
--- a/forwarder/settings.go
+++ b/forwarder/settings.go
@@ -25,6 +25,8 @@
 	PeerSeeds []string `json:"peer_seeds,omitempty"`
 	// StoreAddress is the address of the platform's row store.
 	StoreAddress string `json:"store_address"`
+	// StoreMaxRowBytes is the size of the largest row that the store takes, in bytes.
+	StoreMaxRowBytes int `json:"store_max_row_bytes,omitempty"`
 	// Processors is how many processors the router may use; it may be a fraction.
 	Processors float64 `json:"processors,omitempty"`
 	// MemoryMB is the memory of the router's machine in megabytes; zero means unknown.
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -56,6 +56,7 @@
 	metricRelayFailed    = "store_calls_not_relayed"
 	metricServedForPeers = "store_calls_for_others"
 	metricRateLimited    = "store_calls_over_rate"
+	metricRejected       = "store_writes_rejected"
 )
 
 // Store is a row store that is reached directly or through another router.
@@ -190,6 +191,9 @@
 	if _, ok := errors.AsType[*masticway.RowConflictError](r.err); ok {
 		return true
 	}
+	if _, ok := errors.AsType[*masticway.WriteRejectedError](r.err); ok {
+		return true
+	}
 	_, ok := errors.AsType[*masticway.HistoryLostError](r.err)
 	return ok
 }
@@ -207,6 +211,7 @@
 	p := startCall(ctx, s, c)
 	defer p.cancelRelay()
 	reading, err := p.wait()
+	s.noteRejected(err)
 	if version := answeredVersion(reading, err); version > 0 {
 		s.mu.Lock()
 		observe := s.observeVersion
@@ -216,6 +221,19 @@
 	return reading, err
 }
 
+// noteRejected logs and counts a write that the store does not take as it is.
+func (s *Store) noteRejected(err error) {
+	rejected, ok := errors.AsType[*masticway.WriteRejectedError](err)
+	if !ok {
+		return
+	}
+	s.metrics.Add(metricRejected, 1)
+	s.log.WithFields(logrus.Fields{
+		"event": "store_write_rejected", "table": rejected.Row.Table, "part": rejected.Row.Part, "row": rejected.Row.Key, "row_bytes": rejected.Bytes,
+		"rows": rejected.Rows, "write_bytes": rejected.WriteBytes, "reason": rejected.Reason,
+	}).Error("the store does not take a write")
+}
+
 // answeredVersion returns the version of the store that the result of a call shows, zero if there is none.
 func answeredVersion(reading masticway.RowReading, err error) int64 {
 	if conflict, ok := errors.AsType[*masticway.RowConflictError](err); ok {
--- a/rows.go
+++ b/rows.go
@@ -98,7 +98,8 @@
 	// Read returns the rows of one part of a table in key order. It fails with UnavailableError.
 	Read(ctx context.Context, table, part string) (RowReading, error)
 	// Write commits a write and returns its version and the store's time. It fails with RowConflictError if an expected version
-	// does not match, and with UnavailableError if nothing was written. It fails with OutcomeUnknownError if the write may have
+	// does not match, and with UnavailableError if nothing was written; the latter is joined with WriteRejectedError if the write is
+	// not to be repeated as it is. It fails with OutcomeUnknownError if the write may have
 	// been made or may still be made. An expected version of an earlier era never matches.
 	Write(ctx context.Context, w RowWrite) (RowReading, error)
 	// Watch returns the changes of a table after version f.Since, with all versions of each row. If there are none yet, it waits
@@ -107,6 +108,23 @@
 	Watch(ctx context.Context, f WatchRequest) (RowReading, error)
 }
 
+// WriteRejectedError reports that the store does not take a write as it is, so that it must not be repeated unchanged. Nothing was
+// written.
+type WriteRejectedError struct {
+	// Row is the largest row of the write, and Bytes the size of its value.
+	Row   RowKey
+	Bytes int
+	// WriteBytes is the size of all values of the write, and Rows the number of its rows.
+	WriteBytes int
+	Rows       int
+	Reason     string
+}
+
+// Error returns the reason, and the largest row with its size.
+func (e *WriteRejectedError) Error() string {
+	return fmt.Sprintf("write of %d rows with %d bytes rejected: %s (largest row %s/%s/%s with %d bytes)", e.Rows, e.WriteBytes, e.Reason, e.Row.Table, e.Row.Part, e.Row.Key, e.Bytes)
+}
+
 // RowConflictError reports that an expected version of a write did not match. Rows holds the current versions of the expected
 // rows that exist.
 type RowConflictError struct {
--- a/starter/gateway.go
+++ b/starter/gateway.go
@@ -163,7 +163,7 @@
 	d.store = relayer.New(store, peerClient, clock, entry, metrics)
 	d.treasurer = treasurer.New(d.store, lender.NewClient(peerClient), clock, entry, metrics, s.Instance, treasurer.Settings{
 		Address: s.PeerAddress, Parts: s.Budgets.Parts, Reserve: s.Budgets.Reserve.Std(), EarlyShare: s.Policy.BurstShare,
-		Zone: s.Zone, Holders: s.Policy.Holders, Processors: s.Processors, RetryWindow: s.Retries.Window(),
+		Zone: s.Zone, Holders: s.Policy.Holders, Processors: s.Processors, RetryWindow: s.Retries.Window(), MaxRowBytes: s.StoreMaxRowBytes,
 	})
 	d.store.SetPeers(d.peers)
 	d.store.OnRestored(d.treasurer.NotifyStoreRecovered)
@@ -247,7 +247,9 @@
 // NewPlatformGateway returns a gateway that serves on the open sockets l. It uses the wire formats of the users' platform (see
 // package platform).
 func NewPlatformGateway(s forwarder.Settings, l GatewayListeners, out io.Writer) (*GatewayDaemon, error) {
-	return NewGateway(s, l, platform.NewStore(s.StoreAddress, storeTimeout), platform.NewStore(s.StoreAddress, slowLinkTimeout), platform.Decoder{}, platform.HeaderCodec{}, masticway.SystemClock{}, out)
+	store, tables := platform.NewStore(s.StoreAddress, storeTimeout), platform.NewStore(s.StoreAddress, slowLinkTimeout)
+	store.SetMaxRowBytes(s.StoreMaxRowBytes)
+	return NewGateway(s, l, store, tables, platform.Decoder{}, platform.HeaderCodec{}, masticway.SystemClock{}, out)
 }
 
 // serverContent returns a function that decodes a server's row to a value for comparison. If a row is rewritten with an unchanged
--- a/treasurer/begin.go
+++ b/treasurer/begin.go
@@ -23,7 +23,15 @@
 			return true
 		}
 		t.log.WithFields(logrus.Fields{"event": "money_begin_failed", "incarnation": t.self, "error": err}).Debug("checkpoint not taken over")
-		t.sleep(ctx, callRetryInterval)
+		if !isRejected(err) {
+			t.sleep(ctx, callRetryInterval)
+			continue
+		}
+		t.mu.Lock()
+		t.planner.NoteTakeOverRejected()
+		t.deliver(t.planner.ServeQueues(t.clock.Now()))
+		t.mu.Unlock()
+		t.sleep(ctx, rejectedRetryInterval)
 	}
 	return false
 }
@@ -33,17 +41,17 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	t.mu.Lock()
-	key := t.planner.checkpointKey()
+	instance := t.planner.settings.Incarnation.Instance()
 	t.mu.Unlock()
 	// The store reads its clock after the call is sent. So the time at which listening began, which is computed from that
 	// clock, is never too early.
 	listeningFor := t.clock.Now().Sub(t.listeningAt)
-	row, reading, err := t.readRow(ctx, key)
+	rows, reading, err := ReadCheckpoint(ctx, t.store, instance, t.parts)
 	if err != nil {
 		return err
 	}
 	t.mu.Lock()
-	write, err := t.planner.TakeOver(row, masticway.StoreEra(reading.Version), reading.StoreTime, reading.StoreTime-listeningFor)
+	write, err := t.planner.TakeOver(rows, masticway.StoreEra(reading.Version), reading.StoreTime, reading.StoreTime-listeningFor)
 	t.mu.Unlock()
 	if err != nil {
 		return err
@@ -82,8 +90,7 @@
 	}
 	var closing sync.WaitGroup
 	for _, e := range ended {
-		spent := t.presumeSpent(ctx, e)
-		closing.Go(func() { t.closeGrants(ctx, e, spent) })
+		closing.Go(func() { t.closeGrants(ctx, e, t.presumeSpent(ctx, e)) })
 	}
 	closing.Wait()
 	if ctx.Err() != nil || len(ended) == 0 {
--- a/treasurer/doc.go
+++ b/treasurer/doc.go
@@ -50,10 +50,11 @@
 // # From prepaid to settled
 //
 // This section follows one token through the functions and rows that it passes. The rows are in rows.go: an Account for each
-// workspace in the table masticway_accounts, a Checkpoint for each instance in masticway_books, and a Presence for each
+// workspace in the table masticway_accounts, a Checkpoint for each instance in masticway_books (with rows in masticway_limits and
+// masticway_ended, see checkpoint.go), and a Presence for each
 // router in masticway_routers.
 //
-// Start. Treasurer.Run first takes over the instance's checkpoint (begin.go): tryTakeOver reads the row, Planner.TakeOver
+// Start. Treasurer.Run first takes over the instance's checkpoint (begin.go): tryTakeOver reads its rows, Planner.TakeOver
 // makes the new one with Checkpoint.successor, and Planner.CompleteTakeOver records that it is written. Planner.Plan returns
 // no call to the store before that, so there is no grant without a checkpoint.
 //
--- a/treasurer/era.go
+++ b/treasurer/era.go
@@ -78,6 +78,7 @@
 	p.noteStoreSuccess()
 	p.checkpointVersion, p.checkpointInFlight, p.checkpointRetryAt, p.checkpointLost = 0, false, time.Time{}, true
 	p.checkpoint.Era = s.Era
+	p.lostRows = p.predecessorRows()
 	// The store reads its clock before now, so the new basis is not too late.
 	p.checkpoint.Basis = s.StoreTime - now.Sub(p.checkpointBasis)
 	// Times of the earlier era are by another clock.
--- a/treasurer/holds.go
+++ b/treasurer/holds.go
@@ -130,6 +130,10 @@
 	if w.need <= p.available(now, a)+a.loanBalance() {
 		return VerdictHeld, true
 	}
+	if p.isRejected && !p.started {
+		// Without its first checkpoint this router does not ask others either.
+		return VerdictUnreachable, true
+	}
 	if now.Before(w.deadline) && (a.borrowing || a.borrowedAt.Before(w.since) && now.Sub(a.shortfallAt) > p.borrowRetryInterval(a)) {
 		// Other routers may have the tokens.
 		return "", false
@@ -149,9 +153,10 @@
 
 // decideUnreachable returns VerdictUnreachable and true if the request's deadline has passed, or if waiting is pointless. While
 // the store is unavailable, waiting is pointless, except at a router that borrows from holders: its holders can lend more as time
-// passes, because their spend limits grow.
+// passes, because their spend limits grow. It is also pointless if the store rejects this router's rows or they have no room for the
+// workspace.
 func (p *Planner) decideUnreachable(now time.Time, a *account, w waiter) (Verdict, bool) {
-	if p.isStoreUnavailable(now) && !p.borrowsFromHolders(now, a) || !now.Before(w.deadline) {
+	if p.isStoreUnavailable(now) && !p.borrowsFromHolders(now, a) || p.isRejected || p.isLeftOut(a) || !now.Before(w.deadline) {
 		return VerdictUnreachable, true
 	}
 	return "", false
--- a/treasurer/outcome.go
+++ b/treasurer/outcome.go
@@ -77,14 +77,24 @@
 func (p *Planner) noteCallFailure(s StoreCall, err error) (notRun, rateLimited bool) {
 	unavailable, notRun := errors.AsType[*masticway.UnavailableError](err)
 	rateLimited = notRun && unavailable.RateLimited
-	if rateLimited {
+	switch {
+	case rateLimited:
 		p.backOff()
-	} else {
+	case !isRejected(err):
 		p.noteStoreFailure(s.sentAt)
 	}
 	return notRun, rateLimited
 }
 
+// isRejected reports whether the store has rejected a write that it would reject again.
+func isRejected(err error) bool {
+	_, ok := errors.AsType[*masticway.WriteRejectedError](err)
+	return ok
+}
+
+// NoteTakeOverRejected records that the store has rejected the first checkpoint, so that this incarnation cannot have any grant.
+func (p *Planner) NoteTakeOverRejected() { p.isRejected = true }
+
 // failChange records a failed read or a failed change of a grant. If the change may have been made, the account is
 // unconfirmed until applyRow gets a newer row.
 func (p *Planner) failChange(now time.Time, s StoreCall, err error) {
@@ -94,6 +104,9 @@
 		return
 	}
 	a.retryAt = now.Add(max(changeRetryInterval, p.changeInterval))
+	if isRejected(err) {
+		a.retryAt = now.Add(rejectedRetryInterval)
+	}
 	if notRun {
 		p.endChange(s)
 		return
@@ -239,12 +252,17 @@
 			p.dropLimits(s.sequence)
 		}
 		p.checkpointRetryAt = now.Add(probeInterval)
+		if isRejected(err) {
+			p.isRejected, p.checkpointRetryAt = true, now.Add(rejectedRetryInterval)
+		}
 		if rateLimited {
 			p.checkpointRetryAt = now.Add(p.changeInterval)
 		}
 		return p.ServeQueues(now), nil
 	}
 	p.noteStoreSuccess()
+	p.isRejected = false
+	p.noteWritten(s.Write)
 	p.checkpointLatency += (now.Sub(s.sentAt) - p.checkpointLatency) / 4
 	p.checkpointVersion = reading.Version
 	p.keepOnlyLimits(s.sequence)
@@ -304,21 +322,34 @@
 }
 
 // TakeOver returns the write that replaces the predecessor's checkpoint by this incarnation's first one. The caller must
-// make the write before it calls CompleteTakeOver. row is the predecessor's checkpoint, and era and now are the store's era and
-// clock when it was read. listening is an upper bound of the store's clock at the time at which this process began to listen.
-func (p *Planner) TakeOver(row masticway.StoredRow, era int64, now, listening time.Duration) (masticway.RowWrite, error) {
-	old, err := decode[Checkpoint](row)
+// make the write before it calls CompleteTakeOver. rows are those of the predecessor's checkpoint, and era and now are the store's era
+// and clock when they were read. listening is an upper bound of the store's clock at the time at which this process began to listen.
+func (p *Planner) TakeOver(rows CheckpointRows, era int64, now, listening time.Duration) (masticway.RowWrite, error) {
+	old, obsolete, err := rows.decode()
 	if err != nil {
 		return masticway.RowWrite{}, err
 	}
+	if !old.HasRows {
+		old.LimitRows = len(encodeLimits(old.Limits, p.settings.maxRowBytes()))
+	}
 	next := old.successor(startInfo{incarnation: p.settings.Incarnation, address: p.settings.Address, era: era, now: now, listening: listening})
 	next.AckedAt = p.checkpoint.AckedAt
 	key := p.checkpointKey()
-	p.checkpoint = next
-	return masticway.RowWrite{
-		Expected: []masticway.RowVersion{{RowKey: key, Version: row.Version}},
-		Puts:     []masticway.RowPut{{RowKey: key, Value: encode(next)}},
-	}, nil
+	write := masticway.RowWrite{Expected: []masticway.RowVersion{{RowKey: key, Version: rows.Checkpoint.Version}}}
+	for _, e := range next.Ended {
+		if rows.hasEnded(e.Incarnation) {
+			continue
+		}
+		puts := e.rows(key.Part, p.settings.maxRowBytes())
+		if old.HasRows {
+			// The rows with the spend limits stay as they are.
+			puts = puts[len(puts)-1:]
+		}
+		write.Puts = append(write.Puts, puts...)
+	}
+	write.Puts = append(write.Puts, masticway.RowPut{RowKey: key, Value: next.encodeOwnRow()})
+	p.checkpoint, p.obsoleteRows, p.lostRows = next, obsolete, nil
+	return write, nil
 }
 
 // CompleteTakeOver records that the store has this incarnation's first checkpoint. version is the row's version, and at the
@@ -332,6 +363,7 @@
 	p.checkpoint.Basis = at
 	p.checkpointBasis = now
 	p.checkpointSentAt = now
+	p.isRejected = false
 	p.limitsInForce = []checkpointLimits{{basis: now, limits: map[string]SpendLimit{}}}
 }
 
@@ -339,7 +371,16 @@
 func (p *Planner) Predecessors() []EndedIncarnation { return p.checkpoint.Ended }
 
 // ForgetPredecessors makes later checkpoints omit the predecessors. The caller must have closed all of their grants.
-func (p *Planner) ForgetPredecessors() { p.checkpoint.Ended = nil }
+func (p *Planner) ForgetPredecessors() {
+	part := p.checkpointKey().Part
+	for _, e := range p.checkpoint.Ended {
+		p.obsoleteRows = append(p.obsoleteRows, endedKey(e.Incarnation, part))
+		for number := range e.LimitRows {
+			p.obsoleteRows = append(p.obsoleteRows, limitKey(e.Incarnation, part, number))
+		}
+	}
+	p.checkpoint.Ended, p.lostRows, p.checkpoint.ClosedBefore = nil, nil, p.checkpoint.Generation
+}
 
 // Close makes the planner return the free tokens of its grants and the unused loans, and lend nothing more.
 func (p *Planner) Close() { p.closing = true }
@@ -356,12 +397,6 @@
 			return StoreCall{}, false
 		}
 	}
-	final := p.writeCheckpoint(now)
-	limits := p.limitsInForce[len(p.limitsInForce)-1].limits
-	for workspace := range limits {
-		// Responses for holds that are not settled yet may be sent after this checkpoint, so it covers all that is taken.
-		limits[workspace] = SpendLimit{Taken: p.accounts[workspace].taken}
-	}
-	final.Write.Puts[0].Value = encode(p.checkpoint)
-	return final, true
+	// Responses for holds that are not settled yet may be sent after this checkpoint, so it covers all that is taken.
+	return p.writeLimits(now, func(a *account) SpendLimit { return SpendLimit{Taken: a.taken} }), true
 }
--- a/treasurer/plan.go
+++ b/treasurer/plan.go
@@ -63,8 +63,10 @@
 			reads[PartOf(a.workspace, p.settings.Parts)] = true
 		}
 		if (delta != 0 || restore) && a.rowKnown && now.Sub(p.lastChangeAt) >= p.changeInterval {
-			p.lastChangeAt = now
-			calls = append(calls, p.changeGrant(now, a, delta))
+			if call, ok := p.changeGrant(now, a, delta); ok {
+				p.lastChangeAt = now
+				calls = append(calls, call)
+			}
 		}
 	}
 	for _, part := range slices.Sorted(maps.Keys(reads)) {
@@ -261,16 +263,19 @@
 
 // writeCheckpoint returns the write of the next checkpoint. It counts the write as in flight and its spend limits as in
 // force.
-func (p *Planner) writeCheckpoint(now time.Time) StoreCall {
+func (p *Planner) writeCheckpoint(now time.Time) StoreCall { return p.writeLimits(now, p.newLimit) }
+
+// writeLimits returns the write of the next checkpoint with the spend limits that newLimit returns.
+func (p *Planner) writeLimits(now time.Time, newLimit func(a *account) SpendLimit) StoreCall {
 	p.checkpoint.Sequence++
 	next := p.checkpoint
 	next.Limits = map[string]SpendLimit{}
-	for _, a := range p.sortedAccounts {
-		if !p.needsLimit(now, a) {
-			continue
-		}
-		next.Limits[a.workspace] = p.newLimit(a)
+	for _, a := range p.accountsToName(now) {
+		next.Limits[a.workspace] = newLimit(a)
 	}
+	limitRows := encodeLimits(next.Limits, p.settings.maxRowBytes())
+	// Rows that are not needed any more are written without limits, because it is not known whether the store has them.
+	next.LimitRows = max(next.LimitRows, len(limitRows))
 	next.Witnesses = p.chooseWitnesses()
 	p.limitsInForce = append(p.limitsInForce, checkpointLimits{
 		sequence: next.Sequence, basis: p.checkpointBasis, limits: next.Limits, witnesses: next.Witnesses, acked: map[masticway.Incarnation]map[string]int64{},
@@ -279,12 +284,51 @@
 	p.checkpointInFlight, p.checkpointLost = true, false
 	p.checkpointCreditLeft, p.checkpointSentAt = max(0, p.checkpointCredit(now)-1), now
 	key := p.checkpointKey()
-	return StoreCall{
-		sequence: next.Sequence, sentAt: now, era: p.era,
-		Write: &masticway.RowWrite{
-			Expected: []masticway.RowVersion{{RowKey: key, Version: p.checkpointVersion}},
-			Puts:     []masticway.RowPut{{RowKey: key, Value: encode(next)}},
-		},
+	write := masticway.RowWrite{
+		Expected: []masticway.RowVersion{{RowKey: key, Version: p.checkpointVersion}},
+		Puts:     append([]masticway.RowPut{{RowKey: key, Value: next.encodeOwnRow()}}, limitPuts(next.Incarnation, key.Part, limitRows, next.LimitRows)...),
+	}
+	p.addPredecessorRows(&write)
+	return StoreCall{sequence: next.Sequence, sentAt: now, era: p.era, Write: &write}
+}
+
+// accountsToName lists the accounts that the next checkpoint must name. If it has no room for all of them, it leaves out some of which
+// this router cannot have a grant yet, those without waiting requests first. isFull records whether it does.
+func (p *Planner) accountsToName(now time.Time) []*account {
+	var named []*account
+	size := 0
+	for _, a := range p.sortedAccounts {
+		if p.mayHaveGrant(a) || p.wantsGrant(now, a) {
+			named = append(named, a)
+			size += maxLimitBytes(a.workspace)
+		}
+	}
+	room := p.settings.maxLimitsBytes()
+	p.isFull = size > room
+	if !p.isFull {
+		return named
+	}
+	slices.SortStableFunc(named, func(x, y *account) int {
+		return cmp.Or(compareBool(p.mayHaveGrant(y), p.mayHaveGrant(x)), cmp.Compare(len(y.waiting), len(x.waiting)))
+	})
+	for i, a := range named {
+		room -= maxLimitBytes(a.workspace)
+		if room < 0 && !p.mayHaveGrant(a) {
+			return named[:i]
+		}
+	}
+	return named
+}
+
+// compareBool orders false before true.
+func compareBool(x, y bool) int {
+	switch {
+	case x == y:
+		return 0
+	case y:
+		return -1
+	default:
+		return 1
 	}
 }
 
@@ -301,15 +345,23 @@
 	return int64(a.demand.rate * (1 + rateDeviations/math.Sqrt(max(1, requests))))
 }
 
-// needsLimit reports whether the next checkpoint must name a workspace because this router has a grant of it, may have one,
-// or may draw one.
-func (p *Planner) needsLimit(now time.Time, a *account) bool {
-	return a.granted > 0 || !a.isGrantKnown() || a.taken > 0 || p.mayDraw(now, a)
+// mayHaveGrant reports whether this router has a grant of a workspace, or may have one, so that each checkpoint must name it.
+func (p *Planner) mayHaveGrant(a *account) bool {
+	return a.granted > 0 || !a.isGrantKnown() || a.taken > 0
 }
 
-// mayDraw reports whether this router draws a grant of a workspace for its requests instead of borrowing: as a holder,
-// because demand is concentrated at it, or because it has demand and does not borrow from holders now.
+// mayDraw reports whether this router draws a grant of a workspace for its requests instead of borrowing. It does not if its
+// checkpoints have no room for the workspace.
 func (p *Planner) mayDraw(now time.Time, a *account) bool {
+	return p.wantsGrant(now, a) && !p.isLeftOut(a)
+}
+
+// isLeftOut reports whether this router's checkpoints have no room for a workspace, so that it can only borrow the tokens.
+func (p *Planner) isLeftOut(a *account) bool { return p.isFull && !p.hasLimit(a) }
+
+// wantsGrant reports whether this router should draw a grant of a workspace: as a holder, because demand is concentrated at it, or
+// because it has demand and does not borrow from holders now.
+func (p *Planner) wantsGrant(now time.Time, a *account) bool {
 	return p.isHolder(a) || a.concentrated || (len(a.waiting) > 0 || a.demand.rate > 1) && !p.borrowsFromHolders(now, a)
 }
 
@@ -346,20 +398,25 @@
 }
 
 // changeGrant returns the write that changes a workspace's grant by delta tokens, and counts the change as in flight. Each
-// workspace has its own write, so that a conflict on one row affects no other workspace.
-func (p *Planner) changeGrant(now time.Time, a *account, delta int64) StoreCall {
-	a.changeInFlight, a.returning = true, max(0, -delta)
+// workspace has its own write, so that a conflict on one row affects no other workspace. It returns false if the row has no room for
+// a further grant; other routers may lend the tokens.
+func (p *Planner) changeGrant(now time.Time, a *account, delta int64) (StoreCall, bool) {
 	next := p.withLost(now, a, a.newestRow()).withoutOldEnded(p.storeNow(now)).WithGrant(p.settings.Incarnation, Grant{
 		Granted: a.granted + delta, Taken: a.taken, Demand: int64(a.demand.rate), Sequence: a.sequence + 1,
 	})
-	key := accountKey(a.workspace, p.settings.Parts)
+	key, value := accountKey(a.workspace, p.settings.Parts), encode(next)
+	if _, known := a.row.Grants[p.settings.Incarnation]; !known && delta > 0 && len(value) > p.settings.maxRowBytes()-maxAccountGrowth {
+		a.retryAt = now.Add(rejectedRetryInterval)
+		return StoreCall{}, false
+	}
+	a.changeInFlight, a.returning = true, max(0, -delta)
 	return StoreCall{
 		Part: key.Part, Workspace: a.workspace, sentAt: now, era: p.era,
 		Write: &masticway.RowWrite{
 			Expected: []masticway.RowVersion{{RowKey: key, Version: a.rowVersion}},
-			Puts:     []masticway.RowPut{{RowKey: key, Value: encode(next)}},
+			Puts:     []masticway.RowPut{{RowKey: key, Value: value}},
 		},
-	}
+	}, true
 }
 
 // newestRow returns the known row with the prepaid amount of the newest configuration that this router or the row has.
--- a/treasurer/purse.go
+++ b/treasurer/purse.go
@@ -97,6 +97,8 @@
 	initialChangeInterval = 20 * time.Millisecond
 	maxChangeInterval     = 640 * time.Millisecond
 	changeIntervalStep    = 5 * time.Millisecond
+	// rejectedRetryInterval is the time after a write that the store has rejected until the next attempt.
+	rejectedRetryInterval = 5 * time.Second
 )
 
 // Verdict is the decision on a request for tokens. VerdictCleared is the only one that concerns a hold instead.
@@ -167,6 +169,23 @@
 	Reserve time.Duration
 	// RetryWindow is the length of the windows within which the retries of all routers are bounded.
 	RetryWindow time.Duration
+	// MaxRowBytes is the size of the largest row that the store takes. Zero means defaultMaxRowBytes.
+	MaxRowBytes int
+}
+
+// defaultMaxRowBytes is the size of the largest row of a store that does not say otherwise.
+const defaultMaxRowBytes = 64 << 10
+
+func (s Settings) maxRowBytes() int {
+	if s.MaxRowBytes > 0 {
+		return s.MaxRowBytes
+	}
+	return defaultMaxRowBytes
+}
+
+// maxLimitsBytes returns how many bytes the spend limits of a checkpoint may take, in rows that are at least half full.
+func (s Settings) maxLimitsBytes() int {
+	return min(maxLimitsBytes, maxLimitRows*(s.maxRowBytes()-limitRowOverhead)/2)
 }
 
 // waiter is a request that waits for tokens.
@@ -346,6 +365,13 @@
 	// readsInFlight is the set of parts that are being read.
 	readsInFlight     map[string]bool
 	checkpointRetryAt time.Time
+	// isFull is set if the last checkpoint had no room for all workspaces. isRejected is set if the store has rejected the last one.
+	isFull     bool
+	isRejected bool
+	// lostRows are rows of predecessors that an earlier era of the store may have lost, and obsoleteRows are rows that no successor
+	// needs. The next checkpoints write and delete them.
+	lostRows     []masticway.RowPut
+	obsoleteRows []masticway.RowKey
 	// failingSince is zero unless the store has failed calls since it last answered one. Then it is when the first of these
 	// calls was sent. Refusals because of the rate limit don't count as failures.
 	failingSince time.Time
--- a/treasurer/purse_test.go
+++ b/treasurer/purse_test.go
@@ -43,8 +43,9 @@
 	b.self = self
 	b.planner = treasurer.NewPlanner(treasurer.Settings{Incarnation: self, Address: address, Parts: 1, Reserve: 10 * time.Second, EarlyShare: b.burstShare})
 	b.planner.Configure(1, map[string]masticway.Account{"w": {Workspace: "w", Prepaid: prepaid, HasLimit: true}})
-	row := b.rows.Row(masticway.RowKey{Table: "masticway_books", Part: "0", Key: self.Instance()})
-	write, err := b.planner.TakeOver(row, 0, b.now.Sub(epoch), listening.Sub(epoch))
+	rows, _, err := treasurer.ReadCheckpoint(b.t.Context(), b.rows, self.Instance(), 1)
+	qt.Assert(b.t, err, qt.IsNil)
+	write, err := b.planner.TakeOver(rows, 0, b.now.Sub(epoch), listening.Sub(epoch))
 	qt.Assert(b.t, err, qt.IsNil)
 	written, err := b.rows.Apply(write)
 	qt.Assert(b.t, err, qt.IsNil)
--- a/treasurer/rows.go
+++ b/treasurer/rows.go
@@ -1,6 +1,7 @@
 package treasurer
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"hash/fnv"
@@ -16,7 +17,11 @@
 const (
 	tableAccounts    = "masticway_accounts"
 	tableCheckpoints = "masticway_books"
-	tableRouters     = "masticway_routers"
+	// tableLimits has the spend limits of checkpoints, and tableEnded the ended incarnations of instances whose grants may not all be
+	// closed yet. Both have the rows of an instance in the part with its checkpoint, so that they are written with it.
+	tableLimits  = "masticway_limits"
+	tableEnded   = "masticway_ended"
+	tableRouters = "masticway_routers"
 )
 
 // routersPart is the only part of the table of presences, so that one call reads the presences of all routers.
@@ -57,6 +62,8 @@
 
 // Account is the row of one workspace. Its amounts are in tokens. A grant grows only if the sum of Closed and all grants
 // does not exceed Prepaid afterwards. The sum can exceed Prepaid only because Prepaid is lowered later.
+//
+// No grant is added to a row that has no room for it (see maxAccountGrowth), and Ended has at most maxClosedGrants entries.
 type Account struct {
 	// Prepaid is what the workspace has paid for, and Version the version of the configuration that says so: the newest that
 	// a router has written to this row.
@@ -79,6 +86,13 @@
 // store returns.
 const closedGrantTTL = time.Minute
 
+// maxClosedGrants bounds Account.Ended, so that its row does not grow with the routers that are killed. If more are closed within
+// closedGrantTTL, a closing that the store loses with an era may be made twice, which counts more as spent than was.
+const maxClosedGrants = 128
+
+// maxAccountGrowth is what the amounts of grants may still grow by, in bytes, in a row to which no further grant is added.
+const maxAccountGrowth = 8 << 10
+
 // Ungranted returns how many prepaid tokens are neither closed nor granted to any router. It is negative if the budget was
 // lowered below what is closed and granted.
 func (a Account) Ungranted() int64 {
@@ -127,10 +141,20 @@
 		ended = map[masticway.Incarnation]ClosedGrant{}
 	}
 	ended[i] = closed
+	for len(ended) > maxClosedGrants {
+		delete(ended, oldestClosed(ended))
+	}
 	a.Closed, a.Ended = a.Closed+closed.Spent, ended
 	return a
 }
 
+// oldestClosed returns the incarnation whose grant was closed first.
+func oldestClosed(ended map[masticway.Incarnation]ClosedGrant) masticway.Incarnation {
+	return slices.MinFunc(slices.Collect(maps.Keys(ended)), func(x, y masticway.Incarnation) int {
+		return cmp.Or(cmp.Compare(ended[x].At, ended[y].At), cmp.Compare(x, y))
+	})
+}
+
 // withoutOldEnded returns the account without the grants that were closed long before now, by the store's clock.
 func (a Account) withoutOldEnded(now time.Duration) Account {
 	for _, closed := range a.Ended {
@@ -179,13 +203,17 @@
 	return int64(float64(l.Rate) * elapsed.Seconds())
 }
 
-// EndedIncarnation is the entry in a checkpoint for an earlier incarnation of the instance. The earlier incarnation has
-// ended, and some of its grants may not be closed yet.
+// EndedIncarnation is an earlier incarnation of an instance that has ended, and some of whose grants may not be closed yet. Its row
+// has no amounts: these follow from its spend limits, whose rows stay as they were until its grants are closed. Only what a checkpoint
+// of an earlier build listed has its amounts in its row.
 type EndedIncarnation struct {
 	Incarnation masticway.Incarnation `json:"incarnation"`
+	// Generation is that of the incarnation's checkpoints, and LimitRows how many rows its spend limits take.
+	Generation int64 `json:"generation,omitempty"`
+	LimitRows  int   `json:"limit_rows,omitempty"`
 	// MaxSpent is the most that the incarnation may have spent, by workspace. MaxUnwitnessed is the most that it may have
 	// spent without the acknowledgement of witnesses.
-	MaxSpent       map[string]int64 `json:"spent"`
+	MaxSpent       map[string]int64 `json:"spent,omitempty"`
 	MaxUnwitnessed map[string]int64 `json:"written,omitempty"`
 	// Limits are the spend limits of the incarnation's last checkpoint, and Basis is that checkpoint's. SinceBasis is the time from
 	// it to the latest time at which the incarnation may have run.
@@ -204,7 +232,10 @@
 	FromCopy bool `json:"from_copy,omitempty"`
 }
 
-// Checkpoint is the row of one instance. It bounds what the instance's incarnation may spend until it writes the next one.
+// Checkpoint bounds what an instance's incarnation may spend until it writes the next one. It is one row of the instance with
+// everything but Limits and Ended, which are in rows of their own (see checkpointRows). So the size of no row depends on how many
+// workspaces or earlier incarnations there are. All writes of an incarnation to these rows expect the version of the
+// first one, so that a successor that replaces it fences them all.
 type Checkpoint struct {
 	Incarnation masticway.Incarnation `json:"incarnation"`
 	// Generation is one more than that of the checkpoint that the incarnation took over. Era is the era of the store for which the
@@ -218,13 +249,19 @@
 	// Basis is the time from which SpendLimit.Rate counts, by the store's clock. It is the time of an earlier write of this
 	// row by the incarnation: the latest one whose success and time the incarnation knew when it sent this checkpoint. In an
 	// incarnation's first checkpoint, which has no limits, it is when the predecessor's checkpoint was read.
-	Basis  time.Duration         `json:"basis_ns"`
-	Limits map[string]SpendLimit `json:"promises,omitempty"`
+	Basis time.Duration `json:"basis_ns"`
+	// HasRows is set if Limits and Ended are in rows of their own, of which Limits take LimitRows. Earlier builds write both in the
+	// checkpoint's own row.
+	HasRows   bool                  `json:"has_rows,omitempty"`
+	LimitRows int                   `json:"limit_rows,omitempty"`
+	Limits    map[string]SpendLimit `json:"promises,omitempty"`
 	// Witnesses remember what the incarnation reports to them, which it must do before it clears tokens beyond the
 	// unwitnessed part of its limits.
 	Witnesses []Witness `json:"witnesses,omitempty"`
-	// Ended lists the earlier incarnations of the instance whose grants may not all be closed yet.
-	Ended []EndedIncarnation `json:"ended,omitempty"`
+	// Ended lists the earlier incarnations of the instance whose grants may not all be closed yet. All grants of incarnations with
+	// generations below ClosedBefore are closed.
+	Ended        []EndedIncarnation `json:"ended,omitempty"`
+	ClosedBefore int64              `json:"closed_before,omitempty"`
 	// AckedAt is when the incarnation last acknowledged another router's report, by the store's clock, or later. IsTraced is set if it
 	// keeps to minAckSilence and records AckedAt, which routers of earlier builds do not.
 	AckedAt  time.Duration `json:"acked_ns,omitempty"`
@@ -277,23 +314,29 @@
 		if fromCopy {
 			elapsed = max(0, elapsed) + maxCopyAge
 		}
-		maxSpent := make(map[string]int64, len(c.Limits))
-		maxUnwitnessed := make(map[string]int64, len(c.Limits))
-		for workspace, p := range c.Limits {
-			maxSpent[workspace] = p.bound(elapsed)
-			maxUnwitnessed[workspace] = p.unwitnessedBound(elapsed)
-			if fromCopy {
-				maxUnwitnessed[workspace] = maxSpent[workspace]
-			}
-		}
-		ended = append(ended, EndedIncarnation{
-			Incarnation: c.Incarnation, MaxSpent: maxSpent, MaxUnwitnessed: maxUnwitnessed, Limits: c.Limits, Basis: c.Basis, SinceBasis: elapsed, Sequence: c.Sequence,
+		e := EndedIncarnation{
+			Incarnation: c.Incarnation, Generation: c.Generation, LimitRows: c.LimitRows, Limits: c.Limits, Basis: c.Basis, SinceBasis: elapsed, Sequence: c.Sequence,
 			Witnesses: c.Witnesses, Era: s.era, FromCopy: fromCopy,
-		})
+		}
+		ended = append(ended, e.withBounds())
 	}
 	return Checkpoint{
-		Incarnation: s.incarnation, Generation: c.Generation + 1, Era: s.era, Address: s.address, Basis: s.now, IsTraced: true, Ended: ended, Predecessors: c.predecessorsFor(s),
+		Incarnation: s.incarnation, Generation: c.Generation + 1, Era: s.era, Address: s.address, Basis: s.now, IsTraced: true, Ended: ended, ClosedBefore: c.ClosedBefore,
+		Predecessors: c.predecessorsFor(s),
+	}
+}
+
+// withBounds returns the ended incarnation with what its spend limits allowed it to spend.
+func (e EndedIncarnation) withBounds() EndedIncarnation {
+	e.MaxSpent, e.MaxUnwitnessed = make(map[string]int64, len(e.Limits)), make(map[string]int64, len(e.Limits))
+	for workspace, limit := range e.Limits {
+		e.MaxSpent[workspace] = limit.bound(e.SinceBasis)
+		e.MaxUnwitnessed[workspace] = limit.unwitnessedBound(e.SinceBasis)
+		if e.FromCopy {
+			e.MaxUnwitnessed[workspace] = e.MaxSpent[workspace]
+		}
 	}
+	return e
 }
 
 // predecessorsFor returns Checkpoint.Predecessors for the first checkpoint of a new incarnation.
--- a/treasurer/simulation_test.go
+++ b/treasurer/simulation_test.go
@@ -257,8 +257,11 @@
 		return
 	}
 	f.calls += 2
-	key := masticway.RowKey{Table: "masticway_books", Part: treasurer.PartOf(r.instance, fleetParts), Key: r.instance}
-	write, err := r.planner.TakeOver(f.rows.Row(key), 0, f.now.Sub(epoch), r.listeningSince.Sub(epoch))
+	rows, _, err := treasurer.ReadCheckpoint(context.Background(), f.rows, r.instance, fleetParts)
+	if err != nil {
+		panic(err)
+	}
+	write, err := r.planner.TakeOver(rows, 0, f.now.Sub(epoch), r.listeningSince.Sub(epoch))
 	if err != nil {
 		panic(err)
 	}
--- a/treasurer/world_test.go
+++ b/treasurer/world_test.go
@@ -40,8 +40,9 @@
 	returns   int
 	// burstShare is the planners' Settings.EarlyShare.
 	burstShare float64
-	// holders is the planners' Settings.Holders.
-	holders int
+	// holders is the planners' Settings.Holders, maxRowBytes their Settings.MaxRowBytes.
+	holders     int
+	maxRowBytes int
 }
 
 // modelRouter is one instance; a restart gives it a new planner.
@@ -77,6 +78,8 @@
 	}
 	w.burstShare = rapid.SampledFrom([]float64{0, 0.04, 0.5}).Draw(t, "burst")
 	w.holders = rapid.IntRange(0, 3).Draw(t, "holders")
+	// A row of 100 bytes has room for the spend limit of one workspace.
+	w.maxRowBytes = rapid.SampledFrom([]int{0, 100}).Draw(t, "row bytes")
 	w.rows = emulator.NewRowStore(func() time.Time { return w.now })
 	for _, workspace := range workspaces {
 		w.prepaid[workspace] = rapid.Int64Range(300, 4000).Draw(t, "prepaid")
@@ -114,7 +117,7 @@
 	}
 	w.lastIncarnation++
 	r.self = masticway.NewIncarnation(r.instance, fmt.Sprint(w.lastIncarnation))
-	r.planner = treasurer.NewPlanner(treasurer.Settings{Incarnation: r.self, Address: r.instance, Parts: 2, Reserve: 5 * time.Second, EarlyShare: w.burstShare, Holders: w.holders})
+	r.planner = treasurer.NewPlanner(treasurer.Settings{Incarnation: r.self, Address: r.instance, Parts: 2, Reserve: 5 * time.Second, EarlyShare: w.burstShare, Holders: w.holders, MaxRowBytes: w.maxRowBytes})
 	r.startedAt = w.now
 	r.started, r.calls, r.holds, r.ended, r.delayedReports, r.strayReports = false, nil, nil, nil, nil, nil
 	accounts := map[string]masticway.Account{}
@@ -140,8 +143,11 @@
 		return
 	}
 	defer w.enterEra(r)
-	reading := w.read("masticway_books", r.instance)
-	write, err := r.planner.TakeOver(reading.row, masticway.StoreEra(reading.version), reading.at, reading.at-w.now.Sub(r.startedAt))
+	rows, reading, err := treasurer.ReadCheckpoint(context.Background(), w.rows, r.instance, 2)
+	if err != nil {
+		t.Fatalf("reading the checkpoint: %v", err)
+	}
+	write, err := r.planner.TakeOver(rows, masticway.StoreEra(reading.Version), reading.StoreTime, reading.StoreTime-w.now.Sub(r.startedAt))
 	if err != nil {
 		t.Fatalf("taking over: %v", err)
 	}
