--- a/examiner/record.go
+++ b/examiner/record.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"slices"
+	"strings"
 
 	"github.com/masticway/masticway"
 )
@@ -65,7 +66,11 @@
 	return r, nil
 }
 
+// maxPathBytes bounds the path in a row.
+const maxPathBytes = 500
+
 func (r Record) encode() []byte {
+	r.Path = strings.ToValidUTF8(r.Path[:min(len(r.Path), maxPathBytes)], "")
 	data, err := json.Marshal(r)
 	if err != nil {
 		// A record contains only strings, numbers and booleans, which can always be encoded.
--- a/soaker/deployment.go
+++ b/soaker/deployment.go
@@ -79,7 +79,7 @@
 	}
 	v.acceptedAt = time.Now()
 	s.versions = append(s.versions, v)
-	s.logf("version %d accepted, %d bytes, %d routes added, %d tokens paid to %v", v.Number, size, more, paid, to)
+	s.logf("version %d accepted, %d bytes, %d routes added, %d tokens paid to %d workspaces: %v", v.Number, size, more, paid, len(to), to[:min(len(to), 5)])
 }
 
 // newestVersion returns the newest version that was accepted before a time. If there is none, it returns a version with
--- a/soaker/faults.go
+++ b/soaker/faults.go
@@ -69,6 +69,7 @@
 	"one_router":        {0, 4 * time.Second, (*soakRun).sendToOneRouter},
 	"keys_revoked":      {0, 2 * time.Second, (*soakRun).revokeKeys},
 	"budget_lowered":    {0, 2 * time.Second, (*soakRun).lowerBudget},
+	manyKind:            {0, 0, func(s *soakRun, _ faultEvent) { s.configure(0, manyTokens, manyWorkspaces()...) }},
 	"store_link_silent": {0, 0, (*soakRun).silenceStoreLinks},
 	"answers_lost":      {2, 3 * time.Second, storeFault(emulator.RowFaults{DropAnswers: 20})},
 	"writes_late":       {2, 3 * time.Second, storeFault(emulator.RowFaults{LateWrites: 20, LateWriteDelay: 1500 * time.Millisecond})},
--- a/soaker/soaker_test.go
+++ b/soaker/soaker_test.go
@@ -254,6 +254,21 @@
 	assertPromisesKept(t, soaker.Soak{Seed: 803, Duration: 12 * time.Second, Routers: 30, Kinds: append(workspaceKinds, "term", "kill")})
 }
 
+// TestManyWorkspacesStopNoRouter guards against checkpoints that the store does not take, which leave a router without tokens: each
+// router keeps tokens of thousands of workspaces, while routers are killed in series and the store fails.
+func TestManyWorkspacesStopNoRouter(t *testing.T) {
+	t.Parallel()
+	for seed, routers := range map[uint64]int{921: 2, 922: 4} {
+		t.Run(fmt.Sprintf("%d/%d routers", seed, routers), func(t *testing.T) {
+			t.Parallel()
+			assertPromisesKept(t, soaker.Soak{
+				Seed: seed, Duration: 10 * time.Second, Routers: routers,
+				Kinds: []string{"many_workspaces", "many_workspaces", "kill", "kill", "term", "store_busy", "answers_lost"},
+			})
+		})
+	}
+}
+
 // TestOddRowsAmongServersEndNoRouter guards against routers that end, or that stop following the servers, when another writer leaves odd
 // rows in the table of servers, also in place of a server's own.
 func TestOddRowsAmongServersEndNoRouter(t *testing.T) {
--- a/soaker/workspaces.go
+++ b/soaker/workspaces.go
@@ -1,6 +1,7 @@
 package soaker
 
 import (
+	"fmt"
 	"maps"
 	"net/http"
 	"slices"
@@ -26,6 +27,21 @@
 	minServedRatio, minJudged = 0.25, 40
 )
 
+// manyKind gives budgets to manyCount further workspaces, which have no callers, and manyTokens to each: more than have room in one row
+// of the store at a router that keeps tokens of each.
+const (
+	manyKind              = "many_workspaces"
+	manyCount, manyTokens = 2500, 1_000_000
+)
+
+func manyWorkspaces() []string {
+	var all []string
+	for i := range manyCount {
+		all = append(all, fmt.Sprintf("idle-%04d", i))
+	}
+	return all
+}
+
 // sendAs adds callers of a workspace at the given addresses for the duration of the fault, with short pauses.
 func (s *soakRun) sendAs(e faultEvent, workspace string, callers int, addresses ...string) {
 	s.mu.Lock()
--- a/treasurer/plan.go
+++ b/treasurer/plan.go
@@ -405,7 +405,7 @@
 		Granted: a.granted + delta, Taken: a.taken, Demand: int64(a.demand.rate), Sequence: a.sequence + 1,
 	})
 	key, value := accountKey(a.workspace, p.settings.Parts), encode(next)
-	if _, known := a.row.Grants[p.settings.Incarnation]; !known && delta > 0 && len(value) > p.settings.maxRowBytes()-maxAccountGrowth {
+	if _, known := a.row.Grants[p.settings.Incarnation]; !known && delta > 0 && len(value) > p.settings.maxRowBytes()/8*7 {
 		a.retryAt = now.Add(rejectedRetryInterval)
 		return StoreCall{}, false
 	}
--- a/treasurer/rows.go
+++ b/treasurer/rows.go
@@ -63,7 +63,7 @@
 // Account is the row of one workspace. Its amounts are in tokens. A grant grows only if the sum of Closed and all grants
 // does not exceed Prepaid afterwards. The sum can exceed Prepaid only because Prepaid is lowered later.
 //
-// No grant is added to a row that has no room for it (see maxAccountGrowth), and Ended has at most maxClosedGrants entries.
+// No grant is added to a row that would be nearly full with it, and Ended has at most maxClosedGrants entries.
 type Account struct {
 	// Prepaid is what the workspace has paid for, and Version the version of the configuration that says so: the newest that
 	// a router has written to this row.
@@ -90,9 +90,6 @@
 // closedGrantTTL, a closing that the store loses with an era may be made twice, which counts more as spent than was.
 const maxClosedGrants = 128
 
-// maxAccountGrowth is what the amounts of grants may still grow by, in bytes, in a row to which no further grant is added.
-const maxAccountGrowth = 8 << 10
-
 // Ungranted returns how many prepaid tokens are neither closed nor granted to any router. It is negative if the budget was
 // lowered below what is closed and granted.
 func (a Account) Ungranted() int64 {
--- a/treasurer/world_test.go
+++ b/treasurer/world_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -14,8 +15,10 @@
 	"github.com/masticway/masticway/treasurer"
 )
 
-// workspaces are those of the model, each with a prepaid budget of its own.
-var workspaces = []string{"tailor", "salon"}
+// workspaces are those of the model, each with a prepaid budget of its own. A row of smallRowBytes has room for the spend limit of one.
+var workspaces = []string{"tailor-" + strings.Repeat("t", 300), "salon-" + strings.Repeat("s", 300)}
+
+const smallRowBytes = 600
 
 // model is a fleet's planners and their rows, run in one goroutine. Independently of them it counts what callers received.
 type model struct {
@@ -78,8 +81,7 @@
 	}
 	w.burstShare = rapid.SampledFrom([]float64{0, 0.04, 0.5}).Draw(t, "burst")
 	w.holders = rapid.IntRange(0, 3).Draw(t, "holders")
-	// A row of 100 bytes has room for the spend limit of one workspace.
-	w.maxRowBytes = rapid.SampledFrom([]int{0, 100}).Draw(t, "row bytes")
+	w.maxRowBytes = rapid.SampledFrom([]int{0, smallRowBytes}).Draw(t, "row bytes")
 	w.rows = emulator.NewRowStore(func() time.Time { return w.now })
 	for _, workspace := range workspaces {
 		w.prepaid[workspace] = rapid.Int64Range(300, 4000).Draw(t, "prepaid")
--- a/versioner/ledger.go
+++ b/versioner/ledger.go
@@ -92,6 +92,7 @@
 			earlier = append(earlier, ledgerEntry{hash: h, version: version, at: now})
 		}
 		l.begun = append(earlier, l.begun...)
+		l.begun = l.begun[max(0, len(l.begun)-maxLedgerStreams):]
 	}
 	l.read, l.readAt, l.storeTime = all, now, storeTime
 }
--- a/versioner/ledger_test.go
+++ b/versioner/ledger_test.go
@@ -1,6 +1,7 @@
 package versioner
 
 import (
+	"encoding/json"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -64,6 +65,21 @@
 	qt.Assert(t, streams["v2"], qt.HasLen, maxLedgerStreams)
 }
 
+// TestLedgerRowIsBounded guards against a row that the store does not take because its router begins as many streams as its predecessor.
+func TestLedgerRowIsBounded(t *testing.T) {
+	var l Ledger
+	own := map[streamHash]string{}
+	for i := range maxLedgerStreams {
+		own[streamHash(i+1)] = "v1"
+		l.Add(time.Unix(0, 0), Record{Stream: streamOf(fmt.Sprint(i)), Version: "v2"})
+	}
+	l.Recall(time.Unix(1, 0), 0, own, own)
+	streams, _ := l.Unwritten(time.Unix(1, 0), func(string) bool { return true })
+	row, err := json.Marshal(newLedgerRecord(0, streams))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, len(row) <= 64<<10, qt.IsTrue, qt.Commentf("%d bytes", len(row)))
+}
+
 // TestLossOfAllRoutersKeepsVersions ends all routers of a fleet at once while two versions serve. It guards against streams whose version
 // is unknown afterwards although they had begun long before, and against writes to the store that grow with the number of streams.
 func TestLossOfAllRoutersKeepsVersions(t *testing.T) {
--- a/versioner/ledgerstore.go
+++ b/versioner/ledgerstore.go
@@ -27,6 +27,9 @@
 )
 
 // Names of metrics.
+// maxExpired is how many rows one write deletes, of which the store takes 100.
+const maxExpired = 90
+
 const (
 	metricLedgerWrites = "stream_ledger_writes"
 	metricLedgerReads  = "stream_ledger_reads"
@@ -137,7 +140,7 @@
 	}).Info("read the versions of streams from the store")
 	if len(expired) > 0 {
 		// Another router may have deleted them, and the next read finds those that are left.
-		_, _ = v.Store.Write(ctx, masticway.RowWrite{Deletes: expired})
+		_, _ = v.Store.Write(ctx, masticway.RowWrite{Deletes: expired[:min(len(expired), maxExpired)]})
 	}
 }
 
