Follower: an outage of the store takes evidence from a new connection

Cause: the time for which a watch on a silent connection takes (1.6 s and a pause) and the time that counts as an outage (1.9 s) were kept apart by a margin. After an outage, servers whose entries are missing are kept for 2 s.

An answer is contact, and shows that an overdue watch waits on a silent connection, which is given up. Only a probe that fails, counted in this process's own running time, makes an outage; TestServersAreKeptAfterOutage shows that real ones are still recognized.

--- a/follower/beliefs.go
+++ b/follower/beliefs.go
@@ -10,10 +10,9 @@
 )
 
 const (
-	// outageThreshold is how long the store may fail to answer about the servers before this counts as an outage. It is shorter
-	// than the time in which the registrations of live servers can expire: three heartbeats, sent at least a second apart, of which
-	// the last may have come just before. It is longer than the time until a watch on a connection that has gone silent has failed
-	// and the next call is answered on another one.
+	// outageThreshold is how long the store must not have answered about the servers for an outage in which registrations may have
+	// expired. It is shorter than the time in which those of live servers can expire: three heartbeats, sent at least a second apart, of
+	// which the last may have come just before. That time alone does not make an outage (see Registry.RecordContact).
 	outageThreshold = 1900 * time.Millisecond
 	// recoveryGrace is the grace period: how long after an outage the registrations that expired during it may take to reappear.
 	recoveryGrace = 2 * time.Second
@@ -78,6 +77,12 @@
 	// lastContact is when the store last answered about the servers, and recoveredAt when the last outage ended.
 	lastContact time.Time
 	recoveredAt time.Time
+	// requiresEvidence is set if the store is probed on new connections. failedProbes counts the probes since lastContact that the store
+	// did not answer. hasLateProbe is set while one is late. stalled is how long this process has not run since lastContact.
+	requiresEvidence bool
+	failedProbes     int
+	hasLateProbe     bool
+	stalled          time.Duration
 	// era is the newest era of the store that is known, if eraKnown is set. eraSince is when the last era ended.
 	era      int64
 	eraKnown bool
@@ -118,15 +123,32 @@
 
 // RecordContact records that the store answered about the servers, at a version, and reports whether that ends an outage or an era.
 // If it does, the grace period begins for the registrations that expired during the outage or were lost with the era.
+//
+// A time without an answer is an outage only if the store did not answer on a new connection either: connections may go silent while
+// the store serves all others. Where nothing tells, because this process itself did not run, it counts as one.
 func (r *Registry) RecordContact(now time.Time, version int64) (recovered bool) {
-	if r.recordEra(now, version) || !r.lastContact.IsZero() && now.Sub(r.lastContact) > outageThreshold {
+	isSilent := !r.lastContact.IsZero() && now.Sub(r.lastContact) > outageThreshold
+	isProven := !r.requiresEvidence || r.failedProbes > 0 || r.hasLateProbe || r.stalled > outageThreshold
+	if r.recordEra(now, version) || isSilent && isProven {
 		r.recoveredAt = now
 		recovered = true
 	}
-	r.lastContact = now
+	r.lastContact, r.failedProbes, r.stalled = now, 0, 0
 	return recovered
 }
 
+// RecordLateProbe records that a probe has had no answer for a while. It is no evidence any more once it is answered.
+func (r *Registry) RecordLateProbe() { r.hasLateProbe = true }
+
+// RecordFailedProbe records that the store has not answered a probe on a new connection.
+func (r *Registry) RecordFailedProbe() {
+	r.hasLateProbe = false
+	r.failedProbes++
+}
+
+// RecordStall records that this process did not run for some time.
+func (r *Registry) RecordStall(d time.Duration) { r.stalled += d }
+
 // recordEra records that the store has had a version, and reports whether an earlier era has ended.
 func (r *Registry) recordEra(now time.Time, version int64) (ended bool) {
 	era := masticway.StoreEra(version)
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -47,10 +47,12 @@
 	store masticway.RowStore
 	// fallback is the same store with a longer timeout.
 	fallback masticway.RowStore
-	decoder  masticway.DeploymentDecoder
-	clock    masticway.Clock
-	log      *logrus.Entry
-	metrics  *measurer.Set
+	// prober asks the store on new connections. It may be nil.
+	prober  masticway.StoreProber
+	decoder masticway.DeploymentDecoder
+	clock   masticway.Clock
+	log     *logrus.Entry
+	metrics *measurer.Set
 	// onChange is called with each new snapshot while mu is held.
 	onChange func(Snapshot)
 
@@ -125,14 +127,21 @@
 		wg.Go(func() { m.runFallback(ctx) })
 	}
 	wg.Go(func() {
-		for ctx.Err() == nil {
+		for last := f.clock.Now(); ctx.Err() == nil; {
 			f.sleep(ctx, expireInterval)
 			f.update(func(now time.Time) bool {
+				if stall := now.Sub(last) - expireInterval; stall > expireInterval {
+					f.registry.RecordStall(stall)
+				}
+				last = now
 				f.reportCold(now)
 				return f.registry.Expire(now)
 			})
 		}
 	})
+	if f.prober != nil {
+		wg.Go(func() { f.probeWhileSilent(ctx, configuration, servers) })
+	}
 	wg.Wait()
 }
 
@@ -184,9 +193,7 @@
 
 func (f *Follower) applyServers(full bool, reading masticway.RowReading) {
 	f.update(func(now time.Time) bool {
-		if f.registry.RecordContact(now, reading.Version) {
-			f.log.WithFields(logrus.Fields{"event": "servers_may_return", "grace": recoveryGrace}).Info("store is reachable again; expired servers may reappear")
-		}
+		f.recordContact(now, reading.Version, false)
 		var changed bool
 		var regErrs []*RegistrationError
 		if full {
--- a/follower/mirror.go
+++ b/follower/mirror.go
@@ -118,7 +118,7 @@
 // read waits for the gate. It then reads the table in full if isRelistDue returns true, or else the next changes of the table,
 // and applies the result. It returns full if it tried a full read.
 func (m *tableWatcher) read(ctx context.Context, store masticway.RowStore, isRelistDue func() bool) (full bool, err error) {
-	ctx, end := m.gate.begin(ctx, m.sleep)
+	ctx, end := m.gate.begin(ctx, m.clock.Now, m.sleep)
 	defer end()
 	full = isRelistDue()
 	watch := masticway.WatchRequest{Table: m.table, Since: m.currentVersion(), MaxWait: m.maxWait, MaxBytes: maxWatchBytes}
--- a/rows.go
+++ b/rows.go
@@ -108,6 +108,15 @@
 	Watch(ctx context.Context, f WatchRequest) (RowReading, error)
 }
 
+// StoreProber finds out whether the row store answers on new connections.
+type StoreProber interface {
+	// Probe makes a small read of a table on a connection of its own and returns the store's version. It has no timeout but its
+	// context, except for connecting. It fails with UnavailableError.
+	Probe(ctx context.Context, table string) (version int64, err error)
+	// CloseIdleConnections closes connections that no call uses, so that the next calls open new ones.
+	CloseIdleConnections()
+}
+
 // WriteRejectedError reports that the store does not take a write as it is, so that it must not be repeated unchanged. Nothing was
 // written.
 type WriteRejectedError struct {
--- a/starter/gateway.go
+++ b/starter/gateway.go
@@ -175,6 +175,9 @@
 		Choose: func() ([]string, bool) { return d.treasurer.ZoneReaders(decoder.ServerTable(), maxReadersPerZone) },
 	}, sharer.Table{Name: decoder.ServerTable(), Projection: serverContent(decoder)})
 	d.follower = follower.New(d.sharedStore, slowLinkStore, decoder, clock, entry, metrics, d.applySnapshot)
+	if p, ok := store.(masticway.StoreProber); ok {
+		d.follower.ProbeWith(p)
+	}
 	d.follower.AddTable(follower.Table{
 		Name: examiner.Table, Part: examiner.Part, MaxWait: suspectsMaxWait, RelistInterval: suspectsRelistInterval, Apply: d.examiner.ApplyReading,
 	})
