Receiver, sender: take no part of an early answer for whole, and no invalid heads

Status 000 and names with blanks were taken as well.

Cause: the kernel tells a reset once, to the goroutine that writes; the reader finds an end like any other, which is how an unframed answer ends. Heads: a lenient parser, and statuses below 200 skipped whatever they were.

Why it works: the end of the connection ends an unframed answer only once the request is known to be written. All clients check heads in one place, by the bytes. Such an answer is like none: "not run" is not concluded from it.

--- a/commander/client.go
+++ b/commander/client.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"math"
+	"net"
 	"net/http"
 	"strings"
 	"time"
@@ -17,6 +18,9 @@
 	"github.com/masticway/masticway/receiver"
 )
 
+// routerClient calls routers.
+var routerClient = &http.Client{Transport: receiver.NewTransport(&http.Transport{DialContext: (&net.Dialer{}).DialContext})}
+
 const (
 	// clientTimeout is the longest time until a router's answer begins, and the longest pause in it. The duration of a whole
 	// answer is not limited, because it grows with the configuration.
@@ -94,7 +98,7 @@
 	for _, h := range call.headers {
 		request.Header.Set(h.name, h.value)
 	}
-	answer, err := receiver.Do(http.DefaultClient, request, receiver.Limits{HeaderTimeout: clientTimeout, IdleTimeout: clientTimeout, MaxBytes: noSizeLimit})
+	answer, err := receiver.Do(routerClient, request, receiver.Limits{HeaderTimeout: clientTimeout, IdleTimeout: clientTimeout, MaxBytes: noSizeLimit})
 	if err != nil {
 		return nil, fmt.Errorf("calling the router: %w", err)
 	}
--- a/connector/client.go
+++ b/connector/client.go
@@ -26,15 +26,19 @@
 
 // NewHTTPClient returns a client that dials with dial, or directly if dial is nil, and keeps idle connections for reuse.
 func NewHTTPClient(dial DialFunc) *http.Client {
+	return &http.Client{Transport: receiver.NewTransport(newTransport(dial))}
+}
+
+func newTransport(dial DialFunc) *http.Transport {
 	if dial == nil {
 		dial = (&net.Dialer{}).DialContext
 	}
-	return &http.Client{Transport: &http.Transport{
+	return &http.Transport{
 		DialContext:            dial,
 		MaxIdleConnsPerHost:    64,
 		IdleConnTimeout:        30 * time.Second,
 		MaxResponseHeaderBytes: maxHeaderBytes,
-	}}
+	}
 }
 
 // NewNoRetryHTTPClient returns a client that sends every request at most once.
@@ -42,9 +46,9 @@
 // The standard transport retries a request with an Idempotency-Key on its own if a reused connection breaks, even after the
 // server has acted on it. A separate connection for each request rules that out.
 func NewNoRetryHTTPClient(dial DialFunc) *http.Client {
-	client := NewHTTPClient(dial)
-	client.Transport.(*http.Transport).DisableKeepAlives = true
-	return client
+	t := newTransport(dial)
+	t.DisableKeepAlives = true
+	return &http.Client{Transport: receiver.NewTransport(t)}
 }
 
 // statusError is an answer with a status other than 200.
--- a/emulator/answer.go
+++ b/emulator/answer.go
@@ -65,6 +65,16 @@
 		s.write(c, s.rejectionHeader(statusOverloaded)+"Content-Length: 0\r\n\r\n")
 	case OpaqueError:
 		return s.write(c, "HTTP/1.1 500 Internal Server Error\r\n"+header+"Content-Length: 4\r\n\r\noops")
+	case OpaqueStatusZero:
+		const inner = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\ninner"
+		s.write(c, fmt.Sprintf("HTTP/1.1 000 Trouble\r\n%sContent-Length: %d\r\n\r\n%s", header, len(inner), inner))
+		return false
+	case OpaqueBlankInName:
+		s.write(c, "HTTP/1.1 200 OK\r\n"+header+"Content-Length : 2\r\n\r\nok and more")
+		return false
+	case OpaqueTwoFramings:
+		s.write(c, "HTTP/1.1 200 OK\r\n"+header+"Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n")
+		return false
 	case OpaqueUnsigned:
 		return s.write(c, "HTTP/1.1 200 OK\r\nX-Attempt-Id: "+id+"\r\n"+s.serverHeader()+"Content-Length: 4\r\n\r\nfake")
 	case OpaqueWrongRequest, OpaqueStrayAnswer:
--- a/emulator/fault.go
+++ b/emulator/fault.go
@@ -49,6 +49,12 @@
 	// OpaqueCrash crashes the server crashDelay after it has started to run the request. This breaks all its other requests
 	// too.
 	OpaqueCrash OpaqueFault = "crash"
+	// OpaqueStatusZero runs the request and answers with status 000, and a body that looks like an answer.
+	OpaqueStatusZero OpaqueFault = "status_000"
+	// OpaqueBlankInName runs the request and answers with a blank in the name of the field that has the length.
+	OpaqueBlankInName OpaqueFault = "blank_in_name"
+	// OpaqueTwoFramings runs the request and sends an answer with both a length and chunks.
+	OpaqueTwoFramings OpaqueFault = "two_framings"
 	// OpaqueContinuesAnew runs the request. If that resumes a stream, the server begins the stream anew.
 	OpaqueContinuesAnew OpaqueFault = "continues_anew"
 	// OpaqueContinuesEarly does the same, but begins with the last event that the caller has already.
--- a/emulator/truncated.go
+++ b/emulator/truncated.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 )
 
 // attemptMark stands for the ID of the request in the text of a truncated answer.
@@ -67,6 +68,54 @@
 	}
 }
 
+// EarlyAnswer is an answer that a server sends when it has read the head of a request, and no more of it.
+type EarlyAnswer struct {
+	Text string
+	// After is how long after the answer the server resets the connection. If it is zero and Keeps is set, the server reads the rest of the
+	// request and closes the connection in order.
+	After time.Duration
+	Keeps bool
+}
+
+// StartEarlyServer starts a server on a loopback port that answers each request with an early answer, and returns its listener.
+func StartEarlyServer(a EarlyAnswer) (net.Listener, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go a.serve(c)
+		}
+	}()
+	return l, nil
+}
+
+func (a EarlyAnswer) serve(c net.Conn) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	for {
+		line, err := r.ReadString('\n')
+		if err != nil {
+			return
+		}
+		if line == "\r\n" {
+			break
+		}
+	}
+	_, _ = io.WriteString(c, a.Text)
+	if a.Keeps {
+		_, _ = io.Copy(io.Discard, r)
+		return
+	}
+	time.Sleep(a.After)
+	resetOnClose(c)
+}
+
 // resetOnClose makes the kernel reset a connection when it is closed.
 func resetOnClose(c net.Conn) {
 	if tcp, ok := c.(*net.TCPConn); ok {
--- a/loader/driver.go
+++ b/loader/driver.go
@@ -110,6 +110,9 @@
 	return s, err
 }
 
+// metricsClient reads metrics of processes.
+var metricsClient = connector.NewHTTPClient(nil)
+
 // linkBytes returns the number of bytes that the process's links have sent and received since its start. It returns zero
 // without a MetricsURL.
 func (w Process) linkBytes(ctx context.Context) (float64, error) {
@@ -120,7 +123,7 @@
 	if err != nil {
 		return 0, fmt.Errorf("watching %s: %w", w.Name, err)
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := metricsClient.Do(request)
 	if err != nil {
 		return 0, fmt.Errorf("watching %s: %w", w.Name, err)
 	}
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -67,10 +67,10 @@
 
 func newClient(dialTimeout time.Duration) *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
-	return &Client{observe: func(time.Duration, bool) {}, http: &http.Client{Transport: &http.Transport{
+	return &Client{observe: func(time.Duration, bool) {}, http: &http.Client{Transport: receiver.NewTransport(&http.Transport{
 		DialContext: dialer.DialContext, IdleConnTimeout: idleTimeout, MaxIdleConnsPerHost: maxIdleConnsPerRouter, DisableCompression: true,
 		MaxResponseHeaderBytes: maxHeaderBytes,
-	}}}
+	})}}
 }
 
 // ObserveCalls sets a function that is called with the duration of each Call that succeeded or timed out. A Call times out if the
--- a/receiver/head.go
+++ b/receiver/head.go
@@ -23,18 +23,28 @@
 // limit of its own. It is not safe for concurrent reads.
 type HeadConn struct {
 	net.Conn
-	// left is how many bytes may still be read.
-	left int64
+	// left is how many bytes may still be read. heads records what is read for a head.
+	left  int64
+	heads Heads
 }
 
 // NewHeadConn returns a HeadConn that reads from c. It begins with a head.
 func NewHeadConn(c net.Conn) *HeadConn { return &HeadConn{Conn: c, left: maxHeadBytes} }
 
-// BeginHead starts to limit what is read, for a head.
-func (c *HeadConn) BeginHead() { c.left = maxHeadBytes }
+// BeginHead starts to limit and record what is read, for a head. buffered is what was read of it before.
+func (c *HeadConn) BeginHead(buffered []byte) *Heads {
+	c.left = maxHeadBytes
+	c.heads = Heads{raw: append(c.heads.raw[:0], buffered...)}
+	return &c.heads
+}
 
 // EndHead removes the limit, since the head is complete. What follows is limited by who reads it.
-func (c *HeadConn) EndHead() { c.left = math.MaxInt64 }
+func (c *HeadConn) EndHead() {
+	c.left, c.heads = math.MaxInt64, Heads{raw: c.heads.raw[:0]}
+	if cap(c.heads.raw) > pieceBytes {
+		c.heads.raw = nil
+	}
+}
 
 // Read reads from the connection.
 func (c *HeadConn) Read(b []byte) (int, error) {
@@ -42,6 +52,9 @@
 		return 0, &HeadTooLargeError{Limit: maxHeadBytes}
 	}
 	n, err := c.Conn.Read(b[:min(int64(len(b)), c.left)])
-	c.left -= int64(n)
+	if c.left < math.MaxInt64 {
+		c.heads.add(b[:n])
+		c.left -= int64(n)
+	}
 	return n, err
 }
--- a/sender/answer.go
+++ b/sender/answer.go
@@ -6,6 +6,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"github.com/masticway/masticway/receiver"
 )
 
 // Framing is how an answer delimits its body.
@@ -49,9 +51,16 @@
 // framed.
 func (a *Answer) Read(b []byte) (int, error) {
 	n, err := a.body.Read(b)
-	if errors.Is(err, io.EOF) {
-		a.complete = true
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	if !a.IsFramed() && a.conn.writeDone != nil {
+		// The kernel tells a reset once: if the writer has got it, the reader finds an end like any other.
+		if writeErr := receiver.AwaitWritten(a.conn.writeDone); writeErr != nil {
+			return n, writeErr
+		}
 	}
+	a.complete = true
 	return n, err
 }
 
--- a/sender/conn.go
+++ b/sender/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -102,21 +103,36 @@
 	return nil
 }
 
-// readAnswer reads the head of the next answer and skips informational ones. It fails with receiver.HeadTooLargeError if they are too large.
+// maxInformational is the most informational answers before one that are skipped.
+const maxInformational = 8
+
+// readAnswer reads the head of the next answer and skips informational ones. It fails with receiver.HeadTooLargeError if they are too large,
+// and with receiver.InvalidAnswerError if they are not valid.
 func (c *conn) readAnswer() (*Answer, error) {
-	c.head.BeginHead()
+	buffered, err := c.reader.Peek(c.reader.Buffered())
+	if err != nil {
+		return nil, err
+	}
+	heads := c.head.BeginHead(buffered)
 	defer c.head.EndHead()
-	for {
+	for range maxInformational + 1 {
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: c.method})
 		if err != nil {
 			return nil, err
 		}
-		if response.StatusCode < http.StatusOK {
-			continue
+		if err := heads.CheckNext(); err != nil {
+			return nil, err
+		}
+		isFinal, err := receiver.CheckStatus(response.StatusCode)
+		if err != nil {
+			return nil, err
+		}
+		if isFinal {
+			c.willClose = response.Close
+			return &Answer{Status: response.StatusCode, Header: response.Header, Framing: framingOf(response), History: c.history, body: response.Body, conn: c}, nil
 		}
-		c.willClose = response.Close
-		return &Answer{Status: response.StatusCode, Header: response.Header, Framing: framingOf(response), History: c.history, body: response.Body, conn: c}, nil
 	}
+	return nil, &receiver.InvalidAnswerError{Reason: fmt.Sprintf("over %d informational answers", maxInformational)}
 }
 
 // release ends a request, whose answer may be complete and framed. It returns the connection to the pool if its state allows its
--- a/soaker/caller.go
+++ b/soaker/caller.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"github.com/masticway/masticway/emulator"
+	"github.com/masticway/masticway/receiver"
 )
 
 // Outcomes of a request as its caller sees them.
@@ -131,6 +132,8 @@
 	// workspace is the workspace of all requests; if it is empty, each request is of one of workspaces.
 	workspace string
 	transport http.Transport
+	// strict takes only valid answers over transport. It is set with the first request.
+	strict *receiver.Transport
 	// repeatsID is set if the caller sends what was refused again with the same ID, and keepsConn if it does so at once and on the same
 	// connection.
 	repeatsID, keepsConn bool
@@ -284,7 +287,13 @@
 	call := emulator.OpaqueCall{ID: q.id, TimeLeft: q.timeLimit, Metered: q.metered, Prompt: q.prompt, MaxOutput: q.declared, LastEvent: q.resumeAfter, Resumes: q.resumes(), Parts: q.parts}
 	call.Key = q.key
 	out.Header = call.Header()
-	in, err := c.transport.RoundTrip(out.WithContext(ctx))
+	if c.strict == nil {
+		c.strict = receiver.NewTransport(&c.transport)
+	}
+	in, err := c.strict.RoundTrip(out.WithContext(ctx))
+	if _, ok := errors.AsType[*receiver.InvalidAnswerError](err); ok {
+		c.soak.reportViolation(promiseWhole, "what came is no answer: %s: %v", q, err)
+	}
 	if err != nil {
 		return err
 	}
--- a/soaker/faults.go
+++ b/soaker/faults.go
@@ -234,6 +234,7 @@
 var failures = []emulator.OpaqueFault{
 	emulator.OpaqueReset, emulator.OpaqueOverloaded, emulator.OpaqueTruncated, emulator.OpaqueWrongServer, emulator.OpaqueError, emulator.OpaqueNoFault,
 	emulator.OpaqueHang, emulator.OpaqueUnsigned, emulator.OpaqueWrongRequest, emulator.OpaqueStrayAnswer,
+	emulator.OpaqueStatusZero, emulator.OpaqueBlankInName, emulator.OpaqueTwoFramings,
 }
 
 // failServer makes a server fail its next requests, each in the next way of failures. Among them, one of len(failures)
--- a/soaker/process.go
+++ b/soaker/process.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -16,6 +17,7 @@
 
 	"github.com/masticway/masticway"
 	"github.com/masticway/masticway/forwarder"
+	"github.com/masticway/masticway/receiver"
 )
 
 const (
@@ -151,7 +153,7 @@
 
 // awaitReady waits until the router is ready, for at most about startTimeout, and reports whether it is.
 func (p *process) awaitReady() bool {
-	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	client := &http.Client{Timeout: time.Second, Transport: receiver.NewTransport(&http.Transport{DialContext: (&net.Dialer{}).DialContext, DisableKeepAlives: true})}
 	for until := time.Now().Add(startTimeout); time.Now().Before(until); time.Sleep(readyPollInterval) {
 		if response, err := client.Get("http://" + p.settings.ReadinessAddress); err == nil {
 			_ = response.Body.Close()
