Versioner: ask for members without holding the lock

Two components that call each other while each holds its lock can wait for ever: in the tests of versioner the world's fake did, once for 14 minutes. duePools called Members.RankedAddresses with Versioner.mu held. In the product no circle is known, as Treasurer takes its lock for a copy only.

TestMembersAreAskedWithoutLock fails before: it waits for its own lock.

--- a/versioner/messages_test.go
+++ b/versioner/messages_test.go
@@ -12,6 +12,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/sirupsen/logrus"
 
+	"github.com/masticway/masticway"
 	"github.com/masticway/masticway/emulator"
 	"github.com/masticway/masticway/measurer"
 )
@@ -146,3 +147,37 @@
 		})
 	}
 }
+
+// reportingMembers reports a reading of the servers while it is asked, as a component does that holds a lock of its own meanwhile.
+type reportingMembers struct {
+	rankedMembers
+	versioner func() *Versioner
+}
+
+func (m reportingMembers) RankedAddresses(key string, limit int) []string {
+	m.versioner().RecordReading(time.Now())
+	return m.rankedMembers.RankedAddresses(key, limit)
+}
+
+// TestMembersAreAskedWithoutLock guards against two components that wait for each other's locks for ever.
+func TestMembersAreAskedWithoutLock(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	var v *Versioner
+	v = New(Dependencies{
+		Store: emulator.NewRowStore(time.Now), Routers: &countingRouters{}, Members: reportingMembers{3, func() *Versioner { return v }}, Peers: func() []string { return nil }, Clock: masticway.SystemClock{},
+		Log: logrus.NewEntry(log), Metrics: measurer.New(), Address: "0",
+	})
+	v.Update(testDeployment, serversOf("v1", "v2"))
+	v.RecordReading(time.Now())
+	v.RecordConfigurationReading(time.Now())
+	v.readPools(t.Context())
+	asked := make(chan []string, 1)
+	go func() { asked <- v.duePools() }()
+	select {
+	case due := <-asked:
+		qt.Assert(t, due, qt.DeepEquals, []string{"p"})
+	case <-time.After(5 * time.Second):
+		t.Fatal("it waits for its own lock")
+	}
+}
--- a/versioner/pools.go
+++ b/versioner/pools.go
@@ -207,24 +207,37 @@
 // duePools returns the pools whose records this router must write now: at once if it owns the pool, otherwise some time after it first
 // saw the change.
 func (v *Versioner) duePools() (due []string) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
 	now := v.Clock.Now()
+	v.mu.Lock()
 	changed := v.history.changedPools(now)
 	maps.DeleteFunc(v.writePoolAt, func(pool string, _ time.Time) bool { _, ok := changed[pool]; return !ok })
+	var added []string
 	for pool := range changed {
 		at, known := v.writePoolAt[pool]
-		if !known {
-			at = now
-			if first := v.Members.RankedAddresses(pool, 1); len(first) == 0 || first[0] != v.Address {
-				at = now.Add(writeDelay + time.Duration(v.random()*float64(writeSpread)))
-			}
-			v.writePoolAt[pool] = at
-		}
-		if !now.Before(at) {
+		switch {
+		case !known:
+			added = append(added, pool)
+		case !now.Before(at):
 			due = append(due, pool)
 		}
 	}
+	v.mu.Unlock()
+	// Others are asked without the lock, because they may report to this component under a lock of their own.
+	isOwner := map[string]bool{}
+	for _, pool := range added {
+		first := v.Members.RankedAddresses(pool, 1)
+		isOwner[pool] = len(first) > 0 && first[0] == v.Address
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, pool := range added {
+		v.writePoolAt[pool] = now
+		if !isOwner[pool] {
+			v.writePoolAt[pool] = now.Add(writeDelay + time.Duration(v.random()*float64(writeSpread)))
+			continue
+		}
+		due = append(due, pool)
+	}
 	return due
 }
 
