Sender: a test of unacknowledged requests that ends by itself

TestUnacknowledgedRequestIsReset hung if the first try of Sender.prepare took 10 ms, because Check is then called again and waited for a value that is sent once.

--- a/sender/acks_test.go
+++ b/sender/acks_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -84,14 +85,17 @@
 	const timeout = 300 * time.Millisecond
 	accepted, filtered := make(chan *net.TCPConn, 1), make(chan error, 1)
 	address := accept(t, func(c *net.TCPConn) {
+		// Send checks the request again if the first check took long.
+		time.Sleep(50 * time.Millisecond)
 		filtered <- dropAllButResets(c)
 		accepted <- c
 	})
+	check := sync.OnceValue(func() error { return receive(filtered) })
 	s := sender.New((&net.Dialer{}).DialContext, time.Now)
 	learnAcks(t, s, timeout)
 	began := time.Now()
 	_, err := s.Send(t.Context(), address, 0, sender.Request{
-		ID: nextID(), Method: "GET", Target: "/", Host: "h", ConnectTimeout: time.Second, AckTimeout: timeout, Check: func() error { return <-filtered },
+		ID: nextID(), Method: "GET", Target: "/", Host: "h", ConnectTimeout: time.Second, AckTimeout: timeout, Check: check,
 	})
 	qt.Assert(t, err, qt.IsNotNil)
 	took := time.Since(began)
@@ -103,6 +107,16 @@
 	qt.Assert(t, awaitReset(c), qt.IsTrue)
 }
 
+// receive returns the error that comes on a channel, or one that tells that none came.
+func receive(results chan error) error {
+	select {
+	case err := <-results:
+		return err
+	case <-time.After(10 * time.Second):
+		return errors.New("the server has not accepted the connection")
+	}
+}
+
 // TestIdleTimeIsNotUnacknowledged guards against giving up a request on a connection that was idle, since the last acknowledgement is
 // that of an earlier request.
 func TestIdleTimeIsNotUnacknowledged(t *testing.T) {
