Forwarder: a handover never asks a server beyond the route's limit

Cause: tryHandover asked a further candidate after one whose connection had broken, without comparing the possible runs with the route's limit.

Evidence: TestNoThirdServerAfterCandidateBroke ran requests at three servers before on /freely/ and /resume/.

Why it works: the comparison that an attempt makes when it begins is made before each candidate.

--- a/forwarder/handover.go
+++ b/forwarder/handover.go
@@ -146,6 +146,10 @@
 		// A suspect must not run at two servers at once.
 		return false
 	}
+	if x.possibleRuns()+1 >= x.q.route.MaxServers {
+		// An earlier candidate may have run the request, since this attempt began.
+		return false
+	}
 	began := x.f.clock.Now()
 	c, _, ok := x.selectCoordinated(a.parent, x.candidates(a.askedServers()), false)
 	if !ok {
