--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -370,3 +370,21 @@
 	qt.Assert(t, err, qt.IsNotNil)
 	qt.Assert(t, f.otherPath.calls.Load() <= used+1, qt.IsTrue, qt.Commentf("a router whose direct path is down still called the store"))
 }
+
+// TestRejectedWriteIsToldAndNotRelayed guards against a write that is too large for the store, for which the router takes its path to the
+// store for down, or of which nobody learns.
+func TestRejectedWriteIsToldAndNotRelayed(t *testing.T) {
+	f := newRouterPair(t)
+	for began := time.Now(); time.Since(began) < 300*time.Millisecond; {
+		_, err := f.store.Write(t.Context(), masticway.RowWrite{Puts: []masticway.RowPut{{RowKey: masticway.RowKey{Table: "t", Part: "0", Key: "row"}, Value: make([]byte, 70_000)}}})
+		rejected, ok := errors.AsType[*masticway.WriteRejectedError](err)
+		qt.Assert(t, ok, qt.IsTrue, qt.Commentf("%v", err))
+		qt.Assert(t, rejected.Bytes, qt.Equals, 70_000)
+	}
+	qt.Check(t, f.isDirectDown(), qt.IsFalse)
+	qt.Check(t, f.otherPath.calls.Load(), qt.Equals, int32(0))
+	told := slices.ContainsFunc(f.logs[f.store].AllEntries(), func(e *logrus.Entry) bool {
+		return e.Data["event"] == "store_write_rejected" && e.Data["row"] == "row" && e.Data["row_bytes"] == 70_000
+	})
+	qt.Check(t, told, qt.IsTrue)
+}
--- a/treasurer/checkpoint_test.go
+++ b/treasurer/checkpoint_test.go
@@ -302,3 +302,34 @@
 		}
 	}
 }
+
+// TestAccountRowOfLargeFleetFits guards against a workspace's row that the store does not take, because all of 350 routers have a grant of
+// it and are killed one after the other.
+func TestAccountRowOfLargeFleetFits(t *testing.T) {
+	const routers, maxRow = 350, 64 << 10
+	incarnation := func(router, start int) masticway.Incarnation {
+		return masticway.NewIncarnation(fmt.Sprintf("edge-somewhere-far-north-%03d", router), fmt.Sprintf("%08x", start))
+	}
+	rows := emulator.NewRowStore(time.Now)
+	key := masticway.RowKey{Table: "masticway_accounts", Part: "0", Key: "w"}
+	a := treasurer.Account{Prepaid: 9_000_000_000_000, Version: 1_000_000}
+	for i := range routers {
+		a = a.WithGrant(incarnation(i, 0), treasurer.Grant{Granted: 9_999_999_999, Taken: 9_999_999_999, Demand: 9_999_999, Sequence: 9_999_999})
+	}
+	largest := 0
+	for start := range 2 {
+		for i := range routers {
+			value, err := json.Marshal(a)
+			qt.Assert(t, err, qt.IsNil)
+			rows.Put(key, value)
+			write, _, err := treasurer.CloseGrant(rows.Row(key), incarnation(i, start), 9_999_999_999, time.Duration(start*routers+i)*time.Millisecond, false)
+			qt.Assert(t, err, qt.IsNil)
+			largest = max(largest, len(value), len(write.Puts[0].Value))
+			a = treasurer.ReadAccount(masticway.StoredRow{Version: 1, Value: write.Puts[0].Value})
+			a = a.WithGrant(incarnation(i, start+1), treasurer.Grant{Granted: 1000, Taken: 10, Demand: 10, Sequence: 1})
+		}
+	}
+	t.Logf("largest row: %d bytes", largest)
+	qt.Assert(t, largest <= maxRow, qt.IsTrue, qt.Commentf("%d bytes", largest))
+	qt.Check(t, a.Closed, qt.Equals, int64(routers*9_999_999_999+routers*1000))
+}
