--- a/emulator/truncated.go
+++ b/emulator/truncated.go
@@ -38,6 +38,11 @@
 
 // StartTruncatedServer starts a server on a loopback port that answers each request with a truncated answer, and returns its listener.
 func StartTruncatedServer(a TruncatedAnswer) (net.Listener, error) {
+	return listen(a.serve)
+}
+
+// listen starts a server on a loopback port that calls serve for each connection.
+func listen(serve func(c net.Conn)) (net.Listener, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -48,7 +53,7 @@
 			if err != nil {
 				return
 			}
-			go a.serve(c)
+			go serve(c)
 		}
 	}()
 	return l, nil
@@ -79,20 +84,7 @@
 
 // StartEarlyServer starts a server on a loopback port that answers each request with an early answer, and returns its listener.
 func StartEarlyServer(a EarlyAnswer) (net.Listener, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, err
-	}
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go a.serve(c)
-		}
-	}()
-	return l, nil
+	return listen(a.serve)
 }
 
 func (a EarlyAnswer) serve(c net.Conn) {
--- a/sender/invalid_test.go
+++ b/sender/invalid_test.go
@@ -15,16 +15,23 @@
 	"github.com/masticway/masticway/sender"
 )
 
+// sendTo sends a request with a body, if there is one, to a new server that reads it and then answers with some bytes.
+func sendTo(t *testing.T, answer string, body []byte) (*sender.Answer, error) {
+	l, err := emulator.StartTruncatedServer(emulator.TruncatedAnswer{Text: answer, Length: len(answer)})
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = l.Close() })
+	s := sender.New((&net.Dialer{}).DialContext, time.Now)
+	return s.Send(t.Context(), l.Addr().String(), 0, sender.Request{
+		ID: nextID(), Method: http.MethodPost, Target: "/", Host: "h", ConnectTimeout: time.Second, Body: body, Header: http.Header{},
+	})
+}
+
 // TestInvalidAnswersFail guards against answers of a server in trouble that reach the caller, or whose heads hide where the body ends.
 func TestInvalidAnswersFail(t *testing.T) {
 	for name, text := range emulator.InvalidAnswers {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			l, err := emulator.StartTruncatedServer(emulator.TruncatedAnswer{Text: text, Length: len(text)})
-			qt.Assert(t, err, qt.IsNil)
-			defer l.Close()
-			s := sender.New((&net.Dialer{}).DialContext, time.Now)
-			a, err := s.Send(t.Context(), l.Addr().String(), 0, sender.Request{ID: nextID(), Method: "GET", Target: "/", Host: "h", ConnectTimeout: time.Second})
+			a, err := sendTo(t, text, nil)
 			if err == nil {
 				a.Close()
 			}
@@ -40,11 +47,7 @@
 	for name, text := range emulator.ValidAnswers {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			l, err := emulator.StartTruncatedServer(emulator.TruncatedAnswer{Text: text, Length: len(text)})
-			qt.Assert(t, err, qt.IsNil)
-			defer l.Close()
-			s := sender.New((&net.Dialer{}).DialContext, time.Now)
-			a, err := s.Send(t.Context(), l.Addr().String(), 0, sender.Request{ID: nextID(), Method: "GET", Target: "/", Host: "h", ConnectTimeout: time.Second})
+			a, err := sendTo(t, text, nil)
 			qt.Assert(t, err, qt.IsNil)
 			defer a.Close()
 			body, err := io.ReadAll(a)
@@ -102,13 +105,8 @@
 // TestAnswerThatEndsWithItsConnectionAfterUploadIsTaken guards against answers without a length that count as broken because their request
 // had a long body.
 func TestAnswerThatEndsWithItsConnectionAfterUploadIsTaken(t *testing.T) {
-	text := "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nwhole"
-	l, err := emulator.StartTruncatedServer(emulator.TruncatedAnswer{Text: text, Length: len(text)})
-	qt.Assert(t, err, qt.IsNil)
-	defer l.Close()
-	s := sender.New((&net.Dialer{}).DialContext, time.Now)
 	for range 20 {
-		a, err := s.Send(t.Context(), l.Addr().String(), 0, sender.Request{ID: nextID(), Method: "POST", Target: "/", Host: "h", ConnectTimeout: time.Second, Body: make([]byte, 1<<20), Header: http.Header{}})
+		a, err := sendTo(t, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nwhole", make([]byte, 1<<20))
 		qt.Assert(t, err, qt.IsNil)
 		got, err := io.ReadAll(a)
 		qt.Check(t, err, qt.IsNil)
